--- /dev/null
+++ b/crates/chicory_ownership/src/view_change.rs
@@ -0,0 +1,90 @@
+//! Changes of the view that entry processes have of their availability zone.
+
+use chicory_table::Table;
+use chicory_types::{FencingToken, ServerId, ServiceName, SlotRun, VmId, ZoneName};
+
+use crate::{EntryRecord, ServerRecord};
+
+/// Who may serve a run of slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SlotOwner {
+    /// Nobody yet.
+    Unowned,
+    /// A backend server, under a fencing token.
+    Owned {
+        /// The owner.
+        server: ServerId,
+        /// Token of the assignment.
+        token: FencingToken,
+    },
+    /// A backend server that must give the slots up: its dispatcher sends nothing new, lets what is
+    /// in flight end, outwaits the server's lease, and then reports the slots as released.
+    Releasing {
+        /// The owner that gives up.
+        server: ServerId,
+        /// Token of the assignment that ends.
+        token: FencingToken,
+    },
+}
+
+/// One change of the view; the view is the fold of all changes since the last [`Reset`].
+///
+/// [`Reset`]: ViewChange::Reset
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ViewChange {
+    /// Everything known before is void.
+    Reset,
+    /// A revision of the table is in force.
+    TableInForce(Table),
+    /// A backend server was registered or changed.
+    ServerUpserted(ServerRecord),
+    /// A backend server is gone.
+    ServerRemoved(ServerId),
+    /// An entry VM is the only one that may send requests to a backend server; `None` while the
+    /// former dispatcher's lease is outwaited.
+    DispatcherAssigned {
+        /// The backend server.
+        server: ServerId,
+        /// Its dispatcher.
+        vm: Option<VmId>,
+        /// Counter that grows with each new dispatcher of any server.
+        epoch: u64,
+    },
+    /// The owner of slots of a keyed service changed.
+    SlotsAssigned {
+        /// The service.
+        service: ServiceName,
+        /// The slots.
+        runs: Vec<SlotRun>,
+        /// Their owner.
+        owner: SlotOwner,
+    },
+    /// An availability zone has custody of slots; in other zones requests are relayed to it.
+    CustodyAssigned {
+        /// The service.
+        service: ServiceName,
+        /// The slots.
+        runs: Vec<SlotRun>,
+        /// The zone.
+        zone: ZoneName,
+        /// Custody generation.
+        generation: u64,
+    },
+    /// The entry processes of an availability zone.
+    ZoneEntries {
+        /// The zone.
+        zone: ZoneName,
+        /// Its entry processes.
+        entries: Vec<EntryRecord>,
+    },
+    /// Requests of this fingerprint are refused, since they crashed backend servers.
+    Quarantined {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
+    /// Requests of this fingerprint are served again.
+    QuarantineLifted {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
+}
