Add the messages between the processes and their conversions

Cause: entry, control and operator processes need one versioned protocol. Ruled out: one package for all messages, since every addition would then rewrite the same generated file. Conclusion: small packages by job; conversions refuse what is missing or out of range with a typed error.

--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -1,1 +1,21 @@
 //! Protocol buffers messages between the processes and their conversions.
+//!
+//! The generated types appear only at the border: every reducer works on the domain types of its
+//! own crate, and this crate converts between the two. The generated code is committed; after a
+//! change of a `.proto` file run `cargo run -p wire_generator`.
+
+mod claim_convert;
+mod common_convert;
+mod convert_error;
+#[expect(
+    missing_docs,
+    clippy::pedantic,
+    reason = "the generator decides on the form of this code"
+)]
+pub mod generated;
+mod renewal_convert;
+mod table_convert;
+mod view_convert;
+
+pub use convert_error::ConvertError;
+pub use generated::chicory as proto;
--- a/tools/wire_generator/src/main.rs
+++ b/tools/wire_generator/src/main.rs
@@ -17,6 +17,7 @@
     fs::create_dir_all(OUT_DIR)?;
     prost_build::Config::new()
         .btree_map(["."])
+        .include_file("mod.rs")
         .out_dir(Path::new(OUT_DIR))
         .compile_fds(descriptors)?;
     Ok(())
