Run a replicated state machine around a replica

Cause: the global group and the zone groups need the same composition of replica, state machine and waiters for proposals.

--- /dev/null
+++ b/crates/chicory_control/src/control_event.rs
@@ -0,0 +1,73 @@
+//! Everything that can happen to a control process.
+
+use chicory_consensus::{MemberId, PeerMessage};
+use chicory_ownership::ZoneSyncAnswer;
+use chicory_types::{MonoTime, VmId};
+
+use crate::{CallId, Caller, ControlCall, FormationAnswer};
+
+/// A group that a control process may be a member of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GroupName {
+    /// The group of the whole cluster.
+    Global,
+    /// The group of the process's availability zone.
+    Zone,
+}
+
+/// Everything that can happen to a control process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ControlEvent {
+    /// Time has passed; sent no later than the reducer's next wake-up.
+    Tick,
+    /// A message of another member arrived.
+    PeerReceived {
+        /// The group.
+        group: GroupName,
+        /// The sender.
+        from: MemberId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// State of the global group is durable.
+    Persisted {
+        /// Ticket of the effect.
+        ticket: u64,
+    },
+    /// State of the global group could not be made durable.
+    PersistFailed {
+        /// Ticket of the effect.
+        ticket: u64,
+    },
+    /// Another process made a call.
+    CallReceived {
+        /// Identifier for the reply.
+        call: CallId,
+        /// Who made it.
+        from: Caller,
+        /// The call.
+        request: ControlCall,
+    },
+    /// The global group answered this zone's sync.
+    ZoneSyncAnswered {
+        /// When the sync was sent.
+        sent_at: MonoTime,
+        /// The process that answered.
+        from: VmId,
+        /// The answer.
+        answer: ZoneSyncAnswer,
+    },
+    /// The sync got no answer.
+    ZoneSyncFailed,
+    /// The global group told this member without memory what to do.
+    FormationAnswered {
+        /// The process that answered.
+        from: VmId,
+        /// The answer.
+        answer: FormationAnswer,
+    },
+    /// The question of a member without memory got no answer.
+    FormationFailed,
+    /// The process was asked to stop.
+    StopRequested,
+}
--- /dev/null
+++ b/crates/chicory_control/src/group.rs
@@ -0,0 +1,227 @@
+//! One replicated state machine: a replica of the log together with the state that it drives.
+
+use std::collections::BTreeMap;
+
+use chicory_consensus::{
+    Entry, HardState, MemberId, PeerMessage, ProposalRejection, Replica, ReplicaEffect,
+    ReplicaEvent, Snapshot,
+};
+use chicory_types::{LogIndex, MonoTime, Term};
+
+use crate::{DecodeError, StateMachine};
+
+/// What is to be made durable before the group goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PersistRequest {
+    /// Identifier for the answer.
+    pub ticket: u64,
+    /// New term and vote.
+    pub hard_state: Option<HardState>,
+    /// Remove stored entries from this index on.
+    pub truncate_from: Option<LogIndex>,
+    /// Snapshot that stands for all entries up to its last index.
+    pub snapshot: Option<Snapshot>,
+    /// Entries to append.
+    pub entries: Vec<Entry>,
+}
+
+/// What a step of the group asks of its owner, in order.
+#[derive(Debug)]
+pub enum GroupEffect<O, W> {
+    /// Send a message to another member.
+    Send {
+        /// The receiver.
+        to: MemberId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Make state durable and answer with the ticket.
+    Persist(Box<PersistRequest>),
+    /// A command was committed and applied.
+    Applied {
+        /// What it did.
+        outcome: O,
+        /// Who waits for it in this process.
+        waiter: Option<W>,
+    },
+    /// A proposal was not taken, or its outcome is unknown.
+    Rejected {
+        /// Who waits for it.
+        waiter: W,
+        /// Why.
+        reason: ProposalRejection,
+    },
+    /// This process leads the group from now on.
+    BecameLeader {
+        /// Its term.
+        term: Term,
+    },
+    /// This process leads the group no longer.
+    LostLeadership,
+    /// The group was formed anew without this member.
+    Superseded {
+        /// Epoch of the new group.
+        group_epoch: u64,
+    },
+    /// A committed command or a snapshot could not be read: this replica must stop.
+    Corrupt(DecodeError),
+}
+
+/// Effects of one step.
+pub type GroupEffects<M, W> = Vec<GroupEffect<<M as StateMachine>::Outcome, W>>;
+
+/// One replicated state machine: a replica of the log together with the state that it drives.
+///
+/// `W` names who waits for the outcome of a proposal.
+pub struct Group<M, W> {
+    replica: Replica,
+    machine: M,
+    /// Without a disk all is as durable as it will ever be.
+    is_durable: bool,
+    waiters: BTreeMap<u64, W>,
+    next_proposal: u64,
+}
+
+impl<M: StateMachine, W> Group<M, W> {
+    /// Creates the group around a replica and the machine's initial state.
+    #[must_use]
+    pub fn new(replica: Replica, machine: M, is_durable: bool) -> Self {
+        Self {
+            replica,
+            machine,
+            is_durable,
+            waiters: BTreeMap::new(),
+            next_proposal: 1,
+        }
+    }
+
+    /// The replica.
+    #[must_use]
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// The state that all applied commands have made.
+    #[must_use]
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// Whether this process surely leads the group and has applied all that was committed.
+    #[must_use]
+    pub fn has_authority(&self, now: MonoTime) -> bool {
+        self.replica.is_leader() && self.replica.has_leader_lease(now)
+    }
+
+    /// Whether proposals of this process wait for their outcome.
+    #[must_use]
+    pub fn has_proposals(&self) -> bool {
+        !self.waiters.is_empty()
+    }
+
+    /// Proposes a command.
+    pub fn propose(
+        &mut self,
+        now: MonoTime,
+        command: M::Command,
+        waiter: W,
+    ) -> GroupEffects<M, W> {
+        let proposal_id = self.next_proposal;
+        self.next_proposal += 1;
+        self.waiters.insert(proposal_id, waiter);
+        let command = M::encode_command(command);
+        self.reduce(
+            now,
+            ReplicaEvent::Propose {
+                proposal_id,
+                command,
+            },
+        )
+    }
+
+    /// Takes in one event of the replica.
+    pub fn reduce(&mut self, now: MonoTime, event: ReplicaEvent) -> GroupEffects<M, W> {
+        let mut effects = Vec::new();
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for effect in self.replica.reduce(now, event) {
+                events.extend(self.carry_out(effect, &mut effects));
+            }
+        }
+        effects
+    }
+
+    /// Carries out one effect; returns an event that follows from it.
+    fn carry_out(
+        &mut self,
+        effect: ReplicaEffect,
+        effects: &mut GroupEffects<M, W>,
+    ) -> Option<ReplicaEvent> {
+        match effect {
+            ReplicaEffect::Send { to, message } => effects.push(GroupEffect::Send { to, message }),
+            ReplicaEffect::Persist { ticket, .. } if !self.is_durable => {
+                return Some(ReplicaEvent::Persisted { ticket });
+            }
+            ReplicaEffect::Persist {
+                ticket,
+                hard_state,
+                truncate_from,
+                snapshot,
+                entries,
+            } => effects.push(GroupEffect::Persist(Box::new(PersistRequest {
+                ticket,
+                hard_state,
+                truncate_from,
+                snapshot,
+                entries,
+            }))),
+            ReplicaEffect::Apply {
+                index,
+                command,
+                proposal_id,
+                ..
+            } => effects.push(self.apply(index, &command, proposal_id)),
+            ReplicaEffect::InstallSnapshot { data, .. } => {
+                if let Err(error) = self.machine.restore(&data) {
+                    effects.push(GroupEffect::Corrupt(error));
+                }
+            }
+            ReplicaEffect::Rejected {
+                proposal_id,
+                reason,
+            } => {
+                if let Some(waiter) = self.waiters.remove(&proposal_id) {
+                    effects.push(GroupEffect::Rejected { waiter, reason });
+                }
+            }
+            ReplicaEffect::BecameLeader { term } => {
+                effects.push(GroupEffect::BecameLeader { term });
+            }
+            ReplicaEffect::LostLeadership { .. } => effects.push(GroupEffect::LostLeadership),
+            ReplicaEffect::TakeSnapshot { index } => {
+                let data = self.machine.encode_snapshot();
+                return Some(ReplicaEvent::SnapshotTaken { index, data });
+            }
+            ReplicaEffect::EpochSuperseded { group_epoch } => {
+                effects.push(GroupEffect::Superseded { group_epoch });
+            }
+        }
+        None
+    }
+
+    fn apply(
+        &mut self,
+        index: LogIndex,
+        command: &[u8],
+        proposal_id: Option<u64>,
+    ) -> GroupEffect<M::Outcome, W> {
+        let waiter = proposal_id.and_then(|proposal| self.waiters.remove(&proposal));
+        match M::decode_command(command) {
+            Ok(command) => GroupEffect::Applied {
+                outcome: self.machine.apply(index, &command),
+                waiter,
+            },
+            Err(error) => GroupEffect::Corrupt(error),
+        }
+    }
+}
