Add the replicated log reducer with its public surface

The control core needs the events and effects to build against. The surface follows a reducer: the caller passes time in and carries effects out; a message that promises something is held back until the state behind it is durable.

Ruled out: one Persist effect per event. While the storage is busy changes gather and leave as one effect, so group commit needs no timer.

Seen to work: a single voter forms its group, leads, and applies only what is durable (tests/single_voter.rs). Groups of more voters are written but not tested yet.

--- /dev/null
+++ b/crates/chicory_consensus/src/member_id.rs
@@ -0,0 +1,68 @@
+//! Identity of one member of a group.
+
+use std::fmt;
+
+use chicory_types::{Incarnation, VmId};
+
+/// Incarnation that stands for "not known yet" in the address of a first contact.
+pub const UNKNOWN_INCARNATION: Incarnation = 0;
+
+/// One member of a group: a VM together with the incarnation of its memory.
+///
+/// A process without a disk forgets its votes and its log when it stops. It therefore comes back
+/// with a greater incarnation, which makes it another member. A VM with a disk keeps the
+/// incarnation that is stored there.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_consensus::MemberId;
+///
+/// let before = MemberId::new("vm-a", 1);
+/// let after = MemberId::new("vm-a", 2);
+/// assert!(after.supersedes(&before));
+/// assert_eq!(after.to_string(), "vm-a#2");
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MemberId {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Incarnation of its memory; a later one is greater.
+    pub incarnation: Incarnation,
+}
+
+impl MemberId {
+    /// Creates the identity of a member.
+    #[must_use]
+    pub fn new(vm: impl Into<VmId>, incarnation: Incarnation) -> Self {
+        Self {
+            vm: vm.into(),
+            incarnation,
+        }
+    }
+
+    /// The address of whichever incarnation runs on `vm` now.
+    #[must_use]
+    pub fn any_of(vm: impl Into<VmId>) -> Self {
+        Self::new(vm, UNKNOWN_INCARNATION)
+    }
+
+    /// Whether this member is a later incarnation of the same VM.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        self.vm == other.vm && self.incarnation > other.incarnation
+    }
+
+    /// Whether a message addressed to `self` is meant for `member`.
+    #[must_use]
+    pub fn addresses(&self, member: &Self) -> bool {
+        self.vm == member.vm
+            && (self.incarnation == UNKNOWN_INCARNATION || self.incarnation == member.incarnation)
+    }
+}
+
+impl fmt::Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.vm, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/chicory_consensus/src/replica/election.rs
@@ -0,0 +1,232 @@
+//! Elections: pre-vote, vote, and transfer of leadership.
+
+use std::collections::BTreeSet;
+
+use chicory_types::{ClockRateMargin, LogIndex, Term};
+
+use super::{Phase, Replica, RoleState};
+use crate::{MemberId, PeerMessageBody, ProposalRejection, ReplicaEffect};
+
+/// Term and index of a log's last entry; the greater one is the more advanced log.
+type LogPosition = (Term, LogIndex);
+
+impl Replica {
+    pub(super) fn on_election_timeout(&mut self) {
+        self.reset_election_deadline();
+        self.leader = None;
+        if !self.can_stand() {
+            self.role = RoleState::Passive;
+            self.hello_deadline = self.hello_deadline.min(self.now);
+            return;
+        }
+        if self.is_sole_voter() {
+            self.start_election(false);
+            return;
+        }
+        self.start_pre_vote();
+    }
+
+    fn can_stand(&self) -> bool {
+        self.can_vote() && self.is_voter()
+    }
+
+    fn can_vote(&self) -> bool {
+        matches!(self.phase, Phase::Formed) && !self.is_barred
+    }
+
+    fn position(&self) -> LogPosition {
+        (self.log.last_term(), self.log.last_index())
+    }
+
+    fn start_pre_vote(&mut self) {
+        let granted = BTreeSet::from([self.config.member.clone()]);
+        self.role = RoleState::PreCandidate { granted };
+        let (last_term, last_index) = self.position();
+        for voter in self.peer_voters() {
+            let body = PeerMessageBody::PreVote {
+                term: self.hard_state.term + 1,
+                last_index,
+                last_term,
+            };
+            self.send(&voter, body);
+        }
+    }
+
+    fn start_election(&mut self, is_transfer: bool) {
+        self.set_term(self.hard_state.term + 1);
+        self.vote_for(self.config.member.clone());
+        self.leader = None;
+        self.reset_election_deadline();
+        self.role = RoleState::Candidate {
+            granted: BTreeSet::new(),
+            self_vote_ticket: self.covering_ticket(),
+        };
+        let (last_term, last_index) = self.position();
+        for voter in self.peer_voters() {
+            let body = PeerMessageBody::RequestVote {
+                term: self.hard_state.term,
+                last_index,
+                last_term,
+                is_transfer,
+            };
+            self.send_when_durable(&voter, body);
+        }
+    }
+
+    fn vote_for(&mut self, candidate: MemberId) {
+        self.hard_state.voted_for = Some(candidate);
+        self.queue.set_hard_state(&self.hard_state);
+    }
+
+    pub(super) fn count_own_vote(&mut self) {
+        let member = self.config.member.clone();
+        if let RoleState::Candidate {
+            granted,
+            self_vote_ticket,
+        } = &mut self.role
+            && self.queue.is_persisted(*self_vote_ticket)
+        {
+            granted.insert(member);
+            self.count_votes();
+        }
+    }
+
+    /// Whether a leader may still rely on this member not to vote for another one.
+    fn is_bound_by_lease(&self) -> bool {
+        let RoleState::Leader(leading) = &self.role else {
+            return self.now < self.refuse_votes_until;
+        };
+        let lease = self.config.leader_lease;
+        let contact = leading.quorum_contact.unwrap_or(leading.elected_at);
+        self.now < ClockRateMargin::grantor_end(contact, lease)
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: &MemberId, asked_term: Term, theirs: LogPosition) {
+        let granted = self.can_vote()
+            && !self.is_bound_by_lease()
+            && asked_term > self.hard_state.term
+            && theirs >= self.position();
+        let body = PeerMessageBody::PreVoteResponse {
+            term: self.hard_state.term,
+            asked_term,
+            granted,
+        };
+        self.send(from, body);
+    }
+
+    pub(super) fn on_pre_vote_response(
+        &mut self,
+        from: &MemberId,
+        term: Term,
+        asked_term: Term,
+        is_granted: bool,
+    ) {
+        if !is_granted && term > self.hard_state.term {
+            self.become_passive(term);
+            return;
+        }
+        let is_current = asked_term == self.hard_state.term + 1;
+        if let RoleState::PreCandidate { granted } = &mut self.role
+            && is_granted
+            && is_current
+        {
+            granted.insert(from.clone());
+            self.count_votes();
+        }
+    }
+
+    pub(super) fn on_request_vote(
+        &mut self,
+        from: &MemberId,
+        term: Term,
+        theirs: LogPosition,
+        is_transfer: bool,
+    ) {
+        if !self.can_vote() || (self.is_bound_by_lease() && !is_transfer) {
+            return;
+        }
+        if term > self.hard_state.term {
+            self.become_passive(term);
+        }
+        let voted_for = self.hard_state.voted_for.as_ref();
+        let is_free = voted_for.is_none_or(|member| member == from);
+        let granted = term == self.hard_state.term && is_free && theirs >= self.position();
+        if granted {
+            self.vote_for(from.clone());
+            self.reset_election_deadline();
+        }
+        let body = PeerMessageBody::VoteResponse {
+            term: self.hard_state.term,
+            granted,
+        };
+        self.send_when_durable(from, body);
+    }
+
+    pub(super) fn on_vote_response(&mut self, from: &MemberId, term: Term, is_granted: bool) {
+        if term > self.hard_state.term {
+            self.become_passive(term);
+            return;
+        }
+        if let RoleState::Candidate { granted, .. } = &mut self.role
+            && is_granted
+            && term == self.hard_state.term
+        {
+            granted.insert(from.clone());
+            self.count_votes();
+        }
+    }
+
+    fn count_votes(&mut self) {
+        let (RoleState::PreCandidate { granted } | RoleState::Candidate { granted, .. }) =
+            &self.role
+        else {
+            return;
+        };
+        let membership = self.membership();
+        let votes = granted.intersection(&membership.voters).count();
+        if votes < membership.quorum() {
+            return;
+        }
+        match self.role {
+            RoleState::PreCandidate { .. } => self.start_election(false),
+            _ => self.become_leader(),
+        }
+    }
+
+    /// Follows the given term, of which no leader is known yet.
+    pub(super) fn become_passive(&mut self, term: Term) {
+        self.step_down();
+        self.leader = None;
+        self.set_term(term);
+    }
+
+    /// Gives up any role; proposals without an outcome are reported as such.
+    pub(super) fn step_down(&mut self) {
+        let former = std::mem::replace(&mut self.role, RoleState::Passive);
+        if !matches!(former, RoleState::Leader(_)) {
+            return;
+        }
+        self.reset_election_deadline();
+        let term = self.hard_state.term;
+        self.effects.push(ReplicaEffect::LostLeadership { term });
+        for (_, proposal_id) in std::mem::take(&mut self.proposals) {
+            self.reject(proposal_id, ProposalRejection::LeadershipLost);
+        }
+    }
+
+    pub(super) fn on_transfer_leadership(&mut self) {
+        let Some(successor) = self.most_advanced_voter() else {
+            return;
+        };
+        let term = self.hard_state.term;
+        self.become_passive(term);
+        self.send(&successor, PeerMessageBody::TimeoutNow { term });
+    }
+
+    pub(super) fn on_timeout_now(&mut self, from: &MemberId, term: Term) {
+        let is_from_leader = self.leader.as_ref() == Some(from);
+        if is_from_leader && term == self.hard_state.term && self.can_stand() {
+            self.start_election(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_consensus/src/replica/following.rs
@@ -0,0 +1,126 @@
+//! What a follower or learner does with its leader's messages.
+
+use chicory_types::{ClockRateMargin, LogIndex, Term};
+
+use super::Replica;
+use crate::{AppendOutcome, Entry, MemberId, PeerMessageBody};
+
+impl Replica {
+    /// Takes `from` as the leader of `term`; `false` when the term is over.
+    pub(super) fn follow(&mut self, from: &MemberId, term: Term) -> bool {
+        if term < self.hard_state.term {
+            return false;
+        }
+        self.step_down();
+        self.set_term(term);
+        if self.leader.as_ref() != Some(from) {
+            self.leader = Some(from.clone());
+        }
+        self.refuse_votes_until = ClockRateMargin::grantor_end(self.now, self.config.leader_lease);
+        self.reset_election_deadline();
+        true
+    }
+
+    pub(super) fn on_append(&mut self, from: &MemberId, body: PeerMessageBody) {
+        let PeerMessageBody::Append {
+            term,
+            prev_index,
+            prev_term,
+            entries,
+            commit_index,
+            sent_at,
+        } = body
+        else {
+            return;
+        };
+        if !is_well_formed(term, prev_index, prev_term, &entries) {
+            return;
+        }
+        let outcome = if self.follow(from, term) {
+            self.take_entries(prev_index, prev_term, entries, commit_index)
+        } else {
+            AppendOutcome::Conflict {
+                prev_index,
+                hint_index: self.log.last_index(),
+            }
+        };
+        let response = PeerMessageBody::AppendResponse {
+            term: self.hard_state.term,
+            sent_at,
+            outcome,
+        };
+        self.send_when_durable(from, response);
+    }
+
+    fn take_entries(
+        &mut self,
+        prev_index: LogIndex,
+        prev_term: Term,
+        entries: Vec<Entry>,
+        leader_commit_index: LogIndex,
+    ) -> AppendOutcome {
+        let is_compacted = prev_index < self.log.base_index();
+        if !is_compacted && self.log.term_at(prev_index) != Some(prev_term) {
+            return AppendOutcome::Conflict {
+                prev_index,
+                hint_index: self.hint_before(prev_index),
+            };
+        }
+        let index = prev_index + entries.len() as LogIndex;
+        for entry in entries {
+            self.take_entry(entry);
+        }
+        self.commit_index = self.commit_index.max(leader_commit_index.min(index));
+        AppendOutcome::Matched { index }
+    }
+
+    /// Adds an entry that is missing; one that is there already or compacted changes nothing.
+    fn take_entry(&mut self, entry: Entry) {
+        if entry.index <= self.log.base_index() {
+            return;
+        }
+        match self.log.term_at(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => self.truncate_from(entry.index),
+            None => {}
+        }
+        self.append_entry(entry);
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) {
+        self.log.truncate_from(index);
+        self.queue.truncate_from(index);
+    }
+
+    /// Greatest index before `prev_index` at which the logs may match: the whole conflicting
+    /// term is skipped, but nothing that is committed.
+    fn hint_before(&self, prev_index: LogIndex) -> LogIndex {
+        let last_index = self.log.last_index();
+        if prev_index > last_index {
+            return last_index;
+        }
+        let conflicting = self.log.term_at(prev_index);
+        let mut hint = prev_index.saturating_sub(1);
+        while hint > self.commit_index && self.log.term_at(hint) == conflicting {
+            hint -= 1;
+        }
+        hint
+    }
+
+    /// Appends an entry; a membership in it is in force at once.
+    pub(super) fn append_entry(&mut self, entry: Entry) {
+        let was_learner = self.membership().learners.contains(&self.config.member);
+        self.log.append(entry);
+        self.is_barred &= !was_learner;
+    }
+}
+
+fn is_well_formed(term: Term, prev_index: LogIndex, prev_term: Term, entries: &[Entry]) -> bool {
+    let mut last = (prev_index, prev_term);
+    entries.iter().all(|entry| {
+        let follows = entry.index == last.0 + 1 && entry.term >= last.1;
+        last = (entry.index, entry.term);
+        follows && entry.term <= term
+    }) && prev_term <= term
+        && prev_index < LogIndex::MAX - entries.len() as LogIndex
+}
--- /dev/null
+++ b/crates/chicory_consensus/src/replica/forming.rs
@@ -0,0 +1,224 @@
+//! First contact, formation of the group, and incarnations of members.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chicory_types::MonoTime;
+
+use super::{Phase, Replica, RoleState};
+use crate::{
+    Formation, HelloStatus, MemberId, Membership, PeerMessageBody, ReplicaEffect, Snapshot,
+    UNKNOWN_INCARNATION,
+};
+
+impl Replica {
+    pub(super) fn enter_first_phase(&mut self) {
+        self.phase = self.first_phase();
+        if self.is_sole_voter() {
+            self.election_deadline = self.now;
+        }
+        if matches!(self.phase, Phase::Formed) && self.is_voter() {
+            self.hello_deadline = MonoTime::MAX;
+        }
+    }
+
+    fn first_phase(&mut self) -> Phase {
+        if self.log.membership().is_some() {
+            return self.phase_of_stored_group();
+        }
+        let member = self.config.member.clone();
+        let is_new = !self.is_barred && self.hard_state.term == 0;
+        match self.config.formation.clone() {
+            Formation::Founders(founders) if is_new && founders.contains(&member) => {
+                self.bind(Membership::of_voters(founders));
+                Phase::Formed
+            }
+            Formation::Unanimous if is_new && self.config.bootstrap_vms.contains(&member.vm) => {
+                Phase::Forming {
+                    heard: BTreeMap::from([(member.vm, member.incarnation)]),
+                }
+            }
+            _ => Phase::Joining,
+        }
+    }
+
+    fn phase_of_stored_group(&self) -> Phase {
+        let is_bound_only = self.log.last_index() == 0 && self.hard_state.term == 0;
+        if is_bound_only && self.config.formation == Formation::Unanimous {
+            return Phase::Bound {
+                ticket: 0,
+                confirmed: BTreeSet::new(),
+            };
+        }
+        Phase::Formed
+    }
+
+    /// Makes `founders` the membership at index 0; a member does so once in an epoch.
+    fn bind(&mut self, founders: Membership) {
+        let snapshot = Snapshot {
+            membership: founders,
+            ..Snapshot::default()
+        };
+        self.log.install(snapshot.clone());
+        self.queue.set_snapshot(snapshot);
+    }
+
+    pub(super) fn check_forming(&mut self) {
+        if let Phase::Forming { heard } = &self.phase
+            && heard.len() == self.config.bootstrap_vms.len()
+        {
+            let members = heard.iter().map(|(vm, at)| MemberId::new(vm, *at));
+            let founders = Membership::of_voters(members);
+            self.bind(founders);
+            self.phase = Phase::Bound {
+                ticket: self.covering_ticket(),
+                confirmed: BTreeSet::new(),
+            };
+            self.hello_deadline = self.now;
+        }
+        self.check_bound();
+    }
+
+    fn check_bound(&mut self) {
+        let member = self.config.member.clone();
+        let Phase::Bound { ticket, confirmed } = &mut self.phase else {
+            return;
+        };
+        if self.queue.is_persisted(*ticket) {
+            confirmed.insert(member);
+        }
+        let founders = self.log.membership().map(|m| &m.voters);
+        if founders == Some(&*confirmed) {
+            self.enter_formed();
+        }
+    }
+
+    fn enter_formed(&mut self) {
+        self.phase = Phase::Formed;
+        if self.is_voter() {
+            self.hello_deadline = MonoTime::MAX;
+        }
+        if self.is_sole_voter() {
+            self.election_deadline = self.now;
+        }
+    }
+
+    /// A message that only members of a formed group send shows that the group was formed.
+    pub(super) fn note_formed_group(&mut self, from: &MemberId, body: &PeerMessageBody) {
+        let is_from_leader = matches!(
+            body,
+            PeerMessageBody::Append { .. } | PeerMessageBody::SnapshotChunk { .. }
+        );
+        let shows_group = match self.phase {
+            Phase::Joining | Phase::Forming { .. } => is_from_leader,
+            Phase::Bound { .. } => self.is_founder(from) && !is_unformed_hello(body),
+            _ => false,
+        };
+        if shows_group {
+            self.enter_formed();
+        }
+    }
+
+    fn is_founder(&self, member: &MemberId) -> bool {
+        let founders = self.log.membership();
+        founders.is_some_and(|m| m.is_voter(member))
+    }
+
+    pub(super) fn on_hello(&mut self, from: &MemberId, to: &MemberId, status: &HelloStatus) {
+        self.note_hello(from, status);
+        if to.incarnation == UNKNOWN_INCARNATION {
+            self.send_hello(from);
+        }
+    }
+
+    fn note_hello(&mut self, from: &MemberId, status: &HelloStatus) {
+        let founders = self.log.membership().cloned();
+        let is_latest = self.contacts.get(&from.vm) == Some(&from.incarnation);
+        match (&mut self.phase, status) {
+            (Phase::Forming { heard }, HelloStatus::Forming | HelloStatus::Bound(_))
+                if is_latest && self.config.bootstrap_vms.contains(&from.vm) =>
+            {
+                heard.insert(from.vm.clone(), from.incarnation);
+            }
+            (Phase::Forming { heard }, _) => {
+                heard.remove(&from.vm);
+            }
+            (Phase::Bound { confirmed, .. }, HelloStatus::Bound(bound_to))
+                if Some(bound_to) == founders.as_ref() && bound_to.is_voter(from) =>
+            {
+                confirmed.insert(from.clone());
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn note_incarnation(&mut self, from: &MemberId) {
+        let latest = self.contacts.entry(from.vm.clone()).or_default();
+        *latest = from.incarnation.max(*latest);
+    }
+
+    /// A message for a former incarnation: the sender has to learn of this one.
+    pub(super) fn on_misaddressed(&mut self, from: &MemberId, to: &MemberId) {
+        if self.config.member.supersedes(to) {
+            self.send_hello(from);
+        }
+    }
+
+    pub(super) fn on_other_epoch(&mut self, from: &MemberId, group_epoch: u64) {
+        if group_epoch < self.config.group_epoch {
+            self.send_hello(from);
+            return;
+        }
+        self.step_down();
+        self.leader = None;
+        self.held.clear();
+        self.phase = Phase::Superseded;
+        self.effects
+            .push(ReplicaEffect::EpochSuperseded { group_epoch });
+    }
+
+    fn hello_status(&self) -> HelloStatus {
+        match &self.phase {
+            Phase::Forming { .. } => HelloStatus::Forming,
+            Phase::Bound { .. } => HelloStatus::Bound(self.membership().clone()),
+            Phase::Formed => HelloStatus::Formed,
+            _ => HelloStatus::Joining,
+        }
+    }
+
+    fn send_hello(&mut self, to: &MemberId) {
+        let body = PeerMessageBody::Hello(self.hello_status());
+        self.send_when_durable(to, body);
+    }
+
+    pub(super) fn send_hellos(&mut self) {
+        if !self.needs_hellos() {
+            self.hello_deadline = MonoTime::MAX;
+            return;
+        }
+        self.hello_deadline = self.now + self.config.hello_interval;
+        for vm in self.config.bootstrap_vms.clone() {
+            if vm != self.config.member.vm {
+                self.send_hello(&MemberId::any_of(vm));
+            }
+        }
+    }
+
+    /// A voter is found by its leader; everyone else has to make itself known.
+    fn needs_hellos(&self) -> bool {
+        match self.phase {
+            Phase::Joining | Phase::Forming { .. } | Phase::Bound { .. } => true,
+            Phase::Formed => {
+                let is_passive = matches!(self.role, RoleState::Passive);
+                is_passive && !self.is_voter() && self.leader.is_none()
+            }
+            Phase::Halted | Phase::Superseded => false,
+        }
+    }
+}
+
+fn is_unformed_hello(body: &PeerMessageBody) -> bool {
+    match body {
+        PeerMessageBody::Hello(status) => *status != HelloStatus::Formed,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/chicory_consensus/src/replica/leading.rs
@@ -0,0 +1,338 @@
+//! What a leader does: proposals, replication, commit and the lease.
+
+use std::collections::BTreeMap;
+
+use chicory_types::{LogIndex, MonoTime, Term};
+
+use super::{LeaderState, Replica, RoleState};
+use crate::progress::{NextSend, Progress, ProgressMode};
+use crate::{
+    AppendOutcome, Entry, EntryPayload, MemberId, PeerMessageBody, ProposalRejection, ReplicaEffect,
+};
+
+impl Replica {
+    pub(super) fn become_leader(&mut self) {
+        let term = self.hard_state.term;
+        self.role = RoleState::Leader(LeaderState {
+            first_index: self.log.last_index() + 1,
+            progress: BTreeMap::new(),
+            quorum_contact: None,
+            elected_at: self.now,
+        });
+        self.leader = Some(self.config.member.clone());
+        self.effects.push(ReplicaEffect::BecameLeader { term });
+        self.append_own(EntryPayload::Noop);
+        self.match_progress_to_membership();
+    }
+
+    /// Appends an entry of the leader's own term and returns its index.
+    pub(super) fn append_own(&mut self, payload: EntryPayload) -> LogIndex {
+        let index = self.log.last_index() + 1;
+        let entry = Entry {
+            index,
+            term: self.hard_state.term,
+            payload,
+        };
+        self.append_entry(entry);
+        index
+    }
+
+    /// Keeps one progress for each other member, and none for members that left.
+    pub(super) fn match_progress_to_membership(&mut self) {
+        let now = self.now;
+        let member = &self.config.member;
+        let RoleState::Leader(leading) = &mut self.role else {
+            return;
+        };
+        let Some(membership) = self.log.membership() else {
+            return;
+        };
+        leading.progress.retain(|peer, _| membership.contains(peer));
+        let next_index = leading.first_index;
+        for peer in membership.members().filter(|peer| *peer != member) {
+            leading
+                .progress
+                .entry(peer.clone())
+                .or_insert_with(|| Progress::new(next_index, now));
+        }
+        self.refresh_quorum_contact();
+    }
+
+    pub(super) fn on_propose(&mut self, proposal_id: u64, command: Vec<u8>) {
+        if !self.is_leader() {
+            let leader = self.leader.clone();
+            self.reject(proposal_id, ProposalRejection::NotLeader { leader });
+            return;
+        }
+        let uncommitted = self.log.last_index() - self.commit_index;
+        if uncommitted >= self.config.max_uncommitted_entries {
+            self.reject(proposal_id, ProposalRejection::Busy);
+            return;
+        }
+        let index = self.append_own(EntryPayload::Command(command));
+        self.proposals.insert(index, proposal_id);
+    }
+
+    /// Sends whatever each member's window has room for.
+    pub(super) fn replicate(&mut self) {
+        let mut all_progress = self.take_progress();
+        for (peer, progress) in &mut all_progress {
+            self.replicate_to(peer, progress);
+        }
+        self.put_progress(all_progress);
+    }
+
+    /// Lends the members' progress out of the role; empty unless this replica leads.
+    fn take_progress(&mut self) -> BTreeMap<MemberId, Progress> {
+        match &mut self.role {
+            RoleState::Leader(leading) => std::mem::take(&mut leading.progress),
+            _ => BTreeMap::new(),
+        }
+    }
+
+    fn put_progress(&mut self, progress: BTreeMap<MemberId, Progress>) {
+        if let RoleState::Leader(leading) = &mut self.role {
+            leading.progress = progress;
+        }
+    }
+
+    fn replicate_to(&mut self, peer: &MemberId, progress: &mut Progress) {
+        loop {
+            self.choose_snapshot(progress);
+            let window = self.config.inflight_window;
+            match progress.next_send(self.log.last_index(), window) {
+                NextSend::Nothing => return,
+                NextSend::Append => self.send_append(peer, progress),
+                NextSend::Chunk => self.send_chunk(peer, progress),
+            }
+        }
+    }
+
+    /// Turns to the snapshot when the entries that the member needs are gone.
+    fn choose_snapshot(&self, progress: &mut Progress) {
+        let is_sending = matches!(progress.mode, ProgressMode::Snapshot { .. });
+        if !is_sending && progress.next_index <= self.log.base_index() {
+            progress.start_snapshot(self.log.snapshot().clone());
+        }
+    }
+
+    fn send_append(&mut self, peer: &MemberId, progress: &mut Progress) {
+        let prev_index = progress.next_index - 1;
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            return;
+        };
+        let entries = self.log.batch(
+            progress.next_index,
+            self.config.max_batch_entries,
+            self.config.max_batch_bytes,
+        );
+        self.note_append_sent(progress, entries.len());
+        let body = PeerMessageBody::Append {
+            term: self.hard_state.term,
+            prev_index,
+            prev_term,
+            entries,
+            commit_index: self.commit_index,
+            sent_at: self.now,
+        };
+        self.send(peer, body);
+    }
+
+    fn note_append_sent(&self, progress: &mut Progress, entry_count: usize) {
+        progress.last_sent_at = self.now;
+        if !progress.is_replicating() {
+            progress.is_waiting = true;
+            return;
+        }
+        if entry_count > 0 {
+            progress.next_index += entry_count as LogIndex;
+            progress.inflight.push_back(progress.next_index - 1);
+        }
+    }
+
+    /// Sends a heartbeat; in probe or snapshot mode it repeats what may have been lost.
+    fn send_heartbeat(&mut self, peer: &MemberId, progress: &mut Progress) {
+        progress.is_waiting = false;
+        self.choose_snapshot(progress);
+        if matches!(progress.mode, ProgressMode::Snapshot { .. }) {
+            self.send_chunk(peer, progress);
+            return;
+        }
+        if progress.is_replicating() {
+            self.send_empty_append(peer, progress);
+            return;
+        }
+        self.send_append(peer, progress);
+    }
+
+    fn send_empty_append(&mut self, peer: &MemberId, progress: &mut Progress) {
+        let prev_index = progress.next_index - 1;
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            return;
+        };
+        progress.last_sent_at = self.now;
+        let body = PeerMessageBody::Append {
+            term: self.hard_state.term,
+            prev_index,
+            prev_term,
+            entries: Vec::new(),
+            commit_index: self.commit_index,
+            sent_at: self.now,
+        };
+        self.send(peer, body);
+    }
+
+    pub(super) fn check_leader_deadlines(&mut self) {
+        if self.has_lost_quorum() {
+            self.become_passive(self.hard_state.term);
+            return;
+        }
+        let mut all_progress = self.take_progress();
+        for (peer, progress) in &mut all_progress {
+            if self.now >= progress.last_sent_at + self.config.heartbeat_interval {
+                self.send_heartbeat(peer, progress);
+            }
+        }
+        self.put_progress(all_progress);
+    }
+
+    /// Check-quorum: a leader that hears of no quorum makes room for another one.
+    fn has_lost_quorum(&self) -> bool {
+        let RoleState::Leader(leading) = &self.role else {
+            return false;
+        };
+        !self.is_sole_voter() && self.now >= self.quorum_deadline(leading)
+    }
+
+    fn quorum_deadline(&self, leading: &LeaderState) -> MonoTime {
+        let since = leading.quorum_contact.unwrap_or(leading.elected_at);
+        since + self.config.election_timeout_max
+    }
+
+    pub(super) fn leader_wakeup(&self, leading: &LeaderState) -> MonoTime {
+        let interval = self.config.heartbeat_interval;
+        let heartbeats = leading.progress.values().map(|p| p.last_sent_at + interval);
+        let heartbeat_at = heartbeats.min().unwrap_or(MonoTime::MAX);
+        if self.is_sole_voter() {
+            return heartbeat_at;
+        }
+        heartbeat_at.min(self.quorum_deadline(leading))
+    }
+
+    pub(super) fn on_append_response(
+        &mut self,
+        from: &MemberId,
+        term: Term,
+        sent_at: MonoTime,
+        outcome: AppendOutcome,
+    ) {
+        let last_index = self.log.last_index();
+        let Some(progress) = self.progress_for_response(from, term, sent_at) else {
+            return;
+        };
+        match outcome {
+            AppendOutcome::Matched { index } if index <= last_index => progress.on_matched(index),
+            AppendOutcome::Matched { .. } => {}
+            AppendOutcome::Conflict {
+                prev_index,
+                hint_index,
+            } => progress.on_conflict(prev_index, hint_index),
+        }
+        self.refresh_quorum_contact();
+    }
+
+    pub(super) fn on_snapshot_response(&mut self, from: &MemberId, body: &PeerMessageBody) {
+        let PeerMessageBody::SnapshotResponse {
+            term,
+            sent_at,
+            last_index,
+            next_offset_bytes,
+            is_installed,
+        } = *body
+        else {
+            return;
+        };
+        let Some(progress) = self.progress_for_response(from, term, sent_at) else {
+            return;
+        };
+        if is_installed {
+            progress.on_installed(last_index);
+        } else {
+            progress.on_chunk_taken(last_index, next_offset_bytes);
+        }
+        self.refresh_quorum_contact();
+    }
+
+    /// Steps down before a greater term; otherwise notes the contact that the response proves.
+    fn progress_for_response(
+        &mut self,
+        from: &MemberId,
+        term: Term,
+        sent_at: MonoTime,
+    ) -> Option<&mut Progress> {
+        if term > self.hard_state.term {
+            self.become_passive(term);
+            return None;
+        }
+        let is_plausible = term == self.hard_state.term && sent_at <= self.now;
+        let RoleState::Leader(leading) = &mut self.role else {
+            return None;
+        };
+        let progress = leading.progress.get_mut(from).filter(|_| is_plausible)?;
+        progress.note_contact(sent_at);
+        Some(progress)
+    }
+
+    /// Finds the latest send time that a quorum, this leader included, has answered.
+    pub(super) fn refresh_quorum_contact(&mut self) {
+        let RoleState::Leader(leading) = &mut self.role else {
+            return;
+        };
+        let Some(membership) = self.log.membership() else {
+            return;
+        };
+        let own = membership.is_voter(&self.config.member).then_some(self.now);
+        let peers = leading.progress.iter();
+        let voters = peers.filter(|(peer, _)| membership.is_voter(peer));
+        let mut contacts: Vec<_> = voters.map(|(_, p)| p.contact).chain([own]).collect();
+        contacts.sort_unstable_by(|a, b| b.cmp(a));
+        let at_quorum = contacts.get(membership.quorum() - 1).copied().flatten();
+        leading.quorum_contact = at_quorum;
+    }
+
+    /// Commits what a quorum holds durably, once an entry of the own term is among it.
+    pub(super) fn advance_commit(&mut self) {
+        let RoleState::Leader(leading) = &self.role else {
+            return;
+        };
+        let Some(membership) = self.log.membership() else {
+            return;
+        };
+        if self.commit_index >= self.log.last_index() {
+            return;
+        }
+        let stable_index = self.queue.stable_index();
+        let own = membership
+            .is_voter(&self.config.member)
+            .then_some(stable_index);
+        let peers = leading.progress.iter();
+        let voters = peers.filter(|(peer, _)| membership.is_voter(peer));
+        let mut matched: Vec<_> = voters.map(|(_, p)| p.match_index).chain(own).collect();
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let at_quorum = matched.get(membership.quorum() - 1).copied().unwrap_or(0);
+        if at_quorum > self.commit_index && at_quorum >= leading.first_index {
+            self.commit_index = at_quorum;
+        }
+    }
+
+    pub(super) fn most_advanced_voter(&self) -> Option<MemberId> {
+        let RoleState::Leader(leading) = &self.role else {
+            return None;
+        };
+        let voters = leading.progress.iter();
+        let ready =
+            voters.filter(|(peer, p)| self.membership().is_voter(peer) && p.is_replicating());
+        let best = ready.max_by_key(|(_, p)| p.match_index);
+        best.map(|(peer, _)| peer.clone())
+    }
+}
--- /dev/null
+++ b/crates/chicory_consensus/src/replica/mod.rs
@@ -0,0 +1,391 @@
+//! The reducer of one member.
+
+mod accessors;
+mod applying;
+mod election;
+mod following;
+mod forming;
+mod leading;
+mod membership_upkeep;
+mod snapshots;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use chicory_types::{ClockRateMargin, Incarnation, LogIndex, MonoTime, Term, VmId};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::memory_log::MemoryLog;
+use crate::persist_queue::PersistQueue;
+use crate::progress::Progress;
+use crate::snapshot_receiver::SnapshotReceiver;
+use crate::{
+    HardState, MemberId, PeerMessage, PeerMessageBody, ProposalRejection, ReplicaConfig,
+    ReplicaEffect, ReplicaEvent, RestoredState,
+};
+
+/// What a replica knows of its group.
+#[derive(Debug)]
+enum Phase {
+    /// Waits to be admitted.
+    Joining,
+    /// Looks for all bootstrap VMs; holds the incarnations that take part.
+    Forming { heard: BTreeMap<VmId, Incarnation> },
+    /// Bound to its founders; holds those that are known to be bound too.
+    Bound {
+        ticket: u64,
+        confirmed: BTreeSet<MemberId>,
+    },
+    /// Belongs to a formed group.
+    Formed,
+    /// Its storage failed.
+    Halted,
+    /// A greater epoch exists.
+    Superseded,
+}
+
+/// State of the role, with what only that role needs.
+#[derive(Debug)]
+enum RoleState {
+    /// Follower or learner.
+    Passive,
+    PreCandidate {
+        granted: BTreeSet<MemberId>,
+    },
+    Candidate {
+        granted: BTreeSet<MemberId>,
+        /// Ticket that makes the vote for itself durable.
+        self_vote_ticket: u64,
+    },
+    Leader(LeaderState),
+}
+
+#[derive(Debug)]
+struct LeaderState {
+    /// Index of the entry that opened the term.
+    first_index: LogIndex,
+    progress: BTreeMap<MemberId, Progress>,
+    /// When the latest message was sent that a quorum answered; `None` before there is one.
+    quorum_contact: Option<MonoTime>,
+    elected_at: MonoTime,
+}
+
+/// One member of a replicated log, as a reducer over [`ReplicaEvent`]s.
+///
+/// It does no I/O and reads no clock: the caller passes the time in and carries the returned
+/// [`ReplicaEffect`]s out in order.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_consensus::{
+///     Formation, MemberId, Replica, ReplicaConfig, ReplicaEffect, ReplicaEvent, RestoredState,
+/// };
+/// use std::time::Duration;
+///
+/// let config = ReplicaConfig::builder(MemberId::new("vm-a", 1), vec!["vm-a".into()])
+///     .formation(Formation::Unanimous)
+///     .build()?;
+/// let now = Duration::from_secs(1);
+/// let mut replica = Replica::new(config, RestoredState::fresh(), now);
+/// let mut events = vec![ReplicaEvent::Tick];
+/// while let Some(event) = events.pop() {
+///     for effect in replica.reduce(now, event) {
+///         if let ReplicaEffect::Persist { ticket, .. } = effect {
+///             events.push(ReplicaEvent::Persisted { ticket });
+///         }
+///     }
+/// }
+/// assert!(replica.is_leader());
+/// # Ok::<(), chicory_consensus::ConfigError>(())
+/// ```
+#[derive(Debug)]
+pub struct Replica {
+    config: ReplicaConfig,
+    rng: StdRng,
+    now: MonoTime,
+    phase: Phase,
+    role: RoleState,
+    leader: Option<MemberId>,
+    hard_state: HardState,
+    /// Set while the replica may not vote because its state was lost under the same identity.
+    is_barred: bool,
+    log: MemoryLog,
+    queue: PersistQueue,
+    commit_index: LogIndex,
+    applied_index: LogIndex,
+    applied_bytes_since_snapshot: u64,
+    is_snapshot_requested: bool,
+    receiver: Option<SnapshotReceiver>,
+    proposals: BTreeMap<LogIndex, u64>,
+    /// Latest incarnation heard of, by VM.
+    contacts: BTreeMap<VmId, Incarnation>,
+    election_deadline: MonoTime,
+    hello_deadline: MonoTime,
+    /// No vote for another leader before this moment.
+    refuse_votes_until: MonoTime,
+    effects: Vec<ReplicaEffect>,
+    /// Messages that wait until a ticket is durable.
+    held: VecDeque<(u64, ReplicaEffect)>,
+}
+
+impl Replica {
+    /// Starts a replica from stored or fresh state; the first event should be a
+    /// [`Tick`](ReplicaEvent::Tick).
+    ///
+    /// State of a former start is handed back by the first call of [`reduce`](Self::reduce): an
+    /// [`InstallSnapshot`](ReplicaEffect::InstallSnapshot), then each entry once it is known to be
+    /// committed.
+    #[must_use]
+    pub fn new(config: ReplicaConfig, restored: RestoredState, now: MonoTime) -> Self {
+        let log = MemoryLog::restore(restored.snapshot, restored.entries);
+        let snapshot_index = log.snapshot().last_index;
+        let mut replica = Self {
+            rng: StdRng::seed_from_u64(config.seed),
+            now,
+            phase: Phase::Joining,
+            role: RoleState::Passive,
+            leader: None,
+            hard_state: restored.hard_state,
+            is_barred: !restored.may_vote,
+            queue: PersistQueue::new(log.last_index()),
+            log,
+            commit_index: snapshot_index,
+            applied_index: snapshot_index,
+            applied_bytes_since_snapshot: 0,
+            is_snapshot_requested: false,
+            receiver: None,
+            proposals: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            election_deadline: now,
+            hello_deadline: now,
+            refuse_votes_until: ClockRateMargin::grantor_end(now, config.leader_lease),
+            effects: Vec::new(),
+            held: VecDeque::new(),
+            config,
+        };
+        replica.reset_election_deadline();
+        replica.restore_applied_state();
+        replica.enter_first_phase();
+        replica
+    }
+
+    /// Takes in one event and returns the effects to carry out, in order.
+    ///
+    /// `now` never goes back; a smaller value counts as the former one.
+    pub fn reduce(&mut self, now: MonoTime, event: ReplicaEvent) -> Vec<ReplicaEffect> {
+        self.now = self.now.max(now);
+        if self.is_stopped() {
+            self.refuse(&event);
+        } else {
+            self.take_event(event);
+            self.check_deadlines();
+            self.settle();
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn is_stopped(&self) -> bool {
+        matches!(self.phase, Phase::Halted | Phase::Superseded)
+    }
+
+    fn refuse(&mut self, event: &ReplicaEvent) {
+        let (ReplicaEvent::Propose { proposal_id, .. }
+        | ReplicaEvent::ProposeMembership { proposal_id, .. }) = event
+        else {
+            return;
+        };
+        self.reject(*proposal_id, ProposalRejection::NotReady);
+    }
+
+    fn take_event(&mut self, event: ReplicaEvent) {
+        match event {
+            ReplicaEvent::Tick => {}
+            ReplicaEvent::Received { from, message } => self.on_received(&from, message),
+            ReplicaEvent::Propose {
+                proposal_id,
+                command,
+            } => self.on_propose(proposal_id, command),
+            ReplicaEvent::ProposeMembership {
+                proposal_id,
+                change,
+            } => self.on_propose_membership(proposal_id, &change),
+            ReplicaEvent::Persisted { ticket } => self.on_persisted(ticket),
+            ReplicaEvent::PersistFailed { .. } => self.halt(),
+            ReplicaEvent::SnapshotTaken { index, data } => self.on_snapshot_taken(index, data),
+            ReplicaEvent::TransferLeadership => self.on_transfer_leadership(),
+        }
+    }
+
+    fn on_received(&mut self, from: &MemberId, message: PeerMessage) {
+        let is_known_vm = self.config.bootstrap_vms.contains(&from.vm)
+            || self.log.membership().is_some_and(|m| m.contains(from));
+        if *from != message.from || !is_known_vm || from.vm == self.config.member.vm {
+            return;
+        }
+        if message.group_epoch != self.config.group_epoch {
+            self.on_other_epoch(from, message.group_epoch);
+            return;
+        }
+        self.note_incarnation(from);
+        if !message.to.addresses(&self.config.member) {
+            self.on_misaddressed(from, &message.to);
+            return;
+        }
+        self.note_formed_group(from, &message.body);
+        self.on_body(from, &message.to, message.body);
+    }
+
+    fn on_body(&mut self, from: &MemberId, to: &MemberId, body: PeerMessageBody) {
+        match body {
+            PeerMessageBody::Hello(status) => self.on_hello(from, to, &status),
+            PeerMessageBody::PreVote {
+                term,
+                last_index,
+                last_term,
+            } => self.on_pre_vote(from, term, (last_term, last_index)),
+            PeerMessageBody::PreVoteResponse {
+                term,
+                asked_term,
+                granted,
+            } => self.on_pre_vote_response(from, term, asked_term, granted),
+            PeerMessageBody::RequestVote {
+                term,
+                last_index,
+                last_term,
+                is_transfer,
+            } => self.on_request_vote(from, term, (last_term, last_index), is_transfer),
+            PeerMessageBody::VoteResponse { term, granted } => {
+                self.on_vote_response(from, term, granted);
+            }
+            PeerMessageBody::TimeoutNow { term } => self.on_timeout_now(from, term),
+            body => self.on_replication_body(from, body),
+        }
+    }
+
+    fn on_replication_body(&mut self, from: &MemberId, body: PeerMessageBody) {
+        match body {
+            body @ PeerMessageBody::Append { .. } => self.on_append(from, body),
+            PeerMessageBody::AppendResponse {
+                term,
+                sent_at,
+                outcome,
+            } => self.on_append_response(from, term, sent_at, outcome),
+            body @ PeerMessageBody::SnapshotChunk { .. } => self.on_snapshot_chunk(from, body),
+            body @ PeerMessageBody::SnapshotResponse { .. } => {
+                self.on_snapshot_response(from, &body);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_persisted(&mut self, ticket: u64) {
+        self.queue.on_persisted(ticket);
+        self.count_own_vote();
+    }
+
+    fn halt(&mut self) {
+        self.step_down();
+        self.leader = None;
+        self.held.clear();
+        self.phase = Phase::Halted;
+    }
+
+    fn check_deadlines(&mut self) {
+        self.check_forming();
+        match self.role {
+            RoleState::Leader(_) => self.check_leader_deadlines(),
+            _ if self.now >= self.election_deadline => self.on_election_timeout(),
+            _ => {}
+        }
+        if self.now >= self.hello_deadline {
+            self.send_hellos();
+        }
+    }
+
+    /// Brings everything that follows from the event to its end.
+    fn settle(&mut self) {
+        self.keep_up_membership();
+        self.replicate();
+        self.advance_commit();
+        self.apply_committed();
+        self.request_snapshot();
+        if let Some(persist) = self.queue.take(&self.log) {
+            self.effects.push(persist);
+        }
+        self.release_held();
+    }
+
+    fn release_held(&mut self) {
+        while let Some((ticket, _)) = self.held.front() {
+            if !self.queue.is_persisted(*ticket) {
+                return;
+            }
+            if let Some((_, effect)) = self.held.pop_front() {
+                self.effects.push(effect);
+            }
+        }
+    }
+
+    fn send(&mut self, to: &MemberId, body: PeerMessageBody) {
+        let effect = self.envelope(to, body);
+        self.effects.push(effect);
+    }
+
+    /// Sends once everything changed so far is durable.
+    fn send_when_durable(&mut self, to: &MemberId, body: PeerMessageBody) {
+        let ticket = self.covering_ticket();
+        let effect = self.envelope(to, body);
+        self.held.push_back((ticket, effect));
+    }
+
+    fn envelope(&self, to: &MemberId, body: PeerMessageBody) -> ReplicaEffect {
+        let message = PeerMessage {
+            group_epoch: self.config.group_epoch,
+            from: self.config.member.clone(),
+            to: to.clone(),
+            body,
+        };
+        ReplicaEffect::Send {
+            to: to.clone(),
+            message,
+        }
+    }
+
+    fn covering_ticket(&self) -> u64 {
+        self.queue.covering_ticket(self.log.last_index())
+    }
+
+    fn reject(&mut self, proposal_id: u64, reason: ProposalRejection) {
+        self.effects.push(ReplicaEffect::Rejected {
+            proposal_id,
+            reason,
+        });
+    }
+
+    fn reset_election_deadline(&mut self) {
+        let min = self.config.election_timeout_min;
+        let max = self.config.election_timeout_max;
+        self.election_deadline = self.now + self.rng.random_range(min..max);
+    }
+
+    fn set_term(&mut self, term: Term) {
+        if term > self.hard_state.term {
+            self.hard_state.term = term;
+            self.hard_state.voted_for = None;
+            self.queue.set_hard_state(&self.hard_state);
+        }
+    }
+
+    /// Other voters of the membership in force.
+    fn peer_voters(&self) -> Vec<MemberId> {
+        let me = &self.config.member;
+        let voters = self.log.membership().into_iter().flat_map(|m| &m.voters);
+        voters.filter(|voter| *voter != me).cloned().collect()
+    }
+
+    fn is_voter(&self) -> bool {
+        let membership = self.log.membership();
+        membership.is_some_and(|m| m.is_voter(&self.config.member))
+    }
+}
