Test elections, leases and replication of three voters in virtual time

A small message-passing harness drives whole groups: seeded delays, losses and doubles, clock rates up to 2% apart, pauses that keep messages, and disks that sync late. After each step it checks that one member at most holds the lease, that a lease holder has every acknowledged entry, and that no index has two commands.

--- /dev/null
+++ b/crates/chicory_consensus/tests/cluster/harness.rs
@@ -0,0 +1,395 @@
+//! A group in virtual time over a network that may lose, double and reorder messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chicory_consensus::{
+    Formation, MemberId, PeerMessage, Replica, ReplicaConfig, ReplicaEffect, ReplicaEvent,
+    RestoredState,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::node::Node;
+
+pub const VMS: [&str; 5] = ["vm-a", "vm-b", "vm-c", "vm-d", "vm-e"];
+
+/// Time that the disk of a VM takes for one fsync.
+const SYNC_TIME: Duration = Duration::from_millis(2);
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Network {
+    pub loss_percent: u32,
+    pub double_percent: u32,
+    pub max_delay: Duration,
+}
+
+pub struct Cluster {
+    pub now: Duration,
+    pub nodes: BTreeMap<String, Node>,
+    pub network: Network,
+    pub formation: Formation,
+    pub snapshot_after_entries: u64,
+    /// Pairs of VMs that can't reach each other.
+    pub cuts: BTreeSet<(String, String)>,
+    /// Commands of which the leader told its caller that they are committed.
+    pub acknowledged: BTreeMap<u64, Vec<u8>>,
+    pub messages: u64,
+    /// What was applied at each index, by whichever member.
+    applied: BTreeMap<u64, Vec<u8>>,
+    leaders: BTreeMap<u64, MemberId>,
+    in_flight: BTreeMap<(Duration, u64), PeerMessage>,
+    sequence: u64,
+    rng: StdRng,
+}
+
+impl Cluster {
+    pub fn new(size: usize, disks: usize, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let nodes = VMS[..size].iter().enumerate().map(|(i, vm)| {
+            let rate = rng.random_range(990..=1010);
+            ((*vm).to_owned(), Node::new(vm, i < disks, rate))
+        });
+        let mut cluster = Self {
+            now: Duration::from_secs(1),
+            nodes: nodes.collect(),
+            network: Network {
+                max_delay: Duration::from_millis(2),
+                ..Network::default()
+            },
+            formation: Formation::Unanimous,
+            snapshot_after_entries: 1_000,
+            cuts: BTreeSet::new(),
+            acknowledged: BTreeMap::new(),
+            messages: 0,
+            applied: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            sequence: 0,
+            rng,
+        };
+        for vm in &VMS[..size] {
+            cluster.start(vm);
+        }
+        cluster
+    }
+
+    /// Runs until there is a leader with a lease.
+    pub fn with_leader(size: usize, disks: usize, seed: u64) -> Self {
+        let mut cluster = Self::new(size, disks, seed);
+        cluster.await_leader();
+        cluster
+    }
+
+    pub fn start(&mut self, vm: &str) {
+        let vms = self.nodes.keys().cloned().collect();
+        let seed = self.rng.random();
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        if !node.has_disk || node.member.incarnation == 0 {
+            node.member.incarnation += 1;
+            node.image = crate::image::Image::default();
+        }
+        let formation = match node.member.incarnation {
+            1 => self.formation.clone(),
+            _ => Formation::Join,
+        };
+        let config = ReplicaConfig::builder(node.member.clone(), vms)
+            .formation(formation)
+            .snapshot_after_entries(self.snapshot_after_entries)
+            .snapshot_chunk_bytes(64)
+            .trailing_entries(2)
+            .max_batch_entries(4)
+            .seed(seed)
+            .build()
+            .expect("valid settings");
+        node.started_at = self.now;
+        node.state.clear();
+        node.is_paused = false;
+        let restored = match node.has_disk {
+            true => node.image.restored(),
+            false => RestoredState::fresh(),
+        };
+        let local = node.local(self.now);
+        node.replica = Some(Replica::new(config, restored, local));
+        self.feed(vm, ReplicaEvent::Tick);
+    }
+
+    pub fn crash(&mut self, vm: &str) {
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        node.replica = None;
+        node.inbox.clear();
+        node.unsynced.clear();
+    }
+
+    pub fn restart(&mut self, vm: &str) {
+        self.crash(vm);
+        self.start(vm);
+    }
+
+    pub fn pause(&mut self, vm: &str) {
+        self.nodes.get_mut(vm).expect("known VM").is_paused = true;
+    }
+
+    pub fn resume(&mut self, vm: &str) {
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        node.is_paused = false;
+        for message in std::mem::take(&mut node.inbox) {
+            self.deliver(message);
+        }
+    }
+
+    pub fn isolate(&mut self, vm: &str) {
+        let vms: Vec<_> = self.nodes.keys().cloned().collect();
+        for other in vms {
+            self.cut(vm, &other);
+        }
+    }
+
+    pub fn cut(&mut self, a: &str, b: &str) {
+        self.cuts.insert((a.to_owned(), b.to_owned()));
+        self.cuts.insert((b.to_owned(), a.to_owned()));
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub fn replica(&self, vm: &str) -> &Replica {
+        self.nodes[vm].replica.as_ref().expect("running")
+    }
+
+    /// The VM of the member that holds the leader lease now.
+    pub fn leader(&self) -> Option<String> {
+        let mut holders = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.has_lease(self.now));
+        holders.next().map(|(vm, _)| vm.clone())
+    }
+
+    pub fn follower(&self) -> String {
+        let leader = self.leader();
+        let mut vms = self.nodes.keys();
+        let other = vms.find(|vm| Some(*vm) != leader.as_ref());
+        other.expect("a follower").clone()
+    }
+
+    pub fn await_leader(&mut self) -> String {
+        self.run_until(|c| c.leader().is_some());
+        self.leader().expect("a leader")
+    }
+
+    pub fn propose(&mut self, vm: &str, command: &[u8]) {
+        let event = ReplicaEvent::Propose {
+            proposal_id: self.sequence,
+            command: command.to_vec(),
+        };
+        self.feed(vm, event);
+    }
+
+    /// Proposes to the leader and runs until the command is acknowledged.
+    pub fn commit(&mut self, command: &[u8]) {
+        let leader = self.await_leader();
+        self.propose(&leader, command);
+        self.run_until(|c| c.acknowledged.values().any(|a| a == command));
+    }
+
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.next_due().is_some_and(|due| due <= end) {
+            self.step();
+        }
+        self.now = end;
+        self.check();
+    }
+
+    /// Runs until `condition` holds, which it has to within a minute.
+    pub fn run_until(&mut self, condition: impl Fn(&Self) -> bool) {
+        let end = self.now + Duration::from_secs(60);
+        while !condition(self) {
+            assert!(self.now < end, "the condition never came to hold");
+            self.step();
+        }
+    }
+
+    fn next_due(&self) -> Option<Duration> {
+        let arrival = self.in_flight.keys().next().map(|(at, _)| *at);
+        let wakeups = self.nodes.values().filter_map(Node::wakeup);
+        wakeups.chain(arrival).min()
+    }
+
+    pub fn step(&mut self) {
+        let due = self
+            .next_due()
+            .unwrap_or(self.now + Duration::from_millis(1));
+        self.now = self.now.max(due);
+        let arrived = self
+            .in_flight
+            .first_entry()
+            .filter(|e| e.key().0 <= self.now);
+        if let Some(entry) = arrived {
+            let message = entry.remove();
+            self.deliver(message);
+        } else {
+            self.wake_one();
+        }
+        self.check();
+    }
+
+    fn wake_one(&mut self) {
+        let now = self.now;
+        let mut nodes = self.nodes.iter();
+        let due = nodes.find(|(_, node)| node.wakeup().is_some_and(|at| at <= now));
+        let Some(vm) = due.map(|(vm, _)| vm.clone()) else {
+            return;
+        };
+        let node = self.nodes.get_mut(&vm).expect("known VM");
+        let synced = node.unsynced.front().is_some_and(|(at, _)| *at <= now);
+        let event = match node.unsynced.pop_front().filter(|_| synced) {
+            Some((_, effect)) => sync(node, effect),
+            None => ReplicaEvent::Tick,
+        };
+        self.feed(&vm, event);
+    }
+
+    fn deliver(&mut self, message: PeerMessage) {
+        let link = (message.from.vm.clone(), message.to.vm.clone());
+        let Some(node) = self.nodes.get_mut(&message.to.vm) else {
+            return;
+        };
+        if node.replica.is_none() || self.cuts.contains(&link) {
+            return;
+        }
+        if node.is_paused {
+            node.inbox.push(message);
+            return;
+        }
+        let event = ReplicaEvent::Received {
+            from: message.from.clone(),
+            message,
+        };
+        self.feed(&link.1, event);
+    }
+
+    pub fn feed(&mut self, vm: &str, event: ReplicaEvent) {
+        let now = self.now;
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        let local = node.local(now);
+        let Some(replica) = node.replica.as_mut() else {
+            return;
+        };
+        for effect in replica.reduce(local, event) {
+            self.carry_out(vm, effect);
+        }
+    }
+
+    fn carry_out(&mut self, vm: &str, effect: ReplicaEffect) {
+        let now = self.now;
+        let node = self.nodes.get_mut(vm).expect("known VM");
+        match effect {
+            ReplicaEffect::Send { message, .. } => self.transmit(message),
+            ReplicaEffect::Persist { .. } if node.has_disk => {
+                node.unsynced.push_back((now + SYNC_TIME, effect));
+            }
+            ReplicaEffect::Persist { .. } => {
+                let event = sync(node, effect);
+                self.feed(vm, event);
+            }
+            ReplicaEffect::Apply {
+                index,
+                command,
+                proposal_id,
+                ..
+            } => {
+                node.state.push((index, command.clone()));
+                if proposal_id.is_some() {
+                    self.acknowledged.insert(index, command);
+                }
+            }
+            ReplicaEffect::InstallSnapshot { data, .. } => node.state = Node::decode_state(&data),
+            ReplicaEffect::TakeSnapshot { index } => {
+                let data = node.encode_state();
+                self.feed(vm, ReplicaEvent::SnapshotTaken { index, data });
+            }
+            ReplicaEffect::BecameLeader { term } => {
+                let member = node.member.clone();
+                let former = self.leaders.insert(term, member.clone());
+                assert!(
+                    former.is_none_or(|f| f == member),
+                    "two leaders in term {term}"
+                );
+            }
+            _ => {}
+        }
+    }
+
+    pub fn transmit(&mut self, message: PeerMessage) {
+        self.messages += 1;
+        if self.rng.random_range(0..100) < self.network.loss_percent {
+            return;
+        }
+        let is_doubled = self.rng.random_range(0..100) < self.network.double_percent;
+        for _ in 0..=u32::from(is_doubled) {
+            let micros = self.network.max_delay.as_micros() as u64;
+            let delay = Duration::from_micros(self.rng.random_range(100..=micros));
+            self.sequence += 1;
+            let key = (self.now + delay, self.sequence);
+            self.in_flight.insert(key, message.clone());
+        }
+    }
+
+    /// What has to hold after each step.
+    fn check(&mut self) {
+        let holders: Vec<_> = self
+            .nodes
+            .values()
+            .filter(|n| n.has_lease(self.now))
+            .collect();
+        assert!(holders.len() <= 1, "two members hold the lease");
+        let last_acknowledged = self.acknowledged.keys().next_back().copied().unwrap_or(0);
+        for holder in holders {
+            let applied = holder.replica.as_ref().map_or(0, Replica::applied_index);
+            assert!(
+                applied >= last_acknowledged,
+                "a lease without an acknowledged entry"
+            );
+        }
+        for node in self.nodes.values() {
+            for (index, command) in node.state.iter().rev().take(8) {
+                let known = self
+                    .applied
+                    .entry(*index)
+                    .or_insert_with(|| command.clone());
+                assert_eq!(known, command, "two commands applied at {index}");
+            }
+        }
+        for (index, command) in self.acknowledged.iter().rev().take(8) {
+            assert_eq!(self.applied.get(index), Some(command), "lost {index}");
+        }
+    }
+
+    /// The costlier checks, for the end of a run.
+    pub fn check_logs(&self) {
+        for (vm, node) in &self.nodes {
+            for other in self.nodes.values() {
+                assert!(node.image.matches(&other.image), "the log of {vm} differs");
+            }
+            let state: BTreeMap<_, _> = node.state.iter().cloned().collect();
+            let replica = node.replica.as_ref();
+            let applied = replica.map_or(0, Replica::applied_index);
+            let missing = self
+                .acknowledged
+                .iter()
+                .find(|(index, command)| **index <= applied && state.get(*index) != Some(*command));
+            assert!(missing.is_none(), "{vm} lacks {missing:?}");
+        }
+    }
+}
+
+fn sync(node: &mut Node, effect: ReplicaEffect) -> ReplicaEvent {
+    let ReplicaEffect::Persist { ticket, .. } = effect else {
+        return ReplicaEvent::Tick;
+    };
+    node.image.persist(effect);
+    ReplicaEvent::Persisted { ticket }
+}
--- /dev/null
+++ b/crates/chicory_consensus/tests/cluster/main.rs
@@ -0,0 +1,9 @@
+//! Groups of several members in virtual time.
+
+mod elections;
+mod harness;
+mod image;
+mod node;
+mod repairs;
+mod schedules;
+mod snapshots;
--- /dev/null
+++ b/crates/chicory_consensus/tests/cluster/node.rs
@@ -0,0 +1,87 @@
+//! One member of the simulated group.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use chicory_consensus::{MemberId, PeerMessage, Replica, ReplicaEffect};
+
+use crate::image::Image;
+
+pub struct Node {
+    pub member: MemberId,
+    pub replica: Option<Replica>,
+    pub has_disk: bool,
+    pub is_paused: bool,
+    /// Messages that arrived while the process was paused.
+    pub inbox: Vec<PeerMessage>,
+    pub image: Image,
+    /// Effects that the disk has not carried out yet, with the time when it will.
+    pub unsynced: VecDeque<(Duration, ReplicaEffect)>,
+    /// Indices and commands that were applied.
+    pub state: Vec<(u64, Vec<u8>)>,
+    pub clock_rate_permille: u32,
+    pub started_at: Duration,
+}
+
+impl Node {
+    pub fn new(vm: &str, has_disk: bool, clock_rate_permille: u32) -> Self {
+        Self {
+            member: MemberId::new(vm, 0),
+            replica: None,
+            has_disk,
+            is_paused: false,
+            inbox: Vec::new(),
+            image: Image::default(),
+            unsynced: VecDeque::new(),
+            state: Vec::new(),
+            clock_rate_permille,
+            started_at: Duration::ZERO,
+        }
+    }
+
+    /// The process's own monotonic clock; it starts anew with each process.
+    pub fn local(&self, now: Duration) -> Duration {
+        (now - self.started_at) * self.clock_rate_permille / 1000 + Duration::from_secs(1)
+    }
+
+    /// When the process's timer fires, or its disk is done.
+    pub fn wakeup(&self) -> Option<Duration> {
+        let replica = self.replica.as_ref().filter(|_| !self.is_paused)?;
+        let due = replica.next_wakeup();
+        let synced_at = self.unsynced.front().map(|(at, _)| *at);
+        let real = (due < Duration::from_secs(1_000_000)).then(|| {
+            let since_start = due.saturating_sub(Duration::from_secs(1));
+            self.started_at
+                + since_start * 1000 / self.clock_rate_permille
+                + Duration::from_nanos(1)
+        });
+        real.into_iter().chain(synced_at).min()
+    }
+
+    pub fn has_lease(&self, now: Duration) -> bool {
+        let replica = self.replica.as_ref();
+        replica.is_some_and(|r| r.has_leader_lease(self.local(now)))
+    }
+
+    /// The state in the form of a snapshot's data.
+    pub fn encode_state(&self) -> Vec<u8> {
+        let mut data = Vec::new();
+        for (index, command) in &self.state {
+            data.extend(index.to_le_bytes());
+            data.extend((command.len() as u64).to_le_bytes());
+            data.extend(command);
+        }
+        data
+    }
+
+    pub fn decode_state(mut data: &[u8]) -> Vec<(u64, Vec<u8>)> {
+        let mut state = Vec::new();
+        while !data.is_empty() {
+            let index = u64::from_le_bytes(data[..8].try_into().expect("8 bytes"));
+            let len = u64::from_le_bytes(data[8..16].try_into().expect("8 bytes")) as usize;
+            state.push((index, data[16..16 + len].to_vec()));
+            data = &data[16 + len..];
+        }
+        state
+    }
+}
