--- a/crates/chicory_consensus/src/replica/following.rs
+++ b/crates/chicory_consensus/src/replica/following.rs
@@ -60,7 +60,8 @@
         leader_commit_index: LogIndex,
     ) -> AppendOutcome {
         let is_compacted = prev_index < self.log.base_index();
-        if !is_compacted && self.log.term_at(prev_index) != Some(prev_term) {
+        let is_blank = self.log.membership().is_none();
+        if is_blank || !is_compacted && self.log.term_at(prev_index) != Some(prev_term) {
             return AppendOutcome::Conflict {
                 prev_index,
                 hint_index: self.hint_before(prev_index),
--- a/crates/chicory_consensus/src/replica/leading.rs
+++ b/crates/chicory_consensus/src/replica/leading.rs
@@ -38,6 +38,8 @@
     }
 
     /// Keeps one progress for each other member, and none for members that left.
+    ///
+    /// A learner starts from the snapshot, which tells it the membership before the first entry.
     pub(super) fn match_progress_to_membership(&mut self) {
         let now = self.now;
         let member = &self.config.member;
@@ -50,10 +52,14 @@
         leading.progress.retain(|peer, _| membership.contains(peer));
         let next_index = leading.first_index;
         for peer in membership.members().filter(|peer| *peer != member) {
-            leading
-                .progress
-                .entry(peer.clone())
-                .or_insert_with(|| Progress::new(next_index, now));
+            let is_learner = membership.learners.contains(peer);
+            leading.progress.entry(peer.clone()).or_insert_with(|| {
+                let mut progress = Progress::new(next_index, now);
+                if is_learner {
+                    progress.start_snapshot(self.log.snapshot().clone());
+                }
+                progress
+            });
         }
         self.refresh_quorum_contact();
     }
--- a/crates/chicory_consensus/src/replica/membership_upkeep.rs
+++ b/crates/chicory_consensus/src/replica/membership_upkeep.rs
@@ -102,6 +102,7 @@
             })
     }
 
+    /// Whether a learner has the entry that admitted it and lags by no more than one append.
     fn is_caught_up(&self, learner: &MemberId) -> bool {
         let RoleState::Leader(leading) = &self.role else {
             return false;
@@ -116,6 +117,7 @@
             .is_some_and(|at| self.now < ClockRateMargin::holder_end(at, lease));
         progress.is_replicating()
             && is_in_contact
+            && progress.match_index >= self.log.membership_index()
             && lag <= self.config.max_batch_entries as LogIndex
     }
 }
--- a/crates/chicory_consensus/src/replica/snapshots.rs
+++ b/crates/chicory_consensus/src/replica/snapshots.rs
@@ -127,6 +127,9 @@
     /// Whether the log holds all that the snapshot covers. Entries after it were acknowledged and
     /// must stay.
     fn has_entry_of(&self, header: &SnapshotHeader) -> bool {
+        if self.log.membership().is_none() {
+            return false;
+        }
         header.last_index <= self.commit_index
             || self.log.term_at(header.last_index) == Some(header.last_term)
     }
--- a/crates/chicory_consensus/tests/cluster/elections.rs
+++ b/crates/chicory_consensus/tests/cluster/elections.rs
@@ -30,7 +30,7 @@
         cluster.crash(&leader);
         let killed_at = cluster.now;
         cluster.run_until(|c| c.leader().is_some_and(|l| l != leader));
-        let gap = cluster.now - killed_at;
+        let gap = cluster.now.saturating_sub(killed_at);
         expect_that!(gap, lt(Duration::from_millis(1_200)), "seed {seed}");
         let next = cluster.leader().expect("a leader");
         expect_that!(cluster.nodes[&next].state, len(eq(1)));
--- a/crates/chicory_consensus/tests/cluster/harness.rs
+++ b/crates/chicory_consensus/tests/cluster/harness.rs
@@ -29,6 +29,7 @@
     pub nodes: BTreeMap<String, Node>,
     pub network: Network,
     pub formation: Formation,
+    pub group_epoch: u64,
     pub snapshot_after_entries: u64,
     /// Pairs of VMs that can't reach each other.
     pub cuts: BTreeSet<(String, String)>,
@@ -58,6 +59,7 @@
                 ..Network::default()
             },
             formation: Formation::Unanimous,
+            group_epoch: 1,
             snapshot_after_entries: 1_000,
             cuts: BTreeSet::new(),
             acknowledged: BTreeMap::new(),
@@ -68,12 +70,20 @@
             sequence: 0,
             rng,
         };
-        for vm in &VMS[..size] {
-            cluster.start(vm);
-        }
+        cluster.start_all();
         cluster
     }
 
+    pub fn start_all(&mut self) {
+        for vm in self.vms() {
+            self.start(&vm);
+        }
+    }
+
+    pub fn vms(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
     /// Runs until there is a leader with a lease.
     pub fn with_leader(size: usize, disks: usize, seed: u64) -> Self {
         let mut cluster = Self::new(size, disks, seed);
@@ -82,7 +92,7 @@
     }
 
     pub fn start(&mut self, vm: &str) {
-        let vms = self.nodes.keys().cloned().collect();
+        let vms = self.vms();
         let seed = self.rng.random();
         let node = self.nodes.get_mut(vm).expect("known VM");
         if !node.has_disk || node.member.incarnation == 0 {
@@ -91,10 +101,12 @@
         }
         let formation = match node.member.incarnation {
             1 => self.formation.clone(),
+            _ if self.formation != Formation::Unanimous => self.formation.clone(),
             _ => Formation::Join,
         };
         let config = ReplicaConfig::builder(node.member.clone(), vms)
             .formation(formation)
+            .group_epoch(self.group_epoch)
             .snapshot_after_entries(self.snapshot_after_entries)
             .snapshot_chunk_bytes(64)
             .trailing_entries(2)
@@ -105,9 +117,10 @@
         node.started_at = self.now;
         node.state.clear();
         node.is_paused = false;
-        let restored = match node.has_disk {
-            true => node.image.restored(),
-            false => RestoredState::fresh(),
+        let restored = if node.has_disk {
+            node.image.restored()
+        } else {
+            RestoredState::fresh()
         };
         let local = node.local(self.now);
         node.replica = Some(Replica::new(config, restored, local));
@@ -139,8 +152,7 @@
     }
 
     pub fn isolate(&mut self, vm: &str) {
-        let vms: Vec<_> = self.nodes.keys().cloned().collect();
-        for other in vms {
+        for other in self.vms() {
             self.cut(vm, &other);
         }
     }
@@ -205,7 +217,7 @@
 
     /// Runs until `condition` holds, which it has to within a minute.
     pub fn run_until(&mut self, condition: impl Fn(&Self) -> bool) {
-        let end = self.now + Duration::from_secs(60);
+        let end = self.now + Duration::from_mins(1);
         while !condition(self) {
             assert!(self.now < end, "the condition never came to hold");
             self.step();
@@ -287,7 +299,7 @@
         let now = self.now;
         let node = self.nodes.get_mut(vm).expect("known VM");
         match effect {
-            ReplicaEffect::Send { message, .. } => self.transmit(message),
+            ReplicaEffect::Send { message, .. } => self.transmit(&message),
             ReplicaEffect::Persist { .. } if node.has_disk => {
                 node.unsynced.push_back((now + SYNC_TIME, effect));
             }
@@ -323,15 +335,15 @@
         }
     }
 
-    pub fn transmit(&mut self, message: PeerMessage) {
+    pub fn transmit(&mut self, message: &PeerMessage) {
         self.messages += 1;
         if self.rng.random_range(0..100) < self.network.loss_percent {
             return;
         }
         let is_doubled = self.rng.random_range(0..100) < self.network.double_percent;
         for _ in 0..=u32::from(is_doubled) {
-            let micros = self.network.max_delay.as_micros() as u64;
-            let delay = Duration::from_micros(self.rng.random_range(100..=micros));
+            let least = Duration::from_micros(100);
+            let delay = self.rng.random_range(least..=self.network.max_delay);
             self.sequence += 1;
             let key = (self.now + delay, self.sequence);
             self.in_flight.insert(key, message.clone());
--- a/crates/chicory_consensus/tests/cluster/node.rs
+++ b/crates/chicory_consensus/tests/cluster/node.rs
@@ -41,7 +41,8 @@
 
     /// The process's own monotonic clock; it starts anew with each process.
     pub fn local(&self, now: Duration) -> Duration {
-        (now - self.started_at) * self.clock_rate_permille / 1000 + Duration::from_secs(1)
+        now.saturating_sub(self.started_at) * self.clock_rate_permille / 1000
+            + Duration::from_secs(1)
     }
 
     /// When the process's timer fires, or its disk is done.
@@ -68,7 +69,7 @@
         let mut data = Vec::new();
         for (index, command) in &self.state {
             data.extend(index.to_le_bytes());
-            data.extend((command.len() as u64).to_le_bytes());
+            data.extend(command.len().to_le_bytes());
             data.extend(command);
         }
         data
@@ -78,7 +79,7 @@
         let mut state = Vec::new();
         while !data.is_empty() {
             let index = u64::from_le_bytes(data[..8].try_into().expect("8 bytes"));
-            let len = u64::from_le_bytes(data[8..16].try_into().expect("8 bytes")) as usize;
+            let len = usize::from_le_bytes(data[8..16].try_into().expect("8 bytes"));
             state.push((index, data[16..16 + len].to_vec()));
             data = &data[16 + len..];
         }
--- a/crates/chicory_consensus/tests/cluster/repairs.rs
+++ b/crates/chicory_consensus/tests/cluster/repairs.rs
@@ -1,1 +1,286 @@
+//! Formation, incarnations, learners and the loss of members.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use chicory_consensus::{
+    Formation, GroupStatus, HardState, HelloStatus, MemberId, Membership, PeerMessage,
+    PeerMessageBody, Replica, ReplicaConfig, ReplicaEffect, ReplicaEvent, RestoredState, Snapshot,
+};
+use googletest::prelude::*;
+
+use crate::harness::{Cluster, VMS};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn voters(cluster: &Cluster) -> BTreeSet<MemberId> {
+    let leader = cluster.leader().expect("a leader");
+    cluster.replica(&leader).membership().voters.clone()
+}
+
+fn await_voter(cluster: &mut Cluster, vm: &str) {
+    let member = cluster.nodes[vm].member.clone();
+    cluster.run_until(|c| c.leader().is_some() && voters(c).contains(&member));
+}
+
+fn founders(incarnation: u64) -> BTreeSet<MemberId> {
+    VMS[..3]
+        .iter()
+        .map(|vm| MemberId::new(*vm, incarnation))
+        .collect()
+}
+
+#[gtest]
+fn group_waits_for_all_bootstrap_vms() {
+    let mut cluster = Cluster::new(3, 0, 1);
+    cluster.crash("vm-c");
+    cluster.run_for(LONG);
+    expect_that!(cluster.leader(), none());
+    expect_that!(
+        cluster.replica("vm-a").group_status(),
+        eq(GroupStatus::Forming)
+    );
+}
+
+#[gtest]
+fn founders_need_only_a_majority() {
+    let mut cluster = Cluster::new(3, 0, 1);
+    for vm in cluster.vms() {
+        cluster.crash(&vm);
+    }
+    cluster.formation = Formation::Founders(founders(2));
+    cluster.group_epoch = 2;
+    cluster.start("vm-a");
+    cluster.start("vm-b");
+    cluster.commit(b"x");
+}
+
+#[gtest]
+fn restarted_diskless_voter_is_admitted_anew() {
+    for size in [3, 5] {
+        let mut cluster = Cluster::with_leader(size, 0, 2);
+        cluster.commit(b"x");
+        let vm = cluster.follower();
+        cluster.restart(&vm);
+        await_voter(&mut cluster, &vm);
+        expect_that!(voters(&cluster), len(eq(size)));
+        expect_that!(cluster.nodes[&vm].state, len(eq(1)));
+    }
+}
+
+#[gtest]
+fn restarted_diskless_leader_is_admitted_anew() {
+    let mut cluster = Cluster::with_leader(3, 0, 3);
+    cluster.commit(b"x");
+    let vm = cluster.leader().expect("a leader");
+    cluster.restart(&vm);
+    await_voter(&mut cluster, &vm);
+    expect_that!(cluster.nodes[&vm].state, len(eq(1)));
+}
+
+#[gtest]
+fn second_vm_lost_right_after_a_repair() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_leader(3, 0, seed);
+        cluster.commit(b"x");
+        let repaired = cluster.follower();
+        cluster.restart(&repaired);
+        await_voter(&mut cluster, &repaired);
+        let second = cluster.leader().expect("a leader");
+        cluster.crash(&second);
+        cluster.run_until(|c| c.leader().is_some_and(|l| l != second));
+        cluster.commit(b"y");
+    }
+}
+
+#[gtest]
+fn cold_learner_does_not_count() {
+    let mut cluster = Cluster::with_leader(3, 0, 4);
+    let leader = cluster.leader().expect("a leader");
+    let cold = cluster.follower();
+    cluster.cuts.insert((leader.clone(), cold.clone()));
+    cluster.restart(&cold);
+    cluster.run_for(Duration::from_secs(3));
+    let membership = cluster.replica(&leader).membership().clone();
+    expect_that!(membership.voters, len(eq(2)));
+    expect_that!(membership.learners, len(eq(1)));
+    let third = membership.voters.iter().find(|m| m.vm != leader);
+    cluster.crash(&third.expect("a third member").vm);
+    cluster.propose(&leader, b"x");
+    cluster.run_for(LONG);
+    expect_true!(cluster.acknowledged.is_empty());
+}
+
+#[gtest]
+fn majority_restarted_at_once_does_not_form_anew() {
+    let mut cluster = Cluster::with_leader(3, 0, 5);
+    cluster.commit(b"x");
+    let leader = cluster.leader().expect("a leader");
+    for vm in cluster.vms().iter().filter(|vm| **vm != leader) {
+        cluster.restart(vm);
+    }
+    cluster.run_for(LONG);
+    expect_that!(cluster.leader(), none());
+}
+
+#[gtest]
+fn whole_diskless_group_restarted_waits_for_a_new_epoch() {
+    let mut cluster = Cluster::with_leader(3, 0, 6);
+    cluster.commit(b"x");
+    for vm in cluster.vms() {
+        cluster.crash(&vm);
+    }
+    cluster.start_all();
+    cluster.run_for(LONG);
+    expect_that!(cluster.leader(), none());
+    let status = cluster.replica("vm-a").group_status();
+    expect_that!(status, eq(GroupStatus::AwaitingAdmission));
+}
+
+#[gtest]
+fn restarted_founders_of_a_spent_epoch_do_not_form_anew() {
+    let mut cluster = Cluster::new(3, 0, 6);
+    cluster.formation = Formation::Founders(founders(2));
+    cluster.group_epoch = 2;
+    for _ in 0..2 {
+        for vm in cluster.vms() {
+            cluster.crash(&vm);
+        }
+        cluster.start_all();
+    }
+    cluster.run_for(LONG);
+    expect_that!(cluster.leader(), none());
+}
+
+#[gtest]
+fn whole_group_with_disks_restarted_keeps_everything() {
+    let mut cluster = Cluster::with_leader(3, 3, 7);
+    cluster.commit(b"x");
+    for vm in cluster.vms() {
+        cluster.crash(&vm);
+    }
+    cluster.start_all();
+    cluster.commit(b"y");
+    cluster.run_for(Duration::from_secs(1));
+    for node in cluster.nodes.values() {
+        expect_that!(node.state, len(eq(2)));
+    }
+}
+
+#[gtest]
+fn message_of_a_greater_epoch_supersedes_the_group() {
+    let mut cluster = Cluster::with_leader(3, 0, 8);
+    let leader = cluster.leader().expect("a leader");
+    let sender = MemberId::new(cluster.follower(), 9);
+    let event = ReplicaEvent::Received {
+        from: sender.clone(),
+        message: PeerMessage {
+            group_epoch: 2,
+            from: sender,
+            to: MemberId::any_of(&leader),
+            body: PeerMessageBody::Hello(HelloStatus::Formed),
+        },
+    };
+    cluster.feed(&leader, event);
+    expect_that!(
+        cluster.replica(&leader).group_status(),
+        eq(GroupStatus::Superseded)
+    );
+    expect_that!(cluster.leader(), none());
+}
+
+#[gtest]
+fn five_voters_lose_two_in_turn_and_at_once() {
+    for seed in 0..5 {
+        let mut cluster = Cluster::with_leader(5, 0, seed);
+        cluster.commit(b"x");
+        let first = cluster.leader().expect("a leader");
+        let second = cluster.follower();
+        cluster.crash(&first);
+        cluster.crash(&second);
+        cluster.run_until(|c| c.leader().is_some());
+        cluster.commit(b"y");
+        cluster.start(&first);
+        cluster.start(&second);
+        await_voter(&mut cluster, &first);
+        await_voter(&mut cluster, &second);
+        expect_that!(voters(&cluster), len(eq(5)));
+    }
+}
+
+#[gtest]
+fn diskless_voter_restarted_within_an_election() {
+    for seed in 0..40 {
+        let mut cluster = Cluster::with_leader(5, 0, seed);
+        cluster.commit(b"x");
+        let leader = cluster.leader().expect("a leader");
+        cluster.crash(&leader);
+        let voter = cluster.vms().into_iter().find(|vm| *vm != leader);
+        let voter = voter.expect("a follower");
+        cluster.run_for(Duration::from_millis(380 + seed * 10));
+        cluster.restart(&voter);
+        cluster.run_until(|c| c.leader().is_some());
+        cluster.commit(b"y");
+        cluster.check_logs();
+    }
+}
+
+fn vote_request(from: &str, to: MemberId) -> ReplicaEvent {
+    let from = MemberId::new(from, 1);
+    ReplicaEvent::Received {
+        from: from.clone(),
+        message: PeerMessage {
+            group_epoch: 1,
+            from,
+            to,
+            body: PeerMessageBody::RequestVote {
+                term: 5,
+                last_index: 0,
+                last_term: 0,
+                is_transfer: true,
+            },
+        },
+    }
+}
+
+/// Whether a replica started from `restored` grants a vote that is addressed to `to`.
+fn grants(restored: RestoredState, incarnation: u64, to: MemberId) -> bool {
+    let vms = VMS[..3].iter().map(|vm| (*vm).to_owned()).collect();
+    let config = ReplicaConfig::builder(MemberId::new("vm-a", incarnation), vms).build();
+    let mut replica = Replica::new(config.expect("valid settings"), restored, LONG);
+    let mut effects = replica.reduce(LONG, vote_request("vm-b", to));
+    effects.extend(replica.reduce(LONG, ReplicaEvent::Persisted { ticket: 1 }));
+    effects.iter().any(|effect| {
+        matches!(effect, ReplicaEffect::Send { message, .. }
+            if matches!(message.body, PeerMessageBody::VoteResponse { granted: true, .. }))
+    })
+}
+
+fn stored(may_vote: bool) -> RestoredState {
+    RestoredState {
+        hard_state: HardState {
+            term: 4,
+            voted_for: None,
+        },
+        snapshot: Some(Snapshot {
+            membership: Membership::of_voters(founders(1)),
+            ..Snapshot::default()
+        }),
+        entries: Vec::new(),
+        may_vote,
+    }
+}
+
+#[gtest]
+fn only_the_incarnation_that_was_asked_votes() {
+    let asked = MemberId::new("vm-a", 1);
+    expect_true!(grants(stored(true), 1, asked.clone()));
+    expect_false!(grants(stored(true), 2, asked));
+    let fresh = MemberId::new("vm-a", 2);
+    expect_false!(grants(RestoredState::fresh(), 2, fresh));
+}
+
+#[gtest]
+fn damaged_state_does_not_vote() {
+    expect_false!(grants(stored(false), 1, MemberId::new("vm-a", 1)));
+}
