Decide table edits by base revision and edit id

An edit wins only against the revision it names, so operators that race get one winner, and the outcome is remembered by edit id, so that a resend gets the same answer. Merging edits of different rows was ruled out: two operators who saw the same table must learn of each other. The memory and the audit trail are bounded.

--- a/crates/chicory_table/src/lib.rs
+++ b/crates/chicory_table/src/lib.rs
@@ -3,12 +3,31 @@
 //! Operators state what they want as rows of a table; this crate holds the rows, checks them, and
 //! decides which edit wins. It is a plain state machine: the replicated log applies edits to it.
 
+mod audit_record;
+mod audit_trail;
 mod custody_lease;
+mod edit_outcome;
 mod server_override;
 mod service_policy;
 mod table;
+mod table_content;
+mod table_edit;
+mod table_fault;
+mod table_store;
+mod table_store_snapshot;
 
+pub use audit_record::{AuditAction, AuditRecord};
+pub use audit_trail::{AUDIT_RETENTION_RECORDS, AuditQuery, AuditTrail};
 pub use custody_lease::CustodyLease;
+pub use edit_outcome::EditOutcome;
 pub use server_override::ServerOverride;
 pub use service_policy::ServicePolicy;
 pub use table::Table;
+pub use table_content::{
+    MAX_CUSTODY_LEASE_MS, MAX_DEADLINE_MS, MAX_NAME_BYTES, MAX_OVERRIDES, MAX_SERVICES, MAX_WEIGHT,
+    MIN_CUSTODY_LEASE_MS, MIN_DEADLINE_MS, TableContent,
+};
+pub use table_edit::{TableChange, TableEdit};
+pub use table_fault::TableFault;
+pub use table_store::{EDIT_MEMORY, RememberedEdit, TableStore};
+pub use table_store_snapshot::TableStoreSnapshot;
