--- /dev/null
+++ b/crates/chicory_ownership/src/claims/claim_book.rs
@@ -0,0 +1,289 @@
+//! All claims of one availability zone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chicory_types::{Incarnation, OrderKey, ServiceName, SlotRun, VmId, slot_of_key};
+
+use crate::{
+    ClaimAnswer, ClaimRecord, ClaimRequest, ClaimResolution, ClaimState, Claimant, StoredAnswer,
+};
+
+/// How long a claim is kept after it was granted; callers must not resend an order for longer.
+pub const CLAIM_RETENTION: Duration = Duration::from_hours(12);
+/// How long a claim may stay in progress before its outcome counts as unknown; longer than the
+/// longest deadline that the table allows.
+pub const CLAIM_IN_PROGRESS_LIMIT: Duration = Duration::from_mins(11);
+/// Most claims of one availability zone.
+pub const MAX_CLAIMS: usize = 20_000;
+/// Most bytes of stored answer bodies of one availability zone; further bodies are dropped.
+pub const MAX_STORED_BODY_BYTES: usize = 4 * 1_024 * 1_024;
+
+type ClaimKey = (ServiceName, OrderKey);
+
+/// All claims of one availability zone.
+///
+/// A claim is granted to one attempt of one process. Another attempt gets it only once the first
+/// one is known not to have run; a claim whose claimant is gone stays unknown until it expires.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClaimBook {
+    claims: BTreeMap<ClaimKey, ClaimRecord>,
+    /// Claims in order of their expiry.
+    by_age: BTreeSet<(u64, ClaimKey)>,
+    body_bytes: usize,
+}
+
+impl ClaimBook {
+    /// Decides a claim at log clock `at_ms`; custody is the caller's to check.
+    pub fn claim(&mut self, request: &ClaimRequest, at_ms: u64) -> ClaimAnswer {
+        let key = (request.service.clone(), request.order_key.clone());
+        let Some(known) = self.claims.get(&key) else {
+            return self.grant_new(key, request, at_ms);
+        };
+        if matches!(known.state, ClaimState::NotRun) {
+            return self.grant_again(key, request, at_ms);
+        }
+        if known.fingerprint != request.fingerprint {
+            return ClaimAnswer::KeyReused;
+        }
+        match &known.state {
+            ClaimState::InProgress if known.claimant == request.claimant => ClaimAnswer::Granted,
+            ClaimState::InProgress => ClaimAnswer::InProgress,
+            ClaimState::Answered(answer) => ClaimAnswer::Stored(answer.clone()),
+            ClaimState::Unknown | ClaimState::NotRun => ClaimAnswer::Unknown,
+        }
+    }
+
+    /// Records how a claimed order ended; only the claimant's own word counts.
+    ///
+    /// Returns whether the claim was the claimant's.
+    pub fn resolve(
+        &mut self,
+        service: &ServiceName,
+        order_key: &OrderKey,
+        claimant: &Claimant,
+        resolution: &ClaimResolution,
+    ) -> bool {
+        let key = (service.clone(), order_key.clone());
+        let Some(claim) = self.claims.get_mut(&key) else {
+            return false;
+        };
+        let is_open = matches!(claim.state, ClaimState::InProgress | ClaimState::Unknown);
+        if claim.claimant != *claimant {
+            return false;
+        }
+        if !is_open {
+            return true;
+        }
+        claim.state = match resolution {
+            ClaimResolution::Answered(answer) => {
+                ClaimState::Answered(bounded(answer, &mut self.body_bytes))
+            }
+            ClaimResolution::NotRun => ClaimState::NotRun,
+            ClaimResolution::Unknown => ClaimState::Unknown,
+        };
+        true
+    }
+
+    /// Makes the open claims of a process that is gone unknown.
+    pub fn abandon(&mut self, vm: &VmId, incarnation: Incarnation) {
+        for claim in self.claims.values_mut() {
+            let is_theirs = claim.claimant.vm == *vm && claim.claimant.incarnation == incarnation;
+            if is_theirs && claim.state == ClaimState::InProgress {
+                claim.state = ClaimState::Unknown;
+            }
+        }
+    }
+
+    /// Drops claims past [`CLAIM_RETENTION`] and gives up those in progress for too long.
+    pub fn expire(&mut self, at_ms: u64) {
+        let progress_limit_ms = millis(CLAIM_IN_PROGRESS_LIMIT);
+        while let Some((claimed_at_ms, key)) = self.by_age.first().cloned() {
+            if claimed_at_ms + millis(CLAIM_RETENTION) > at_ms {
+                break;
+            }
+            self.by_age.pop_first();
+            if let Some(claim) = self.claims.remove(&key) {
+                self.body_bytes -= body_len(&claim.state);
+            }
+        }
+        for claim in self.claims.values_mut() {
+            let is_late = claim.claimed_at_ms + progress_limit_ms <= at_ms;
+            if is_late && claim.state == ClaimState::InProgress {
+                claim.state = ClaimState::Unknown;
+            }
+        }
+    }
+
+    /// Whether [`expire`](Self::expire) would change anything at log clock `at_ms`.
+    #[must_use]
+    pub fn has_expired(&self, at_ms: u64) -> bool {
+        let oldest_is_due = |(at, _): &(u64, ClaimKey)| at + millis(CLAIM_RETENTION) <= at_ms;
+        let is_late = |claim: &ClaimRecord| {
+            claim.state == ClaimState::InProgress
+                && claim.claimed_at_ms + millis(CLAIM_IN_PROGRESS_LIMIT) <= at_ms
+        };
+        self.by_age.first().is_some_and(oldest_is_due) || self.claims.values().any(is_late)
+    }
+
+    /// Processes with claims in progress.
+    #[must_use]
+    pub fn open_claimants(&self) -> Vec<(VmId, Incarnation)> {
+        let open = self
+            .claims
+            .values()
+            .filter(|claim| claim.state == ClaimState::InProgress);
+        let claimants: BTreeSet<(VmId, Incarnation)> = open
+            .map(|claim| (claim.claimant.vm.clone(), claim.claimant.incarnation))
+            .collect();
+        claimants.into_iter().collect()
+    }
+
+    /// Whether an order of the slots is in progress.
+    #[must_use]
+    pub fn is_running(&self, service: &ServiceName, run: SlotRun) -> bool {
+        let mut claims = self.claims.values();
+        claims.any(|claim| is_in(claim, service, run) && claim.state == ClaimState::InProgress)
+    }
+
+    /// Drops the claims of slots that the zone lost custody of.
+    pub fn drop_slots(&mut self, service: &ServiceName, run: SlotRun) {
+        let claims = self.claims.values().filter(|c| is_in(c, service, run));
+        let dropped: Vec<ClaimRecord> = claims.cloned().collect();
+        for claim in dropped {
+            let key = (claim.service, claim.order_key);
+            self.body_bytes -= body_len(&claim.state);
+            self.by_age.remove(&(claim.claimed_at_ms, key.clone()));
+            self.claims.remove(&key);
+        }
+    }
+
+    /// The claims of slots for another zone, with their age in place of their time.
+    #[must_use]
+    pub fn export(&self, service: &ServiceName, run: SlotRun, at_ms: u64) -> Vec<ClaimRecord> {
+        let claims = self
+            .claims
+            .values()
+            .filter(|claim| is_in(claim, service, run));
+        claims
+            .map(|claim| {
+                let mut claim = claim.clone();
+                claim.claimed_at_ms = at_ms.saturating_sub(claim.claimed_at_ms);
+                if claim.state == ClaimState::InProgress {
+                    claim.state = ClaimState::Unknown;
+                }
+                claim
+            })
+            .collect()
+    }
+
+    /// Takes claims in that another zone exported.
+    ///
+    /// The bound on the number of claims doesn't apply: a claim that was granted is never dropped.
+    pub fn import(&mut self, claims: &[ClaimRecord], at_ms: u64) {
+        for claim in claims {
+            let mut claim = claim.clone();
+            claim.claimed_at_ms = at_ms.saturating_sub(claim.claimed_at_ms);
+            self.insert(claim);
+        }
+    }
+
+    /// All claims.
+    pub fn claims(&self) -> impl Iterator<Item = &ClaimRecord> {
+        self.claims.values()
+    }
+
+    /// Number of claims.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether there is no claim.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Restores a book from its claims.
+    #[must_use]
+    pub fn restore(claims: Vec<ClaimRecord>) -> Self {
+        let mut book = Self::default();
+        for claim in claims {
+            book.insert(claim);
+        }
+        book
+    }
+
+    fn grant_new(&mut self, key: ClaimKey, request: &ClaimRequest, at_ms: u64) -> ClaimAnswer {
+        if self.claims.len() >= MAX_CLAIMS {
+            return ClaimAnswer::Full;
+        }
+        self.put(key, request, at_ms);
+        ClaimAnswer::Granted
+    }
+
+    fn grant_again(&mut self, key: ClaimKey, request: &ClaimRequest, at_ms: u64) -> ClaimAnswer {
+        let Some(known) = self.claims.get(&key) else {
+            return ClaimAnswer::Unknown;
+        };
+        // The attempt gave its claim back: a delayed copy of its request must not take it again.
+        if known.claimant == request.claimant {
+            return ClaimAnswer::Unknown;
+        }
+        self.by_age.remove(&(known.claimed_at_ms, key.clone()));
+        self.put(key, request, at_ms);
+        ClaimAnswer::Granted
+    }
+
+    fn put(&mut self, key: ClaimKey, request: &ClaimRequest, at_ms: u64) {
+        self.insert(ClaimRecord {
+            service: key.0,
+            order_key: key.1,
+            fingerprint: request.fingerprint,
+            claimant: request.claimant.clone(),
+            state: ClaimState::InProgress,
+            claimed_at_ms: at_ms,
+        });
+    }
+
+    fn insert(&mut self, claim: ClaimRecord) {
+        let key = (claim.service.clone(), claim.order_key.clone());
+        self.body_bytes += body_len(&claim.state);
+        self.by_age.insert((claim.claimed_at_ms, key.clone()));
+        if let Some(old) = self.claims.insert(key.clone(), claim) {
+            self.body_bytes -= body_len(&old.state);
+            let is_same_age = self.claims[&key].claimed_at_ms == old.claimed_at_ms;
+            if !is_same_age {
+                self.by_age.remove(&(old.claimed_at_ms, key));
+            }
+        }
+    }
+}
+
+fn bounded(answer: &StoredAnswer, body_bytes: &mut usize) -> StoredAnswer {
+    let mut kept = answer.clone();
+    let len = kept.body.as_ref().map_or(0, Vec::len);
+    if *body_bytes + len > MAX_STORED_BODY_BYTES {
+        kept.body = None;
+        return kept;
+    }
+    *body_bytes += len;
+    kept
+}
+
+fn body_len(state: &ClaimState) -> usize {
+    match state {
+        ClaimState::Answered(answer) => answer.body.as_ref().map_or(0, Vec::len),
+        _ => 0,
+    }
+}
+
+fn is_in(claim: &ClaimRecord, service: &ServiceName, run: SlotRun) -> bool {
+    claim.service == *service && run.contains(slot_of_key(&claim.order_key))
+}
+
+/// Whole milliseconds of a span.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/custody_handover.rs
@@ -0,0 +1,50 @@
+//! What one zone hands over to the next one with the custody of slots.
+
+use chicory_types::{ServiceName, SlotRun, ZoneName};
+
+use crate::{ClaimRecord, CustodyRun};
+
+/// Slots that a zone gives up for another one, with nothing left that runs on them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CustodyRelease {
+    /// The service.
+    pub service: ServiceName,
+    /// The slots.
+    pub run: SlotRun,
+    /// Generation of the custody that ends.
+    pub generation: u64,
+    /// Their order claims, with ages in place of times.
+    pub claims: Vec<ClaimRecord>,
+    /// How much longer orders of the slots are refused, in milliseconds.
+    pub history_lost_ms: u64,
+}
+
+/// A release on its way to the zone that takes the slots over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CustodyHandover {
+    /// Version of the custody that it came with.
+    pub version: u64,
+    /// The zone that takes over.
+    pub to_zone: ZoneName,
+    /// The service.
+    pub service: ServiceName,
+    /// The slots.
+    pub run: SlotRun,
+    /// Generation of the custody that begins.
+    pub generation: u64,
+    /// Their order claims, with ages in place of times.
+    pub claims: Vec<ClaimRecord>,
+    /// How much longer orders of the slots are refused, in milliseconds.
+    pub history_lost_ms: u64,
+}
+
+/// Custody of all slots at one version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CustodyUpdate {
+    /// The version.
+    pub version: u64,
+    /// Custody of all slots.
+    pub runs: Vec<CustodyRun>,
+    /// Handovers to the receiving zone since its known version.
+    pub handovers: Vec<CustodyHandover>,
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/global/global_leader_config.rs
@@ -0,0 +1,63 @@
+//! Settings of the leader of the global group.
+
+use std::time::Duration;
+
+/// How long after its election a leader waits for zones to be heard of before it gives slots that
+/// nobody has to the zones that it knows.
+pub const CUSTODY_GRACE: Duration = Duration::from_secs(3);
+/// How long after its last sync a zone counts as reachable.
+pub const ZONE_CONTACT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Settings of the leader of the global group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GlobalLeaderConfig {
+    /// See [`CUSTODY_GRACE`].
+    pub custody_grace: Duration,
+    /// See [`ZONE_CONTACT_LIMIT`].
+    pub zone_contact_limit: Duration,
+}
+
+impl GlobalLeaderConfig {
+    /// Starts from the default settings.
+    #[must_use]
+    pub fn builder() -> GlobalLeaderConfigBuilder {
+        GlobalLeaderConfigBuilder::default()
+    }
+}
+
+impl Default for GlobalLeaderConfig {
+    fn default() -> Self {
+        Self {
+            custody_grace: CUSTODY_GRACE,
+            zone_contact_limit: ZONE_CONTACT_LIMIT,
+        }
+    }
+}
+
+/// Builds a [`GlobalLeaderConfig`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GlobalLeaderConfigBuilder {
+    config: GlobalLeaderConfig,
+}
+
+impl GlobalLeaderConfigBuilder {
+    /// Sets the wait for zones before slots are first given out.
+    #[must_use]
+    pub fn custody_grace(mut self, span: Duration) -> Self {
+        self.config.custody_grace = span;
+        self
+    }
+
+    /// Sets how long a zone counts as reachable.
+    #[must_use]
+    pub fn zone_contact_limit(mut self, span: Duration) -> Self {
+        self.config.zone_contact_limit = span;
+        self
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn build(self) -> GlobalLeaderConfig {
+        self.config
+    }
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/global/global_planner.rs
@@ -0,0 +1,268 @@
+//! What the leader of the global group proposes.
+
+use chicory_table::CustodyLease;
+use chicory_types::{MonoTime, ServiceName, SlotRun, ZoneName};
+
+use super::global_leader::GlobalLeader;
+use crate::{ALL_SLOTS, CustodyCause, GlobalCommand, GlobalState, RunMap, split_evenly};
+
+impl GlobalLeader {
+    /// Proposes what is to be done now; `at_ms` is wall-clock time for the audit trail.
+    ///
+    /// Proposals that were made before and aren't applied yet may come again: they are harmless.
+    pub fn plan(&mut self, now: MonoTime, at_ms: u64, state: &GlobalState) -> Vec<GlobalCommand> {
+        self.forget_done_revocations(state);
+        let mut commands = Vec::new();
+        self.plan_zones(now, at_ms, state, &mut commands);
+        self.plan_releases(state, &mut commands);
+        let services = state.table().services.iter();
+        let kept = services.filter(|(_, policy)| policy.has_custody());
+        for (service, policy) in kept {
+            self.plan_initial(now, state, service, &mut commands);
+            if matches!(policy.custody_lease, CustodyLease::Limited(_)) {
+                self.plan_takeover(now, state, service, &mut commands);
+            }
+            self.plan_moves(now, state, service, &mut commands);
+        }
+        commands
+    }
+
+    fn forget_done_revocations(&mut self, state: &GlobalState) {
+        self.revoking
+            .retain(|(zone, service)| !state.runs_of(service, zone).is_empty());
+    }
+
+    fn plan_zones(
+        &self,
+        now: MonoTime,
+        at_ms: u64,
+        state: &GlobalState,
+        commands: &mut Vec<GlobalCommand>,
+    ) {
+        for (zone, contact) in &self.contacts {
+            let Some(status) = state.zones().get(zone) else {
+                commands.push(register(zone, contact.group_epoch, at_ms));
+                continue;
+            };
+            if contact.group_epoch > status.group_epoch {
+                commands.push(register(zone, contact.group_epoch, at_ms));
+                continue;
+            }
+            if contact.in_force_revision > status.in_force_revision {
+                commands.push(GlobalCommand::ReportInForce {
+                    zone: zone.clone(),
+                    revision: contact.in_force_revision,
+                });
+            }
+            if status.is_evicted && self.is_back(now, state, zone) {
+                commands.push(GlobalCommand::ReadmitZone { zone: zone.clone() });
+            }
+        }
+    }
+
+    /// Whether an evicted zone was heard of and knows that it has lost its custody.
+    fn is_back(&self, now: MonoTime, state: &GlobalState, zone: &ZoneName) -> bool {
+        let contact = self.contacts.get(zone);
+        self.is_reachable(now, zone)
+            && contact.is_some_and(|c| c.known_custody_version == state.custody_version())
+    }
+
+    fn plan_releases(&self, state: &GlobalState, commands: &mut Vec<GlobalCommand>) {
+        for (zone, contact) in &self.contacts {
+            let registered = state.zones().get(zone).map(|status| status.group_epoch);
+            if registered != Some(contact.group_epoch) {
+                continue;
+            }
+            for release in &contact.releases {
+                if is_awaited(
+                    state,
+                    zone,
+                    &release.service,
+                    release.run,
+                    release.generation,
+                ) {
+                    commands.push(GlobalCommand::ReleaseCustody {
+                        zone: zone.clone(),
+                        release: release.clone(),
+                    });
+                }
+            }
+            let version = contact.known_custody_version;
+            let is_taken_in =
+                |h: &crate::CustodyHandover| h.to_zone == *zone && h.version <= version;
+            if state.handovers().iter().any(is_taken_in) {
+                commands.push(GlobalCommand::DropHandovers {
+                    zone: zone.clone(),
+                    version,
+                });
+            }
+        }
+    }
+
+    /// Gives slots that nobody has to the zones of the service, each zone its fixed share; the
+    /// share of a zone that stays unknown goes to the others once the grace is over.
+    fn plan_initial(
+        &self,
+        now: MonoTime,
+        state: &GlobalState,
+        service: &ServiceName,
+        commands: &mut Vec<GlobalCommand>,
+    ) {
+        let gaps = match state.custody().get(service) {
+            Some(runs) => runs.gaps(ALL_SLOTS),
+            None => vec![ALL_SLOTS],
+        };
+        let ready = state.ready_zones(service);
+        if gaps.is_empty() || ready.is_empty() {
+            return;
+        }
+        let is_grace_over = now >= self.elected_at + self.config.custody_grace;
+        let policy = &state.table().services[service];
+        let zones: Vec<ZoneName> = policy.zones.iter().cloned().collect();
+        let candidates = if is_grace_over { ready } else { zones };
+        for (to_zone, share) in split_evenly(&[ALL_SLOTS], &candidates) {
+            let runs = intersect(&share, &gaps);
+            if runs.is_empty() || !state.zones().contains_key(&to_zone) {
+                continue;
+            }
+            commands.push(GlobalCommand::AssignCustody {
+                service: service.clone(),
+                runs,
+                from_zone: None,
+                to_zone,
+                cause: CustodyCause::Initial,
+            });
+        }
+    }
+
+    /// Passes slots of zones whose limited custody lease has ended to reachable zones.
+    fn plan_takeover(
+        &mut self,
+        now: MonoTime,
+        state: &GlobalState,
+        service: &ServiceName,
+        commands: &mut Vec<GlobalCommand>,
+    ) {
+        let ready = state.ready_zones(service).into_iter();
+        let targets: Vec<ZoneName> = ready.filter(|zone| self.is_reachable(now, zone)).collect();
+        for zone in state.zones().keys() {
+            let runs = state.runs_of(service, zone);
+            if runs.is_empty() || !self.may_take_from(now, state, zone, service) {
+                continue;
+            }
+            let others: Vec<ZoneName> = targets.iter().filter(|z| *z != zone).cloned().collect();
+            if others.is_empty() {
+                continue;
+            }
+            self.revoking.insert((zone.clone(), service.clone()));
+            for (to_zone, runs) in split_evenly(&runs, &others) {
+                commands.push(GlobalCommand::AssignCustody {
+                    service: service.clone(),
+                    runs,
+                    from_zone: Some(zone.clone()),
+                    to_zone,
+                    cause: CustodyCause::LeaseEnded,
+                });
+            }
+        }
+    }
+
+    fn may_take_from(
+        &self,
+        now: MonoTime,
+        state: &GlobalState,
+        zone: &ZoneName,
+        service: &ServiceName,
+    ) -> bool {
+        let CustodyLease::Limited(span) = state.agreed_lease(zone, service) else {
+            return false;
+        };
+        self.has_ended(now, zone, service, span)
+    }
+
+    /// Asks zones to release slots to a zone of the service that has none, and to give up slots of
+    /// services that they no longer run.
+    fn plan_moves(
+        &self,
+        now: MonoTime,
+        state: &GlobalState,
+        service: &ServiceName,
+        commands: &mut Vec<GlobalCommand>,
+    ) {
+        let ready = state.ready_zones(service).into_iter();
+        let ready: Vec<ZoneName> = ready.filter(|zone| self.is_reachable(now, zone)).collect();
+        if ready.is_empty() || is_moving(state, service) {
+            return;
+        }
+        let policy = &state.table().services[service];
+        for zone in state.zones().keys().filter(|z| !policy.zones.contains(*z)) {
+            for (to_zone, runs) in split_evenly(&state.runs_of(service, zone), &ready) {
+                push_move(commands, service, runs, zone, to_zone);
+            }
+        }
+        let newcomer = ready.iter().find(|z| state.runs_of(service, z).is_empty());
+        let Some(newcomer) = newcomer else {
+            return;
+        };
+        for zone in ready.iter().filter(|zone| *zone != newcomer) {
+            let runs = state.runs_of(service, zone);
+            let parts: Vec<usize> = (0..ready.len()).collect();
+            if let Some((_, share)) = split_evenly(&runs, &parts).pop() {
+                push_move(commands, service, share, zone, newcomer.clone());
+            }
+        }
+    }
+}
+
+fn register(zone: &ZoneName, group_epoch: u64, at_ms: u64) -> GlobalCommand {
+    GlobalCommand::RegisterZone {
+        zone: zone.clone(),
+        group_epoch,
+        at_ms,
+    }
+}
+
+fn push_move(
+    commands: &mut Vec<GlobalCommand>,
+    service: &ServiceName,
+    runs: Vec<SlotRun>,
+    from_zone: &ZoneName,
+    to_zone: ZoneName,
+) {
+    if runs.is_empty() {
+        return;
+    }
+    commands.push(GlobalCommand::RequestCustodyMove {
+        service: service.clone(),
+        runs,
+        from_zone: from_zone.clone(),
+        to_zone,
+    });
+}
+
+fn is_moving(state: &GlobalState, service: &ServiceName) -> bool {
+    let runs = state.custody().get(service);
+    runs.is_some_and(|runs| runs.iter().any(|(_, c)| c.moving_to.is_some()))
+}
+
+fn is_awaited(
+    state: &GlobalState,
+    zone: &ZoneName,
+    service: &ServiceName,
+    run: SlotRun,
+    generation: u64,
+) -> bool {
+    let custody = state.custody().get(service).and_then(|c| c.get(run.first));
+    custody.is_some_and(|custody| {
+        custody.zone == *zone && custody.generation == generation && custody.moving_to.is_some()
+    })
+}
+
+fn intersect(runs: &[SlotRun], others: &[SlotRun]) -> Vec<SlotRun> {
+    let mut map = RunMap::default();
+    for run in others {
+        map.set(*run, ());
+    }
+    let parts = runs.iter().flat_map(|run| map.within(*run));
+    parts.map(|(part, ())| part).collect()
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/global/mod.rs
@@ -0,0 +1,19 @@
+//! The tier of the whole cluster: table, availability zones, custody.
+
+mod apply_custody;
+mod global_command;
+mod global_leader;
+mod global_leader_config;
+mod global_outcome;
+mod global_planner;
+mod global_snapshot;
+mod global_state;
+
+pub use global_command::GlobalCommand;
+pub use global_leader::GlobalLeader;
+pub use global_leader_config::{
+    CUSTODY_GRACE, GlobalLeaderConfig, GlobalLeaderConfigBuilder, ZONE_CONTACT_LIMIT,
+};
+pub use global_outcome::GlobalOutcome;
+pub use global_snapshot::{GlobalSnapshot, LeaseChange};
+pub use global_state::{GlobalState, ZoneStatus};
--- a/crates/chicory_ownership/src/lib.rs
+++ b/crates/chicory_ownership/src/lib.rs
@@ -4,16 +4,58 @@
 //! slots; the zone group of that zone assigns each of its slots to a backend server and names the
 //! entry VM that dispatches to the server. Leases nest: a server's lease ends before its
 //! dispatcher's, and that one before the zone's custody lease.
+//!
+//! [`GlobalState`] and [`ZoneState`] are pure functions of their logs. [`GlobalLeader`] and
+//! [`ZoneLeader`] hold what only the present leader knows, such as leases, and propose commands.
 
 mod claim;
+mod claims;
+mod custody;
+mod custody_handover;
+mod even_split;
+mod global;
+mod heat_map;
+mod placement;
+mod quarantine;
 mod renewal;
+mod run_map;
 mod server_record;
 mod view_change;
+mod zone;
+mod zone_sync;
 
 pub use claim::{ClaimAnswer, ClaimRequest, ClaimResolution, Claimant, StoredAnswer};
+pub use claims::{
+    CLAIM_IN_PROGRESS_LIMIT, CLAIM_RETENTION, ClaimBook, ClaimRecord, ClaimState, MAX_CLAIMS,
+    MAX_STORED_BODY_BYTES,
+};
+pub use custody::{ALL_SLOTS, Custody, CustodyCause, CustodyRun};
+pub use custody_handover::{CustodyHandover, CustodyRelease, CustodyUpdate};
+pub use even_split::split_evenly;
+pub use global::{
+    CUSTODY_GRACE, GlobalCommand, GlobalLeader, GlobalLeaderConfig, GlobalLeaderConfigBuilder,
+    GlobalOutcome, GlobalSnapshot, GlobalState, LeaseChange, ZONE_CONTACT_LIMIT, ZoneStatus,
+};
+pub use heat_map::{HEAT_HALF_LIFE, HeatMap};
+pub use placement::{
+    CHURN_BURST_SLOTS, CHURN_SLOTS_PER_MINUTE, GreedyPlacement, MinMaxPlacement, PlacementInput,
+    PlacementKind, PlacementPlan, PlacementPolicy, PlacementServer, REBALANCE_START_PERCENT,
+    REBALANCE_STOP_PERCENT, RendezvousPlacement, SlotAssignment, SlotPlace,
+};
+pub use quarantine::{
+    MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_RETENTION, QUARANTINE_SHARED_CRASHES, Quarantine,
+    Suspect,
+};
 pub use renewal::{
     ReleasedSlots, RenewAnswer, RenewRefusal, RenewRequest, ServerCondition, ServerReport,
     SlotHeat, ViewUpdate,
 };
+pub use run_map::RunMap;
 pub use server_record::{EntryRecord, ServerRecord};
 pub use view_change::{SlotOwner, ViewChange};
+pub use zone::{
+    DISPATCHER_LEASE, Dispatcher, LeaseBook, PLAN_INTERVAL, RENEW_INTERVAL, ServerEntry, SlotHold,
+    SlotHoldRun, SlotMark, VIEW_LOG_CHANGES, ZoneCommand, ZoneLeader, ZoneLeaderConfig,
+    ZoneLeaderConfigBuilder, ZoneOutcome, ZoneSnapshot, ZoneState,
+};
+pub use zone_sync::{ZoneDirectory, ZoneSyncAnswer, ZoneSyncRefusal, ZoneSyncRequest};
--- /dev/null
+++ b/crates/chicory_ownership/src/placement/greedy_placement.rs
@@ -0,0 +1,162 @@
+//! Greedy placement with a budget.
+
+use std::time::Duration;
+
+use chicory_types::{MonoTime, Slot};
+
+use super::free_slots::place_evenly;
+use super::load_queue::LoadQueue;
+use crate::{PlacementInput, PlacementPlan, PlacementPolicy, SlotPlace};
+
+/// Load of the most loaded server, in percent of the mean, above which slots start to move.
+pub const REBALANCE_START_PERCENT: u32 = 125;
+/// Load of each server, in percent of the mean, at which slots stop moving.
+pub const REBALANCE_STOP_PERCENT: u32 = 108;
+/// Slots of a service that may move in a minute for the sake of balance.
+pub const CHURN_SLOTS_PER_MINUTE: u32 = 240;
+/// Slots of a service that may move at once after a quiet time.
+pub const CHURN_BURST_SLOTS: u32 = 120;
+/// Rounds in a row that must find the load uneven before slots move.
+const UNEVEN_ROUNDS: u32 = 2;
+
+/// Greedy placement with a churn budget, hysteresis and isolation of hot slots.
+///
+/// The hottest slot that fits moves first, from the most to the least loaded server. A slot that is
+/// hotter than a fair share of a whole server stays where it is, and the other slots leave its
+/// server.
+#[derive(Clone, Copy, Debug)]
+pub struct GreedyPlacement {
+    budget: f64,
+    filled_at: MonoTime,
+    uneven_rounds: u32,
+    is_moving: bool,
+}
+
+impl Default for GreedyPlacement {
+    fn default() -> Self {
+        Self {
+            budget: f64::from(CHURN_BURST_SLOTS),
+            filled_at: MonoTime::ZERO,
+            uneven_rounds: 0,
+            is_moving: false,
+        }
+    }
+}
+
+impl GreedyPlacement {
+    fn fill_budget(&mut self, now: MonoTime) {
+        let span = now.saturating_sub(self.filled_at);
+        self.filled_at = now;
+        let minutes = span.as_secs_f64() / Duration::from_mins(1).as_secs_f64();
+        let filled = self.budget + minutes * f64::from(CHURN_SLOTS_PER_MINUTE);
+        self.budget = filled.min(f64::from(CHURN_BURST_SLOTS));
+    }
+
+    /// Hysteresis: moving starts above one limit and goes on down to a lower one.
+    fn decide(&mut self, greatest: f64, mean: f64) {
+        let start = mean * f64::from(REBALANCE_START_PERCENT) / 100.0;
+        let stop = mean * f64::from(REBALANCE_STOP_PERCENT) / 100.0;
+        if greatest <= stop {
+            self.is_moving = false;
+        }
+        self.uneven_rounds = if greatest > start {
+            self.uneven_rounds + 1
+        } else {
+            0
+        };
+        if self.uneven_rounds >= UNEVEN_ROUNDS {
+            self.is_moving = true;
+        }
+    }
+}
+
+impl PlacementPolicy for GreedyPlacement {
+    fn place(&mut self, input: &PlacementInput<'_>) -> PlacementPlan {
+        PlacementPlan {
+            assign: place_evenly(input),
+            release: Vec::new(),
+        }
+    }
+
+    fn rebalance(&mut self, input: &PlacementInput<'_>) -> PlacementPlan {
+        self.fill_budget(input.now);
+        let mut mover = Mover::new(input);
+        let Some(greatest) = mover.queue.greatest() else {
+            return PlacementPlan::default();
+        };
+        let mean = input.mean_load();
+        self.decide(mover.queue.load(greatest), mean);
+        if !self.is_moving {
+            return PlacementPlan::default();
+        }
+        let stop = mean * f64::from(REBALANCE_STOP_PERCENT) / 100.0;
+        let release = mover.moves(stop, self.budget);
+        #[expect(clippy::cast_precision_loss, reason = "there are at most 16384 slots")]
+        let spent = release.len() as f64;
+        self.budget -= spent;
+        PlacementPlan {
+            assign: Vec::new(),
+            release,
+        }
+    }
+}
+
+/// Chooses moves one after the other.
+struct Mover<'a> {
+    input: &'a PlacementInput<'a>,
+    queue: LoadQueue,
+    /// Slots of each server that haven't been chosen yet, coldest first.
+    slots: Vec<Vec<Slot>>,
+}
+
+impl<'a> Mover<'a> {
+    fn new(input: &'a PlacementInput<'a>) -> Self {
+        let mut slots = vec![Vec::new(); input.servers.len()];
+        for (slot, place) in (0..).zip(input.places) {
+            if let SlotPlace::Owned(server) = place {
+                slots[usize::from(*server)].push(slot);
+            }
+        }
+        Self {
+            input,
+            queue: LoadQueue::new(input),
+            slots,
+        }
+    }
+
+    fn moves(&mut self, stop: f64, budget: f64) -> Vec<Slot> {
+        let mut release = Vec::new();
+        let mut left = budget;
+        let mut is_sorted = vec![false; self.slots.len()];
+        while left >= 1.0 {
+            let (Some(from), Some(to)) = (self.queue.greatest(), self.queue.least()) else {
+                break;
+            };
+            if self.queue.load(from) <= stop {
+                break;
+            }
+            let index = usize::from(from);
+            if !std::mem::replace(&mut is_sorted[index], true) {
+                let input = self.input;
+                self.slots[index].sort_by(|a, b| input.load_of(*a).total_cmp(&input.load_of(*b)));
+            }
+            let Some(slot) = self.take_fitting(from, to, stop) else {
+                break;
+            };
+            self.queue.add(from, -self.input.load_of(slot));
+            self.queue.add(to, self.input.load_of(slot));
+            release.push(slot);
+            left -= 1.0;
+        }
+        release
+    }
+
+    /// Takes the hottest slot that lifts `to` neither above the limit nor above `from`.
+    fn take_fitting(&mut self, from: u16, to: u16, stop: f64) -> Option<Slot> {
+        let limit = stop.min(self.queue.load(from));
+        let slots = &mut self.slots[usize::from(from)];
+        let fits = |slot: &Slot| self.queue.load_with(to, self.input.load_of(*slot)) < limit;
+        let end = slots.partition_point(fits);
+        (end > 0).then(|| slots.remove(end - 1))
+    }
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/placement/placement_kind.rs
@@ -0,0 +1,27 @@
+//! The ways to place slots.
+
+use crate::{GreedyPlacement, MinMaxPlacement, PlacementPolicy, RendezvousPlacement};
+
+/// The ways to place slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementKind {
+    /// [`RendezvousPlacement`].
+    Rendezvous,
+    /// [`GreedyPlacement`].
+    #[default]
+    Greedy,
+    /// [`MinMaxPlacement`].
+    MinMax,
+}
+
+impl PlacementKind {
+    /// Creates a policy of this kind.
+    #[must_use]
+    pub fn build(self) -> Box<dyn PlacementPolicy> {
+        match self {
+            Self::Rendezvous => Box::new(RendezvousPlacement),
+            Self::Greedy => Box::new(GreedyPlacement::default()),
+            Self::MinMax => Box::new(MinMaxPlacement),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/custody_hold.rs
@@ -0,0 +1,88 @@
+//! The custody leases that the zone's leader holds from the global group.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_table::CustodyLease;
+use chicory_types::{ClockRateMargin, MonoTime, ServiceName};
+
+use crate::ZoneState;
+
+/// The custody leases of one answer of the global group.
+#[derive(Clone, Debug)]
+struct CustodyGrant {
+    sent_at: MonoTime,
+    version: u64,
+    leases: BTreeMap<ServiceName, CustodyLease>,
+}
+
+/// The custody leases that the zone's leader holds from the global group.
+///
+/// Leases count only once the custody that they were given for is in force: until then the former
+/// ones run on.
+#[derive(Clone, Debug, Default)]
+pub struct CustodyHold {
+    current: Option<CustodyGrant>,
+    pending: Option<CustodyGrant>,
+}
+
+impl CustodyHold {
+    /// Notes the leases of an answer to a request sent at `sent_at`.
+    pub fn grant(
+        &mut self,
+        sent_at: MonoTime,
+        version: u64,
+        leases: BTreeMap<ServiceName, CustodyLease>,
+    ) {
+        let is_late = |known: &Option<CustodyGrant>| {
+            known.as_ref().is_some_and(|grant| grant.sent_at > sent_at)
+        };
+        if is_late(&self.current) || is_late(&self.pending) {
+            return;
+        }
+        self.pending = Some(CustodyGrant {
+            sent_at,
+            version,
+            leases,
+        });
+    }
+
+    /// Makes the newest leases count if their custody is in force.
+    pub fn settle(&mut self, state: &ZoneState) {
+        let is_in_force = |grant: &CustodyGrant| grant.version <= state.custody_version();
+        if self.pending.as_ref().is_some_and(is_in_force) {
+            self.current = self.pending.take();
+        }
+    }
+
+    /// How long the zone still has custody of the service's slots; `None` for no limit.
+    #[must_use]
+    pub fn time_left(
+        &self,
+        now: MonoTime,
+        state: &ZoneState,
+        service: &ServiceName,
+    ) -> Option<Duration> {
+        let policy = state.table().services.get(service)?;
+        let CustodyLease::Limited(span) = policy.custody_lease else {
+            return None;
+        };
+        let Some(grant) = &self.current else {
+            return Some(Duration::ZERO);
+        };
+        let span = match grant.leases.get(service) {
+            Some(CustodyLease::Limited(granted)) => span.min(*granted),
+            Some(CustodyLease::Unlimited) => span,
+            None => Duration::ZERO,
+        };
+        let end = ClockRateMargin::holder_end(grant.sent_at, span);
+        Some(end.saturating_sub(now))
+    }
+
+    /// When the newest answered request was sent.
+    #[must_use]
+    pub fn last_sent_at(&self) -> Option<MonoTime> {
+        let newest = self.pending.as_ref().or(self.current.as_ref());
+        newest.map(|grant| grant.sent_at)
+    }
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/mod.rs
@@ -0,0 +1,29 @@
+//! The tier of one availability zone: servers, dispatchers, slots, claims.
+
+mod apply_custody;
+mod apply_roles;
+mod apply_slots;
+mod custody_hold;
+mod lease_book;
+mod place_planner;
+mod server_health;
+mod sync_client;
+mod view_log;
+mod zone_command;
+mod zone_leader;
+mod zone_leader_config;
+mod zone_outcome;
+mod zone_planner;
+mod zone_snapshot;
+mod zone_state;
+
+pub use lease_book::LeaseBook;
+pub use view_log::VIEW_LOG_CHANGES;
+pub use zone_command::ZoneCommand;
+pub use zone_leader::ZoneLeader;
+pub use zone_leader_config::{
+    DISPATCHER_LEASE, PLAN_INTERVAL, RENEW_INTERVAL, ZoneLeaderConfig, ZoneLeaderConfigBuilder,
+};
+pub use zone_outcome::ZoneOutcome;
+pub use zone_snapshot::{SlotHoldRun, SlotMark, ZoneSnapshot};
+pub use zone_state::{Dispatcher, ServerEntry, SlotHold, ZoneState};
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/place_planner.rs
@@ -0,0 +1,326 @@
+//! Which slots the leader takes from servers and gives to them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_table::{ServicePolicy, Table};
+use chicory_types::{MonoTime, SLOTS_PER_SERVICE, ServerId, ServiceName, Slot, SlotRun};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::zone_leader::ZoneLeader;
+use super::zone_state::SlotHold;
+use crate::{
+    ALL_SLOTS, HeatMap, PlacementInput, PlacementPlan, PlacementServer, RunMap, SlotPlace,
+    ZoneCommand, ZoneState,
+};
+
+/// Slots that a draining server is asked to give up at once, hottest first.
+const DRAIN_SLOTS: usize = 512;
+/// Time before the end of a dispatcher's lease that is left for the release of slots whose custody
+/// ends.
+const CUSTODY_END_SLACK: Duration = Duration::from_millis(300);
+
+/// The slots of one service as the placement sees them.
+struct ServiceView {
+    servers: Vec<ServerId>,
+    placement_servers: Vec<PlacementServer>,
+    places: Vec<SlotPlace>,
+    loads: Vec<f32>,
+}
+
+impl ServiceView {
+    fn input(&self, now: MonoTime) -> PlacementInput<'_> {
+        PlacementInput {
+            now,
+            servers: &self.placement_servers,
+            places: &self.places,
+            loads: &self.loads,
+        }
+    }
+}
+
+impl ZoneLeader {
+    pub(super) fn plan_placement(
+        &mut self,
+        now: MonoTime,
+        state: &ZoneState,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        for service in state.held_services() {
+            let policy = state.table().services.get(&service);
+            if !policy.is_some_and(|policy| policy.keyed) {
+                release_all(state, &service, |_| true, commands);
+            }
+        }
+        for (service, policy) in &state.table().services {
+            if policy.keyed && state.custody(service).is_some() {
+                self.plan_service(now, state, service, policy, commands);
+            }
+        }
+    }
+
+    fn plan_service(
+        &mut self,
+        now: MonoTime,
+        state: &ZoneState,
+        service: &ServiceName,
+        policy: &ServicePolicy,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        if self.is_custody_ending(now, state, service) {
+            release_all(state, service, |_| true, commands);
+            return;
+        }
+        if self.may_be_held_unseen(now, state) {
+            return;
+        }
+        let view = self.view_of(now, state, service, policy);
+        self.plan_departures(state, service, &view, commands);
+        if view.servers.is_empty() {
+            return;
+        }
+        let kind = self.config.placement;
+        let placer = self
+            .placers
+            .entry(service.clone())
+            .or_insert_with(|| kind.build());
+        if view.places.contains(&SlotPlace::Free) {
+            let plan = placer.place(&view.input(now));
+            push_assignments(service, &view, &plan, commands);
+            return;
+        }
+        let last = self.rebalanced_at.get(service).copied();
+        if last.is_some_and(|last| now < last + self.config.rebalance_interval) {
+            return;
+        }
+        self.rebalanced_at.insert(service.clone(), now);
+        let plan = placer.rebalance(&view.input(now));
+        push_releases(service, &view, &plan, commands);
+    }
+
+    /// Whether dispatchers must give the slots up now to be done before the custody lease ends.
+    fn is_custody_ending(&self, now: MonoTime, state: &ZoneState, service: &ServiceName) -> bool {
+        let needed = self.config.dispatcher_lease + CUSTODY_END_SLACK;
+        let left = self.custody.time_left(now, state, service);
+        left.is_some_and(|left| left < needed)
+    }
+
+    /// Takes slots from servers that are down or draining, as long as others accept them.
+    fn plan_departures(
+        &self,
+        state: &ZoneState,
+        service: &ServiceName,
+        view: &ServiceView,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        if view.servers.is_empty() {
+            return;
+        }
+        let accepts = |server: &ServerId| view.servers.contains(server);
+        for (server, entry) in state.servers() {
+            if entry.record.service != *service || accepts(server) {
+                continue;
+            }
+            if self.health.is_down(server, entry.record.incarnation) {
+                release_all(state, service, |hold| hold.server == *server, commands);
+            } else {
+                release_hottest(state, service, server, &view.loads, commands);
+            }
+        }
+    }
+
+    fn view_of(
+        &mut self,
+        now: MonoTime,
+        state: &ZoneState,
+        service: &ServiceName,
+        policy: &ServicePolicy,
+    ) -> ServiceView {
+        let accepting = self.accepting_servers(now, state, service, policy);
+        let servers: Vec<ServerId> = accepting.keys().cloned().collect();
+        let placement_servers = accepting
+            .iter()
+            .map(|(server, weight)| PlacementServer {
+                name_hash: xxh3_64_with_seed(server.as_bytes(), self.seed),
+                weight: *weight,
+            })
+            .collect();
+        let places = self.places_of(now, state, service, &servers);
+        let heat = self.heat.entry(service.clone()).or_default();
+        heat.decay(now);
+        let loads = HeatMap::loads(heat);
+        ServiceView {
+            servers,
+            placement_servers,
+            places,
+            loads,
+        }
+    }
+
+    /// Servers that may get slots, with their present weight.
+    fn accepting_servers(
+        &self,
+        now: MonoTime,
+        state: &ZoneState,
+        service: &ServiceName,
+        policy: &ServicePolicy,
+    ) -> BTreeMap<ServerId, f64> {
+        let mut accepting = BTreeMap::new();
+        if !policy.zones.contains(state.zone()) {
+            return accepting;
+        }
+        let ramp = self.config.cold_start_ramp;
+        for (server, entry) in state.servers() {
+            let record = &entry.record;
+            let weight = weight_of(state.table(), service, policy, server);
+            let is_down = self.health.is_down(server, record.incarnation);
+            if record.service != *service || record.draining || weight == 0 || is_down {
+                continue;
+            }
+            let warmth = self.health.warmth(now, server, ramp);
+            accepting.insert(server.clone(), f64::from(weight) * warmth);
+        }
+        accepting
+    }
+
+    fn places_of(
+        &self,
+        now: MonoTime,
+        state: &ZoneState,
+        service: &ServiceName,
+        servers: &[ServerId],
+    ) -> Vec<SlotPlace> {
+        let mut places = vec![SlotPlace::Fixed; usize::from(SLOTS_PER_SERVICE)];
+        for (run, _) in state.assignable(service, &[ALL_SLOTS]) {
+            fill(&mut places, run, SlotPlace::Free);
+        }
+        if self.hears_global(now) {
+            for run in state.leaving_slots(service) {
+                fill(&mut places, run, SlotPlace::Fixed);
+            }
+        }
+        let holds = state.holds(service);
+        for (run, hold) in holds.into_iter().flat_map(RunMap::iter) {
+            let index = servers.binary_search(&hold.server).ok();
+            let index = index.and_then(|index| u16::try_from(index).ok());
+            if let (Some(index), None) = (index, hold.releasing_since) {
+                fill(&mut places, run, SlotPlace::Owned(index));
+            }
+        }
+        places
+    }
+}
+
+/// Weight of a server by the table; 0 drains it.
+fn weight_of(
+    table: &Table,
+    service: &ServiceName,
+    policy: &ServicePolicy,
+    server: &ServerId,
+) -> u32 {
+    let row = table
+        .overrides
+        .get(service)
+        .and_then(|rows| rows.get(server));
+    row.and_then(|row| row.weight).unwrap_or(policy.weight)
+}
+
+fn fill(places: &mut [SlotPlace], run: SlotRun, place: SlotPlace) {
+    let last = usize::from(run.last).min(places.len() - 1);
+    places[usize::from(run.first)..=last].fill(place);
+}
+
+fn release_all(
+    state: &ZoneState,
+    service: &ServiceName,
+    matches: impl Fn(&SlotHold) -> bool,
+    commands: &mut Vec<ZoneCommand>,
+) {
+    let mut by_server: BTreeMap<ServerId, Vec<SlotRun>> = BTreeMap::new();
+    let holds = state.holds(service);
+    for (run, hold) in holds.into_iter().flat_map(RunMap::iter) {
+        if hold.releasing_since.is_none() && matches(hold) {
+            by_server.entry(hold.server.clone()).or_default().push(run);
+        }
+    }
+    push_release_commands(service, by_server, commands);
+}
+
+fn release_hottest(
+    state: &ZoneState,
+    service: &ServiceName,
+    server: &ServerId,
+    loads: &[f32],
+    commands: &mut Vec<ZoneCommand>,
+) {
+    let holds = state.holds(service);
+    let own = holds
+        .into_iter()
+        .flat_map(RunMap::iter)
+        .filter(|(_, hold)| hold.server == *server && hold.releasing_since.is_none());
+    let mut slots: Vec<Slot> = own.flat_map(|(run, _)| run.slots()).collect();
+    slots.sort_by(|a, b| loads[usize::from(*b)].total_cmp(&loads[usize::from(*a)]));
+    slots.truncate(DRAIN_SLOTS);
+    slots.sort_unstable();
+    let runs = SlotRun::from_slots(slots);
+    push_release_commands(service, [(server.clone(), runs)].into(), commands);
+}
+
+fn push_releases(
+    service: &ServiceName,
+    view: &ServiceView,
+    plan: &PlacementPlan,
+    commands: &mut Vec<ZoneCommand>,
+) {
+    let mut slots = plan.release.clone();
+    slots.sort_unstable();
+    let mut by_server: BTreeMap<ServerId, Vec<Slot>> = BTreeMap::new();
+    for slot in slots {
+        if let SlotPlace::Owned(server) = view.places[usize::from(slot)] {
+            let server = view.servers[usize::from(server)].clone();
+            by_server.entry(server).or_default().push(slot);
+        }
+    }
+    let by_server = by_server
+        .into_iter()
+        .map(|(server, slots)| (server, SlotRun::from_slots(slots)))
+        .collect();
+    push_release_commands(service, by_server, commands);
+}
+
+fn push_release_commands(
+    service: &ServiceName,
+    by_server: BTreeMap<ServerId, Vec<SlotRun>>,
+    commands: &mut Vec<ZoneCommand>,
+) {
+    for (server, runs) in by_server.into_iter().filter(|(_, runs)| !runs.is_empty()) {
+        commands.push(ZoneCommand::ReleaseSlots {
+            service: service.clone(),
+            runs,
+            server,
+        });
+    }
+}
+
+fn push_assignments(
+    service: &ServiceName,
+    view: &ServiceView,
+    plan: &PlacementPlan,
+    commands: &mut Vec<ZoneCommand>,
+) {
+    let mut by_server: BTreeMap<u16, Vec<Slot>> = BTreeMap::new();
+    for assignment in &plan.assign {
+        by_server
+            .entry(assignment.server)
+            .or_default()
+            .push(assignment.slot);
+    }
+    for (server, mut slots) in by_server {
+        slots.sort_unstable();
+        commands.push(ZoneCommand::AssignSlots {
+            service: service.clone(),
+            runs: SlotRun::from_slots(slots),
+            server: view.servers[usize::from(server)].clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/server_health.rs
@@ -0,0 +1,114 @@
+//! What the leader makes of the zone's backend servers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_types::{Incarnation, MonoTime, ServerId};
+
+use crate::{ServerCondition, ServerRecord, ServerReport};
+
+/// Smallest share of its weight that a fresh server gets, in percent.
+const COLD_START_PERCENT: f64 = 10.0;
+
+/// What is known of one server.
+#[derive(Clone, Debug)]
+struct Health {
+    incarnation: Incarnation,
+    heard_at: MonoTime,
+    /// When it came up, where that was seen to happen.
+    up_since: Option<MonoTime>,
+    condition: ServerCondition,
+}
+
+/// What the leader makes of the zone's backend servers, from announcements and reports.
+#[derive(Clone, Debug, Default)]
+pub struct ServerHealth {
+    servers: BTreeMap<ServerId, Health>,
+}
+
+impl ServerHealth {
+    /// Notes an announcement; `is_known` tells whether this start is already registered.
+    pub fn on_announcement(&mut self, now: MonoTime, record: &ServerRecord, is_known: bool) {
+        let up_since = (!is_known).then_some(now);
+        let health = self.entry(now, &record.server, record.incarnation);
+        health.heard_at = now;
+        if health.up_since.is_none() {
+            health.up_since = up_since;
+        }
+    }
+
+    /// Notes a dispatcher's report.
+    pub fn on_report(&mut self, now: MonoTime, report: &ServerReport) {
+        let health = self.entry(now, &report.server, report.incarnation);
+        if health.incarnation != report.incarnation {
+            return;
+        }
+        let is_back =
+            health.condition == ServerCondition::Down && report.condition == ServerCondition::Up;
+        if is_back {
+            health.up_since = Some(now);
+        }
+        if report.condition == ServerCondition::Up {
+            health.heard_at = now;
+        }
+        health.condition = report.condition;
+    }
+
+    /// Whether the start of the server was last reported as down.
+    #[must_use]
+    pub fn is_down(&self, server: &ServerId, incarnation: Incarnation) -> bool {
+        self.servers.get(server).is_some_and(|health| {
+            health.incarnation == incarnation && health.condition == ServerCondition::Down
+        })
+    }
+
+    /// Share of its weight that the server gets while it is warming up, in `0.0..=1.0`.
+    #[must_use]
+    pub fn warmth(&self, now: MonoTime, server: &ServerId, ramp: Duration) -> f64 {
+        let up_since = self.servers.get(server).and_then(|health| health.up_since);
+        let Some(up_since) = up_since else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(up_since);
+        if age >= ramp {
+            return 1.0;
+        }
+        let start = COLD_START_PERCENT / 100.0;
+        start + (1.0 - start) * age.as_secs_f64() / ramp.as_secs_f64()
+    }
+
+    /// How long the server wasn't heard of; `None` for a server that this leader never heard of.
+    #[must_use]
+    pub fn silence(&self, now: MonoTime, server: &ServerId) -> Option<Duration> {
+        let health = self.servers.get(server)?;
+        Some(now.saturating_sub(health.heard_at))
+    }
+
+    /// Starts to listen for a registered server.
+    pub fn watch(&mut self, now: MonoTime, server: &ServerId, incarnation: Incarnation) {
+        self.entry(now, server, incarnation);
+    }
+
+    /// Forgets servers that weren't heard of for longer than `limit`.
+    pub fn forget_silent(&mut self, now: MonoTime, limit: Duration) {
+        self.servers
+            .retain(|_, health| now.saturating_sub(health.heard_at) <= limit);
+    }
+
+    fn entry(&mut self, now: MonoTime, server: &ServerId, incarnation: Incarnation) -> &mut Health {
+        let fresh = Health {
+            incarnation,
+            heard_at: now,
+            up_since: None,
+            condition: ServerCondition::Up,
+        };
+        let health = self
+            .servers
+            .entry(server.clone())
+            .or_insert_with(|| fresh.clone());
+        if health.incarnation < incarnation {
+            *health = fresh;
+        }
+        health
+    }
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/sync_client.rs
@@ -0,0 +1,171 @@
+//! The zone's side of its exchange with the global group.
+
+use std::time::Duration;
+
+use chicory_types::{MonoTime, ServiceName, SlotRun, VmId};
+
+use super::zone_leader::ZoneLeader;
+use crate::{Custody, CustodyRelease, ZoneCommand, ZoneState, ZoneSyncAnswer, ZoneSyncRequest};
+
+/// How long after the last answered sync slots are still prepared for a move to another zone.
+const GLOBAL_CONTACT_LIMIT: Duration = Duration::from_secs(2);
+/// Most slots of one release, so that its claims stay a message of ordinary size.
+const MAX_RELEASE_SLOTS: u16 = 1_024;
+
+impl ZoneLeader {
+    /// The sync to send now.
+    #[must_use]
+    pub fn sync_request(&self, state: &ZoneState, leader: VmId) -> ZoneSyncRequest {
+        ZoneSyncRequest {
+            zone: state.zone().clone(),
+            group_epoch: state.group_epoch(),
+            leader,
+            in_force_revision: state.table().revision,
+            known_custody_version: state.custody_version(),
+            entries: state.entries().values().cloned().collect(),
+            releases: next_release(state).into_iter().collect(),
+        }
+    }
+
+    /// Takes in the answer to the sync sent at `sent_at`; the commands are to be proposed.
+    pub fn on_sync_answer(
+        &mut self,
+        now: MonoTime,
+        sent_at: MonoTime,
+        state: &ZoneState,
+        answer: &ZoneSyncAnswer,
+    ) -> Vec<ZoneCommand> {
+        let ZoneSyncAnswer::Current {
+            custody_leases,
+            custody_version,
+            table,
+            custody,
+            zones,
+        } = answer
+        else {
+            return Vec::new();
+        };
+        self.custody
+            .grant(sent_at, *custody_version, custody_leases.clone());
+        self.custody.settle(state);
+        let mut commands = Vec::new();
+        if let Some(table) = table
+            .as_ref()
+            .filter(|t| t.revision > state.table().revision)
+        {
+            commands.push(ZoneCommand::AdoptTable {
+                table: table.clone(),
+            });
+        }
+        if let Some(update) = custody
+            .as_ref()
+            .filter(|c| c.version > state.custody_version())
+        {
+            commands.push(ZoneCommand::AdoptCustody {
+                update: update.clone(),
+                at_ms: self.log_clock_ms(now, state),
+            });
+        }
+        let is_news = |listed: &crate::ZoneDirectory| {
+            let known = state.directory().get(&listed.zone);
+            listed.zone != *state.zone() && known != Some(&listed.entries)
+        };
+        if zones.iter().any(is_news) {
+            commands.push(ZoneCommand::AdoptDirectory {
+                zones: zones.clone(),
+            });
+        }
+        commands
+    }
+
+    /// Whether the global group was heard of lately, so that a move can be finished.
+    pub(super) fn hears_global(&self, now: MonoTime) -> bool {
+        let last = self.custody.last_sent_at();
+        last.is_some_and(|at| now < at + GLOBAL_CONTACT_LIMIT)
+    }
+
+    /// Releases slots that are to move to another zone, and seals them once nobody holds them.
+    ///
+    /// Without contact to the global group the slots stay in service here.
+    pub(super) fn plan_seals(
+        &self,
+        now: MonoTime,
+        state: &ZoneState,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        if !self.hears_global(now) || self.may_be_held_unseen(now, state) {
+            return;
+        }
+        for (service, run, custody) in leaving_runs(state) {
+            let holds = state.holds(&service);
+            let owned: Vec<_> = holds
+                .into_iter()
+                .flat_map(|holds| holds.within(run))
+                .filter(|(_, hold)| hold.releasing_since.is_none())
+                .collect();
+            for (part, hold) in owned {
+                commands.push(ZoneCommand::ReleaseSlots {
+                    service: service.clone(),
+                    runs: vec![part],
+                    server: hold.server.clone(),
+                });
+            }
+            let free = holds.map_or_else(|| vec![run], |holds| holds.gaps(run));
+            for part in free {
+                if is_unsealed(state, &service, part) {
+                    commands.push(ZoneCommand::SealCustody {
+                        service: service.clone(),
+                        run: part,
+                        generation: custody.generation,
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Own custody that is to pass to another zone.
+fn leaving_runs(state: &ZoneState) -> Vec<(ServiceName, SlotRun, Custody)> {
+    let mut leaving = Vec::new();
+    for (service, runs) in state.all_custody() {
+        let own = runs.iter().filter(|(_, c)| c.zone == *state.zone());
+        for (run, custody) in own.filter(|(_, c)| c.moving_to.is_some()) {
+            leaving.push((service.clone(), run, custody.clone()));
+        }
+    }
+    leaving
+}
+
+fn is_unsealed(state: &ZoneState, service: &ServiceName, run: SlotRun) -> bool {
+    let sealed = state.sealed().get(service);
+    sealed.is_none_or(|sealed| !sealed.gaps(run).is_empty())
+}
+
+/// The next slots that are ready to pass to another zone.
+fn next_release(state: &ZoneState) -> Option<CustodyRelease> {
+    for (service, run, custody) in leaving_runs(state) {
+        let sealed = state.sealed().get(&service);
+        let parts = sealed.into_iter().flat_map(|sealed| sealed.within(run));
+        for (part, generation) in parts {
+            let part = SlotRun::new(
+                part.first,
+                part.last.min(part.first + MAX_RELEASE_SLOTS - 1),
+            );
+            let is_held = state
+                .holds(&service)
+                .is_some_and(|holds| holds.within(part).next().is_some());
+            let is_current = *generation == custody.generation;
+            if is_held || !is_current || state.claims().is_running(&service, part) {
+                continue;
+            }
+            return Some(CustodyRelease {
+                service: service.clone(),
+                run: part,
+                generation: *generation,
+                claims: state.claims().export(&service, part, state.clock_ms()),
+                history_lost_ms: state.history_lost_ms(&service, part),
+            });
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/zone_planner.rs
@@ -0,0 +1,230 @@
+//! What the leader of a zone group proposes as time passes.
+
+use std::collections::BTreeMap;
+
+use chicory_types::{Incarnation, MonoTime, VmId};
+
+use super::zone_leader::{ZoneLeader, confirmations};
+use super::zone_leader_config::{ENTRY_RETENTION, SERVER_RETENTION};
+use super::zone_state::ServerEntry;
+use crate::{ALL_SLOTS, ReleasedSlots, ZoneCommand, ZoneState};
+
+impl ZoneLeader {
+    /// Proposes what is to be done now.
+    ///
+    /// Proposals that were made before and aren't applied yet may come again: they are harmless.
+    pub fn plan(&mut self, now: MonoTime, state: &ZoneState) -> Vec<ZoneCommand> {
+        self.election(now, state);
+        self.custody.settle(state);
+        let mut commands = Vec::new();
+        self.forget_done_revocations(state);
+        self.plan_revocations(now, state, &mut commands);
+        self.plan_abandoned_claims(now, state, &mut commands);
+        self.plan_waiting_releases(now, &mut commands);
+        self.plan_orphaned_releases(now, state, &mut commands);
+        self.plan_removals(now, state, &mut commands);
+        self.plan_dispatchers(now, state, &mut commands);
+        self.plan_seals(now, state, &mut commands);
+        self.plan_placement(now, state, &mut commands);
+        self.plan_expiry(now, state, &mut commands);
+        self.leases.forget_ended(now);
+        commands
+    }
+
+    fn forget_done_revocations(&mut self, state: &ZoneState) {
+        let has_roles = |vm: &VmId, incarnation: Incarnation| {
+            let mut dispatchers = state.servers().values().filter_map(dispatcher_of);
+            dispatchers.any(|(of, started)| of == vm && started == incarnation)
+        };
+        self.revoking
+            .retain(|(vm, incarnation)| has_roles(vm, *incarnation));
+    }
+
+    /// Takes roles from processes whose lease has surely ended.
+    fn plan_revocations(
+        &mut self,
+        now: MonoTime,
+        state: &ZoneState,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        for (server, entry) in state.servers() {
+            let Some((vm, incarnation)) = dispatcher_of(entry) else {
+                continue;
+            };
+            let end = self.leases.end_of(vm, incarnation);
+            if now < end {
+                continue;
+            }
+            self.revoking.insert((vm.clone(), incarnation));
+            self.leased_until.insert(server.clone(), end);
+            commands.push(ZoneCommand::ReleaseDispatcher {
+                server: server.clone(),
+                vm: vm.clone(),
+                incarnation,
+                epoch: entry.epoch,
+            });
+        }
+    }
+
+    fn plan_abandoned_claims(
+        &self,
+        now: MonoTime,
+        state: &ZoneState,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        for (vm, incarnation) in state.open_claimants() {
+            // Claimants of other zones are given up by age alone.
+            let is_own = state.entries().contains_key(&vm);
+            if is_own && now >= self.leases.end_of(&vm, incarnation) {
+                commands.push(ZoneCommand::AbandonClaims { vm, incarnation });
+            }
+        }
+    }
+
+    fn plan_waiting_releases(&mut self, now: MonoTime, commands: &mut Vec<ZoneCommand>) {
+        let (due, waiting) = std::mem::take(&mut self.waiting_releases)
+            .into_iter()
+            .partition(|waiting| now >= self.lease_end_of_server(&waiting.server));
+        self.waiting_releases = waiting;
+        commands.extend(due.into_iter().map(|release| release.command));
+    }
+
+    /// Frees slots whose owner has no dispatcher that could report them as released.
+    fn plan_orphaned_releases(
+        &self,
+        now: MonoTime,
+        state: &ZoneState,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        for (server, entry) in state.servers() {
+            if entry.dispatcher.is_some() || now < self.lease_end_of_server(server) {
+                continue;
+            }
+            if self.may_be_held_unseen(now, state) {
+                continue;
+            }
+            let all = ReleasedSlots {
+                service: entry.record.service.clone(),
+                runs: vec![ALL_SLOTS],
+                server: server.clone(),
+            };
+            commands.extend(confirmations(state, &all, |_| true));
+        }
+    }
+
+    /// Spreads servers without a dispatcher evenly over the live entry processes.
+    fn plan_dispatchers(&self, now: MonoTime, state: &ZoneState, commands: &mut Vec<ZoneCommand>) {
+        let mut roles = self.count_roles(now, state);
+        for (server, entry) in state.servers() {
+            let is_removed = self.removals.contains_key(server);
+            let is_unseen = entry.epoch == 0 && !self.knows_all_grants(now, state);
+            if entry.dispatcher.is_some() || is_removed || is_unseen {
+                continue;
+            }
+            let least = roles
+                .iter()
+                .min_by_key(|(process, count)| (**count, *process));
+            let Some((process, _)) = least else {
+                return;
+            };
+            let process = process.clone();
+            *roles.entry(process.clone()).or_default() += 1;
+            commands.push(ZoneCommand::AssignDispatcher {
+                server: server.clone(),
+                vm: process.0,
+                incarnation: process.1,
+            });
+        }
+    }
+
+    /// Roles of each entry process that may get more.
+    fn count_roles(&self, now: MonoTime, state: &ZoneState) -> BTreeMap<(VmId, Incarnation), u32> {
+        let mut roles = BTreeMap::new();
+        for (vm, entry) in state.entries() {
+            let process = (vm.clone(), entry.incarnation);
+            let is_live = self.leases.is_live(now, vm, entry.incarnation);
+            if is_live && !self.stopping.contains(&process) && !self.revoking.contains(&process) {
+                roles.insert(process, 0);
+            }
+        }
+        for (vm, incarnation) in state.servers().values().filter_map(dispatcher_of) {
+            if let Some(count) = roles.get_mut(&(vm.clone(), incarnation)) {
+                *count += 1;
+            }
+        }
+        roles
+    }
+
+    fn plan_removals(&mut self, now: MonoTime, state: &ZoneState, commands: &mut Vec<ZoneCommand>) {
+        for (vm, entry) in state.entries() {
+            let end = self.leases.end_of(vm, entry.incarnation);
+            if now >= end + ENTRY_RETENTION && !state.has_roles(vm) {
+                commands.push(ZoneCommand::RemoveEntry {
+                    vm: vm.clone(),
+                    incarnation: entry.incarnation,
+                });
+            }
+        }
+        self.stopping.retain(|(vm, incarnation)| {
+            state
+                .entries()
+                .get(vm)
+                .is_some_and(|e| e.incarnation == *incarnation)
+        });
+        self.plan_server_removals(now, state, commands);
+    }
+
+    /// Forgets silent servers.
+    ///
+    /// A former dispatcher may hold a lease on a view that still lists the server, so one that
+    /// comes back gets a dispatcher a full lease after its removal was seen to be in force.
+    fn plan_server_removals(
+        &mut self,
+        now: MonoTime,
+        state: &ZoneState,
+        commands: &mut Vec<ZoneCommand>,
+    ) {
+        for (server, entry) in state.servers() {
+            self.health.watch(now, server, entry.record.incarnation);
+            let silence = self.health.silence(now, server).unwrap_or_default();
+            if silence < SERVER_RETENTION || state.holds_slots(server) {
+                continue;
+            }
+            self.removals.entry(server.clone()).or_default();
+            commands.push(ZoneCommand::RemoveServer {
+                server: server.clone(),
+                incarnation: entry.record.incarnation,
+            });
+        }
+        self.note_done_removals(now, state);
+        self.health.forget_silent(now, 2 * SERVER_RETENTION);
+    }
+
+    fn note_done_removals(&mut self, now: MonoTime, state: &ZoneState) {
+        let end = self.full_lease_from(now);
+        for (server, removal) in &mut self.removals {
+            let is_listed = state.servers().get(server).is_some_and(|s| s.epoch > 0);
+            if !is_listed {
+                removal.leased_until.get_or_insert(end);
+            }
+        }
+        self.removals
+            .retain(|_, removal| removal.leased_until.is_none_or(|end| now < end));
+    }
+
+    fn plan_expiry(&mut self, now: MonoTime, state: &ZoneState, commands: &mut Vec<ZoneCommand>) {
+        let at_ms = self.log_clock_ms(now, state);
+        if state.has_expired(at_ms) {
+            commands.push(ZoneCommand::Expire { at_ms });
+        }
+    }
+
+    fn full_lease_from(&self, now: MonoTime) -> MonoTime {
+        chicory_types::ClockRateMargin::grantor_end(now, self.config.dispatcher_lease)
+    }
+}
+
+fn dispatcher_of(entry: &ServerEntry) -> Option<(&VmId, Incarnation)> {
+    let dispatcher = entry.dispatcher.as_ref()?;
+    Some((&dispatcher.vm, dispatcher.incarnation))
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/zone_snapshot.rs
@@ -0,0 +1,186 @@
+//! The state of a zone as plain data.
+
+use std::collections::BTreeMap;
+
+use chicory_table::Table;
+use chicory_types::{LogIndex, ServiceName, SlotRun, ViewVersion, VmId, ZoneName};
+
+use super::view_log::ViewLog;
+use super::zone_state::{ServerEntry, SlotHold, ZoneState};
+use crate::{ClaimBook, ClaimRecord, CustodyRun, EntryRecord, Quarantine, RunMap, Suspect};
+
+/// A hold on a run of slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotHoldRun {
+    /// The service.
+    pub service: ServiceName,
+    /// The slots.
+    pub run: SlotRun,
+    /// The hold.
+    pub hold: SlotHold,
+}
+
+/// A number for a run of slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotMark {
+    /// The service.
+    pub service: ServiceName,
+    /// The slots.
+    pub run: SlotRun,
+    /// The number.
+    pub value: u64,
+}
+
+/// The state of a zone as plain data, for snapshots of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneSnapshot {
+    /// The zone.
+    pub zone: ZoneName,
+    /// How often its group was formed.
+    pub group_epoch: u64,
+    /// Index of the last command that was applied.
+    pub applied: LogIndex,
+    /// Log clock in milliseconds.
+    pub clock_ms: u64,
+    /// The table in force.
+    pub table: Table,
+    /// Version of the custody.
+    pub custody_version: u64,
+    /// Custody of all slots.
+    pub custody: Vec<CustodyRun>,
+    /// Slots that take no claims, with the generation of their custody.
+    pub sealed: Vec<SlotMark>,
+    /// Slots whose orders are refused, with the log clock until which they are.
+    pub history_lost: Vec<SlotMark>,
+    /// Entry processes of other zones.
+    pub directory: BTreeMap<ZoneName, Vec<EntryRecord>>,
+    /// Entry processes of the zone.
+    pub entries: BTreeMap<VmId, EntryRecord>,
+    /// Registered servers.
+    pub servers: Vec<ServerEntry>,
+    /// The last dispatcher epoch that was given.
+    pub dispatcher_epoch: u64,
+    /// Holds on slots.
+    pub holds: Vec<SlotHoldRun>,
+    /// The last token counter that was given.
+    pub token_counter: u64,
+    /// Order claims.
+    pub claims: Vec<ClaimRecord>,
+    /// Suspects by fingerprint.
+    pub suspects: BTreeMap<u64, Suspect>,
+    /// Version of the view.
+    pub view_version: ViewVersion,
+}
+
+impl ZoneState {
+    /// The whole state as plain data, without the recent changes of the view.
+    #[must_use]
+    pub fn snapshot(&self) -> ZoneSnapshot {
+        ZoneSnapshot {
+            zone: self.zone.clone(),
+            group_epoch: self.group_epoch,
+            applied: self.applied,
+            clock_ms: self.clock_ms,
+            table: self.table.clone(),
+            custody_version: self.custody_version,
+            custody: list(&self.custody, |service, run, custody| CustodyRun {
+                service,
+                run,
+                custody: custody.clone(),
+            }),
+            sealed: list(&self.sealed, |service, run, value| {
+                mark(service, run, *value)
+            }),
+            history_lost: list(&self.history_lost, |service, run, value| {
+                mark(service, run, *value)
+            }),
+            directory: self.directory.clone(),
+            entries: self.entries.clone(),
+            servers: self.servers.values().cloned().collect(),
+            dispatcher_epoch: self.dispatcher_epoch,
+            holds: list(&self.holds, |service, run, hold| SlotHoldRun {
+                service,
+                run,
+                hold: hold.clone(),
+            }),
+            token_counter: self.token_counter,
+            claims: self.claims.claims().cloned().collect(),
+            suspects: self.quarantine.suspects().clone(),
+            view_version: self.view.version(),
+        }
+    }
+
+    /// Restores a state from its snapshot.
+    ///
+    /// Entry processes that were behind get the whole view, since the recent changes are gone.
+    #[must_use]
+    pub fn restore(snapshot: ZoneSnapshot) -> Self {
+        let servers = snapshot.servers.into_iter();
+        Self {
+            zone: snapshot.zone,
+            group_epoch: snapshot.group_epoch,
+            applied: snapshot.applied,
+            clock_ms: snapshot.clock_ms,
+            table: snapshot.table,
+            custody_version: snapshot.custody_version,
+            custody: map_runs(
+                snapshot
+                    .custody
+                    .into_iter()
+                    .map(|c| (c.service, c.run, c.custody)),
+            ),
+            sealed: map_runs(snapshot.sealed.into_iter().map(unmark)),
+            history_lost: map_runs(snapshot.history_lost.into_iter().map(unmark)),
+            directory: snapshot.directory,
+            entries: snapshot.entries,
+            servers: servers.map(|e| (e.record.server.clone(), e)).collect(),
+            dispatcher_epoch: snapshot.dispatcher_epoch,
+            holds: map_runs(
+                snapshot
+                    .holds
+                    .into_iter()
+                    .map(|h| (h.service, h.run, h.hold)),
+            ),
+            token_counter: snapshot.token_counter,
+            claims: ClaimBook::restore(snapshot.claims),
+            quarantine: Quarantine::restore(snapshot.suspects),
+            view: ViewLog::new(snapshot.view_version),
+        }
+    }
+}
+
+fn list<T: Clone + PartialEq, R>(
+    maps: &BTreeMap<ServiceName, RunMap<T>>,
+    describe: impl Fn(ServiceName, SlotRun, &T) -> R,
+) -> Vec<R> {
+    let mut listed = Vec::new();
+    for (service, runs) in maps {
+        let described = runs
+            .iter()
+            .map(|(run, v)| describe(service.clone(), run, v));
+        listed.extend(described);
+    }
+    listed
+}
+
+fn map_runs<T: Clone + PartialEq>(
+    listed: impl Iterator<Item = (ServiceName, SlotRun, T)>,
+) -> BTreeMap<ServiceName, RunMap<T>> {
+    let mut maps: BTreeMap<ServiceName, RunMap<T>> = BTreeMap::new();
+    for (service, run, value) in listed {
+        maps.entry(service).or_default().set(run, value);
+    }
+    maps
+}
+
+fn mark(service: ServiceName, run: SlotRun, value: u64) -> SlotMark {
+    SlotMark {
+        service,
+        run,
+        value,
+    }
+}
+
+fn unmark(mark: SlotMark) -> (ServiceName, SlotRun, u64) {
+    (mark.service, mark.run, mark.value)
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone/zone_state.rs
@@ -0,0 +1,435 @@
+//! The replicated state of one availability zone.
+
+use std::collections::BTreeMap;
+
+use chicory_table::Table;
+use chicory_types::{
+    FencingToken, Incarnation, LogIndex, ServerId, ServiceName, Slot, SlotRun, ViewVersion, VmId,
+    ZoneName,
+};
+
+use super::view_log::ViewLog;
+use crate::{
+    ClaimBook, Custody, EntryRecord, Quarantine, RunMap, ServerRecord, SlotOwner, ViewChange,
+    ViewUpdate, ZoneCommand, ZoneOutcome,
+};
+
+/// The entry process that alone sends requests to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispatcher {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Version of the view that made it dispatcher.
+    pub since: ViewVersion,
+}
+
+/// A registered backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerEntry {
+    /// What it announced.
+    pub record: ServerRecord,
+    /// Its dispatcher.
+    pub dispatcher: Option<Dispatcher>,
+    /// Epoch of the last dispatcher; 0 where it never had one.
+    pub epoch: u64,
+}
+
+/// A backend server's hold on a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotHold {
+    /// The server.
+    pub server: ServerId,
+    /// Token of the assignment.
+    pub token: FencingToken,
+    /// Version of the view from which the server must give the slot up; `None` while it owns it.
+    pub releasing_since: Option<ViewVersion>,
+}
+
+impl SlotHold {
+    /// The hold as entry processes see it.
+    #[must_use]
+    pub fn owner(&self) -> SlotOwner {
+        let server = self.server.clone();
+        let token = self.token;
+        if self.releasing_since.is_some() {
+            return SlotOwner::Releasing { server, token };
+        }
+        SlotOwner::Owned { server, token }
+    }
+}
+
+/// The replicated state of one availability zone.
+///
+/// A pure function of its log: it reads no clock and draws no randomness, so all replicas agree.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneState {
+    pub(super) zone: ZoneName,
+    pub(super) group_epoch: u64,
+    pub(super) applied: LogIndex,
+    pub(super) clock_ms: u64,
+    pub(super) table: Table,
+    pub(super) custody_version: u64,
+    pub(super) custody: BTreeMap<ServiceName, RunMap<Custody>>,
+    pub(super) sealed: BTreeMap<ServiceName, RunMap<u64>>,
+    /// Log clock until which orders of the slots are refused.
+    pub(super) history_lost: BTreeMap<ServiceName, RunMap<u64>>,
+    pub(super) directory: BTreeMap<ZoneName, Vec<EntryRecord>>,
+    pub(super) entries: BTreeMap<VmId, EntryRecord>,
+    pub(super) servers: BTreeMap<ServerId, ServerEntry>,
+    pub(super) dispatcher_epoch: u64,
+    pub(super) holds: BTreeMap<ServiceName, RunMap<SlotHold>>,
+    pub(super) token_counter: u64,
+    pub(super) claims: ClaimBook,
+    pub(super) quarantine: Quarantine,
+    pub(super) view: ViewLog,
+}
+
+/// Bits of a view version that count changes; the others hold the epoch of the group.
+const VIEW_COUNTER_BITS: u32 = 32;
+
+impl ZoneState {
+    /// Creates the empty state of a group; `group_epoch` grows each time the zone's group is
+    /// formed anew, so that views of different groups are never taken for each other.
+    #[must_use]
+    pub fn new(zone: ZoneName, group_epoch: u64) -> Self {
+        Self {
+            zone,
+            group_epoch,
+            applied: 0,
+            clock_ms: 0,
+            table: Table::default(),
+            custody_version: 0,
+            custody: BTreeMap::new(),
+            sealed: BTreeMap::new(),
+            history_lost: BTreeMap::new(),
+            directory: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            dispatcher_epoch: 0,
+            holds: BTreeMap::new(),
+            token_counter: 0,
+            claims: ClaimBook::default(),
+            quarantine: Quarantine::default(),
+            view: ViewLog::new((group_epoch << VIEW_COUNTER_BITS) + 1),
+        }
+    }
+
+    /// Applies the command at `index`; indexes that were applied before change nothing.
+    pub fn apply(&mut self, index: LogIndex, command: &ZoneCommand) -> ZoneOutcome {
+        if index <= self.applied {
+            return ZoneOutcome::Stale;
+        }
+        self.applied = index;
+        match command {
+            ZoneCommand::AdoptTable { table } => self.adopt_table(table),
+            ZoneCommand::AdoptCustody { update, at_ms } => self.adopt_custody(update, *at_ms),
+            ZoneCommand::AdoptDirectory { zones } => self.adopt_directory(zones),
+            ZoneCommand::RegisterServer { record } => self.register_server(record),
+            ZoneCommand::RemoveServer {
+                server,
+                incarnation,
+            } => self.remove_server(server, *incarnation),
+            ZoneCommand::RegisterEntry { record } => self.register_entry(record),
+            ZoneCommand::RemoveEntry { vm, incarnation } => self.remove_entry(vm, *incarnation),
+            ZoneCommand::ReleaseDispatcher {
+                server,
+                vm,
+                incarnation,
+                epoch,
+            } => self.release_dispatcher(server, vm, *incarnation, *epoch),
+            ZoneCommand::AssignDispatcher {
+                server,
+                vm,
+                incarnation,
+            } => self.assign_dispatcher(server, vm, *incarnation),
+            ZoneCommand::ReleaseSlots {
+                service,
+                runs,
+                server,
+            } => self.release_slots(service, runs, server),
+            ZoneCommand::ConfirmReleased {
+                service,
+                runs,
+                server,
+                token,
+            } => self.confirm_released(service, runs, server, *token),
+            ZoneCommand::AssignSlots {
+                service,
+                runs,
+                server,
+            } => self.assign_slots(service, runs, server),
+            ZoneCommand::SealCustody {
+                service,
+                run,
+                generation,
+            } => self.seal_custody(service, *run, *generation),
+            ZoneCommand::Claim { request, at_ms } => self.claim(request, *at_ms),
+            ZoneCommand::ResolveClaim {
+                service,
+                order_key,
+                claimant,
+                resolution,
+            } => {
+                let is_theirs = self
+                    .claims
+                    .resolve(service, order_key, claimant, resolution);
+                ZoneOutcome::of_change(is_theirs)
+            }
+            ZoneCommand::AbandonClaims { vm, incarnation } => {
+                self.claims.abandon(vm, *incarnation);
+                ZoneOutcome::Applied
+            }
+            ZoneCommand::CountCrash {
+                server,
+                fingerprints,
+                was_alone,
+                at_ms,
+            } => self.count_crash(server, fingerprints, *was_alone, *at_ms),
+            ZoneCommand::AcquitFingerprint { fingerprint } => self.acquit(*fingerprint),
+            ZoneCommand::Expire { at_ms } => self.expire(*at_ms),
+        }
+    }
+
+    /// The changes after `known`, or the whole view where those aren't all kept.
+    #[must_use]
+    pub fn changes_since(&self, known: ViewVersion) -> ViewUpdate {
+        if let Some(update) = self.view.since(known) {
+            return update;
+        }
+        ViewUpdate {
+            version: self.view.version(),
+            changes: self.whole_view(),
+        }
+    }
+
+    /// The availability zone.
+    #[must_use]
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
+    /// How often the zone's group was formed.
+    #[must_use]
+    pub fn group_epoch(&self) -> u64 {
+        self.group_epoch
+    }
+
+    /// Index of the last command that was applied.
+    #[must_use]
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Greatest log clock so far, in milliseconds.
+    #[must_use]
+    pub fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// The table in force.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Version of the custody in force.
+    #[must_use]
+    pub fn custody_version(&self) -> u64 {
+        self.custody_version
+    }
+
+    /// Custody of a service's slots.
+    #[must_use]
+    pub fn custody(&self, service: &ServiceName) -> Option<&RunMap<Custody>> {
+        self.custody.get(service)
+    }
+
+    /// Custody of a slot, where this zone has it.
+    #[must_use]
+    pub fn own_custody(&self, service: &ServiceName, slot: Slot) -> Option<&Custody> {
+        let custody = self.custody.get(service)?.get(slot)?;
+        (custody.zone == self.zone).then_some(custody)
+    }
+
+    /// Registered entry processes.
+    #[must_use]
+    pub fn entries(&self) -> &BTreeMap<VmId, EntryRecord> {
+        &self.entries
+    }
+
+    /// Entry processes of other zones.
+    #[must_use]
+    pub fn directory(&self) -> &BTreeMap<ZoneName, Vec<EntryRecord>> {
+        &self.directory
+    }
+
+    /// Registered backend servers.
+    #[must_use]
+    pub fn servers(&self) -> &BTreeMap<ServerId, ServerEntry> {
+        &self.servers
+    }
+
+    /// Holds on a service's slots.
+    #[must_use]
+    pub fn holds(&self, service: &ServiceName) -> Option<&RunMap<SlotHold>> {
+        self.holds.get(service)
+    }
+
+    /// Runs that a server owns or has yet to give up.
+    #[must_use]
+    pub fn runs_of(&self, service: &ServiceName, server: &ServerId) -> Vec<SlotRun> {
+        let holds = self.holds.get(service).into_iter().flat_map(RunMap::iter);
+        let of_server = holds.filter(|(_, hold)| hold.server == *server);
+        of_server.map(|(run, _)| run).collect()
+    }
+
+    /// Services with slots that somebody owns or has yet to give up.
+    #[must_use]
+    pub fn held_services(&self) -> Vec<ServiceName> {
+        let held = self.holds.iter().filter(|(_, holds)| !holds.is_empty());
+        held.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Runs in this zone's custody that are to move to another zone.
+    #[must_use]
+    pub fn leaving_slots(&self, service: &ServiceName) -> Vec<SlotRun> {
+        let custody = self.custody.get(service).into_iter().flat_map(RunMap::iter);
+        let leaving = custody.filter(|(_, c)| c.zone == self.zone && c.moving_to.is_some());
+        leaving.map(|(run, _)| run).collect()
+    }
+
+    /// Order claims.
+    #[must_use]
+    pub fn claims(&self) -> &ClaimBook {
+        &self.claims
+    }
+
+    /// Suspects and quarantined requests.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Version of the view.
+    #[must_use]
+    pub fn view_version(&self) -> ViewVersion {
+        self.view.version()
+    }
+
+    /// Runs of slots that take no claims any more, with the generation of their custody.
+    #[must_use]
+    pub fn sealed(&self) -> &BTreeMap<ServiceName, RunMap<u64>> {
+        &self.sealed
+    }
+
+    /// How much longer orders of the run are refused, in milliseconds.
+    #[must_use]
+    pub fn history_lost_ms(&self, service: &ServiceName, run: SlotRun) -> u64 {
+        let Some(runs) = self.history_lost.get(service) else {
+            return 0;
+        };
+        let until = runs.within(run).map(|(_, until)| *until).max();
+        until.unwrap_or(0).saturating_sub(self.clock_ms)
+    }
+
+    /// Custody by service.
+    #[must_use]
+    pub fn all_custody(&self) -> &BTreeMap<ServiceName, RunMap<Custody>> {
+        &self.custody
+    }
+
+    /// Processes with claims in progress.
+    #[must_use]
+    pub fn open_claimants(&self) -> Vec<(VmId, Incarnation)> {
+        self.claims.open_claimants()
+    }
+
+    /// Whether anything is old enough to be forgotten.
+    #[must_use]
+    pub fn has_expired(&self, at_ms: u64) -> bool {
+        let mut losses = self.history_lost.values().flat_map(RunMap::iter);
+        self.claims.has_expired(at_ms)
+            || self.quarantine.has_expired(at_ms)
+            || losses.any(|(_, until_ms)| *until_ms <= at_ms)
+    }
+
+    /// Whether the group has ever named a dispatcher.
+    #[must_use]
+    pub fn has_named_dispatchers(&self) -> bool {
+        self.dispatcher_epoch > 0
+    }
+
+    pub(super) fn advance_clock(&mut self, at_ms: u64) -> u64 {
+        self.clock_ms = self.clock_ms.max(at_ms);
+        self.clock_ms
+    }
+
+    fn whole_view(&self) -> Vec<ViewChange> {
+        let mut changes = vec![
+            ViewChange::Reset,
+            ViewChange::TableInForce(self.table.clone()),
+        ];
+        self.describe_zones(&mut changes);
+        self.describe_custody(&mut changes);
+        self.describe_servers(&mut changes);
+        self.describe_holds(&mut changes);
+        let fingerprints = self.quarantine.quarantined();
+        changes.extend(fingerprints.map(|fingerprint| ViewChange::Quarantined { fingerprint }));
+        changes
+    }
+
+    fn describe_zones(&self, changes: &mut Vec<ViewChange>) {
+        for (zone, entries) in &self.directory {
+            changes.push(ViewChange::ZoneEntries {
+                zone: zone.clone(),
+                entries: entries.clone(),
+            });
+        }
+        changes.push(self.own_entries());
+    }
+
+    fn describe_custody(&self, changes: &mut Vec<ViewChange>) {
+        for (service, runs) in &self.custody {
+            for (run, custody) in runs.iter() {
+                changes.push(ViewChange::CustodyAssigned {
+                    service: service.clone(),
+                    runs: vec![run],
+                    zone: custody.zone.clone(),
+                    generation: custody.generation,
+                });
+            }
+        }
+    }
+
+    fn describe_servers(&self, changes: &mut Vec<ViewChange>) {
+        for (server, entry) in &self.servers {
+            changes.push(ViewChange::ServerUpserted(entry.record.clone()));
+            changes.push(ViewChange::DispatcherAssigned {
+                server: server.clone(),
+                vm: entry.dispatcher.as_ref().map(|d| d.vm.clone()),
+                epoch: entry.epoch,
+            });
+        }
+    }
+
+    fn describe_holds(&self, changes: &mut Vec<ViewChange>) {
+        for (service, holds) in &self.holds {
+            for (run, hold) in holds.iter() {
+                changes.push(ViewChange::SlotsAssigned {
+                    service: service.clone(),
+                    runs: vec![run],
+                    owner: hold.owner(),
+                });
+            }
+        }
+    }
+
+    pub(super) fn own_entries(&self) -> ViewChange {
+        ViewChange::ZoneEntries {
+            zone: self.zone.clone(),
+            entries: self.entries.values().cloned().collect(),
+        }
+    }
+}
--- a/crates/chicory_table/src/table_content.rs
+++ b/crates/chicory_table/src/table_content.rs
@@ -12,8 +12,9 @@
 pub const MIN_DEADLINE_MS: u64 = 1;
 /// Longest deadline that a service may state, in milliseconds.
 pub const MAX_DEADLINE_MS: u64 = 600_000;
-/// Shortest limited custody lease, in milliseconds; it must cover a dispatcher's lease.
-pub const MIN_CUSTODY_LEASE_MS: u64 = 3_000;
+/// Shortest limited custody lease, in milliseconds; it must cover a dispatcher's
+/// lease and a few lost renewals.
+pub const MIN_CUSTODY_LEASE_MS: u64 = 5_000;
 /// Longest limited custody lease, in milliseconds.
 pub const MAX_CUSTODY_LEASE_MS: u64 = 86_400_000;
 /// Longest name of a service, backend server or availability zone, in bytes.
