--- /dev/null
+++ b/crates/chicory_telemetry/src/logger.rs
@@ -0,0 +1,43 @@
+//! The logger of a process.
+
+use slog::{Drain, Logger, o};
+
+use crate::LogFormat;
+
+/// Records that may wait to be written; further ones are dropped and counted by `slog-async`.
+const LOG_QUEUE_RECORDS: usize = 1024;
+
+/// Creates the logger of a process, which writes to standard error from a thread of its own.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_telemetry::{LogFormat, new_logger};
+///
+/// let logger = new_logger(LogFormat::Json, "chicory-entry", "vm-1");
+/// slog::info!(logger, "ready");
+/// ```
+pub fn new_logger(format: LogFormat, program: &'static str, vm: &str) -> Logger {
+    let fields = o!("program" => program, "vm" => vm.to_owned());
+    match format {
+        LogFormat::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            Logger::root(in_background(drain), fields)
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            Logger::root(in_background(drain), fields)
+        }
+    }
+}
+
+fn in_background<D>(drain: D) -> slog::Fuse<slog_async::Async>
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(drain)
+        .chan_size(LOG_QUEUE_RECORDS)
+        .build()
+        .fuse()
+}
--- /dev/null
+++ b/crates/chicory_telemetry/src/metrics.rs
@@ -0,0 +1,154 @@
+//! Counters and gauges of a process.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Mutex, PoisonError};
+
+use opentelemetry::metrics::{Counter, Gauge, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use snafu::ResultExt;
+
+use crate::MetricName;
+use crate::metrics_error::{ExporterSnafu, MetricsError, RenderSnafu};
+
+/// Prefix of every metric.
+const METRIC_NAMESPACE: &str = "chicory";
+
+/// Counters and gauges of a process, shared by all its parts.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_telemetry::{MetricName, Metrics};
+///
+/// #[derive(Clone, Copy)]
+/// enum DoorMetric {
+///     Opened,
+/// }
+///
+/// impl MetricName for DoorMetric {
+///     fn name(self) -> &'static str {
+///         "door_opened"
+///     }
+///
+///     fn help(self) -> &'static str {
+///         "Times the door was opened."
+///     }
+/// }
+///
+/// let metrics = Metrics::new()?;
+/// metrics.increment(DoorMetric::Opened);
+/// assert!(metrics.render()?.contains("chicory_door_opened_total 1"));
+/// # Ok::<(), chicory_telemetry::MetricsError>(())
+/// ```
+pub struct Metrics {
+    provider: SdkMeterProvider,
+    meter: Meter,
+    registry: Registry,
+    counters: Mutex<BTreeMap<&'static str, CountedValue>>,
+    gauges: Mutex<BTreeMap<&'static str, Gauge<u64>>>,
+}
+
+struct CountedValue {
+    counter: Counter<u64>,
+    total: u64,
+}
+
+impl Metrics {
+    /// Creates an empty set of metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the exporter can't be registered.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(METRIC_NAMESPACE)
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .context(ExporterSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(METRIC_NAMESPACE);
+        Ok(Self {
+            provider,
+            meter,
+            registry,
+            counters: Mutex::default(),
+            gauges: Mutex::default(),
+        })
+    }
+
+    /// Adds one to a counter.
+    pub fn increment(&self, metric: impl MetricName) {
+        self.add(metric, 1);
+    }
+
+    /// Adds `count` to a counter.
+    pub fn add(&self, metric: impl MetricName, count: u64) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        let value = counters
+            .entry(metric.name())
+            .or_insert_with(|| self.new_counter(metric));
+        value.counter.add(count, &[]);
+        value.total += count;
+    }
+
+    /// Raises a counter to `total`, for counts that a reducer keeps itself; never lowers it.
+    pub fn raise_to(&self, metric: impl MetricName, total: u64) {
+        let known = self.total(metric);
+        self.add(metric, total.saturating_sub(known));
+    }
+
+    /// Returns the value of a counter.
+    pub fn total(&self, metric: impl MetricName) -> u64 {
+        let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        counters.get(metric.name()).map_or(0, |value| value.total)
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, metric: impl MetricName, value: u64) {
+        let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        gauges
+            .entry(metric.name())
+            .or_insert_with(|| self.new_gauge(metric))
+            .record(value, &[]);
+    }
+
+    /// Renders all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a metric can't be encoded.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .context(RenderSnafu)
+    }
+
+    fn new_counter(&self, metric: impl MetricName) -> CountedValue {
+        let counter = self
+            .meter
+            .u64_counter(metric.name())
+            .with_description(metric.help())
+            .build();
+        CountedValue { counter, total: 0 }
+    }
+
+    fn new_gauge(&self, metric: impl MetricName) -> Gauge<u64> {
+        self.meter
+            .u64_gauge(metric.name())
+            .with_description(metric.help())
+            .build()
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics")
+            .field("provider", &self.provider)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/chicory_telemetry/tests/metrics.rs
@@ -0,0 +1,50 @@
+//! Counters and gauges as the metrics page shows them.
+
+use chicory_telemetry::{LogFormat, MetricName, Metrics};
+use googletest::prelude::*;
+
+#[derive(Clone, Copy)]
+enum TestMetric {
+    Requests,
+    Waiting,
+}
+
+impl MetricName for TestMetric {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Requests => "requests",
+            Self::Waiting => "waiting",
+        }
+    }
+
+    fn help(self) -> &'static str {
+        "A metric of the test."
+    }
+}
+
+#[gtest]
+fn counters_and_gauges_are_rendered_with_prefix() -> Result<()> {
+    let metrics = Metrics::new()?;
+    metrics.add(TestMetric::Requests, 2);
+    metrics.increment(TestMetric::Requests);
+    metrics.set(TestMetric::Waiting, 7);
+    let page = metrics.render()?;
+    expect_that!(page, contains_substring("chicory_requests_total 3"));
+    expect_that!(page, contains_substring("chicory_waiting 7"));
+    Ok(())
+}
+
+#[gtest]
+fn raising_a_counter_never_lowers_it() -> Result<()> {
+    let metrics = Metrics::new()?;
+    metrics.raise_to(TestMetric::Requests, 5);
+    metrics.raise_to(TestMetric::Requests, 3);
+    expect_that!(metrics.total(TestMetric::Requests), eq(5));
+    Ok(())
+}
+
+#[gtest]
+fn log_formats_parse() {
+    expect_that!("json".parse::<LogFormat>(), ok(eq(&LogFormat::Json)));
+    expect_that!("xml".parse::<LogFormat>(), err(anything()));
+}
