--- /dev/null
+++ b/crates/chicory_net/src/peer/incoming.rs
@@ -0,0 +1,12 @@
+//! A connection that another process opened.
+
+use crate::peer::{PeerConnection, PeerIdentity};
+
+/// A connection that another process opened.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Who opened it.
+    pub identity: PeerIdentity,
+    /// The connection.
+    pub connection: PeerConnection,
+}
