State the surface of the request path reducer

The shell needs the reducer's calls, its settings, its counters and the view before the decisions are in.

--- /dev/null
+++ b/crates/chicory_dispatch/src/directory.rs
@@ -0,0 +1,272 @@
+//! The fold of all view changes: who serves what, and through whom.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use chicory_ownership::{EntryRecord, ServerRecord, SlotOwner, ViewChange, ViewUpdate};
+use chicory_table::{ServerOverride, ServicePolicy, Table};
+use chicory_types::{
+    FencingToken, ServerId, ServiceName, Slot, SlotRun, ViewVersion, VmId, ZoneName,
+};
+
+use crate::slot_map::{SlotMap, SlotState};
+
+/// Index of a backend server in the directory; it stays the same while the process lives.
+pub type ServerIndex = usize;
+
+/// What the directory knows of one backend server.
+#[derive(Clone, Debug)]
+pub struct DirectoryServer {
+    /// Name of the server.
+    pub id: ServerId,
+    /// What it announced; `None` once it is gone.
+    pub record: Option<ServerRecord>,
+    /// The only VM that may send it requests.
+    pub dispatcher: Option<VmId>,
+    /// Counter that grows with each new dispatcher.
+    pub epoch: u64,
+}
+
+/// The view of the availability zone that the zone group keeps up to date.
+///
+/// Backend servers are referred to by [`ServerIndex`], so that a decision compares numbers and not
+/// names.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    version: ViewVersion,
+    table: Table,
+    names: BTreeMap<ServerId, ServerIndex>,
+    servers: Vec<DirectoryServer>,
+    by_service: BTreeMap<ServiceName, Vec<ServerIndex>>,
+    slots: BTreeMap<ServiceName, SlotMap>,
+    zones: BTreeMap<ZoneName, Vec<EntryRecord>>,
+    quarantined: BTreeSet<u64>,
+}
+
+impl Directory {
+    /// Version of the view.
+    #[must_use]
+    pub fn version(&self) -> ViewVersion {
+        self.version
+    }
+
+    /// The table in force.
+    #[must_use]
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Policy of a service; `None` where the table has no such service.
+    #[must_use]
+    pub fn policy(&self, service: &str) -> Option<&ServicePolicy> {
+        self.table.services.get(service)
+    }
+
+    /// The server with this index.
+    #[must_use]
+    pub fn server(&self, index: ServerIndex) -> Option<&DirectoryServer> {
+        self.servers.get(index)
+    }
+
+    /// The server with this name.
+    #[must_use]
+    pub fn server_named(&self, id: &str) -> Option<&DirectoryServer> {
+        self.servers.get(*self.names.get(id)?)
+    }
+
+    /// All servers that were ever known, in the order of their indices.
+    #[must_use]
+    pub fn servers(&self) -> &[DirectoryServer] {
+        &self.servers
+    }
+
+    /// Servers of a service that are registered in this zone.
+    #[must_use]
+    pub fn servers_of(&self, service: &str) -> &[ServerIndex] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The exception that the table makes for a server.
+    #[must_use]
+    pub fn override_of(&self, record: &ServerRecord) -> ServerOverride {
+        let of_service = self.table.overrides.get(&record.service);
+        of_service
+            .and_then(|servers| servers.get(&record.server))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Relative share of load of a server; 0 for one that is gone or drained.
+    #[must_use]
+    pub fn weight(&self, index: ServerIndex) -> u32 {
+        let Some(record) = self.servers.get(index).and_then(|s| s.record.as_ref()) else {
+            return 0;
+        };
+        if record.draining {
+            return 0;
+        }
+        let of_service = self.policy(&record.service).map_or(0, |p| p.weight);
+        self.override_of(record).weight.unwrap_or(of_service)
+    }
+
+    /// Who may serve a slot.
+    #[must_use]
+    pub fn slot(&self, service: &str, slot: Slot) -> SlotState {
+        self.slots
+            .get(service)
+            .map_or(SlotState::Unowned, |map| map.owner(slot))
+    }
+
+    /// The zone that has custody of a slot.
+    #[must_use]
+    pub fn custodian(&self, service: &str, slot: Slot) -> Option<&ZoneName> {
+        self.slots.get(service)?.custodian(slot)
+    }
+
+    /// Entry processes of a zone.
+    #[must_use]
+    pub fn entries(&self, zone: &str) -> &[EntryRecord] {
+        self.zones.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// The entry process on `vm` in `zone`.
+    #[must_use]
+    pub fn entry(&self, zone: &str, vm: &str) -> Option<&EntryRecord> {
+        self.entries(zone).iter().find(|entry| entry.vm == vm)
+    }
+
+    /// Whether requests of this fingerprint are refused.
+    #[must_use]
+    pub fn is_quarantined(&self, fingerprint: u64) -> bool {
+        self.quarantined.contains(&fingerprint)
+    }
+
+    /// Slots that a server owns or has to release, with the tokens of those it owns.
+    #[must_use]
+    pub fn holdings(&self, service: &str, server: ServerIndex) -> Holdings {
+        self.slots
+            .get(service)
+            .map_or_else(Holdings::default, |map| map.holdings(server))
+    }
+
+    /// Folds the changes of an update in.
+    pub(crate) fn apply(&mut self, update: ViewUpdate) {
+        for change in update.changes {
+            self.apply_change(change);
+        }
+        self.version = update.version;
+    }
+
+    fn apply_change(&mut self, change: ViewChange) {
+        match change {
+            ViewChange::Reset => self.reset(),
+            ViewChange::TableInForce(table) => self.table = table,
+            ViewChange::ServerUpserted(record) => self.upsert(record),
+            ViewChange::ServerRemoved(id) => self.remove(&id),
+            ViewChange::DispatcherAssigned { server, vm, epoch } => {
+                let index = self.index_of(&server);
+                self.servers[index].dispatcher = vm;
+                self.servers[index].epoch = epoch;
+            }
+            ViewChange::SlotsAssigned {
+                service,
+                runs,
+                owner,
+            } => self.assign(service, &runs, owner),
+            ViewChange::CustodyAssigned {
+                service,
+                runs,
+                zone,
+                ..
+            } => self
+                .slots
+                .entry(service)
+                .or_default()
+                .set_custodian(&runs, &zone),
+            ViewChange::ZoneEntries { zone, entries } => {
+                self.zones.insert(zone, entries);
+            }
+            ViewChange::Quarantined { fingerprint } => {
+                self.quarantined.insert(fingerprint);
+            }
+            ViewChange::QuarantineLifted { fingerprint } => {
+                self.quarantined.remove(&fingerprint);
+            }
+        }
+    }
+
+    fn reset(&mut self) {
+        for server in &mut self.servers {
+            server.record = None;
+            server.dispatcher = None;
+        }
+        self.table = Table::default();
+        self.by_service.clear();
+        self.slots.clear();
+        self.zones.clear();
+        self.quarantined.clear();
+    }
+
+    fn index_of(&mut self, id: &str) -> ServerIndex {
+        if let Some(index) = self.names.get(id) {
+            return *index;
+        }
+        let index = self.servers.len();
+        self.names.insert(id.to_owned(), index);
+        self.servers.push(DirectoryServer {
+            id: id.to_owned(),
+            record: None,
+            dispatcher: None,
+            epoch: 0,
+        });
+        index
+    }
+
+    fn upsert(&mut self, record: ServerRecord) {
+        let index = self.index_of(&record.server);
+        self.unlist(index);
+        let listed = self.by_service.entry(record.service.clone()).or_default();
+        listed.push(index);
+        listed.sort_unstable();
+        self.servers[index].record = Some(record);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let index = self.index_of(id);
+        self.unlist(index);
+        self.servers[index].record = None;
+        self.servers[index].dispatcher = None;
+    }
+
+    fn unlist(&mut self, index: ServerIndex) {
+        let Some(record) = &self.servers[index].record else {
+            return;
+        };
+        if let Some(listed) = self.by_service.get_mut(&record.service) {
+            listed.retain(|other| *other != index);
+        }
+    }
+
+    fn assign(&mut self, service: ServiceName, runs: &[SlotRun], owner: SlotOwner) {
+        let state = match owner {
+            SlotOwner::Unowned => SlotState::Unowned,
+            SlotOwner::Owned { server, token } => SlotState::Owned {
+                server: self.index_of(&server),
+                token,
+            },
+            SlotOwner::Releasing { server, token } => SlotState::Releasing {
+                server: self.index_of(&server),
+                token,
+            },
+        };
+        self.slots.entry(service).or_default().assign(runs, state);
+    }
+}
+
+/// Slots of one server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Holdings {
+    /// Slots that it owns, with their tokens, ascending.
+    pub owned: Vec<(Slot, FencingToken)>,
+    /// Slots that it has to give up, ascending.
+    pub releasing: Vec<Slot>,
+}
--- a/crates/chicory_dispatch/src/lib.rs
+++ b/crates/chicory_dispatch/src/lib.rs
@@ -1,17 +1,24 @@
 //! The request path as a pure reducer: admission, limits, retries, connections, outcomes.
 //!
-//! [`Dispatcher`](crate) takes every request of a caller or of another entry VM, finds who may
+//! [`RequestPath`] takes every request of a caller or of another entry VM, finds who may
 //! serve it, and either relays it, sends it to a backend server, or refuses it at once. Bodies
 //! never pass through the reducer: it decides on heads and on progress.
 
 mod announcement;
+mod counters;
+mod directory;
 mod effect;
 mod event;
 mod exchange;
 mod refusal;
 mod request_head;
+mod request_path;
+mod request_path_config;
+mod slot_map;
 
 pub use announcement::{Announcement, AnnouncementAnswer, AnnouncementError, GrantedRun};
+pub use counters::Counters;
+pub use directory::{Directory, DirectoryServer, Holdings, ServerIndex};
 pub use effect::Effect;
 pub use event::Event;
 pub use exchange::{
@@ -20,3 +27,6 @@
 };
 pub use refusal::{Outcome, Refusal, RefusalReason};
 pub use request_head::{RequestHead, RequestOrigin};
+pub use request_path::RequestPath;
+pub use request_path_config::{RequestPathConfig, RequestPathConfigBuilder};
+pub use slot_map::SlotState;
--- /dev/null
+++ b/crates/chicory_dispatch/src/request_path_config.rs
@@ -0,0 +1,178 @@
+//! Settings of the request path.
+
+use std::time::Duration;
+
+use chicory_types::{Incarnation, VmId, ZoneName};
+
+/// Settings of a [`RequestPath`](crate::RequestPath).
+///
+/// # Examples
+///
+/// ```
+/// use chicory_dispatch::RequestPathConfig;
+///
+/// let config = RequestPathConfig::builder("entry-1", "vake-hall")
+///     .peer_address("10.0.0.1:7001")
+///     .seed(7)
+///     .build();
+/// assert_eq!(config.max_hops, 2);
+/// ```
+#[derive(Clone, Debug)]
+pub struct RequestPathConfig {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Start of the process.
+    pub incarnation: Incarnation,
+    /// Availability zone of the VM.
+    pub zone: ZoneName,
+    /// Host and port for relays from other entry processes.
+    pub peer_address: String,
+    /// Host and port for announcements of backend servers.
+    pub announce_address: String,
+    /// Time between renewals of the lease.
+    pub renew_interval: Duration,
+    /// Longest lease granted to a backend server.
+    pub server_lease: Duration,
+    /// Silence of an exchange before its answer after which the server is probed.
+    pub progress_timeout: Duration,
+    /// Silence within an answer after which the answer is broken off.
+    pub stall_timeout: Duration,
+    /// Retries as a share of fresh requests, per service.
+    pub retry_share: f64,
+    /// Most tries of one request, the first included.
+    pub max_tries: u32,
+    /// Relays that one request may take.
+    pub max_hops: u8,
+    /// Requests open at a time in this process.
+    pub max_requests: usize,
+    /// Idle time after which a connection is closed.
+    pub idle_cap: Duration,
+    /// Age after which a connection takes no further request.
+    pub age_cap: Duration,
+    /// New connections per second, to all servers together.
+    pub connect_rate_per_s: u32,
+    /// Span over which a started server's weight grows to its full value.
+    pub ramp: Duration,
+    /// Consecutive failures after which a server is ejected.
+    pub eject_after_failures: u32,
+    /// How long an ejected server gets no request by choice.
+    pub ejection: Duration,
+    /// Time from a server's wish to drain until it gets no request at all.
+    pub drain_grace: Duration,
+    /// Longest wait of a stopping process for its roles to be taken over.
+    pub stop_grace: Duration,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+impl RequestPathConfig {
+    /// Starts a builder with the default settings.
+    pub fn builder(vm: impl Into<VmId>, zone: impl Into<ZoneName>) -> RequestPathConfigBuilder {
+        RequestPathConfigBuilder {
+            config: Self {
+                vm: vm.into(),
+                incarnation: 1,
+                zone: zone.into(),
+                peer_address: String::new(),
+                announce_address: String::new(),
+                renew_interval: Duration::from_millis(400),
+                server_lease: Duration::from_millis(2_200),
+                progress_timeout: Duration::from_millis(600),
+                stall_timeout: Duration::from_secs(5),
+                retry_share: 0.1,
+                max_tries: 3,
+                max_hops: 2,
+                max_requests: 20_000,
+                idle_cap: Duration::from_secs(30),
+                age_cap: Duration::from_mins(5),
+                connect_rate_per_s: 200,
+                ramp: Duration::from_secs(5),
+                eject_after_failures: 5,
+                ejection: Duration::from_secs(5),
+                drain_grace: Duration::from_millis(1_500),
+                stop_grace: Duration::from_secs(3),
+                seed: 0,
+            },
+        }
+    }
+}
+
+/// Builds a [`RequestPathConfig`].
+#[derive(Clone, Debug)]
+pub struct RequestPathConfigBuilder {
+    config: RequestPathConfig,
+}
+
+macro_rules! setters {
+    ($($(#[$doc:meta])* $name:ident: $type:ty,)*) => {
+        $(
+            $(#[$doc])*
+            #[must_use]
+            pub fn $name(mut self, $name: $type) -> Self {
+                self.config.$name = $name;
+                self
+            }
+        )*
+    };
+}
+
+impl RequestPathConfigBuilder {
+    /// Sets the host and port for relays from other entry processes.
+    #[must_use]
+    pub fn peer_address(mut self, address: impl Into<String>) -> Self {
+        self.config.peer_address = address.into();
+        self
+    }
+
+    /// Sets the host and port for announcements of backend servers.
+    #[must_use]
+    pub fn announce_address(mut self, address: impl Into<String>) -> Self {
+        self.config.announce_address = address.into();
+        self
+    }
+
+    setters! {
+        /// Sets the start of the process.
+        incarnation: Incarnation,
+        /// Sets the time between renewals of the lease.
+        renew_interval: Duration,
+        /// Sets the longest lease granted to a backend server.
+        server_lease: Duration,
+        /// Sets the silence after which a server is probed.
+        progress_timeout: Duration,
+        /// Sets the silence within an answer after which it is broken off.
+        stall_timeout: Duration,
+        /// Sets the retries as a share of fresh requests.
+        retry_share: f64,
+        /// Sets the most tries of one request.
+        max_tries: u32,
+        /// Sets the relays that one request may take.
+        max_hops: u8,
+        /// Sets the requests open at a time.
+        max_requests: usize,
+        /// Sets the idle time after which a connection is closed.
+        idle_cap: Duration,
+        /// Sets the age after which a connection takes no further request.
+        age_cap: Duration,
+        /// Sets the new connections per second.
+        connect_rate_per_s: u32,
+        /// Sets the span of the cold-start ramp.
+        ramp: Duration,
+        /// Sets the consecutive failures after which a server is ejected.
+        eject_after_failures: u32,
+        /// Sets how long an ejected server gets no request by choice.
+        ejection: Duration,
+        /// Sets the time from a server's wish to drain until it gets no request.
+        drain_grace: Duration,
+        /// Sets the longest wait of a stopping process for its roles to be taken over.
+        stop_grace: Duration,
+        /// Sets the seed of all random choices.
+        seed: u64,
+    }
+
+    /// Ends the building.
+    #[must_use]
+    pub fn build(self) -> RequestPathConfig {
+        self.config
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/slot_map.rs
@@ -0,0 +1,102 @@
+//! Owner and custodian of each slot of one service.
+
+use chicory_types::{FencingToken, SLOTS_PER_SERVICE, Slot, SlotRun, ZoneName};
+
+use crate::directory::{Holdings, ServerIndex};
+
+/// Who may serve a slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SlotState {
+    /// Nobody.
+    #[default]
+    Unowned,
+    /// A backend server.
+    Owned {
+        /// The owner.
+        server: ServerIndex,
+        /// Token of the assignment.
+        token: FencingToken,
+    },
+    /// A backend server that gives the slot up.
+    Releasing {
+        /// The former owner.
+        server: ServerIndex,
+        /// Token of the assignment that ends.
+        token: FencingToken,
+    },
+}
+
+/// Index into the list of custodians; the greatest value stands for none.
+type ZoneIndex = u16;
+
+const NO_ZONE: ZoneIndex = ZoneIndex::MAX;
+
+/// Owner and custodian of each slot of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SlotMap {
+    owners: Vec<SlotState>,
+    custodians: Vec<ZoneIndex>,
+    zones: Vec<ZoneName>,
+}
+
+impl SlotMap {
+    pub(crate) fn owner(&self, slot: Slot) -> SlotState {
+        self.owners
+            .get(usize::from(slot))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    pub(crate) fn custodian(&self, slot: Slot) -> Option<&ZoneName> {
+        let index = self.custodians.get(usize::from(slot))?;
+        self.zones.get(usize::from(*index))
+    }
+
+    pub(crate) fn assign(&mut self, runs: &[SlotRun], state: SlotState) {
+        if self.owners.is_empty() {
+            self.owners = vec![SlotState::Unowned; usize::from(SLOTS_PER_SERVICE)];
+        }
+        fill(&mut self.owners, runs, state);
+    }
+
+    pub(crate) fn set_custodian(&mut self, runs: &[SlotRun], zone: &str) {
+        if self.custodians.is_empty() {
+            self.custodians = vec![NO_ZONE; usize::from(SLOTS_PER_SERVICE)];
+        }
+        let index = self.zone_index(zone);
+        fill(&mut self.custodians, runs, index);
+    }
+
+    pub(crate) fn holdings(&self, server: ServerIndex) -> Holdings {
+        let mut holdings = Holdings::default();
+        for (slot, state) in (0..SLOTS_PER_SERVICE).zip(&self.owners) {
+            match state {
+                SlotState::Owned { server: s, token } if *s == server => {
+                    holdings.owned.push((slot, *token));
+                }
+                SlotState::Releasing { server: s, .. } if *s == server => {
+                    holdings.releasing.push(slot);
+                }
+                _ => {}
+            }
+        }
+        holdings
+    }
+
+    fn zone_index(&mut self, zone: &str) -> ZoneIndex {
+        let found = self.zones.iter().position(|known| known == zone);
+        let position = found.unwrap_or_else(|| {
+            self.zones.push(zone.to_owned());
+            self.zones.len() - 1
+        });
+        ZoneIndex::try_from(position).unwrap_or(NO_ZONE)
+    }
+}
+
+fn fill<T: Copy>(values: &mut [T], runs: &[SlotRun], value: T) {
+    for run in runs {
+        let end = (usize::from(run.last) + 1).min(values.len());
+        let start = usize::from(run.first).min(end);
+        values[start..end].fill(value);
+    }
+}
