Serve HTTP within limits and keep one request a server connection

A body is finished with its last part where its length is known, since nobody asks for what follows; otherwise a reused connection would look abandoned. A request that the connection never took is told apart from one whose bytes may have left.

--- /dev/null
+++ b/crates/chicory_net/src/http/http_body.rs
@@ -0,0 +1,155 @@
+//! Bodies of requests and answers.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::oneshot;
+
+use crate::http::{BodyError, BodyObserver, BodySource};
+
+/// The body of a request or answer.
+///
+/// An observer learns of each part and of the end; a breaker ends the body early, with an error
+/// for whoever takes it.
+pub struct HttpBody {
+    source: BodySource,
+    observer: Option<Box<dyn BodyObserver>>,
+    breaker: Option<oneshot::Receiver<()>>,
+}
+
+impl HttpBody {
+    /// Creates a body that nobody observes.
+    #[must_use]
+    pub fn new(source: BodySource) -> Self {
+        Self {
+            source,
+            observer: None,
+            breaker: None,
+        }
+    }
+
+    /// Creates an empty body.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::new(BodySource::Empty)
+    }
+
+    /// Creates a body in memory.
+    #[must_use]
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::new(BodySource::Full(bytes.into()))
+    }
+
+    /// Creates an observed body; of an empty body the observer hears at once that it finished.
+    #[must_use]
+    pub fn observed(source: BodySource, observer: Box<dyn BodyObserver>) -> Self {
+        let mut body = Self {
+            source,
+            observer: Some(observer),
+            breaker: None,
+        };
+        body.finish_if_ended();
+        body
+    }
+
+    /// Breaks the body off once something is sent.
+    #[must_use]
+    pub fn with_breaker(mut self, breaker: oneshot::Receiver<()>) -> Self {
+        self.breaker = Some(breaker);
+        self
+    }
+
+    fn poll_broken(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(breaker) = &mut self.breaker else {
+            return false;
+        };
+        match Pin::new(breaker).poll(cx) {
+            Poll::Ready(Ok(())) => true,
+            Poll::Ready(Err(_)) => {
+                self.breaker = None;
+                false
+            }
+            Poll::Pending => false,
+        }
+    }
+
+    fn finish_if_ended(&mut self) {
+        if self.source.has_ended() {
+            self.finish();
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(observer) = self.observer.take() {
+            observer.finished();
+        }
+    }
+
+    fn fail(&mut self, error: &BodyError) {
+        if let Some(observer) = self.observer.take() {
+            observer.failed(error);
+        }
+    }
+}
+
+impl Body for HttpBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.poll_broken(cx) {
+            let error = BodyError::BrokenOff;
+            self.fail(&error);
+            return Poll::Ready(Some(Err(error)));
+        }
+        match ready!(self.source.poll_part(cx)) {
+            None => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Some(Err(error)) => {
+                self.fail(&error);
+                Poll::Ready(Some(Err(error)))
+            }
+            Some(Ok(part)) => {
+                if let Some(observer) = &mut self.observer {
+                    observer.progressed(&part);
+                }
+                // With a known length nobody asks for what follows the last part.
+                self.finish_if_ended();
+                Poll::Ready(Some(Ok(Frame::data(part))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.observer.is_none() && self.source.has_ended()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.source.size_hint()
+    }
+}
+
+impl Drop for HttpBody {
+    fn drop(&mut self) {
+        if let Some(observer) = self.observer.take() {
+            observer.abandoned();
+        }
+    }
+}
+
+impl fmt::Debug for HttpBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpBody")
+            .field("source", &self.source)
+            .field("is_observed", &self.observer.is_some())
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/chicory_net/src/http/mod.rs
+++ b/crates/chicory_net/src/http/mod.rs
@@ -1,1 +1,25 @@
 //! HTTP/1.1 towards callers and backend servers.
+//!
+//! [`HttpListener`] serves requests through an [`HttpHandler`] within [`HttpLimits`];
+//! [`ServerLink`] is one connection to a backend server. Bodies are streams of type [`HttpBody`],
+//! so that a slow end holds the other one back.
+
+mod body_error;
+mod body_observer;
+mod body_source;
+mod http_body;
+mod http_handler;
+mod http_limits;
+mod http_listener;
+mod link_error;
+mod server_link;
+
+pub use body_error::BodyError;
+pub use body_observer::BodyObserver;
+pub use body_source::BodySource;
+pub use http_body::HttpBody;
+pub use http_handler::{AnswerFuture, HttpHandler};
+pub use http_limits::HttpLimits;
+pub use http_listener::HttpListener;
+pub use link_error::{LinkError, SendError};
+pub use server_link::ServerLink;
--- /dev/null
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -0,0 +1,98 @@
+//! One connection to a backend server.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::http::HttpBody;
+use crate::http::link_error::{HandshakeSnafu, LinkError, SendError};
+
+/// One connection to a backend server, for one request at a time; dropped, it is closed at once,
+/// which tells the server to cancel what runs on it.
+#[derive(Debug)]
+pub struct ServerLink {
+    sender: SendRequest<HttpBody>,
+    driver: AbortHandle,
+}
+
+impl ServerLink {
+    /// Opens a connection; `on_close` is called when it ends from the other side or breaks.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the server can't be reached in time.
+    pub async fn open(
+        address: &str,
+        timeout: Duration,
+        on_close: impl FnOnce() + Send + 'static,
+    ) -> Result<Self, LinkError> {
+        let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+            Err(_) => return Err(LinkError::TimedOut),
+            Ok(Err(error)) => return Err(sorted(error)),
+            Ok(Ok(stream)) => stream,
+        };
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .context(HandshakeSnafu)?;
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+            on_close();
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+        })
+    }
+
+    /// Sends a request: it is handed over in this call, the future only waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// The future fails where no answer head comes, and tells whether bytes may have left.
+    pub fn send(
+        &mut self,
+        request: Request<HttpBody>,
+    ) -> impl Future<Output = Result<Response<Incoming>, SendError>> + Send + use<> {
+        let sent = self.sender.try_send_request(request);
+        async move {
+            sent.await.map_err(|mut error| {
+                if error.take_message().is_some() {
+                    SendError::NothingSent
+                } else if error.error().is_parse() {
+                    SendError::Malformed
+                } else {
+                    SendError::Broken
+                }
+            })
+        }
+    }
+
+    /// Whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Drop for ServerLink {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn sorted(error: std::io::Error) -> LinkError {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => LinkError::Refused,
+        ErrorKind::TimedOut => LinkError::TimedOut,
+        _ => LinkError::Network { source: error },
+    }
+}
