Add the stand-in backend server

A process-wide SIGSTOP can't freeze one of several servers in a process nor silence open connections only, so both go through gates on the byte streams.

--- /dev/null
+++ b/crates/chicory_standin/src/server/mod.rs
@@ -0,0 +1,31 @@
+//! The backend server: announces itself, takes fenced grants, runs requests, and misbehaves when
+//! told to.
+
+mod announce_message;
+mod announcer;
+mod answer_body;
+mod answer_form;
+mod behaviour;
+mod client;
+mod command;
+mod config;
+mod control;
+mod gate;
+mod gated_io;
+mod grants;
+mod listener;
+mod run_guard;
+mod server_state;
+mod service_time;
+mod work;
+
+pub use announce_message::{AnnounceAnswer, AnnounceRequest, GrantMessage};
+pub use answer_form::AnswerForm;
+pub use behaviour::{Behaviour, BehaviourRequest};
+pub use client::{ClientError, HttpAnswer, send_once};
+pub use command::{command, run};
+pub use config::{ServerConfig, ServerConfigBuilder};
+pub use grants::{Admission, Grants};
+pub use listener::{StandinServer, start_server};
+pub use server_state::ServerState;
+pub use service_time::ServiceTime;
