Add the stand-in caller and the judge of histories

The judge reads histories alone: overlapping runs or grants of a key, falling tokens, repeated orders, false outcomes, broken answers, edits that contradict one another. A run that a server abandoned because its lease had ended counts only until that end, and one cut off by the death of its process only until the server was last seen alive: both would otherwise look like a second owner.

--- a/crates/chicory_standin/src/history/event.rs
+++ b/crates/chicory_standin/src/history/event.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HistoryEvent {
+    /// A backend server started; what an earlier start ran or held is gone.
+    ServerStarted,
     /// A backend server began to run a request.
     RunStart,
     /// A backend server finished a request; `status` is its answer.
--- a/crates/chicory_standin/src/history/mod.rs
+++ b/crates/chicory_standin/src/history/mod.rs
@@ -7,3 +7,4 @@
 pub use event::HistoryEvent;
 pub use record::HistoryRecord;
 pub use recorder::{HistoryError, Recorder};
+pub(crate) use recorder::{MalformedSnafu, OpenSnafu};
--- a/crates/chicory_standin/src/history/recorder.rs
+++ b/crates/chicory_standin/src/history/recorder.rs
@@ -12,7 +12,7 @@
 
 /// Why a history can't be written or read.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub))]
+#[snafu(visibility(pub(crate)))]
 pub enum HistoryError {
     /// The file can't be opened or read.
     #[snafu(display("can't open history {}: {source}", path.display()))]
--- /dev/null
+++ b/crates/chicory_standin/src/load/call.rs
@@ -0,0 +1,31 @@
+//! One request as the caller means it.
+
+use crate::http;
+
+/// One request as the caller means it; resends are made of the same call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Service.
+    pub service: String,
+    /// Key.
+    pub key: String,
+    /// `Idempotency-Key`, for orders.
+    pub order_key: Option<String>,
+    /// A further path segment, such as a marker that crashes stand-ins.
+    pub marker: Option<String>,
+}
+
+impl Call {
+    /// Path of one send of the call.
+    #[must_use]
+    pub fn path(&self, request_id: &str) -> String {
+        let marker = self.marker.as_ref().map(|marker| format!("/{marker}"));
+        format!(
+            "/{}/{}/{}/{request_id}{}",
+            self.service,
+            self.key,
+            http::CALLS_SEGMENT,
+            marker.unwrap_or_default()
+        )
+    }
+}
--- a/crates/chicory_standin/src/main.rs
+++ b/crates/chicory_standin/src/main.rs
@@ -1,11 +1,15 @@
 //! Development stand-ins for backend servers and callers, and the judge of their histories.
 
+use std::error::Error;
 use std::process::ExitCode;
 
-use chicory_standin::server;
-use clap::Command;
+use chicory_standin::check::{self, CheckOutcome};
+use chicory_standin::{load, server};
+use clap::{ArgMatches, Command};
 use tokio::task::LocalSet;
 
+/// Exit code of a check that found a violation.
+const EXIT_VIOLATED: u8 = 1;
 /// Exit code of a command that could not do its work.
 const EXIT_FAILED: u8 = 2;
 
@@ -15,20 +19,32 @@
         .about("Development stand-ins for backend servers and callers")
         .subcommand_required(true)
         .subcommand(server::command())
+        .subcommand(load::command())
+        .subcommand(check::command())
         .get_matches();
+    run(&matches).unwrap_or_else(|error| {
+        eprintln!("chicory-standin: {error}");
+        ExitCode::from(EXIT_FAILED)
+    })
+}
+
+fn run(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()
-        .expect("the runtime needs only the system's poller");
-    let result = match matches.subcommand() {
-        Some(("server", matches)) => LocalSet::new().block_on(&runtime, server::run(matches)),
+        .build()?;
+    let tasks = LocalSet::new();
+    match matches.subcommand() {
+        Some(("server", matches)) => tasks.block_on(&runtime, server::run(matches))?,
+        Some(("load", matches)) => tasks.block_on(&runtime, load::run(matches))?,
+        Some(("check", matches)) => return Ok(exit_code(check::run(matches)?)),
         _ => unreachable!("clap requires a known command"),
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("chicory-standin: {error}");
-            ExitCode::from(EXIT_FAILED)
-        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn exit_code(outcome: CheckOutcome) -> ExitCode {
+    match outcome {
+        CheckOutcome::Clean => ExitCode::SUCCESS,
+        CheckOutcome::Violated => ExitCode::from(EXIT_VIOLATED),
     }
 }
--- a/crates/chicory_standin/src/server/client.rs
+++ b/crates/chicory_standin/src/server/client.rs
@@ -12,7 +12,7 @@
 
 /// Why a request over a connection of its own failed.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub))]
+#[snafu(visibility(pub(crate)))]
 pub enum ClientError {
     /// The connection can't be opened.
     #[snafu(display("can't connect to {address}: {source}"))]
--- a/crates/chicory_standin/src/server/listener.rs
+++ b/crates/chicory_standin/src/server/listener.rs
@@ -12,7 +12,7 @@
 
 use super::gated_io::GatedIo;
 use super::{ServerConfig, ServerState, announcer, control, work};
-use crate::history::{HistoryError, Recorder};
+use crate::history::{HistoryError, HistoryEvent, Recorder};
 
 /// Why a process of backend servers can't start.
 #[derive(Debug, Snafu)]
@@ -58,6 +58,7 @@
             address.to_string(),
             recorder.clone(),
         ));
+        recorder.write(&server.record(HistoryEvent::ServerStarted));
         spawn_local(accept(server.clone(), listener));
         spawn_local(announcer::announce(server.clone()));
         servers.push(server);
