--- a/crates/chicory_standin/src/server/mod.rs
+++ b/crates/chicory_standin/src/server/mod.rs
@@ -26,6 +26,6 @@
 pub use command::{command, run};
 pub use config::{ServerConfig, ServerConfigBuilder};
 pub use grants::{Admission, Grants};
-pub use listener::{StandinServer, start_server};
+pub use listener::{StandinServer, StartError, start_server};
 pub use server_state::ServerState;
 pub use service_time::ServiceTime;
