--- a/crates/chicory_wire/src/convert_error.rs
+++ b/crates/chicory_wire/src/convert_error.rs
@@ -20,6 +20,12 @@
     },
 }
 
+impl From<std::convert::Infallible> for ConvertError {
+    fn from(never: std::convert::Infallible) -> Self {
+        match never {}
+    }
+}
+
 /// Unwraps a field that must be set.
 pub(crate) fn required<T>(value: Option<T>, field: &'static str) -> Result<T, ConvertError> {
     value.context(MissingSnafu { field })
@@ -30,12 +36,22 @@
     N::try_from(value).ok().context(OutOfRangeSnafu { field })
 }
 
+/// Reads the number of an enum.
+pub(crate) fn enumerated<E: TryFrom<i32>>(
+    value: i32,
+    field: &'static str,
+) -> Result<E, ConvertError> {
+    narrowed(value, field)
+}
+
 /// Converts each element of a repeated field.
 pub(crate) fn each<P, D>(values: Vec<P>) -> Result<Vec<D>, ConvertError>
 where
-    D: TryFrom<P, Error = ConvertError>,
+    D: TryFrom<P>,
+    ConvertError: From<D::Error>,
 {
-    values.into_iter().map(D::try_from).collect()
+    let converted = values.into_iter().map(D::try_from);
+    Ok(converted.collect::<Result<_, _>>()?)
 }
 
 /// Converts each element of a list into its message.
--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -4,18 +4,23 @@
 //! own crate, and this crate converts between the two. The generated code is committed; after a
 //! change of a `.proto` file run `cargo run -p wire_generator`.
 
+mod audit_convert;
 mod claim_convert;
 mod common_convert;
 mod convert_error;
+mod custody_convert;
 #[expect(
     missing_docs,
     clippy::pedantic,
     reason = "the generator decides on the form of this code"
 )]
 pub mod generated;
+mod log_convert;
+mod record_macro;
 mod renewal_convert;
 mod table_convert;
 mod view_convert;
+mod zone_convert;
 
 pub use convert_error::ConvertError;
 pub use generated::chicory as proto;
--- a/crates/chicory_wire/src/table_convert.rs
+++ b/crates/chicory_wire/src/table_convert.rs
@@ -1,9 +1,8 @@
 //! Conversions of the table.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chicory_table::{CustodyLease, ServerOverride, ServicePolicy, Table};
+use chicory_table::{CustodyLease, ServerOverride, ServicePolicy, Table, TableContent};
 
 use crate::convert_error::{millis, required};
 use crate::{ConvertError, proto::table};
@@ -76,64 +75,26 @@
 
 impl From<Table> for table::Table {
     fn from(value: Table) -> Self {
-        let services = value
-            .services
-            .into_iter()
-            .map(|(service, policy)| table::ServiceRow {
-                service,
-                policy: Some(policy.into()),
-            })
-            .collect();
-        let overrides = value
-            .overrides
-            .into_iter()
-            .flat_map(|(service, servers)| override_rows(&service, servers))
-            .collect();
+        let content = TableContent {
+            services: value.services,
+            overrides: value.overrides,
+        };
         Self {
             revision: value.revision,
-            content: Some(table::TableContent {
-                services,
-                overrides,
-            }),
+            content: Some(content.into()),
         }
     }
 }
 
-fn override_rows(
-    service: &str,
-    servers: BTreeMap<String, ServerOverride>,
-) -> Vec<table::OverrideRow> {
-    servers
-        .into_iter()
-        .map(|(server, values)| table::OverrideRow {
-            service: service.to_owned(),
-            server,
-            values: Some(values.into()),
-        })
-        .collect()
-}
-
 impl TryFrom<table::Table> for Table {
     type Error = ConvertError;
 
     fn try_from(message: table::Table) -> Result<Self, ConvertError> {
-        let content = required(message.content, "table.content")?;
-        let mut parsed = Self {
+        let content: TableContent = required(message.content, "table.content")?.try_into()?;
+        Ok(Self {
             revision: message.revision,
-            ..Self::default()
-        };
-        for row in content.services {
-            let policy = required(row.policy, "service_row.policy")?;
-            parsed.services.insert(row.service, policy.into());
-        }
-        for row in content.overrides {
-            let values = required(row.values, "override_row.values")?;
-            parsed
-                .overrides
-                .entry(row.service)
-                .or_default()
-                .insert(row.server, values.into());
-        }
-        Ok(parsed)
+            services: content.services,
+            overrides: content.overrides,
+        })
     }
 }
--- /dev/null
+++ b/crates/chicory_wire/src/zone_convert.rs
@@ -0,0 +1,124 @@
+//! Conversions of the exchange of a zone group with the global group.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_consensus::MemberId;
+use chicory_ownership::{ZoneDirectory, ZoneSyncAnswer, ZoneSyncRefusal, ZoneSyncRequest};
+use chicory_table::CustodyLease;
+
+use crate::convert_error::{each, each_into, enumerated, millis, required};
+use crate::proto::view::NotLeader;
+use crate::proto::zone::zone_sync_answer::Answer;
+use crate::record_macro::{convert_enum, convert_record};
+use crate::{ConvertError, proto::zone};
+
+convert_record!(
+    MemberId,
+    zone::MemberId {
+        plain: [vm, incarnation],
+        nested: [],
+        list: [],
+    }
+);
+
+convert_record!(
+    ZoneDirectory,
+    zone::ZoneDirectory {
+        plain: [zone],
+        nested: [],
+        list: [entries],
+    }
+);
+
+convert_record!(
+    ZoneSyncRequest,
+    zone::ZoneSyncRequest {
+        plain: [
+            zone,
+            group_epoch,
+            leader,
+            in_force_revision,
+            known_custody_version
+        ],
+        nested: [],
+        list: [entries, releases],
+    }
+);
+
+convert_enum!(
+    ZoneSyncRefusal,
+    zone::ZoneSyncRefusal,
+    [Registering, SupersededGroup]
+);
+
+impl From<ZoneSyncAnswer> for zone::ZoneSyncAnswer {
+    fn from(value: ZoneSyncAnswer) -> Self {
+        let answer = match value {
+            ZoneSyncAnswer::Current {
+                custody_leases,
+                custody_version,
+                table,
+                custody,
+                zones,
+            } => Answer::Current(zone::ZoneSyncCurrent {
+                custody_leases: custody_leases.into_iter().map(service_lease).collect(),
+                custody_version,
+                table: table.map(Into::into),
+                custody: custody.map(Into::into),
+                zones: each_into(zones),
+            }),
+            ZoneSyncAnswer::NotLeader { leader } => Answer::NotLeader(NotLeader { leader }),
+            ZoneSyncAnswer::Refused(refusal) => {
+                Answer::Refused(zone::ZoneSyncRefusal::from(refusal).into())
+            }
+        };
+        Self {
+            answer: Some(answer),
+        }
+    }
+}
+
+fn service_lease((service, lease): (String, CustodyLease)) -> zone::ServiceLease {
+    let lease_ms = match lease {
+        CustodyLease::Unlimited => None,
+        CustodyLease::Limited(span) => Some(millis(span)),
+    };
+    zone::ServiceLease { service, lease_ms }
+}
+
+fn custody_leases(messages: Vec<zone::ServiceLease>) -> BTreeMap<String, CustodyLease> {
+    let leases = messages.into_iter().map(|message| {
+        let lease = message
+            .lease_ms
+            .map_or(CustodyLease::Unlimited, |lease_ms| {
+                CustodyLease::Limited(Duration::from_millis(lease_ms))
+            });
+        (message.service, lease)
+    });
+    leases.collect()
+}
+
+impl TryFrom<zone::ZoneSyncAnswer> for ZoneSyncAnswer {
+    type Error = ConvertError;
+
+    fn try_from(message: zone::ZoneSyncAnswer) -> Result<Self, ConvertError> {
+        match required(message.answer, "zone_sync_answer.answer")? {
+            Answer::Current(current) => Ok(Self::Current {
+                custody_leases: custody_leases(current.custody_leases),
+                custody_version: current.custody_version,
+                table: current.table.map(TryInto::try_into).transpose()?,
+                custody: current.custody.map(TryInto::try_into).transpose()?,
+                zones: each(current.zones)?,
+            }),
+            Answer::NotLeader(other) => Ok(Self::NotLeader {
+                leader: other.leader,
+            }),
+            Answer::Refused(refusal) => {
+                let refusal: zone::ZoneSyncRefusal =
+                    enumerated(refusal, "zone_sync_answer.refused")?;
+                Ok(Self::Refused(refusal.into()))
+            }
+        }
+    }
+}
