Reduce all events of a control process

Cause: renewals, claims, zone exchange, operators' calls and the formation of zone groups meet in one process. Ruled out: letting a member without memory join whatever group it hears of: a group of a later epoch that never formed could then take members from one that lives. It keeps away from every group from its question to the global group until it is told to join. Conclusion: one reducer over all events; the formation of a zone's group is replicated by the global group, each epoch once.

--- a/crates/chicory_control/src/control_call.rs
+++ b/crates/chicory_control/src/control_call.rs
@@ -1,5 +1,8 @@
 //! Calls that other processes make, and what they are answered.
 
+use std::collections::BTreeSet;
+
+use chicory_consensus::MemberId;
 use chicory_ownership::{
     ClaimAnswer, ClaimRequest, ClaimResolution, Claimant, RenewAnswer, RenewRequest, ServerRecord,
     ZoneDirectory, ZoneSyncAnswer, ZoneSyncRequest,
@@ -10,6 +13,8 @@
     Slot, VmId, ZoneName,
 };
 
+use crate::GroupName;
+
 /// Identifier of a call in this process.
 pub type CallId = u64;
 
@@ -71,7 +76,12 @@
     /// The process's start.
     pub incarnation: Incarnation,
     /// All VMs that are to be voters of the zone's group.
-    pub zone_vms: Vec<VmId>,
+    pub zone_vms: BTreeSet<VmId>,
+    /// Whether the receiver is asked as a member of the zone's group or of the global group.
+    pub asked_group: GroupName,
+    /// Epoch of the group that the process remembers but can't find a leader of; `None` for a
+    /// process without memory.
+    pub remembered_epoch: Option<u64>,
 }
 
 /// What a member without memory is told.
@@ -89,7 +99,7 @@
         /// Epoch of the group.
         group_epoch: u64,
         /// Its founders.
-        founders: Vec<Founder>,
+        founders: BTreeSet<MemberId>,
     },
     /// Another process leads the global group.
     NotLeader {
@@ -98,15 +108,6 @@
     },
 }
 
-/// A founding member of a zone's group.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Founder {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its start.
-    pub incarnation: Incarnation,
-}
-
 /// A call of an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorCall {
--- a/crates/chicory_control/src/control_event.rs
+++ b/crates/chicory_control/src/control_event.rs
@@ -19,7 +19,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlEvent {
     /// Time has passed; sent no later than the reducer's next wake-up.
-    Tick,
+    Tick {
+        /// Wall-clock time in milliseconds since the Unix epoch, for audit records alone.
+        wall_ms: u64,
+    },
     /// A message of another member arrived.
     PeerReceived {
         /// The group.
@@ -59,10 +62,10 @@
     },
     /// The sync got no answer.
     ZoneSyncFailed,
-    /// The global group told this member without memory what to do.
+    /// A member without memory was told what to do.
     FormationAnswered {
-        /// The process that answered.
-        from: VmId,
+        /// The group that was asked.
+        group: GroupName,
         /// The answer.
         answer: FormationAnswer,
     },
--- a/crates/chicory_control/src/group.rs
+++ b/crates/chicory_control/src/group.rs
@@ -120,12 +120,7 @@
     }
 
     /// Proposes a command.
-    pub fn propose(
-        &mut self,
-        now: MonoTime,
-        command: M::Command,
-        waiter: W,
-    ) -> GroupEffects<M, W> {
+    pub fn propose(&mut self, now: MonoTime, command: M::Command, waiter: W) -> GroupEffects<M, W> {
         let proposal_id = self.next_proposal;
         self.next_proposal += 1;
         self.waiters.insert(proposal_id, waiter);
--- a/crates/chicory_control/src/lib.rs
+++ b/crates/chicory_control/src/lib.rs
@@ -1,1 +1,36 @@
 //! The control process: the replicated global and zone groups.
+//!
+//! A control process is a voter of the group of its availability zone and, on the few VMs with a
+//! disk, of the global group. [`ControlCore`] is its reducer; the binary carries out the effects.
+
+mod control_call;
+mod control_config;
+mod control_effect;
+mod control_event;
+mod convert;
+mod core;
+mod formation_desk;
+mod global_machine;
+mod group;
+mod state_machine;
+mod zone_machine;
+mod zone_seat;
+
+pub use crate::core::{ControlCore, GlobalGroup, GlobalWaiter, ZoneWaiter};
+pub use control_call::{
+    Acknowledgement, CallId, Caller, ControlCall, ControlReply, FormationAnswer, FormationRequest,
+    OperatorCall, OperatorFailure, OperatorReply, OwnerSummary, ServerSummary, ZoneSummary,
+};
+pub use control_config::{
+    ControlConfig, FORMATION_INTERVAL, FORMATION_MARK_LIMIT, FORMATION_PATIENCE, PLAN_INTERVAL,
+    ZONE_SYNC_INTERVAL,
+};
+pub use control_effect::{ControlEffect, ControlNote};
+pub use control_event::{ControlEvent, GroupName};
+pub use convert::{call_of, formation_answer_of, formation_request_message, reply_message};
+pub use formation_desk::{FormationDecision, FormationDesk};
+pub use global_machine::{GlobalEntry, GlobalMachine, ZoneFormation};
+pub use group::{Group, GroupEffect, GroupEffects, PersistRequest};
+pub use state_machine::{DecodeError, StateMachine};
+pub use zone_machine::ZoneMachine;
+pub use zone_seat::{FormationQuestion, ZoneGroup, ZoneSeat};
--- /dev/null
+++ b/crates/chicory_control/src/zone_seat.rs
@@ -0,0 +1,244 @@
+//! A process's part in the group of its zone.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use chicory_consensus::{
+    ConfigError, Formation, GroupStatus, MemberId, Replica, ReplicaConfig, RestoredState,
+};
+use chicory_types::{MonoTime, VmId};
+
+use crate::control_config::FORMATION_INTERVAL;
+use crate::formation_desk::promise_end;
+use crate::{ControlConfig, FormationAnswer, Group, GroupName, ZoneMachine, ZoneWaiter};
+
+/// How long a member may be without a leader before it asks whether its group still exists.
+const LEADERLESS_LIMIT: Duration = Duration::from_secs(3);
+/// How long a process without memory asks the other members of its zone before it asks the global
+/// group.
+const PEERS_FIRST: Duration = Duration::from_millis(1_500);
+
+/// The group of the zone, as a member sees it.
+pub type ZoneGroup = Group<ZoneMachine, ZoneWaiter>;
+
+/// Whom to ask what to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FormationQuestion {
+    /// Nobody at the moment.
+    None,
+    /// Another member of this group.
+    Ask {
+        /// The group.
+        group: GroupName,
+        /// Epoch of the group that the process remembers.
+        remembered_epoch: Option<u64>,
+    },
+}
+
+/// A process's part in the group of its zone.
+///
+/// A process without memory first asks the other members of its zone, since these know whether the
+/// group lives, also when the global group can't be reached. Then it asks the global group, and
+/// from there on keeps away from the zone's group until it is told to join.
+pub struct ZoneSeat {
+    config: ControlConfig,
+    /// Start of the process's memory; each new part in a group is a new member.
+    incarnation: u64,
+    group: Option<ZoneGroup>,
+    waiting_since: MonoTime,
+    asked_global_at: Option<MonoTime>,
+    has_leader_at: MonoTime,
+    ask_at: MonoTime,
+}
+
+impl ZoneSeat {
+    /// Creates the seat of a process that was just started.
+    #[must_use]
+    pub fn new(config: ControlConfig, now: MonoTime) -> Self {
+        Self {
+            incarnation: config.incarnation,
+            config,
+            group: None,
+            waiting_since: now,
+            asked_global_at: None,
+            has_leader_at: now,
+            ask_at: now,
+        }
+    }
+
+    /// The group that the process takes part in.
+    #[must_use]
+    pub fn group(&self) -> Option<&ZoneGroup> {
+        self.group.as_ref()
+    }
+
+    /// The group that the process takes part in.
+    pub fn group_mut(&mut self) -> Option<&mut ZoneGroup> {
+        self.group.as_mut()
+    }
+
+    /// The member that the process is or will be.
+    #[must_use]
+    pub fn member(&self) -> MemberId {
+        MemberId::new(self.config.vm.clone(), self.incarnation)
+    }
+
+    /// When [`question`](Self::question) may have something to ask.
+    #[must_use]
+    pub fn next_wakeup(&self) -> MonoTime {
+        self.ask_at
+    }
+
+    /// Whom to ask now.
+    pub fn question(&mut self, now: MonoTime) -> FormationQuestion {
+        if now < self.ask_at {
+            return FormationQuestion::None;
+        }
+        self.ask_at = now + FORMATION_INTERVAL;
+        match &self.group {
+            Some(group) => self.question_of_member(now, group.replica().group_epoch()),
+            None => self.question_without_memory(now),
+        }
+    }
+
+    fn question_of_member(&mut self, now: MonoTime, group_epoch: u64) -> FormationQuestion {
+        if self.has_leader() {
+            self.has_leader_at = now;
+        }
+        if now < self.has_leader_at + LEADERLESS_LIMIT {
+            return FormationQuestion::None;
+        }
+        if !self.is_formed() {
+            self.leave(now);
+            return FormationQuestion::None;
+        }
+        FormationQuestion::Ask {
+            group: GroupName::Global,
+            remembered_epoch: Some(group_epoch),
+        }
+    }
+
+    fn question_without_memory(&mut self, now: MonoTime) -> FormationQuestion {
+        let is_early = now < self.waiting_since + PEERS_FIRST;
+        let is_bound = self
+            .asked_global_at
+            .is_some_and(|asked_at| now < promise_end(asked_at));
+        let has_peers = self.config.zone_vms.len() > 1;
+        let group = if is_early && !is_bound && has_peers {
+            GroupName::Zone
+        } else {
+            GroupName::Global
+        };
+        if group == GroupName::Global && !is_bound && !is_early {
+            // The next round of asking the zone follows if the global group stays silent.
+            self.waiting_since = now + PEERS_FIRST;
+        }
+        if group == GroupName::Global {
+            self.asked_global_at = Some(now);
+        }
+        FormationQuestion::Ask {
+            group,
+            remembered_epoch: None,
+        }
+    }
+
+    /// Whether the process knows a leader of the group.
+    #[must_use]
+    pub fn has_leader(&self) -> bool {
+        let group = self.group.as_ref();
+        group.is_some_and(|group| group.replica().leader().is_some())
+    }
+
+    fn is_formed(&self) -> bool {
+        let group = self.group.as_ref();
+        group.is_some_and(|group| {
+            let replica = group.replica();
+            replica.group_status() == GroupStatus::Formed && replica.last_index() > 0
+        })
+    }
+
+    /// Takes in the answer of another member of the zone; `true` if the process entered its group.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError`] where the settings make no valid member.
+    pub fn on_zone_answer(
+        &mut self,
+        now: MonoTime,
+        answer: &FormationAnswer,
+    ) -> Result<bool, ConfigError> {
+        let is_bound = self
+            .asked_global_at
+            .is_some_and(|asked_at| now < promise_end(asked_at));
+        match answer {
+            FormationAnswer::Join { group_epoch } if !is_bound && self.group.is_none() => {
+                self.enter(now, *group_epoch, Formation::Join)
+            }
+            _ => Ok(false),
+        }
+    }
+
+    /// Takes in the answer of the global group; `true` if the process left or entered a group.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError`] where the settings make no valid member.
+    pub fn on_global_answer(
+        &mut self,
+        now: MonoTime,
+        answer: &FormationAnswer,
+    ) -> Result<bool, ConfigError> {
+        if let Some(group) = &self.group {
+            let known_epoch = group.replica().group_epoch();
+            let is_replaced = matches!(answer, FormationAnswer::Join { group_epoch } if *group_epoch > known_epoch);
+            if is_replaced && !self.has_leader() {
+                self.leave(now);
+            }
+            return Ok(is_replaced);
+        }
+        match answer {
+            FormationAnswer::Join { group_epoch } => self.enter(now, *group_epoch, Formation::Join),
+            FormationAnswer::Found {
+                group_epoch,
+                founders,
+            } => self.enter(now, *group_epoch, self.formation_of(founders)),
+            FormationAnswer::Wait | FormationAnswer::NotLeader { .. } => Ok(false),
+        }
+    }
+
+    fn formation_of(&self, founders: &BTreeSet<MemberId>) -> Formation {
+        if founders.contains(&self.member()) {
+            Formation::Founders(founders.clone())
+        } else {
+            Formation::Join
+        }
+    }
+
+    fn enter(
+        &mut self,
+        now: MonoTime,
+        group_epoch: u64,
+        formation: Formation,
+    ) -> Result<bool, ConfigError> {
+        let zone_vms: Vec<VmId> = self.config.zone_vms.iter().cloned().collect();
+        let replica_config = ReplicaConfig::builder(self.member(), zone_vms)
+            .group_epoch(group_epoch)
+            .formation(formation)
+            .seed(self.config.seed ^ self.incarnation)
+            .build()?;
+        let replica = Replica::new(replica_config, RestoredState::fresh(), now);
+        let machine = ZoneMachine::new(self.config.zone.clone(), group_epoch);
+        self.group = Some(Group::new(replica, machine, false));
+        self.has_leader_at = now;
+        Ok(true)
+    }
+
+    /// Leaves the group and forgets all of it; the process comes back as another member.
+    fn leave(&mut self, now: MonoTime) {
+        self.group = None;
+        self.incarnation += 1;
+        self.waiting_since = now;
+        self.asked_global_at = None;
+        self.ask_at = now;
+    }
+}
--- a/crates/chicory_ownership/src/global/global_leader.rs
+++ b/crates/chicory_ownership/src/global/global_leader.rs
@@ -89,6 +89,17 @@
         now + PLAN_INTERVAL
     }
 
+    /// The zone's entry processes, as it last told of them; none for a zone never heard of.
+    #[must_use]
+    pub fn directory_of(&self, zone: &ZoneName) -> ZoneDirectory {
+        let unknown = || ZoneDirectory {
+            zone: zone.clone(),
+            entries: Vec::new(),
+        };
+        let contact = self.contacts.get(zone);
+        contact.map_or_else(unknown, |contact| contact.directory.clone())
+    }
+
     /// Whether the zone was heard of lately.
     #[must_use]
     pub fn is_reachable(&self, now: MonoTime, zone: &ZoneName) -> bool {
