--- /dev/null
+++ b/crates/chicory_dispatch/src/arrivals.rs
@@ -0,0 +1,146 @@
+//! Requests that come in and callers that leave.
+
+use chicory_types::{MonoTime, RequestId};
+
+use crate::crash_suspects::Suspicion;
+use crate::demand::Demand;
+use crate::exchanges::{ConnectionFate, end_exchange};
+use crate::path_state::PathState;
+use crate::placing::place;
+use crate::request_state::{Phase, RequestState};
+use crate::service_limits::ServiceLimits;
+use crate::{Effect, Outcome, RefusalReason, RequestHead, RequestOrigin};
+
+/// Takes a request in.
+pub(crate) fn on_arrived(state: &mut PathState, head: RequestHead) {
+    let id = head.request;
+    if state.requests.contains_key(&id) {
+        return;
+    }
+    count(state, &head);
+    match check(state, &head) {
+        Ok(checked) => {
+            let request = RequestState::new(head, checked.demand, checked.expires_at);
+            place(state, id, request);
+        }
+        Err(reason) => {
+            let pause = state.usual_pause(reason);
+            state.emit_refusal(id, Outcome::NotRun, reason, pause);
+        }
+    }
+}
+
+/// What was found of a request that may be placed.
+struct Checked {
+    demand: Demand,
+    expires_at: MonoTime,
+}
+
+fn count(state: &mut PathState, head: &RequestHead) {
+    match head.origin {
+        RequestOrigin::Caller => state.counters.from_callers += 1,
+        RequestOrigin::Relay { .. } => state.counters.from_relays += 1,
+    }
+}
+
+fn check(state: &mut PathState, head: &RequestHead) -> Result<Checked, RefusalReason> {
+    let Some(policy) = state.directory.policy(&head.service) else {
+        return Err(missing_service(state));
+    };
+    let demand = Demand::of(policy, head)?;
+    let deadline = head.deadline.unwrap_or(policy.deadline);
+    if deadline.is_zero() {
+        return Err(RefusalReason::DeadlinePassed);
+    }
+    check_quarantine(state, head)?;
+    if state.requests.len() >= state.config.max_requests {
+        return Err(RefusalReason::QueueFull);
+    }
+    spend_rate(state, head)?;
+    Ok(Checked {
+        demand,
+        expires_at: state.now + deadline,
+    })
+}
+
+/// Before the first view nothing is known of any service.
+fn missing_service(state: &PathState) -> RefusalReason {
+    if state.directory.version() == 0 {
+        RefusalReason::NoLease
+    } else {
+        RefusalReason::UnknownService
+    }
+}
+
+fn check_quarantine(state: &PathState, head: &RequestHead) -> Result<(), RefusalReason> {
+    let is_refused = state.directory.is_quarantined(head.fingerprint)
+        || state.suspects.suspicion(head.fingerprint) == Suspicion::Refuse;
+    if is_refused {
+        return Err(RefusalReason::Quarantined);
+    }
+    Ok(())
+}
+
+/// Credits the retry budget and takes a token of the rate limit, which counts callers only.
+fn spend_rate(state: &mut PathState, head: &RequestHead) -> Result<(), RefusalReason> {
+    let now = state.now;
+    let share = state.config.retry_share;
+    let limits = match state.services.get_mut(&head.service) {
+        Some(limits) => limits,
+        None => state
+            .services
+            .entry(head.service.clone())
+            .or_insert_with(|| ServiceLimits::new(share, now)),
+    };
+    limits.retries.credit();
+    if head.origin != RequestOrigin::Caller {
+        return Ok(());
+    }
+    let taken = limits
+        .rate
+        .as_mut()
+        .map_or(Ok(()), |rate| rate.try_take(now));
+    taken.map_err(|_| RefusalReason::RateLimited)
+}
+
+/// Gives up the request of a caller that left.
+///
+/// An order that may be running goes on to its end, so that its answer is there for a resend.
+pub(crate) fn on_caller_gone(state: &mut PathState, id: RequestId) {
+    let Some(mut request) = state.take(id) else {
+        return;
+    };
+    request.is_caller_gone = true;
+    let is_running_order =
+        request.demand.needs_claim && matches!(request.phase, Phase::InFlight(_));
+    if is_running_order {
+        state.put(id, request);
+        return;
+    }
+    leave_phase(state, id, &request);
+    state.refuse(id, &request, RefusalReason::DeadlinePassed);
+}
+
+/// Takes a request out of its queue, exchange or relay.
+pub(crate) fn leave_phase(state: &mut PathState, id: RequestId, request: &RequestState) {
+    match &request.phase {
+        Phase::Placing => {}
+        Phase::Claiming(index) => {
+            if let Some(server) = state.servers.get_mut(index) {
+                server.claiming = server.claiming.saturating_sub(1);
+            }
+        }
+        Phase::Queued(index) => {
+            if let Some(server) = state.servers.get_mut(index) {
+                server.queue.remove(request.demand.flow(), id);
+            }
+        }
+        Phase::InFlight(exchange) => {
+            end_exchange(state, id, request, *exchange, ConnectionFate::Close);
+        }
+        Phase::Relayed(leg) => {
+            crate::relays::end(state, leg);
+            state.emit(Effect::CancelRelay { request: id });
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/connection_pool.rs
@@ -0,0 +1,182 @@
+//! The connections to one backend server.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_types::{MonoTime, RequestId};
+
+use crate::ConnectionId;
+
+/// How long a closed connection still counts against the server's limit, unless its end is
+/// reported earlier.
+pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(100);
+/// How long the rest of a dropped answer may take before its connection is closed.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection may take to open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionState {
+    /// It is being opened.
+    Opening,
+    /// It waits for a request.
+    Idle,
+    /// It carries a request.
+    Busy(RequestId),
+    /// It takes in the rest of a dropped answer.
+    Discarding,
+    /// It was closed and may still be open at the server.
+    Closing,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Connection {
+    pub(crate) state: ConnectionState,
+    pub(crate) opened_at: MonoTime,
+    /// When the state was entered.
+    pub(crate) since: MonoTime,
+    /// When the server was last heard on it.
+    pub(crate) heard_at: MonoTime,
+}
+
+/// The connections to one backend server, all counted from their opening to their end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionPool {
+    connections: BTreeMap<ConnectionId, Connection>,
+    idle: Vec<ConnectionId>,
+    opening: usize,
+}
+
+impl ConnectionPool {
+    /// Connections that count against the server's limit.
+    pub(crate) fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    pub(crate) fn opening(&self) -> usize {
+        self.opening
+    }
+
+    pub(crate) fn state(&self, id: ConnectionId) -> Option<ConnectionState> {
+        self.connections.get(&id).map(|c| c.state)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (ConnectionId, &Connection)> {
+        self.connections.iter().map(|(id, c)| (*id, c))
+    }
+
+    pub(crate) fn open(&mut self, id: ConnectionId, now: MonoTime) {
+        self.opening += 1;
+        self.connections.insert(
+            id,
+            Connection {
+                state: ConnectionState::Opening,
+                opened_at: now,
+                since: now,
+                heard_at: now,
+            },
+        );
+    }
+
+    /// Makes a connection ready for a request; false where it was given up meanwhile.
+    pub(crate) fn set_idle(&mut self, id: ConnectionId, now: MonoTime) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return false;
+        };
+        match connection.state {
+            ConnectionState::Idle | ConnectionState::Closing => return false,
+            ConnectionState::Opening => self.opening -= 1,
+            ConnectionState::Busy(_) | ConnectionState::Discarding => {}
+        }
+        connection.state = ConnectionState::Idle;
+        connection.since = now;
+        connection.heard_at = now;
+        self.idle.push(id);
+        true
+    }
+
+    /// Takes the connection that was used last, so that the others can reach their idle cap.
+    pub(crate) fn take_idle(&mut self, request: RequestId, now: MonoTime) -> Option<ConnectionId> {
+        let id = self.idle.pop()?;
+        self.set_state(id, ConnectionState::Busy(request), now);
+        Some(id)
+    }
+
+    pub(crate) fn discard(&mut self, id: ConnectionId, now: MonoTime) {
+        self.set_state(id, ConnectionState::Discarding, now);
+    }
+
+    /// Marks a connection as closed by us; false where it is gone or closed already.
+    pub(crate) fn close(&mut self, id: ConnectionId, now: MonoTime) -> bool {
+        match self.state(id) {
+            None | Some(ConnectionState::Closing) => return false,
+            Some(ConnectionState::Opening) => self.opening -= 1,
+            Some(ConnectionState::Idle) => self.idle.retain(|other| *other != id),
+            Some(_) => {}
+        }
+        self.set_state(id, ConnectionState::Closing, now);
+        true
+    }
+
+    /// Forgets a connection that has ended.
+    pub(crate) fn forget(&mut self, id: ConnectionId) {
+        match self.connections.remove(&id).map(|c| c.state) {
+            Some(ConnectionState::Opening) => self.opening -= 1,
+            Some(ConnectionState::Idle) => self.idle.retain(|other| *other != id),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn heard(&mut self, id: ConnectionId, now: MonoTime) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.heard_at = now;
+        }
+    }
+
+    pub(crate) fn opened_at(&self, id: ConnectionId) -> Option<MonoTime> {
+        self.connections.get(&id).map(|c| c.opened_at)
+    }
+
+    /// Closed connections whose linger is over.
+    pub(crate) fn lingered(&self, now: MonoTime) -> Vec<ConnectionId> {
+        let is_over =
+            |c: &Connection| c.state == ConnectionState::Closing && now >= c.since + CLOSE_LINGER;
+        let over = self.connections.iter().filter(|(_, c)| is_over(c));
+        over.map(|(id, _)| *id).collect()
+    }
+
+    /// Connections that have to be closed for their age, idle time or lack of progress.
+    pub(crate) fn overdue(
+        &self,
+        now: MonoTime,
+        idle_cap: Duration,
+        age_cap: Duration,
+    ) -> Vec<ConnectionId> {
+        let is_overdue = |c: &Connection| match c.state {
+            ConnectionState::Opening => now >= c.since + OPEN_TIMEOUT,
+            ConnectionState::Discarding => now >= c.since + DISCARD_TIMEOUT,
+            ConnectionState::Idle => now >= c.since + idle_cap || now >= c.opened_at + age_cap,
+            ConnectionState::Busy(_) | ConnectionState::Closing => false,
+        };
+        let overdue = self.connections.iter().filter(|(_, c)| is_overdue(c));
+        overdue.map(|(id, _)| *id).collect()
+    }
+
+    /// Connections without a request that the server wasn't heard on since `since`.
+    pub(crate) fn silent_idle(&self, since: MonoTime) -> Vec<ConnectionId> {
+        let silent = |c: &Connection| {
+            c.heard_at <= since
+                && matches!(c.state, ConnectionState::Idle | ConnectionState::Discarding)
+        };
+        let found = self.connections.iter().filter(|(_, c)| silent(c));
+        found.map(|(id, _)| *id).collect()
+    }
+
+    fn set_state(&mut self, id: ConnectionId, state: ConnectionState, now: MonoTime) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.state = state;
+            connection.since = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/crash_suspects.rs
@@ -0,0 +1,84 @@
+//! Requests that were in flight when a backend server crashed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+/// Crashes after which a fingerprint is refused.
+pub(crate) const MAX_CRASHES: u32 = 2;
+/// Fingerprints that are remembered at most.
+const MAX_SUSPECTS: usize = 1_024;
+/// How long a fingerprint is remembered after its last crash.
+const SUSPICION: Duration = Duration::from_mins(10);
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    crashes: u32,
+    last_at: MonoTime,
+}
+
+/// How far a fingerprint is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Suspicion {
+    /// Not at all.
+    None,
+    /// It runs alone until it is acquitted.
+    Isolate,
+    /// It is refused.
+    Refuse,
+}
+
+/// Fingerprints that were in flight when a backend server crashed.
+///
+/// A suspect runs alone, so the second crash has a single suspect and an innocent request is
+/// acquitted by its first whole answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashSuspects {
+    suspects: BTreeMap<u64, Suspect>,
+}
+
+impl CrashSuspects {
+    pub(crate) fn suspicion(&self, fingerprint: u64) -> Suspicion {
+        match self.suspects.get(&fingerprint).map(|s| s.crashes) {
+            None => Suspicion::None,
+            Some(crashes) if crashes < MAX_CRASHES => Suspicion::Isolate,
+            Some(_) => Suspicion::Refuse,
+        }
+    }
+
+    /// Blames a request for a crash.
+    ///
+    /// One that ran in company is never blamed past isolation: only a crash on its own refuses it.
+    pub(crate) fn blame(&mut self, fingerprint: u64, was_alone: bool, now: MonoTime) {
+        let suspect = self.suspects.entry(fingerprint).or_insert(Suspect {
+            crashes: 0,
+            last_at: now,
+        });
+        suspect.last_at = now;
+        let limit = if was_alone { MAX_CRASHES } else { 1 };
+        suspect.crashes = (suspect.crashes + 1).min(limit.max(suspect.crashes));
+        self.bound();
+    }
+
+    pub(crate) fn acquit(&mut self, fingerprint: u64) {
+        if !self.suspects.is_empty() {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    pub(crate) fn forget_old(&mut self, now: MonoTime) {
+        self.suspects
+            .retain(|_, suspect| now < suspect.last_at + SUSPICION);
+    }
+
+    fn bound(&mut self) {
+        while self.suspects.len() > MAX_SUSPECTS {
+            let oldest = self.suspects.iter().min_by_key(|(_, s)| s.last_at);
+            let Some(fingerprint) = oldest.map(|(f, _)| *f) else {
+                return;
+            };
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/demand.rs
@@ -0,0 +1,66 @@
+//! What a request asks of the routing.
+
+use chicory_table::ServicePolicy;
+use chicory_types::{Slot, slot_of_key};
+
+use crate::fair_queue::FlowId;
+use crate::{RefusalReason, RequestHead};
+
+/// Flow of requests that belong to no slot.
+const SHARED_FLOW: FlowId = FlowId::MAX;
+
+/// Which backend servers may serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Target {
+    /// The owner of the key's slot.
+    Owner(Slot),
+    /// Any server of the zone that has custody of the order key's slot.
+    Custodian(Slot),
+    /// Any server of the service.
+    Any,
+}
+
+/// What a request asks of the routing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Demand {
+    pub(crate) target: Target,
+    /// Whether it may only run under a claim.
+    pub(crate) needs_claim: bool,
+}
+
+impl Demand {
+    /// Works the demand out, or says why the request can't be served at all.
+    pub(crate) fn of(policy: &ServicePolicy, head: &RequestHead) -> Result<Self, RefusalReason> {
+        let needs_claim = !policy.idempotent && !head.is_safe_method;
+        if needs_claim && head.order_key.is_none() {
+            return Err(RefusalReason::MissingOrderKey);
+        }
+        let target = Self::target_of(policy, head, needs_claim)?;
+        Ok(Self {
+            target,
+            needs_claim,
+        })
+    }
+
+    fn target_of(
+        policy: &ServicePolicy,
+        head: &RequestHead,
+        needs_claim: bool,
+    ) -> Result<Target, RefusalReason> {
+        if policy.keyed {
+            let key = head.key.as_deref().ok_or(RefusalReason::MissingKey)?;
+            return Ok(Target::Owner(slot_of_key(key)));
+        }
+        match &head.order_key {
+            Some(key) if needs_claim => Ok(Target::Custodian(slot_of_key(key))),
+            _ => Ok(Target::Any),
+        }
+    }
+
+    pub(crate) fn flow(self) -> FlowId {
+        match self.target {
+            Target::Owner(slot) => FlowId::from(slot),
+            Target::Custodian(_) | Target::Any => SHARED_FLOW,
+        }
+    }
+}
--- a/crates/chicory_dispatch/src/directory.rs
+++ b/crates/chicory_dispatch/src/directory.rs
@@ -73,6 +73,12 @@
         self.servers.get(*self.names.get(id)?)
     }
 
+    /// Index of the server with this name.
+    #[must_use]
+    pub fn index_named(&self, id: &str) -> Option<ServerIndex> {
+        self.names.get(id).copied()
+    }
+
     /// All servers that were ever known, in the order of their indices.
     #[must_use]
     pub fn servers(&self) -> &[DirectoryServer] {
--- a/crates/chicory_dispatch/src/effect.rs
+++ b/crates/chicory_dispatch/src/effect.rs
@@ -84,7 +84,11 @@
         /// Load to tell a relaying process.
         load: RelayLoad,
     },
-    /// Drop the answer that has started, since the request is tried again.
+    /// Drop the answer that has started; the request is tried again or refused.
+    ///
+    /// Once the rest is taken in, the connection is told as
+    /// [`Event::Connected`](crate::Event::Connected) where it can be used again, else as
+    /// [`Event::ConnectionClosed`](crate::Event::ConnectionClosed). A relay's stream is reset.
     DiscardAnswer {
         /// The request.
         request: RequestId,
--- a/crates/chicory_dispatch/src/event.rs
+++ b/crates/chicory_dispatch/src/event.rs
@@ -18,6 +18,10 @@
     /// The head of a request came in.
     RequestArrived(RequestHead),
     /// The caller, or the process that relayed, left or cancelled.
+    ///
+    /// No final effect follows. An order in flight goes on, so that its answer can be kept: where
+    /// [`Effect::ForwardAnswer`](crate::Effect::ForwardAnswer) comes for it, the answer is read to
+    /// its end and passed to nobody.
     CallerGone {
         /// The request.
         request: RequestId,
@@ -47,7 +51,8 @@
         /// The order.
         request: RequestId,
     },
-    /// A connection is open.
+    /// A connection is open, or carries another request again after
+    /// [`Effect::DiscardAnswer`](crate::Effect::DiscardAnswer).
     Connected {
         /// The connection.
         connection: ConnectionId,
@@ -59,7 +64,8 @@
         /// Why.
         failure: ConnectFailure,
     },
-    /// An idle connection was closed from the other end or broke.
+    /// A connection without a request was closed from the other end, broke, or has ended after
+    /// [`Effect::Close`](crate::Effect::Close).
     ConnectionClosed {
         /// The connection.
         connection: ConnectionId,
--- /dev/null
+++ b/crates/chicory_dispatch/src/exchanges.rs
@@ -0,0 +1,325 @@
+//! Exchanges with backend servers: answers, their failures and their ends.
+
+use chicory_ownership::{ClaimResolution, StoredAnswer};
+use chicory_types::{MonoTime, RequestId};
+
+use crate::directory::ServerIndex;
+use crate::path_state::PathState;
+use crate::placing::pump;
+use crate::request_state::{Exchange, Phase, RequestState};
+use crate::server_state::{Break, ServerState, Suspicion};
+use crate::{
+    ConnectionId, Effect, ExchangeFailure, RefusalReason, RequestIdEcho, ServerRefusal, health,
+    retries,
+};
+
+/// Lowest HTTP status that counts as a failure of the server.
+const FIRST_SERVER_ERROR: u16 = 500;
+
+/// What becomes of the connection of an exchange that ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionFate {
+    /// It carries another request.
+    Reuse,
+    /// It takes in the rest of the answer first.
+    Discard,
+    /// It is closed.
+    Close,
+    /// It has ended by itself.
+    Gone,
+}
+
+/// Takes a request out that is in an exchange; puts any other one back.
+fn take_exchange(state: &mut PathState, id: RequestId) -> Option<(RequestState, Exchange)> {
+    let request = state.take(id)?;
+    if let Phase::InFlight(exchange) = request.phase {
+        return Some((request, exchange));
+    }
+    state.put(id, request);
+    None
+}
+
+/// Decides on the head of an answer.
+pub(crate) fn on_answer_started(
+    state: &mut PathState,
+    id: RequestId,
+    status: u16,
+    echo: RequestIdEcho,
+    refusal: Option<ServerRefusal>,
+) {
+    let Some((request, exchange)) = take_exchange(state, id) else {
+        return;
+    };
+    if exchange.is_forwarding {
+        state.put(id, request);
+        return;
+    }
+    heard(state, exchange);
+    match (echo, refusal) {
+        (RequestIdEcho::Mismatched, _) => refuse_mismatched(state, id, request, exchange),
+        (_, Some(refusal)) => on_server_refusal(state, id, request, exchange, refusal),
+        (_, None) => forward(state, id, request, exchange, status),
+    }
+}
+
+fn heard(state: &mut PathState, exchange: Exchange) {
+    let now = state.now;
+    if let Some(server) = state.servers.get_mut(&exchange.server) {
+        server.pool.heard(exchange.connection, now);
+        server.expired_in_row = 0;
+    }
+}
+
+fn refuse_mismatched(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: RequestState,
+    exchange: Exchange,
+) {
+    state.counters.mismatched_answers += 1;
+    end_exchange(state, id, &request, exchange, ConnectionFate::Close);
+    request.end_unproven();
+    retries::retry_or_refuse(state, id, request, RefusalReason::AnswerBroken);
+    pump(state, exchange.server);
+}
+
+/// The server itself says that it did not run the request.
+fn on_server_refusal(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: RequestState,
+    exchange: Exchange,
+    refusal: ServerRefusal,
+) {
+    state.emit(Effect::DiscardAnswer { request: id });
+    end_exchange(state, id, &request, exchange, ConnectionFate::Discard);
+    request.end_unsent();
+    let reason = match refusal {
+        ServerRefusal::Token => RefusalReason::TokenRefused,
+        ServerRefusal::Shed => RefusalReason::ServerShed,
+        ServerRefusal::Draining => {
+            health::drain(state, exchange.server);
+            RefusalReason::ServerShed
+        }
+        ServerRefusal::Deadline => RefusalReason::DeadlinePassed,
+    };
+    request.avoid(exchange.server);
+    if refusal == ServerRefusal::Deadline {
+        state.refuse(id, &request, reason);
+    } else {
+        retries::retry_or_refuse(state, id, request, reason);
+    }
+    pump(state, exchange.server);
+}
+
+fn forward(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: RequestState,
+    exchange: Exchange,
+    status: u16,
+) {
+    let load = state.servers.get(&exchange.server).map(ServerState::load);
+    request.phase = Phase::InFlight(Exchange {
+        heard_at: state.now,
+        is_forwarding: true,
+        is_failure: status >= FIRST_SERVER_ERROR,
+        ..exchange
+    });
+    state.put(id, request);
+    state.counters.forwarded += 1;
+    state.emit(Effect::ForwardAnswer {
+        request: id,
+        load: load.unwrap_or_default(),
+    });
+}
+
+/// Notes progress of an exchange or of a relay.
+pub(crate) fn on_progressed(state: &mut PathState, id: RequestId, is_answer: bool) {
+    let now = state.now;
+    let Some(request) = state.requests.get_mut(&id) else {
+        return;
+    };
+    let Phase::InFlight(exchange) = &mut request.phase else {
+        return;
+    };
+    exchange.heard_at = now;
+    let exchange = *exchange;
+    if is_answer {
+        heard(state, exchange);
+    }
+}
+
+/// The answer is complete and passed on.
+pub(crate) fn on_finished(
+    state: &mut PathState,
+    id: RequestId,
+    kept: Option<StoredAnswer>,
+    is_reusable: bool,
+) {
+    let Some((request, exchange)) = take_exchange(state, id) else {
+        return;
+    };
+    let fate = if is_reusable {
+        ConnectionFate::Reuse
+    } else {
+        ConnectionFate::Close
+    };
+    heard(state, exchange);
+    let taken = state.now.saturating_sub(exchange.written_at);
+    if let Some(server) = state.servers.get_mut(&exchange.server) {
+        server.service_time.record(taken);
+    }
+    end_exchange(state, id, &request, exchange, fate);
+    observe(state, exchange.server, exchange.is_failure);
+    state.suspects.acquit(request.head.fingerprint);
+    state.counters.finished += 1;
+    if request.demand.needs_claim {
+        let resolution = kept.map_or(ClaimResolution::Unknown, ClaimResolution::Answered);
+        state.resolve(id, &request, resolution);
+    }
+    pump(state, exchange.server);
+}
+
+fn observe(state: &mut PathState, index: ServerIndex, is_failure: bool) {
+    if is_failure {
+        health::note_failure(state, index);
+    } else if let Some(seen) = state.observations.get_mut(index) {
+        seen.succeeded();
+    }
+}
+
+/// The exchange failed.
+pub(crate) fn on_failed(state: &mut PathState, id: RequestId, failure: ExchangeFailure) {
+    let Some((mut request, exchange)) = take_exchange(state, id) else {
+        return;
+    };
+    let fate = match failure {
+        ExchangeFailure::Malformed => ConnectionFate::Close,
+        _ => ConnectionFate::Gone,
+    };
+    let was_alone = is_alone(state, exchange.server);
+    end_exchange(state, id, &request, exchange, fate);
+    if exchange.is_forwarding {
+        health::note_failure(state, exchange.server);
+        break_answer(state, id, &mut request);
+    } else {
+        match failure {
+            ExchangeFailure::NothingSent => on_nothing_sent(state, id, request),
+            ExchangeFailure::Malformed => {
+                health::note_failure(state, exchange.server);
+                request.end_unproven();
+                request.avoid(exchange.server);
+                retries::retry_or_refuse(state, id, request, RefusalReason::AnswerBroken);
+            }
+            ExchangeFailure::BrokenBeforeAnswer | ExchangeFailure::BrokenInAnswer => {
+                on_broken(state, id, request, exchange, was_alone);
+            }
+        }
+    }
+    pump(state, exchange.server);
+}
+
+fn is_alone(state: &PathState, index: ServerIndex) -> bool {
+    let server = state.servers.get(&index);
+    server.is_some_and(|s| s.in_flight.len() == 1 && s.breaks.is_empty())
+}
+
+fn on_nothing_sent(state: &mut PathState, id: RequestId, mut request: RequestState) {
+    request.end_unsent();
+    retries::retry_or_refuse(state, id, request, RefusalReason::ServerFailed);
+}
+
+/// A break before the answer may be a crash: a probe tells, and the next try runs alone.
+fn on_broken(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: RequestState,
+    exchange: Exchange,
+    was_alone: bool,
+) {
+    request.end_unproven();
+    request.breaks += 1;
+    request.avoid(exchange.server);
+    note_break(state, &request, exchange.server, was_alone);
+    health::note_failure(state, exchange.server);
+    health::suspect(state, exchange.server, Suspicion::Broken);
+    retries::retry_or_refuse(state, id, request, RefusalReason::ServerFailed);
+}
+
+fn note_break(state: &mut PathState, request: &RequestState, index: ServerIndex, was_alone: bool) {
+    let at = state.now;
+    let Some(server) = state.servers.get_mut(&index) else {
+        return;
+    };
+    server.breaks.push(Break {
+        fingerprint: request.head.fingerprint,
+        at,
+        was_alone,
+    });
+}
+
+/// Breaks an answer that is being passed on; its claim can't be resolved with an answer.
+pub(crate) fn break_answer(state: &mut PathState, id: RequestId, request: &mut RequestState) {
+    request.end_unproven();
+    if request.demand.needs_claim {
+        state.resolve(id, request, ClaimResolution::Unknown);
+    }
+    state.counters.broken_answers += 1;
+    state.emit(Effect::BreakAnswer { request: id });
+}
+
+/// Ends the exchange of a request that was taken out, and settles its connection.
+pub(crate) fn end_exchange(
+    state: &mut PathState,
+    id: RequestId,
+    request: &RequestState,
+    exchange: Exchange,
+    fate: ConnectionFate,
+) {
+    let now = state.now;
+    if fate == ConnectionFate::Close {
+        note_cancelled(state, request, exchange);
+    }
+    let age_cap = state.config.age_cap;
+    let Some(server) = state.servers.get_mut(&exchange.server) else {
+        return;
+    };
+    server.end(id);
+    let is_old = |opened_at: MonoTime| now >= opened_at + age_cap;
+    let connection = exchange.connection;
+    match fate {
+        ConnectionFate::Reuse if !server.pool.opened_at(connection).is_some_and(is_old) => {
+            server.pool.set_idle(connection, now);
+        }
+        ConnectionFate::Reuse | ConnectionFate::Close => close(state, connection),
+        ConnectionFate::Discard => server.pool.discard(connection, now),
+        ConnectionFate::Gone => {
+            server.pool.forget(connection);
+            state.connections.remove(&connection);
+        }
+    }
+}
+
+/// A cancelled exchange may still run at the server until its deadline or the end of the lease.
+fn note_cancelled(state: &mut PathState, request: &RequestState, exchange: Exchange) {
+    let Some((slot, _)) = request.grant else {
+        return;
+    };
+    let bound = state.now + state.config.server_lease;
+    if let Some(server) = state.servers.get_mut(&exchange.server) {
+        server.cancelled.push((slot, request.expires_at.min(bound)));
+    }
+}
+
+/// Closes a connection; it counts until it is surely gone.
+pub(crate) fn close(state: &mut PathState, connection: ConnectionId) {
+    let Some(index) = state.connections.get(&connection) else {
+        return;
+    };
+    let now = state.now;
+    let server = state.servers.get_mut(index);
+    if server.is_some_and(|server| server.pool.close(connection, now)) {
+        state.emit(Effect::Close { connection });
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/orders.rs
@@ -0,0 +1,143 @@
+//! Answers to the claims of orders.
+
+use std::time::Duration;
+
+use chicory_ownership::{ClaimAnswer, ClaimResolution, StoredAnswer};
+use chicory_types::{OrderKey, RequestId, ServiceName, VmId};
+
+use crate::directory::ServerIndex;
+use crate::path_state::PathState;
+use crate::placing::{enter_queue, place, send_claim};
+use crate::request_state::{ClaimState, Phase, RequestState};
+use crate::server_state::ServerState;
+use crate::{Effect, RefusalReason};
+
+/// Pause before a claim is sent again while the leader isn't known.
+const LEADER_PAUSE: Duration = Duration::from_millis(50);
+
+/// Decides on the answer to a claim.
+pub(crate) fn on_answered(state: &mut PathState, id: RequestId, answer: ClaimAnswer) {
+    let Some((request, index)) = take_claiming(state, id) else {
+        return on_late_answer(state, id, &answer);
+    };
+    match answer {
+        ClaimAnswer::Granted => on_granted(state, id, request, index),
+        ClaimAnswer::Stored(answer) => answer_stored(state, id, &request, answer),
+        ClaimAnswer::InProgress => refuse(state, id, request, RefusalReason::OrderInProgress),
+        ClaimAnswer::Unknown => refuse(state, id, request, RefusalReason::OrderOutcomeLost),
+        ClaimAnswer::KeyReused => refuse(state, id, request, RefusalReason::OrderKeyReused),
+        ClaimAnswer::HistoryLost => refuse(state, id, request, RefusalReason::OrderHistoryLost),
+        ClaimAnswer::NotCustodian => refuse(state, id, request, RefusalReason::ZoneUnreachable),
+        ClaimAnswer::Full => refuse(state, id, request, RefusalReason::ClaimsFull),
+        ClaimAnswer::NotLeader { leader } => ask_again(state, id, request, index, leader),
+    }
+}
+
+/// Takes a claiming request out, and gives its place in the queue up.
+fn take_claiming(state: &mut PathState, id: RequestId) -> Option<(RequestState, ServerIndex)> {
+    let request = state.take(id)?;
+    let Phase::Claiming(index) = request.phase else {
+        state.put(id, request);
+        return None;
+    };
+    if let Some(server) = state.servers.get_mut(&index) {
+        server.claiming = server.claiming.saturating_sub(1);
+    }
+    Some((request, index))
+}
+
+fn on_granted(state: &mut PathState, id: RequestId, mut request: RequestState, index: ServerIndex) {
+    request.claim = ClaimState::Granted;
+    request.wake_at = request.expires_at;
+    let server = state.servers.get(&index);
+    let is_kept = |s: &ServerState| !s.is_leaving || !state.is_running();
+    if server.is_some_and(|s| is_kept(s) && !s.is_down() && s.draining_since.is_none()) {
+        enter_queue(state, id, request, index);
+    } else {
+        place(state, id, request);
+    }
+}
+
+fn answer_stored(
+    state: &mut PathState,
+    id: RequestId,
+    request: &RequestState,
+    answer: StoredAnswer,
+) {
+    state.counters.stored_answers += 1;
+    if !request.is_caller_gone {
+        state.emit(Effect::AnswerStored {
+            request: id,
+            answer,
+        });
+    }
+}
+
+/// Refuses an order whose claim was not granted.
+///
+/// While another try of the order may run, nobody can say that it did not.
+fn refuse(state: &mut PathState, id: RequestId, mut request: RequestState, reason: RefusalReason) {
+    use RefusalReason::{OrderHistoryLost, OrderInProgress, OrderOutcomeLost};
+    request.claim = ClaimState::None;
+    let may_run = matches!(
+        reason,
+        OrderInProgress | OrderOutcomeLost | OrderHistoryLost
+    );
+    request.may_have_run |= may_run;
+    state.refuse(id, &request, reason);
+}
+
+fn ask_again(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: RequestState,
+    index: ServerIndex,
+    leader: Option<VmId>,
+) {
+    if let Some(server) = state.servers.get_mut(&index) {
+        server.claiming += 1;
+    }
+    if leader.is_some() && leader != state.lease.leader {
+        state.lease.leader = leader;
+        send_claim(state, id, &request);
+    } else {
+        request.wake_at = request.expires_at.min(state.now + LEADER_PAUSE);
+    }
+    state.put(id, request);
+}
+
+/// Sends the claim of a request that was taken out again after its pause.
+pub(crate) fn resume(state: &mut PathState, id: RequestId, mut request: RequestState) {
+    request.wake_at = request.expires_at;
+    send_claim(state, id, &request);
+    state.put(id, request);
+}
+
+/// A claim without an answer may have been granted: it is given back before the refusal.
+pub(crate) fn on_failed(state: &mut PathState, id: RequestId) {
+    let Some((mut request, _)) = take_claiming(state, id) else {
+        return on_late_answer(state, id, &ClaimAnswer::Granted);
+    };
+    request.claim = ClaimState::Granted;
+    state.refuse(id, &request, RefusalReason::ClaimUnavailable);
+}
+
+/// Gives a claim back that was granted after its request had been refused.
+fn on_late_answer(state: &mut PathState, id: RequestId, answer: &ClaimAnswer) {
+    let Some((service, order_key)) = state.abandoned_claims.remove(&id) else {
+        return;
+    };
+    if *answer == ClaimAnswer::Granted {
+        give_back(state, id, service, order_key);
+    }
+}
+
+fn give_back(state: &mut PathState, id: RequestId, service: ServiceName, order_key: OrderKey) {
+    let claimant = state.claimant(id);
+    state.emit(Effect::ResolveClaim {
+        service,
+        order_key,
+        claimant,
+        resolution: ClaimResolution::NotRun,
+    });
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/relays.rs
@@ -0,0 +1,163 @@
+//! Relays to other entry processes.
+
+use std::time::Duration;
+
+use chicory_types::{RequestId, VmId};
+
+use crate::directory::ServerIndex;
+use crate::path_state::PathState;
+use crate::request_state::{Phase, RelayLeg, RequestState};
+use crate::{Effect, Outcome, RefusalReason, RelayFailure, RelayLoad, retries};
+
+/// How long an entry process gets no relays after one failed.
+const ENTRY_AVOIDANCE: Duration = Duration::from_millis(500);
+/// Longest time by which a relay's deadline is shorter, so that the far end can say first what
+/// became of the request.
+const MAX_DEADLINE_MARGIN: Duration = Duration::from_millis(10);
+/// Share of the time left that this margin may take.
+const MARGIN_SHARE: u32 = 10;
+/// Longest pause that a refusing dispatcher may ask for, for the request to be tried again here.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends a request that was taken out to another entry process.
+pub(crate) fn send(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: RequestState,
+    vm: VmId,
+    address: String,
+    server: Option<ServerIndex>,
+) {
+    let left = state.left(&request);
+    let margin = (left / MARGIN_SHARE).min(MAX_DEADLINE_MARGIN);
+    let deadline = left.saturating_sub(margin);
+    let hops = request.hops() + 1;
+    request.tries += 1;
+    request.is_sent = true;
+    request.phase = Phase::Relayed(RelayLeg {
+        vm: vm.clone(),
+        server,
+        is_forwarding: false,
+    });
+    if let Some(seen) = server.and_then(|index| state.observations.get_mut(index)) {
+        seen.relayed += 1;
+    }
+    state.put(id, request);
+    state.counters.relays += 1;
+    state.emit(Effect::Relay {
+        request: id,
+        to: vm,
+        address,
+        hops,
+        deadline,
+    });
+}
+
+/// Ends the accounting of a relay.
+pub(crate) fn end(state: &mut PathState, leg: &RelayLeg) {
+    let seen = leg
+        .server
+        .and_then(|index| state.observations.get_mut(index));
+    if let Some(seen) = seen {
+        seen.relayed = seen.relayed.saturating_sub(1);
+    }
+}
+
+fn take_leg(state: &mut PathState, id: RequestId) -> Option<(RequestState, RelayLeg)> {
+    let request = state.take(id)?;
+    if let Phase::Relayed(leg) = &request.phase {
+        let leg = leg.clone();
+        return Some((request, leg));
+    }
+    state.put(id, request);
+    None
+}
+
+/// Decides on the head of a relayed answer.
+pub(crate) fn on_answered(
+    state: &mut PathState,
+    id: RequestId,
+    outcome: Outcome,
+    retry_after: Option<Duration>,
+    load: RelayLoad,
+) {
+    let Some((mut request, leg)) = take_leg(state, id) else {
+        return;
+    };
+    if leg.is_forwarding {
+        state.put(id, request);
+        return;
+    }
+    let now = state.now;
+    state.failed_entries.remove(&leg.vm);
+    if let Some(seen) = leg.server.and_then(|i| state.observations.get_mut(i)) {
+        seen.hint(load, now);
+    }
+    if outcome == Outcome::NotRun && is_worth_another_try(&request, retry_after) {
+        end(state, &leg);
+        request.end_unsent();
+        state.emit(Effect::DiscardAnswer { request: id });
+        if let Some(server) = leg.server {
+            request.passed_over = Some(server);
+        }
+        // The refusal of the other process is lost with its answer: what remains is this one's.
+        retries::retry_or_refuse(state, id, request, RefusalReason::RelayFailed);
+        return;
+    }
+    request.phase = Phase::Relayed(RelayLeg {
+        is_forwarding: true,
+        ..leg
+    });
+    state.put(id, request);
+    state.counters.forwarded += 1;
+    state.emit(Effect::ForwardAnswer { request: id, load });
+}
+
+/// A refusal for a short while is worth another try: the routes may have just changed.
+fn is_worth_another_try(request: &RequestState, retry_after: Option<Duration>) -> bool {
+    let is_short = retry_after.is_some_and(|pause| pause <= MAX_PAUSE);
+    is_short && request.tries == 1 && request.hops() == 0 && !request.demand.needs_claim
+}
+
+/// The relayed answer is complete.
+pub(crate) fn on_finished(state: &mut PathState, id: RequestId) {
+    let Some((_, leg)) = take_leg(state, id) else {
+        return;
+    };
+    end(state, &leg);
+    state.counters.finished += 1;
+}
+
+/// The relay failed.
+pub(crate) fn on_failed(state: &mut PathState, id: RequestId, failure: RelayFailure) {
+    let Some((mut request, leg)) = take_leg(state, id) else {
+        return;
+    };
+    end(state, &leg);
+    if failure == RelayFailure::NothingSent {
+        let until = state.now + ENTRY_AVOIDANCE;
+        state.failed_entries.insert(leg.vm.clone(), until);
+    }
+    if leg.is_forwarding {
+        state.counters.broken_answers += 1;
+        state.emit(Effect::BreakAnswer { request: id });
+        return;
+    }
+    match failure {
+        RelayFailure::NothingSent => request.end_unsent(),
+        RelayFailure::BrokenBeforeAnswer | RelayFailure::BrokenInAnswer => request.end_unproven(),
+    }
+    if failure == RelayFailure::NothingSent && request.demand.needs_claim {
+        return retry_unsent_order(state, id, request);
+    }
+    retries::retry_or_refuse(state, id, request, RefusalReason::RelayFailed);
+}
+
+/// An order that did not leave this process has no claim yet: it may go another way.
+fn retry_unsent_order(state: &mut PathState, id: RequestId, request: RequestState) {
+    if request.tries < state.config.max_tries {
+        crate::placing::place(state, id, request);
+    } else {
+        state.refuse(id, &request, RefusalReason::RelayFailed);
+    }
+}
--- a/crates/chicory_dispatch/src/request_path.rs
+++ b/crates/chicory_dispatch/src/request_path.rs
@@ -1,18 +1,33 @@
 //! The reducer of the request path.
 
-use chicory_ownership::RenewAnswer;
 use chicory_types::MonoTime;
 
+use crate::path_state::{Life, PathState};
 use crate::{
-    Counters, Directory, Effect, Event, Outcome, Refusal, RefusalReason, RequestPathConfig,
+    Counters, Directory, Effect, Event, RequestPathConfig, announcements, arrivals, connections,
+    exchanges, health, orders, relays, renewals, roles, sweep,
 };
 
 /// The reducer of the request path: every event goes in, effects come out.
+///
+/// It does no I/O, reads no clock and draws randomness only from its seed, so the same events at
+/// the same times give the same effects.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use chicory_dispatch::{Effect, Event, RequestPath, RequestPathConfig};
+///
+/// let config = RequestPathConfig::builder("entry-1", "vake-hall").build();
+/// let mut path = RequestPath::new(config, Duration::ZERO);
+/// let effects = path.reduce(Duration::ZERO, Event::Tick);
+/// assert!(matches!(effects.as_slice(), [Effect::Renew { .. }]));
+/// assert!(!path.is_ready());
+/// ```
 pub struct RequestPath {
-    config: RequestPathConfig,
-    directory: Directory,
-    counters: Counters,
-    next_renewal_at: MonoTime,
+    state: PathState,
 }
 
 impl RequestPath {
@@ -20,64 +35,133 @@
     #[must_use]
     pub fn new(config: RequestPathConfig, now: MonoTime) -> Self {
         Self {
-            config,
-            directory: Directory::default(),
-            counters: Counters::default(),
-            next_renewal_at: now,
+            state: PathState::new(config, now),
         }
     }
 
     /// Takes an event and returns what is to be done, in order.
     pub fn reduce(&mut self, now: MonoTime, event: Event) -> Vec<Effect> {
-        match event {
-            Event::RequestArrived(head) => {
-                self.counters
-                    .count_refusal(RefusalReason::NoLease, Outcome::NotRun);
-                vec![Effect::Refuse {
-                    request: head.request,
-                    refusal: Refusal {
-                        outcome: Outcome::NotRun,
-                        reason: RefusalReason::NoLease,
-                        retry_after: Some(self.config.renew_interval),
-                    },
-                }]
-            }
-            Event::RenewAnswered {
-                answer: RenewAnswer::Granted { update, .. },
-                ..
-            } => {
-                self.directory.apply(update);
-                Vec::new()
-            }
-            Event::StopRequested => vec![Effect::Stopped],
-            _ => {
-                self.next_renewal_at = now + self.config.renew_interval;
-                Vec::new()
-            }
+        let state = &mut self.state;
+        state.now = now.max(state.now);
+        if state.lease.end_if_over(state.now) {
+            roles::on_lease_end(state);
         }
+        apply(state, event);
+        sweep::advance(state);
+        settle(state);
+        std::mem::take(&mut state.effects)
     }
 
     /// When [`Event::Tick`] has to come at the latest.
     #[must_use]
     pub fn next_wakeup(&self) -> MonoTime {
-        self.next_renewal_at
+        sweep::next_wakeup(&self.state)
     }
 
     /// Whether the balancer may send new requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        false
+        self.state.is_ready()
     }
 
     /// The counters.
     #[must_use]
     pub fn counters(&self) -> &Counters {
-        &self.counters
+        &self.state.counters
     }
 
     /// The view of the zone.
     #[must_use]
     pub fn directory(&self) -> &Directory {
-        &self.directory
+        &self.state.directory
+    }
+
+    /// Requests that have no final answer yet, or whose answer is being passed on.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.state.requests.len()
+    }
+}
+
+fn apply(state: &mut PathState, event: Event) {
+    match event {
+        Event::Tick => {}
+        Event::RequestArrived(head) => arrivals::on_arrived(state, head),
+        Event::CallerGone { request } => arrivals::on_caller_gone(state, request),
+        Event::Announced(announcement) => announcements::on_announced(state, &announcement),
+        Event::RenewAnswered {
+            sent_at,
+            from,
+            answer,
+        } => renewals::on_answered(state, sent_at, from, answer),
+        Event::RenewFailed => state.lease.failed(state.now),
+        Event::ClaimAnswered { request, answer } => orders::on_answered(state, request, answer),
+        Event::ClaimFailed { request } => orders::on_failed(state, request),
+        Event::Probed { server, result } => health::on_probed(state, &server, result),
+        Event::StopRequested => stop(state),
+        other => apply_exchange(state, other),
+    }
+}
+
+/// Applies the events of connections, exchanges and relays.
+fn apply_exchange(state: &mut PathState, event: Event) {
+    match event {
+        Event::Connected { connection } => connections::on_connected(state, connection),
+        Event::ConnectFailed { connection, .. } => {
+            connections::on_connect_failed(state, connection);
+        }
+        Event::ConnectionClosed { connection } => connections::on_closed(state, connection),
+        Event::RequestProgressed { request } => exchanges::on_progressed(state, request, false),
+        Event::AnswerProgressed { request } => exchanges::on_progressed(state, request, true),
+        Event::AnswerStarted {
+            request,
+            status,
+            echo,
+            refusal,
+        } => exchanges::on_answer_started(state, request, status, echo, refusal),
+        Event::AnswerFinished {
+            request,
+            kept,
+            is_reusable,
+        } => exchanges::on_finished(state, request, kept, is_reusable),
+        Event::ExchangeFailed { request, failure } => exchanges::on_failed(state, request, failure),
+        Event::RelayAnswered {
+            request,
+            outcome,
+            retry_after,
+            load,
+        } => relays::on_answered(state, request, outcome, retry_after, load),
+        Event::RelayFinished { request } => relays::on_finished(state, request),
+        Event::RelayFailed { request, failure } => relays::on_failed(state, request, failure),
+        _ => {}
+    }
+}
+
+/// Starts a planned stop: readiness goes off, and what has been taken in is finished.
+fn stop(state: &mut PathState) {
+    if !state.is_running() {
+        return;
+    }
+    state.life = Life::Stopping(state.now);
+    for server in state.servers.values_mut() {
+        server.is_leaving = true;
+    }
+    state.lease.hurry(state.now);
+}
+
+/// Tells what has changed by the event: roles given up, renewals due, readiness, the end.
+fn settle(state: &mut PathState) {
+    roles::resign_idle(state);
+    renewals::send_if_due(state);
+    let is_ready = state.is_ready();
+    if is_ready != state.was_ready {
+        state.was_ready = is_ready;
+        state.emit(Effect::SetReady { is_ready });
+    }
+    if let Life::Stopping(since) = state.life
+        && state.may_exit(since)
+    {
+        state.life = Life::Stopped;
+        state.emit(Effect::Stopped);
     }
 }
--- /dev/null
+++ b/crates/chicory_dispatch/src/server_state.rs
@@ -0,0 +1,310 @@
+//! A backend server that this process dispatches to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_ownership::ServerRecord;
+use chicory_types::{Incarnation, MonoTime, RequestId, ServerId, Slot, SlotRun};
+
+use crate::connection_pool::ConnectionPool;
+use crate::fair_queue::{FairQueue, FlowId, QueueEntry};
+use crate::grant_book::GrantBook;
+use crate::service_time::ServiceTime;
+use crate::token_bucket::TokenBucket;
+use crate::{ConnectionId, RefusalReason, RelayLoad};
+
+/// Limits of one server, from the table and from what it announced.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ServerLimits {
+    pub(crate) max_in_flight: usize,
+    pub(crate) max_connections: usize,
+    pub(crate) queue_limit: usize,
+    /// 0 stands for no limit.
+    pub(crate) rate_limit_per_s: u32,
+}
+
+/// Why a server is being probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Suspicion {
+    /// An exchange has been silent since then.
+    Silent(MonoTime),
+    /// An exchange broke before its answer.
+    Broken,
+    /// It missed its announcements.
+    Unannounced,
+}
+
+/// What this process makes of a server's health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Health {
+    /// It answers.
+    Up,
+    /// A probe is under way.
+    Suspected {
+        /// Why.
+        suspicion: Suspicion,
+        /// When the probe was sent.
+        probed_at: MonoTime,
+    },
+    /// A probe found it dead.
+    Down {
+        /// When it is probed again, or when the running probe was sent.
+        next_probe_at: MonoTime,
+        /// Whether a probe is under way.
+        is_probing: bool,
+    },
+}
+
+/// A request that broke with its connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Break {
+    pub(crate) fingerprint: u64,
+    pub(crate) at: MonoTime,
+    /// Whether it was the only one in flight.
+    pub(crate) was_alone: bool,
+}
+
+/// What to do next for a server's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NextStep {
+    /// Write this request to this connection.
+    Write(RequestId, ConnectionId),
+    /// Refuse this request: it can't end before its deadline.
+    Hopeless(RequestId),
+    /// Open a connection.
+    Connect,
+    /// Nothing.
+    Wait,
+}
+
+/// Whether a request may wait for a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// It may.
+    Accepted,
+    /// It may, in the place of this one.
+    Displaces(RequestId),
+    /// It may not.
+    Refused {
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
+}
+
+/// A backend server that this process dispatches to.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerState {
+    pub(crate) id: ServerId,
+    pub(crate) address: String,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) epoch: u64,
+    pub(crate) checks_grants: bool,
+    pub(crate) limits: ServerLimits,
+    pub(crate) health: Health,
+    pub(crate) queue: FairQueue,
+    pub(crate) in_flight: Vec<RequestId>,
+    /// Requests whose claim was asked for, which have a place in the queue already.
+    pub(crate) claiming: usize,
+    /// The request that runs with nothing beside it.
+    pub(crate) isolated: Option<RequestId>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) grants: GrantBook,
+    pub(crate) service_time: ServiceTime,
+    pub(crate) breaks: Vec<Break>,
+    /// Slots of cancelled exchanges that may still run, with the end of that.
+    pub(crate) cancelled: Vec<(Slot, MonoTime)>,
+    /// Exchanges in a row that reached their deadline without any answer.
+    pub(crate) expired_in_row: u32,
+    pub(crate) requests_since_report: u32,
+    pub(crate) heat: BTreeMap<Slot, u32>,
+    pub(crate) draining_since: Option<MonoTime>,
+    /// Whether the role is being given up.
+    pub(crate) is_leaving: bool,
+    pub(crate) announced_at: Option<MonoTime>,
+    /// Slots that the last renewal reported as released.
+    pub(crate) reported_released: Vec<SlotRun>,
+    rate: Option<TokenBucket>,
+}
+
+impl ServerState {
+    pub(crate) fn new(record: &ServerRecord, epoch: u64, grants: GrantBook) -> Self {
+        Self {
+            id: record.server.clone(),
+            address: record.address.clone(),
+            incarnation: record.incarnation,
+            epoch,
+            checks_grants: record.checks_grants,
+            limits: ServerLimits::default(),
+            health: Health::Up,
+            queue: FairQueue::default(),
+            in_flight: Vec::new(),
+            claiming: 0,
+            isolated: None,
+            pool: ConnectionPool::default(),
+            grants,
+            service_time: ServiceTime::new(),
+            breaks: Vec::new(),
+            cancelled: Vec::new(),
+            expired_in_row: 0,
+            requests_since_report: 0,
+            heat: BTreeMap::new(),
+            draining_since: None,
+            is_leaving: false,
+            announced_at: None,
+            reported_released: Vec::new(),
+            rate: None,
+        }
+    }
+
+    pub(crate) fn set_limits(&mut self, limits: ServerLimits, now: MonoTime) {
+        self.limits = limits;
+        let rate = limits.rate_limit_per_s;
+        if rate == 0 {
+            self.rate = None;
+        } else if !self.rate.as_ref().is_some_and(|b| b.has_rate(rate)) {
+            self.rate = Some(TokenBucket::per_second(rate, now));
+        }
+    }
+
+    pub(crate) fn is_down(&self) -> bool {
+        matches!(self.health, Health::Down { .. })
+    }
+
+    /// Requests that run, wait or are about to wait.
+    pub(crate) fn outstanding(&self) -> usize {
+        self.in_flight.len() + self.claiming + self.queue.len()
+    }
+
+    pub(crate) fn load(&self) -> RelayLoad {
+        RelayLoad {
+            outstanding: u32::try_from(self.outstanding()).unwrap_or(u32::MAX),
+            expected_wait: self.wait_behind(self.queue.len()),
+        }
+    }
+
+    /// Expected wait of a request with `ahead` others before it in the queue.
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let slots = self.limits.max_in_flight.max(1);
+        let before = self.in_flight.len() + self.claiming + ahead;
+        let rounds = (before + 1).saturating_sub(slots);
+        let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+        let slots = u32::try_from(slots).unwrap_or(u32::MAX);
+        self.service_time.mean().saturating_mul(rounds) / slots
+    }
+
+    /// Decides whether a request of `flow` with `left` until its deadline may wait here.
+    pub(crate) fn admit(&mut self, flow: FlowId, left: Duration, now: MonoTime) -> Admission {
+        if self.outstanding() == 0 {
+            return self.admit_by_rate(now, None);
+        }
+        let wait = self.wait_behind(self.queue.ahead_of(flow));
+        if wait + self.service_time.mean() > left {
+            return Admission::Refused {
+                reason: RefusalReason::DeadlineTooShort,
+                retry_after: wait,
+            };
+        }
+        if !self.is_full() {
+            return self.admit_by_rate(now, None);
+        }
+        match self.queue.displace_for(flow) {
+            Some(entry) => self.admit_by_rate(now, Some(entry)),
+            None => Admission::Refused {
+                reason: RefusalReason::QueueFull,
+                retry_after: wait,
+            },
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        let free_slots = self
+            .limits
+            .max_in_flight
+            .saturating_sub(self.in_flight.len());
+        self.claiming + self.queue.len() >= self.limits.queue_limit + free_slots
+    }
+
+    fn admit_by_rate(&mut self, now: MonoTime, displaced: Option<QueueEntry>) -> Admission {
+        let taken = self.rate.as_mut().map_or(Ok(()), |rate| rate.try_take(now));
+        match (taken, displaced) {
+            (Ok(()), None) => Admission::Accepted,
+            (_, Some(entry)) => Admission::Displaces(entry.request),
+            (Err(retry_after), None) => Admission::Refused {
+                reason: RefusalReason::RateLimited,
+                retry_after,
+            },
+        }
+    }
+
+    /// What to do next for the queue; the caller has tested the lease in the same call.
+    pub(crate) fn next_step(&mut self, now: MonoTime) -> NextStep {
+        let Some(front) = self.queue.front() else {
+            return NextStep::Wait;
+        };
+        if self.health != Health::Up || !self.has_room_for(front) {
+            return NextStep::Wait;
+        }
+        if self.is_hopeless(front, now) {
+            self.queue.pop();
+            return NextStep::Hopeless(front.request);
+        }
+        match self.pool.take_idle(front.request, now) {
+            Some(connection) => self.start(front, connection),
+            None => self.connect_or_wait(),
+        }
+    }
+
+    fn has_room_for(&self, entry: QueueEntry) -> bool {
+        if self.isolated.is_some() {
+            return false;
+        }
+        if entry.is_isolated {
+            return self.in_flight.is_empty();
+        }
+        self.in_flight.len() < self.limits.max_in_flight
+    }
+
+    fn is_hopeless(&self, entry: QueueEntry, now: MonoTime) -> bool {
+        let left = entry.expires_at.saturating_sub(now);
+        left.is_zero() || (!self.in_flight.is_empty() && left < self.service_time.mean())
+    }
+
+    fn start(&mut self, entry: QueueEntry, connection: ConnectionId) -> NextStep {
+        self.queue.pop();
+        self.in_flight.push(entry.request);
+        if entry.is_isolated {
+            self.isolated = Some(entry.request);
+        }
+        NextStep::Write(entry.request, connection)
+    }
+
+    fn connect_or_wait(&self) -> NextStep {
+        let free = self
+            .limits
+            .max_in_flight
+            .saturating_sub(self.in_flight.len());
+        let wanted = self.queue.len().min(free);
+        let is_short = self.pool.opening() < wanted;
+        // One connection is left for a probe.
+        let limit = self.limits.max_connections.saturating_sub(1).max(1);
+        if is_short && self.pool.len() < limit {
+            NextStep::Connect
+        } else {
+            NextStep::Wait
+        }
+    }
+
+    /// Ends the exchange of a request.
+    pub(crate) fn end(&mut self, request: RequestId) {
+        self.in_flight.retain(|other| *other != request);
+        if self.isolated == Some(request) {
+            self.isolated = None;
+        }
+    }
+
+    /// Silence of an exchange after which the server is probed.
+    pub(crate) fn silence_limit(&self, progress_timeout: Duration) -> Duration {
+        let learned = self.service_time.peak() * 3;
+        learned.clamp(progress_timeout, progress_timeout * 10)
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/service_limits.rs
@@ -0,0 +1,32 @@
+//! What this process allows a whole service.
+
+use chicory_types::MonoTime;
+
+use crate::retry_budget::RetryBudget;
+use crate::token_bucket::TokenBucket;
+
+/// Retry budget and rate limit of one service in this process.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceLimits {
+    pub(crate) retries: RetryBudget,
+    /// `None` stands for no limit.
+    pub(crate) rate: Option<TokenBucket>,
+}
+
+impl ServiceLimits {
+    pub(crate) fn new(retry_share: f64, now: MonoTime) -> Self {
+        Self {
+            retries: RetryBudget::new(retry_share, now),
+            rate: None,
+        }
+    }
+
+    /// Takes over the rate limit of the table; 0 stands for none.
+    pub(crate) fn set_rate(&mut self, rate_per_s: u32, now: MonoTime) {
+        if rate_per_s == 0 {
+            self.rate = None;
+        } else if !self.rate.as_ref().is_some_and(|b| b.has_rate(rate_per_s)) {
+            self.rate = Some(TokenBucket::per_second(rate_per_s, now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/src/token_bucket.rs
@@ -0,0 +1,60 @@
+//! Token buckets for rates.
+
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+/// A token bucket that fills at a steady rate up to its burst.
+#[derive(Clone, Debug)]
+pub(crate) struct TokenBucket {
+    rate_per_s: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: MonoTime,
+}
+
+impl TokenBucket {
+    /// A full bucket that holds a tenth of a second's tokens, and at least one.
+    pub(crate) fn per_second(rate_per_s: u32, now: MonoTime) -> Self {
+        let rate = f64::from(rate_per_s);
+        Self::new(rate, (rate / 10.0).max(1.0), now)
+    }
+
+    pub(crate) fn new(rate_per_s: f64, burst: f64, now: MonoTime) -> Self {
+        Self {
+            rate_per_s,
+            burst,
+            tokens: burst,
+            filled_at: now,
+        }
+    }
+
+    /// Whether the bucket was built for this rate.
+    pub(crate) fn has_rate(&self, rate_per_s: u32) -> bool {
+        (self.rate_per_s - f64::from(rate_per_s)).abs() < f64::EPSILON
+    }
+
+    /// Takes one token, or returns how long it takes until there is one.
+    pub(crate) fn try_take(&mut self, now: MonoTime) -> Result<(), Duration> {
+        self.fill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = 1.0 - self.tokens;
+        Err(Duration::from_secs_f64(
+            missing / self.rate_per_s.max(0.001),
+        ))
+    }
+
+    /// Adds `tokens`, up to the burst.
+    pub(crate) fn add(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.burst);
+    }
+
+    fn fill(&mut self, now: MonoTime) {
+        let passed = now.saturating_sub(self.filled_at);
+        self.filled_at = now;
+        self.add(passed.as_secs_f64() * self.rate_per_s);
+    }
+}
