Test the failures of the request path in virtual time

Fake backend servers freeze, die, shed, lie, cross or cut answers and go silent; a fake zone group keeps claims in the naive way. The fakes assert on each step that nothing is written without a lease, that limits of requests and connections hold, that each request gets one final effect and each claim one write, and that nothing that ran is told not-run; 300 random orders of events with a fixed seed run against that.

Found by the tests and mended: a slow first request was cut off as if its connection were silent (two limits now: one probes, a longer learned one cuts); a full server's overflow went to other zones; the wake-up of a stopped process stood still.

--- a/crates/chicory_dispatch/src/health.rs
+++ b/crates/chicory_dispatch/src/health.rs
@@ -18,6 +18,9 @@
 const PROBE_LIMIT: Duration = Duration::from_secs(1);
 /// Exchanges without any answer in a row at which a server is suspected.
 const EXPIRED_LIMIT: u32 = 2;
+/// How much longer the silence of an order is borne: to cut it off can't help it, only make its
+/// outcome unknown.
+const ORDER_PATIENCE: u32 = 3;
 /// An ejection leaves at least one in this number of a service's servers in.
 const EJECTION_FLOOR: usize = 2;
 
@@ -76,9 +79,11 @@
 
 /// The server answers: connections that are silent nevertheless are dead.
 fn settle_alive(state: &mut PathState, index: ServerIndex, suspicion: Suspicion) {
+    let now = state.now;
     if let Some(server) = state.servers.get_mut(&index) {
         server.health = Health::Up;
         server.expired_in_row = 0;
+        server.alive_at = Some(now);
     }
     if let Suspicion::Silent(since) = suspicion {
         close_silent(state, index, since);
@@ -92,7 +97,7 @@
         return;
     };
     let idle = server.pool.silent_idle(since);
-    let limit = server.silence_limit(state.config.progress_timeout) / 2;
+    let limit = server.silence_limit(state.config.progress_timeout);
     let running = server.in_flight.clone();
     state.counters.silent_connections += idle.len() as u64;
     for connection in idle {
@@ -108,6 +113,11 @@
         return;
     };
     let now = state.now;
+    let limit = if request.demand.needs_claim {
+        limit * ORDER_PATIENCE
+    } else {
+        limit
+    };
     match request.phase {
         Phase::InFlight(exchange)
             if !exchange.is_forwarding && now >= exchange.heard_at + limit =>
--- a/crates/chicory_dispatch/src/router.rs
+++ b/crates/chicory_dispatch/src/router.rs
@@ -77,7 +77,7 @@
     if let Some(server) = pick_server(state, request) {
         return via_dispatcher(state, request, server, None);
     }
-    if request.hops() > 0 {
+    if request.hops() > 0 || request.passed_over.is_some() {
         return Route::Refused(RefusalReason::NoServer);
     }
     match other_zone(state, request) {
--- a/crates/chicory_dispatch/src/server_state.rs
+++ b/crates/chicory_dispatch/src/server_state.rs
@@ -13,6 +13,13 @@
 use crate::token_bucket::TokenBucket;
 use crate::{ConnectionId, RefusalReason, RelayLoad};
 
+/// Silence that is borne before the service time is known, in progress timeouts.
+const UNLEARNED_FACTOR: u32 = 3;
+/// Silence that is borne, as a multiple of the slowest of the recent requests.
+const PEAK_FACTOR: u32 = 4;
+/// Longest silence that is borne, in progress timeouts.
+const MAX_SILENCE_FACTOR: u32 = 10;
+
 /// Limits of one server, from the table and from what it announced.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ServerLimits {
@@ -121,6 +128,8 @@
     /// Whether the role is being given up.
     pub(crate) is_leaving: bool,
     pub(crate) announced_at: Option<MonoTime>,
+    /// When a probe last found the server alive.
+    pub(crate) alive_at: Option<MonoTime>,
     /// Slots that the last renewal reported as released.
     pub(crate) reported_released: Vec<SlotRun>,
     rate: Option<TokenBucket>,
@@ -151,6 +160,7 @@
             draining_since: None,
             is_leaving: false,
             announced_at: None,
+            alive_at: None,
             reported_released: Vec::new(),
             rate: None,
         }
@@ -302,9 +312,12 @@
         }
     }
 
-    /// Silence of an exchange after which the server is probed.
+    /// Silence of an exchange after which its connection is taken as dead, on a living server.
     pub(crate) fn silence_limit(&self, progress_timeout: Duration) -> Duration {
-        let learned = self.service_time.peak() * 3;
-        learned.clamp(progress_timeout, progress_timeout * 10)
+        if !self.service_time.is_learned() {
+            return progress_timeout * UNLEARNED_FACTOR;
+        }
+        let learned = self.service_time.peak() * PEAK_FACTOR;
+        learned.clamp(progress_timeout, progress_timeout * MAX_SILENCE_FACTOR)
     }
 }
--- a/crates/chicory_dispatch/src/service_time.rs
+++ b/crates/chicory_dispatch/src/service_time.rs
@@ -4,6 +4,8 @@
 
 /// Weight of the past against one new sample.
 const SMOOTHING: u32 = 7;
+/// Samples from which the slowest of them is believed.
+const LEARNED_SAMPLES: u32 = 8;
 /// Service time that is assumed before the first sample.
 const INITIAL: Duration = Duration::from_millis(5);
 
@@ -12,7 +14,7 @@
 pub(crate) struct ServiceTime {
     mean: Duration,
     peak: Duration,
-    has_sample: bool,
+    samples: u32,
 }
 
 impl ServiceTime {
@@ -20,17 +22,17 @@
         Self {
             mean: INITIAL,
             peak: INITIAL,
-            has_sample: false,
+            samples: 0,
         }
     }
 
     pub(crate) fn record(&mut self, sample: Duration) {
-        if !self.has_sample {
-            self.has_sample = true;
+        if self.samples == 0 {
             self.mean = sample;
         }
         self.mean = (self.mean * SMOOTHING + sample) / (SMOOTHING + 1);
         self.peak = sample.max(self.peak * 63 / 64);
+        self.samples = self.samples.saturating_add(1);
     }
 
     /// Notes a silence that turned out to be no proof of a dead server.
@@ -48,6 +50,11 @@
     }
 
     pub(crate) fn has_sample(&self) -> bool {
-        self.has_sample
+        self.samples > 0
+    }
+
+    /// Whether there are enough samples to tell slow requests from lost ones.
+    pub(crate) fn is_learned(&self) -> bool {
+        self.samples >= LEARNED_SAMPLES
     }
 }
--- a/crates/chicory_dispatch/src/sweep.rs
+++ b/crates/chicory_dispatch/src/sweep.rs
@@ -6,7 +6,7 @@
 
 use crate::directory::ServerIndex;
 use crate::exchanges::{ConnectionFate, break_answer, close, end_exchange};
-use crate::path_state::PathState;
+use crate::path_state::{Life, PathState};
 use crate::placing::{place, pump};
 use crate::request_state::{Exchange, Phase, RelayLeg, RequestState};
 use crate::server_state::{Health, Suspicion};
@@ -14,6 +14,8 @@
 
 /// Time between looks at servers and connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between wake-ups of a process that may exit.
+const AFTER_STOP: Duration = Duration::from_mins(1);
 /// Announcements that a server may miss before it is probed.
 const MISSED_ANNOUNCEMENTS: u32 = 4;
 /// How long a break counts as the possible sign of a crash.
@@ -159,7 +161,7 @@
     let Some(server) = state.servers.get(&index) else {
         return;
     };
-    let limit = server.silence_limit(state.config.progress_timeout);
+    let limit = state.config.progress_timeout;
     for id in server.in_flight.clone() {
         let phase = state.requests.get(&id).map(|request| &request.phase);
         if let Some(Phase::InFlight(exchange)) = phase {
@@ -174,12 +176,20 @@
         if silence >= state.config.stall_timeout {
             break_stalled(state, id, exchange);
         }
-    } else if silence >= limit {
+    } else if silence >= limit && is_unheard(state, exchange) {
         let suspicion = Suspicion::Silent(exchange.heard_at);
         health::suspect(state, exchange.server, suspicion);
     }
 }
 
+/// Whether no probe has found the server alive a short while ago.
+fn is_unheard(state: &PathState, exchange: Exchange) -> bool {
+    let pause = state.config.progress_timeout / 2;
+    let server = state.servers.get(&exchange.server);
+    let alive_at = server.and_then(|server| server.alive_at);
+    alive_at.is_none_or(|at| state.now >= at + pause)
+}
+
 fn break_stalled(state: &mut PathState, id: RequestId, exchange: Exchange) {
     let Some(mut request) = state.take(id) else {
         return;
@@ -237,6 +247,9 @@
 
 /// When the next timer or look is due.
 pub(crate) fn next_wakeup(state: &PathState) -> MonoTime {
+    if state.life == Life::Stopped {
+        return state.now + AFTER_STOP;
+    }
     let timer = state.timers.first().map(|(at, _)| *at);
     let lease = state.lease.next_wakeup(state.now);
     let known = [timer, lease, state.paced_until];
--- /dev/null
+++ b/crates/chicory_dispatch/tests/request_path/invariants.rs
@@ -0,0 +1,171 @@
+//! Random orders of events: what must always hold.
+//!
+//! [`World`] itself asserts on each step: no write without a lease, limits of requests in flight and
+//! of connections, one final effect a request, one write an order claim, and that nothing that ran is
+//! told not-run. Its zone group is the naive version of at-most-once that the claims are held to.
+
+use chicory_dispatch::{Event, RelayFailure, RequestPathConfig};
+use chicory_ownership::ViewChange;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use crate::support::*;
+
+const SERVERS: [(&str, &str); 5] = [
+    (BOARD, "b1"),
+    (LEDGER, "l1"),
+    (LEDGER, "l2"),
+    (PLANS, "p1"),
+    (PLANS, "p2"),
+];
+const MODES: [Mode; 9] = [
+    Mode::Up,
+    Mode::Up,
+    Mode::Frozen,
+    Mode::Shedding,
+    Mode::Failing,
+    Mode::Crossed,
+    Mode::Cut,
+    Mode::Breaking,
+    Mode::CrashOn(5),
+];
+
+#[derive(Clone, Debug)]
+enum Step {
+    Request(u8, u8),
+    Order(u8),
+    Burst(u8),
+    Run(u16),
+    Pause(u16),
+    Mode(u8, u8),
+    Crash(u8),
+    Silence(u8),
+    Reach(bool),
+    Claims(bool),
+    Leave(u8),
+    Dispatcher(u8, bool),
+    Move(bool),
+    Relay(u8),
+    Drain(u8, bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (any::<u8>(), any::<u8>()).prop_map(|(service, key)| Step::Request(service, key)),
+        4 => any::<u8>().prop_map(|key| Step::Order(key % 8)),
+        1 => any::<u8>().prop_map(Step::Burst),
+        8 => (1_u16..400).prop_map(Step::Run),
+        1 => (1_u16..4_000).prop_map(Step::Pause),
+        2 => (any::<u8>(), any::<u8>()).prop_map(|(server, mode)| Step::Mode(server, mode)),
+        1 => any::<u8>().prop_map(Step::Crash),
+        1 => any::<u8>().prop_map(Step::Silence),
+        1 => any::<bool>().prop_map(Step::Reach),
+        1 => any::<bool>().prop_map(Step::Claims),
+        1 => any::<u8>().prop_map(Step::Leave),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(server, own)| Step::Dispatcher(server, own)),
+        1 => any::<bool>().prop_map(Step::Move),
+        1 => any::<u8>().prop_map(Step::Relay),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(server, on)| Step::Drain(server, on)),
+    ]
+}
+
+/// What the steps need to remember.
+struct Run {
+    world: World,
+    next: u64,
+    epoch: u64,
+}
+
+impl Run {
+    fn name(server: u8) -> &'static str {
+        SERVERS[usize::from(server) % SERVERS.len()].1
+    }
+
+    fn id(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn request(&mut self, service: u8, key: u8) {
+        let id = self.id();
+        let service = [BOARD, PLANS][usize::from(service) % 2];
+        let mut request = head(id, service);
+        request.key = Some(format!("key-{}", key % 16));
+        request.deadline = Some(ms(50 + u64::from(key) * 5));
+        request.is_replayable = !key.is_multiple_of(3);
+        self.world.arrive(request);
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Request(service, key) => self.request(service, key),
+            Step::Order(key) => {
+                let id = self.id();
+                self.world.arrive(order(id, &format!("order-{key}")));
+            }
+            Step::Burst(service) => (0..60).for_each(|key| self.request(service, key)),
+            Step::Run(span) => self.world.run_for(ms(u64::from(span))),
+            Step::Pause(span) => self.world.now += ms(u64::from(span)),
+            Step::Mode(server, mode) => {
+                let mode = MODES[usize::from(mode) % MODES.len()];
+                self.world.server(Self::name(server)).mode = mode;
+            }
+            Step::Crash(server) => self.world.crash(Self::name(server)),
+            Step::Silence(server) => self.world.silence(Self::name(server)),
+            Step::Reach(is_reachable) => self.world.group.is_reachable = is_reachable,
+            Step::Claims(answers) => self.world.group.answers_claims = answers,
+            Step::Leave(back) => {
+                let request = self.next.saturating_sub(u64::from(back % 8));
+                self.world.leave(request);
+            }
+            Step::Dispatcher(server, is_own) => {
+                self.epoch += 1;
+                let vm = if is_own { VM } else { PEER };
+                let change = dispatcher(Self::name(server), Some(vm), self.epoch);
+                self.world.group.pending.push(change);
+            }
+            Step::Move(is_here) => {
+                let zone = if is_here { ZONE } else { FAR_ZONE };
+                self.world.group.pending.push(custody(BOARD, zone));
+            }
+            Step::Relay(back) => {
+                let request = self.next.saturating_sub(u64::from(back % 8));
+                let failure = RelayFailure::NothingSent;
+                self.world.feed(Event::RelayFailed { request, failure });
+            }
+            Step::Drain(server, draining) => {
+                let (service, name) = SERVERS[usize::from(server) % SERVERS.len()];
+                let mut changed = record(service, name);
+                changed.draining = draining;
+                self.world
+                    .group
+                    .pending
+                    .push(ViewChange::ServerUpserted(changed));
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn random_events_break_nothing(steps in prop::collection::vec(step(), 1..120), seed in any::<u64>()) {
+        let config = RequestPathConfig::builder(VM, ZONE).seed(seed).build();
+        let mut run = Run {
+            world: World::with_config(config, &SERVERS),
+            next: 0,
+            epoch: 10,
+        };
+        for step in &steps {
+            run.apply(step);
+        }
+        run.world.run_for(ms(10_000));
+        prop_assert!(run.world.all_ended(), "requests without an end: {}", run.world.path.open_requests());
+    }
+}
--- /dev/null
+++ b/crates/chicory_dispatch/tests/request_path/orders.rs
@@ -0,0 +1,187 @@
+//! Orders: claims, outcomes, resends.
+
+use chicory_dispatch::{Effect, Event, Outcome, RefusalReason};
+use chicory_ownership::{ClaimAnswer, ClaimResolution};
+use googletest::prelude::*;
+
+use crate::support::*;
+
+fn resolutions(world: &World) -> Vec<ClaimResolution> {
+    let effects = world.effects.iter().map(|(_, e)| e);
+    effects
+        .filter_map(|e| match e {
+            Effect::ResolveClaim { resolution, .. } => Some(resolution.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+#[gtest]
+fn shed_order_gives_its_claim_back_before_it_is_told_not_run() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.server("l1").mode = Mode::Shedding;
+    world.arrive(order(1, "k"));
+    world.run_for(ms(50));
+    let expected = (RefusalReason::ServerShed, Outcome::NotRun);
+    expect_that!(world.refusal(1), some(eq(expected)));
+    let is_told = |e: &Effect| matches!(e, Effect::Refuse { .. });
+    let is_given_back = |e: &Effect| matches!(e, Effect::ResolveClaim { .. });
+    let told = world.effects.iter().position(|(_, e)| is_told(e));
+    let given_back = world.effects.iter().position(|(_, e)| is_given_back(e));
+    expect_that!(given_back, some(anything()));
+    expect_that!(given_back, lt(told));
+    world.server("l1").mode = Mode::Up;
+    world.arrive(order(2, "k"));
+    world.run_for(ms(50));
+    expect_true!(world.is_forwarded(2));
+}
+
+#[gtest]
+fn order_lost_in_a_frozen_server_is_unknown_and_stays_so() {
+    let mut world = World::new(&[(LEDGER, "l1"), (LEDGER, "l2")]);
+    for name in ["l1", "l2"] {
+        world.server(name).mode = Mode::Frozen;
+    }
+    world.arrive(order(1, "k"));
+    world.run_for(ms(1_500));
+    expect_that!(world.refusal(1).map(|r| r.1), some(eq(Outcome::Unknown)));
+    for name in ["l1", "l2"] {
+        world.server(name).mode = Mode::Up;
+    }
+    world.run_for(ms(1_500));
+    world.arrive(order(2, "k"));
+    world.run_for(ms(50));
+    let expected = (RefusalReason::OrderOutcomeLost, Outcome::Unknown);
+    expect_that!(world.refusal(2), some(eq(expected)));
+    expect_that!(world.writes.len(), eq(1));
+}
+
+#[gtest]
+fn resend_while_the_order_runs_is_told_so() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.server("l1").service_time = ms(100);
+    world.arrive(order(1, "k"));
+    world.run_for(ms(10));
+    world.arrive(order(2, "k"));
+    world.run_for(ms(10));
+    let expected = (RefusalReason::OrderInProgress, Outcome::Unknown);
+    expect_that!(world.refusal(2), some(eq(expected)));
+}
+
+#[gtest]
+fn resend_through_another_vm_meets_the_same_claim() {
+    let mut first = World::new(&[(LEDGER, "l1")]);
+    let other = chicory_dispatch::RequestPathConfig::builder(PEER, ZONE).build();
+    let mut second = World::with_config(other, &[(LEDGER, "l2")]);
+    second.change_view([dispatcher("l2", Some(PEER), 5)]);
+    first.arrive(order(1, "k"));
+    first.run_for(ms(50));
+    std::mem::swap(&mut first.group, &mut second.group);
+    second.arrive(order(1, "k"));
+    second.run_for(ms(50));
+    expect_that!(second.finals.get(&1), some(eq(&Final::Stored)));
+    expect_that!(second.writes, is_empty());
+}
+
+#[gtest]
+fn order_of_another_zone_is_claimed_there() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.change_view([custody(LEDGER, FAR_ZONE)]);
+    world.arrive(order(1, "k"));
+    expect_that!(world.path.counters().claims, eq(0));
+    expect_that!(world.path.counters().relays, eq(1));
+    world.feed(Event::RelayFailed {
+        request: 1,
+        failure: chicory_dispatch::RelayFailure::BrokenBeforeAnswer,
+    });
+    let expected = (RefusalReason::RelayFailed, Outcome::Unknown);
+    expect_that!(world.refusal(1), some(eq(expected)));
+}
+
+#[gtest]
+fn order_of_a_zone_that_is_cut_off_is_told_not_run() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.change_view([custody(LEDGER, FAR_ZONE)]);
+    world.arrive(order(1, "k"));
+    for _ in 0..2 {
+        world.feed(Event::RelayFailed {
+            request: 1,
+            failure: chicory_dispatch::RelayFailure::NothingSent,
+        });
+    }
+    let expected = (RefusalReason::ZoneUnreachable, Outcome::NotRun);
+    expect_that!(world.refusal(1), some(eq(expected)));
+}
+
+#[gtest]
+fn claim_without_answer_is_given_back_and_refused_at_the_deadline() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.group.answers_claims = false;
+    world.arrive(order(1, "k"));
+    world.run_for(ms(2_000));
+    let expected = (RefusalReason::DeadlinePassed, Outcome::NotRun);
+    expect_that!(world.refusal(1), some(eq(expected)));
+    expect_that!(resolutions(&world).len(), eq(1));
+    world.feed(Event::ClaimAnswered {
+        request: 1,
+        answer: ClaimAnswer::Granted,
+    });
+    expect_that!(resolutions(&world), each(eq(&ClaimResolution::NotRun)));
+    expect_that!(resolutions(&world).len(), eq(2));
+    expect_that!(world.writes, is_empty());
+}
+
+#[gtest]
+fn failed_claim_is_given_back_before_the_refusal() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.group.answers_claims = false;
+    world.arrive(order(1, "k"));
+    world.feed(Event::ClaimFailed { request: 1 });
+    let expected = (RefusalReason::ClaimUnavailable, Outcome::NotRun);
+    expect_that!(world.refusal(1), some(eq(expected)));
+    expect_that!(
+        resolutions(&world),
+        elements_are![eq(&ClaimResolution::NotRun)]
+    );
+}
+
+#[gtest]
+fn claim_follows_the_leader() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.group.answers_claims = false;
+    world.arrive(order(1, "k"));
+    world.group.answers_claims = true;
+    world.feed(Event::ClaimAnswered {
+        request: 1,
+        answer: ClaimAnswer::NotLeader {
+            leader: Some("entry-3".to_owned()),
+        },
+    });
+    world.run_for(ms(50));
+    expect_true!(world.is_forwarded(1));
+}
+
+#[gtest]
+fn order_in_flight_outlives_its_caller_and_keeps_its_answer() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.server("l1").service_time = ms(100);
+    world.arrive(order(1, "k"));
+    world.run_for(ms(20));
+    world.feed(Event::CallerGone { request: 1 });
+    world.run_for(ms(200));
+    world.arrive(order(2, "k"));
+    world.run_for(ms(20));
+    expect_that!(world.finals.get(&2), some(eq(&Final::Stored)));
+}
+
+#[gtest]
+fn overload_refuses_orders_without_a_claim() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.server("l1").service_time = ms(50);
+    for id in 1..=100 {
+        world.arrive(order(id, &format!("k{id}")));
+    }
+    expect_that!(world.path.counters().claims, le(36));
+    world.run_for(ms(3_000));
+    expect_true!(world.all_ended());
+}
--- /dev/null
+++ b/crates/chicory_dispatch/tests/request_path/overload.rs
@@ -0,0 +1,120 @@
+//! Load beyond capacity.
+
+use chicory_dispatch::{Outcome, RefusalReason};
+use googletest::prelude::*;
+
+use crate::support::*;
+
+#[gtest]
+fn flash_load_on_one_service_leaves_the_other_alone() {
+    let mut world = World::new(&[(BOARD, "b1"), (PLANS, "p1")]);
+    // One server with 4 slots of 5 ms serves 800 requests a second; this is three times as much.
+    for step in 0..1_000 {
+        world.arrive(head(10_000 + step * 2, BOARD));
+        world.arrive(head(10_001 + step * 2, BOARD));
+        if step % 10 == 0 {
+            world.arrive(head(1 + step / 10, PLANS));
+        }
+        world.run_for(std::time::Duration::from_micros(833));
+    }
+    world.run_for(ms(500));
+    expect_that!(world.completed(1, 100), eq(100));
+    expect_true!(world.all_ended());
+    let goodput = world.completed(10_000, 2_000);
+    expect_that!(goodput, ge(600));
+}
+
+#[gtest]
+fn flash_load_on_one_key_leaves_other_keys_alone() {
+    let mut world = World::new(&[(BOARD, "b1")]);
+    let hot = |id| chicory_dispatch::RequestHead {
+        key: Some("hot".to_owned()),
+        ..head(id, BOARD)
+    };
+    for step in 0..1_000 {
+        world.arrive(hot(10_000 + step * 2));
+        world.arrive(hot(10_001 + step * 2));
+        if step % 10 == 0 {
+            world.arrive(head(1 + step / 10, BOARD));
+        }
+        world.run_for(std::time::Duration::from_micros(833));
+    }
+    world.run_for(ms(500));
+    expect_that!(world.completed(1, 100), eq(100));
+}
+
+#[gtest]
+fn refusal_is_immediate_and_says_when_to_come_back() {
+    let mut world = World::new(&[(PLANS, "p1")]);
+    world.server("p1").service_time = ms(100);
+    world.arrive_many(1, 4, ms(200), |id| head(id, PLANS));
+    for id in 10..100 {
+        world.arrive(head(id, PLANS));
+    }
+    let Some(Final::Refused(refusal)) = world.finals.get(&99) else {
+        return add_failure!("no refusal at once");
+    };
+    expect_that!(refusal.outcome, eq(Outcome::NotRun));
+    expect_that!(refusal.retry_after, some(ge(ms(50))));
+}
+
+#[gtest]
+fn wait_beyond_the_deadline_is_refused_at_once() {
+    let mut world = World::new(&[(PLANS, "p1")]);
+    world.server("p1").service_time = ms(100);
+    world.arrive_many(1, 4, ms(200), |id| head(id, PLANS));
+    for id in 10..18 {
+        world.arrive(head(id, PLANS));
+    }
+    let mut hurried = head(20, PLANS);
+    hurried.deadline = Some(ms(150));
+    world.arrive(hurried);
+    let expected = (RefusalReason::DeadlineTooShort, Outcome::NotRun);
+    expect_that!(world.refusal(20), some(eq(expected)));
+}
+
+#[gtest]
+fn rate_limit_of_the_table_holds() {
+    let mut world = World::new(&[(PLANS, "p1")]);
+    let mut limited = table();
+    if let Some(plans) = limited.services.get_mut(PLANS) {
+        plans.rate_limit_per_s = 100;
+    }
+    world.change_view([chicory_ownership::ViewChange::TableInForce(limited)]);
+    world.arrive_many(1, 500, ms(2), |id| head(id, PLANS));
+    expect_that!(world.writes.len(), all![ge(100), le(111)]);
+    expect_that!(
+        world.path.counters().refused(RefusalReason::RateLimited),
+        ge(389)
+    );
+}
+
+#[gtest]
+fn retries_stay_within_their_budget_after_an_outage() {
+    let mut world = World::new(&[(PLANS, "p1"), (PLANS, "p2")]);
+    for name in ["p1", "p2"] {
+        world.server(name).mode = Mode::Shedding;
+    }
+    world.arrive_many(1, 1_000, ms(2), |id| head(id, PLANS));
+    world.run_for(ms(500));
+    // A tenth of the fresh requests, a floor of one a second, and what was saved up.
+    expect_that!(world.path.counters().retries, le(100 + 3 + 20));
+    expect_that!(world.path.counters().retries_denied, ge(500));
+}
+
+#[gtest]
+fn table_limit_in_flight_is_kept() {
+    let mut world = World::new(&[(PLANS, "p1")]);
+    world.server("p1").in_flight_limit = 2;
+    let mut limited = table();
+    if let Some(plans) = limited.services.get_mut(PLANS) {
+        plans.max_in_flight = 2;
+    }
+    world.change_view([chicory_ownership::ViewChange::TableInForce(limited)]);
+    for id in 1..=30 {
+        world.arrive(head(id, PLANS));
+    }
+    world.run_for(ms(500));
+    expect_that!(world.server("p1").max_in_flight, eq(2));
+    expect_that!(world.completed(1, 30), eq(30));
+}
