Add the demonstration and the failure runs

Both start real processes on loopback, inject failures by signals, by switches of the stand-ins and by the fault file, wait on events, and are judged by the histories of callers, servers and operators. Ports are held bound until all addresses are chosen, so no two processes get the same.

Not run yet: the entry and control programs aren't there.

--- /dev/null
+++ b/tools/demo_runner/src/demo/demo_run.rs
@@ -0,0 +1,229 @@
+//! The demonstration from start to end.
+
+use std::path::PathBuf;
+
+use chicory_standin::load::CallOutcome;
+use snafu::{OptionExt, ensure};
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::RunnerError;
+use crate::caller_side::{CallerSide, GoodAnswer, key_call, order_call};
+use crate::deployment::{Cluster, Shape, Vm};
+use crate::runner_error::UnexpectedSnafu;
+use crate::services::{ARCHIVE, BUNDLES, ORDERS, put_table_in_force, start_standins};
+
+/// Keys that are asked for.
+const KEYS: [&str; 4] = ["horn-1", "horn-2", "horn-3", "horn-4"];
+
+/// Settings of the demonstration.
+#[derive(Clone, Debug)]
+pub struct DemoSettings {
+    /// Size of the deployment.
+    pub shape: Shape,
+    /// Folder of the programs.
+    pub binaries: PathBuf,
+}
+
+/// Runs the demonstration.
+///
+/// # Errors
+///
+/// [`RunnerError`] if an outcome isn't as stated.
+pub async fn run_demo(settings: DemoSettings) -> Result<(), RunnerError> {
+    let start = Instant::now();
+    let mut demo = Demo::start(settings).await?;
+    println!("started in {} ms", start.elapsed().as_millis());
+    demo.ask_keys().await?;
+    demo.ask_bundle().await?;
+    demo.order_and_resend().await?;
+    demo.lose_server().await?;
+    demo.lose_entry().await?;
+    demo.finish().await
+}
+
+struct Demo {
+    cluster: Cluster,
+    caller: CallerSide,
+}
+
+impl Demo {
+    async fn start(settings: DemoSettings) -> Result<Self, RunnerError> {
+        let shape = settings.shape;
+        let mut cluster = Cluster::start(shape, &settings.binaries).await?;
+        put_table_in_force(&cluster, shape).await?;
+        for vm in cluster.entries(None) {
+            cluster.wait_ready(&vm.name).await?;
+        }
+        for zone in shape.zone_names() {
+            start_standins(&mut cluster, zone).await?;
+        }
+        let history = cluster.new_history("caller");
+        let caller = CallerSide::new("demo", &history)?;
+        Ok(Self { cluster, caller })
+    }
+
+    async fn ask_keys(&self) -> Result<(), RunnerError> {
+        for (index, key) in KEYS.iter().enumerate() {
+            let vm = self.entry(index)?;
+            let addresses = [vm.listen.to_string()];
+            let answer = self.until_good(ARCHIVE, key, &addresses).await?;
+            println!(
+                "key {key} through {}: answered by {} after {} ms, {} sends",
+                vm.name,
+                answer.server,
+                answer.waited.as_millis(),
+                answer.sends
+            );
+        }
+        self.ask_everywhere(KEYS[0]).await
+    }
+
+    /// One owner answers, whichever entry VM is asked.
+    async fn ask_everywhere(&self, key: &str) -> Result<(), RunnerError> {
+        let mut owner: Option<String> = None;
+        for vm in self.cluster.entries(None) {
+            let address = vm.listen.to_string();
+            let answer = self.until_good(ARCHIVE, key, &[address]).await?;
+            let expected = owner.get_or_insert_with(|| answer.server.clone());
+            ensure!(
+                answer.server == *expected,
+                UnexpectedSnafu {
+                    expected: format!("{expected} as the owner of {key} through {}", vm.name),
+                    found: answer.server,
+                }
+            );
+        }
+        println!(
+            "key {key} has the owner {} through every entry VM",
+            owner.unwrap_or_default()
+        );
+        Ok(())
+    }
+
+    async fn ask_bundle(&self) -> Result<(), RunnerError> {
+        let addresses = self.cluster.caller_addresses(None);
+        let answer = self.until_good(BUNDLES, "firmware-7", &addresses).await?;
+        println!("bundle firmware-7: answered by {}", answer.server);
+        Ok(())
+    }
+
+    async fn order_and_resend(&self) -> Result<(), RunnerError> {
+        let order_key = Uuid::new_v4().to_string();
+        let order = order_call(ORDERS, "horn-1", &order_key);
+        let (first, other) = (self.entry(0)?, self.last_entry()?);
+        let ran = self
+            .caller
+            .until_good(&[first.listen.to_string()], &order)
+            .await?;
+        println!("order through {}: run by {}", first.name, ran.server);
+        let resent = self.caller.send(&other.listen.to_string(), &order).await;
+        ensure!(
+            resent.is_good() && resent.server.as_ref() == Some(&ran.server),
+            UnexpectedSnafu {
+                expected: format!("the stored answer of {}", ran.server),
+                found: format!("{resent:?}"),
+            }
+        );
+        println!(
+            "order resent through {}: the same answer, not run again",
+            other.name
+        );
+        Ok(())
+    }
+
+    async fn lose_server(&mut self) -> Result<(), RunnerError> {
+        let key = KEYS[0];
+        let addresses = self.cluster.caller_addresses(None);
+        let before = self.until_good(ARCHIVE, key, &addresses).await?;
+        self.cluster.kill_standin(&before.server).await?;
+        let after = self.until_good(ARCHIVE, key, &addresses).await?;
+        ensure!(
+            after.server != before.server,
+            UnexpectedSnafu {
+                expected: "another owner after the loss of the server",
+                found: &after.server,
+            }
+        );
+        println!(
+            "killed backend server {}: next good answer for {key} after {} ms from {}",
+            before.server,
+            after.waited.as_millis(),
+            after.server
+        );
+        Ok(())
+    }
+
+    /// Kills the entry VM that dispatches to a key's owner; in a deployment with a single entry VM
+    /// there is no other one to go on.
+    async fn lose_entry(&mut self) -> Result<(), RunnerError> {
+        let key = KEYS[1];
+        let Some(dispatcher) = self.dispatcher_with_heir(key).await? else {
+            println!("no entry VM is killed: its zone has no other one");
+            return Ok(());
+        };
+        self.cluster.kill_process(&dispatcher).await?;
+        let addresses = self.cluster.caller_addresses(None);
+        let after = self.until_good(ARCHIVE, key, &addresses).await?;
+        println!(
+            "killed entry VM {dispatcher}, the dispatcher of {key}: next good answer after {} ms \
+             from {}",
+            after.waited.as_millis(),
+            after.server
+        );
+        Ok(())
+    }
+
+    async fn dispatcher_with_heir(&self, key: &str) -> Result<Option<String>, RunnerError> {
+        let owner = self.cluster.operator.run(&["owner", ARCHIVE, key]).await?;
+        let dispatcher = owner.get("dispatcher").and_then(|name| name.as_str());
+        let dispatcher = dispatcher.with_context(|| UnexpectedSnafu {
+            expected: format!("a dispatcher of {key}"),
+            found: owner.to_string(),
+        })?;
+        let zone = &self.cluster.vm(dispatcher)?.zone;
+        let has_heir = self.cluster.entries(Some(zone)).len() > 1;
+        Ok(has_heir.then(|| dispatcher.to_owned()))
+    }
+
+    async fn finish(mut self) -> Result<(), RunnerError> {
+        self.cluster.stop().await?;
+        println!("stopped every process as planned, each with exit code 0");
+        let verdict = self.cluster.check_clean(&[ARCHIVE])?;
+        let not_run = CallOutcome::NotRun.name();
+        println!(
+            "history: {} runs, no violation; {} sends of orders that had run were answered {not_run}",
+            verdict.runs, verdict.refused_sends_of_run_orders
+        );
+        Ok(())
+    }
+
+    async fn until_good(
+        &self,
+        service: &str,
+        key: &str,
+        addresses: &[String],
+    ) -> Result<GoodAnswer, RunnerError> {
+        self.caller
+            .until_good(addresses, &key_call(service, key))
+            .await
+    }
+
+    fn entry(&self, index: usize) -> Result<Vm, RunnerError> {
+        let entries = self.cluster.entries(None);
+        let vm = entries.get(index % entries.len().max(1)).cloned();
+        vm.with_context(no_entry)
+    }
+
+    fn last_entry(&self) -> Result<Vm, RunnerError> {
+        let vm = self.cluster.entries(None).pop();
+        vm.with_context(no_entry)
+    }
+}
+
+fn no_entry() -> UnexpectedSnafu<&'static str, &'static str> {
+    UnexpectedSnafu {
+        expected: "an entry VM",
+        found: "none",
+    }
+}
--- /dev/null
+++ b/tools/demo_runner/src/deployment/cluster.rs
@@ -0,0 +1,378 @@
+//! All processes of a deployment.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use chicory_standin::check::{Verdict, judge, read_histories};
+use chicory_standin::server::send_once;
+use snafu::{OptionExt, ResultExt, ensure};
+use tempfile::TempDir;
+
+use super::operator::OPERATOR_NAME;
+use super::ports::Ports;
+use super::process_args::{data_folder, fault_file, peer_list, process_args};
+use super::{Operator, Role, Shape, StandinGroup, StandinShape, Vm};
+use crate::child_process::{ChildProcess, Signal};
+use crate::runner_error::{FileSnafu, UnexpectedSnafu};
+use crate::{RunnerError, wait};
+
+/// How long the deployment may take to be formed.
+const FORM_TIMEOUT: Duration = Duration::from_secs(40);
+/// How long one health check may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// All processes of a deployment; dropping it kills them.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// The operator.
+    pub operator: Operator,
+    /// Running stand-ins by name.
+    pub standins: BTreeMap<String, StandinGroup>,
+    processes: BTreeMap<String, ChildProcess>,
+    histories: Vec<PathBuf>,
+    folder: TempDir,
+    binaries: PathBuf,
+}
+
+impl Cluster {
+    /// Makes certificates and starts all entry and control processes.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if a process doesn't start or the deployment isn't formed in time.
+    pub async fn start(shape: Shape, binaries: &Path) -> Result<Self, RunnerError> {
+        let folder = TempDir::new().context(FileSnafu {
+            path: std::env::temp_dir(),
+        })?;
+        let vms = plan(shape)?;
+        let global = peer_list(vms.iter().filter(|vm| vm.is_global()));
+        let mut cluster = Self {
+            operator: Operator::new(binaries, folder.path(), global),
+            vms,
+            standins: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            histories: Vec::new(),
+            folder,
+            binaries: binaries.to_owned(),
+        };
+        cluster.make_certificates().await?;
+        for vm in cluster.vms.clone() {
+            cluster.start_process(&vm.name)?;
+        }
+        cluster.wait_formed().await?;
+        Ok(cluster)
+    }
+
+    /// Folder of all files of the run.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// A new history file that the verdict takes in.
+    pub fn new_history(&mut self, name: &str) -> PathBuf {
+        let path = self.folder.path().join(format!("{name}.jsonl"));
+        self.histories.push(path.clone());
+        path
+    }
+
+    /// The VM `name`.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::Unexpected`] if there is none.
+    pub fn vm(&self, name: &str) -> Result<&Vm, RunnerError> {
+        let vm = self.vms.iter().find(|vm| vm.name == name);
+        vm.with_context(|| UnexpectedSnafu {
+            expected: "a VM of the deployment",
+            found: name,
+        })
+    }
+
+    /// Entry VMs, those of `zone` only where it is given.
+    pub fn entries(&self, zone: Option<&str>) -> Vec<Vm> {
+        let is_meant = |vm: &&Vm| vm.role == Role::Entry && zone.is_none_or(|zone| vm.zone == zone);
+        self.vms.iter().filter(is_meant).cloned().collect()
+    }
+
+    /// Addresses for callers of those entry VMs whose process runs.
+    pub fn caller_addresses(&self, zone: Option<&str>) -> Vec<String> {
+        let entries = self.entries(zone).into_iter();
+        entries
+            .filter(|vm| self.processes.contains_key(&vm.name))
+            .map(|vm| vm.listen.to_string())
+            .collect()
+    }
+
+    /// Starts the process of a VM, again where it has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it can't be started.
+    pub fn start_process(&mut self, vm: &str) -> Result<(), RunnerError> {
+        let vm = self.vm(vm)?.clone();
+        let program = self.binaries.join(format!("chicory-{}", vm.role.name()));
+        let args = process_args(&vm, &self.vms, self.folder.path());
+        let process = ChildProcess::start(&vm.name, &program, &args, self.folder.path())?;
+        self.processes.insert(vm.name, process);
+        Ok(())
+    }
+
+    /// Kills the process of a VM.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it doesn't run.
+    pub async fn kill_process(&mut self, vm: &str) -> Result<(), RunnerError> {
+        self.take_process(vm)?.kill().await
+    }
+
+    /// Stops the process of a VM as planned.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it doesn't end with exit code 0.
+    pub async fn stop_process(&mut self, vm: &str) -> Result<(), RunnerError> {
+        self.take_process(vm)?.stop().await
+    }
+
+    /// Waits until the process of a VM, which was asked to stop, has ended with exit code 0.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it doesn't.
+    pub async fn wait_stopped(&mut self, vm: &str) -> Result<(), RunnerError> {
+        self.take_process(vm)?.wait_stopped().await
+    }
+
+    /// Sends a signal to the process of a VM.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it doesn't run.
+    pub async fn signal(&self, vm: &str, signal: Signal) -> Result<(), RunnerError> {
+        let process = self.processes.get(vm);
+        let process = process.with_context(|| UnexpectedSnafu {
+            expected: "a running process",
+            found: vm,
+        })?;
+        process.signal(signal).await
+    }
+
+    /// Deletes the data folder of a VM.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::File`] if it can't be deleted.
+    pub fn lose_data(&self, vm: &str) -> Result<(), RunnerError> {
+        let path = data_folder(self.vm(vm)?, self.folder.path());
+        std::fs::remove_dir_all(&path).context(FileSnafu { path })
+    }
+
+    /// Cuts a zone off from all others, both ways.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::File`] if a switch can't be written.
+    pub fn cut_off(&self, zone: &str) -> Result<(), RunnerError> {
+        for vm in &self.vms {
+            let is_across = |other: &&Vm| (vm.zone == zone) != (other.zone == zone);
+            let across = self.vms.iter().filter(is_across);
+            let lines: Vec<String> = across.map(|other| other.peer.to_string()).collect();
+            self.write_cut(vm, &lines)?;
+        }
+        Ok(())
+    }
+
+    /// Cuts one VM off from all others, both ways.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::File`] if a switch can't be written.
+    pub fn isolate(&self, name: &str) -> Result<(), RunnerError> {
+        for vm in &self.vms {
+            let is_across = |other: &&Vm| (vm.name == name) != (other.name == name);
+            let across = self.vms.iter().filter(is_across);
+            let lines: Vec<String> = across.map(|other| other.peer.to_string()).collect();
+            self.write_cut(vm, &lines)?;
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::File`] if a switch can't be written.
+    pub fn heal(&self) -> Result<(), RunnerError> {
+        self.vms.iter().try_for_each(|vm| self.write_cut(vm, &[]))
+    }
+
+    /// Starts a stand-in process that announces itself in its own zone.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it doesn't start.
+    pub async fn start_standin(&mut self, shape: StandinShape) -> Result<(), RunnerError> {
+        let entries = self.entries(Some(&shape.zone)).into_iter();
+        let announce: Vec<String> = entries.map(|vm| vm.announce.to_string()).collect();
+        let (binaries, folder) = (&self.binaries, self.folder.path());
+        let group = StandinGroup::start(shape, &announce, binaries, folder).await?;
+        if !self.histories.contains(&group.history) {
+            self.histories.push(group.history.clone());
+        }
+        self.standins.insert(group.shape.name.clone(), group);
+        Ok(())
+    }
+
+    /// Kills a stand-in process.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it doesn't run.
+    pub async fn kill_standin(&mut self, name: &str) -> Result<(), RunnerError> {
+        let group = self.standins.remove(name);
+        let group = group.with_context(|| UnexpectedSnafu {
+            expected: "a running stand-in",
+            found: name,
+        })?;
+        group.process.kill().await
+    }
+
+    /// Waits until an entry process says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if it ends or isn't ready in time.
+    pub async fn wait_ready(&mut self, vm: &str) -> Result<(), RunnerError> {
+        let admin = self.vm(vm)?.admin.to_string();
+        let what = format!("readiness of {vm}");
+        let ready = wait::until(&what, FORM_TIMEOUT, async || {
+            match send_once(&admin, "/readyz", None, HEALTH_TIMEOUT).await {
+                Ok(answer) if answer.status == 200 => Ok(()),
+                Ok(answer) => Err(format!("{} {:?}", answer.status, answer.body)),
+                Err(error) => Err(error.to_string()),
+            }
+        });
+        let ready = ready.await;
+        self.check_alive()?;
+        ready
+    }
+
+    /// Stops all entry and control processes as planned, the entries first, and all stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError`] if one doesn't end with exit code 0.
+    pub async fn stop(&mut self) -> Result<(), RunnerError> {
+        let vms = self.vms.clone();
+        let in_order = vms.iter().filter(|vm| !vm.is_control());
+        for vm in in_order.chain(vms.iter().filter(|vm| vm.is_control())) {
+            if self.processes.contains_key(&vm.name) {
+                self.stop_process(&vm.name).await?;
+            }
+        }
+        while let Some((_, group)) = self.standins.pop_first() {
+            group.process.kill().await?;
+        }
+        Ok(())
+    }
+
+    /// Judges all histories of the run.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::History`] if one can't be read.
+    pub fn verdict(&self, keyed: &[&str]) -> Result<Verdict, RunnerError> {
+        let operator = self.operator.history();
+        let histories = self.histories.iter().chain([&operator]);
+        let histories: Vec<PathBuf> = histories.filter(|path| path.exists()).cloned().collect();
+        let records = read_histories(&histories)?;
+        let keyed = keyed.iter().map(|service| (*service).to_owned()).collect();
+        Ok(judge(&records, &keyed))
+    }
+
+    /// Fails if the verdict isn't clean.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::Unexpected`] with the violations.
+    pub fn check_clean(&self, keyed: &[&str]) -> Result<Verdict, RunnerError> {
+        let verdict = self.verdict(keyed)?;
+        let violations = verdict
+            .violations
+            .iter()
+            .map(|found| format!("\n  {found}"));
+        ensure!(
+            verdict.is_clean,
+            UnexpectedSnafu {
+                expected: "a clean history",
+                found: violations.collect::<String>(),
+            }
+        );
+        Ok(verdict)
+    }
+
+    /// Fails if a process has ended on its own.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::Ended`] with the end of its log.
+    pub fn check_alive(&mut self) -> Result<(), RunnerError> {
+        let mut processes = self.processes.values_mut();
+        processes.try_for_each(ChildProcess::check_alive)
+    }
+
+    async fn wait_formed(&mut self) -> Result<(), RunnerError> {
+        let operator = self.operator.clone();
+        let formed = wait::until("forming of the global group", FORM_TIMEOUT, async || {
+            let status = operator.run(&["table", "status"]).await;
+            status.map_err(|error| error.to_string())
+        });
+        let formed = formed.await;
+        self.check_alive()?;
+        formed.map(|_| ())
+    }
+
+    async fn make_certificates(&self) -> Result<(), RunnerError> {
+        let vms = self.vms.iter();
+        let holders = vms.map(|vm| (vm.role.name(), vm.name.as_str()));
+        let holders: Vec<(&str, &str)> = holders.chain([("operator", OPERATOR_NAME)]).collect();
+        self.operator.make_certificates(&holders).await
+    }
+
+    fn take_process(&mut self, vm: &str) -> Result<ChildProcess, RunnerError> {
+        let process = self.processes.remove(vm);
+        process.with_context(|| UnexpectedSnafu {
+            expected: "a running process",
+            found: vm,
+        })
+    }
+
+    fn write_cut(&self, vm: &Vm, blocked: &[String]) -> Result<(), RunnerError> {
+        let path = fault_file(vm, self.folder.path());
+        std::fs::write(&path, blocked.join("\n")).context(FileSnafu { path })
+    }
+}
+
+fn plan(shape: Shape) -> Result<Vec<Vm>, RunnerError> {
+    let mut ports = Ports::default();
+    let mut vms = Vec::new();
+    for (index, zone) in shape.zone_names().enumerate() {
+        let zone_number = index + 1;
+        for number in 1..=shape.controls {
+            let is_global = number <= shape.global_controls;
+            let role = Role::Control { is_global };
+            let name = format!("control-{zone_number}-{number}");
+            vms.push(Vm::new(name, zone, role, &mut ports)?);
+        }
+        for number in 1..=shape.entries {
+            let name = format!("entry-{zone_number}-{number}");
+            vms.push(Vm::new(name, zone, Role::Entry, &mut ports)?);
+        }
+    }
+    ports.release();
+    Ok(vms)
+}
--- /dev/null
+++ b/tools/demo_runner/src/deployment/process_args.rs
@@ -0,0 +1,84 @@
+//! Command lines of entry and control processes.
+
+use std::fmt::Display;
+use std::path::Path;
+
+use super::{Role, Vm};
+
+/// Name of the cluster.
+pub const CLUSTER_NAME: &str = "demo";
+
+/// The command line of the process of `vm`, one of `vms`, with its files in `folder`.
+pub fn process_args(vm: &Vm, vms: &[Vm], folder: &Path) -> Vec<String> {
+    let mut args = Args::default();
+    args.add("cluster", &CLUSTER_NAME);
+    args.add("vm", &vm.name);
+    args.add("zone", &vm.zone);
+    args.add("peer-listen", &vm.peer);
+    args.add("admin-listen", &vm.admin);
+    match vm.role {
+        Role::Entry => {
+            args.add("listen", &vm.listen);
+            args.add("announce-listen", &vm.announce);
+            args.add("control", &zone_peers(vm, vms));
+        }
+        Role::Control { is_global } => {
+            args.add("zone-peers", &zone_peers(vm, vms));
+            args.add(
+                "global-peers",
+                &peer_list(vms.iter().filter(|vm| vm.is_global())),
+            );
+            if is_global {
+                args.add("data-dir", &data_folder(vm, folder).display());
+            }
+        }
+    }
+    let certificate = format!("{}-{}", vm.role.name(), vm.name);
+    args.add_certificate(&certificate, folder);
+    args.add("log-format", &"json");
+    args.add("fault-file", &fault_file(vm, folder).display());
+    args.list
+}
+
+/// The data folder of a VM.
+pub fn data_folder(vm: &Vm, folder: &Path) -> std::path::PathBuf {
+    folder.join(format!("{}.data", vm.name))
+}
+
+/// The file that names the addresses that a VM is cut off from.
+pub fn fault_file(vm: &Vm, folder: &Path) -> std::path::PathBuf {
+    folder.join(format!("{}.cut", vm.name))
+}
+
+/// A list of VMs and their addresses as the settings take it.
+pub fn peer_list<'a>(vms: impl Iterator<Item = &'a Vm>) -> String {
+    let pairs: Vec<String> = vms.map(|vm| format!("{}={}", vm.name, vm.peer)).collect();
+    pairs.join(",")
+}
+
+fn zone_peers(vm: &Vm, vms: &[Vm]) -> String {
+    let is_peer = |other: &&Vm| other.is_control() && other.zone == vm.zone;
+    peer_list(vms.iter().filter(is_peer))
+}
+
+/// A command line in the making.
+#[derive(Debug, Default)]
+pub struct Args {
+    /// The arguments.
+    pub list: Vec<String>,
+}
+
+impl Args {
+    /// Adds a flag with its value.
+    pub fn add(&mut self, flag: &str, value: &dyn Display) {
+        self.list.push(format!("--{flag}"));
+        self.list.push(value.to_string());
+    }
+
+    /// Adds the flags of a certificate in `folder`.
+    pub fn add_certificate(&mut self, name: &str, folder: &Path) {
+        self.add("ca", &folder.join("ca.pem").display());
+        self.add("cert", &folder.join(format!("{name}.pem")).display());
+        self.add("key", &folder.join(format!("{name}.key.pem")).display());
+    }
+}
--- /dev/null
+++ b/tools/demo_runner/src/failures/control_failures.rs
@@ -0,0 +1,117 @@
+//! Failures of control processes.
+
+use std::path::Path;
+
+use chicory_standin::check::Verdict;
+use serde_json::Value;
+
+use super::failure_run::{FailureRun, KEY, expect, print_waited};
+use super::server_failures::ONE_ZONE;
+use crate::caller_side::SETTLE_TIMEOUT;
+use crate::deployment::Shape;
+use crate::services::ARCHIVE;
+use crate::{RunnerError, wait};
+
+/// Time of a request.
+const SERVICE_TIME: &str = "5ms";
+/// Three zones, each with one control process, all in the global group.
+const THREE_GLOBAL: Shape = Shape {
+    zones: 3,
+    controls: 1,
+    global_controls: 1,
+    entries: 1,
+};
+
+/// Callers notice neither the loss of a leader nor that of its successor right after the repair.
+pub async fn leaders_killed(binaries: &Path) -> Result<Verdict, RunnerError> {
+    let mut run = FailureRun::start(ONE_ZONE, binaries, SERVICE_TIME).await?;
+    let load = run.start_load().await?;
+    let first = until_leader(&run, None).await?;
+    run.cluster.kill_process(&first).await?;
+    let second = until_leader(&run, Some(&first)).await?;
+    run.cluster.start_process(&first)?;
+    until_member(&run, &first).await?;
+    run.cluster.kill_process(&second).await?;
+    until_leader(&run, Some(&second)).await?;
+    let after = run.until_good(KEY).await?;
+    print_waited("two leaders killed", after.waited);
+    run.finish(Some(load)).await
+}
+
+/// A control process that is cut off silently neither serves nor disturbs the others, and comes
+/// back.
+pub async fn isolated(binaries: &Path) -> Result<Verdict, RunnerError> {
+    let mut run = FailureRun::start(ONE_ZONE, binaries, SERVICE_TIME).await?;
+    let load = run.start_load().await?;
+    let leader = until_leader(&run, None).await?;
+    run.cluster.isolate(&leader)?;
+    until_leader(&run, Some(&leader)).await?;
+    let after = run.until_good(KEY).await?;
+    print_waited("leader isolated", after.waited);
+    run.cluster.heal()?;
+    until_member(&run, &leader).await?;
+    run.finish(Some(load)).await
+}
+
+/// A member of the global group that lost its data folder forgets nothing that was accepted.
+pub async fn data_lost(binaries: &Path) -> Result<Verdict, RunnerError> {
+    let mut run = FailureRun::start(THREE_GLOBAL, binaries, SERVICE_TIME).await?;
+    let set = ["table", "set", ARCHIVE, "*", "weight=70", "--wait"];
+    let accepted = run.cluster.operator.run(&set).await?;
+    let lost = "control-2-1";
+    run.cluster.kill_process(lost).await?;
+    run.cluster.lose_data(lost)?;
+    run.cluster.start_process(lost)?;
+    let next = ["table", "set", ARCHIVE, "*", "weight=80", "--wait"];
+    let revision = run.cluster.operator.run(&next).await?["revision"].as_u64();
+    let before = accepted["revision"].as_u64();
+    let is_next = revision > before;
+    expect(
+        is_next,
+        "a later revision",
+        format!("{revision:?} after {before:?}"),
+    )?;
+    let after = run.until_good(KEY).await?;
+    print_waited("data folder lost", after.waited);
+    run.finish(None).await
+}
+
+/// Waits for a leader of the zone group other than `former`.
+async fn until_leader(run: &FailureRun, former: Option<&str>) -> Result<String, RunnerError> {
+    wait::until("a leader of the zone group", SETTLE_TIMEOUT, async || {
+        let detail = zone_detail(run).await?;
+        match detail["leader"].as_str() {
+            Some(leader) if !leader.is_empty() && Some(leader) != former => Ok(leader.to_owned()),
+            _ => Err(detail.to_string()),
+        }
+    })
+    .await
+}
+
+/// Waits until the zone group's leader is known to `vm`, which is asked alone.
+async fn until_member(run: &FailureRun, vm: &str) -> Result<(), RunnerError> {
+    let vm = run.cluster.vm(vm)?;
+    let alone = format!("{}={}", vm.name, vm.peer);
+    let operator = run.cluster.operator.asking(alone);
+    let what = format!("{} to be a member again", vm.name);
+    wait::until(&what, SETTLE_TIMEOUT, async || {
+        let output = operator
+            .output(&["zone", "show", "--timeout-ms", "500"])
+            .await;
+        let output = output.map_err(|error| error.to_string())?;
+        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
+        let knows_leader = output.status.success() || stderr.contains("names");
+        if knows_leader { Ok(()) } else { Err(stderr) }
+    })
+    .await
+}
+
+async fn zone_detail(run: &FailureRun) -> Result<Value, String> {
+    let zone_vms = run.cluster.vms.iter().filter(|vm| vm.is_control());
+    let pairs: Vec<String> = zone_vms
+        .map(|vm| format!("{}={}", vm.name, vm.peer))
+        .collect();
+    let operator = run.cluster.operator.asking(pairs.join(","));
+    let detail = operator.run(&["zone", "show"]).await;
+    detail.map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/tools/demo_runner/src/failures/failure_case.rs
@@ -0,0 +1,142 @@
+//! The cases and their run.
+
+use std::path::Path;
+
+use chicory_standin::check::Verdict;
+
+use super::{
+    control_failures, entry_failures, operator_failures, order_failures, server_failures,
+    zone_failures,
+};
+use crate::RunnerError;
+use crate::runner_error::UnexpectedSnafu;
+
+/// One failure and what must hold under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureCase {
+    /// A backend server is killed.
+    ServerKilled,
+    /// A backend server is paused and goes on as if nothing had happened.
+    ServerPaused,
+    /// The open connections of a backend server go silent.
+    ServerSilent,
+    /// A request crashes each backend server that runs it.
+    CrashingRequest,
+    /// The entry process that dispatches to a server is killed.
+    EntryKilled,
+    /// The entry process that dispatches to a server is paused and goes on.
+    EntryPaused,
+    /// An entry process is stopped as planned with a request in flight.
+    EntryStopped,
+    /// The leader of a zone group is killed, and its successor right after the repair.
+    LeadersKilled,
+    /// A control process is cut off from all others without a word.
+    ControlIsolated,
+    /// A control process loses its data folder.
+    DataLost,
+    /// A zone is cut off from the others.
+    ZoneCut,
+    /// Two operators edit the same revision, and one resends.
+    OperatorsRace,
+    /// A backend server is killed while it runs an order, which is resent.
+    OrderServerKilled,
+}
+
+impl FailureCase {
+    /// All cases.
+    pub const ALL: [Self; 13] = [
+        Self::ServerKilled,
+        Self::ServerPaused,
+        Self::ServerSilent,
+        Self::CrashingRequest,
+        Self::EntryKilled,
+        Self::EntryPaused,
+        Self::EntryStopped,
+        Self::LeadersKilled,
+        Self::ControlIsolated,
+        Self::DataLost,
+        Self::ZoneCut,
+        Self::OperatorsRace,
+        Self::OrderServerKilled,
+    ];
+
+    /// Name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ServerKilled => "server-killed",
+            Self::ServerPaused => "server-paused",
+            Self::ServerSilent => "server-silent",
+            Self::CrashingRequest => "crashing-request",
+            Self::EntryKilled => "entry-killed",
+            Self::EntryPaused => "entry-paused",
+            Self::EntryStopped => "entry-stopped",
+            Self::LeadersKilled => "leaders-killed",
+            Self::ControlIsolated => "control-isolated",
+            Self::DataLost => "data-lost",
+            Self::ZoneCut => "zone-cut",
+            Self::OperatorsRace => "operators-race",
+            Self::OrderServerKilled => "order-server-killed",
+        }
+    }
+
+    async fn run(self, binaries: &Path) -> Result<Verdict, RunnerError> {
+        match self {
+            Self::ServerKilled => server_failures::killed(binaries).await,
+            Self::ServerPaused => server_failures::paused(binaries).await,
+            Self::ServerSilent => server_failures::silent(binaries).await,
+            Self::CrashingRequest => server_failures::crashing_request(binaries).await,
+            Self::EntryKilled => entry_failures::killed(binaries).await,
+            Self::EntryPaused => entry_failures::paused(binaries).await,
+            Self::EntryStopped => entry_failures::stopped(binaries).await,
+            Self::LeadersKilled => control_failures::leaders_killed(binaries).await,
+            Self::ControlIsolated => control_failures::isolated(binaries).await,
+            Self::DataLost => control_failures::data_lost(binaries).await,
+            Self::ZoneCut => zone_failures::cut(binaries).await,
+            Self::OperatorsRace => operator_failures::race(binaries).await,
+            Self::OrderServerKilled => order_failures::server_killed(binaries).await,
+        }
+    }
+}
+
+/// Runs cases one after the other and prints the verdict of each.
+///
+/// # Errors
+///
+/// [`RunnerError::Unexpected`] with the names of those that failed.
+pub async fn run_failures(cases: &[FailureCase], binaries: &Path) -> Result<(), RunnerError> {
+    let mut failed = Vec::new();
+    for case in cases {
+        println!("{}", case.name());
+        match case.run(binaries).await {
+            Ok(verdict) => println!("  passed: {}", summary(&verdict)),
+            Err(error) => {
+                println!("  FAILED: {error}");
+                failed.push(case.name());
+            }
+        }
+    }
+    println!(
+        "{} passed, {} failed",
+        cases.len() - failed.len(),
+        failed.len()
+    );
+    if failed.is_empty() {
+        return Ok(());
+    }
+    UnexpectedSnafu {
+        expected: "all cases to pass",
+        found: format!("failures of {}", failed.join(", ")),
+    }
+    .fail()
+}
+
+fn summary(verdict: &Verdict) -> String {
+    let services = verdict.services.iter().map(|(service, figures)| {
+        format!(
+            "; {service} {:?}, {} owner changes, unavailable {} ms at most",
+            figures.outcomes, figures.owner_changes, figures.longest_unavailable_ms
+        )
+    });
+    let services: Vec<String> = services.collect();
+    format!("{} runs{}", verdict.runs, services.concat())
+}
