Convert the messages of the replicated log

Cause: members of a group talk through generated messages like all processes. Conclusion: consensus.proto carries both groups on one stream between two VMs.

--- a/crates/chicory_control/src/convert/formation.rs
+++ b/crates/chicory_control/src/convert/formation.rs
@@ -9,7 +9,7 @@
 use chicory_wire::proto::log::global_entry::Entry;
 use chicory_wire::proto::view::NotLeader;
 use chicory_wire::proto::zone::formation_answer::Answer;
-use chicory_wire::proto::{log, zone};
+use chicory_wire::proto::{consensus, log, zone};
 
 use crate::{
     FormationAnswer, FormationRequest, GlobalEntry, GlobalMachine, GroupName, ZoneFormation,
@@ -31,7 +31,7 @@
     field: "global_machine_snapshot.state",
 };
 
-fn members(messages: Vec<zone::MemberId>) -> Result<BTreeSet<MemberId>, ConvertError> {
+fn members(messages: Vec<consensus::MemberId>) -> Result<BTreeSet<MemberId>, ConvertError> {
     messages.into_iter().map(MemberId::try_from).collect()
 }
 
@@ -106,7 +106,7 @@
     }
 }
 
-impl From<GroupName> for zone::GroupName {
+impl From<GroupName> for consensus::GroupName {
     fn from(group: GroupName) -> Self {
         match group {
             GroupName::Global => Self::Global,
@@ -115,11 +115,11 @@
     }
 }
 
-impl From<zone::GroupName> for GroupName {
-    fn from(message: zone::GroupName) -> Self {
+impl From<consensus::GroupName> for GroupName {
+    fn from(message: consensus::GroupName) -> Self {
         match message {
-            zone::GroupName::Global => Self::Global,
-            zone::GroupName::Zone => Self::Zone,
+            consensus::GroupName::Global => Self::Global,
+            consensus::GroupName::Zone => Self::Zone,
         }
     }
 }
@@ -131,7 +131,7 @@
         zone: request.zone,
         member: Some(MemberId::new(request.vm, request.incarnation).into()),
         zone_vms: request.zone_vms.into_iter().collect(),
-        asked_group: zone::GroupName::from(request.asked_group).into(),
+        asked_group: consensus::GroupName::from(request.asked_group).into(),
         remembered_epoch: request.remembered_epoch,
     }
 }
@@ -141,7 +141,7 @@
 
     fn try_from(message: zone::FormationRequest) -> Result<Self, ConvertError> {
         let member: MemberId = message.member.ok_or(MISSING_MEMBER)?.try_into()?;
-        let asked_group = zone::GroupName::try_from(message.asked_group);
+        let asked_group = consensus::GroupName::try_from(message.asked_group);
         let out_of_range = ConvertError::OutOfRange {
             field: "formation_request.asked_group",
         };
--- /dev/null
+++ b/crates/chicory_wire/src/consensus_convert.rs
@@ -0,0 +1,344 @@
+//! Conversions of the messages between the members of a group, and of what a member stores.
+
+use std::time::Duration;
+
+use chicory_consensus::{
+    AppendOutcome, Entry, EntryPayload, HardState, HelloStatus, MemberId, Membership, PeerMessage,
+    PeerMessageBody, SnapshotHeader,
+};
+
+use crate::ConvertError;
+use crate::convert_error::{each, each_into, required};
+use crate::proto::common::Empty;
+use crate::proto::consensus::append_response::Outcome;
+use crate::proto::consensus::entry::Payload;
+use crate::proto::consensus::hello::Status;
+use crate::proto::consensus::peer_message::Body;
+use crate::proto::consensus::{self, GroupName};
+use crate::record_macro::convert_record;
+
+convert_record!(
+    MemberId,
+    consensus::MemberId {
+        plain: [vm, incarnation],
+        nested: [],
+        list: [],
+    }
+);
+
+impl From<Membership> for consensus::Membership {
+    fn from(membership: Membership) -> Self {
+        Self {
+            voters: membership.voters.into_iter().map(Into::into).collect(),
+            learners: membership.learners.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<consensus::Membership> for Membership {
+    type Error = ConvertError;
+
+    fn try_from(message: consensus::Membership) -> Result<Self, ConvertError> {
+        let voters: Vec<MemberId> = each(message.voters)?;
+        let learners: Vec<MemberId> = each(message.learners)?;
+        Ok(Self {
+            voters: voters.into_iter().collect(),
+            learners: learners.into_iter().collect(),
+        })
+    }
+}
+
+impl From<Entry> for consensus::Entry {
+    fn from(entry: Entry) -> Self {
+        let payload = match entry.payload {
+            EntryPayload::Noop => Payload::Noop(Empty {}),
+            EntryPayload::Command(command) => Payload::Command(command),
+            EntryPayload::Membership(membership) => Payload::Membership(membership.into()),
+        };
+        Self {
+            index: entry.index,
+            term: entry.term,
+            payload: Some(payload),
+        }
+    }
+}
+
+impl TryFrom<consensus::Entry> for Entry {
+    type Error = ConvertError;
+
+    fn try_from(message: consensus::Entry) -> Result<Self, ConvertError> {
+        let payload = match required(message.payload, "entry.payload")? {
+            Payload::Noop(Empty {}) => EntryPayload::Noop,
+            Payload::Command(command) => EntryPayload::Command(command),
+            Payload::Membership(membership) => EntryPayload::Membership(membership.try_into()?),
+        };
+        Ok(Self {
+            index: message.index,
+            term: message.term,
+            payload,
+        })
+    }
+}
+
+impl From<HardState> for consensus::HardState {
+    fn from(state: HardState) -> Self {
+        Self {
+            term: state.term,
+            voted_for: state.voted_for.map(Into::into),
+        }
+    }
+}
+
+impl TryFrom<consensus::HardState> for HardState {
+    type Error = ConvertError;
+
+    fn try_from(message: consensus::HardState) -> Result<Self, ConvertError> {
+        Ok(Self {
+            term: message.term,
+            voted_for: message.voted_for.map(TryInto::try_into).transpose()?,
+        })
+    }
+}
+
+convert_record!(
+    SnapshotHeader,
+    consensus::SnapshotHeader {
+        plain: [last_index, last_term, size_bytes],
+        nested: [membership],
+        list: [],
+    }
+);
+
+impl From<HelloStatus> for consensus::Hello {
+    fn from(status: HelloStatus) -> Self {
+        let status = match status {
+            HelloStatus::Joining => Status::Joining(Empty {}),
+            HelloStatus::Forming => Status::Forming(Empty {}),
+            HelloStatus::Bound(membership) => Status::Bound(membership.into()),
+            HelloStatus::Formed => Status::Formed(Empty {}),
+        };
+        Self {
+            status: Some(status),
+        }
+    }
+}
+
+impl TryFrom<consensus::Hello> for HelloStatus {
+    type Error = ConvertError;
+
+    fn try_from(message: consensus::Hello) -> Result<Self, ConvertError> {
+        Ok(match required(message.status, "hello.status")? {
+            Status::Joining(Empty {}) => Self::Joining,
+            Status::Forming(Empty {}) => Self::Forming,
+            Status::Bound(membership) => Self::Bound(membership.try_into()?),
+            Status::Formed(Empty {}) => Self::Formed,
+        })
+    }
+}
+
+impl From<AppendOutcome> for Outcome {
+    fn from(outcome: AppendOutcome) -> Self {
+        match outcome {
+            AppendOutcome::Matched { index } => Self::MatchedIndex(index),
+            AppendOutcome::Conflict {
+                prev_index,
+                hint_index,
+            } => Self::Conflict(consensus::AppendConflict {
+                prev_index,
+                hint_index,
+            }),
+        }
+    }
+}
+
+impl From<Outcome> for AppendOutcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::MatchedIndex(index) => Self::Matched { index },
+            Outcome::Conflict(conflict) => Self::Conflict {
+                prev_index: conflict.prev_index,
+                hint_index: conflict.hint_index,
+            },
+        }
+    }
+}
+
+fn nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
+
+impl From<PeerMessageBody> for Body {
+    fn from(body: PeerMessageBody) -> Self {
+        match body {
+            PeerMessageBody::Hello(status) => Self::Hello(status.into()),
+            PeerMessageBody::PreVote {
+                term,
+                last_index,
+                last_term,
+            } => Self::PreVote(consensus::PreVote {
+                term,
+                last_index,
+                last_term,
+            }),
+            PeerMessageBody::PreVoteResponse {
+                term,
+                asked_term,
+                granted,
+            } => Self::PreVoteResponse(consensus::PreVoteResponse {
+                term,
+                asked_term,
+                granted,
+            }),
+            PeerMessageBody::RequestVote {
+                term,
+                last_index,
+                last_term,
+                is_transfer,
+            } => Self::RequestVote(consensus::RequestVote {
+                term,
+                last_index,
+                last_term,
+                is_transfer,
+            }),
+            PeerMessageBody::VoteResponse { term, granted } => {
+                Self::VoteResponse(consensus::VoteResponse { term, granted })
+            }
+            PeerMessageBody::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries,
+                commit_index,
+                sent_at,
+            } => Self::Append(consensus::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries: each_into(entries),
+                commit_index,
+                sent_at_ns: nanos(sent_at),
+            }),
+            PeerMessageBody::AppendResponse {
+                term,
+                sent_at,
+                outcome,
+            } => Self::AppendResponse(consensus::AppendResponse {
+                term,
+                sent_at_ns: nanos(sent_at),
+                outcome: Some(outcome.into()),
+            }),
+            PeerMessageBody::SnapshotChunk {
+                term,
+                header,
+                offset_bytes,
+                data,
+                sent_at,
+            } => Self::SnapshotChunk(consensus::SnapshotChunk {
+                term,
+                header: Some(header.into()),
+                offset_bytes,
+                data,
+                sent_at_ns: nanos(sent_at),
+            }),
+            PeerMessageBody::SnapshotResponse {
+                term,
+                sent_at,
+                last_index,
+                next_offset_bytes,
+                is_installed,
+            } => Self::SnapshotResponse(consensus::SnapshotResponse {
+                term,
+                sent_at_ns: nanos(sent_at),
+                last_index,
+                next_offset_bytes,
+                is_installed,
+            }),
+            PeerMessageBody::TimeoutNow { term } => {
+                Self::TimeoutNow(consensus::TimeoutNow { term })
+            }
+        }
+    }
+}
+
+impl TryFrom<Body> for PeerMessageBody {
+    type Error = ConvertError;
+
+    fn try_from(body: Body) -> Result<Self, ConvertError> {
+        Ok(match body {
+            Body::Hello(hello) => Self::Hello(hello.try_into()?),
+            Body::PreVote(vote) => Self::PreVote {
+                term: vote.term,
+                last_index: vote.last_index,
+                last_term: vote.last_term,
+            },
+            Body::PreVoteResponse(response) => Self::PreVoteResponse {
+                term: response.term,
+                asked_term: response.asked_term,
+                granted: response.granted,
+            },
+            Body::RequestVote(vote) => Self::RequestVote {
+                term: vote.term,
+                last_index: vote.last_index,
+                last_term: vote.last_term,
+                is_transfer: vote.is_transfer,
+            },
+            Body::VoteResponse(response) => Self::VoteResponse {
+                term: response.term,
+                granted: response.granted,
+            },
+            Body::Append(append) => Self::Append {
+                term: append.term,
+                prev_index: append.prev_index,
+                prev_term: append.prev_term,
+                entries: each(append.entries)?,
+                commit_index: append.commit_index,
+                sent_at: Duration::from_nanos(append.sent_at_ns),
+            },
+            Body::AppendResponse(response) => Self::AppendResponse {
+                term: response.term,
+                sent_at: Duration::from_nanos(response.sent_at_ns),
+                outcome: required(response.outcome, "append_response.outcome")?.into(),
+            },
+            Body::SnapshotChunk(chunk) => Self::SnapshotChunk {
+                term: chunk.term,
+                header: required(chunk.header, "snapshot_chunk.header")?.try_into()?,
+                offset_bytes: chunk.offset_bytes,
+                data: chunk.data,
+                sent_at: Duration::from_nanos(chunk.sent_at_ns),
+            },
+            Body::SnapshotResponse(response) => Self::SnapshotResponse {
+                term: response.term,
+                sent_at: Duration::from_nanos(response.sent_at_ns),
+                last_index: response.last_index,
+                next_offset_bytes: response.next_offset_bytes,
+                is_installed: response.is_installed,
+            },
+            Body::TimeoutNow(message) => Self::TimeoutNow { term: message.term },
+        })
+    }
+}
+
+/// The message of a member's message, for one of the groups.
+#[must_use]
+pub fn peer_message(group: GroupName, message: PeerMessage) -> consensus::PeerMessage {
+    consensus::PeerMessage {
+        group: group.into(),
+        group_epoch: message.group_epoch,
+        from: Some(message.from.into()),
+        to: Some(message.to.into()),
+        body: Some(message.body.into()),
+    }
+}
+
+impl TryFrom<consensus::PeerMessage> for PeerMessage {
+    type Error = ConvertError;
+
+    fn try_from(message: consensus::PeerMessage) -> Result<Self, ConvertError> {
+        Ok(Self {
+            group_epoch: message.group_epoch,
+            from: required(message.from, "peer_message.from")?.try_into()?,
+            to: required(message.to, "peer_message.to")?.try_into()?,
+            body: required(message.body, "peer_message.body")?.try_into()?,
+        })
+    }
+}
--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod audit_convert;
 mod claim_convert;
 mod common_convert;
+mod consensus_convert;
 mod convert_error;
 mod custody_convert;
 #[expect(
@@ -22,5 +23,6 @@
 mod view_convert;
 mod zone_convert;
 
+pub use consensus_convert::peer_message;
 pub use convert_error::ConvertError;
 pub use generated::chicory as proto;
--- a/crates/chicory_wire/src/zone_convert.rs
+++ b/crates/chicory_wire/src/zone_convert.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chicory_consensus::MemberId;
 use chicory_ownership::{ZoneDirectory, ZoneSyncAnswer, ZoneSyncRefusal, ZoneSyncRequest};
 use chicory_table::CustodyLease;
 
@@ -13,15 +12,6 @@
 use crate::record_macro::{convert_enum, convert_record};
 use crate::{ConvertError, proto::zone};
 
-convert_record!(
-    MemberId,
-    zone::MemberId {
-        plain: [vm, incarnation],
-        nested: [],
-        list: [],
-    }
-);
-
 convert_record!(
     ZoneDirectory,
     zone::ZoneDirectory {
