Carry out the effects of the request path in the entry process

Tasks turn what comes in over HTTP and QUIC into events, one loop feeds the reducer.

The reducer keeps an order running after its caller has left, so an abandoned answer that is to be kept is read to its end. hyper takes no second request before its connection has noticed the end of the first answer: an answer counts as finished once the connection is ready, since a request sent earlier would fail. A connection tells of its end also where this side closes it, as the reducer counts it until then.

--- /dev/null
+++ b/crates/chicory_entry/src/caller/caller_handler.rs
@@ -0,0 +1,143 @@
+//! Requests of callers.
+
+use std::sync::Arc;
+
+use chicory_dispatch::{Event, Outcome, Refusal, RefusalReason, RequestHead, RequestOrigin};
+use chicory_net::http::{AnswerFuture, HttpBody, HttpHandler};
+use chicory_types::{RequestId, fingerprint_of};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+use tokio::sync::oneshot;
+
+use crate::caller::CallerHead;
+use crate::caller::answer_response::{fault_response, refusal_response, response_of};
+use crate::caller::headers::{strip_hop_by_hop, strip_internal};
+use crate::exchange::{Exchange, ForwardedHead};
+use crate::inbox::Inbox;
+use crate::input::Input;
+use crate::request_body::RequestBody;
+use crate::request_ids::RequestIds;
+
+/// Takes the requests of callers.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerHandler {
+    pub(crate) inbox: Inbox,
+    pub(crate) ids: Arc<RequestIds>,
+    pub(crate) max_buffered_bytes: usize,
+}
+
+impl HttpHandler for CallerHandler {
+    fn handle(&self, request: Request<Incoming>) -> AnswerFuture {
+        Box::pin(self.clone().answer(request))
+    }
+}
+
+impl CallerHandler {
+    async fn answer(self, request: Request<Incoming>) -> Response<HttpBody> {
+        let (parts, body) = request.into_parts();
+        let head = match CallerHead::parse(&parts) {
+            Ok(head) => head,
+            Err(fault) => return fault_response(fault),
+        };
+        let Ok(body) = RequestBody::read(body, self.max_buffered_bytes).await else {
+            // The caller's connection is broken; nobody reads this.
+            return refusal_response(&REFUSED_BROKEN);
+        };
+        let request = self.ids.next();
+        let forwarded = forwarded_head(&head, parts, &body);
+        let event = RequestHead {
+            request,
+            service: head.service,
+            key: head.key,
+            order_key: head.order_key,
+            is_safe_method: head.is_safe_method,
+            fingerprint: forwarded.fingerprint,
+            is_replayable: body.is_replayable(),
+            deadline: head.deadline,
+            origin: RequestOrigin::Caller,
+        };
+        let (sender, receiver) = oneshot::channel();
+        let exchange = Exchange::new(forwarded, body, sender);
+        self.inbox.send(Input::Arrived(Box::new((event, exchange))));
+        let mut guard = LeaveGuard::new(request, self.inbox);
+        let answer = receiver.await;
+        guard.disarm();
+        match answer {
+            Ok(answer) => response_of(answer),
+            Err(_) => refusal_response(&REFUSED_STOPPED),
+        }
+    }
+}
+
+/// The refusal of a request whose body never came in whole.
+const REFUSED_BROKEN: Refusal = Refusal {
+    outcome: Outcome::NotRun,
+    reason: RefusalReason::AnswerBroken,
+    retry_after: None,
+};
+
+/// The refusal of a request that the loop has dropped without a word.
+const REFUSED_STOPPED: Refusal = Refusal {
+    outcome: Outcome::Unknown,
+    reason: RefusalReason::Stopping,
+    retry_after: None,
+};
+
+fn forwarded_head(head: &CallerHead, parts: Parts, body: &RequestBody) -> ForwardedHead {
+    let mut headers = parts.headers;
+    strip_hop_by_hop(&mut headers);
+    strip_internal(&mut headers);
+    let path_and_query = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| "/".to_owned(), ToString::to_string);
+    let fingerprint = fingerprint_of(&[
+        parts.method.as_str().as_bytes(),
+        path_and_query.as_bytes(),
+        head.service.as_bytes(),
+        head.key.as_deref().unwrap_or_default().as_bytes(),
+        body.buffered(),
+    ]);
+    ForwardedHead {
+        method: parts.method,
+        path_and_query,
+        headers,
+        service: head.service.clone(),
+        key: head.key.clone(),
+        order_key: head.order_key.clone(),
+        fingerprint,
+        is_safe_method: head.is_safe_method,
+    }
+}
+
+/// Tells the loop where the caller leaves before the answer.
+#[derive(Debug)]
+struct LeaveGuard {
+    request: RequestId,
+    inbox: Inbox,
+    is_armed: bool,
+}
+
+impl LeaveGuard {
+    fn new(request: RequestId, inbox: Inbox) -> Self {
+        Self {
+            request,
+            inbox,
+            is_armed: true,
+        }
+    }
+
+    fn disarm(&mut self) {
+        self.is_armed = false;
+    }
+}
+
+impl Drop for LeaveGuard {
+    fn drop(&mut self) {
+        if self.is_armed {
+            let request = self.request;
+            self.inbox.send_event(Event::CallerGone { request });
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_entry/src/entry_process.rs
@@ -0,0 +1,315 @@
+//! The entry process with all its listeners.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use chicory_dispatch::{Event, RequestPath, RequestPathConfig};
+use chicory_net::http::{HttpHandler, HttpLimits, HttpListener};
+use chicory_net::peer::{
+    CallStream, FaultFile, FaultSwitch, Incoming, NoFaults, PeerConnection, PeerEndpoint,
+    PeerIdentity, PeerStream,
+};
+use chicory_net::tls::{PeerRole, PeerTls, Subject};
+use chicory_telemetry::Metrics;
+use chicory_types::{Clock, SystemClock};
+use chicory_wire::proto::peer::reply::Reply as ReplyKind;
+use chicory_wire::proto::peer::{Call, CallError, Reply};
+use slog::{Logger, info};
+use snafu::ResultExt;
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use uuid::Uuid;
+
+use crate::admin::{AdminHandler, Readiness};
+use crate::announce::AnnounceHandler;
+use crate::caller::CallerHandler;
+use crate::core_loop::{CoreLoop, CoreParts};
+use crate::entry_error::{EntryError, ListenSnafu};
+use crate::inbox::Inbox;
+use crate::input::Input;
+use crate::relay::RelayServer;
+use crate::request_ids::RequestIds;
+use crate::settings::EntrySettings;
+use crate::trace::open_trace;
+use crate::zone::ZoneClient;
+
+/// Limits of the listeners for announcements and admin pages.
+const SIDE_LIMITS: HttpLimits = HttpLimits {
+    max_head_bytes: 8 * 1024,
+    max_connections: 2_000,
+    head_timeout: Duration::from_mins(1),
+};
+/// How long what is still open may take after the loop has ended.
+const LAST_TASKS_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Addresses that the process is bound to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For announcements of backend servers.
+    pub announcements: SocketAddr,
+    /// For the admin pages.
+    pub admin: SocketAddr,
+    /// For other processes of the cluster.
+    pub peers: SocketAddr,
+}
+
+/// The entry process with all its listeners bound.
+#[derive(Debug)]
+pub struct EntryProcess {
+    addresses: EntryAddresses,
+    inbox: Inbox,
+    core: JoinHandle<()>,
+    listeners: Vec<JoinHandle<()>>,
+    peers: PeerEndpoint,
+    stop_listeners: watch::Sender<bool>,
+    open: mpsc::Receiver<()>,
+}
+
+/// What the parts of the process share while it starts.
+struct Starting {
+    settings: EntrySettings,
+    logger: Logger,
+    metrics: Arc<Metrics>,
+    inbox: Inbox,
+    ids: Arc<RequestIds>,
+    readiness: Readiness,
+    stop: watch::Receiver<bool>,
+    open: mpsc::Sender<()>,
+}
+
+impl EntryProcess {
+    /// Binds all listeners and starts to serve; must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails for certificates that can't be used and addresses that can't be bound.
+    pub async fn start(settings: EntrySettings, logger: Logger) -> Result<Self, EntryError> {
+        let (inbox, inputs) = Inbox::new();
+        let (stop_listeners, stop) = watch::channel(false);
+        let (open_sender, open) = mpsc::channel(1);
+        let starting = Starting {
+            settings,
+            logger,
+            metrics: Arc::new(Metrics::new()?),
+            inbox: inbox.clone(),
+            ids: Arc::new(RequestIds::new()),
+            readiness: Readiness::default(),
+            stop,
+            open: open_sender,
+        };
+        let (peers, incoming) = starting.bind_peers()?;
+        let (callers, announcements, admin) = starting.bind_http().await?;
+        let addresses = EntryAddresses {
+            callers: bound(&callers, starting.settings.listen)?,
+            announcements: bound(&announcements, starting.settings.announce_listen)?,
+            admin: bound(&admin, starting.settings.admin_listen)?,
+            peers: peers.local_addr().context(ListenSnafu {
+                address: starting.settings.peer_listen,
+            })?,
+        };
+        info!(starting.logger, "listening"; "callers" => %addresses.callers,
+            "announcements" => %addresses.announcements, "admin" => %addresses.admin,
+            "peers" => %addresses.peers);
+        let core = starting.start_core(addresses, peers.clone(), inputs)?;
+        starting.start_peers(incoming);
+        let listeners = starting.start_http(callers, announcements, admin);
+        Ok(Self {
+            addresses,
+            inbox,
+            core,
+            listeners,
+            peers,
+            stop_listeners,
+            open,
+        })
+    }
+
+    /// Addresses that the process is bound to.
+    #[must_use]
+    pub fn addresses(&self) -> EntryAddresses {
+        self.addresses
+    }
+
+    /// Asks the process to stop; no request in flight is cut off.
+    pub fn request_stop(&self) {
+        self.inbox.send_event(Event::StopRequested);
+    }
+
+    /// Waits until the process has stopped.
+    pub async fn stopped(mut self) {
+        let _ = self.core.await;
+        let _ = self.stop_listeners.send(true);
+        let _ = tokio::time::timeout(LAST_TASKS_TIMEOUT, async {
+            for listener in self.listeners {
+                let _ = listener.await;
+            }
+            // Ends once every task that holds a sender has ended.
+            while self.open.recv().await.is_some() {}
+        })
+        .await;
+        self.peers.close().await;
+    }
+}
+
+fn bound(listener: &HttpListener, address: SocketAddr) -> Result<SocketAddr, EntryError> {
+    listener.local_addr().context(ListenSnafu { address })
+}
+
+impl Starting {
+    fn bind_peers(&self) -> Result<(PeerEndpoint, mpsc::Receiver<Incoming>), EntryError> {
+        let settings = &self.settings;
+        let tls = PeerTls::load(&settings.tls)?;
+        let identity = PeerIdentity {
+            subject: Subject::new(PeerRole::Entry, &settings.vm),
+            cluster: settings.cluster.clone(),
+            zone: settings.zone.clone(),
+        };
+        let faults: Arc<dyn FaultSwitch> = match &settings.fault_file {
+            Some(path) => FaultFile::follow(path.clone()),
+            None => Arc::new(NoFaults),
+        };
+        let metrics = self.metrics.clone();
+        let address = settings.peer_listen;
+        Ok(PeerEndpoint::bind(
+            address, &tls, &identity, faults, metrics,
+        )?)
+    }
+
+    async fn bind_http(&self) -> Result<(HttpListener, HttpListener, HttpListener), EntryError> {
+        let settings = &self.settings;
+        Ok((
+            listen(settings.listen).await?,
+            listen(settings.announce_listen).await?,
+            listen(settings.admin_listen).await?,
+        ))
+    }
+
+    fn start_core(
+        &self,
+        addresses: EntryAddresses,
+        peers: PeerEndpoint,
+        inputs: UnboundedReceiver<Input>,
+    ) -> Result<JoinHandle<()>, EntryError> {
+        let clock: Arc<dyn Clock + Send + Sync> = Arc::new(SystemClock::new());
+        let config = self.path_config(addresses, clock.wall());
+        let core = CoreLoop::new(CoreParts {
+            path: RequestPath::new(config, clock.now()),
+            clock,
+            inbox: self.inbox.clone(),
+            zone_name: self.settings.zone.clone(),
+            zone: ZoneClient::new(peers.clone(), self.settings.control.clone()),
+            peers,
+            readiness: self.readiness.clone(),
+            trace: open_trace(self.settings.trace_file.as_deref())?,
+            metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
+            open: self.open.clone(),
+        });
+        Ok(tokio::spawn(core.run(inputs)))
+    }
+
+    fn path_config(&self, addresses: EntryAddresses, wall: SystemTime) -> RequestPathConfig {
+        let settings = &self.settings;
+        let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH);
+        let since_epoch = since_epoch.unwrap_or_default();
+        let (seed, _) = Uuid::new_v4().as_u64_pair();
+        RequestPathConfig::builder(&settings.vm, &settings.zone)
+            .incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+            .peer_address(addresses.peers.to_string())
+            .announce_address(addresses.announcements.to_string())
+            .renew_interval(settings.renew_interval)
+            .server_lease(settings.server_lease)
+            .retry_share(f64::from(settings.retry_percent) / 100.0)
+            .max_requests(settings.max_requests)
+            .seed(seed)
+            .build()
+    }
+
+    fn start_http(
+        &self,
+        callers: HttpListener,
+        announcements: HttpListener,
+        admin: HttpListener,
+    ) -> Vec<JoinHandle<()>> {
+        let caller_handler = CallerHandler {
+            inbox: self.inbox.clone(),
+            ids: self.ids.clone(),
+            max_buffered_bytes: self.settings.max_buffered_bytes,
+        };
+        let announce_handler = AnnounceHandler {
+            inbox: self.inbox.clone(),
+        };
+        let admin_handler = AdminHandler {
+            readiness: self.readiness.clone(),
+            metrics: self.metrics.clone(),
+        };
+        vec![
+            self.serve(callers, caller_handler, self.settings.caller_limits),
+            self.serve(announcements, announce_handler, SIDE_LIMITS),
+            self.serve(admin, admin_handler, SIDE_LIMITS),
+        ]
+    }
+
+    fn serve(
+        &self,
+        listener: HttpListener,
+        handler: impl HttpHandler + 'static,
+        limits: HttpLimits,
+    ) -> JoinHandle<()> {
+        let handler = Arc::new(handler);
+        let metrics = self.metrics.clone();
+        tokio::spawn(listener.serve(handler, limits, self.stop.clone(), metrics))
+    }
+
+    fn start_peers(&self, mut incoming: mpsc::Receiver<Incoming>) {
+        let server = RelayServer {
+            inbox: self.inbox.clone(),
+            ids: self.ids.clone(),
+            max_buffered_bytes: self.settings.max_buffered_bytes,
+            open: self.open.downgrade(),
+        };
+        tokio::spawn(async move {
+            while let Some(incoming) = incoming.recv().await {
+                let is_entry = incoming.identity.subject.role == PeerRole::Entry;
+                let server = is_entry.then(|| server.clone());
+                tokio::spawn(serve_peer(incoming.connection, server));
+            }
+        });
+    }
+}
+
+/// Serves what another process opens; relays only from entry processes.
+async fn serve_peer(connection: PeerConnection, server: Option<RelayServer>) {
+    while let Ok(stream) = connection.accept().await {
+        match (stream, &server) {
+            (PeerStream::Relay(stream), Some(server)) => {
+                tokio::spawn(server.clone().serve(stream));
+            }
+            (PeerStream::Call(call), _) => {
+                tokio::spawn(refuse(call));
+            }
+            (PeerStream::Relay(_) | PeerStream::Messages(_), _) => {}
+        }
+    }
+}
+
+/// An entry process answers no calls.
+async fn refuse(mut call: CallStream) {
+    let error = match call.read::<Call>().await {
+        Ok(_) => CallError::WrongProcess,
+        Err(_) => CallError::Malformed,
+    };
+    let reply = ReplyKind::Error(error.into());
+    let reply = Reply { reply: Some(reply) };
+    let _ = call.reply(&reply).await;
+}
+
+async fn listen(address: SocketAddr) -> Result<HttpListener, EntryError> {
+    HttpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/chicory_entry/src/inbox.rs
@@ -0,0 +1,30 @@
+//! The way from the tasks of the process to its loop.
+
+use chicory_dispatch::Event;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+use crate::input::Input;
+
+/// The way from the tasks of the process to its loop.
+///
+/// It is unbounded, since the number of open requests and connections bounds what can wait in it.
+#[derive(Clone, Debug)]
+pub(crate) struct Inbox {
+    sender: UnboundedSender<Input>,
+}
+
+impl Inbox {
+    pub(crate) fn new() -> (Self, UnboundedReceiver<Input>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self { sender }, receiver)
+    }
+
+    /// Tells the loop; what comes after its end is dropped.
+    pub(crate) fn send(&self, input: Input) {
+        let _ = self.sender.send(input);
+    }
+
+    pub(crate) fn send_event(&self, event: Event) {
+        self.send(Input::Event(event));
+    }
+}
--- /dev/null
+++ b/crates/chicory_entry/src/relay/relay_client.rs
@@ -0,0 +1,155 @@
+//! The relaying end.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use chicory_net::http::{BodySource, HttpBody};
+use chicory_net::peer::{
+    FrameError, PeerEndpoint, PeerError, RelayReader, RelayStream, RelayWriter,
+};
+use chicory_types::ZoneName;
+use chicory_wire::proto::relay::{RelayAnswerHead, RelayRequestHead};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+use crate::exchange::{Attempt, ForwardedHead};
+use crate::inbox::Inbox;
+use crate::input::Input;
+use crate::relay::to_wire;
+
+/// What the reducer adds to a relay.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayTerms {
+    pub(crate) attempt: Attempt,
+    pub(crate) address: String,
+    pub(crate) hops: u8,
+    pub(crate) deadline: Duration,
+    pub(crate) from_zone: ZoneName,
+}
+
+/// Why a relay gave no answer.
+enum Failure {
+    NothingSent,
+    Broken,
+}
+
+/// Relays a request and tells the loop of the answer's head.
+pub(crate) async fn relay(
+    endpoint: PeerEndpoint,
+    head: RelayRequestHead,
+    body: BodySource,
+    terms: RelayTerms,
+    inbox: Inbox,
+) {
+    let attempt = terms.attempt;
+    inbox.send(
+        match exchange(&endpoint, head, body, &terms.address).await {
+            Ok((head, reader)) => Input::RelayAnswered {
+                attempt,
+                head: Box::new(head),
+                reader,
+            },
+            Err(failure) => Input::RelayFailed {
+                attempt,
+                is_nothing_sent: matches!(failure, Failure::NothingSent),
+            },
+        },
+    );
+}
+
+/// The head of a relayed request.
+pub(crate) fn request_head(
+    head: &ForwardedHead,
+    body: &BodySource,
+    terms: &RelayTerms,
+) -> RelayRequestHead {
+    let is_in_memory = matches!(body, BodySource::Empty | BodySource::Full(_));
+    RelayRequestHead {
+        request: terms.attempt.request,
+        method: head.method.to_string(),
+        path_and_query: head.path_and_query.clone(),
+        headers: to_wire(&head.headers),
+        service: head.service.clone(),
+        key: head.key.clone(),
+        order_key: head.order_key.clone(),
+        fingerprint: head.fingerprint,
+        is_safe_method: head.is_safe_method,
+        deadline_ms: u64::try_from(terms.deadline.as_millis()).unwrap_or(u64::MAX),
+        hops: terms.hops.into(),
+        from_zone: terms.from_zone.clone(),
+        has_body: !matches!(body, BodySource::Empty),
+        is_replayable: is_in_memory,
+    }
+}
+
+async fn exchange(
+    endpoint: &PeerEndpoint,
+    head: RelayRequestHead,
+    body: BodySource,
+    address: &str,
+) -> Result<(RelayAnswerHead, RelayReader), Failure> {
+    let stream = open(endpoint, address)
+        .await
+        .map_err(|_| Failure::NothingSent)?;
+    let RelayStream {
+        mut writer,
+        mut reader,
+    } = stream;
+    let answered = {
+        let mut sending = pin!(send(&mut writer, head, body));
+        let mut answering = pin!(reader.answer_head());
+        tokio::select! {
+            biased;
+            answered = answering.as_mut() => answered,
+            sent = sending.as_mut() => match sent {
+                Ok(()) => answering.await,
+                Err(error) => Err(error),
+            },
+        }
+    };
+    match answered {
+        Ok(head) => Ok((head, reader)),
+        Err(_) => Err(Failure::Broken),
+    }
+}
+
+async fn open(endpoint: &PeerEndpoint, address: &str) -> Result<RelayStream, PeerError> {
+    endpoint.connect_to(address).await?.open_relay().await
+}
+
+async fn send(
+    writer: &mut RelayWriter,
+    head: RelayRequestHead,
+    body: BodySource,
+) -> Result<(), FrameError> {
+    let has_body = head.has_body;
+    writer.send_request_head(head).await?;
+    if has_body {
+        send_body(writer, HttpBody::new(body)).await?;
+    }
+    writer.end().await
+}
+
+/// Sends a body at the pace of the other end.
+///
+/// A body that fails is left without its end, so that the other end sees the break.
+pub(crate) async fn send_body(
+    writer: &mut RelayWriter,
+    mut body: HttpBody,
+) -> Result<(), FrameError> {
+    while !body.is_end_stream() {
+        match body.frame().await {
+            None => break,
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    writer.send_chunk(data.into()).await?;
+                }
+            }
+            Some(Err(_)) => {
+                let expected = "a whole body";
+                return Err(FrameError::Unexpected { expected });
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/chicory_entry/src/request_observer.rs
@@ -0,0 +1,28 @@
+//! What the loop learns of a request's body on its way out.
+
+use bytes::Bytes;
+use chicory_dispatch::Event;
+use chicory_net::http::{BodyError, BodyObserver, BodySource};
+use chicory_types::RequestId;
+
+use crate::inbox::Inbox;
+
+/// Tells the loop of the progress of a streamed request; its failure shows in the exchange.
+#[derive(Debug)]
+pub(crate) struct RequestObserver {
+    pub(crate) request: RequestId,
+    pub(crate) inbox: Inbox,
+}
+
+impl BodyObserver for RequestObserver {
+    fn progressed(&mut self, _part: &Bytes) {
+        let request = self.request;
+        self.inbox.send_event(Event::RequestProgressed { request });
+    }
+
+    fn finished(self: Box<Self>) {}
+
+    fn failed(self: Box<Self>, _error: &BodyError) {}
+
+    fn abandoned(self: Box<Self>, _rest: BodySource) {}
+}
--- /dev/null
+++ b/crates/chicory_entry/src/settings.rs
@@ -0,0 +1,96 @@
+//! Settings of the entry process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use chicory_net::http::HttpLimits;
+use chicory_net::tls::TlsFiles;
+use chicory_settings::{SettingFaults, SettingsReader};
+use chicory_telemetry::LogFormat;
+use chicory_types::{ClusterName, VmId, ZoneName};
+use clap::ArgMatches;
+
+/// Settings of the entry process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Name of the deployment.
+    pub cluster: ClusterName,
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Availability zone of this VM.
+    pub zone: ZoneName,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for announcements of backend servers.
+    pub announce_listen: SocketAddr,
+    /// Address of the admin pages.
+    pub admin_listen: SocketAddr,
+    /// Address for other processes of the cluster.
+    pub peer_listen: SocketAddr,
+    /// Control processes of the own zone.
+    pub control: BTreeMap<VmId, SocketAddr>,
+    /// Certificates.
+    pub tls: TlsFiles,
+    /// Form of log records.
+    pub log_format: LogFormat,
+    /// Where to record every event of the reducer.
+    pub trace_file: Option<PathBuf>,
+    /// File that lists blocked peers, for tests of failures.
+    pub fault_file: Option<PathBuf>,
+    /// Limits of the listener for callers.
+    pub caller_limits: HttpLimits,
+    /// Longest request body that is kept in memory and can be sent again.
+    pub max_buffered_bytes: usize,
+    /// Requests open at a time.
+    pub max_requests: usize,
+    /// Longest lease granted to a backend server.
+    pub server_lease: Duration,
+    /// Time between renewals of the lease.
+    pub renew_interval: Duration,
+    /// Retries as a share of fresh requests, in percent.
+    pub retry_percent: u32,
+}
+
+impl EntrySettings {
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault that was found.
+    pub fn read(matches: &ArgMatches) -> Result<Self, SettingFaults> {
+        let mut reader = SettingsReader::new(matches);
+        let settings = Self {
+            cluster: reader.name("cluster"),
+            vm: reader.name("vm"),
+            zone: reader.name("zone"),
+            listen: reader.address("listen"),
+            announce_listen: reader.address("announce-listen"),
+            admin_listen: reader.address("admin-listen"),
+            peer_listen: reader.address("peer-listen"),
+            control: reader.addresses_by_vm("control"),
+            tls: TlsFiles {
+                ca: reader.readable_file("ca"),
+                certificate: reader.readable_file("cert"),
+                key: reader.readable_file("key"),
+            },
+            log_format: reader
+                .choice("log-format", &["terminal", "json"])
+                .unwrap_or_default(),
+            trace_file: reader.optional_path("trace-file"),
+            fault_file: reader.optional_path("fault-file"),
+            caller_limits: HttpLimits {
+                max_head_bytes: reader.count("max-head-bytes", 1_024..=1_048_576),
+                max_connections: reader.count("max-callers", 1..=1_000_000),
+                head_timeout: reader.millis("head-timeout-ms", 100..=3_600_000),
+            },
+            max_buffered_bytes: reader.count("max-buffered-body-bytes", 0..=16_777_216),
+            max_requests: reader.count("max-requests", 1..=1_000_000),
+            server_lease: reader.millis("server-lease-ms", 200..=60_000),
+            renew_interval: reader.millis("renew-interval-ms", 50..=10_000),
+            retry_percent: reader.count("retry-percent", 0..=100),
+        };
+        reader.finish(settings)
+    }
+}
--- /dev/null
+++ b/crates/chicory_entry/src/zone/mod.rs
@@ -0,0 +1,6 @@
+//! Calls to the control processes of the own availability zone.
+
+mod zone_client;
+mod zone_error;
+
+pub(crate) use zone_client::ZoneClient;
--- /dev/null
+++ b/crates/chicory_entry/tests/entry_process/requests.rs
@@ -0,0 +1,282 @@
+//! Requests of callers through an entry process, directly and over a relay.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::support::fake_zone::policy;
+use crate::support::{FakeServer, World, get, get_until_ok, send, try_send};
+use chicory_net::http::HttpBody;
+use googletest::prelude::*;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+/// Answers with what it saw of the request.
+async fn echo(request: Request<Incoming>) -> Response<HttpBody> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes().len());
+    let header = |name: &str| {
+        let value = head.headers.get(name);
+        value.map_or(String::new(), |v| v.to_str().unwrap_or("?").to_owned())
+    };
+    let seen = format!(
+        "{} {} token={} slot={} order={} body={:?}",
+        head.method,
+        head.uri,
+        header("chicory-token"),
+        header("chicory-slot"),
+        header("idempotency-key"),
+        body.ok(),
+    );
+    let mut response = Response::new(HttpBody::full(seen));
+    let echoed = head.headers.get("chicory-request-id").cloned();
+    let headers = response.headers_mut();
+    headers.insert("chicory-request-id", echoed.expect("a request id"));
+    headers.insert("x-own", "kept".parse().expect("a value"));
+    response
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_keyed_request_reaches_its_owner_with_token_and_slot() {
+    let world = World::new();
+    let server = FakeServer::start(echo).await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let entry = world.entry("vm-1").await;
+    let answer = get_until_ok(entry.addresses().callers, "/archive/horn%2012/x?y=1").await;
+    let slot = chicory_types::slot_of_key("horn 12");
+    let expected =
+        format!("GET /archive/horn%2012/x?y=1 token=1.7 slot={slot} order= body=Some(0)");
+    expect_that!(answer.text(), eq(&expected));
+    expect_that!(answer.header("chicory-outcome"), eq("ran"));
+    expect_that!(answer.header("x-own"), eq("kept"));
+    expect_that!(answer.header("chicory-request-id"), eq(""));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_at_another_vm_is_relayed_to_the_dispatcher() {
+    let world = World::new();
+    let server = FakeServer::start(echo).await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let _dispatcher = world.entry("vm-1").await;
+    let entry = world.entry("vm-2").await;
+    let to = entry.addresses().callers;
+    let answer = get_until_ok(to, "/archive/k").await;
+    expect_that!(answer.text(), starts_with("GET /archive/k token=1.7"));
+    expect_that!(answer.header("chicory-outcome"), eq("ran"));
+    expect_that!(answer.header("x-own"), eq("kept"));
+    let head = Request::head("/archive/k").header("host", "test");
+    let answer = send(to, head.body(HttpBody::empty()).expect("a request")).await;
+    expect_that!(answer.status, eq(StatusCode::OK));
+    let body = vec![7; 40_000];
+    let post = Request::post("/archive/k").header("host", "test");
+    let answer = send(to, post.body(HttpBody::full(body)).expect("a request")).await;
+    expect_that!(answer.text(), ends_with("body=Some(40000)"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn refusals_state_outcome_reason_and_status() {
+    let world = World::new();
+    let server = FakeServer::start(echo).await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let entry = world.entry("vm-1").await;
+    let to = entry.addresses().callers;
+    get_until_ok(to, "/archive/k").await;
+    for (path, status, reason) in [
+        ("/nowhere/k", 404, "unknown-service"),
+        ("/archive", 400, "missing-key"),
+        ("/", 400, "missing-service"),
+        ("/archive/%zz", 400, "malformed-key"),
+        ("/a*b/k", 400, "malformed-service"),
+    ] {
+        let answer = get(to, path).await;
+        expect_that!(answer.status.as_u16(), eq(status), "{path}");
+        expect_that!(answer.header("chicory-reason"), eq(reason));
+        expect_that!(answer.header("chicory-outcome"), eq("not-run"));
+        expect_that!(answer.text(), contains_substring(r#""outcome":"not-run""#));
+    }
+    let request = Request::get("/archive/k")
+        .header("host", "test")
+        .header("chicory-deadline-ms", "soon");
+    let answer = send(to, request.body(HttpBody::empty()).expect("a request")).await;
+    expect_that!(answer.header("chicory-reason"), eq("malformed-deadline"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_that_cannot_be_reached_is_an_honest_refusal() {
+    let world = World::new();
+    let nowhere = crate::support::any_port();
+    let record = crate::support::fake_server::record("archive-1", "archive", nowhere);
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let entry = world.entry("vm-1").await;
+    let answer = get(entry.addresses().callers, "/archive/k").await;
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(answer.header("chicory-outcome"), eq("not-run"));
+    expect_that!(answer.header("retry-after").parse::<u64>(), ok(ge(&1)));
+    expect_that!(answer.header("chicory-retry-after-ms"), not(eq("")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_order_runs_once_and_a_resend_gets_its_answer() {
+    let world = World::new();
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counter = runs.clone();
+    let server = FakeServer::start(move |request| {
+        counter.fetch_add(1, Ordering::Relaxed);
+        echo(request)
+    })
+    .await;
+    let record = server.record("orders-1", "orders");
+    world.zone.serve(record, "vm-1", policy(false, false));
+    let entry = world.entry("vm-1").await;
+    let to = entry.addresses().callers;
+    let order = || {
+        let request = Request::post("/orders/o").header("host", "test");
+        let request = request.header("idempotency-key", "order-1");
+        request.body(HttpBody::full("tune")).expect("a request")
+    };
+    let first = loop {
+        let answer = send(to, order()).await;
+        if answer.status == StatusCode::OK {
+            break answer;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    let again = loop {
+        let answer = send(to, order()).await;
+        if answer.status != StatusCode::CONFLICT {
+            break answer;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    expect_that!(again.status, eq(StatusCode::OK));
+    expect_that!(again.body, eq(&first.body));
+    expect_that!(again.header("chicory-outcome"), eq("ran"));
+    expect_that!(runs.load(Ordering::Relaxed), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_answer_of_an_order_whose_caller_left_is_kept() {
+    let world = World::new();
+    let (started, mut starts) = tokio::sync::mpsc::unbounded_channel();
+    let (release, released) = tokio::sync::watch::channel(false);
+    let server = FakeServer::start(move |_| {
+        let started = started.clone();
+        let mut released = released.clone();
+        async move {
+            let _ = started.send(());
+            let _ = released.wait_for(|released| *released).await;
+            Response::new(HttpBody::full("tuned"))
+        }
+    })
+    .await;
+    let record = server.record("orders-1", "orders");
+    world.zone.serve(record, "vm-1", policy(false, false));
+    let entry = world.entry("vm-1").await;
+    let to = entry.addresses().callers;
+    let order = || {
+        let request = Request::post("/orders/o").header("host", "test");
+        let request = request.header("idempotency-key", "order-1");
+        request.body(HttpBody::full("tune")).expect("a request")
+    };
+    let caller = tokio::spawn(async move {
+        loop {
+            try_send(to, order()).await;
+        }
+    });
+    starts.recv().await.expect("started");
+    caller.abort();
+    let _ = caller.await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    release.send(true).expect("released");
+    let answer = loop {
+        let answer = send(to, order()).await;
+        if answer.status != StatusCode::CONFLICT {
+            break answer;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(answer.text(), eq("tuned"));
+    expect_that!(starts.try_recv(), err(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_the_request_at_the_server() {
+    struct Cancelled(tokio::sync::mpsc::UnboundedSender<()>);
+    impl Drop for Cancelled {
+        fn drop(&mut self) {
+            let _ = self.0.send(());
+        }
+    }
+    let world = World::new();
+    let (started, mut starts) = tokio::sync::mpsc::unbounded_channel();
+    let (cancelled, mut cancels) = tokio::sync::mpsc::unbounded_channel();
+    let server = FakeServer::start(move |_| {
+        let guard = Cancelled(cancelled.clone());
+        let _ = started.send(());
+        async move {
+            let _guard = guard;
+            std::future::pending().await
+        }
+    })
+    .await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let _dispatcher = world.entry("vm-1").await;
+    let entry = world.entry("vm-2").await;
+    let to = entry.addresses().callers;
+    let caller = tokio::spawn(async move {
+        loop {
+            get(to, "/archive/k").await;
+        }
+    });
+    starts.recv().await.expect("started");
+    caller.abort();
+    cancels.recv().await.expect("cancelled");
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_cuts_off_no_request() {
+    let world = World::new();
+    let seen = Arc::new(Mutex::new(None));
+    let (started, mut starts) = tokio::sync::mpsc::unbounded_channel();
+    let saw = seen.clone();
+    let server = FakeServer::start(move |request| {
+        let _ = started.send(());
+        let saw = saw.clone();
+        async move {
+            if request.uri().path().ends_with("/slow") {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                *saw.lock().expect("seen") = Some(());
+            }
+            Response::new(HttpBody::full(vec![5; 200_000]))
+        }
+    })
+    .await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let entry = world.entry("vm-1").await;
+    let to = entry.addresses().callers;
+    get_until_ok(to, "/archive/k").await;
+    starts.recv().await.expect("started");
+    let slow = tokio::spawn(async move { get(to, "/archive/k/slow").await });
+    starts.recv().await.expect("started");
+    entry.request_stop();
+    entry.stopped().await;
+    let answer = slow.await.expect("joined");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(answer.body.len(), eq(200_000));
+    expect_that!(*seen.lock().expect("seen"), some(anything()));
+}
--- a/crates/chicory_net/src/http/body_observer.rs
+++ b/crates/chicory_net/src/http/body_observer.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::http::BodyError;
+use crate::http::{BodyError, BodySource};
 
 /// Learns what happens to a body; exactly one of the last three is called, once.
 pub trait BodyObserver: Send {
@@ -15,6 +15,6 @@
     /// The sender failed before the last part.
     fn failed(self: Box<Self>, error: &BodyError);
 
-    /// The taker left before the last part.
-    fn abandoned(self: Box<Self>);
+    /// The taker left before the last part; `rest` is what it did not take.
+    fn abandoned(self: Box<Self>, rest: BodySource);
 }
--- a/crates/chicory_net/src/http/http_body.rs
+++ b/crates/chicory_net/src/http/http_body.rs
@@ -140,7 +140,8 @@
 impl Drop for HttpBody {
     fn drop(&mut self) {
         if let Some(observer) = self.observer.take() {
-            observer.abandoned();
+            let rest = std::mem::replace(&mut self.source, BodySource::Empty);
+            observer.abandoned(rest);
         }
     }
 }
--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -23,7 +23,7 @@
 }
 
 impl ServerLink {
-    /// Opens a connection; `on_close` is called when it ends from the other side or breaks.
+    /// Opens a connection; `on_close` is called once it is closed, from whichever side.
     ///
     /// # Errors
     ///
@@ -43,9 +43,12 @@
             .handshake(TokioIo::new(stream))
             .await
             .context(HandshakeSnafu)?;
+        let guard = CloseGuard {
+            on_close: Some(on_close),
+        };
         let driver = tokio::spawn(async move {
+            let _guard = guard;
             let _ = connection.await;
-            on_close();
         });
         Ok(Self {
             sender,
@@ -76,10 +79,15 @@
         }
     }
 
-    /// Whether the connection has ended.
+    /// Whether the connection would take a request at this moment.
     #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the connection takes another request; `false` where it never will.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
     }
 }
 
@@ -89,6 +97,19 @@
     }
 }
 
+/// Tells of the end of a connection, also where its task is aborted.
+struct CloseGuard<F: FnOnce()> {
+    on_close: Option<F>,
+}
+
+impl<F: FnOnce()> Drop for CloseGuard<F> {
+    fn drop(&mut self) {
+        if let Some(on_close) = self.on_close.take() {
+            on_close();
+        }
+    }
+}
+
 fn sorted(error: std::io::Error) -> LinkError {
     match error.kind() {
         ErrorKind::ConnectionRefused => LinkError::Refused,
