Run the control process round its reducer

Cause: the reducer needs a process that carries its effects out. Ruled out: a task per group, which would need locks between the groups; one loop takes the events of both. Conclusion: chicory-control runs with settings, TLS, admin pages and one loop; the global group isn't durable yet. The admin pages move to chicory_net, since entry and control both serve them.

--- a/crates/chicory_control/src/lib.rs
+++ b/crates/chicory_control/src/lib.rs
@@ -12,6 +12,7 @@
 mod formation_desk;
 mod global_machine;
 mod group;
+mod process;
 mod state_machine;
 mod zone_machine;
 mod zone_seat;
@@ -31,6 +32,7 @@
 pub use formation_desk::{FormationDecision, FormationDesk};
 pub use global_machine::{GlobalEntry, GlobalMachine, ZoneFormation};
 pub use group::{Group, GroupEffect, GroupEffects, PersistRequest};
+pub use process::{ControlError, ControlMetric, ControlSettings, control_command, run};
 pub use state_machine::{DecodeError, StateMachine};
 pub use zone_machine::ZoneMachine;
 pub use zone_seat::{FormationQuestion, ZoneGroup, ZoneSeat};
--- /dev/null
+++ b/crates/chicory_control/src/process/control_process.rs
@@ -0,0 +1,355 @@
+//! The process: its parts and its one loop.
+
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use chicory_consensus::{Formation, MemberId, Replica, ReplicaConfig, RestoredState};
+use chicory_net::admin::{AdminHandler, Readiness};
+use chicory_net::http::{HttpLimits, HttpListener};
+use chicory_net::peer::{FaultFile, FaultSwitch, NoFaults, PeerEndpoint, PeerIdentity};
+use chicory_net::tls::{PeerRole, PeerTls, Subject};
+use chicory_telemetry::{Metrics, new_logger};
+use chicory_types::{Clock, MonoTime, SystemClock};
+use slog::{Logger, info};
+use snafu::ResultExt;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::control_error::{
+    AdminSnafu, ControlError, CorruptSnafu, GroupSnafu, MetricsSnafu, PeerSnafu, SignalSnafu,
+    TlsSnafu,
+};
+use super::control_settings::ControlSettings;
+use super::global_store::{GlobalStore, NoStore};
+use super::peer_links::PeerLinks;
+use super::pending_calls::{CallOrigin, PendingCalls};
+use super::shell_event::ShellEvent;
+use super::{note_log, peer_server};
+use crate::{
+    Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent, ControlReply,
+    GlobalGroup, GlobalMachine, Group, PersistRequest,
+};
+
+/// Events that may wait for the loop.
+const EVENT_QUEUE: usize = 4_096;
+/// Events taken before the loop looks at the clock again.
+const EVENT_BATCH: usize = 64;
+/// Longest time between two ticks.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// What the loop should do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    GoOn,
+    Stop,
+    Fail,
+}
+
+/// Everything that the loop works with.
+struct Process {
+    core: ControlCore,
+    clock: SystemClock,
+    links: PeerLinks,
+    calls: PendingCalls,
+    store: Box<dyn GlobalStore>,
+    readiness: Readiness,
+    metrics: Arc<Metrics>,
+    logger: Logger,
+    config: ControlConfig,
+}
+
+/// Runs the process until it is asked to stop.
+///
+/// # Errors
+///
+/// [`ControlError`] where it can't start, or must not go on.
+pub async fn run(settings: ControlSettings) -> Result<(), ControlError> {
+    let clock = SystemClock::new();
+    let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
+    let logger = new_logger(settings.log_format, "chicory-control", &settings.vm);
+    let (events, inbox) = mpsc::channel(EVENT_QUEUE);
+    let (stop, stopped) = watch::channel(false);
+    let readiness = Readiness::default();
+    let endpoint = start_peers(&settings, &events, &metrics)?;
+    start_admin(&settings, &readiness, &metrics, stopped).await?;
+    let config = config_of(&settings, &clock);
+    let global = open_global(&settings, &config, clock.now())?;
+    info!(logger, "started"; "zone" => &config.zone, "incarnation" => config.incarnation,
+        "is_global_member" => config.is_global_member());
+    let process = Process {
+        core: ControlCore::new(config.clone(), global, clock.now()),
+        clock,
+        links: PeerLinks::new(endpoint.clone(), settings.peers(), events, metrics.clone()),
+        calls: PendingCalls::default(),
+        store: Box::new(NoStore),
+        readiness,
+        metrics,
+        logger,
+        config,
+    };
+    let ended = process.run(inbox).await;
+    // Listeners end with the process where nobody waits for them.
+    let _ = stop.send(true);
+    endpoint.close().await;
+    ended
+}
+
+fn start_peers(
+    settings: &ControlSettings,
+    events: &mpsc::Sender<ShellEvent>,
+    metrics: &Arc<Metrics>,
+) -> Result<PeerEndpoint, ControlError> {
+    let tls = PeerTls::load(&settings.tls).context(TlsSnafu)?;
+    let identity = PeerIdentity {
+        subject: Subject::new(PeerRole::Control, settings.vm.clone()),
+        cluster: settings.cluster.clone(),
+        zone: settings.zone.clone(),
+    };
+    let faults: Arc<dyn FaultSwitch> = match &settings.fault_file {
+        Some(path) => FaultFile::follow(path.clone()),
+        None => Arc::new(NoFaults),
+    };
+    let (endpoint, incoming) = PeerEndpoint::bind(
+        settings.peer_listen,
+        &tls,
+        &identity,
+        faults,
+        metrics.clone(),
+    )
+    .context(PeerSnafu)?;
+    tokio::spawn(peer_server::serve(
+        incoming,
+        events.clone(),
+        metrics.clone(),
+    ));
+    Ok(endpoint)
+}
+
+async fn start_admin(
+    settings: &ControlSettings,
+    readiness: &Readiness,
+    metrics: &Arc<Metrics>,
+    stopped: watch::Receiver<bool>,
+) -> Result<(), ControlError> {
+    let listener = HttpListener::bind(settings.admin_listen)
+        .await
+        .context(AdminSnafu)?;
+    let handler = Arc::new(AdminHandler::new(readiness.clone(), metrics.clone()));
+    tokio::spawn(listener.serve(handler, HttpLimits::INTERNAL, stopped, metrics.clone()));
+    Ok(())
+}
+
+fn config_of(settings: &ControlSettings, clock: &SystemClock) -> ControlConfig {
+    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+    ControlConfig {
+        vm: settings.vm.clone(),
+        incarnation,
+        zone: settings.zone.clone(),
+        zone_vms: settings.zone_peers.keys().cloned().collect(),
+        global_vms: settings.global_peers.keys().cloned().collect(),
+        seed: incarnation,
+    }
+}
+
+fn open_global(
+    settings: &ControlSettings,
+    config: &ControlConfig,
+    now: MonoTime,
+) -> Result<Option<GlobalGroup>, ControlError> {
+    if !config.is_global_member() {
+        return Ok(None);
+    }
+    let member = MemberId::new(settings.vm.clone(), config.incarnation);
+    let vms = settings.global_peers.keys().cloned().collect();
+    let replica_config = ReplicaConfig::builder(member, vms)
+        .formation(Formation::Unanimous)
+        .seed(config.seed)
+        .build()
+        .context(GroupSnafu)?;
+    let replica = Replica::new(replica_config, RestoredState::fresh(), now);
+    Ok(Some(Group::new(replica, GlobalMachine::default(), false)))
+}
+
+impl Process {
+    async fn run(mut self, mut inbox: mpsc::Receiver<ShellEvent>) -> Result<(), ControlError> {
+        let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+        let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+        let mut batch = Vec::with_capacity(EVENT_BATCH);
+        loop {
+            let wait = self.next_wait();
+            let mut is_stop = false;
+            tokio::select! {
+                _ = inbox.recv_many(&mut batch, EVENT_BATCH) => {}
+                () = tokio::time::sleep(wait) => {}
+                _ = terminate.recv() => is_stop = true,
+                _ = interrupt.recv() => is_stop = true,
+            }
+            let mut next = self.tick();
+            for event in batch.drain(..) {
+                next = next.max_of(self.take(event));
+            }
+            if is_stop {
+                next = next.max_of(self.reduce(ControlEvent::StopRequested));
+            }
+            self.readiness.set(self.core.is_ready());
+            match next {
+                Next::GoOn => {}
+                Next::Stop => return Ok(()),
+                Next::Fail => return CorruptSnafu.fail(),
+            }
+        }
+    }
+
+    fn next_wait(&self) -> Duration {
+        let due = self.core.next_wakeup();
+        due.saturating_sub(self.clock.now()).min(MAX_WAIT)
+    }
+
+    fn tick(&mut self) -> Next {
+        let now = self.clock.now();
+        if now < self.core.next_wakeup() {
+            return Next::GoOn;
+        }
+        self.calls.forget_abandoned();
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        let wall_ms = u64::try_from(wall.unwrap_or_default().as_millis()).unwrap_or(u64::MAX);
+        self.reduce(ControlEvent::Tick { wall_ms })
+    }
+
+    fn take(&mut self, event: ShellEvent) -> Next {
+        match event {
+            ShellEvent::Message {
+                group,
+                from,
+                message,
+            } => self.reduce(ControlEvent::PeerReceived {
+                group,
+                from,
+                message,
+            }),
+            ShellEvent::Call {
+                from,
+                request,
+                reply,
+            } => self.take_call(from, request, reply),
+            ShellEvent::Ended(event) => self.reduce(event),
+        }
+    }
+
+    fn take_call(
+        &mut self,
+        from: Caller,
+        request: ControlCall,
+        reply: oneshot::Sender<ControlReply>,
+    ) -> Next {
+        let call = self.calls.add(CallOrigin::Remote(reply));
+        self.reduce(ControlEvent::CallReceived {
+            call,
+            from,
+            request,
+        })
+    }
+
+    /// Reduces an event and all that follows from it within the process.
+    fn reduce(&mut self, event: ControlEvent) -> Next {
+        let mut next = Next::GoOn;
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let now = self.clock.now();
+            let mut follow_ups = Vec::new();
+            for effect in self.core.reduce(now, event) {
+                next = next.max_of(self.carry_out(effect, &mut follow_ups));
+            }
+            events.extend(follow_ups.into_iter().rev());
+        }
+        next
+    }
+
+    fn carry_out(&mut self, effect: ControlEffect, follow_ups: &mut Vec<ControlEvent>) -> Next {
+        match effect {
+            ControlEffect::Send { group, to, message } => {
+                self.links.send(group, &to.vm, message);
+            }
+            ControlEffect::Persist(request) => follow_ups.push(self.persist(*request)),
+            ControlEffect::Reply { call, reply } => {
+                follow_ups.extend(self.reply(call, reply));
+            }
+            ControlEffect::SyncZone { to, request } => {
+                let sent_at = self.clock.now();
+                if to == self.config.vm {
+                    let origin = CallOrigin::OwnSync { sent_at };
+                    follow_ups.push(self.own_call(origin, ControlCall::ZoneSync(request)));
+                } else {
+                    self.links.sync_zone(sent_at, to, request);
+                }
+            }
+            ControlEffect::AskFormation { to, request } => {
+                if to == self.config.vm {
+                    let origin = CallOrigin::OwnFormation {
+                        group: request.asked_group,
+                    };
+                    follow_ups.push(self.own_call(origin, ControlCall::AskFormation(request)));
+                } else {
+                    self.links.ask_formation(to, request);
+                }
+            }
+            ControlEffect::Note(note) => note_log::note(&self.logger, &self.metrics, &note),
+            ControlEffect::Abort => return Next::Fail,
+            ControlEffect::Stopped => return Next::Stop,
+        }
+        Next::GoOn
+    }
+
+    fn persist(&mut self, request: PersistRequest) -> ControlEvent {
+        let ticket = request.ticket;
+        if self.store.persist(request) {
+            self.metrics.increment(super::ControlMetric::DurableWrites);
+            return ControlEvent::Persisted { ticket };
+        }
+        self.metrics.increment(super::ControlMetric::FailedWrites);
+        ControlEvent::PersistFailed { ticket }
+    }
+
+    /// A call of this process to itself.
+    fn own_call(&mut self, origin: CallOrigin, request: ControlCall) -> ControlEvent {
+        ControlEvent::CallReceived {
+            call: self.calls.add(origin),
+            from: Caller::Control(self.config.vm.clone()),
+            request,
+        }
+    }
+
+    fn reply(&mut self, call: u64, reply: ControlReply) -> Option<ControlEvent> {
+        match (self.calls.take(call)?, reply) {
+            (CallOrigin::Remote(sender), reply) => {
+                // Who has left asks again.
+                let _ = sender.send(reply);
+                None
+            }
+            (CallOrigin::OwnSync { sent_at }, ControlReply::ZoneSync(answer)) => {
+                Some(ControlEvent::ZoneSyncAnswered {
+                    sent_at,
+                    from: self.config.vm.clone(),
+                    answer,
+                })
+            }
+            (CallOrigin::OwnFormation { group }, ControlReply::Formation(answer)) => {
+                Some(ControlEvent::FormationAnswered { group, answer })
+            }
+            (CallOrigin::OwnSync { .. }, _) => Some(ControlEvent::ZoneSyncFailed),
+            (CallOrigin::OwnFormation { .. }, _) => Some(ControlEvent::FormationFailed),
+        }
+    }
+}
+
+impl Next {
+    /// The more urgent one.
+    fn max_of(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Fail, _) | (_, Self::Fail) => Self::Fail,
+            (Self::Stop, _) | (_, Self::Stop) => Self::Stop,
+            _ => Self::GoOn,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_control/src/process/mod.rs
@@ -0,0 +1,19 @@
+//! The process round the reducer: it feeds events in and carries effects out.
+
+mod command;
+mod control_error;
+mod control_metric;
+mod control_process;
+mod control_settings;
+mod global_store;
+mod note_log;
+mod peer_links;
+mod peer_server;
+mod pending_calls;
+mod shell_event;
+
+pub use command::control_command;
+pub use control_error::ControlError;
+pub use control_metric::ControlMetric;
+pub use control_process::run;
+pub use control_settings::ControlSettings;
--- /dev/null
+++ b/crates/chicory_control/src/process/peer_links.rs
@@ -0,0 +1,146 @@
+//! Messages and calls to other control processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicory_consensus::PeerMessage;
+use chicory_net::peer::{MessageSender, PeerEndpoint};
+use chicory_ownership::{ZoneSyncAnswer, ZoneSyncRequest};
+use chicory_telemetry::Metrics;
+use chicory_types::{MonoTime, VmId};
+use chicory_wire::peer_message;
+use chicory_wire::proto::peer::call::Call as Question;
+use chicory_wire::proto::peer::reply::Reply as Content;
+use chicory_wire::proto::peer::{Call, Reply};
+use tokio::sync::mpsc;
+
+use super::control_metric::ControlMetric;
+use super::shell_event::ShellEvent;
+use crate::{
+    ControlEvent, FormationRequest, GroupName, formation_answer_of, formation_request_message,
+};
+
+/// Messages that may wait for one member.
+const MESSAGE_QUEUE: usize = 1_024;
+/// How long a call to another control process may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Messages and calls to other control processes.
+pub struct PeerLinks {
+    endpoint: PeerEndpoint,
+    addresses: BTreeMap<VmId, SocketAddr>,
+    senders: BTreeMap<VmId, MessageSender>,
+    events: mpsc::Sender<ShellEvent>,
+    metrics: Arc<Metrics>,
+}
+
+impl PeerLinks {
+    /// Creates the links; answers to calls come back as events.
+    #[must_use]
+    pub fn new(
+        endpoint: PeerEndpoint,
+        addresses: BTreeMap<VmId, SocketAddr>,
+        events: mpsc::Sender<ShellEvent>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            endpoint,
+            addresses,
+            senders: BTreeMap::new(),
+            events,
+            metrics,
+        }
+    }
+
+    /// Sends a message to a member; it may be lost.
+    pub fn send(&mut self, group: GroupName, to: &VmId, message: PeerMessage) {
+        let Some(address) = self.addresses.get(to) else {
+            return;
+        };
+        let sender = self.senders.entry(to.clone()).or_insert_with(|| {
+            MessageSender::new(
+                self.endpoint.clone(),
+                *address,
+                MESSAGE_QUEUE,
+                self.metrics.clone(),
+            )
+        });
+        // A message that is too long for a frame is counted as refused; batches are bounded, so
+        // none is made.
+        let metric = match sender.send(&peer_message(group.into(), message)) {
+            Ok(()) => ControlMetric::MemberMessagesSent,
+            Err(_) => ControlMetric::MemberMessagesRefused,
+        };
+        self.metrics.increment(metric);
+    }
+
+    /// Sends this zone's sync to a member of the global group.
+    pub fn sync_zone(&self, sent_at: MonoTime, to: VmId, request: ZoneSyncRequest) {
+        let call = Call {
+            call: Some(Question::ZoneSync(request.into())),
+        };
+        let metrics = self.metrics.clone();
+        self.call(to.clone(), call, move |reply| {
+            let answer = reply.and_then(sync_answer);
+            if answer.is_none() {
+                metrics.increment(ControlMetric::FailedSyncs);
+            }
+            answer.map_or(ControlEvent::ZoneSyncFailed, |answer| {
+                ControlEvent::ZoneSyncAnswered {
+                    sent_at,
+                    from: to,
+                    answer,
+                }
+            })
+        });
+    }
+
+    /// Asks another process about the zone's group.
+    pub fn ask_formation(&self, to: VmId, request: FormationRequest) {
+        let group = request.asked_group;
+        let call = Call {
+            call: Some(Question::Formation(formation_request_message(request))),
+        };
+        self.call(to, call, move |reply| match reply {
+            Some(Content::Formation(answer)) => formation_answer_of(answer)
+                .map_or(ControlEvent::FormationFailed, |answer| {
+                    ControlEvent::FormationAnswered { group, answer }
+                }),
+            _ => ControlEvent::FormationFailed,
+        });
+    }
+
+    fn call(
+        &self,
+        to: VmId,
+        call: Call,
+        ended: impl FnOnce(Option<Content>) -> ControlEvent + Send + 'static,
+    ) {
+        let endpoint = self.endpoint.clone();
+        let address = self.addresses.get(&to).copied();
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let reply = match address {
+                Some(address) => call_at(&endpoint, address, &call).await,
+                None => None,
+            };
+            // The loop ends only with the process.
+            let _ = events.send(ShellEvent::Ended(ended(reply))).await;
+        });
+    }
+}
+
+async fn call_at(endpoint: &PeerEndpoint, address: SocketAddr, call: &Call) -> Option<Content> {
+    let connection = endpoint.connect(address).await.ok()?;
+    let reply: Reply = connection.call(call, CALL_TIMEOUT).await.ok()?;
+    reply.reply
+}
+
+fn sync_answer(content: Content) -> Option<ZoneSyncAnswer> {
+    match content {
+        Content::ZoneSync(answer) => answer.try_into().ok(),
+        _ => None,
+    }
+}
--- a/crates/chicory_entry/src/core_loop.rs
+++ b/crates/chicory_entry/src/core_loop.rs
@@ -9,6 +9,7 @@
     Announcement, ConnectionId, Event, ExchangeFailure, Outcome, RelayFailure, RelayLoad,
     RequestPath,
 };
+use chicory_net::admin::Readiness;
 use chicory_net::http::SendError;
 use chicory_net::peer::{PeerEndpoint, RelayReader};
 use chicory_telemetry::Metrics;
@@ -20,7 +21,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::sync::oneshot;
 
-use crate::admin::{Readiness, publish};
+use crate::admin::publish;
 use crate::exchange::{Attempt, Exchange};
 use crate::inbox::Inbox;
 use crate::input::{AnnounceReply, Input};
--- a/crates/chicory_entry/src/entry_process.rs
+++ b/crates/chicory_entry/src/entry_process.rs
@@ -22,7 +22,6 @@
 use tokio::task::JoinHandle;
 use uuid::Uuid;
 
-use crate::admin::{AdminHandler, Readiness};
 use crate::announce::AnnounceHandler;
 use crate::caller::CallerHandler;
 use crate::core_loop::{CoreLoop, CoreParts};
@@ -34,13 +33,10 @@
 use crate::settings::EntrySettings;
 use crate::trace::open_trace;
 use crate::zone::ZoneClient;
+use chicory_net::admin::{AdminHandler, Readiness};
 
 /// Limits of the listeners for announcements and admin pages.
-const SIDE_LIMITS: HttpLimits = HttpLimits {
-    max_head_bytes: 8 * 1024,
-    max_connections: 2_000,
-    head_timeout: Duration::from_mins(1),
-};
+const SIDE_LIMITS: HttpLimits = HttpLimits::INTERNAL;
 /// How long what is still open may take after the loop has ended.
 const LAST_TASKS_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -243,10 +239,7 @@
         let announce_handler = AnnounceHandler {
             inbox: self.inbox.clone(),
         };
-        let admin_handler = AdminHandler {
-            readiness: self.readiness.clone(),
-            metrics: self.metrics.clone(),
-        };
+        let admin_handler = AdminHandler::new(self.readiness.clone(), self.metrics.clone());
         vec![
             self.serve(callers, caller_handler, self.settings.caller_limits),
             self.serve(announcements, announce_handler, SIDE_LIMITS),
--- a/crates/chicory_entry/src/zone/zone_client.rs
+++ b/crates/chicory_entry/src/zone/zone_client.rs
@@ -106,7 +106,7 @@
     async fn until_acknowledged(&self, call: &CallKind, tries: u32) {
         for _ in 0..tries {
             let acknowledgement = match self.call_leader(call.clone()).await {
-                Some(ReplyKind::ResolveClaim(answer) | ReplyKind::CrashReport(answer)) => answer,
+                Some(ReplyKind::Acknowledged(answer)) => answer,
                 _ => Acknowledgement::default(),
             };
             match acknowledgement.answer {
--- a/crates/chicory_entry/src/admin/admin_handler.rs
+++ b/crates/chicory_net/src/admin/admin_handler.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use chicory_net::http::{AnswerFuture, HttpBody, HttpHandler};
+use crate::http::{AnswerFuture, HttpBody, HttpHandler};
 use chicory_telemetry::Metrics;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -16,9 +16,9 @@
 
 /// Answers `/healthz`, `/readyz` and `/metrics`.
 #[derive(Clone, Debug)]
-pub(crate) struct AdminHandler {
-    pub(crate) readiness: Readiness,
-    pub(crate) metrics: Arc<Metrics>,
+pub struct AdminHandler {
+    readiness: Readiness,
+    metrics: Arc<Metrics>,
 }
 
 impl HttpHandler for AdminHandler {
@@ -35,6 +35,12 @@
 }
 
 impl AdminHandler {
+    /// Creates the handler.
+    #[must_use]
+    pub fn new(readiness: Readiness, metrics: Arc<Metrics>) -> Self {
+        Self { readiness, metrics }
+    }
+
     fn metrics_page(&self) -> Response<HttpBody> {
         match self.metrics.render() {
             Ok(page) => {
--- a/crates/chicory_net/src/http/http_limits.rs
+++ b/crates/chicory_net/src/http/http_limits.rs
@@ -12,3 +12,12 @@
     /// How long a request's head may take to come in, idle time between requests included.
     pub head_timeout: Duration,
 }
+
+impl HttpLimits {
+    /// Limits of listeners that only the deployment itself and its operators use.
+    pub const INTERNAL: Self = Self {
+        max_head_bytes: 8 * 1024,
+        max_connections: 2_000,
+        head_timeout: Duration::from_mins(1),
+    };
+}
