Carry the caller's send id in a header

A resend must be the same request: with the id in the path, the router's fingerprint of a resent order or of a request that crashes servers would differ at every send, and quarantine could never strike.

--- a/crates/chicory_standin/src/http.rs
+++ b/crates/chicory_standin/src/http.rs
@@ -16,5 +16,8 @@
 pub const REASON: &str = "chicory-reason";
 /// Key that makes an order idempotent.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// Path segment before the caller's identifier of a send.
-pub const CALLS_SEGMENT: &str = "calls";
+/// The caller's identifier of a send, which the router passes on as it does any header that isn't
+/// its own; a resend of the same request differs in nothing else.
+pub const CALL_ID: &str = "standin-call-id";
+/// Milliseconds after which a refused request may be sent again.
+pub const RETRY_AFTER_MS: &str = "chicory-retry-after-ms";
--- a/crates/chicory_standin/src/load/call.rs
+++ b/crates/chicory_standin/src/load/call.rs
@@ -1,7 +1,5 @@
 //! One request as the caller means it.
 
-use crate::http;
-
 /// One request as the caller means it; resends are made of the same call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
@@ -16,16 +14,11 @@
 }
 
 impl Call {
-    /// Path of one send of the call.
+    /// Path of the call.
     #[must_use]
-    pub fn path(&self, request_id: &str) -> String {
+    pub fn path(&self) -> String {
         let marker = self.marker.as_ref().map(|marker| format!("/{marker}"));
-        format!(
-            "/{}/{}/{}/{request_id}{}",
-            self.service,
-            self.key,
-            http::CALLS_SEGMENT,
-            marker.unwrap_or_default()
-        )
+        let marker = marker.unwrap_or_default();
+        format!("/{}/{}{marker}", self.service, self.key)
     }
 }
--- a/crates/chicory_standin/src/load/caller.rs
+++ b/crates/chicory_standin/src/load/caller.rs
@@ -97,8 +97,9 @@
         };
         let mut builder = Request::builder()
             .method(method)
-            .uri(call.path(request_id))
+            .uri(call.path())
             .header("host", address)
+            .header(http::CALL_ID, request_id)
             .header(http::DEADLINE_MS, self.deadline.as_millis().to_string());
         if let Some(order_key) = &call.order_key {
             builder = builder.header(http::IDEMPOTENCY_KEY, order_key);
@@ -148,9 +149,7 @@
         status: Some(status),
         outcome: outcome(&head.headers, status),
         reason: text(&head.headers, http::REASON).or(text(&head.headers, http::REFUSED)),
-        retry_after: text(&head.headers, RETRY_AFTER.as_str())
-            .and_then(|seconds| seconds.parse().ok())
-            .map(Duration::from_secs),
+        retry_after: retry_after(&head.headers),
         body_ok: is_own_answer(call, request_id, &body),
         server: AnswerLine::parse(&body).map(|line| line.server),
     }
@@ -170,6 +169,12 @@
     })
 }
 
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let number = |name| text(headers, name).and_then(|text| text.parse().ok());
+    let exact = number(http::RETRY_AFTER_MS).map(Duration::from_millis);
+    exact.or_else(|| number(RETRY_AFTER.as_str()).map(Duration::from_secs))
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(ToOwned::to_owned)
 }
--- a/crates/chicory_standin/src/server/work.rs
+++ b/crates/chicory_standin/src/server/work.rs
@@ -54,6 +54,7 @@
 #[derive(Clone, Debug)]
 struct Call {
     path: String,
+    request_id: Option<String>,
     exchange_id: Option<String>,
     order_key: Option<String>,
     slot: Option<Slot>,
@@ -65,6 +66,7 @@
     fn new(path: &str, headers: &HeaderMap) -> Self {
         Self {
             path: path.to_owned(),
+            request_id: text(headers, http::CALL_ID),
             exchange_id: text(headers, http::REQUEST_ID),
             order_key: text(headers, http::IDEMPOTENCY_KEY),
             slot: text(headers, http::SLOT).and_then(|slot| slot.parse().ok()),
@@ -80,16 +82,10 @@
         segments.nth(index).map(ToOwned::to_owned)
     }
 
-    fn request_id(&self) -> Option<String> {
-        let mut segments = self.path.split('/');
-        segments.find(|segment| *segment == http::CALLS_SEGMENT)?;
-        segments.next().map(ToOwned::to_owned)
-    }
-
     fn record(&self, server: &ServerState, event: HistoryEvent) -> HistoryRecord {
         HistoryRecord {
             key: self.segment(1),
-            request_id: self.request_id(),
+            request_id: self.request_id.clone(),
             exchange_id: self.exchange_id.clone(),
             order_key: self.order_key.clone(),
             token: self.token.map(|token| token.to_string()),
@@ -222,7 +218,7 @@
 fn answer_bytes(server: &ServerState, call: &Call) -> Bytes {
     let line = json!({
         "server": server.name,
-        "request_id": call.request_id(),
+        "request_id": call.request_id,
         "order_key": call.order_key,
         "size_bytes": server.config.answer_bytes,
     });
--- a/crates/chicory_standin/tests/announcer.rs
+++ b/crates/chicory_standin/tests/announcer.rs
@@ -58,7 +58,7 @@
     let (mut sender, connection) = handshake.await.expect("a connection");
     spawn_local(connection);
     let request = Request::builder()
-        .uri(format!("/archive/{KEY}/calls/1"))
+        .uri(format!("/archive/{KEY}"))
         .header("host", "archive")
         .header(http::SLOT, slot_of_key(KEY))
         .header(http::TOKEN, token)
