--- a/crates/chicory_control/src/process/control_process.rs
+++ b/crates/chicory_control/src/process/control_process.rs
@@ -291,7 +291,7 @@
                     };
                     follow_ups.push(self.own_call(origin, ControlCall::AskFormation(request)));
                 } else {
-                    self.links.ask_formation(to, request);
+                    self.links.ask_formation(&to, request);
                 }
             }
             ControlEffect::Note(note) => note_log::note(&self.logger, &self.metrics, &note),
--- a/crates/chicory_control/src/process/peer_links.rs
+++ b/crates/chicory_control/src/process/peer_links.rs
@@ -82,7 +82,7 @@
             call: Some(Question::ZoneSync(request.into())),
         };
         let metrics = self.metrics.clone();
-        self.call(to.clone(), call, move |reply| {
+        self.call(&to.clone(), call, move |reply| {
             let answer = reply.and_then(sync_answer);
             if answer.is_none() {
                 metrics.increment(ControlMetric::FailedSyncs);
@@ -98,7 +98,7 @@
     }
 
     /// Asks another process about the zone's group.
-    pub fn ask_formation(&self, to: VmId, request: FormationRequest) {
+    pub fn ask_formation(&self, to: &VmId, request: FormationRequest) {
         let group = request.asked_group;
         let call = Call {
             call: Some(Question::Formation(formation_request_message(request))),
@@ -114,12 +114,12 @@
 
     fn call(
         &self,
-        to: VmId,
+        to: &VmId,
         call: Call,
         ended: impl FnOnce(Option<Content>) -> ControlEvent + Send + 'static,
     ) {
         let endpoint = self.endpoint.clone();
-        let address = self.addresses.get(&to).copied();
+        let address = self.addresses.get(to).copied();
         let events = self.events.clone();
         tokio::spawn(async move {
             let reply = match address {
--- a/crates/chicory_control/src/process/peer_server.rs
+++ b/crates/chicory_control/src/process/peer_server.rs
@@ -66,12 +66,11 @@
         Ok(call) => call_of(call).ok(),
         Err(_) => None,
     };
-    let reply = match request {
-        Some(request) => ask(&context, request).await,
-        None => {
-            context.metrics.increment(ControlMetric::MalformedCalls);
-            Some(malformed())
-        }
+    let reply = if let Some(request) = request {
+        ask(&context, request).await
+    } else {
+        context.metrics.increment(ControlMetric::MalformedCalls);
+        Some(malformed())
     };
     if let Some(reply) = reply {
         // The caller may have left; it will ask again.
--- a/crates/chicory_entry/tests/entry_process/support/fake_zone.rs
+++ b/crates/chicory_entry/tests/entry_process/support/fake_zone.rs
@@ -203,9 +203,9 @@
         }
         CallKind::ResolveClaim(request) => {
             state.resolve(request);
-            ReplyKind::ResolveClaim(done)
+            ReplyKind::Acknowledged(done)
         }
-        CallKind::CrashReport(_) => ReplyKind::CrashReport(done),
+        CallKind::CrashReport(_) => ReplyKind::Acknowledged(done),
         _ => panic!("not a call of an entry process"),
     }
 }
