--- a/crates/chicory_consensus/src/replica/election.rs
+++ b/crates/chicory_consensus/src/replica/election.rs
@@ -44,7 +44,7 @@
         let (last_term, last_index) = self.position();
         for voter in self.peer_voters() {
             let body = PeerMessageBody::PreVote {
-                term: self.hard_state.term + 1,
+                term: self.hard_state.term.saturating_add(1),
                 last_index,
                 last_term,
             };
@@ -53,7 +53,7 @@
     }
 
     fn start_election(&mut self, is_transfer: bool) {
-        self.set_term(self.hard_state.term + 1);
+        self.set_term(self.hard_state.term.saturating_add(1));
         self.vote_for(self.config.member.clone());
         self.leader = None;
         self.reset_election_deadline();
@@ -125,7 +125,7 @@
             self.become_passive(term);
             return;
         }
-        let is_current = asked_term == self.hard_state.term + 1;
+        let is_current = asked_term == self.hard_state.term.saturating_add(1);
         if let RoleState::PreCandidate { granted } = &mut self.role
             && is_granted
             && is_current
--- a/crates/chicory_consensus/src/replica/following.rs
+++ b/crates/chicory_consensus/src/replica/following.rs
@@ -117,11 +117,14 @@
 }
 
 fn is_well_formed(term: Term, prev_index: LogIndex, prev_term: Term, entries: &[Entry]) -> bool {
+    let is_in_range = prev_index < LogIndex::MAX - entries.len() as LogIndex;
+    if !is_in_range || prev_term > term {
+        return false;
+    }
     let mut last = (prev_index, prev_term);
     entries.iter().all(|entry| {
         let follows = entry.index == last.0 + 1 && entry.term >= last.1;
         last = (entry.index, entry.term);
         follows && entry.term <= term
-    }) && prev_term <= term
-        && prev_index < LogIndex::MAX - entries.len() as LogIndex
+    })
 }
--- a/crates/chicory_consensus/src/replica/snapshots.rs
+++ b/crates/chicory_consensus/src/replica/snapshots.rs
@@ -76,6 +76,9 @@
             return;
         };
         let last_index = header.last_index;
+        if last_index == LogIndex::MAX || header.last_term > term {
+            return;
+        }
         let size_bytes = header.size_bytes;
         let outcome = if self.follow(from, term) {
             self.take_chunk(header, offset_bytes, &data)
