Cut the cost of a decision

Each event walked all servers for roles on their way out, the choice of a server built two lists, and an answer's head moved the request out of its map and back. Now a flag guards the walk, the list is kept, and requests are boxed.

--- a/crates/chicory_dispatch/src/arrivals.rs
+++ b/crates/chicory_dispatch/src/arrivals.rs
@@ -21,7 +21,7 @@
     match check(state, &head) {
         Ok(checked) => {
             let request = RequestState::new(head, checked.demand, checked.expires_at);
-            place(state, id, request);
+            place(state, id, Box::new(request));
         }
         Err(reason) => {
             let pause = state.usual_pause(reason);
--- a/crates/chicory_dispatch/src/exchanges.rs
+++ b/crates/chicory_dispatch/src/exchanges.rs
@@ -30,7 +30,7 @@
 }
 
 /// Takes a request out that is in an exchange; puts any other one back.
-fn take_exchange(state: &mut PathState, id: RequestId) -> Option<(RequestState, Exchange)> {
+fn take_exchange(state: &mut PathState, id: RequestId) -> Option<(Box<RequestState>, Exchange)> {
     let request = state.take(id)?;
     if let Phase::InFlight(exchange) = request.phase {
         return Some((request, exchange));
@@ -47,18 +47,19 @@
     echo: RequestIdEcho,
     refusal: Option<ServerRefusal>,
 ) {
-    let Some((request, exchange)) = take_exchange(state, id) else {
+    let phase = state.requests.get(&id).map(|request| &request.phase);
+    let Some(Phase::InFlight(exchange)) = phase else {
         return;
     };
+    let exchange = *exchange;
     if exchange.is_forwarding {
-        state.put(id, request);
         return;
     }
     heard(state, exchange);
     match (echo, refusal) {
-        (RequestIdEcho::Mismatched, _) => refuse_mismatched(state, id, request, exchange),
-        (_, Some(refusal)) => on_server_refusal(state, id, request, exchange, refusal),
-        (_, None) => forward(state, id, request, exchange, status),
+        (RequestIdEcho::Mismatched, _) => refuse_mismatched(state, id, exchange),
+        (_, Some(refusal)) => on_server_refusal(state, id, exchange, refusal),
+        (_, None) => forward(state, id, exchange, status),
     }
 }
 
@@ -70,12 +71,10 @@
     }
 }
 
-fn refuse_mismatched(
-    state: &mut PathState,
-    id: RequestId,
-    mut request: RequestState,
-    exchange: Exchange,
-) {
+fn refuse_mismatched(state: &mut PathState, id: RequestId, exchange: Exchange) {
+    let Some(mut request) = state.take(id) else {
+        return;
+    };
     state.counters.mismatched_answers += 1;
     end_exchange(state, id, &request, exchange, ConnectionFate::Close);
     request.end_unproven();
@@ -87,10 +86,12 @@
 fn on_server_refusal(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
     exchange: Exchange,
     refusal: ServerRefusal,
 ) {
+    let Some(mut request) = state.take(id) else {
+        return;
+    };
     state.emit(Effect::DiscardAnswer { request: id });
     end_exchange(state, id, &request, exchange, ConnectionFate::Discard);
     request.end_unsent();
@@ -112,21 +113,16 @@
     pump(state, exchange.server);
 }
 
-fn forward(
-    state: &mut PathState,
-    id: RequestId,
-    mut request: RequestState,
-    exchange: Exchange,
-    status: u16,
-) {
+fn forward(state: &mut PathState, id: RequestId, exchange: Exchange, status: u16) {
     let load = state.servers.get(&exchange.server).map(ServerState::load);
-    request.phase = Phase::InFlight(Exchange {
-        heard_at: state.now,
-        is_forwarding: true,
-        is_failure: status >= FIRST_SERVER_ERROR,
-        ..exchange
-    });
-    state.put(id, request);
+    if let Some(request) = state.requests.get_mut(&id) {
+        request.phase = Phase::InFlight(Exchange {
+            heard_at: state.now,
+            is_forwarding: true,
+            is_failure: status >= FIRST_SERVER_ERROR,
+            ..exchange
+        });
+    }
     state.counters.forwarded += 1;
     state.emit(Effect::ForwardAnswer {
         request: id,
@@ -225,7 +221,7 @@
     server.is_some_and(|s| s.in_flight.len() == 1 && s.breaks.is_empty())
 }
 
-fn on_nothing_sent(state: &mut PathState, id: RequestId, mut request: RequestState) {
+fn on_nothing_sent(state: &mut PathState, id: RequestId, mut request: Box<RequestState>) {
     request.end_unsent();
     retries::retry_or_refuse(state, id, request, RefusalReason::ServerFailed);
 }
@@ -234,7 +230,7 @@
 fn on_broken(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
+    mut request: Box<RequestState>,
     exchange: Exchange,
     was_alone: bool,
 ) {
--- a/crates/chicory_dispatch/src/orders.rs
+++ b/crates/chicory_dispatch/src/orders.rs
@@ -34,7 +34,7 @@
 }
 
 /// Takes a claiming request out, and gives its place in the queue up.
-fn take_claiming(state: &mut PathState, id: RequestId) -> Option<(RequestState, ServerIndex)> {
+fn take_claiming(state: &mut PathState, id: RequestId) -> Option<(Box<RequestState>, ServerIndex)> {
     let request = state.take(id)?;
     let Phase::Claiming(index) = request.phase else {
         state.put(id, request);
@@ -46,7 +46,12 @@
     Some((request, index))
 }
 
-fn on_granted(state: &mut PathState, id: RequestId, mut request: RequestState, index: ServerIndex) {
+fn on_granted(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+    index: ServerIndex,
+) {
     request.claim = ClaimState::Granted;
     request.wake_at = request.expires_at;
     let server = state.servers.get(&index);
@@ -76,7 +81,12 @@
 /// Refuses an order whose claim was not granted.
 ///
 /// While another try of the order may run, nobody can say that it did not.
-fn refuse(state: &mut PathState, id: RequestId, mut request: RequestState, reason: RefusalReason) {
+fn refuse(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+    reason: RefusalReason,
+) {
     use RefusalReason::{OrderHistoryLost, OrderInProgress, OrderOutcomeLost};
     request.claim = ClaimState::None;
     let may_run = matches!(
@@ -90,7 +100,7 @@
 fn ask_again(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
+    mut request: Box<RequestState>,
     index: ServerIndex,
     leader: Option<VmId>,
 ) {
@@ -107,7 +117,7 @@
 }
 
 /// Sends the claim of a request that was taken out again after its pause.
-pub(crate) fn resume(state: &mut PathState, id: RequestId, mut request: RequestState) {
+pub(crate) fn resume(state: &mut PathState, id: RequestId, mut request: Box<RequestState>) {
     request.wake_at = request.expires_at;
     send_claim(state, id, &request);
     state.put(id, request);
--- a/crates/chicory_dispatch/src/path_state.rs
+++ b/crates/chicory_dispatch/src/path_state.rs
@@ -53,10 +53,12 @@
     pub(crate) lease: Lease,
     pub(crate) life: Life,
     pub(crate) was_ready: bool,
-    pub(crate) requests: BTreeMap<RequestId, RequestState>,
+    pub(crate) requests: BTreeMap<RequestId, Box<RequestState>>,
     pub(crate) timers: BTreeSet<(MonoTime, RequestId)>,
     /// Servers that this process dispatches to.
     pub(crate) servers: BTreeMap<ServerIndex, ServerState>,
+    /// Whether some of these roles may be on their way out.
+    pub(crate) is_any_leaving: bool,
     /// One for each server of the directory.
     pub(crate) observations: Vec<ServerObservation>,
     pub(crate) connections: BTreeMap<ConnectionId, ServerIndex>,
@@ -77,6 +79,8 @@
     pub(crate) next_sweep_at: MonoTime,
     pub(crate) counters: Counters,
     pub(crate) effects: Vec<Effect>,
+    /// Candidates of the choice under way, kept for its memory.
+    pub(crate) candidates: Vec<(ServerIndex, u64)>,
     rng: SmallRng,
 }
 
@@ -91,6 +95,7 @@
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             servers: BTreeMap::new(),
+            is_any_leaving: false,
             observations: Vec::new(),
             connections: BTreeMap::new(),
             next_connection: 1,
@@ -107,6 +112,7 @@
             next_sweep_at: now,
             counters: Counters::default(),
             effects: Vec::new(),
+            candidates: Vec::new(),
             rng: SmallRng::seed_from_u64(config.seed),
             config,
         }
@@ -133,13 +139,13 @@
     }
 
     /// Puts a request back with its timer.
-    pub(crate) fn put(&mut self, id: RequestId, request: RequestState) {
+    pub(crate) fn put(&mut self, id: RequestId, request: Box<RequestState>) {
         self.timers.insert((request.wake_at, id));
         self.requests.insert(id, request);
     }
 
     /// Takes a request out, to finish it or to put it back.
-    pub(crate) fn take(&mut self, id: RequestId) -> Option<RequestState> {
+    pub(crate) fn take(&mut self, id: RequestId) -> Option<Box<RequestState>> {
         let request = self.requests.remove(&id)?;
         self.timers.remove(&(request.wake_at, id));
         Some(request)
--- a/crates/chicory_dispatch/src/placing.rs
+++ b/crates/chicory_dispatch/src/placing.rs
@@ -17,7 +17,7 @@
 const PACE_PAUSE: Duration = Duration::from_millis(5);
 
 /// Sends a request that was taken out to where it belongs, or refuses it.
-pub(crate) fn place(state: &mut PathState, id: RequestId, mut request: RequestState) {
+pub(crate) fn place(state: &mut PathState, id: RequestId, mut request: Box<RequestState>) {
     match route(state, &request) {
         Route::Refused(reason) => state.refuse(id, &request, reason),
         Route::Relay {
@@ -32,7 +32,7 @@
     }
 }
 
-fn admit(state: &mut PathState, id: RequestId, request: RequestState, index: ServerIndex) {
+fn admit(state: &mut PathState, id: RequestId, request: Box<RequestState>, index: ServerIndex) {
     let flow = request.demand.flow();
     let left = state.left(&request);
     let Some(server) = state.servers.get_mut(&index) else {
@@ -55,7 +55,7 @@
 fn pass_over(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
+    mut request: Box<RequestState>,
     index: ServerIndex,
     reason: RefusalReason,
     retry_after: Duration,
@@ -75,7 +75,12 @@
     }
 }
 
-fn accept(state: &mut PathState, id: RequestId, mut request: RequestState, index: ServerIndex) {
+fn accept(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+    index: ServerIndex,
+) {
     if request.demand.needs_claim && request.claim == ClaimState::None {
         return claim(state, id, request, index);
     }
@@ -98,7 +103,7 @@
     request.breaks > 0 || suspicion == crash_suspects::Suspicion::Isolate
 }
 
-fn claim(state: &mut PathState, id: RequestId, mut request: RequestState, index: ServerIndex) {
+fn claim(state: &mut PathState, id: RequestId, mut request: Box<RequestState>, index: ServerIndex) {
     request.claim = ClaimState::Asked;
     request.phase = Phase::Claiming(index);
     if let Some(server) = state.servers.get_mut(&index) {
@@ -127,7 +132,7 @@
 pub(crate) fn enter_queue(
     state: &mut PathState,
     id: RequestId,
-    request: RequestState,
+    request: Box<RequestState>,
     index: ServerIndex,
 ) {
     accept(state, id, request, index);
--- a/crates/chicory_dispatch/src/relays.rs
+++ b/crates/chicory_dispatch/src/relays.rs
@@ -23,7 +23,7 @@
 pub(crate) fn send(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
+    mut request: Box<RequestState>,
     vm: VmId,
     address: String,
     server: Option<ServerIndex>,
@@ -63,7 +63,7 @@
     }
 }
 
-fn take_leg(state: &mut PathState, id: RequestId) -> Option<(RequestState, RelayLeg)> {
+fn take_leg(state: &mut PathState, id: RequestId) -> Option<(Box<RequestState>, RelayLeg)> {
     let request = state.take(id)?;
     if let Phase::Relayed(leg) = &request.phase {
         let leg = leg.clone();
@@ -154,7 +154,7 @@
 }
 
 /// An order that did not leave this process has no claim yet: it may go another way.
-fn retry_unsent_order(state: &mut PathState, id: RequestId, request: RequestState) {
+fn retry_unsent_order(state: &mut PathState, id: RequestId, request: Box<RequestState>) {
     if request.tries < state.config.max_tries {
         crate::placing::place(state, id, request);
     } else {
--- a/crates/chicory_dispatch/src/request_path.rs
+++ b/crates/chicory_dispatch/src/request_path.rs
@@ -146,6 +146,7 @@
     for server in state.servers.values_mut() {
         server.is_leaving = true;
     }
+    state.is_any_leaving = true;
     state.lease.hurry(state.now);
 }
 
--- a/crates/chicory_dispatch/src/retries.rs
+++ b/crates/chicory_dispatch/src/retries.rs
@@ -17,7 +17,7 @@
 pub(crate) fn retry_or_refuse(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
+    mut request: Box<RequestState>,
     reason: RefusalReason,
 ) {
     let doublings = request.tries.saturating_sub(1).min(MAX_DOUBLINGS);
--- a/crates/chicory_dispatch/src/roles.rs
+++ b/crates/chicory_dispatch/src/roles.rs
@@ -137,6 +137,7 @@
         server.is_leaving = false;
     }
     server.is_leaving |= is_stopping;
+    state.is_any_leaving |= server.is_leaving;
     server.address.clone_from(&record.address);
     server.checks_grants = record.checks_grants;
     server.set_limits(limits, now);
@@ -186,6 +187,7 @@
         return;
     };
     server.is_leaving = true;
+    state.is_any_leaving = true;
     health::replace_queue(state, index);
 }
 
@@ -270,8 +272,11 @@
 
 /// Gives the roles up in which nothing is left.
 pub(crate) fn resign_idle(state: &mut PathState) {
+    if !state.is_any_leaving {
+        return;
+    }
     let is_waiting = |r: &RequestState| matches!(r.phase, Phase::Placing);
-    if !state.is_running() && state.requests.values().any(is_waiting) {
+    if !state.is_running() && state.requests.values().any(|r| is_waiting(r)) {
         return;
     }
     let is_over = |s: &ServerState| s.is_leaving && s.outstanding() == 0;
@@ -280,6 +285,7 @@
     for index in over {
         resign(state, index);
     }
+    state.is_any_leaving = state.servers.values().any(|s| s.is_leaving);
 }
 
 fn resign(state: &mut PathState, index: ServerIndex) {
--- a/crates/chicory_dispatch/src/router.rs
+++ b/crates/chicory_dispatch/src/router.rs
@@ -1,12 +1,12 @@
 //! Finds who may serve a request.
 
-use chicory_types::{FencingToken, MonoTime, Slot, VmId};
+use chicory_types::{FencingToken, Slot, VmId};
 
 use crate::demand::Target;
 use crate::directory::ServerIndex;
 use crate::path_state::PathState;
 use crate::request_state::{ClaimState, RequestState};
-use crate::server_observation::{Dispatch, ServerObservation};
+use crate::server_observation::Dispatch;
 use crate::server_state::{Health, ServerState};
 use crate::slot_map::SlotState;
 use crate::{RefusalReason, RequestOrigin};
@@ -190,26 +190,31 @@
 /// The less loaded of two servers drawn by weight; servers that were ejected or are suspected only
 /// if no other is left.
 fn pick_server(state: &mut PathState, request: &RequestState) -> Option<ServerIndex> {
-    let only_own = must_be_own(state, request);
-    let usable = usable_servers(state, request, only_own);
-    let now = state.now;
-    let is_in = |(index, _): &(ServerIndex, u64)| is_in_favor(state, *index, now);
-    let kept: Vec<(ServerIndex, u64)> = usable.iter().copied().filter(is_in).collect();
-    let candidates = if kept.is_empty() { usable } else { kept };
+    let mut candidates = std::mem::take(&mut state.candidates);
+    collect_usable(state, request, Favor::Required, &mut candidates);
+    if candidates.is_empty() {
+        collect_usable(state, request, Favor::Waived, &mut candidates);
+    }
+    let picked = pick_of(state, &candidates);
+    state.candidates = candidates;
+    picked
+}
+
+fn pick_of(state: &mut PathState, candidates: &[(ServerIndex, u64)]) -> Option<ServerIndex> {
     if candidates.len() <= 1 {
         return candidates.first().map(|(index, _)| *index);
     }
     let total: u64 = candidates.iter().map(|(_, weight)| weight).sum();
-    let first = draw(&candidates, state.random_below(total));
-    let second = draw(&candidates, state.random_below(total));
+    let first = draw(candidates, state.random_below(total));
+    let second = draw(candidates, state.random_below(total));
     Some(less_loaded(state, candidates[first], candidates[second]))
 }
 
-/// Whether a server is neither ejected nor suspected.
-fn is_in_favor(state: &PathState, index: ServerIndex, now: MonoTime) -> bool {
-    let own = state.servers.get(&index);
-    let is_up = own.is_none_or(|own| own.health == Health::Up);
-    is_up && !state.observations[index].is_ejected(now)
+/// Whether servers have to be free of ejection and suspicion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Favor {
+    Required,
+    Waived,
 }
 
 /// A claim is held by this process, so its order can't go through another one.
@@ -225,42 +230,46 @@
     }
 }
 
-fn usable_servers(
+fn collect_usable(
     state: &PathState,
     request: &RequestState,
-    only_own: bool,
-) -> Vec<(ServerIndex, u64)> {
-    let servers = state.directory.servers_of(&request.head.service);
-    let mut usable = Vec::with_capacity(servers.len());
-    for index in servers {
+    favor: Favor,
+    usable: &mut Vec<(ServerIndex, u64)>,
+) {
+    usable.clear();
+    let only_own = must_be_own(state, request);
+    let holds_lease = state.lease.is_held(state.now);
+    for index in state.directory.servers_of(&request.head.service) {
         let Some(seen) = state.observations.get(*index) else {
             continue;
         };
-        let weight = seen.ramped_weight(state.now, state.config.ramp);
         let is_passed = request.passed_over == Some(*index) || request.avoided.contains(index);
-        if weight > 0 && !is_passed && can_dispatch(state, request, *index, seen, only_own) {
-            usable.push((*index, weight));
+        let is_ejected = favor == Favor::Required && seen.is_ejected(state.now);
+        if seen.weight == 0 || is_passed || is_ejected {
+            continue;
+        }
+        let is_usable = match seen.dispatch {
+            Dispatch::Nobody => false,
+            Dispatch::Other => !only_own && is_entry_usable(state, *index),
+            Dispatch::Own => holds_lease && is_own_usable(state, request, *index, favor),
+        };
+        if is_usable {
+            usable.push((*index, seen.ramped_weight(state.now, state.config.ramp)));
         }
     }
-    usable
 }
 
-fn can_dispatch(
+fn is_own_usable(
     state: &PathState,
     request: &RequestState,
     index: ServerIndex,
-    seen: &ServerObservation,
-    only_own: bool,
+    favor: Favor,
 ) -> bool {
-    match seen.dispatch {
-        Dispatch::Nobody => false,
-        Dispatch::Other => !only_own && is_entry_usable(state, index),
-        Dispatch::Own => {
-            let own = state.servers.get(&index);
-            state.lease.is_held(state.now)
-                && own.is_some_and(|own| is_open(own, state.is_running(), request))
-        }
-    }
+    let own = state.servers.get(&index);
+    own.is_some_and(|own| {
+        let is_favored = favor == Favor::Waived || own.health == Health::Up;
+        is_favored && is_open(own, state.is_running(), request)
+    })
 }
 
 /// A role that is given up serves only what was taken in before.
--- a/crates/chicory_dispatch/src/sweep.rs
+++ b/crates/chicory_dispatch/src/sweep.rs
@@ -61,7 +61,7 @@
     }
 }
 
-fn fire(state: &mut PathState, id: RequestId, request: RequestState) {
+fn fire(state: &mut PathState, id: RequestId, request: Box<RequestState>) {
     if state.now >= request.expires_at {
         return expire(state, id, request);
     }
@@ -71,7 +71,7 @@
     }
 }
 
-fn resume(state: &mut PathState, id: RequestId, mut request: RequestState) {
+fn resume(state: &mut PathState, id: RequestId, mut request: Box<RequestState>) {
     request.wake_at = request.expires_at;
     if matches!(request.phase, Phase::Placing) {
         place(state, id, request);
@@ -81,7 +81,7 @@
 }
 
 /// The deadline has passed: the final answer goes out now.
-fn expire(state: &mut PathState, id: RequestId, request: RequestState) {
+fn expire(state: &mut PathState, id: RequestId, request: Box<RequestState>) {
     match request.phase.clone() {
         Phase::InFlight(exchange) => expire_exchange(state, id, request, exchange),
         Phase::Relayed(leg) => expire_relay(state, id, request, &leg),
@@ -95,7 +95,7 @@
 fn expire_exchange(
     state: &mut PathState,
     id: RequestId,
-    mut request: RequestState,
+    mut request: Box<RequestState>,
     exchange: Exchange,
 ) {
     end_exchange(state, id, &request, exchange, ConnectionFate::Close);
@@ -109,7 +109,12 @@
     pump(state, exchange.server);
 }
 
-fn expire_relay(state: &mut PathState, id: RequestId, mut request: RequestState, leg: &RelayLeg) {
+fn expire_relay(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+    leg: &RelayLeg,
+) {
     relays::end(state, leg);
     if leg.is_forwarding {
         state.counters.broken_answers += 1;
