--- a/crates/chicory_dispatch/benches/decisions.rs
+++ b/crates/chicory_dispatch/benches/decisions.rs
@@ -1,11 +1,12 @@
 //! Decisions per second of the request path on one core.
 //!
-//! One iteration takes a request in and decides where it goes; the answer's events, where there are
-//! any, are measured with it, since a queue that never empties would measure refusals.
+//! `*_decision` times the arrival alone, up to the effect that writes or relays the request; the
+//! answers are played outside of the timed part. `*_with_answer` times all three events of a
+//! request.
 
 use std::collections::BTreeSet;
 use std::hint::black_box;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chicory_dispatch::{
     Effect, Event, Outcome, RelayLoad, RequestHead, RequestIdEcho, RequestOrigin, RequestPath,
@@ -20,6 +21,8 @@
 
 const ZONE: &str = "vake-hall";
 const SERVERS: u16 = 20;
+/// Requests that fit into the slots of all servers of a service.
+const BATCH: u64 = 40;
 const NOW: Duration = Duration::from_millis(1);
 
 fn policy(keyed: bool) -> ServicePolicy {
@@ -146,23 +149,11 @@
 
 /// Takes a request in and plays its server or its relay to the end.
 fn serve(path: &mut RequestPath, head: RequestHead) {
-    let request = head.request;
-    let mut effects = path.reduce(NOW, Event::RequestArrived(head));
-    while let Some(effect) = effects.pop() {
-        match effect {
-            Effect::Connect { connection, .. } => {
-                effects = path.reduce(NOW, Event::Connected { connection });
-            }
-            Effect::Write { .. } => answer(path, request),
-            Effect::Relay { .. } => answer_relay(path, request),
-            other => {
-                black_box(other);
-            }
-        }
-    }
+    let effects = path.reduce(NOW, Event::RequestArrived(head));
+    play(path, effects);
 }
 
-fn answer(path: &mut RequestPath, request: u64) {
+fn answer(path: &mut RequestPath, request: u64) -> Vec<Effect> {
     let started = Event::AnswerStarted {
         request,
         status: 200,
@@ -175,7 +166,7 @@
         kept: None,
         is_reusable: true,
     };
-    black_box(path.reduce(NOW, finished));
+    path.reduce(NOW, finished)
 }
 
 fn answer_relay(path: &mut RequestPath, request: u64) {
@@ -207,6 +198,59 @@
     group.finish();
 }
 
+/// Times arrivals alone, in batches that fit into the servers' slots; one iteration is one batch.
+fn bench_decision(c: &mut Criterion, name: &str, service: &str, dispatcher: &str) {
+    let mut group = c.benchmark_group("request_path");
+    group.throughput(Throughput::Elements(BATCH));
+    let mut path = path(dispatcher);
+    let mut next = 0;
+    group.bench_function(name, |b| {
+        b.iter_custom(|count| {
+            let mut timed = Duration::ZERO;
+            for _ in 0..count {
+                timed += decide_batch(&mut path, &mut next, service);
+            }
+            timed
+        });
+    });
+    group.finish();
+}
+
+fn decide_batch(path: &mut RequestPath, next: &mut u64, service: &str) -> Duration {
+    let heads: Vec<RequestHead> = (0..BATCH)
+        .map(|_| {
+            *next += 1;
+            head(*next, service)
+        })
+        .collect();
+    let mut decided = Vec::with_capacity(heads.len());
+    let start = Instant::now();
+    for head in heads {
+        decided.push(path.reduce(NOW, Event::RequestArrived(head)));
+    }
+    let timed = start.elapsed();
+    for effects in decided {
+        play(path, effects);
+    }
+    timed
+}
+
+/// Plays servers and relays until nothing is open.
+fn play(path: &mut RequestPath, mut effects: Vec<Effect>) {
+    while let Some(effect) = effects.pop() {
+        match effect {
+            Effect::Connect { connection, .. } => {
+                effects.extend(path.reduce(NOW, Event::Connected { connection }));
+            }
+            Effect::Write { request, .. } => effects.extend(answer(path, request)),
+            Effect::Relay { request, .. } => answer_relay(path, request),
+            other => {
+                black_box(other);
+            }
+        }
+    }
+}
+
 /// Refusals at once, the path of an overload.
 fn bench_refusal(c: &mut Criterion) {
     let mut group = c.benchmark_group("request_path");
@@ -231,6 +275,9 @@
 }
 
 fn benches(c: &mut Criterion) {
+    bench_decision(c, "keyed_decision", "board", "entry-1");
+    bench_decision(c, "unkeyed_decision", "plans", "entry-1");
+    bench_decision(c, "relay_decision", "board", "entry-2");
     bench_service(c, "keyed_with_answer", "board", "entry-1");
     bench_service(c, "unkeyed_with_answer", "plans", "entry-1");
     bench_service(c, "relayed_with_answer", "board", "entry-2");
--- a/crates/chicory_dispatch/src/arrivals.rs
+++ b/crates/chicory_dispatch/src/arrivals.rs
@@ -1,5 +1,7 @@
 //! Requests that come in and callers that leave.
 
+use std::time::Duration;
+
 use chicory_types::{MonoTime, RequestId};
 
 use crate::crash_suspects::Suspicion;
@@ -23,8 +25,8 @@
             let request = RequestState::new(head, checked.demand, checked.expires_at);
             place(state, id, Box::new(request));
         }
-        Err(reason) => {
-            let pause = state.usual_pause(reason);
+        Err(Denial { reason, pause }) => {
+            let pause = pause.or_else(|| state.usual_pause(reason));
             state.emit_refusal(id, Outcome::NotRun, reason, pause);
         }
     }
@@ -36,6 +38,22 @@
     expires_at: MonoTime,
 }
 
+/// Why a request may not be placed.
+struct Denial {
+    reason: RefusalReason,
+    /// When to come back; `None` for the usual pause of the reason.
+    pause: Option<Duration>,
+}
+
+impl From<RefusalReason> for Denial {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            pause: None,
+        }
+    }
+}
+
 fn count(state: &mut PathState, head: &RequestHead) {
     match head.origin {
         RequestOrigin::Caller => state.counters.from_callers += 1,
@@ -43,18 +61,18 @@
     }
 }
 
-fn check(state: &mut PathState, head: &RequestHead) -> Result<Checked, RefusalReason> {
+fn check(state: &mut PathState, head: &RequestHead) -> Result<Checked, Denial> {
     let Some(policy) = state.directory.policy(&head.service) else {
-        return Err(missing_service(state));
+        return Err(missing_service(state).into());
     };
     let demand = Demand::of(policy, head)?;
     let deadline = head.deadline.unwrap_or(policy.deadline);
     if deadline.is_zero() {
-        return Err(RefusalReason::DeadlinePassed);
+        return Err(RefusalReason::DeadlinePassed.into());
     }
     check_quarantine(state, head)?;
     if state.requests.len() >= state.config.max_requests {
-        return Err(RefusalReason::QueueFull);
+        return Err(RefusalReason::QueueFull.into());
     }
     spend_rate(state, head)?;
     Ok(Checked {
@@ -82,7 +100,7 @@
 }
 
 /// Credits the retry budget and takes a token of the rate limit, which counts callers only.
-fn spend_rate(state: &mut PathState, head: &RequestHead) -> Result<(), RefusalReason> {
+fn spend_rate(state: &mut PathState, head: &RequestHead) -> Result<(), Denial> {
     let now = state.now;
     let share = state.config.retry_share;
     let limits = match state.services.get_mut(&head.service) {
@@ -100,7 +118,10 @@
         .rate
         .as_mut()
         .map_or(Ok(()), |rate| rate.try_take(now));
-    taken.map_err(|_| RefusalReason::RateLimited)
+    taken.map_err(|wait| Denial {
+        reason: RefusalReason::RateLimited,
+        pause: Some(wait),
+    })
 }
 
 /// Gives up the request of a caller that left.
--- a/crates/chicory_dispatch/src/exchanges.rs
+++ b/crates/chicory_dispatch/src/exchanges.rs
@@ -297,13 +297,18 @@
     }
 }
 
-/// A cancelled exchange may still run at the server until its deadline or the end of the lease.
+/// A cancelled exchange may still run at the server until its deadline; at one that checks its
+/// grants no longer than its lease.
 fn note_cancelled(state: &mut PathState, request: &RequestState, exchange: Exchange) {
     let Some((slot, _)) = request.grant else {
         return;
     };
-    let bound = state.now + state.config.server_lease;
     if let Some(server) = state.servers.get_mut(&exchange.server) {
+        let bound = if server.checks_grants {
+            server.grants.lease_end()
+        } else {
+            request.expires_at
+        };
         server.cancelled.push((slot, request.expires_at.min(bound)));
     }
 }
--- a/crates/chicory_dispatch/src/grant_book.rs
+++ b/crates/chicory_dispatch/src/grant_book.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// When all leases granted so far have ended.
+    pub(crate) fn lease_end(&self) -> MonoTime {
+        self.lease_end
+    }
+
     pub(crate) fn version(&self) -> u64 {
         self.version
     }
--- a/crates/chicory_dispatch/src/relays.rs
+++ b/crates/chicory_dispatch/src/relays.rs
@@ -81,7 +81,7 @@
     retry_after: Option<Duration>,
     load: RelayLoad,
 ) {
-    let Some((mut request, leg)) = take_leg(state, id) else {
+    let Some((request, leg)) = take_leg(state, id) else {
         return;
     };
     if leg.is_forwarding {
@@ -93,17 +93,41 @@
     if let Some(seen) = leg.server.and_then(|i| state.observations.get_mut(i)) {
         seen.hint(load, now);
     }
-    if outcome == Outcome::NotRun && is_worth_another_try(&request, retry_after) {
-        end(state, &leg);
-        request.end_unsent();
+    let is_retry = outcome == Outcome::NotRun && is_worth_another_try(&request, retry_after);
+    let kept = if is_retry {
+        try_elsewhere(state, id, request, &leg)
+    } else {
+        Some(request)
+    };
+    if let Some(request) = kept {
+        forward(state, id, request, leg, load);
+    }
+}
+
+/// Drops a refusal and tries again; hands the request back where that isn't allowed.
+fn try_elsewhere(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+    leg: &RelayLeg,
+) -> Option<Box<RequestState>> {
+    request.end_unsent();
+    request.passed_over = leg.server;
+    let refused = retries::retry(state, id, request);
+    if refused.is_none() {
+        end(state, leg);
         state.emit(Effect::DiscardAnswer { request: id });
-        if let Some(server) = leg.server {
-            request.passed_over = Some(server);
-        }
-        // The refusal of the other process is lost with its answer: what remains is this one's.
-        retries::retry_or_refuse(state, id, request, RefusalReason::RelayFailed);
-        return;
     }
+    refused
+}
+
+fn forward(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+    leg: RelayLeg,
+    load: RelayLoad,
+) {
     request.phase = Phase::Relayed(RelayLeg {
         is_forwarding: true,
         ..leg
--- a/crates/chicory_dispatch/src/retries.rs
+++ b/crates/chicory_dispatch/src/retries.rs
@@ -17,18 +17,30 @@
 pub(crate) fn retry_or_refuse(
     state: &mut PathState,
     id: RequestId,
-    mut request: Box<RequestState>,
+    request: Box<RequestState>,
     reason: RefusalReason,
 ) {
+    if let Some(request) = retry(state, id, request) {
+        state.refuse(id, &request, reason);
+    }
+}
+
+/// Tries a request that was taken out again after a pause; hands it back where that isn't allowed.
+pub(crate) fn retry(
+    state: &mut PathState,
+    id: RequestId,
+    mut request: Box<RequestState>,
+) -> Option<Box<RequestState>> {
     let doublings = request.tries.saturating_sub(1).min(MAX_DOUBLINGS);
     let pause = state.jitter(FIRST_PAUSE * 2_u32.pow(doublings));
     if !may_retry(state, &request, pause) {
-        return state.refuse(id, &request, reason);
+        return Some(request);
     }
     state.counters.retries += 1;
     request.phase = Phase::Placing;
     request.wake_at = request.expires_at.min(state.now + pause);
     state.put(id, request);
+    None
 }
 
 fn may_retry(state: &mut PathState, request: &RequestState, pause: Duration) -> bool {
--- a/crates/chicory_dispatch/src/roles.rs
+++ b/crates/chicory_dispatch/src/roles.rs
@@ -241,7 +241,9 @@
         server: index,
         token,
     };
-    state.directory.slot(&request.head.service, slot) != current
+    let service = &request.head.service;
+    let is_ours = state.directory.custodian(service, slot) == Some(&state.config.zone);
+    !is_ours || state.directory.slot(service, slot) != current
 }
 
 /// Without a lease nothing may be written: what waits is refused, and what runs on a server that
