Match a renewal's answer by a send time that is read later

The entry process reads the clock again when it carries a renewal out, so its send time is never the very moment of the decision: with an exact match no lease would ever have been granted outside of the tests. The fakes now read the clock again too. The lease still counts from the decision, which is the earlier one.

An order whose claim was granted after the lease had ended waited in its queue until its deadline; it is now refused as not run at once.

--- a/crates/chicory_dispatch/src/lease.rs
+++ b/crates/chicory_dispatch/src/lease.rs
@@ -88,8 +88,11 @@
     }
 
     /// Takes the pending renewal off, where this answer is its answer.
+    ///
+    /// `sent_at` was read when the effect was carried out, so it is not before the moment at which
+    /// the effect was returned; renewals given up were all sent before that.
     pub(crate) fn take_pending(&mut self, sent_at: MonoTime) -> Option<PendingRenewal> {
-        self.pending.take_if(|pending| pending.sent_at == sent_at)
+        self.pending.take_if(|pending| sent_at >= pending.sent_at)
     }
 
     pub(crate) fn granted(&mut self, sent_at: MonoTime, lease: Duration, from: VmId) {
--- a/crates/chicory_dispatch/src/orders.rs
+++ b/crates/chicory_dispatch/src/orders.rs
@@ -54,15 +54,21 @@
 ) {
     request.claim = ClaimState::Granted;
     request.wake_at = request.expires_at;
-    let server = state.servers.get(&index);
-    let is_kept = |s: &ServerState| !s.is_leaving || !state.is_running();
-    if server.is_some_and(|s| is_kept(s) && !s.is_down() && s.draining_since.is_none()) {
+    if is_still_open(state, index) {
         enter_queue(state, id, request, index);
     } else {
         place(state, id, request);
     }
 }
 
+/// Whether the server in whose queue the order has a place still takes it.
+fn is_still_open(state: &PathState, index: ServerIndex) -> bool {
+    let is_kept = |s: &ServerState| !s.is_leaving || !state.is_running();
+    let server = state.servers.get(&index);
+    let is_open = server.is_some_and(|s| is_kept(s) && !s.is_down() && s.draining_since.is_none());
+    is_open && state.lease.is_held(state.now)
+}
+
 fn answer_stored(
     state: &mut PathState,
     id: RequestId,
--- a/crates/chicory_dispatch/src/renewals.rs
+++ b/crates/chicory_dispatch/src/renewals.rs
@@ -135,7 +135,7 @@
     };
     match answer {
         RenewAnswer::Granted { lease, update } => {
-            state.lease.granted(sent_at, lease, from);
+            state.lease.granted(pending.sent_at, lease, from);
             forget_told(state);
             if pending.known_view == state.directory.version() {
                 apply(state, update);
--- a/crates/chicory_dispatch/src/router.rs
+++ b/crates/chicory_dispatch/src/router.rs
@@ -68,7 +68,7 @@
         }
         Some(_) => match pick_server(state, request) {
             Some(server) => via_dispatcher(state, request, server, None),
-            None => Route::Refused(RefusalReason::NoServer),
+            None => Route::Refused(no_server(state)),
         },
     }
 }
@@ -78,11 +78,20 @@
         return via_dispatcher(state, request, server, None);
     }
     if request.hops() > 0 || request.passed_over.is_some() {
-        return Route::Refused(RefusalReason::NoServer);
+        return Route::Refused(no_server(state));
     }
     match other_zone(state, request) {
         Some(zone) => relay_to_zone(state, request, &zone),
-        None => Route::Refused(RefusalReason::NoServer),
+        None => Route::Refused(no_server(state)),
+    }
+}
+
+/// Why there is no server: without a lease its own ones don't count.
+fn no_server(state: &PathState) -> RefusalReason {
+    if state.lease.is_held(state.now) {
+        RefusalReason::NoServer
+    } else {
+        RefusalReason::NoLease
     }
 }
 
--- a/crates/chicory_dispatch/tests/request_path/orders.rs
+++ b/crates/chicory_dispatch/tests/request_path/orders.rs
@@ -131,6 +131,26 @@
     expect_that!(world.writes, is_empty());
 }
 
+#[gtest]
+fn claim_granted_after_the_lease_has_ended_is_given_back() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.group.answers_claims = false;
+    world.group.is_reachable = false;
+    world.run_for(ms(1_500));
+    world.arrive(order(1, "k"));
+    world.run_for(ms(1_000));
+    world.feed(Event::ClaimAnswered {
+        request: 1,
+        answer: ClaimAnswer::Granted,
+    });
+    let expected = (RefusalReason::NoLease, Outcome::NotRun);
+    expect_that!(world.refusal(1), some(eq(expected)));
+    expect_that!(
+        resolutions(&world),
+        elements_are![eq(&ClaimResolution::NotRun)]
+    );
+}
+
 #[gtest]
 fn failed_claim_is_given_back_before_the_refusal() {
     let mut world = World::new(&[(LEDGER, "l1")]);
--- a/crates/chicory_dispatch/tests/request_path/support/world.rs
+++ b/crates/chicory_dispatch/tests/request_path/support/world.rs
@@ -16,6 +16,7 @@
 use super::fixtures::{PEER, VM, base_view, dispatcher, ms, owned, record, slots};
 
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
+const CARRY_OUT_DELAY: Duration = Duration::from_micros(30);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The final effect of a request.
@@ -209,7 +210,8 @@
 
     fn deliver(&mut self, event: Event) {
         if let Event::RenewAnswered { sent_at, .. } = &event {
-            self.lease_end = self.lease_end.max(*sent_at + self.group.lease);
+            let end = sent_at.saturating_sub(CARRY_OUT_DELAY) + self.group.lease;
+            self.lease_end = self.lease_end.max(end);
         }
         if let Event::AnswerFinished { request, .. } = &event {
             self.finished.insert(*request, self.now);
@@ -514,7 +516,8 @@
     }
 
     fn on_renew(&mut self, request: chicory_ownership::RenewRequest) {
-        let sent_at = self.now;
+        // The clock is read again once the effect is carried out.
+        let sent_at = self.now + CARRY_OUT_DELAY;
         if !self.group.is_reachable {
             return self.later(ms(100), None, Event::RenewFailed);
         }
