--- a/crates/chicory_consensus/src/memory_log.rs
+++ b/crates/chicory_consensus/src/memory_log.rs
@@ -78,9 +78,10 @@
         batch
     }
 
-    /// Copies all entries from `from` on.
+    /// Copies all entries from `from` on that are kept.
     pub(crate) fn tail(&self, from: LogIndex) -> Vec<Entry> {
-        self.batch(from, usize::MAX, usize::MAX)
+        let first = from.max(self.base_index + 1);
+        self.batch(first, usize::MAX, usize::MAX)
     }
 
     pub(crate) fn append(&mut self, entry: Entry) {
--- a/crates/chicory_consensus/tests/replica_rules.rs
+++ b/crates/chicory_consensus/tests/replica_rules.rs
@@ -47,7 +47,9 @@
 
 fn replica(restored: RestoredState, incarnation: u64) -> Replica {
     let vms = vec!["a".into(), "b".into(), "c".into()];
-    let config = ReplicaConfig::builder(MemberId::new("a", incarnation), vms).build();
+    let config = ReplicaConfig::builder(MemberId::new("a", incarnation), vms)
+        .trailing_entries(0)
+        .build();
     Replica::new(config.expect("valid settings"), restored, START)
 }
 
@@ -199,6 +201,34 @@
     );
 }
 
+#[gtest]
+fn entries_after_a_snapshot_are_persisted_however_slow_the_disk() {
+    let mut replica = replica(stored(&[], true), 1);
+    replica.reduce(
+        START,
+        received(member("a"), append(0, 0, vec![entry(1, 5)], 1)),
+    );
+    replica.reduce(
+        START,
+        received(member("a"), append(1, 5, vec![entry(2, 5)], 2)),
+    );
+    let taken = ReplicaEvent::SnapshotTaken {
+        index: 2,
+        data: Vec::new(),
+    };
+    replica.reduce(START, taken);
+    replica.reduce(
+        START,
+        received(member("a"), append(2, 5, vec![entry(3, 5)], 2)),
+    );
+    let effects = replica.reduce(START, persisted(1));
+    let is_kept = effects.iter().any(|effect| {
+        matches!(effect, ReplicaEffect::Persist { entries, snapshot: Some(_), .. }
+            if entries.len() == 1 && entries[0].index == 3)
+    });
+    expect_true!(is_kept, "{effects:?}");
+}
+
 #[gtest]
 fn follower_commits_no_further_than_the_logs_match() {
     let mut replica = replica(stored(&[1, 1, 1], true), 1);
--- /dev/null
+++ b/crates/chicory_storage/src/segment_reader.rs
@@ -0,0 +1,151 @@
+//! Reads the log segments of a group.
+
+use chicory_types::LogIndex;
+use chicory_wire::proto::storage::{LogBatch, SegmentHeader};
+use prost::Message;
+
+use crate::files::{Files, join};
+use crate::record::{FileEnd, Records, read_records};
+use crate::replay::Replay;
+use crate::storage_error::{Damage, DamagedSnafu, StorageError};
+
+const PREFIX: &str = "log-";
+
+/// One log segment.
+#[derive(Clone, Debug)]
+pub(crate) struct Segment {
+    pub(crate) sequence: u64,
+    pub(crate) size_bytes: u64,
+    /// Greatest index of an entry in it; 0 without one.
+    pub(crate) greatest_index: LogIndex,
+}
+
+impl Segment {
+    pub(crate) fn path(&self, group: &str) -> String {
+        path_of(group, self.sequence)
+    }
+}
+
+fn path_of(group: &str, sequence: u64) -> String {
+    join(group, &format!("{PREFIX}{sequence:020}"))
+}
+
+/// Sequence numbers of the segments among the names of a group's files, ascending.
+pub(crate) fn sequences(names: &[String]) -> Vec<u64> {
+    let numbers = names.iter().filter_map(|name| name.strip_prefix(PREFIX));
+    numbers.filter_map(|number| number.parse().ok()).collect()
+}
+
+/// Reads all segments; a torn end of the last one is cut off.
+pub(crate) fn read_segments(
+    files: &mut Files,
+    group: &str,
+    names: &[String],
+    replay: &mut Replay,
+) -> Result<Vec<Segment>, StorageError> {
+    let sequences = sequences(names);
+    let mut segments: Vec<Segment> = Vec::new();
+    for (position, sequence) in sequences.iter().enumerate() {
+        let follows = segments
+            .last()
+            .is_none_or(|last| last.sequence + 1 == *sequence);
+        if !follows {
+            return damaged(&path_of(group, *sequence), 0, Damage::Gap);
+        }
+        let is_last = position + 1 == sequences.len();
+        let is_first = position == 0;
+        let segment = read_segment(files, group, *sequence, is_last, is_first, replay)?;
+        segments.extend(segment);
+    }
+    Ok(segments)
+}
+
+/// Reads one segment; `None` when it was cut short before anything was in it.
+fn read_segment(
+    files: &mut Files,
+    group: &str,
+    sequence: u64,
+    is_last: bool,
+    is_first: bool,
+    replay: &mut Replay,
+) -> Result<Option<Segment>, StorageError> {
+    let path = path_of(group, sequence);
+    let data = files.read(&path)?;
+    let records = read_records(&data);
+    let whole_bytes = whole_bytes(&path, &records, data.len(), is_last)?;
+    if records.bodies.is_empty() {
+        if is_first || !is_last {
+            return damaged(&path, 0, Damage::Truncated);
+        }
+        files.remove(&path)?;
+        files.sync_dir(group)?;
+        return Ok(None);
+    }
+    let greatest_index = replay_records(&path, sequence, &records, replay)?;
+    if whole_bytes < data.len() {
+        files.truncate(&path, whole_bytes as u64)?;
+        files.sync(&path)?;
+    }
+    Ok(Some(Segment {
+        sequence,
+        size_bytes: whole_bytes as u64,
+        greatest_index,
+    }))
+}
+
+fn whole_bytes(
+    path: &str,
+    records: &Records<'_>,
+    len_bytes: usize,
+    is_last: bool,
+) -> Result<usize, StorageError> {
+    match records.end {
+        FileEnd::Clean => Ok(len_bytes),
+        FileEnd::Torn { offset_bytes } if is_last => Ok(offset_bytes),
+        FileEnd::Torn { offset_bytes } => damaged(path, offset_bytes, Damage::Truncated),
+        FileEnd::Corrupt { offset_bytes } => damaged(path, offset_bytes, Damage::Checksum),
+    }
+}
+
+fn replay_records(
+    path: &str,
+    sequence: u64,
+    records: &Records<'_>,
+    replay: &mut Replay,
+) -> Result<LogIndex, StorageError> {
+    let mut greatest_index = 0;
+    for (position, (offset_bytes, body)) in records.bodies.iter().enumerate() {
+        let taken = if position == 0 {
+            replay_header(sequence, body, replay).map(|()| 0)
+        } else {
+            replay_batch(body, replay)
+        };
+        match taken {
+            Ok(index) => greatest_index = greatest_index.max(index),
+            Err(damage) => return damaged(path, *offset_bytes, damage),
+        }
+    }
+    Ok(greatest_index)
+}
+
+fn replay_header(sequence: u64, body: &[u8], replay: &mut Replay) -> Result<(), Damage> {
+    let header = SegmentHeader::decode(body).map_err(|_| Damage::Content)?;
+    if header.sequence != sequence {
+        return Err(Damage::Content);
+    }
+    replay.take_header(header)
+}
+
+fn replay_batch(body: &[u8], replay: &mut Replay) -> Result<LogIndex, Damage> {
+    let batch = LogBatch::decode(body).map_err(|_| Damage::Content)?;
+    replay.take_batch(batch)
+}
+
+fn damaged<T>(path: &str, offset_bytes: usize, damage: Damage) -> Result<T, StorageError> {
+    DamagedSnafu {
+        path,
+        offset_bytes: offset_bytes as u64,
+        damage,
+    }
+    .fail()
+}
--- /dev/null
+++ b/crates/chicory_storage/tests/data_folder.rs
@@ -0,0 +1,90 @@
+//! The data folder on the file system.
+
+use chicory_consensus::{Entry, EntryPayload, HardState, Snapshot};
+use chicory_storage::{DataFolder, FolderIdentity, GroupStorage, IdentityField, StorageError};
+use googletest::prelude::*;
+
+fn identity(vm: &str, incarnation: u64) -> FolderIdentity {
+    FolderIdentity {
+        cluster: "harbour".into(),
+        vm: vm.into(),
+        zone: "north".into(),
+        incarnation,
+    }
+}
+
+#[gtest]
+fn folder_of_another_vm_is_refused() {
+    let dir = tempfile::tempdir().expect("a folder");
+    drop(DataFolder::open(dir.path(), &identity("vm-a", 1)).expect("opened"));
+    let foreign = DataFolder::open(dir.path(), &identity("vm-b", 1));
+    let is_refused = matches!(
+        foreign,
+        Err(StorageError::ForeignFolder {
+            field: IdentityField::Vm,
+            ..
+        })
+    );
+    expect_true!(is_refused);
+}
+
+#[gtest]
+fn folder_in_use_is_refused_until_its_disks_are_dropped() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let folder = DataFolder::open(dir.path(), &identity("vm-a", 1)).expect("opened");
+    let disk = folder.disk();
+    drop(folder);
+    let second = DataFolder::open(dir.path(), &identity("vm-a", 1));
+    expect_true!(matches!(second, Err(StorageError::Locked { .. })));
+    drop(disk);
+    expect_true!(DataFolder::open(dir.path(), &identity("vm-a", 1)).is_ok());
+}
+
+#[gtest]
+fn incarnation_grows_even_if_the_clock_went_back() {
+    let dir = tempfile::tempdir().expect("a folder");
+    for (given, expected) in [(5, 5), (9, 9), (3, 10), (3, 11)] {
+        let folder = DataFolder::open(dir.path(), &identity("vm-a", given)).expect("opened");
+        expect_that!(folder.identity().incarnation, eq(expected));
+    }
+}
+
+#[gtest]
+fn state_comes_back_from_files() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let snapshot = Snapshot {
+        last_index: 60,
+        last_term: 2,
+        ..Snapshot::default()
+    };
+    for start in 1..=3 {
+        let folder = DataFolder::open(dir.path(), &identity("vm-a", start)).expect("opened");
+        let opened = GroupStorage::open(folder.disk(), folder.identity(), "global-1");
+        let (mut storage, restored) = opened.expect("readable");
+        storage.set_segment_bytes(300);
+        expect_that!(storage.incarnation(), eq(1));
+        let last = restored.entries.last().map_or(0, |e| e.index);
+        expect_that!(last, eq((start - 1) * 50));
+        for index in last + 1..=last + 50 {
+            let entry = Entry {
+                index,
+                term: 2,
+                payload: EntryPayload::Command(vec![1; 30]),
+            };
+            let hard_state = HardState {
+                term: start,
+                voted_for: None,
+            };
+            let written = storage.persist(Some(hard_state), None, vec![entry], None);
+            written.expect("written");
+        }
+        if start == 2 {
+            let written = storage.persist(None, None, vec![], Some(snapshot.clone()));
+            written.expect("written");
+        }
+        if start == 3 {
+            expect_that!(restored.snapshot, some(eq(&snapshot)));
+            expect_that!(restored.hard_state.term, eq(2));
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_storage/tests/group_storage.rs
@@ -0,0 +1,344 @@
+//! What a group finds again after crashes, damage and failures of the disk.
+
+use chicory_consensus::{
+    Entry, EntryPayload, HardState, MemberId, Membership, RestoredState, Snapshot,
+};
+use chicory_storage::{Damage, Disk, FolderIdentity, GroupStorage, MemoryDisk, StorageError};
+use googletest::prelude::*;
+
+const GROUP: &str = "zone-1";
+const START: u64 = 7;
+
+fn identity(incarnation: u64) -> FolderIdentity {
+    FolderIdentity {
+        cluster: "harbour".into(),
+        vm: "vm-a".into(),
+        zone: "north".into(),
+        incarnation,
+    }
+}
+
+fn open(disk: &MemoryDisk, start: u64) -> (GroupStorage, RestoredState) {
+    let disk: Box<dyn Disk> = Box::new(disk.clone());
+    GroupStorage::open(disk, &identity(start), GROUP).expect("readable")
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        payload: EntryPayload::Command(index.to_le_bytes().to_vec()),
+    }
+}
+
+fn hard_state(term: u64) -> HardState {
+    HardState {
+        term,
+        voted_for: Some(MemberId::new("vm-b", 1)),
+    }
+}
+
+fn snapshot(last_index: u64) -> Snapshot {
+    Snapshot {
+        last_index,
+        last_term: 1,
+        membership: Membership::of_voters([MemberId::new("vm-a", START)]),
+        data: vec![3; 50],
+    }
+}
+
+fn indices(restored: &RestoredState) -> Vec<u64> {
+    restored.entries.iter().map(|e| e.index).collect()
+}
+
+/// A disk with three batches: a vote, then two entries each.
+fn small_log() -> MemoryDisk {
+    let disk = MemoryDisk::default();
+    let (mut storage, _) = open(&disk, START);
+    let batches = [
+        (Some(hard_state(3)), vec![]),
+        (None, vec![entry(1, 3), entry(2, 3)]),
+        (None, vec![entry(3, 3), entry(4, 3)]),
+    ];
+    for (hard_state, entries) in batches {
+        storage
+            .persist(hard_state, None, entries, None)
+            .expect("written");
+    }
+    disk
+}
+
+#[gtest]
+fn everything_comes_back() {
+    let disk = small_log();
+    disk.crash(0);
+    let (storage, restored) = open(&disk, START + 1);
+    expect_that!(restored.hard_state, eq(&hard_state(3)));
+    expect_that!(indices(&restored), eq(&[1, 2, 3, 4]));
+    expect_true!(restored.may_vote);
+    expect_that!(storage.incarnation(), eq(START));
+}
+
+#[gtest]
+fn truncation_and_snapshot_come_back() {
+    let disk = small_log();
+    let (mut storage, _) = open(&disk, START + 1);
+    storage
+        .persist(None, Some(4), vec![entry(4, 5)], None)
+        .expect("written");
+    storage
+        .persist(None, None, vec![], Some(snapshot(2)))
+        .expect("written");
+    disk.crash(0);
+    let (_, restored) = open(&disk, START + 2);
+    expect_that!(restored.snapshot, some(eq(&snapshot(2))));
+    expect_that!(indices(&restored), eq(&[3, 4]));
+    expect_that!(restored.entries[1].term, eq(5));
+}
+
+#[gtest]
+fn installed_snapshot_replaces_the_log() {
+    let disk = small_log();
+    let (mut storage, _) = open(&disk, START + 1);
+    let entries = vec![entry(9, 6)];
+    storage
+        .persist(None, Some(9), entries, Some(snapshot(8)))
+        .expect("written");
+    disk.crash(0);
+    let (_, restored) = open(&disk, START + 2);
+    expect_that!(indices(&restored), eq(&[9]));
+}
+
+#[gtest]
+fn segments_roll_over_and_go_after_a_snapshot() {
+    let disk = MemoryDisk::default();
+    let (mut storage, _) = open(&disk, START);
+    storage.set_segment_bytes(200);
+    storage
+        .persist(Some(hard_state(2)), None, vec![], None)
+        .expect("written");
+    for index in 1..=30 {
+        storage
+            .persist(None, None, vec![entry(index, 2)], None)
+            .expect("written");
+    }
+    let before = disk.files().len();
+    storage
+        .persist(None, None, vec![], Some(snapshot(25)))
+        .expect("written");
+    expect_that!(disk.files().len(), lt(before));
+    expect_that!(storage.cleanup_failures(), eq(0));
+    disk.crash(0);
+    let (_, restored) = open(&disk, START + 1);
+    expect_that!(restored.hard_state, eq(&hard_state(2)));
+    expect_that!(indices(&restored), eq(&[26, 27, 28, 29, 30]));
+}
+
+#[gtest]
+fn one_batch_needs_one_sync() {
+    let disk = small_log();
+    let (mut storage, _) = open(&disk, START + 1);
+    let before = disk.sync_count();
+    let entries = (5..500).map(|index| entry(index, 3)).collect();
+    storage
+        .persist(Some(hard_state(4)), None, entries, None)
+        .expect("written");
+    expect_that!(disk.sync_count() - before, eq(1));
+}
+
+#[gtest]
+fn torn_tail_is_cut_at_every_byte() {
+    let disk = small_log();
+    let (path, len) = log_file(&disk);
+    let batch_end = {
+        let (mut storage, _) = open(&disk, START + 1);
+        storage
+            .persist(None, None, vec![entry(5, 3)], None)
+            .expect("written");
+        log_file(&disk).1
+    };
+    for kept in len..batch_end {
+        let torn = disk.duplicate();
+        torn.edit(&path, |data| data.truncate(kept));
+        let (mut storage, restored) = open(&torn, START + 2);
+        expect_that!(indices(&restored), eq(&[1, 2, 3, 4]), "cut at {kept}");
+        expect_true!(restored.may_vote);
+        storage
+            .persist(None, None, vec![entry(5, 4)], None)
+            .expect("written");
+        let (_, restored) = open(&torn, START + 3);
+        expect_that!(restored.entries.last(), some(eq(&entry(5, 4))));
+    }
+}
+
+#[gtest]
+fn unsynced_batch_is_lost_whole_or_kept_whole() {
+    for kept in 0..200 {
+        let disk = small_log();
+        let (mut storage, _) = open(&disk, START + 1);
+        disk.fail_sync_after(0);
+        let entries = vec![entry(5, 3), entry(6, 3)];
+        let failed = storage.persist(None, None, entries, None);
+        expect_true!(failed.is_err());
+        disk.crash(kept);
+        let (_, restored) = open(&disk, START + 2);
+        expect_true!(restored.may_vote);
+        expect_that!(restored.entries.len(), any![eq(4), eq(6)], "kept {kept}");
+    }
+}
+
+fn log_file(disk: &MemoryDisk) -> (String, usize) {
+    let files = disk.files();
+    let log = files.into_iter().find(|(path, _)| path.contains("/log-"));
+    log.expect("a segment")
+}
+
+#[gtest]
+fn damage_at_every_byte_of_every_file_takes_the_vote() {
+    let disk = small_log();
+    let (mut storage, _) = open(&disk, START + 1);
+    storage.set_segment_bytes(1);
+    storage
+        .persist(None, None, vec![entry(5, 3)], Some(snapshot(1)))
+        .expect("written");
+    for (path, len) in disk.files() {
+        for offset in 0..len {
+            let damaged = disk.duplicate();
+            damaged.edit(&path, |data| data[offset] ^= 0x41);
+            let (storage, restored) = open(&damaged, START + 2);
+            expect_false!(restored.may_vote, "{path} at {offset}");
+            expect_that!(storage.damage(), some(anything()), "{path} at {offset}");
+            expect_that!(storage.incarnation(), eq(START + 2));
+            expect_true!(restored.entries.is_empty());
+        }
+    }
+}
+
+#[gtest]
+fn damage_in_the_middle_is_a_typed_error() {
+    let disk = small_log();
+    let (path, _) = log_file(&disk);
+    disk.edit(&path, |data| data[40] ^= 1);
+    let (storage, _) = open(&disk, START + 1);
+    let is_checksum = matches!(
+        storage.damage(),
+        Some(StorageError::Damaged {
+            damage: Damage::Checksum,
+            ..
+        })
+    );
+    expect_true!(is_checksum);
+}
+
+#[gtest]
+fn lost_file_takes_the_vote() {
+    let disk = small_log();
+    let (mut storage, _) = open(&disk, START + 1);
+    storage.set_segment_bytes(1);
+    storage
+        .persist(None, None, vec![entry(5, 3)], Some(snapshot(1)))
+        .expect("written");
+    for (path, _) in disk.files() {
+        let last_segment = log_file_count(&disk);
+        if path.ends_with(&last_segment) {
+            continue;
+        }
+        let mut lost = disk.duplicate();
+        lost.remove(&path).expect("removed");
+        let (_, restored) = open(&lost, START + 2);
+        expect_false!(restored.may_vote, "{path}");
+    }
+}
+
+/// Name of the last segment; its loss can't be told from a crash before it was begun.
+fn log_file_count(disk: &MemoryDisk) -> String {
+    let files = disk.files();
+    let logs = files.iter().filter(|(path, _)| path.contains("/log-"));
+    logs.map(|(path, _)| path.clone()).max().expect("a segment")
+}
+
+#[gtest]
+fn member_that_lost_its_state_votes_again_once_it_has_a_snapshot() {
+    let disk = small_log();
+    let (path, _) = log_file(&disk);
+    disk.edit(&path, |data| data[40] ^= 1);
+    for start in 1..4 {
+        let (storage, restored) = open(&disk, START + start);
+        expect_false!(restored.may_vote);
+        expect_that!(storage.incarnation(), eq(START + 1));
+    }
+    let (mut storage, _) = open(&disk, START + 4);
+    storage
+        .persist(None, None, vec![], Some(snapshot(3)))
+        .expect("written");
+    expect_true!(open(&disk, START + 5).1.may_vote);
+}
+
+#[gtest]
+fn interrupted_reset_is_finished() {
+    for syncs in 0..6 {
+        let disk = small_log();
+        let (path, _) = log_file(&disk);
+        disk.edit(&path, |data| data[40] ^= 1);
+        disk.fail_sync_after(syncs);
+        let boxed: Box<dyn Disk> = Box::new(disk.clone());
+        let first = GroupStorage::open(boxed, &identity(START + 1), GROUP);
+        disk.crash(0);
+        drop(first);
+        let (storage, restored) = open(&disk, START + 2);
+        expect_false!(restored.may_vote, "after {syncs}");
+        expect_that!(storage.incarnation(), gt(START), "after {syncs}");
+    }
+}
+
+#[gtest]
+fn interrupted_creation_is_no_damage() {
+    for syncs in 0..3 {
+        let disk = MemoryDisk::default();
+        disk.fail_sync_after(syncs);
+        let boxed: Box<dyn Disk> = Box::new(disk.clone());
+        let first = GroupStorage::open(boxed, &identity(START), GROUP);
+        disk.crash(5);
+        drop(first);
+        let (_, restored) = open(&disk, START + 1);
+        expect_true!(restored.may_vote, "after {syncs}");
+    }
+}
+
+#[gtest]
+fn nothing_is_written_after_a_failed_sync() {
+    let disk = small_log();
+    let (mut storage, _) = open(&disk, START + 1);
+    disk.fail_sync_after(0);
+    let first = storage.persist(Some(hard_state(9)), None, vec![], None);
+    expect_true!(matches!(first, Err(StorageError::Io { .. })));
+    let second = storage.persist(Some(hard_state(10)), None, vec![], None);
+    expect_true!(matches!(second, Err(StorageError::Failed)));
+}
+
+#[gtest]
+fn full_disk_loses_nothing_that_was_durable() {
+    for free_bytes in 0..80 {
+        let disk = small_log();
+        let (mut storage, _) = open(&disk, START + 1);
+        let used: usize = disk.files().iter().map(|(_, len)| len).sum();
+        disk.set_capacity_bytes(Some((used + free_bytes) as u64));
+        let entries = (5..20).map(|index| entry(index, 3)).collect();
+        expect_true!(storage.persist(None, None, entries, None).is_err());
+        disk.set_capacity_bytes(None);
+        disk.crash(usize::MAX);
+        let (_, restored) = open(&disk, START + 2);
+        expect_that!(indices(&restored), eq(&[1, 2, 3, 4]), "{free_bytes} free");
+        expect_true!(restored.may_vote);
+    }
+}
+
+#[gtest]
+fn group_name_is_a_plain_file_name() {
+    for name in ["", "../x", "a/b", ".."] {
+        let disk: Box<dyn Disk> = Box::new(MemoryDisk::default());
+        let opened = GroupStorage::open(disk, &identity(1), name);
+        let is_refused = matches!(opened, Err(StorageError::InvalidGroupName { .. }));
+        expect_true!(is_refused, "{name}");
+    }
+}
