--- a/crates/chicory_control/src/process/control_error.rs
+++ b/crates/chicory_control/src/process/control_error.rs
@@ -1,8 +1,11 @@
 //! Why a control process can't start or has to stop.
 
+use std::path::PathBuf;
+
 use chicory_consensus::ConfigError;
 use chicory_net::peer::PeerError;
 use chicory_net::tls::TlsError;
+use chicory_storage::StorageError;
 use chicory_telemetry::MetricsError;
 use snafu::Snafu;
 
@@ -34,6 +37,14 @@
         /// Cause.
         source: MetricsError,
     },
+    /// The data folder can't be used.
+    #[snafu(display("data folder {}: {source}", folder.display()))]
+    Storage {
+        /// The folder.
+        folder: PathBuf,
+        /// Cause.
+        source: StorageError,
+    },
     /// The settings make no valid member of a group.
     #[snafu(display("group: {source}"))]
     Group {
--- a/crates/chicory_control/src/process/control_process.rs
+++ b/crates/chicory_control/src/process/control_process.rs
@@ -3,31 +3,30 @@
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
-use chicory_consensus::{Formation, MemberId, Replica, ReplicaConfig, RestoredState};
 use chicory_net::admin::{AdminHandler, Readiness};
 use chicory_net::http::{HttpLimits, HttpListener};
 use chicory_net::peer::{FaultFile, FaultSwitch, NoFaults, PeerEndpoint, PeerIdentity};
 use chicory_net::tls::{PeerRole, PeerTls, Subject};
 use chicory_telemetry::{Metrics, new_logger};
-use chicory_types::{Clock, MonoTime, SystemClock};
-use slog::{Logger, info};
+use chicory_types::{Clock, Incarnation, SystemClock};
+use slog::{Logger, error, info};
 use snafu::ResultExt;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::control_error::{
-    AdminSnafu, ControlError, CorruptSnafu, GroupSnafu, MetricsSnafu, PeerSnafu, SignalSnafu,
-    TlsSnafu,
+    AdminSnafu, ControlError, CorruptSnafu, MetricsSnafu, PeerSnafu, SignalSnafu, TlsSnafu,
 };
 use super::control_settings::ControlSettings;
-use super::global_store::{GlobalStore, NoStore};
+use super::global_member::GlobalMember;
+use super::global_store::GlobalStore;
 use super::peer_links::PeerLinks;
 use super::pending_calls::{CallOrigin, PendingCalls};
 use super::shell_event::ShellEvent;
 use super::{note_log, peer_server};
 use crate::{
     Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent, ControlReply,
-    GlobalGroup, GlobalMachine, Group, PersistRequest,
+    PersistRequest,
 };
 
 /// Events that may wait for the loop.
@@ -72,16 +71,16 @@
     let readiness = Readiness::default();
     let endpoint = start_peers(&settings, &events, &metrics)?;
     start_admin(&settings, &readiness, &metrics, stopped).await?;
-    let config = config_of(&settings, &clock);
-    let global = open_global(&settings, &config, clock.now())?;
+    let member = GlobalMember::open(&settings, started_at(&clock), clock.now(), &logger)?;
+    let config = config_of(&settings, member.incarnation);
     info!(logger, "started"; "zone" => &config.zone, "incarnation" => config.incarnation,
         "is_global_member" => config.is_global_member());
     let process = Process {
-        core: ControlCore::new(config.clone(), global, clock.now()),
+        core: ControlCore::new(config.clone(), member.group, clock.now()),
         clock,
         links: PeerLinks::new(endpoint.clone(), settings.peers(), events, metrics.clone()),
         calls: PendingCalls::default(),
-        store: Box::new(NoStore),
+        store: member.store,
         readiness,
         metrics,
         logger,
@@ -139,9 +138,7 @@
     Ok(())
 }
 
-fn config_of(settings: &ControlSettings, clock: &SystemClock) -> ControlConfig {
-    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let incarnation = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+fn config_of(settings: &ControlSettings, incarnation: Incarnation) -> ControlConfig {
     ControlConfig {
         vm: settings.vm.clone(),
         incarnation,
@@ -152,23 +149,9 @@
     }
 }
 
-fn open_global(
-    settings: &ControlSettings,
-    config: &ControlConfig,
-    now: MonoTime,
-) -> Result<Option<GlobalGroup>, ControlError> {
-    if !config.is_global_member() {
-        return Ok(None);
-    }
-    let member = MemberId::new(settings.vm.clone(), config.incarnation);
-    let vms = settings.global_peers.keys().cloned().collect();
-    let replica_config = ReplicaConfig::builder(member, vms)
-        .formation(Formation::Unanimous)
-        .seed(config.seed)
-        .build()
-        .context(GroupSnafu)?;
-    let replica = Replica::new(replica_config, RestoredState::fresh(), now);
-    Ok(Some(Group::new(replica, GlobalMachine::default(), false)))
+fn started_at(clock: &SystemClock) -> Incarnation {
+    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(started.as_micros()).unwrap_or(u64::MAX)
 }
 
 impl Process {
@@ -303,12 +286,17 @@
 
     fn persist(&mut self, request: PersistRequest) -> ControlEvent {
         let ticket = request.ticket;
-        if self.store.persist(request) {
-            self.metrics.increment(super::ControlMetric::DurableWrites);
-            return ControlEvent::Persisted { ticket };
+        match self.store.persist(request) {
+            Ok(()) => {
+                self.metrics.increment(super::ControlMetric::DurableWrites);
+                ControlEvent::Persisted { ticket }
+            }
+            Err(error) => {
+                self.metrics.increment(super::ControlMetric::FailedWrites);
+                error!(self.logger, "state could not be made durable"; "error" => %error);
+                ControlEvent::PersistFailed { ticket }
+            }
         }
-        self.metrics.increment(super::ControlMetric::FailedWrites);
-        ControlEvent::PersistFailed { ticket }
     }
 
     /// A call of this process to itself.
--- a/crates/chicory_control/src/process/mod.rs
+++ b/crates/chicory_control/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod control_metric;
 mod control_process;
 mod control_settings;
+mod global_member;
 mod global_store;
 mod note_log;
 mod peer_links;
