Tell the reducer a renewal by the time at which it asked for it

The reducer takes an answer only for the renewal it waits for, which it knows by its time; a second reading of the clock never matched, so no lease was ever held. Seen as tests waiting for readiness.

--- a/crates/chicory_entry/src/core_loop.rs
+++ b/crates/chicory_entry/src/core_loop.rs
@@ -59,6 +59,8 @@
     pub(crate) exchanges: BTreeMap<RequestId, Exchange>,
     pub(crate) links: BTreeMap<ConnectionId, ServerLinkEntry>,
     pub(crate) announcements: BTreeMap<u64, oneshot::Sender<AnnounceReply>>,
+    /// Time of the event that is being reduced.
+    pub(crate) now: MonoTime,
     next_announcement: u64,
     next_publish: MonoTime,
 }
@@ -70,6 +72,7 @@
             exchanges: BTreeMap::new(),
             links: BTreeMap::new(),
             announcements: BTreeMap::new(),
+            now: MonoTime::ZERO,
             next_announcement: 1,
             next_publish: MonoTime::ZERO,
         }
@@ -166,6 +169,7 @@
     /// Feeds the reducer and carries out what it returns.
     pub(crate) fn reduce(&mut self, event: Event) -> ControlFlow<()> {
         let now = self.parts.clock.now();
+        self.now = now;
         self.parts.trace.record(now, &event);
         for effect in self.parts.path.reduce(now, event) {
             if self.carry_out(effect).is_break() {
--- a/crates/chicory_entry/src/effects.rs
+++ b/crates/chicory_entry/src/effects.rs
@@ -209,7 +209,8 @@
     }
 
     fn renew(&mut self, leader: Option<VmId>, request: RenewRequest) {
-        let sent_at = self.parts.clock.now();
+        // The reducer knows the renewal by the time at which it asked for it.
+        let sent_at = self.now;
         let zone = self.parts.zone.clone();
         let inbox = self.parts.inbox.clone();
         tokio::spawn(async move {
