Read and write the table as CSV

chicoryctl imports and exports the table, and nobody had the CSV yet. Every fault names its line and column; a table with any fault is not taken over in part.

--- a/crates/chicory_table/src/lib.rs
+++ b/crates/chicory_table/src/lib.rs
@@ -5,12 +5,16 @@
 
 mod audit_record;
 mod audit_trail;
+mod csv_column;
+mod csv_fault;
+mod csv_row;
 mod custody_lease;
 mod edit_outcome;
 mod server_override;
 mod service_policy;
 mod table;
 mod table_content;
+mod table_csv;
 mod table_edit;
 mod table_fault;
 mod table_store;
@@ -18,6 +22,7 @@
 
 pub use audit_record::{AuditAction, AuditRecord};
 pub use audit_trail::{AUDIT_RETENTION_RECORDS, AuditQuery, AuditTrail};
+pub use csv_fault::CsvFault;
 pub use custody_lease::CustodyLease;
 pub use edit_outcome::EditOutcome;
 pub use server_override::ServerOverride;
@@ -27,6 +32,7 @@
     MAX_CUSTODY_LEASE_MS, MAX_DEADLINE_MS, MAX_NAME_BYTES, MAX_OVERRIDES, MAX_SERVICES, MAX_WEIGHT,
     MIN_CUSTODY_LEASE_MS, MIN_DEADLINE_MS, TableContent,
 };
+pub use table_csv::{WHOLE_SERVICE, parse_csv, to_csv};
 pub use table_edit::{TableChange, TableEdit};
 pub use table_fault::TableFault;
 pub use table_store::{EDIT_MEMORY, RememberedEdit, TableStore};
