Add chicoryctl

One question at a time goes to one control process after another, the last one that answered first, following leader hints. An edit without an answer ends with its own exit code and names the edit id to repeat, as only the cluster can tell whether it was made.

--- /dev/null
+++ b/crates/chicory_ctl/src/client/mod.rs
@@ -0,0 +1,11 @@
+//! Questions to control processes.
+
+mod attempt;
+mod client_error;
+mod control_client;
+mod peer_client;
+
+pub use attempt::{Attempt, AttemptFailure};
+pub use client_error::ClientError;
+pub use control_client::{AnswerFuture, ControlClient};
+pub use peer_client::{PeerClient, PeerClientSettings};
--- /dev/null
+++ b/crates/chicory_ctl/src/client/peer_client.rs
@@ -0,0 +1,238 @@
+//! The client that asks control processes over QUIC.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicory_net::peer::{NoFaults, PeerConnection, PeerEndpoint, PeerError, PeerIdentity};
+use chicory_net::tls::{PeerRole, PeerTls, Subject, TlsFiles};
+use chicory_telemetry::Metrics;
+use chicory_types::{ClusterName, OperatorName, VmId};
+use chicory_wire::proto::operator::operator_answer::Answer;
+use chicory_wire::proto::operator::operator_request::Request;
+use chicory_wire::proto::operator::{OperatorError, OperatorRequest};
+use chicory_wire::proto::peer::{Call, CallError, Reply, call, reply};
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use super::client_error::{BindSnafu, MetricsSnafu, NoAnswerSnafu, RefusedSnafu, TlsSnafu};
+use super::{AnswerFuture, Attempt, AttemptFailure, ClientError, ControlClient};
+
+/// Pause once every process has failed.
+const ROUND_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait for the reply of one process.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How to reach the control processes.
+#[derive(Clone, Debug)]
+pub struct PeerClientSettings {
+    /// The cluster.
+    pub cluster: ClusterName,
+    /// The operator, as its certificate names it.
+    pub operator: OperatorName,
+    /// The control processes.
+    pub control: BTreeMap<VmId, SocketAddr>,
+    /// The operator's certificate.
+    pub tls: TlsFiles,
+    /// How long to try.
+    pub timeout: Duration,
+}
+
+/// Asks control processes over QUIC, one after another until one answers.
+#[derive(Debug)]
+pub struct PeerClient {
+    endpoint: PeerEndpoint,
+    control: BTreeMap<VmId, SocketAddr>,
+    timeout: Duration,
+    last_answered: RefCell<Option<VmId>>,
+}
+
+/// What to do after one process was asked.
+enum Next {
+    Done(Result<Answer, ClientError>),
+    AskLeader(VmId),
+    AskAnother(AttemptFailure),
+}
+
+impl PeerClient {
+    /// Creates a client; must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError`] if the certificates or the port can't be used.
+    pub fn new(settings: &PeerClientSettings) -> Result<Self, ClientError> {
+        let tls = PeerTls::load(&settings.tls).context(TlsSnafu)?;
+        let metrics = Arc::new(Metrics::new().context(MetricsSnafu)?);
+        let identity = PeerIdentity {
+            subject: Subject::new(PeerRole::Operator, &settings.operator),
+            cluster: settings.cluster.clone(),
+            zone: String::new(),
+        };
+        let is_loopback = settings.control.values().all(|to| to.ip().is_loopback());
+        let local_address = local_address(is_loopback);
+        let bound = PeerEndpoint::bind(local_address, &tls, &identity, Arc::new(NoFaults), metrics);
+        let (endpoint, _) = bound.context(BindSnafu)?;
+        Ok(Self {
+            endpoint,
+            control: settings.control.clone(),
+            timeout: settings.timeout,
+            last_answered: RefCell::default(),
+        })
+    }
+
+    async fn ask_until_answered(&self, request: Request) -> Result<Answer, ClientError> {
+        let call = Call {
+            call: Some(call::Call::Operator(OperatorRequest {
+                request: Some(request),
+            })),
+        };
+        let deadline = Instant::now() + self.timeout;
+        let mut failures = BTreeMap::new();
+        let mut may_have_arrived = false;
+        while Instant::now() < deadline {
+            let preferred = self.last_answered.borrow().clone();
+            let mut turn = Turn::new(&self.control, preferred);
+            while let Some((vm, address)) = turn.next() {
+                match self.ask_one(address, &call, deadline).await {
+                    Next::Done(result) => {
+                        self.last_answered.replace(Some(vm));
+                        return result;
+                    }
+                    Next::AskLeader(leader) => {
+                        let failure = turn.prefer(leader);
+                        failures.extend(failure.map(|failure| (vm, failure)));
+                    }
+                    Next::AskAnother(failure) => {
+                        may_have_arrived |= may_have_been_carried_out(&failure);
+                        failures.insert(vm, failure);
+                    }
+                }
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+        NoAnswerSnafu {
+            attempts: self.attempts(failures),
+            timeout: self.timeout,
+            may_have_arrived,
+        }
+        .fail()
+    }
+
+    async fn ask_one(&self, address: SocketAddr, call: &Call, deadline: Instant) -> Next {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let connection = match self.connect(address, left).await {
+            Ok(connection) => connection,
+            Err(source) => return Next::AskAnother(AttemptFailure::Connect { source }),
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        let reply = connection.call(call, left.min(REPLY_TIMEOUT)).await;
+        match reply {
+            Ok(reply) => next(reply),
+            Err(source) => Next::AskAnother(AttemptFailure::Call { source }),
+        }
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<PeerConnection, PeerError> {
+        let connected = tokio::time::timeout(timeout, self.endpoint.connect(address)).await;
+        connected.unwrap_or(Err(PeerError::TimedOut { timeout }))
+    }
+
+    fn attempts(&self, failures: BTreeMap<VmId, AttemptFailure>) -> Vec<Attempt> {
+        failures
+            .into_iter()
+            .map(|(vm, failure)| Attempt {
+                address: self.control[&vm],
+                vm,
+                failure,
+            })
+            .collect()
+    }
+}
+
+impl ControlClient for PeerClient {
+    fn ask(&self, request: Request) -> AnswerFuture<'_> {
+        Box::pin(self.ask_until_answered(request))
+    }
+}
+
+/// One round over all control processes, in which each is asked once.
+struct Turn {
+    left: BTreeMap<VmId, SocketAddr>,
+    preferred: Option<VmId>,
+}
+
+impl Turn {
+    fn new(control: &BTreeMap<VmId, SocketAddr>, preferred: Option<VmId>) -> Self {
+        Self {
+            left: control.clone(),
+            preferred,
+        }
+    }
+
+    fn next(&mut self) -> Option<(VmId, SocketAddr)> {
+        let preferred = self.preferred.take();
+        let preferred = preferred.and_then(|vm| self.left.remove_entry(&vm));
+        preferred.or_else(|| self.left.pop_first())
+    }
+
+    /// Asks the leader next, unless it can't be asked in this round.
+    fn prefer(&mut self, leader: VmId) -> Option<AttemptFailure> {
+        if !self.left.contains_key(&leader) {
+            return Some(AttemptFailure::NotLeader {
+                leader: Some(leader),
+            });
+        }
+        self.preferred = Some(leader);
+        None
+    }
+}
+
+fn next(reply: Reply) -> Next {
+    let answer = match reply.reply {
+        Some(reply::Reply::Operator(answer)) => answer.answer,
+        Some(reply::Reply::Error(error)) => {
+            let error = CallError::try_from(error).unwrap_or(CallError::Malformed);
+            return Next::AskAnother(AttemptFailure::CallRefused { error });
+        }
+        _ => None,
+    };
+    match answer {
+        None => Next::Done(Err(ClientError::UnexpectedAnswer)),
+        Some(Answer::NotLeader(answer)) => match answer.leader {
+            Some(leader) => Next::AskLeader(leader),
+            None => Next::AskAnother(AttemptFailure::NotLeader { leader: None }),
+        },
+        Some(Answer::Error(error)) => next_after_refusal(error),
+        Some(answer) => Next::Done(Ok(answer)),
+    }
+}
+
+fn next_after_refusal(error: i32) -> Next {
+    match OperatorError::try_from(error) {
+        Ok(error @ OperatorError::NotFound) => Next::Done(RefusedSnafu { error }.fail()),
+        Ok(error) => Next::AskAnother(AttemptFailure::Refused { error }),
+        Err(_) => Next::Done(Err(ClientError::UnexpectedAnswer)),
+    }
+}
+
+fn may_have_been_carried_out(failure: &AttemptFailure) -> bool {
+    match failure {
+        AttemptFailure::Call { .. } => true,
+        AttemptFailure::Refused { error } => *error == OperatorError::Unavailable,
+        _ => false,
+    }
+}
+
+fn local_address(is_loopback: bool) -> SocketAddr {
+    if is_loopback {
+        SocketAddr::from(([127, 0, 0, 1], 0))
+    } else {
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    }
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/command/ca.rs
@@ -0,0 +1,102 @@
+//! The cluster's certificate authority.
+
+use std::fs::OpenOptions;
+use std::io::{ErrorKind, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use chicory_net::tls::{CertificateAuthority, PeerRole, Subject};
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::ctl_error::{CertificatesSnafu, FileExistsSnafu, FileSnafu};
+use crate::{CtlError, Report};
+
+/// File name of the authority's certificate.
+const AUTHORITY_CERTIFICATE: &str = "ca.pem";
+/// File name of the authority's private key.
+const AUTHORITY_KEY: &str = "ca.key.pem";
+/// Access rights of private keys: their owner only.
+const PRIVATE_MODE: u32 = 0o600;
+/// Access rights of certificates.
+const PUBLIC_MODE: u32 = 0o644;
+
+/// A certificate to be issued.
+#[derive(Clone, Debug)]
+pub struct IssueRequest {
+    /// Folder of the authority.
+    pub folder: PathBuf,
+    /// Folder for the certificate and its key.
+    pub out: PathBuf,
+    /// What the holder may do.
+    pub role: PeerRole,
+    /// Name of the VM or of the operator.
+    pub name: String,
+    /// How long it is valid.
+    pub validity: Duration,
+}
+
+/// Makes a new authority in `folder`.
+///
+/// # Errors
+///
+/// [`CtlError`] if there is one already or the files can't be written.
+pub fn init_authority(folder: &Path, validity: Duration) -> Result<Report, CtlError> {
+    std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
+    let authority = CertificateAuthority::init(validity).context(CertificatesSnafu)?;
+    let certificate = folder.join(AUTHORITY_CERTIFICATE);
+    let key = folder.join(AUTHORITY_KEY);
+    write_new(&key, authority.key_pem(), PRIVATE_MODE)?;
+    write_new(&certificate, authority.certificate_pem(), PUBLIC_MODE)?;
+    Ok(files_report(&certificate, &key))
+}
+
+/// Issues a certificate with a new key.
+///
+/// # Errors
+///
+/// [`CtlError`] if the authority can't be read, the name can't stand in a certificate, or the
+/// files exist or can't be written.
+pub fn issue_certificate(request: &IssueRequest) -> Result<Report, CtlError> {
+    let certificate_pem = read(&request.folder.join(AUTHORITY_CERTIFICATE))?;
+    let key_pem = read(&request.folder.join(AUTHORITY_KEY))?;
+    let authority = CertificateAuthority::load(&certificate_pem, &key_pem);
+    let authority = authority.context(CertificatesSnafu)?;
+    let subject = Subject::new(request.role, &request.name);
+    let issued = authority.issue(&subject, request.validity);
+    let issued = issued.context(CertificatesSnafu)?;
+    let path = &request.out;
+    std::fs::create_dir_all(path).context(FileSnafu { path })?;
+    let stem = format!("{}-{}", request.role, request.name);
+    let certificate = path.join(format!("{stem}.pem"));
+    let key = path.join(format!("{stem}.key.pem"));
+    write_new(&key, &issued.key_pem, PRIVATE_MODE)?;
+    write_new(&certificate, &issued.certificate_pem, PUBLIC_MODE)?;
+    Ok(files_report(&certificate, &key))
+}
+
+fn files_report(certificate: &Path, key: &Path) -> Report {
+    Report {
+        text: format!("{}\n{}\n", certificate.display(), key.display()),
+        json: json!({"certificate": certificate, "key": key}),
+    }
+}
+
+fn read(path: &Path) -> Result<String, CtlError> {
+    std::fs::read_to_string(path).context(FileSnafu { path })
+}
+
+fn write_new(path: &Path, text: &str, mode: u32) -> Result<(), CtlError> {
+    let mut options = OpenOptions::new();
+    let file = options.write(true).create_new(true).mode(mode).open(path);
+    let mut file = match file {
+        Err(error) if error.kind() == ErrorKind::AlreadyExists => {
+            return FileExistsSnafu { path }.fail();
+        }
+        file => file.context(FileSnafu { path })?,
+    };
+    file.write_all(text.as_bytes())
+        .and_then(|()| file.sync_all())
+        .context(FileSnafu { path })
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/command/edit.rs
@@ -0,0 +1,132 @@
+//! Sending of edits, with a known outcome or a way to learn it.
+
+use chicory_table::{EditOutcome, TableChange};
+use chicory_types::{EditId, Revision};
+use chicory_wire::proto::operator::TableEditRequest;
+use chicory_wire::proto::operator::operator_answer::Answer;
+use chicory_wire::proto::operator::operator_request::Request;
+use snafu::ResultExt;
+use uuid::Uuid;
+
+use crate::client::{ClientError, ControlClient};
+use crate::ctl_error::{
+    ConflictSnafu, EditIdReusedSnafu, FileSnafu, InvalidSnafu, OutcomeUnknownSnafu,
+};
+use crate::{CtlError, EditHistory};
+
+/// What an operator states of an edit besides its changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EditIntent {
+    /// Identifier of an earlier attempt, to repeat it.
+    pub edit_id: Option<EditId>,
+    /// Revision that the edit is based on; the current one where it is absent.
+    pub base_revision: Option<Revision>,
+}
+
+/// Sends edits; the cluster knows the operator by the client's certificate.
+pub struct Editor<'a> {
+    client: &'a dyn ControlClient,
+    history: &'a EditHistory,
+}
+
+impl<'a> Editor<'a> {
+    /// Creates an editor that notes its edits in `history`.
+    #[must_use]
+    pub fn new(client: &'a dyn ControlClient, history: &'a EditHistory) -> Self {
+        Self { client, history }
+    }
+
+    /// The client that the edits are sent through.
+    #[must_use]
+    pub fn client(&self) -> &'a dyn ControlClient {
+        self.client
+    }
+
+    /// The history of the edits.
+    #[must_use]
+    pub fn history(&self) -> &'a EditHistory {
+        self.history
+    }
+
+    /// Sends an edit and returns the revision that it made.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::OutcomeUnknown`] if the edit may have been made; any other error says that it
+    /// was not.
+    pub async fn submit(
+        &self,
+        edit_id: Option<EditId>,
+        base_revision: Revision,
+        changes: Vec<TableChange>,
+    ) -> Result<Revision, CtlError> {
+        let edit_id = edit_id.unwrap_or_else(|| Uuid::new_v4().to_string());
+        let request = Request::TableEdit(TableEditRequest {
+            edit_id: edit_id.clone(),
+            base_revision,
+            changes: changes.into_iter().map(Into::into).collect(),
+        });
+        let path = "--history";
+        self.history
+            .edit_sent(&edit_id)
+            .context(FileSnafu { path })?;
+        let answer = self.client.ask(request).await;
+        let result = judge(answer, &edit_id, base_revision);
+        if !matches!(result, Err(CtlError::OutcomeUnknown { .. })) {
+            let revision = result.as_ref().ok().copied();
+            let written = self.history.edit_answered(&edit_id, revision);
+            written.context(FileSnafu { path })?;
+        }
+        result
+    }
+}
+
+fn judge(
+    answer: Result<Answer, ClientError>,
+    edit_id: &EditId,
+    base_revision: Revision,
+) -> Result<Revision, CtlError> {
+    let outcome = match answer {
+        Ok(Answer::TableEdit(outcome)) => EditOutcome::try_from(outcome),
+        Ok(_) => return unknown(ClientError::UnexpectedAnswer, edit_id, base_revision),
+        Err(source) if may_have_been_made(&source) => {
+            return unknown(source, edit_id, base_revision);
+        }
+        Err(source) => return Err(source.into()),
+    };
+    match outcome {
+        Ok(EditOutcome::Accepted { revision }) => Ok(revision),
+        Ok(EditOutcome::Conflict { current_revision }) => ConflictSnafu {
+            base_revision,
+            current_revision,
+        }
+        .fail(),
+        Ok(EditOutcome::Invalid(faults)) => InvalidSnafu {
+            faults: faults.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        }
+        .fail(),
+        Ok(EditOutcome::EditIdReused) => EditIdReusedSnafu { edit_id }.fail(),
+        Err(_) => unknown(ClientError::UnexpectedAnswer, edit_id, base_revision),
+    }
+}
+
+fn unknown(
+    source: ClientError,
+    edit_id: &EditId,
+    base_revision: Revision,
+) -> Result<Revision, CtlError> {
+    Err(source).context(OutcomeUnknownSnafu {
+        edit_id,
+        base_revision,
+    })
+}
+
+fn may_have_been_made(error: &ClientError) -> bool {
+    match error {
+        ClientError::NoAnswer {
+            may_have_arrived, ..
+        } => *may_have_arrived,
+        ClientError::UnexpectedAnswer => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/command/mod.rs
@@ -0,0 +1,24 @@
+//! The commands.
+
+mod audit;
+mod ca;
+mod drain;
+mod edit;
+mod owner;
+mod status;
+mod table_cells;
+mod table_edits;
+mod table_reads;
+mod table_text;
+mod zone;
+
+pub use audit::{AuditQuery, audit};
+pub use ca::{IssueRequest, init_authority, issue_certificate};
+pub use drain::drain;
+pub use edit::{EditIntent, Editor};
+pub use owner::owner;
+pub use status::{status, wait_until_in_force};
+pub use table_cells::{RowName, set_cells};
+pub use table_edits::{import_table, remove_row, set_row};
+pub use table_reads::{export_table, get_table, read_table};
+pub use zone::{evict_zone, show_zone};
--- /dev/null
+++ b/crates/chicory_ctl/src/command/owner.rs
@@ -0,0 +1,49 @@
+//! Who owns a key.
+
+use chicory_wire::proto::operator::OwnerRequest;
+use chicory_wire::proto::operator::operator_answer::Answer;
+use chicory_wire::proto::operator::operator_request::Request;
+use serde_json::json;
+
+use crate::client::{ClientError, ControlClient};
+use crate::{CtlError, Report};
+
+/// Tells who owns a key, as the zone of the process that answers knows it.
+///
+/// # Errors
+///
+/// [`CtlError`] if no control process answers or the service isn't known.
+pub async fn owner(
+    client: &dyn ControlClient,
+    service: &str,
+    key: &str,
+) -> Result<Report, CtlError> {
+    let request = Request::Owner(OwnerRequest {
+        service: service.to_owned(),
+        key: key.to_owned(),
+    });
+    let Answer::Owner(owner) = client.ask(request).await? else {
+        return Err(ClientError::UnexpectedAnswer.into());
+    };
+    let token = owner
+        .token
+        .map(|token| format!("{}.{}", token.custody_generation, token.counter));
+    let shown = |value: &Option<String>| value.clone().unwrap_or("-".to_owned());
+    Ok(Report {
+        text: format!(
+            "slot {}\ncustody zone {}\nserver {}\ndispatcher {}\ntoken {}\n",
+            owner.slot,
+            shown(&owner.custody_zone),
+            shown(&owner.server),
+            shown(&owner.dispatcher),
+            shown(&token),
+        ),
+        json: json!({
+            "slot": owner.slot,
+            "custody_zone": owner.custody_zone,
+            "server": owner.server,
+            "dispatcher": owner.dispatcher,
+            "token": token,
+        }),
+    })
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/command/status.rs
@@ -0,0 +1,138 @@
+//! Which revision each availability zone has in force.
+
+use std::time::Duration;
+
+use chicory_types::Revision;
+use chicory_wire::proto::operator::operator_answer::Answer;
+use chicory_wire::proto::operator::operator_request::Request;
+use chicory_wire::proto::operator::{StatusAnswer, StatusRequest, ZoneStatus};
+use serde_json::{Value, json};
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use crate::client::{ClientError, ControlClient};
+use crate::ctl_error::{FileSnafu, NotInForceSnafu};
+use crate::report::columns;
+use crate::{CtlError, EditHistory, Report};
+
+/// Pause between two questions while waiting for zones.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Tells which revision each zone has in force.
+///
+/// # Errors
+///
+/// [`CtlError`] if no control process answers.
+pub async fn status(client: &dyn ControlClient, history: &EditHistory) -> Result<Report, CtlError> {
+    let status = ask(client, history).await?;
+    let rows = status.zones.iter().map(row);
+    let heads = ["zone", "revision", "reachable", "entries", "custody slots"];
+    let heads = heads.map(ToOwned::to_owned).to_vec();
+    let rows: Vec<Vec<String>> = std::iter::once(heads).chain(rows).collect();
+    Ok(Report {
+        text: format!("revision {}\n{}", status.revision, columns(&rows)),
+        json: json!({
+            "revision": status.revision,
+            "zones": status.zones.iter().map(zone_json).collect::<Vec<Value>>(),
+        }),
+    })
+}
+
+/// Waits until every zone has `revision` in force, and tells `progress` of each change.
+///
+/// # Errors
+///
+/// [`CtlError::NotInForce`] if that takes longer than `timeout`.
+pub async fn wait_until_in_force(
+    client: &dyn ControlClient,
+    history: &EditHistory,
+    revision: Revision,
+    timeout: Duration,
+    progress: &mut dyn FnMut(&str),
+) -> Result<(), CtlError> {
+    let deadline = Instant::now() + timeout;
+    let mut last_line = String::new();
+    loop {
+        let status = ask(client, history).await;
+        let line = match &status {
+            Ok(status) => progress_line(status, revision),
+            Err(error) => format!("waiting: {error}"),
+        };
+        if line != last_line {
+            progress(&line);
+            last_line = line;
+        }
+        let missing = status.map(|status| missing(&status, revision));
+        match missing {
+            Ok(zones) if zones.is_empty() => return Ok(()),
+            Ok(zones) if Instant::now() >= deadline => {
+                return NotInForceSnafu {
+                    revision,
+                    zones,
+                    timeout,
+                }
+                .fail();
+            }
+            Err(error) if Instant::now() >= deadline => return Err(error),
+            _ => tokio::time::sleep(POLL_INTERVAL).await,
+        }
+    }
+}
+
+async fn ask(client: &dyn ControlClient, history: &EditHistory) -> Result<StatusAnswer, CtlError> {
+    let Answer::Status(status) = client.ask(Request::Status(StatusRequest {})).await? else {
+        return Err(ClientError::UnexpectedAnswer.into());
+    };
+    for zone in status.zones.iter().filter(|zone| zone.is_reachable) {
+        let seen = history.revision_seen(&zone.zone, zone.revision_in_force);
+        seen.context(FileSnafu { path: "--history" })?;
+    }
+    Ok(status)
+}
+
+fn missing(status: &StatusAnswer, revision: Revision) -> Vec<String> {
+    let lacks = |zone: &&ZoneStatus| zone.revision_in_force < revision;
+    let zones = status.zones.iter().filter(lacks);
+    zones.map(|zone| zone.zone.clone()).collect()
+}
+
+fn progress_line(status: &StatusAnswer, revision: Revision) -> String {
+    let total = status.zones.len();
+    let missing = missing(status, revision);
+    let count = total - missing.len();
+    if missing.is_empty() {
+        return format!("revision {revision} in force in {count} of {total} zones");
+    }
+    format!(
+        "revision {revision} in force in {count} of {total} zones, waiting for {}",
+        missing.join(", ")
+    )
+}
+
+fn row(zone: &ZoneStatus) -> Vec<String> {
+    vec![
+        zone.zone.clone(),
+        zone.revision_in_force.to_string(),
+        if zone.is_reachable { "yes" } else { "no" }.to_owned(),
+        zone.entries.len().to_string(),
+        zone.custody_slots.to_string(),
+    ]
+}
+
+fn zone_json(zone: &ZoneStatus) -> Value {
+    let entry = |entry: &chicory_wire::proto::common::EntryRecord| {
+        json!({
+            "vm": entry.vm,
+            "incarnation": entry.incarnation,
+            "peer_address": entry.peer_address,
+            "announce_address": entry.announce_address,
+        })
+    };
+    json!({
+        "zone": zone.zone,
+        "revision_in_force": zone.revision_in_force,
+        "is_reachable": zone.is_reachable,
+        "entries": zone.entries.iter().map(entry).collect::<Vec<Value>>(),
+        "custody_slots": zone.custody_slots,
+    })
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/command/table_cells.rs
@@ -0,0 +1,93 @@
+//! Changes of single cells.
+
+use chicory_table::{TableChange, TableContent, WHOLE_SERVICE, to_csv};
+use snafu::OptionExt;
+
+use super::table_text::{cells, join, parse};
+use crate::CtlError;
+use crate::ctl_error::{MalformedChangeSnafu, NoSuchEntrySnafu};
+
+/// What faults of the cells are said to be in.
+const ORIGIN: &str = "the row";
+
+/// Names one row of the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RowName<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The backend server, or `*` for the row of the service.
+    pub server: &'a str,
+}
+
+impl RowName<'_> {
+    fn is_of(self, row: &[String]) -> bool {
+        row.first().is_some_and(|cell| cell == self.service)
+            && row.get(1).is_some_and(|cell| cell == self.server)
+    }
+
+    /// Whether it names the row of a whole service.
+    #[must_use]
+    pub fn is_whole_service(self) -> bool {
+        self.server == WHOLE_SERVICE
+    }
+}
+
+/// Sets cells, given as `COLUMN=VALUE`, of one row, which is added if it is missing.
+///
+/// # Errors
+///
+/// [`CtlError`] for an unknown column, a malformed change, or a value that isn't allowed.
+pub fn set_cells(
+    content: &TableContent,
+    name: RowName<'_>,
+    changes: &[String],
+) -> Result<TableContent, CtlError> {
+    let mut rows = cells(&to_csv(content));
+    let heads = rows.first().cloned().unwrap_or_default();
+    let index = rows.iter().position(|row| name.is_of(row));
+    let index = index.unwrap_or_else(|| {
+        rows.push(new_row(name, heads.len()));
+        rows.len() - 1
+    });
+    for change in changes {
+        let (column, value) = change
+            .split_once('=')
+            .context(MalformedChangeSnafu { text: change })?;
+        let column = heads.iter().position(|head| head == column);
+        let column = column.with_context(|| NoSuchEntrySnafu {
+            what: format!("column of {change}; its columns are {}", heads.join(", ")),
+        })?;
+        value.clone_into(&mut rows[index][column]);
+    }
+    parse(&join(&rows), ORIGIN)
+}
+
+/// The change that puts the row `name` of `content` into the table.
+///
+/// # Errors
+///
+/// [`CtlError::NoSuchEntry`] if there is no such row.
+pub fn put_row(mut content: TableContent, name: RowName<'_>) -> Result<TableChange, CtlError> {
+    let service = name.service.to_owned();
+    let change = if name.is_whole_service() {
+        let policy = content.services.remove(name.service);
+        policy.map(|policy| TableChange::PutService { service, policy })
+    } else {
+        let rows = content.overrides.get(name.service);
+        let values = rows.and_then(|rows| rows.get(name.server));
+        values.map(|values| TableChange::PutOverride {
+            service,
+            server: name.server.to_owned(),
+            values: *values,
+        })
+    };
+    change.with_context(|| NoSuchEntrySnafu {
+        what: format!("row {} {}", name.service, name.server),
+    })
+}
+
+fn new_row(name: RowName<'_>, len: usize) -> Vec<String> {
+    let mut row = vec![name.service.to_owned(), name.server.to_owned()];
+    row.resize(len, String::new());
+    row
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/command/table_edits.rs
@@ -0,0 +1,89 @@
+//! Edits of the table.
+
+use std::path::Path;
+
+use chicory_table::TableChange;
+use chicory_types::Revision;
+use snafu::ResultExt;
+
+use super::table_cells::put_row;
+use super::table_text::parse;
+use super::{EditIntent, Editor, RowName, read_table, set_cells};
+use crate::CtlError;
+use crate::ctl_error::FileSnafu;
+
+/// Sets cells of one row; returns the revision.
+///
+/// # Errors
+///
+/// [`CtlError`] if a cell is faulty, the edit isn't accepted or its outcome isn't known.
+pub async fn set_row(
+    editor: &Editor<'_>,
+    service: &str,
+    server: &str,
+    changes: &[String],
+    intent: EditIntent,
+) -> Result<Revision, CtlError> {
+    let (revision, content) = read_table(editor.client()).await?;
+    let base_revision = intent.base_revision.unwrap_or(revision);
+    let name = RowName { service, server };
+    let content = set_cells(&content, name, changes)?;
+    let change = put_row(content, name)?;
+    editor
+        .submit(intent.edit_id, base_revision, vec![change])
+        .await
+}
+
+/// Removes one row; returns the revision.
+///
+/// # Errors
+///
+/// [`CtlError`] if the edit isn't accepted or its outcome isn't known.
+pub async fn remove_row(
+    editor: &Editor<'_>,
+    service: &str,
+    server: &str,
+    intent: EditIntent,
+) -> Result<Revision, CtlError> {
+    let base_revision = base_revision(editor, &intent).await?;
+    let name = RowName { service, server };
+    let change = if name.is_whole_service() {
+        TableChange::RemoveService {
+            service: service.to_owned(),
+        }
+    } else {
+        TableChange::RemoveOverride {
+            service: service.to_owned(),
+            server: server.to_owned(),
+        }
+    };
+    editor
+        .submit(intent.edit_id, base_revision, vec![change])
+        .await
+}
+
+/// Replaces the table by a CSV file; returns the revision.
+///
+/// # Errors
+///
+/// [`CtlError`] if the file is faulty, the edit isn't accepted or its outcome isn't known.
+pub async fn import_table(
+    editor: &Editor<'_>,
+    path: &Path,
+    intent: EditIntent,
+) -> Result<Revision, CtlError> {
+    let csv = std::fs::read_to_string(path).context(FileSnafu { path })?;
+    let content = parse(&csv, &path.display().to_string())?;
+    let base_revision = base_revision(editor, &intent).await?;
+    let change = TableChange::ReplaceAll(content);
+    editor
+        .submit(intent.edit_id, base_revision, vec![change])
+        .await
+}
+
+async fn base_revision(editor: &Editor<'_>, intent: &EditIntent) -> Result<Revision, CtlError> {
+    match intent.base_revision {
+        Some(revision) => Ok(revision),
+        None => Ok(read_table(editor.client()).await?.0),
+    }
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/history.rs
@@ -0,0 +1,117 @@
+//! The history of an operator's edits, for whoever judges a run.
+
+use std::cell::RefCell;
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime};
+
+use chicory_types::{EditId, OperatorName, Revision, ZoneName};
+use serde::Serialize;
+
+/// Writes edits and their answers as JSON lines.
+///
+/// The times are the wall clock as read at the start, advanced by the monotonic clock.
+#[derive(Debug)]
+pub struct EditHistory {
+    file: Option<RefCell<File>>,
+    who: String,
+    start: Instant,
+    start_since_epoch: Duration,
+}
+
+#[derive(Debug, Serialize)]
+struct Line<'a> {
+    mono_ns: u64,
+    who: &'a str,
+    event: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    edit_id: Option<&'a EditId>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    zone: Option<&'a ZoneName>,
+}
+
+impl EditHistory {
+    /// Appends to the file at `path`; without one, nothing is written.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the file can't be opened.
+    pub fn open(operator: &OperatorName, path: Option<&Path>) -> std::io::Result<Self> {
+        let file = path
+            .map(|path| OpenOptions::new().create(true).append(true).open(path))
+            .transpose()?;
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        Ok(Self {
+            file: file.map(RefCell::new),
+            who: format!("operator:{operator}"),
+            start: Instant::now(),
+            start_since_epoch: since_epoch.unwrap_or_default(),
+        })
+    }
+
+    /// Notes that an edit is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the line can't be written.
+    pub fn edit_sent(&self, edit_id: &EditId) -> std::io::Result<()> {
+        self.write(&Line {
+            edit_id: Some(edit_id),
+            ..self.line("edit_sent")
+        })
+    }
+
+    /// Notes the answer to an edit; `revision` if it was accepted.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the line can't be written.
+    pub fn edit_answered(
+        &self,
+        edit_id: &EditId,
+        revision: Option<Revision>,
+    ) -> std::io::Result<()> {
+        self.write(&Line {
+            edit_id: Some(edit_id),
+            revision,
+            ..self.line("edit_answered")
+        })
+    }
+
+    /// Notes the revision that an availability zone has in force.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the line can't be written.
+    pub fn revision_seen(&self, zone: &ZoneName, revision: Revision) -> std::io::Result<()> {
+        self.write(&Line {
+            zone: Some(zone),
+            revision: Some(revision),
+            ..self.line("revision_seen")
+        })
+    }
+
+    fn line(&self, event: &'static str) -> Line<'_> {
+        let since_epoch = self.start_since_epoch + self.start.elapsed();
+        Line {
+            mono_ns: u64::try_from(since_epoch.as_nanos()).unwrap_or(u64::MAX),
+            who: &self.who,
+            event,
+            edit_id: None,
+            revision: None,
+            zone: None,
+        }
+    }
+
+    fn write(&self, line: &Line<'_>) -> std::io::Result<()> {
+        let Some(file) = &self.file else {
+            return Ok(());
+        };
+        let mut text = serde_json::to_vec(line)?;
+        text.push(b'\n');
+        file.borrow_mut().write_all(&text)
+    }
+}
--- /dev/null
+++ b/crates/chicory_ctl/src/run.rs
@@ -0,0 +1,222 @@
+//! From the command line to the exit status.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use chicory_net::tls::{PeerRole, TlsFiles};
+use chicory_settings::SettingsReader;
+use chicory_types::Revision;
+use clap::ArgMatches;
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::client::{ControlClient, PeerClient, PeerClientSettings};
+use crate::command::{
+    AuditQuery, EditIntent, Editor, IssueRequest, audit, drain, evict_zone, export_table,
+    get_table, import_table, init_authority, issue_certificate, owner, remove_row, set_row,
+    show_zone, status, wait_until_in_force,
+};
+use crate::ctl_error::FileSnafu;
+use crate::{CtlError, EditHistory, ExitStatus, OutputFormat, Report};
+
+/// Longest validity of a certificate in days.
+const MAX_VALID_DAYS: u64 = 36_500;
+/// Hours of a day.
+const HOURS_PER_DAY: u64 = 24;
+/// Longest time to try or wait, in milliseconds.
+const MAX_WAIT_MS: u64 = 3_600_000;
+
+/// Runs the command that `matches` holds, prints its report or failure, and returns the status
+/// that the program ends with.
+pub async fn run(matches: &ArgMatches) -> ExitStatus {
+    let (leaf, _) = leaf(matches);
+    let mut reader = SettingsReader::new(leaf);
+    let format = reader.choice("output", &["text", "json"]);
+    let result = match reader.finish(format) {
+        Ok(_) => run_command(matches).await,
+        Err(source) => Err(source.into()),
+    };
+    let format = format.unwrap_or_default();
+    match result {
+        Ok(report) => {
+            println!("{}", report.render(format));
+            ExitStatus::Done
+        }
+        Err(error) => {
+            print_failure(&error, format);
+            error.exit_status()
+        }
+    }
+}
+
+fn print_failure(error: &CtlError, format: OutputFormat) {
+    match format {
+        OutputFormat::Text => eprintln!("chicoryctl: {error}"),
+        OutputFormat::Json => {
+            let code = error.exit_status().code();
+            eprintln!("{}", json!({"error": error.to_string(), "exit_code": code}));
+        }
+    }
+}
+
+/// The matches of the innermost command, and its path.
+fn leaf(matches: &ArgMatches) -> (&ArgMatches, Vec<&str>) {
+    let mut path = Vec::new();
+    let mut leaf = matches;
+    while let Some((name, inner)) = leaf.subcommand() {
+        path.push(name);
+        leaf = inner;
+    }
+    (leaf, path)
+}
+
+async fn run_command(matches: &ArgMatches) -> Result<Report, CtlError> {
+    let (leaf, path) = leaf(matches);
+    match path.as_slice() {
+        ["ca", "init"] => init(leaf),
+        ["ca", "issue"] => issue(leaf),
+        path => run_with_client(leaf, path).await,
+    }
+}
+
+fn init(matches: &ArgMatches) -> Result<Report, CtlError> {
+    let mut reader = SettingsReader::new(matches);
+    let validity = validity(&mut reader);
+    let folder = PathBuf::from(text(matches, "dir"));
+    init_authority(&folder, reader.finish(validity)?)
+}
+
+fn issue(matches: &ArgMatches) -> Result<Report, CtlError> {
+    let mut reader = SettingsReader::new(matches);
+    let role = reader.choice("role", &["entry", "control", "operator"]);
+    let folder = PathBuf::from(text(matches, "dir"));
+    let request = IssueRequest {
+        out: reader.optional_path("out").unwrap_or(folder.clone()),
+        folder,
+        role: role.unwrap_or(PeerRole::Operator),
+        name: reader.name("name"),
+        validity: validity(&mut reader),
+    };
+    issue_certificate(&reader.finish(request)?)
+}
+
+fn validity(reader: &mut SettingsReader<'_>) -> Duration {
+    let days = reader.count("valid-days", 1..=MAX_VALID_DAYS);
+    Duration::from_hours(days * HOURS_PER_DAY)
+}
+
+async fn run_with_client(matches: &ArgMatches, path: &[&str]) -> Result<Report, CtlError> {
+    let mut reader = SettingsReader::new(matches);
+    let history_path = reader.optional_path("history");
+    let settings = client_settings(&mut reader);
+    let settings = reader.finish(settings)?;
+    let history = open_history(&settings, history_path.as_deref())?;
+    let client = PeerClient::new(&settings)?;
+    let editor = Editor::new(&client, &history);
+    match path {
+        ["table", "get"] => get_table(&client).await,
+        ["table", "export"] => {
+            let file = matches.get_one::<String>("file");
+            export_table(&client, file.map(Path::new)).await
+        }
+        ["table", "status"] => status(&client, &history).await,
+        ["table", edit] => run_edit(matches, edit, &editor).await,
+        ["drain"] => run_edit(matches, "drain", &editor).await,
+        ["zone", "show"] => show_zone(&client).await,
+        ["zone", _] => run_evict(matches, &client).await,
+        ["owner"] => owner(&client, text(matches, "service"), text(matches, "key")).await,
+        _ => run_audit(matches, &client).await,
+    }
+}
+
+fn client_settings(reader: &mut SettingsReader<'_>) -> PeerClientSettings {
+    PeerClientSettings {
+        cluster: reader.name("cluster"),
+        operator: reader.name("operator"),
+        control: reader.addresses_by_vm("control"),
+        tls: TlsFiles {
+            ca: reader.readable_file("ca"),
+            certificate: reader.readable_file("cert"),
+            key: reader.readable_file("key"),
+        },
+        timeout: reader.millis("timeout-ms", 1..=MAX_WAIT_MS),
+    }
+}
+
+fn open_history(
+    settings: &PeerClientSettings,
+    path: Option<&Path>,
+) -> Result<EditHistory, CtlError> {
+    let history = EditHistory::open(&settings.operator, path);
+    history.context(FileSnafu {
+        path: path.unwrap_or(Path::new("")),
+    })
+}
+
+async fn run_edit(
+    matches: &ArgMatches,
+    edit: &str,
+    editor: &Editor<'_>,
+) -> Result<Report, CtlError> {
+    let mut reader = SettingsReader::new(matches);
+    let intent = EditIntent {
+        edit_id: reader.optional_text("edit-id"),
+        base_revision: base_revision(&mut reader),
+    };
+    let wait_timeout = reader.millis("wait-timeout-ms", 1..=MAX_WAIT_MS);
+    let intent = reader.finish(intent)?;
+    let revision = match edit {
+        "set" => {
+            let changes = matches.get_many::<String>("changes").unwrap_or_default();
+            let changes: Vec<String> = changes.cloned().collect();
+            let (service, server) = (text(matches, "service"), text(matches, "server"));
+            set_row(editor, service, server, &changes, intent).await?
+        }
+        "remove" => {
+            let (service, server) = (text(matches, "service"), text(matches, "server"));
+            remove_row(editor, service, server, intent).await?
+        }
+        "drain" => {
+            let (service, server) = (text(matches, "service"), text(matches, "server"));
+            drain(editor, service, server, matches.get_flag("undo"), intent).await?
+        }
+        _ => import_table(editor, Path::new(text(matches, "file")), intent).await?,
+    };
+    if matches.get_flag("wait") {
+        let (client, history) = (editor.client(), editor.history());
+        let mut progress = |line: &str| eprintln!("{line}");
+        wait_until_in_force(client, history, revision, wait_timeout, &mut progress).await?;
+    }
+    Ok(Report {
+        text: format!("accepted as revision {revision}\n"),
+        json: json!({"revision": revision}),
+    })
+}
+
+fn base_revision(reader: &mut SettingsReader<'_>) -> Option<Revision> {
+    reader.optional_text("base-revision")?;
+    Some(reader.count("base-revision", 0..=Revision::MAX))
+}
+
+async fn run_evict(matches: &ArgMatches, client: &dyn ControlClient) -> Result<Report, CtlError> {
+    let edit_id = matches.get_one::<String>("edit-id").cloned();
+    let is_confirmed = matches.get_flag("yes");
+    evict_zone(client, text(matches, "zone"), edit_id, is_confirmed).await
+}
+
+async fn run_audit(matches: &ArgMatches, client: &dyn ControlClient) -> Result<Report, CtlError> {
+    let mut reader = SettingsReader::new(matches);
+    let query = AuditQuery {
+        operator: reader.optional_text("by"),
+        from_sequence: reader.count("from", 0..=u64::MAX),
+        limit: reader.count("limit", 1..=u32::MAX),
+    };
+    audit(client, reader.finish(query)?).await
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches
+        .get_one::<String>(name)
+        .map(String::as_str)
+        .unwrap_or_default()
+}
--- a/tools/demo_runner/src/services.rs
+++ b/tools/demo_runner/src/services.rs
@@ -44,7 +44,7 @@
 
 /// Columns of the table.
 const TABLE_HEAD: &str = "service,server,weight,max_in_flight,max_connections,queue_limit,\
-    rate_limit_per_s,keyed,idempotent,deadline_ms,custody_lease,zones";
+    rate_limit_per_s,keyed,idempotent,deadline_ms,custody_lease_ms,zones";
 
 /// Starts the stand-ins of one zone: a process for each server.
 ///
