--- a/tools/demo_runner/src/demo/demo_run.rs
+++ b/tools/demo_runner/src/demo/demo_run.rs
@@ -175,7 +175,7 @@
     }
 
     async fn dispatcher_with_heir(&self, key: &str) -> Result<Option<String>, RunnerError> {
-        let owner = self.cluster.operator.run(&["owner", ARCHIVE, key]).await?;
+        let owner = self.cluster.owner(ARCHIVE, key).await?;
         let dispatcher = owner.get("dispatcher").and_then(|name| name.as_str());
         let dispatcher = dispatcher.with_context(|| UnexpectedSnafu {
             expected: format!("a dispatcher of {key}"),
--- a/tools/demo_runner/src/deployment/cluster.rs
+++ b/tools/demo_runner/src/deployment/cluster.rs
@@ -6,6 +6,7 @@
 
 use chicory_standin::check::{Verdict, judge, read_histories};
 use chicory_standin::server::send_once;
+use serde_json::Value;
 use snafu::{OptionExt, ResultExt, ensure};
 use tempfile::TempDir;
 
@@ -91,6 +92,28 @@
         })
     }
 
+    /// The answer of `chicoryctl owner` for a key, from the zone that has custody of it.
+    ///
+    /// # Errors
+    ///
+    /// [`RunnerError::Command`] if no control process of that zone answers.
+    pub async fn owner(&self, service: &str, key: &str) -> Result<Value, RunnerError> {
+        let question = ["owner", service, key];
+        let zone = self.vms[0].zone.clone();
+        let owner = self.operator_of(&zone).run(&question).await?;
+        match owner["custody_zone"].as_str() {
+            Some(custody) if custody != zone => self.operator_of(custody).run(&question).await,
+            _ => Ok(owner),
+        }
+    }
+
+    /// The operator asking the control processes of one zone only.
+    fn operator_of(&self, zone: &str) -> Operator {
+        let is_meant = |vm: &&Vm| vm.is_control() && vm.zone == zone;
+        let control = peer_list(self.vms.iter().filter(is_meant));
+        self.operator.asking(control)
+    }
+
     /// Entry VMs, those of `zone` only where it is given.
     pub fn entries(&self, zone: Option<&str>) -> Vec<Vm> {
         let is_meant = |vm: &&Vm| vm.role == Role::Entry && zone.is_none_or(|zone| vm.zone == zone);
--- a/tools/demo_runner/src/failures/control_failures.rs
+++ b/tools/demo_runner/src/failures/control_failures.rs
@@ -3,17 +3,18 @@
 use std::path::Path;
 
 use chicory_standin::check::Verdict;
-use serde_json::Value;
 
 use super::failure_run::{FailureRun, KEY, expect, print_waited};
 use super::server_failures::ONE_ZONE;
 use crate::caller_side::SETTLE_TIMEOUT;
-use crate::deployment::Shape;
+use crate::deployment::{Shape, Vm};
 use crate::services::ARCHIVE;
 use crate::{RunnerError, wait};
 
 /// Time of a request.
 const SERVICE_TIME: &str = "5ms";
+/// How long a single control process is asked.
+const ASK_TIMEOUT_MS: &str = "400";
 /// Three zones, each with one control process, all in the global group.
 const THREE_GLOBAL: Shape = Shape {
     zones: 3,
@@ -76,42 +77,45 @@
     run.finish(None).await
 }
 
-/// Waits for a leader of the zone group other than `former`.
+/// Waits for a leader of the zone group other than `former`: only the leader answers for its zone.
 async fn until_leader(run: &FailureRun, former: Option<&str>) -> Result<String, RunnerError> {
     wait::until("a leader of the zone group", SETTLE_TIMEOUT, async || {
-        let detail = zone_detail(run).await?;
-        match detail["leader"].as_str() {
-            Some(leader) if !leader.is_empty() && Some(leader) != former => Ok(leader.to_owned()),
-            _ => Err(detail.to_string()),
+        let mut seen = String::new();
+        for vm in run.cluster.vms.iter().filter(|vm| vm.is_control()) {
+            if Some(vm.name.as_str()) == former {
+                continue;
+            }
+            match ask_alone(run, vm).await {
+                Ok(()) => return Ok(vm.name.clone()),
+                Err(error) => seen = error,
+            }
         }
+        Err(seen)
     })
     .await
 }
 
+async fn ask_alone(run: &FailureRun, vm: &Vm) -> Result<(), String> {
+    let alone = format!("{}={}", vm.name, vm.peer);
+    let operator = run.cluster.operator.asking(alone);
+    let output = operator.output(&["zone", "show", "--timeout-ms", ASK_TIMEOUT_MS]);
+    let output = output.await.map_err(|error| error.to_string())?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
 /// Waits until the zone group's leader is known to `vm`, which is asked alone.
 async fn until_member(run: &FailureRun, vm: &str) -> Result<(), RunnerError> {
     let vm = run.cluster.vm(vm)?;
-    let alone = format!("{}={}", vm.name, vm.peer);
-    let operator = run.cluster.operator.asking(alone);
     let what = format!("{} to be a member again", vm.name);
     wait::until(&what, SETTLE_TIMEOUT, async || {
-        let output = operator
-            .output(&["zone", "show", "--timeout-ms", "500"])
-            .await;
-        let output = output.map_err(|error| error.to_string())?;
-        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
-        let knows_leader = output.status.success() || stderr.contains("names");
-        if knows_leader { Ok(()) } else { Err(stderr) }
+        match ask_alone(run, vm).await {
+            Ok(()) => Ok(()),
+            Err(error) if error.contains("names") => Ok(()),
+            Err(error) => Err(error),
+        }
     })
     .await
 }
-
-async fn zone_detail(run: &FailureRun) -> Result<Value, String> {
-    let zone_vms = run.cluster.vms.iter().filter(|vm| vm.is_control());
-    let pairs: Vec<String> = zone_vms
-        .map(|vm| format!("{}={}", vm.name, vm.peer))
-        .collect();
-    let operator = run.cluster.operator.asking(pairs.join(","));
-    let detail = operator.run(&["zone", "show"]).await;
-    detail.map_err(|error| error.to_string())
-}
--- a/tools/demo_runner/src/failures/failure_run.rs
+++ b/tools/demo_runner/src/failures/failure_run.rs
@@ -87,7 +87,7 @@
     ///
     /// [`RunnerError`] if it has none.
     pub async fn owner_field(&self, key: &str, name: &str) -> Result<String, RunnerError> {
-        let owner = self.cluster.operator.run(&["owner", ARCHIVE, key]).await?;
+        let owner = self.cluster.owner(ARCHIVE, key).await?;
         let field = owner.get(name).and_then(|field| field.as_str());
         let field = field.with_context(|| UnexpectedSnafu {
             expected: format!("a {name} of {key}"),
