Let a member with a stuck disk stand for election once only

Its term grew in memory with every attempt while no vote of its own became durable, and its higher term refused the pre-votes of others: a livelock until the disk answered. Found in a trial of 6000 schedules, where the test harness itself had lost a write and so acted as a stuck disk; the harness is mended (a timer that fired before the disk was done dropped the write), and it now checks each applied command as it is applied.

--- a/crates/chicory_consensus/src/persist_queue.rs
+++ b/crates/chicory_consensus/src/persist_queue.rs
@@ -69,7 +69,8 @@
             || self.handed_index < last_index
     }
 
-    fn is_busy(&self) -> bool {
+    /// Whether the storage has not answered yet.
+    pub(crate) fn is_busy(&self) -> bool {
         self.persisted_ticket < self.last_ticket
     }
 
--- a/crates/chicory_consensus/src/replica/election.rs
+++ b/crates/chicory_consensus/src/replica/election.rs
@@ -26,8 +26,10 @@
         self.start_pre_vote();
     }
 
+    /// A member whose disk still owes it something can't promise its own vote. Were it to stand all
+    /// the same, its term would grow with each attempt, and others could not win against it.
     fn can_stand(&self) -> bool {
-        self.can_vote() && self.is_voter()
+        self.can_vote() && self.is_voter() && !self.queue.is_busy()
     }
 
     fn can_vote(&self) -> bool {
--- a/crates/chicory_consensus/tests/cluster/harness.rs
+++ b/crates/chicory_consensus/tests/cluster/harness.rs
@@ -256,8 +256,7 @@
             return;
         };
         let node = self.nodes.get_mut(&vm).expect("known VM");
-        let synced = node.unsynced.front().is_some_and(|(at, _)| *at <= now);
-        let event = match node.unsynced.pop_front().filter(|_| synced) {
+        let event = match node.unsynced.pop_front_if(|(at, _)| *at <= now) {
             Some((_, effect)) => sync(node, effect),
             None => ReplicaEvent::Tick,
         };
@@ -314,6 +313,8 @@
                 ..
             } => {
                 node.state.push((index, command.clone()));
+                let known = self.applied.entry(index).or_insert_with(|| command.clone());
+                assert_eq!(*known, command, "two commands applied at {index}");
                 if proposal_id.is_some() {
                     self.acknowledged.insert(index, command);
                 }
--- a/crates/chicory_consensus/tests/replica_rules.rs
+++ b/crates/chicory_consensus/tests/replica_rules.rs
@@ -265,6 +265,21 @@
     }
 }
 
+#[gtest]
+fn member_with_a_stuck_disk_stands_once_only() {
+    let mut replica = replica(stored(&[1, 2], true), 1);
+    for round in 0..5 {
+        replica.reduce(LATER * (round + 1), ReplicaEvent::Tick);
+        let granted = PeerMessageBody::PreVoteResponse {
+            term: replica.term(),
+            asked_term: replica.term() + 1,
+            granted: true,
+        };
+        replica.reduce(LATER * (round + 1), received(member("a"), granted));
+    }
+    expect_that!(replica.term(), eq(5));
+}
+
 fn number() -> impl Strategy<Value = u64> {
     prop_oneof![6 => 0..6_u64, 1 => Just(u64::MAX - 1), 1 => Just(u64::MAX)]
 }
