--- a/crates/chicory_ownership/src/global/global_leader.rs
+++ b/crates/chicory_ownership/src/global/global_leader.rs
@@ -20,6 +20,10 @@
     pub(super) known_custody_version: u64,
     pub(super) directory: ZoneDirectory,
     pub(super) releases: Vec<CustodyRelease>,
+    /// Services that the zone serves, with the first sync that said so in a row.
+    pub(super) served_since: BTreeMap<ServiceName, MonoTime>,
+    /// Services that the zone doesn't serve, likewise.
+    pub(super) unserved_since: BTreeMap<ServiceName, MonoTime>,
 }
 
 /// What the leader of the global group knows beside the replicated state, from its election on.
@@ -61,7 +65,7 @@
         if registered.is_some_and(|epoch| epoch > request.group_epoch) {
             return ZoneSyncAnswer::Refused(ZoneSyncRefusal::SupersededGroup);
         }
-        self.note_contact(now, request);
+        self.note_contact(now, state, request);
         if registered != Some(request.group_epoch) {
             return ZoneSyncAnswer::Refused(ZoneSyncRefusal::Registering);
         }
@@ -110,7 +114,14 @@
         now >= self.lease_ends.get(&key).copied().unwrap_or(unknown_end)
     }
 
-    fn note_contact(&mut self, now: MonoTime, request: &ZoneSyncRequest) {
+    fn note_contact(&mut self, now: MonoTime, state: &GlobalState, request: &ZoneSyncRequest) {
+        let former = self.contacts.get(&request.zone);
+        let served_since = since(now, state, former.map(|f| &f.served_since), |service| {
+            request.served.contains(service)
+        });
+        let unserved_since = since(now, state, former.map(|f| &f.unserved_since), |service| {
+            !request.served.contains(service)
+        });
         let contact = ZoneContact {
             heard_at: now,
             group_epoch: request.group_epoch,
@@ -121,6 +132,8 @@
                 entries: request.entries.clone(),
             },
             releases: request.releases.clone(),
+            served_since,
+            unserved_since,
         };
         self.contacts.insert(request.zone.clone(), contact);
     }
@@ -161,5 +174,25 @@
     }
 }
 
+/// Since when `holds` is true of each service, as far as it is.
+fn since(
+    now: MonoTime,
+    state: &GlobalState,
+    former: Option<&BTreeMap<ServiceName, MonoTime>>,
+    holds: impl Fn(&ServiceName) -> bool,
+) -> BTreeMap<ServiceName, MonoTime> {
+    let services = state
+        .table()
+        .services
+        .keys()
+        .filter(|service| holds(service));
+    services
+        .map(|service| {
+            let known = former.and_then(|former| former.get(service)).copied();
+            (service.clone(), known.unwrap_or(now))
+        })
+        .collect()
+}
+
 /// How often the leader plans at the latest.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/chicory_ownership/src/global/global_planner.rs
+++ b/crates/chicory_ownership/src/global/global_planner.rs
@@ -4,6 +4,7 @@
 use chicory_types::{MonoTime, ServiceName, SlotRun, ZoneName};
 
 use super::global_leader::GlobalLeader;
+use super::global_leader_config::STRANDED_CUSTODY_LIMIT;
 use crate::{ALL_SLOTS, CustodyCause, GlobalCommand, GlobalState, RunMap, split_evenly};
 
 impl GlobalLeader {
@@ -143,8 +144,7 @@
         service: &ServiceName,
         commands: &mut Vec<GlobalCommand>,
     ) {
-        let ready = state.ready_zones(service).into_iter();
-        let targets: Vec<ZoneName> = ready.filter(|zone| self.is_reachable(now, zone)).collect();
+        let targets = self.serving_zones(now, state, service);
         for zone in state.zones().keys() {
             let runs = state.runs_of(service, zone);
             if runs.is_empty() || !self.may_take_from(now, state, zone, service) {
@@ -180,8 +180,7 @@
         self.has_ended(now, zone, service, span)
     }
 
-    /// Asks zones to release slots to a zone of the service that has none, and to give up slots of
-    /// services that they no longer run.
+    /// Asks zones to release slots that they can't serve, and slots for zones that have none.
     fn plan_moves(
         &self,
         now: MonoTime,
@@ -189,29 +188,66 @@
         service: &ServiceName,
         commands: &mut Vec<GlobalCommand>,
     ) {
-        let ready = state.ready_zones(service).into_iter();
-        let ready: Vec<ZoneName> = ready.filter(|zone| self.is_reachable(now, zone)).collect();
-        if ready.is_empty() || is_moving(state, service) {
+        let targets = self.serving_zones(now, state, service);
+        if targets.is_empty() || is_moving(state, service) {
             return;
         }
-        let policy = &state.table().services[service];
-        for zone in state.zones().keys().filter(|z| !policy.zones.contains(*z)) {
-            for (to_zone, runs) in split_evenly(&state.runs_of(service, zone), &ready) {
+        let zones = state.zones().keys();
+        for zone in zones.filter(|zone| self.is_stranded(now, state, service, zone)) {
+            for (to_zone, runs) in split_evenly(&state.runs_of(service, zone), &targets) {
                 push_move(commands, service, runs, zone, to_zone);
             }
         }
-        let newcomer = ready.iter().find(|z| state.runs_of(service, z).is_empty());
+        let mut newcomers = targets.iter();
+        let newcomer = newcomers.find(|zone| state.runs_of(service, zone).is_empty());
         let Some(newcomer) = newcomer else {
             return;
         };
-        for zone in ready.iter().filter(|zone| *zone != newcomer) {
+        for zone in targets.iter().filter(|zone| *zone != newcomer) {
             let runs = state.runs_of(service, zone);
-            let parts: Vec<usize> = (0..ready.len()).collect();
+            let parts: Vec<usize> = (0..targets.len()).collect();
             if let Some((_, share)) = split_evenly(&runs, &parts).pop() {
                 push_move(commands, service, share, zone, newcomer.clone());
             }
         }
     }
+
+    /// Reachable zones that serve the service and may get slots of it.
+    fn serving_zones(
+        &self,
+        now: MonoTime,
+        state: &GlobalState,
+        service: &ServiceName,
+    ) -> Vec<ZoneName> {
+        let is_keyed = state.table().services[service].keyed;
+        let is_serving = |zone: &ZoneName| {
+            let contact = self.contacts.get(zone);
+            !is_keyed || contact.is_some_and(|c| c.served_since.contains_key(service))
+        };
+        let ready = state.ready_zones(service).into_iter();
+        ready
+            .filter(|zone| self.is_reachable(now, zone) && is_serving(zone))
+            .collect()
+    }
+
+    /// Whether a reachable zone has slots of a service that it doesn't run, or that no server of
+    /// it has accepted for some time.
+    fn is_stranded(
+        &self,
+        now: MonoTime,
+        state: &GlobalState,
+        service: &ServiceName,
+        zone: &ZoneName,
+    ) -> bool {
+        let policy = &state.table().services[service];
+        if !policy.zones.contains(zone) {
+            return true;
+        }
+        let contact = self.contacts.get(zone);
+        let unserved_since = contact.and_then(|c| c.unserved_since.get(service));
+        let is_long = unserved_since.is_some_and(|at| now >= *at + STRANDED_CUSTODY_LIMIT);
+        policy.keyed && is_long
+    }
 }
 
 fn register(zone: &ZoneName, group_epoch: u64, at_ms: u64) -> GlobalCommand {
--- a/crates/chicory_ownership/src/lib.rs
+++ b/crates/chicory_ownership/src/lib.rs
@@ -34,7 +34,8 @@
 pub use even_split::split_evenly;
 pub use global::{
     CUSTODY_GRACE, GlobalCommand, GlobalLeader, GlobalLeaderConfig, GlobalLeaderConfigBuilder,
-    GlobalOutcome, GlobalSnapshot, GlobalState, LeaseChange, ZONE_CONTACT_LIMIT, ZoneStatus,
+    GlobalOutcome, GlobalSnapshot, GlobalState, LeaseChange, STRANDED_CUSTODY_LIMIT,
+    ZONE_CONTACT_LIMIT, ZoneStatus,
 };
 pub use heat_map::{HEAT_HALF_LIFE, HeatMap};
 pub use placement::{
@@ -54,8 +55,8 @@
 pub use server_record::{EntryRecord, ServerRecord};
 pub use view_change::{SlotOwner, ViewChange};
 pub use zone::{
-    DISPATCHER_LEASE, Dispatcher, LeaseBook, PLAN_INTERVAL, RENEW_INTERVAL, ServerEntry, SlotHold,
-    SlotHoldRun, SlotMark, VIEW_LOG_CHANGES, ZoneCommand, ZoneLeader, ZoneLeaderConfig,
-    ZoneLeaderConfigBuilder, ZoneOutcome, ZoneSnapshot, ZoneState,
+    DISPATCHER_LEASE, Dispatcher, LeaseBook, MAX_DEPARTING_SLOTS, PLAN_INTERVAL, RENEW_INTERVAL,
+    ServerEntry, SlotHold, SlotHoldRun, SlotMark, VIEW_LOG_CHANGES, ZoneCommand, ZoneLeader,
+    ZoneLeaderConfig, ZoneLeaderConfigBuilder, ZoneOutcome, ZoneSnapshot, ZoneState,
 };
 pub use zone_sync::{ZoneDirectory, ZoneSyncAnswer, ZoneSyncRefusal, ZoneSyncRequest};
--- a/crates/chicory_ownership/src/placement/free_slots.rs
+++ b/crates/chicory_ownership/src/placement/free_slots.rs
@@ -53,7 +53,7 @@
         let mut load = 0.0;
         while let Some(slot) = rest.peek().copied() {
             let next = load + input.load_of(slot);
-            let is_full = queue.load_with(server, next) > level;
+            let is_full = queue.warm_load_with(server, next) > level;
             if load > 0.0 && is_full {
                 break;
             }
@@ -73,7 +73,7 @@
     let mut pool: f64 = cold.iter().map(|slot| input.load_of(*slot)).sum();
     let mut servers: Vec<(f64, f64)> = (0..)
         .zip(input.servers)
-        .map(|(index, server)| (queue.load(index), server.weight))
+        .map(|(index, server)| (queue.warm_load_with(index, 0.0), server.warm_weight()))
         .collect();
     servers.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut weight = 0.0;
--- a/crates/chicory_ownership/src/placement/greedy_placement.rs
+++ b/crates/chicory_ownership/src/placement/greedy_placement.rs
@@ -155,7 +155,7 @@
     fn take_fitting(&mut self, from: u16, to: u16, stop: f64) -> Option<Slot> {
         let limit = stop.min(self.queue.load(from));
         let slots = &mut self.slots[usize::from(from)];
-        let fits = |slot: &Slot| self.queue.load_with(to, self.input.load_of(*slot)) < limit;
+        let fits = |slot: &Slot| self.queue.warm_load_with(to, self.input.load_of(*slot)) < limit;
         let end = slots.partition_point(fits);
         (end > 0).then(|| slots.remove(end - 1))
     }
--- a/crates/chicory_ownership/src/placement/load_queue.rs
+++ b/crates/chicory_ownership/src/placement/load_queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::PlacementInput;
+use crate::{PlacementInput, PlacementServer};
 
 /// A load that can be ordered.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,52 +22,77 @@
     }
 }
 
-/// Servers in order of their load per weight.
+/// Servers in order of their load: by their whole weight for taking slots away, by their warm
+/// weight for filling them up.
 #[derive(Clone, Debug)]
 pub struct LoadQueue {
+    servers: Vec<PlacementServer>,
     loads: Vec<f64>,
-    weights: Vec<f64>,
-    order: BTreeSet<(OrderedLoad, u16)>,
+    by_weight: BTreeSet<(OrderedLoad, u16)>,
+    by_warm_weight: BTreeSet<(OrderedLoad, u16)>,
 }
 
 impl LoadQueue {
     /// Creates the queue from the present owners.
     pub fn new(input: &PlacementInput<'_>) -> Self {
-        let loads = input.server_loads();
-        let order = (0..).zip(&loads).map(|(i, load)| (OrderedLoad(*load), i));
-        Self {
-            order: order.collect(),
-            loads,
-            weights: input.servers.iter().map(|server| server.weight).collect(),
+        let mut queue = Self {
+            servers: input.servers.to_vec(),
+            loads: input.server_loads(),
+            by_weight: BTreeSet::new(),
+            by_warm_weight: BTreeSet::new(),
+        };
+        for (server, _) in (0..).zip(input.servers) {
+            queue.insert(server);
         }
+        queue
     }
 
-    /// The server with the least load per weight.
+    /// The server with the least load per warm weight.
     pub fn least(&self) -> Option<u16> {
-        self.order.first().map(|(_, server)| *server)
+        self.by_warm_weight.first().map(|(_, server)| *server)
     }
 
     /// The server with the greatest load per weight.
     pub fn greatest(&self) -> Option<u16> {
-        self.order.last().map(|(_, server)| *server)
+        self.by_weight.last().map(|(_, server)| *server)
     }
 
     /// Load per weight.
     pub fn load(&self, server: u16) -> f64 {
-        self.loads[usize::from(server)]
+        let index = usize::from(server);
+        self.loads[index] / self.servers[index].weight
     }
 
-    /// Load per weight that the server would have with `load` more.
-    pub fn load_with(&self, server: u16, load: f64) -> f64 {
-        self.load(server) + load / self.weights[usize::from(server)]
+    /// Load per warm weight that the server would have with `load` more.
+    pub fn warm_load_with(&self, server: u16, load: f64) -> f64 {
+        let index = usize::from(server);
+        (self.loads[index] + load) / self.servers[index].warm_weight()
+    }
+
+    /// Load per weight that the server would have without `load`.
+    pub fn load_without(&self, server: u16, load: f64) -> f64 {
+        let index = usize::from(server);
+        (self.loads[index] - load) / self.servers[index].weight
     }
 
     /// Adds load to a server, or takes it away where `load` is negative.
     pub fn add(&mut self, server: u16, load: f64) {
-        let before = self.load(server);
-        self.order.remove(&(OrderedLoad(before), server));
-        let after = self.load_with(server, load);
-        self.loads[usize::from(server)] = after;
-        self.order.insert((OrderedLoad(after), server));
+        self.by_weight.remove(&self.key(server));
+        self.by_warm_weight.remove(&self.warm_key(server));
+        self.loads[usize::from(server)] += load;
+        self.insert(server);
+    }
+
+    fn insert(&mut self, server: u16) {
+        self.by_weight.insert(self.key(server));
+        self.by_warm_weight.insert(self.warm_key(server));
+    }
+
+    fn key(&self, server: u16) -> (OrderedLoad, u16) {
+        (OrderedLoad(self.load(server)), server)
+    }
+
+    fn warm_key(&self, server: u16) -> (OrderedLoad, u16) {
+        (OrderedLoad(self.warm_load_with(server, 0.0)), server)
     }
 }
--- a/crates/chicory_ownership/src/placement/min_max_placement.rs
+++ b/crates/chicory_ownership/src/placement/min_max_placement.rs
@@ -35,7 +35,7 @@
             };
             let own = &mut slots[usize::from(from)];
             let limit = queue.load(from) * (1.0 - MIN_GAIN);
-            let fits = |slot: &Slot| queue.load_with(to, input.load_of(*slot)) < limit;
+            let fits = |slot: &Slot| queue.warm_load_with(to, input.load_of(*slot)) < limit;
             let end = own.partition_point(fits);
             if end == 0 || from == to {
                 settled[usize::from(from)] = true;
@@ -64,7 +64,7 @@
 ) -> usize {
     let middle = |slot: &Slot| {
         let load = input.load_of(*slot);
-        queue.load_with(to, load) < queue.load_with(from, -load)
+        queue.warm_load_with(to, load) < queue.load_without(from, load)
     };
     own[..end].partition_point(middle).min(end - 1)
 }
--- a/crates/chicory_ownership/src/placement/placement_input.rs
+++ b/crates/chicory_ownership/src/placement/placement_input.rs
@@ -9,6 +9,17 @@
     pub name_hash: u64,
     /// Its share of load, relative to the others; above zero.
     pub weight: f64,
+    /// Part of its share that it may be filled up to after a cold start, in `0.0..=1.0`, above
+    /// zero. A server above that part isn't filled further, but keeps what it has.
+    pub warmth: f64,
+}
+
+impl PlacementServer {
+    /// The share of load that it may be filled up to.
+    #[must_use]
+    pub fn warm_weight(&self) -> f64 {
+        self.weight * self.warmth
+    }
 }
 
 /// Where a slot is.
@@ -36,7 +47,7 @@
 }
 
 impl PlacementInput<'_> {
-    /// Sum of the load of each server, divided by its weight.
+    /// Sum of the load of each server.
     #[must_use]
     pub fn server_loads(&self) -> Vec<f64> {
         let mut loads = vec![0.0; self.servers.len()];
@@ -45,9 +56,6 @@
                 loads[usize::from(*server)] += f64::from(*load);
             }
         }
-        for (load, server) in loads.iter_mut().zip(self.servers) {
-            *load /= server.weight;
-        }
         loads
     }
 
--- a/crates/chicory_ownership/src/zone/mod.rs
+++ b/crates/chicory_ownership/src/zone/mod.rs
@@ -26,4 +26,4 @@
 };
 pub use zone_outcome::ZoneOutcome;
 pub use zone_snapshot::{SlotHoldRun, SlotMark, ZoneSnapshot};
-pub use zone_state::{Dispatcher, ServerEntry, SlotHold, ZoneState};
+pub use zone_state::{Dispatcher, MAX_DEPARTING_SLOTS, ServerEntry, SlotHold, ZoneState};
--- a/crates/chicory_ownership/src/zone/place_planner.rs
+++ b/crates/chicory_ownership/src/zone/place_planner.rs
@@ -1,6 +1,6 @@
 //! Which slots the leader takes from servers and gives to them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use chicory_table::{ServicePolicy, Table};
@@ -74,23 +74,30 @@
         if self.may_be_held_unseen(now, state) {
             return;
         }
-        let view = self.view_of(now, state, service, policy);
-        self.plan_departures(state, service, &view, commands);
-        if view.servers.is_empty() {
+        let has_free = self.has_free_slots(now, state, service);
+        let is_due = self.is_rebalance_due(now, service);
+        let accepting = self.accepting_servers(state, service, policy);
+        let is_departing = |hold: &SlotHold| {
+            hold.releasing_since.is_none() && !accepting.contains_key(&hold.server)
+        };
+        let mut holds = state.holds(service).into_iter().flat_map(RunMap::iter);
+        let has_departures = holds.any(|(_, hold)| is_departing(hold));
+        if accepting.is_empty() || !(has_free || is_due || has_departures) {
             return;
         }
+        let view = self.view_of(now, state, service, &accepting);
+        self.plan_departures(state, service, &view, commands);
         let kind = self.config.placement;
         let placer = self
             .placers
             .entry(service.clone())
             .or_insert_with(|| kind.build());
-        if view.places.contains(&SlotPlace::Free) {
+        if has_free {
             let plan = placer.place(&view.input(now));
             push_assignments(service, &view, &plan, commands);
             return;
         }
-        let last = self.rebalanced_at.get(service).copied();
-        if last.is_some_and(|last| now < last + self.config.rebalance_interval) {
+        if !is_due {
             return;
         }
         self.rebalanced_at.insert(service.clone(), now);
@@ -98,6 +105,31 @@
         push_releases(service, &view, &plan, commands);
     }
 
+    fn is_rebalance_due(&self, now: MonoTime, service: &ServiceName) -> bool {
+        let last = self.rebalanced_at.get(service);
+        last.is_none_or(|last| now >= *last + self.config.rebalance_interval)
+    }
+
+    /// Slots that wait for an owner. Those that are to leave the zone get none, as long as the
+    /// global group can be heard.
+    fn free_slots(&self, now: MonoTime, state: &ZoneState, service: &ServiceName) -> Vec<SlotRun> {
+        let mut free = RunMap::default();
+        for (run, _) in state.assignable(service, &[ALL_SLOTS]) {
+            free.set(run, ());
+        }
+        if self.hears_global(now) {
+            let departing = state.departing_runs().into_iter();
+            for (_, run, _) in departing.filter(|(of, _, _)| of == service) {
+                free.clear(run);
+            }
+        }
+        free.iter().map(|(run, ())| run).collect()
+    }
+
+    fn has_free_slots(&self, now: MonoTime, state: &ZoneState, service: &ServiceName) -> bool {
+        !self.free_slots(now, state, service).is_empty()
+    }
+
     /// Whether dispatchers must give the slots up now to be done before the custody lease ends.
     fn is_custody_ending(&self, now: MonoTime, state: &ZoneState, service: &ServiceName) -> bool {
         let needed = self.config.dispatcher_lease + CUSTODY_END_SLACK;
@@ -113,9 +145,6 @@
         view: &ServiceView,
         commands: &mut Vec<ZoneCommand>,
     ) {
-        if view.servers.is_empty() {
-            return;
-        }
         let accepts = |server: &ServerId| view.servers.contains(server);
         for (server, entry) in state.servers() {
             if entry.record.service != *service || accepts(server) {
@@ -134,15 +163,15 @@
         now: MonoTime,
         state: &ZoneState,
         service: &ServiceName,
-        policy: &ServicePolicy,
+        accepting: &BTreeMap<ServerId, f64>,
     ) -> ServiceView {
-        let accepting = self.accepting_servers(now, state, service, policy);
         let servers: Vec<ServerId> = accepting.keys().cloned().collect();
         let placement_servers = accepting
             .iter()
             .map(|(server, weight)| PlacementServer {
                 name_hash: xxh3_64_with_seed(server.as_bytes(), self.seed),
                 weight: *weight,
+                warmth: self.health.warmth(now, server, self.config.cold_start_ramp),
             })
             .collect();
         let places = self.places_of(now, state, service, &servers);
@@ -157,10 +186,21 @@
         }
     }
 
-    /// Servers that may get slots, with their present weight.
+    /// Services with a server here that accepts work.
+    pub(super) fn served_services(&self, state: &ZoneState) -> BTreeSet<ServiceName> {
+        let services = state.table().services.iter();
+        services
+            .filter(|(service, policy)| {
+                let accepting = self.accepting_servers(state, service, policy);
+                !accepting.is_empty()
+            })
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
+    /// Servers that may get slots, with their weight.
     fn accepting_servers(
         &self,
-        now: MonoTime,
         state: &ZoneState,
         service: &ServiceName,
         policy: &ServicePolicy,
@@ -169,7 +209,6 @@
         if !policy.zones.contains(state.zone()) {
             return accepting;
         }
-        let ramp = self.config.cold_start_ramp;
         for (server, entry) in state.servers() {
             let record = &entry.record;
             let weight = weight_of(state.table(), service, policy, server);
@@ -177,8 +216,7 @@
             if record.service != *service || record.draining || weight == 0 || is_down {
                 continue;
             }
-            let warmth = self.health.warmth(now, server, ramp);
-            accepting.insert(server.clone(), f64::from(weight) * warmth);
+            accepting.insert(server.clone(), f64::from(weight));
         }
         accepting
     }
@@ -191,14 +229,9 @@
         servers: &[ServerId],
     ) -> Vec<SlotPlace> {
         let mut places = vec![SlotPlace::Fixed; usize::from(SLOTS_PER_SERVICE)];
-        for (run, _) in state.assignable(service, &[ALL_SLOTS]) {
+        for run in self.free_slots(now, state, service) {
             fill(&mut places, run, SlotPlace::Free);
         }
-        if self.hears_global(now) {
-            for run in state.leaving_slots(service) {
-                fill(&mut places, run, SlotPlace::Fixed);
-            }
-        }
         let holds = state.holds(service);
         for (run, hold) in holds.into_iter().flat_map(RunMap::iter) {
             let index = servers.binary_search(&hold.server).ok();
--- a/crates/chicory_ownership/src/zone/sync_client.rs
+++ b/crates/chicory_ownership/src/zone/sync_client.rs
@@ -5,12 +5,10 @@
 use chicory_types::{MonoTime, ServiceName, SlotRun, VmId};
 
 use super::zone_leader::ZoneLeader;
-use crate::{Custody, CustodyRelease, ZoneCommand, ZoneState, ZoneSyncAnswer, ZoneSyncRequest};
+use crate::{CustodyRelease, ZoneCommand, ZoneState, ZoneSyncAnswer, ZoneSyncRequest};
 
 /// How long after the last answered sync slots are still prepared for a move to another zone.
 const GLOBAL_CONTACT_LIMIT: Duration = Duration::from_secs(2);
-/// Most slots of one release, so that its claims stay a message of ordinary size.
-const MAX_RELEASE_SLOTS: u16 = 1_024;
 
 impl ZoneLeader {
     /// The sync to send now.
@@ -23,6 +21,7 @@
             in_force_revision: state.table().revision,
             known_custody_version: state.custody_version(),
             entries: state.entries().values().cloned().collect(),
+            served: self.served_services(state),
             releases: next_release(state).into_iter().collect(),
         }
     }
@@ -84,7 +83,8 @@
         last.is_some_and(|at| now < at + GLOBAL_CONTACT_LIMIT)
     }
 
-    /// Releases slots that are to move to another zone, and seals them once nobody holds them.
+    /// Releases slots that are to move to another zone, and seals them once nobody holds them: some
+    /// at a time, so that the others stay in service.
     ///
     /// Without contact to the global group the slots stay in service here.
     pub(super) fn plan_seals(
@@ -96,7 +96,7 @@
         if !self.hears_global(now) || self.may_be_held_unseen(now, state) {
             return;
         }
-        for (service, run, custody) in leaving_runs(state) {
+        for (service, run, custody) in state.departing_runs() {
             let holds = state.holds(&service);
             let owned: Vec<_> = holds
                 .into_iter()
@@ -124,18 +124,6 @@
     }
 }
 
-/// Own custody that is to pass to another zone.
-fn leaving_runs(state: &ZoneState) -> Vec<(ServiceName, SlotRun, Custody)> {
-    let mut leaving = Vec::new();
-    for (service, runs) in state.all_custody() {
-        let own = runs.iter().filter(|(_, c)| c.zone == *state.zone());
-        for (run, custody) in own.filter(|(_, c)| c.moving_to.is_some()) {
-            leaving.push((service.clone(), run, custody.clone()));
-        }
-    }
-    leaving
-}
-
 fn is_unsealed(state: &ZoneState, service: &ServiceName, run: SlotRun) -> bool {
     let sealed = state.sealed().get(service);
     sealed.is_none_or(|sealed| !sealed.gaps(run).is_empty())
@@ -143,14 +131,10 @@
 
 /// The next slots that are ready to pass to another zone.
 fn next_release(state: &ZoneState) -> Option<CustodyRelease> {
-    for (service, run, custody) in leaving_runs(state) {
+    for (service, run, custody) in state.departing_runs() {
         let sealed = state.sealed().get(&service);
         let parts = sealed.into_iter().flat_map(|sealed| sealed.within(run));
         for (part, generation) in parts {
-            let part = SlotRun::new(
-                part.first,
-                part.last.min(part.first + MAX_RELEASE_SLOTS - 1),
-            );
             let is_held = state
                 .holds(&service)
                 .is_some_and(|holds| holds.within(part).next().is_some());
--- a/crates/chicory_ownership/src/zone/zone_planner.rs
+++ b/crates/chicory_ownership/src/zone/zone_planner.rs
@@ -118,7 +118,12 @@
         for (server, entry) in state.servers() {
             let is_removed = self.removals.contains_key(server);
             let is_unseen = entry.epoch == 0 && !self.knows_all_grants(now, state);
-            if entry.dispatcher.is_some() || is_removed || is_unseen {
+            // The release that was proposed just before comes first in the log.
+            let has_dispatcher = dispatcher_of(entry).is_some_and(|(vm, incarnation)| {
+                let process = (vm.clone(), incarnation);
+                !self.revoking.contains(&process)
+            });
+            if has_dispatcher || is_removed || is_unseen {
                 continue;
             }
             let least = roles
--- a/crates/chicory_ownership/src/zone/zone_state.rs
+++ b/crates/chicory_ownership/src/zone/zone_state.rs
@@ -89,6 +89,10 @@
 /// Bits of a view version that count changes; the others hold the epoch of the group.
 const VIEW_COUNTER_BITS: u32 = 32;
 
+/// Slots of a service that pass to another zone at a time: they are out of service on the way, and
+/// their claims fit into a message of ordinary size.
+pub const MAX_DEPARTING_SLOTS: u16 = 1_024;
+
 impl ZoneState {
     /// Creates the empty state of a group; `group_epoch` grows each time the zone's group is
     /// formed anew, so that views of different groups are never taken for each other.
@@ -292,12 +296,24 @@
         held.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Runs in this zone's custody that are to move to another zone.
+    /// The runs in this zone's custody that are to pass to another zone next: of each service the
+    /// first [`MAX_DEPARTING_SLOTS`] slots that are to move.
     #[must_use]
-    pub fn leaving_slots(&self, service: &ServiceName) -> Vec<SlotRun> {
-        let custody = self.custody.get(service).into_iter().flat_map(RunMap::iter);
-        let leaving = custody.filter(|(_, c)| c.zone == self.zone && c.moving_to.is_some());
-        leaving.map(|(run, _)| run).collect()
+    pub fn departing_runs(&self) -> Vec<(ServiceName, SlotRun, Custody)> {
+        let mut departing = Vec::new();
+        for (service, runs) in &self.custody {
+            let mut left = MAX_DEPARTING_SLOTS;
+            let own = runs.iter().filter(|(_, c)| c.zone == self.zone);
+            for (run, custody) in own.filter(|(_, c)| c.moving_to.is_some()) {
+                if left == 0 {
+                    break;
+                }
+                let run = SlotRun::new(run.first, run.last.min(run.first + (left - 1)));
+                left -= run.last - run.first + 1;
+                departing.push((service.clone(), run, custody.clone()));
+            }
+        }
+        departing
     }
 
     /// Order claims.
--- a/crates/chicory_ownership/src/zone_sync.rs
+++ b/crates/chicory_ownership/src/zone_sync.rs
@@ -1,6 +1,6 @@
 //! The exchange between the leader of a zone group and the leader of the global group.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use chicory_table::{CustodyLease, Table};
 use chicory_types::{Revision, ServiceName, VmId, ZoneName};
@@ -31,6 +31,8 @@
     pub known_custody_version: u64,
     /// Entry processes of the zone.
     pub entries: Vec<EntryRecord>,
+    /// Services that have a backend server in the zone that accepts work.
+    pub served: BTreeSet<ServiceName>,
     /// Slots given up for other zones.
     pub releases: Vec<CustodyRelease>,
 }
