Test frozen servers under short deadlines and the takeover of a role

A mutation that never counted expired exchanges passed the former test, which lost its silent connections one by one to the deadlines themselves.

--- a/crates/chicory_dispatch/tests/request_path/leases.rs
+++ b/crates/chicory_dispatch/tests/request_path/leases.rs
@@ -134,6 +134,31 @@
     expect_that!(world.writes.len(), eq(4));
 }
 
+#[gtest]
+fn role_of_a_lost_dispatcher_is_taken_over() {
+    let mut world = World::new(&[(BOARD, "b1")]);
+    world.change_view([dispatcher("b1", Some(PEER), 9)]);
+    let mut patient = head(1, BOARD);
+    patient.deadline = Some(ms(1_500));
+    world.arrive(patient);
+    world.feed(Event::RelayFailed {
+        request: 1,
+        failure: chicory_dispatch::RelayFailure::NothingSent,
+    });
+    world.run_for(ms(50));
+    let expected = (RefusalReason::NoDispatcher, Outcome::NotRun);
+    expect_that!(world.refusal(1), some(eq(expected)));
+    world.change_view([dispatcher("b1", Some(VM), 10)]);
+    world.arrive(head(2, BOARD));
+    world.run_for(ms(20));
+    expect_true!(world.is_forwarded(2));
+    // The lost dispatcher may have granted up to its end: its grants are outwaited.
+    world.change_view([slots(BOARD, releasing("b1"))]);
+    expect_false!(world.group.renewals.iter().any(has_released));
+    world.run_for(ms(2_500));
+    expect_true!(world.group.renewals.iter().any(has_released));
+}
+
 #[gtest]
 fn releasing_slots_take_nothing_new_and_wait_for_running_requests() {
     let mut world = World::new(&[(BOARD, "b1")]);
--- a/crates/chicory_dispatch/tests/request_path/silent_connections.rs
+++ b/crates/chicory_dispatch/tests/request_path/silent_connections.rs
@@ -70,7 +70,19 @@
         ..head(id, BOARD)
     };
     world.arrive_many(10, 10, ms(110), short);
-    expect_that!(world.completed(15, 5), eq(5));
+    expect_that!(world.completed(12, 8), eq(8));
+}
+
+#[gtest]
+fn short_deadlines_do_not_hide_a_frozen_server() {
+    let mut world = world_with_connections();
+    world.freeze("b1");
+    let short = |id| chicory_dispatch::RequestHead {
+        deadline: Some(ms(100)),
+        ..head(id, BOARD)
+    };
+    world.arrive_many(10, 10, ms(110), short);
+    expect_that!(world.path.counters().servers_down, eq(1));
 }
 
 #[gtest]
