Ignore events that come out of turn

An answer told as complete before it had begun ended its request without a final effect, and a connection told as open while it carries a request could have been given a second one. Found by stray events in the random test, which now also answers relays and stops the process at its end.

--- a/crates/chicory_dispatch/src/connection_pool.rs
+++ b/crates/chicory_dispatch/src/connection_pool.rs
@@ -79,6 +79,15 @@
         );
     }
 
+    /// Whether a connection is on its way to take a request.
+    pub(crate) fn awaits_ready(&self, id: ConnectionId) -> bool {
+        let state = self.state(id);
+        matches!(
+            state,
+            Some(ConnectionState::Opening | ConnectionState::Discarding)
+        )
+    }
+
     /// Makes a connection ready for a request; false where it was given up meanwhile.
     pub(crate) fn set_idle(&mut self, id: ConnectionId, now: MonoTime) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else {
--- a/crates/chicory_dispatch/src/connections.rs
+++ b/crates/chicory_dispatch/src/connections.rs
@@ -12,7 +12,9 @@
         return;
     };
     let now = state.now;
-    if let Some(server) = state.servers.get_mut(&index) {
+    if let Some(server) = state.servers.get_mut(&index)
+        && server.pool.awaits_ready(connection)
+    {
         server.pool.set_idle(connection, now);
     }
     pump(state, index);
--- a/crates/chicory_dispatch/src/exchanges.rs
+++ b/crates/chicory_dispatch/src/exchanges.rs
@@ -156,6 +156,9 @@
     let Some((request, exchange)) = take_exchange(state, id) else {
         return;
     };
+    if !exchange.is_forwarding {
+        return state.put(id, request);
+    }
     let fate = if is_reusable {
         ConnectionFate::Reuse
     } else {
--- a/crates/chicory_dispatch/src/relays.rs
+++ b/crates/chicory_dispatch/src/relays.rs
@@ -145,9 +145,12 @@
 
 /// The relayed answer is complete.
 pub(crate) fn on_finished(state: &mut PathState, id: RequestId) {
-    let Some((_, leg)) = take_leg(state, id) else {
+    let Some((request, leg)) = take_leg(state, id) else {
         return;
     };
+    if !leg.is_forwarding {
+        return state.put(id, request);
+    }
     end(state, &leg);
     state.counters.finished += 1;
 }
--- a/crates/chicory_dispatch/tests/request_path/invariants.rs
+++ b/crates/chicory_dispatch/tests/request_path/invariants.rs
@@ -4,8 +4,8 @@
 //! of connections, one final effect a request, one write an order claim, and that nothing that ran is
 //! told not-run. Its zone group is the naive version of at-most-once that the claims are held to.
 
-use chicory_dispatch::{Event, RelayFailure, RequestPathConfig};
-use chicory_ownership::ViewChange;
+use chicory_dispatch::{Event, Outcome, ProbeResult, RelayFailure, RelayLoad, RequestPathConfig};
+use chicory_ownership::{ClaimAnswer, ViewChange};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -46,6 +46,8 @@
     Dispatcher(u8, bool),
     Move(bool),
     Relay(u8),
+    RelayAnswer(u8, bool),
+    Stray(u8, u8),
     Drain(u8, bool),
 }
 
@@ -65,6 +67,8 @@
         1 => (any::<u8>(), any::<bool>()).prop_map(|(server, own)| Step::Dispatcher(server, own)),
         1 => any::<bool>().prop_map(Step::Move),
         1 => any::<u8>().prop_map(Step::Relay),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(back, ran)| Step::RelayAnswer(back, ran)),
+        2 => (any::<u8>(), any::<u8>()).prop_map(|(kind, back)| Step::Stray(kind, back)),
         1 => (any::<u8>(), any::<bool>()).prop_map(|(server, on)| Step::Drain(server, on)),
     ]
 }
@@ -96,6 +100,39 @@
         self.world.arrive(request);
     }
 
+    fn answer_relay(&mut self, back: u8, ran: bool) {
+        let request = self.next.saturating_sub(u64::from(back % 8));
+        let outcome = if ran { Outcome::Ran } else { Outcome::NotRun };
+        self.world.feed(Event::RelayAnswered {
+            request,
+            outcome,
+            retry_after: Some(ms(u64::from(back))),
+            load: RelayLoad::default(),
+        });
+        self.world.feed(Event::RelayFinished { request });
+    }
+
+    /// Events that come late, twice, or out of turn.
+    fn stray(&mut self, kind: u8, back: u8) {
+        let request = self.next.saturating_sub(u64::from(back % 8));
+        let connection = u64::from(back);
+        let server = Self::name(back).to_owned();
+        let result = if back.is_multiple_of(2) {
+            ProbeResult::TimedOut
+        } else {
+            ProbeResult::Answered { says_healthy: true }
+        };
+        let answer = ClaimAnswer::NotLeader { leader: None };
+        self.world.feed(match kind % 6 {
+            0 => Event::RenewFailed,
+            1 => Event::Connected { connection },
+            2 => Event::ClaimFailed { request },
+            3 => Event::ClaimAnswered { request, answer },
+            4 => Event::RelayFinished { request },
+            _ => Event::Probed { server, result },
+        });
+    }
+
     fn apply(&mut self, step: &Step) {
         match *step {
             Step::Request(service, key) => self.request(service, key),
@@ -133,6 +170,8 @@
                 let failure = RelayFailure::NothingSent;
                 self.world.feed(Event::RelayFailed { request, failure });
             }
+            Step::RelayAnswer(back, ran) => self.answer_relay(back, ran),
+            Step::Stray(kind, back) => self.stray(kind, back),
             Step::Drain(server, draining) => {
                 let (service, name) = SERVERS[usize::from(server) % SERVERS.len()];
                 let mut changed = record(service, name);
@@ -166,6 +205,9 @@
             run.apply(step);
         }
         run.world.run_for(ms(10_000));
+        run.world.feed(Event::StopRequested);
+        run.world.run_for(ms(10_000));
+        prop_assert!(run.world.is_stopped);
         prop_assert!(run.world.all_ended(), "requests without an end: {}", run.world.path.open_requests());
     }
 }
