--- a/crates/chicory_ctl/src/command_line.rs
+++ b/crates/chicory_ctl/src/command_line.rs
@@ -158,7 +158,11 @@
     Command::new("owner")
         .about("Tells which backend server owns a key")
         .arg(positional("service", "Service").required(true))
-        .arg(positional("key", "Key").required(true))
+        .arg(
+            positional("owned-key", "Key")
+                .value_name("key")
+                .required(true),
+        )
 }
 
 fn audit_command() -> Command {
--- a/crates/chicory_ctl/src/run.rs
+++ b/crates/chicory_ctl/src/run.rs
@@ -124,7 +124,14 @@
         ["drain"] => run_edit(matches, "drain", &editor).await,
         ["zone", "show"] => show_zone(&client).await,
         ["zone", _] => run_evict(matches, &client).await,
-        ["owner"] => owner(&client, text(matches, "service"), text(matches, "key")).await,
+        ["owner"] => {
+            owner(
+                &client,
+                text(matches, "service"),
+                text(matches, "owned-key"),
+            )
+            .await
+        }
         _ => run_audit(matches, &client).await,
     }
 }
