--- a/crates/chicory_ownership/src/lib.rs
+++ b/crates/chicory_ownership/src/lib.rs
@@ -55,8 +55,9 @@
 pub use server_record::{EntryRecord, ServerRecord};
 pub use view_change::{SlotOwner, ViewChange};
 pub use zone::{
-    DISPATCHER_LEASE, Dispatcher, LeaseBook, MAX_DEPARTING_SLOTS, PLAN_INTERVAL, RENEW_INTERVAL,
-    ServerEntry, SlotHold, SlotHoldRun, SlotMark, VIEW_LOG_CHANGES, ZoneCommand, ZoneLeader,
-    ZoneLeaderConfig, ZoneLeaderConfigBuilder, ZoneOutcome, ZoneSnapshot, ZoneState,
+    COLD_START_RAMP, DISPATCHER_LEASE, Dispatcher, LeaseBook, MAX_DEPARTING_SLOTS, PLAN_INTERVAL,
+    REBALANCE_INTERVAL, RENEW_INTERVAL, ServerEntry, SlotHold, SlotHoldRun, SlotMark,
+    VIEW_LOG_CHANGES, ZoneCommand, ZoneLeader, ZoneLeaderConfig, ZoneLeaderConfigBuilder,
+    ZoneOutcome, ZoneSnapshot, ZoneState,
 };
 pub use zone_sync::{ZoneDirectory, ZoneSyncAnswer, ZoneSyncRefusal, ZoneSyncRequest};
--- a/crates/chicory_ownership/src/zone/mod.rs
+++ b/crates/chicory_ownership/src/zone/mod.rs
@@ -22,7 +22,8 @@
 pub use zone_command::ZoneCommand;
 pub use zone_leader::ZoneLeader;
 pub use zone_leader_config::{
-    DISPATCHER_LEASE, PLAN_INTERVAL, RENEW_INTERVAL, ZoneLeaderConfig, ZoneLeaderConfigBuilder,
+    COLD_START_RAMP, DISPATCHER_LEASE, PLAN_INTERVAL, REBALANCE_INTERVAL, RENEW_INTERVAL,
+    ZoneLeaderConfig, ZoneLeaderConfigBuilder,
 };
 pub use zone_outcome::ZoneOutcome;
 pub use zone_snapshot::{SlotHoldRun, SlotMark, ZoneSnapshot};
