--- a/crates/chicory_consensus/tests/cluster/elections.rs
+++ b/crates/chicory_consensus/tests/cluster/elections.rs
@@ -22,7 +22,7 @@
 
 #[gtest]
 fn leader_killed_with_an_answer_on_the_way() {
-    for seed in 0..20 {
+    for seed in 0..100 {
         let mut cluster = Cluster::with_leader(3, 0, seed);
         let leader = cluster.leader().expect("a leader");
         cluster.propose(&leader, b"x");
--- a/crates/chicory_consensus/tests/cluster/harness.rs
+++ b/crates/chicory_consensus/tests/cluster/harness.rs
@@ -12,7 +12,7 @@
 
 use crate::node::Node;
 
-pub const VMS: [&str; 5] = ["vm-a", "vm-b", "vm-c", "vm-d", "vm-e"];
+pub const VMS: [&str; 7] = ["vm-a", "vm-b", "vm-c", "vm-d", "vm-e", "vm-f", "vm-g"];
 
 /// Time that the disk of a VM takes for one fsync.
 const SYNC_TIME: Duration = Duration::from_millis(8);
--- a/crates/chicory_consensus/tests/cluster/repairs.rs
+++ b/crates/chicory_consensus/tests/cluster/repairs.rs
@@ -166,6 +166,54 @@
     }
 }
 
+/// Crashes members, the leader first.
+fn crash_some(cluster: &mut Cluster, count: usize) {
+    let leader = cluster.leader().expect("a leader");
+    let others = cluster.vms().into_iter().filter(|vm| *vm != leader);
+    let lost: Vec<_> = [leader.clone()]
+        .into_iter()
+        .chain(others)
+        .take(count)
+        .collect();
+    for vm in lost {
+        cluster.crash(&vm);
+    }
+}
+
+#[gtest]
+fn tolerated_losses_at_once_by_group_size() {
+    for (size, tolerated) in [(1, 0), (2, 0), (3, 1), (4, 1), (5, 2), (6, 2), (7, 3)] {
+        for disks in [0, size] {
+            let mut cluster = Cluster::with_leader(size, disks, 9);
+            cluster.commit(b"x");
+            crash_some(&mut cluster, tolerated);
+            cluster.commit(b"y");
+            cluster.check_logs();
+            let mut cluster = Cluster::with_leader(size, disks, 9);
+            cluster.commit(b"x");
+            crash_some(&mut cluster, tolerated + 1);
+            cluster.run_for(LONG);
+            expect_that!(cluster.leader(), none(), "{size} members");
+        }
+    }
+}
+
+#[gtest]
+fn losses_in_turn_are_tolerated_without_limit_when_each_is_repaired() {
+    let mut cluster = Cluster::with_leader(3, 0, 10);
+    cluster.commit(b"x");
+    for round in 0..9_u8 {
+        let vm = cluster.vms()[usize::from(round) % 3].clone();
+        cluster.restart(&vm);
+        await_voter(&mut cluster, &vm);
+        cluster.commit(&[round]);
+    }
+    cluster.run_for(Duration::from_secs(1));
+    for node in cluster.nodes.values() {
+        expect_that!(node.state, len(eq(10)));
+    }
+}
+
 #[gtest]
 fn message_of_a_greater_epoch_supersedes_the_group() {
     let mut cluster = Cluster::with_leader(3, 0, 8);
