--- a/crates/chicory_wire/src/zone_convert.rs
+++ b/crates/chicory_wire/src/zone_convert.rs
@@ -21,20 +21,37 @@
     }
 );
 
-convert_record!(
-    ZoneSyncRequest,
-    zone::ZoneSyncRequest {
-        plain: [
-            zone,
-            group_epoch,
-            leader,
-            in_force_revision,
-            known_custody_version
-        ],
-        nested: [],
-        list: [entries, releases],
+impl From<ZoneSyncRequest> for zone::ZoneSyncRequest {
+    fn from(request: ZoneSyncRequest) -> Self {
+        Self {
+            zone: request.zone,
+            group_epoch: request.group_epoch,
+            leader: request.leader,
+            in_force_revision: request.in_force_revision,
+            known_custody_version: request.known_custody_version,
+            entries: each_into(request.entries),
+            releases: each_into(request.releases),
+            served: request.served.into_iter().collect(),
+        }
     }
-);
+}
+
+impl TryFrom<zone::ZoneSyncRequest> for ZoneSyncRequest {
+    type Error = ConvertError;
+
+    fn try_from(message: zone::ZoneSyncRequest) -> Result<Self, ConvertError> {
+        Ok(Self {
+            zone: message.zone,
+            group_epoch: message.group_epoch,
+            leader: message.leader,
+            in_force_revision: message.in_force_revision,
+            known_custody_version: message.known_custody_version,
+            entries: each(message.entries)?,
+            releases: each(message.releases)?,
+            served: message.served.into_iter().collect(),
+        })
+    }
+}
 
 convert_enum!(
     ZoneSyncRefusal,
