Repeat a failed election attempt sooner

An attempt without a majority is now repeated after a quarter to three quarters of the least timeout. A candidate whose own vote is not durable yet stays a candidate meanwhile.

Ruled out: a narrower range of election timeouts, which makes equal moments more likely.

--- a/crates/chicory_consensus/src/replica/election.rs
+++ b/crates/chicory_consensus/src/replica/election.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use chicory_types::{ClockRateMargin, LogIndex, Term};
+use rand::RngExt;
 
 use super::{Phase, Replica, RoleState};
 use crate::{MemberId, PeerMessageBody, ProposalRejection, ReplicaEffect};
@@ -13,6 +14,9 @@
 impl Replica {
     pub(super) fn on_election_timeout(&mut self) {
         self.reset_election_deadline();
+        if self.is_own_vote_pending() {
+            return;
+        }
         self.leader = None;
         if !self.can_stand() {
             self.role = RoleState::Passive;
@@ -32,6 +36,21 @@
         self.can_vote() && self.is_voter() && !self.queue.is_busy()
     }
 
+    fn is_own_vote_pending(&self) -> bool {
+        match self.role {
+            RoleState::Candidate {
+                self_vote_ticket, ..
+            } => !self.queue.is_persisted(self_vote_ticket),
+            _ => false,
+        }
+    }
+
+    /// An attempt that found no majority is soon repeated: there is no leader to wait for.
+    fn reset_retry_deadline(&mut self) {
+        let min = self.config.election_timeout_min;
+        self.election_deadline = self.now + self.rng.random_range(min / 4..min * 3 / 4);
+    }
+
     fn can_vote(&self) -> bool {
         matches!(self.phase, Phase::Formed) && !self.is_barred
     }
@@ -41,6 +60,7 @@
     }
 
     fn start_pre_vote(&mut self) {
+        self.reset_retry_deadline();
         let granted = BTreeSet::from([self.config.member.clone()]);
         self.role = RoleState::PreCandidate { granted };
         let (last_term, last_index) = self.position();
@@ -58,7 +78,7 @@
         self.set_term(self.hard_state.term.saturating_add(1));
         self.vote_for(self.config.member.clone());
         self.leader = None;
-        self.reset_election_deadline();
+        self.reset_retry_deadline();
         self.role = RoleState::Candidate {
             granted: BTreeSet::new(),
             self_vote_ticket: self.covering_ticket(),
--- a/crates/chicory_consensus/src/replica_config_builder.rs
+++ b/crates/chicory_consensus/src/replica_config_builder.rs
@@ -161,6 +161,9 @@
     }
 
     /// Range of the randomised time without a leader before a voter asks for an election.
+    ///
+    /// An attempt without a majority is repeated after a quarter to three quarters of `min`, so
+    /// `min` is to exceed four round trips.
     #[must_use]
     pub fn election_timeout(mut self, min: Duration, max: Duration) -> Self {
         self.config.election_timeout_min = min;
