--- a/crates/chicory_ownership/src/placement/greedy_placement.rs
+++ b/crates/chicory_ownership/src/placement/greedy_placement.rs
@@ -16,6 +16,10 @@
 pub const CHURN_SLOTS_PER_MINUTE: u32 = 240;
 /// Slots of a service that may move at once after a quiet time.
 pub const CHURN_BURST_SLOTS: u32 = 120;
+/// Load of a slot, in percent of a server's mean, from which it moves for fine balance.
+const HOT_SLOT_PERCENT: f64 = 0.5;
+/// Load of a server, in percent of the mean, below which cold slots move to it.
+const UNDERLOAD_PERCENT: u32 = 75;
 /// Rounds in a row that must find the load uneven before slots move.
 const UNEVEN_ROUNDS: u32 = 2;
 
@@ -89,8 +93,7 @@
         if !self.is_moving {
             return PlacementPlan::default();
         }
-        let stop = mean * f64::from(REBALANCE_STOP_PERCENT) / 100.0;
-        let release = mover.moves(stop, self.budget);
+        let release = mover.moves(mean, self.budget);
         #[expect(clippy::cast_precision_loss, reason = "there are at most 16384 slots")]
         let spent = release.len() as f64;
         self.budget -= spent;
@@ -124,7 +127,8 @@
         }
     }
 
-    fn moves(&mut self, stop: f64, budget: f64) -> Vec<Slot> {
+    fn moves(&mut self, mean: f64, budget: f64) -> Vec<Slot> {
+        let stop = mean * f64::from(REBALANCE_STOP_PERCENT) / 100.0;
         let mut release = Vec::new();
         let mut left = budget;
         let mut is_sorted = vec![false; self.slots.len()];
@@ -143,6 +147,9 @@
             let Some(slot) = self.take_fitting(from, to, stop) else {
                 break;
             };
+            if !self.is_worth_it(from, to, slot, mean) {
+                break;
+            }
             self.queue.add(from, -self.input.load_of(slot));
             self.queue.add(to, self.input.load_of(slot));
             release.push(slot);
@@ -151,6 +158,17 @@
         release
     }
 
+    /// Whether the move is worth its churn: cold slots leave only a server that is far above the
+    /// mean, or go to one that is far below it.
+    fn is_worth_it(&self, from: u16, to: u16, slot: Slot, mean: f64) -> bool {
+        let percent_of_mean = |load: f64| load * 100.0 / mean;
+        let slot_load = self.queue.share_of(from, self.input.load_of(slot));
+        let is_hot = percent_of_mean(slot_load) >= HOT_SLOT_PERCENT;
+        is_hot
+            || percent_of_mean(self.queue.load(from)) > f64::from(REBALANCE_START_PERCENT)
+            || percent_of_mean(self.queue.warm_load_with(to, 0.0)) < f64::from(UNDERLOAD_PERCENT)
+    }
+
     /// Takes the hottest slot that lifts `to` neither above the limit nor above `from`.
     fn take_fitting(&mut self, from: u16, to: u16, stop: f64) -> Option<Slot> {
         let limit = stop.min(self.queue.load(from));
--- a/crates/chicory_ownership/src/placement/load_queue.rs
+++ b/crates/chicory_ownership/src/placement/load_queue.rs
@@ -63,6 +63,11 @@
         self.loads[index] / self.servers[index].weight
     }
 
+    /// What `load` amounts to per weight of the server.
+    pub fn share_of(&self, server: u16, load: f64) -> f64 {
+        load / self.servers[usize::from(server)].weight
+    }
+
     /// Load per warm weight that the server would have with `load` more.
     pub fn warm_load_with(&self, server: u16, load: f64) -> f64 {
         let index = usize::from(server);
