--- a/crates/chicory_dispatch/src/crash_suspects.rs
+++ b/crates/chicory_dispatch/src/limits/crash_suspects.rs
@@ -5,6 +5,8 @@
 
 use chicory_types::MonoTime;
 
+use crate::limits::CrashSuspicion;
+
 /// Crashes after which a fingerprint is refused.
 pub(crate) const MAX_CRASHES: u32 = 2;
 /// Fingerprints that are remembered at most.
@@ -18,17 +20,6 @@
     last_at: MonoTime,
 }
 
-/// How far a fingerprint is suspected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Suspicion {
-    /// Not at all.
-    None,
-    /// It runs alone until it is acquitted.
-    Isolate,
-    /// It is refused.
-    Refuse,
-}
-
 /// Fingerprints that were in flight when a backend server crashed.
 ///
 /// A suspect runs alone, so the second crash has a single suspect and an innocent request is
@@ -39,11 +30,11 @@
 }
 
 impl CrashSuspects {
-    pub(crate) fn suspicion(&self, fingerprint: u64) -> Suspicion {
+    pub(crate) fn suspicion(&self, fingerprint: u64) -> CrashSuspicion {
         match self.suspects.get(&fingerprint).map(|s| s.crashes) {
-            None => Suspicion::None,
-            Some(crashes) if crashes < MAX_CRASHES => Suspicion::Isolate,
-            Some(_) => Suspicion::Refuse,
+            None => CrashSuspicion::None,
+            Some(crashes) if crashes < MAX_CRASHES => CrashSuspicion::Isolate,
+            Some(_) => CrashSuspicion::Refuse,
         }
     }
 
--- a/crates/chicory_dispatch/src/retry_budget.rs
+++ b/crates/chicory_dispatch/src/limits/retry_budget.rs
@@ -2,7 +2,7 @@
 
 use chicory_types::MonoTime;
 
-use crate::token_bucket::TokenBucket;
+use crate::limits::TokenBucket;
 
 /// Retries per second that are allowed however little fresh traffic there is.
 const FLOOR_PER_S: f64 = 1.0;
--- a/crates/chicory_dispatch/src/service_limits.rs
+++ b/crates/chicory_dispatch/src/limits/service_limits.rs
@@ -2,8 +2,7 @@
 
 use chicory_types::MonoTime;
 
-use crate::retry_budget::RetryBudget;
-use crate::token_bucket::TokenBucket;
+use crate::limits::{RetryBudget, TokenBucket};
 
 /// Retry budget and rate limit of one service in this process.
 #[derive(Clone, Debug)]
--- a/crates/chicory_dispatch/src/path_state.rs
+++ b/crates/chicory_dispatch/src/path_state.rs
@@ -8,43 +8,20 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::crash_suspects::CrashSuspects;
-use crate::directory::ServerIndex;
 use crate::lease::Lease;
-use crate::request_state::{ClaimState, RequestState};
-use crate::server_observation::ServerObservation;
-use crate::server_state::ServerState;
-use crate::service_limits::ServiceLimits;
-use crate::token_bucket::TokenBucket;
-use crate::{
-    ConnectionId, Counters, Directory, Effect, Outcome, Refusal, RefusalReason, RequestPathConfig,
-};
+use crate::life::Life;
+use crate::limits::{CrashSuspects, ServiceLimits, TokenBucket};
+use crate::request::{ClaimState, RequestState};
+use crate::resignation::Resignation;
+use crate::server::{ServerObservation, ServerState};
+use crate::view::{Directory, ServerIndex};
+use crate::{ConnectionId, Counters, Effect, Outcome, Refusal, RefusalReason, RequestPathConfig};
 
 /// Claims given up before their answer that are remembered at most.
 const MAX_ABANDONED_CLAIMS: usize = 4_096;
 /// Shortest pause that a refused caller is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Whether the process takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Life {
-    /// It does.
-    Running,
-    /// It was asked to stop at this time.
-    Stopping(MonoTime),
-    /// It has said that it may exit.
-    Stopped,
-}
-
-/// A role that this process has given up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Resignation {
-    /// Epoch of the role.
-    pub(crate) epoch: u64,
-    /// Whether the zone group knows.
-    pub(crate) is_told: bool,
-}
-
 /// The state that all parts of the request path work on.
 pub(crate) struct PathState {
     pub(crate) now: MonoTime,
--- a/crates/chicory_dispatch/src/demand.rs
+++ b/crates/chicory_dispatch/src/request/demand.rs
@@ -1,25 +1,15 @@
 //! What a request asks of the routing.
 
 use chicory_table::ServicePolicy;
-use chicory_types::{Slot, slot_of_key};
+use chicory_types::slot_of_key;
 
-use crate::fair_queue::FlowId;
+use crate::request::Target;
+use crate::server::FlowId;
 use crate::{RefusalReason, RequestHead};
 
 /// Flow of requests that belong to no slot.
 const SHARED_FLOW: FlowId = FlowId::MAX;
 
-/// Which backend servers may serve a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Target {
-    /// The owner of the key's slot.
-    Owner(Slot),
-    /// Any server of the zone that has custody of the order key's slot.
-    Custodian(Slot),
-    /// Any server of the service.
-    Any,
-}
-
 /// What a request asks of the routing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Demand {
--- a/crates/chicory_dispatch/src/request_state.rs
+++ b/crates/chicory_dispatch/src/request/request_state.rs
@@ -1,60 +1,10 @@
 //! The state of one open request.
 
-use chicory_types::{FencingToken, MonoTime, Slot, VmId};
+use chicory_types::{FencingToken, MonoTime, Slot};
 
-use crate::demand::Demand;
-use crate::directory::ServerIndex;
-use crate::{ConnectionId, Outcome, RequestHead, RequestOrigin};
-
-/// An exchange with a backend server.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Exchange {
-    pub(crate) server: ServerIndex,
-    pub(crate) connection: ConnectionId,
-    pub(crate) written_at: MonoTime,
-    /// When the exchange last made progress.
-    pub(crate) heard_at: MonoTime,
-    /// Whether its answer is being passed on.
-    pub(crate) is_forwarding: bool,
-    /// Whether the answer's status is a failure of the server.
-    pub(crate) is_failure: bool,
-}
-
-/// A relay to another entry process.
-#[derive(Clone, Debug)]
-pub(crate) struct RelayLeg {
-    pub(crate) vm: VmId,
-    /// The server it was chosen for; `None` for a relay to another zone.
-    pub(crate) server: Option<ServerIndex>,
-    /// Whether its answer is being passed on.
-    pub(crate) is_forwarding: bool,
-}
-
-/// Where an open request is.
-#[derive(Clone, Debug)]
-pub(crate) enum Phase {
-    /// It has to find a server, now or after a pause.
-    Placing,
-    /// Its claim was asked for.
-    Claiming(ServerIndex),
-    /// It waits for a server.
-    Queued(ServerIndex),
-    /// It was written to a server.
-    InFlight(Exchange),
-    /// It was relayed.
-    Relayed(RelayLeg),
-}
-
-/// How far the claim of a request has got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ClaimState {
-    /// None was asked for.
-    None,
-    /// It was asked for and not answered.
-    Asked,
-    /// The order may be run once.
-    Granted,
-}
+use crate::request::{ClaimState, Demand, Phase};
+use crate::view::ServerIndex;
+use crate::{Outcome, RequestHead, RequestOrigin};
 
 /// The state of one open request.
 #[derive(Clone, Debug)]
--- a/crates/chicory_dispatch/src/request_path.rs
+++ b/crates/chicory_dispatch/src/request_path.rs
@@ -2,11 +2,13 @@
 
 use chicory_types::MonoTime;
 
-use crate::path_state::{Life, PathState};
-use crate::{
-    Counters, Directory, Effect, Event, RequestPathConfig, announcements, arrivals, connections,
-    exchanges, health, orders, relays, renewals, roles, sweep,
+use crate::life::Life;
+use crate::path_state::PathState;
+use crate::steps::{
+    announcements, arrivals, connections, exchanges, health, orders, relays, renewals, roles, sweep,
 };
+use crate::view::Directory;
+use crate::{Counters, Effect, Event, RequestPathConfig};
 
 /// The reducer of the request path: every event goes in, effects come out.
 ///
--- a/crates/chicory_dispatch/src/connection_pool.rs
+++ b/crates/chicory_dispatch/src/server/connection_pool.rs
@@ -6,40 +6,16 @@
 use chicory_types::{MonoTime, RequestId};
 
 use crate::ConnectionId;
+use crate::server::{Connection, ConnectionState};
 
 /// How long a closed connection still counts against the server's limit, unless its end is
 /// reported earlier.
-pub(crate) const CLOSE_LINGER: Duration = Duration::from_millis(100);
+const CLOSE_LINGER: Duration = Duration::from_millis(100);
 /// How long the rest of a dropped answer may take before its connection is closed.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection may take to open.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What a connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ConnectionState {
-    /// It is being opened.
-    Opening,
-    /// It waits for a request.
-    Idle,
-    /// It carries a request.
-    Busy(RequestId),
-    /// It takes in the rest of a dropped answer.
-    Discarding,
-    /// It was closed and may still be open at the server.
-    Closing,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Connection {
-    pub(crate) state: ConnectionState,
-    pub(crate) opened_at: MonoTime,
-    /// When the state was entered.
-    pub(crate) since: MonoTime,
-    /// When the server was last heard on it.
-    pub(crate) heard_at: MonoTime,
-}
-
 /// The connections to one backend server, all counted from their opening to their end.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConnectionPool {
--- a/crates/chicory_dispatch/src/fair_queue.rs
+++ b/crates/chicory_dispatch/src/server/fair_queue.rs
@@ -2,20 +2,13 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use chicory_types::{MonoTime, RequestId};
+use chicory_types::RequestId;
+
+use crate::server::QueueEntry;
 
 /// Identifier of a flow: the slot of a keyed request, or one flow for all others.
 pub(crate) type FlowId = u32;
 
-/// A waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct QueueEntry {
-    pub(crate) request: RequestId,
-    pub(crate) expires_at: MonoTime,
-    /// Whether it must run with nothing else at its server.
-    pub(crate) is_isolated: bool,
-}
-
 /// A queue that serves its flows in turn, so that a hot key can't starve the others.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FairQueue {
--- a/crates/chicory_dispatch/src/grant_book.rs
+++ b/crates/chicory_dispatch/src/server/grant_book.rs
@@ -5,7 +5,7 @@
 use chicory_types::{ClockRateMargin, FencingToken, MonoTime, Slot, SlotRun};
 
 use crate::GrantedRun;
-use crate::directory::Holdings;
+use crate::view::Holdings;
 
 /// Bits of a grants version below the dispatcher's epoch.
 const VERSION_BITS: u32 = 24;
--- a/crates/chicory_dispatch/src/server_observation.rs
+++ b/crates/chicory_dispatch/src/server/server_observation.rs
@@ -5,26 +5,15 @@
 use chicory_types::{Incarnation, MonoTime};
 
 use crate::RelayLoad;
+use crate::server::Dispatch;
 
 /// How long the load that came with a relayed answer is believed.
 const HINT_LIFE: Duration = Duration::from_millis(500);
 /// Scale of the ramp, so that a share of one is a whole number.
-pub(crate) const RAMP_SCALE: u64 = 100;
+const RAMP_SCALE: u64 = 100;
 /// Share of its weight that a server starts with, in hundredths.
 const RAMP_START: u64 = 10;
 
-/// Who sends requests to a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Dispatch {
-    /// Nobody at the moment.
-    #[default]
-    Nobody,
-    /// This process.
-    Own,
-    /// Another process of the zone.
-    Other,
-}
-
 /// What this process has seen of a backend server, whoever dispatches to it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServerObservation {
--- a/crates/chicory_dispatch/src/server_state.rs
+++ b/crates/chicory_dispatch/src/server/server_state.rs
@@ -6,11 +6,11 @@
 use chicory_ownership::ServerRecord;
 use chicory_types::{Incarnation, MonoTime, RequestId, ServerId, Slot, SlotRun};
 
-use crate::connection_pool::ConnectionPool;
-use crate::fair_queue::{FairQueue, FlowId, QueueEntry};
-use crate::grant_book::GrantBook;
-use crate::service_time::ServiceTime;
-use crate::token_bucket::TokenBucket;
+use crate::limits::TokenBucket;
+use crate::server::{
+    Admission, ConnectionBreak, ConnectionPool, FairQueue, FlowId, GrantBook, NextStep, QueueEntry,
+    ServerHealth, ServerLimits, ServiceTime,
+};
 use crate::{ConnectionId, RefusalReason, RelayLoad};
 
 /// Silence that is borne before the service time is known, in progress timeouts.
@@ -20,84 +20,6 @@
 /// Longest silence that is borne, in progress timeouts.
 const MAX_SILENCE_FACTOR: u32 = 10;
 
-/// Limits of one server, from the table and from what it announced.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ServerLimits {
-    pub(crate) max_in_flight: usize,
-    pub(crate) max_connections: usize,
-    pub(crate) queue_limit: usize,
-    /// 0 stands for no limit.
-    pub(crate) rate_limit_per_s: u32,
-}
-
-/// Why a server is being probed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Suspicion {
-    /// An exchange has been silent since then.
-    Silent(MonoTime),
-    /// An exchange broke before its answer.
-    Broken,
-    /// It missed its announcements.
-    Unannounced,
-}
-
-/// What this process makes of a server's health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Health {
-    /// It answers.
-    Up,
-    /// A probe is under way.
-    Suspected {
-        /// Why.
-        suspicion: Suspicion,
-        /// When the probe was sent.
-        probed_at: MonoTime,
-    },
-    /// A probe found it dead.
-    Down {
-        /// When it is probed again, or when the running probe was sent.
-        next_probe_at: MonoTime,
-        /// Whether a probe is under way.
-        is_probing: bool,
-    },
-}
-
-/// A request that broke with its connection.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Break {
-    pub(crate) fingerprint: u64,
-    pub(crate) at: MonoTime,
-    /// Whether it was the only one in flight.
-    pub(crate) was_alone: bool,
-}
-
-/// What to do next for a server's queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NextStep {
-    /// Write this request to this connection.
-    Write(RequestId, ConnectionId),
-    /// Refuse this request: it can't end before its deadline.
-    Hopeless(RequestId),
-    /// Open a connection.
-    Connect,
-    /// Nothing.
-    Wait,
-}
-
-/// Whether a request may wait for a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Admission {
-    /// It may.
-    Accepted,
-    /// It may, in the place of this one.
-    Displaces(RequestId),
-    /// It may not.
-    Refused {
-        reason: RefusalReason,
-        retry_after: Duration,
-    },
-}
-
 /// A backend server that this process dispatches to.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerState {
@@ -107,7 +29,7 @@
     pub(crate) epoch: u64,
     pub(crate) checks_grants: bool,
     pub(crate) limits: ServerLimits,
-    pub(crate) health: Health,
+    pub(crate) health: ServerHealth,
     pub(crate) queue: FairQueue,
     pub(crate) in_flight: Vec<RequestId>,
     /// Requests whose claim was asked for, which have a place in the queue already.
@@ -117,7 +39,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) grants: GrantBook,
     pub(crate) service_time: ServiceTime,
-    pub(crate) breaks: Vec<Break>,
+    pub(crate) breaks: Vec<ConnectionBreak>,
     /// Slots of cancelled exchanges that may still run, with the end of that.
     pub(crate) cancelled: Vec<(Slot, MonoTime)>,
     /// Exchanges in a row that reached their deadline without any answer.
@@ -144,7 +66,7 @@
             epoch,
             checks_grants: record.checks_grants,
             limits: ServerLimits::default(),
-            health: Health::Up,
+            health: ServerHealth::Up,
             queue: FairQueue::default(),
             in_flight: Vec::new(),
             claiming: 0,
@@ -177,7 +99,7 @@
     }
 
     pub(crate) fn is_down(&self) -> bool {
-        matches!(self.health, Health::Down { .. })
+        matches!(self.health, ServerHealth::Down { .. })
     }
 
     /// Requests that run, wait or are about to wait.
@@ -251,7 +173,7 @@
         let Some(front) = self.queue.front() else {
             return NextStep::Wait;
         };
-        if self.health != Health::Up || !self.has_room_for(front) {
+        if self.health != ServerHealth::Up || !self.has_room_for(front) {
             return NextStep::Wait;
         }
         if self.is_hopeless(front, now) {
--- a/crates/chicory_dispatch/src/announcements.rs
+++ b/crates/chicory_dispatch/src/steps/announcements.rs
@@ -4,10 +4,11 @@
 
 use chicory_ownership::ServerRecord;
 
-use crate::directory::ServerIndex;
 use crate::path_state::PathState;
-use crate::server_observation::Dispatch;
-use crate::{Announcement, AnnouncementAnswer, AnnouncementError, Effect, roles};
+use crate::server::Dispatch;
+use crate::steps::roles;
+use crate::view::ServerIndex;
+use crate::{Announcement, AnnouncementAnswer, AnnouncementError, Effect};
 
 /// Servers whose announcements wait for a renewal at most.
 const MAX_PENDING: usize = 4_096;
--- a/crates/chicory_dispatch/src/arrivals.rs
+++ b/crates/chicory_dispatch/src/steps/arrivals.rs
@@ -4,13 +4,11 @@
 
 use chicory_types::{MonoTime, RequestId};
 
-use crate::crash_suspects::Suspicion;
-use crate::demand::Demand;
-use crate::exchanges::{ConnectionFate, end_exchange};
+use crate::limits::{CrashSuspicion, ServiceLimits};
 use crate::path_state::PathState;
-use crate::placing::place;
-use crate::request_state::{Phase, RequestState};
-use crate::service_limits::ServiceLimits;
+use crate::request::{Demand, Phase, RequestState};
+use crate::steps::exchanges::{ConnectionFate, end_exchange};
+use crate::steps::placing::place;
 use crate::{Effect, Outcome, RefusalReason, RequestHead, RequestOrigin};
 
 /// Takes a request in.
@@ -92,7 +90,7 @@
 
 fn check_quarantine(state: &PathState, head: &RequestHead) -> Result<(), RefusalReason> {
     let is_refused = state.directory.is_quarantined(head.fingerprint)
-        || state.suspects.suspicion(head.fingerprint) == Suspicion::Refuse;
+        || state.suspects.suspicion(head.fingerprint) == CrashSuspicion::Refuse;
     if is_refused {
         return Err(RefusalReason::Quarantined);
     }
@@ -160,7 +158,7 @@
             end_exchange(state, id, request, *exchange, ConnectionFate::Close);
         }
         Phase::Relayed(leg) => {
-            crate::relays::end(state, leg);
+            crate::steps::relays::end(state, leg);
             state.emit(Effect::CancelRelay { request: id });
         }
     }
--- a/crates/chicory_dispatch/src/connections.rs
+++ b/crates/chicory_dispatch/src/steps/connections.rs
@@ -1,10 +1,11 @@
 //! Connections that open, fail and end.
 
-use crate::directory::ServerIndex;
+use crate::ConnectionId;
 use crate::path_state::PathState;
-use crate::placing::pump;
-use crate::server_state::Suspicion;
-use crate::{ConnectionId, health};
+use crate::server::Suspicion;
+use crate::steps::health;
+use crate::steps::placing::pump;
+use crate::view::ServerIndex;
 
 /// A connection is open, or free again after a dropped answer.
 pub(crate) fn on_connected(state: &mut PathState, connection: ConnectionId) {
--- a/crates/chicory_dispatch/src/exchanges.rs
+++ b/crates/chicory_dispatch/src/steps/exchanges.rs
@@ -3,15 +3,13 @@
 use chicory_ownership::{ClaimResolution, StoredAnswer};
 use chicory_types::{MonoTime, RequestId};
 
-use crate::directory::ServerIndex;
 use crate::path_state::PathState;
-use crate::placing::pump;
-use crate::request_state::{Exchange, Phase, RequestState};
-use crate::server_state::{Break, ServerState, Suspicion};
-use crate::{
-    ConnectionId, Effect, ExchangeFailure, RefusalReason, RequestIdEcho, ServerRefusal, health,
-    retries,
-};
+use crate::request::{Phase, RequestState, ServerExchange};
+use crate::server::{ConnectionBreak, ServerState, Suspicion};
+use crate::steps::placing::pump;
+use crate::steps::{health, retries};
+use crate::view::ServerIndex;
+use crate::{ConnectionId, Effect, ExchangeFailure, RefusalReason, RequestIdEcho, ServerRefusal};
 
 /// Lowest HTTP status that counts as a failure of the server.
 const FIRST_SERVER_ERROR: u16 = 500;
@@ -30,7 +28,10 @@
 }
 
 /// Takes a request out that is in an exchange; puts any other one back.
-fn take_exchange(state: &mut PathState, id: RequestId) -> Option<(Box<RequestState>, Exchange)> {
+fn take_exchange(
+    state: &mut PathState,
+    id: RequestId,
+) -> Option<(Box<RequestState>, ServerExchange)> {
     let request = state.take(id)?;
     if let Phase::InFlight(exchange) = request.phase {
         return Some((request, exchange));
@@ -63,7 +64,7 @@
     }
 }
 
-fn heard(state: &mut PathState, exchange: Exchange) {
+fn heard(state: &mut PathState, exchange: ServerExchange) {
     let now = state.now;
     if let Some(server) = state.servers.get_mut(&exchange.server) {
         server.pool.heard(exchange.connection, now);
@@ -71,7 +72,7 @@
     }
 }
 
-fn refuse_mismatched(state: &mut PathState, id: RequestId, exchange: Exchange) {
+fn refuse_mismatched(state: &mut PathState, id: RequestId, exchange: ServerExchange) {
     let Some(mut request) = state.take(id) else {
         return;
     };
@@ -86,7 +87,7 @@
 fn on_server_refusal(
     state: &mut PathState,
     id: RequestId,
-    exchange: Exchange,
+    exchange: ServerExchange,
     refusal: ServerRefusal,
 ) {
     let Some(mut request) = state.take(id) else {
@@ -113,10 +114,10 @@
     pump(state, exchange.server);
 }
 
-fn forward(state: &mut PathState, id: RequestId, exchange: Exchange, status: u16) {
+fn forward(state: &mut PathState, id: RequestId, exchange: ServerExchange, status: u16) {
     let load = state.servers.get(&exchange.server).map(ServerState::load);
     if let Some(request) = state.requests.get_mut(&id) {
-        request.phase = Phase::InFlight(Exchange {
+        request.phase = Phase::InFlight(ServerExchange {
             heard_at: state.now,
             is_forwarding: true,
             is_failure: status >= FIRST_SERVER_ERROR,
@@ -234,7 +235,7 @@
     state: &mut PathState,
     id: RequestId,
     mut request: Box<RequestState>,
-    exchange: Exchange,
+    exchange: ServerExchange,
     was_alone: bool,
 ) {
     request.end_unproven();
@@ -251,7 +252,7 @@
     let Some(server) = state.servers.get_mut(&index) else {
         return;
     };
-    server.breaks.push(Break {
+    server.breaks.push(ConnectionBreak {
         fingerprint: request.head.fingerprint,
         at,
         was_alone,
@@ -273,7 +274,7 @@
     state: &mut PathState,
     id: RequestId,
     request: &RequestState,
-    exchange: Exchange,
+    exchange: ServerExchange,
     fate: ConnectionFate,
 ) {
     let now = state.now;
@@ -302,7 +303,7 @@
 
 /// A cancelled exchange may still run at the server until its deadline; at one that checks its
 /// grants no longer than its lease.
-fn note_cancelled(state: &mut PathState, request: &RequestState, exchange: Exchange) {
+fn note_cancelled(state: &mut PathState, request: &RequestState, exchange: ServerExchange) {
     let Some((slot, _)) = request.grant else {
         return;
     };
--- a/crates/chicory_dispatch/src/health.rs
+++ b/crates/chicory_dispatch/src/steps/health.rs
@@ -4,13 +4,14 @@
 
 use chicory_types::{MonoTime, RequestId};
 
-use crate::directory::ServerIndex;
-use crate::exchanges::{ConnectionFate, break_answer, close, end_exchange};
 use crate::path_state::PathState;
-use crate::placing::{place, pump};
-use crate::request_state::Phase;
-use crate::server_state::{Health, Suspicion};
-use crate::{Effect, ProbeResult, RefusalReason, retries};
+use crate::request::Phase;
+use crate::server::{ServerHealth, Suspicion};
+use crate::steps::exchanges::{ConnectionFate, break_answer, close, end_exchange};
+use crate::steps::placing::{place, pump};
+use crate::steps::retries;
+use crate::view::ServerIndex;
+use crate::{Effect, ProbeResult, RefusalReason};
 
 /// Mean pause between probes of a server that is down.
 const DOWN_PROBE_PAUSE: Duration = Duration::from_millis(400);
@@ -31,8 +32,8 @@
         return;
     };
     match &mut server.health {
-        Health::Up => {}
-        Health::Suspected {
+        ServerHealth::Up => {}
+        ServerHealth::Suspected {
             suspicion: known, ..
         } => {
             if matches!(suspicion, Suspicion::Silent(_)) && !matches!(known, Suspicion::Silent(_)) {
@@ -40,9 +41,9 @@
             }
             return;
         }
-        Health::Down { .. } => return,
+        ServerHealth::Down { .. } => return,
     }
-    server.health = Health::Suspected {
+    server.health = ServerHealth::Suspected {
         suspicion,
         probed_at: now,
     };
@@ -69,11 +70,13 @@
     };
     let is_alive = matches!(result, ProbeResult::Answered { .. });
     match health {
-        Health::Up => {}
-        Health::Suspected { suspicion, .. } if is_alive => settle_alive(state, index, suspicion),
-        Health::Suspected { .. } => go_down(state, index, result),
-        Health::Down { .. } if is_alive => come_up(state, index),
-        Health::Down { .. } => probe_later(state, index),
+        ServerHealth::Up => {}
+        ServerHealth::Suspected { suspicion, .. } if is_alive => {
+            settle_alive(state, index, suspicion);
+        }
+        ServerHealth::Suspected { .. } => go_down(state, index, result),
+        ServerHealth::Down { .. } if is_alive => come_up(state, index),
+        ServerHealth::Down { .. } => probe_later(state, index),
     }
 }
 
@@ -81,7 +84,7 @@
 fn settle_alive(state: &mut PathState, index: ServerIndex, suspicion: Suspicion) {
     let now = state.now;
     if let Some(server) = state.servers.get_mut(&index) {
-        server.health = Health::Up;
+        server.health = ServerHealth::Up;
         server.expired_in_row = 0;
         server.alive_at = Some(now);
     }
@@ -143,7 +146,7 @@
     let Some(server) = state.servers.get_mut(&index) else {
         return;
     };
-    server.health = Health::Down {
+    server.health = ServerHealth::Down {
         next_probe_at: now + pause,
         is_probing: false,
     };
@@ -243,7 +246,7 @@
 fn come_up(state: &mut PathState, index: ServerIndex) {
     let now = state.now;
     if let Some(server) = state.servers.get_mut(&index) {
-        server.health = Health::Up;
+        server.health = ServerHealth::Up;
         server.expired_in_row = 0;
         server.breaks.clear();
     }
@@ -258,7 +261,7 @@
     let pause = state.jitter(DOWN_PROBE_PAUSE);
     let next_probe_at = state.now + pause;
     if let Some(server) = state.servers.get_mut(&index) {
-        server.health = Health::Down {
+        server.health = ServerHealth::Down {
             next_probe_at,
             is_probing: false,
         };
@@ -272,13 +275,13 @@
         return;
     };
     match &mut server.health {
-        Health::Up => {}
-        Health::Suspected { probed_at, .. } => {
+        ServerHealth::Up => {}
+        ServerHealth::Suspected { probed_at, .. } => {
             if now >= *probed_at + PROBE_LIMIT {
                 go_down(state, index, ProbeResult::TimedOut);
             }
         }
-        Health::Down {
+        ServerHealth::Down {
             next_probe_at,
             is_probing,
         } => {
--- a/crates/chicory_dispatch/src/orders.rs
+++ b/crates/chicory_dispatch/src/steps/orders.rs
@@ -5,11 +5,11 @@
 use chicory_ownership::{ClaimAnswer, ClaimResolution, StoredAnswer};
 use chicory_types::{OrderKey, RequestId, ServiceName, VmId};
 
-use crate::directory::ServerIndex;
 use crate::path_state::PathState;
-use crate::placing::{enter_queue, place, send_claim};
-use crate::request_state::{ClaimState, Phase, RequestState};
-use crate::server_state::ServerState;
+use crate::request::{ClaimState, Phase, RequestState};
+use crate::server::ServerState;
+use crate::steps::placing::{enter_queue, place, send_claim};
+use crate::view::ServerIndex;
 use crate::{Effect, RefusalReason};
 
 /// Pause before a claim is sent again while the leader isn't known.
--- a/crates/chicory_dispatch/src/placing.rs
+++ b/crates/chicory_dispatch/src/steps/placing.rs
@@ -5,13 +5,15 @@
 use chicory_ownership::ClaimRequest;
 use chicory_types::RequestId;
 
-use crate::directory::ServerIndex;
-use crate::fair_queue::QueueEntry;
+use crate::limits::CrashSuspicion;
 use crate::path_state::PathState;
-use crate::request_state::{ClaimState, Exchange, Phase, RequestState};
-use crate::router::{Route, route};
-use crate::server_state::{Admission, NextStep};
-use crate::{ConnectionId, Effect, RefusalReason, crash_suspects, relays};
+use crate::request::{ClaimState, Phase, RequestState, ServerExchange};
+use crate::server::{Admission, NextStep, QueueEntry};
+use crate::steps::relays;
+use crate::steps::route::Route;
+use crate::steps::router::route;
+use crate::view::ServerIndex;
+use crate::{ConnectionId, Effect, RefusalReason};
 
 /// Pause before connections that had to wait for their pace are tried again.
 const PACE_PAUSE: Duration = Duration::from_millis(5);
@@ -100,7 +102,7 @@
 
 fn is_isolated(state: &PathState, request: &RequestState) -> bool {
     let suspicion = state.suspects.suspicion(request.head.fingerprint);
-    request.breaks > 0 || suspicion == crash_suspects::Suspicion::Isolate
+    request.breaks > 0 || suspicion == CrashSuspicion::Isolate
 }
 
 fn claim(state: &mut PathState, id: RequestId, mut request: Box<RequestState>, index: ServerIndex) {
@@ -192,7 +194,7 @@
     };
     request.tries += 1;
     request.is_sent = true;
-    request.phase = Phase::InFlight(Exchange {
+    request.phase = Phase::InFlight(ServerExchange {
         server: index,
         connection,
         written_at: now,
--- a/crates/chicory_dispatch/src/relays.rs
+++ b/crates/chicory_dispatch/src/steps/relays.rs
@@ -4,10 +4,11 @@
 
 use chicory_types::{RequestId, VmId};
 
-use crate::directory::ServerIndex;
 use crate::path_state::PathState;
-use crate::request_state::{Phase, RelayLeg, RequestState};
-use crate::{Effect, Outcome, RefusalReason, RelayFailure, RelayLoad, retries};
+use crate::request::{Phase, RelayLeg, RequestState};
+use crate::steps::retries;
+use crate::view::ServerIndex;
+use crate::{Effect, Outcome, RefusalReason, RelayFailure, RelayLoad};
 
 /// How long an entry process gets no relays after one failed.
 const ENTRY_AVOIDANCE: Duration = Duration::from_millis(500);
@@ -183,7 +184,7 @@
 /// An order that did not leave this process has no claim yet: it may go another way.
 fn retry_unsent_order(state: &mut PathState, id: RequestId, request: Box<RequestState>) {
     if request.tries < state.config.max_tries {
-        crate::placing::place(state, id, request);
+        crate::steps::placing::place(state, id, request);
     } else {
         state.refuse(id, &request, RefusalReason::RelayFailed);
     }
--- a/crates/chicory_dispatch/src/renewals.rs
+++ b/crates/chicory_dispatch/src/steps/renewals.rs
@@ -6,10 +6,12 @@
 };
 use chicory_types::{MonoTime, ServerId, Slot, VmId};
 
-use crate::directory::ServerIndex;
-use crate::path_state::{Life, PathState};
-use crate::server_state::ServerState;
-use crate::{Effect, roles};
+use crate::Effect;
+use crate::life::Life;
+use crate::path_state::PathState;
+use crate::server::ServerState;
+use crate::steps::roles;
+use crate::view::ServerIndex;
 
 /// Sends a renewal if one is due.
 pub(crate) fn send_if_due(state: &mut PathState) {
@@ -179,6 +181,6 @@
     if has_changes {
         roles::sync(state, is_first_view);
     } else {
-        crate::sweep::pump_all(state);
+        crate::steps::sweep::pump_all(state);
     }
 }
--- a/crates/chicory_dispatch/src/retries.rs
+++ b/crates/chicory_dispatch/src/steps/retries.rs
@@ -4,9 +4,10 @@
 
 use chicory_types::RequestId;
 
+use crate::RefusalReason;
+use crate::limits::MAX_CRASHES;
 use crate::path_state::PathState;
-use crate::request_state::{Phase, RequestState};
-use crate::{RefusalReason, crash_suspects};
+use crate::request::{Phase, RequestState};
 
 /// Mean pause before the first retry; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
@@ -48,7 +49,7 @@
         && !request.is_caller_gone
         && request.head.is_replayable
         && request.tries < state.config.max_tries
-        && request.breaks < crash_suspects::MAX_CRASHES
+        && request.breaks < MAX_CRASHES
         && state.left(request) > pause;
     is_possible && spend(state, request)
 }
--- a/crates/chicory_dispatch/src/roles.rs
+++ b/crates/chicory_dispatch/src/steps/roles.rs
@@ -3,18 +3,16 @@
 use chicory_ownership::ServerRecord;
 use chicory_types::RequestId;
 
-use crate::directory::ServerIndex;
-use crate::exchanges::{ConnectionFate, close, end_exchange};
-use crate::grant_book::GrantBook;
-use crate::health;
-use crate::path_state::{PathState, Resignation};
-use crate::placing::pump;
-use crate::request_state::{Phase, RequestState};
-use crate::server_observation::{Dispatch, ServerObservation};
-use crate::server_state::{ServerLimits, ServerState};
-use crate::service_limits::ServiceLimits;
-use crate::slot_map::SlotState;
-use crate::{RefusalReason, retries};
+use crate::RefusalReason;
+use crate::limits::ServiceLimits;
+use crate::path_state::PathState;
+use crate::request::{Phase, RequestState};
+use crate::resignation::Resignation;
+use crate::server::{Dispatch, GrantBook, ServerLimits, ServerObservation, ServerState};
+use crate::steps::exchanges::{ConnectionFate, close, end_exchange};
+use crate::steps::placing::pump;
+use crate::steps::{health, retries};
+use crate::view::{ServerIndex, SlotState};
 
 /// Brings roles, limits and queues in line with the view.
 pub(crate) fn sync(state: &mut PathState, is_first_view: bool) {
@@ -211,7 +209,7 @@
     };
     end_exchange(state, id, &request, exchange, ConnectionFate::Close);
     if exchange.is_forwarding {
-        return crate::exchanges::break_answer(state, id, &mut request);
+        return crate::steps::exchanges::break_answer(state, id, &mut request);
     }
     request.end_unproven();
     request.avoid(exchange.server);
--- a/crates/chicory_dispatch/src/router.rs
+++ b/crates/chicory_dispatch/src/steps/router.rs
@@ -2,36 +2,16 @@
 
 use chicory_types::{FencingToken, Slot, VmId};
 
-use crate::demand::Target;
-use crate::directory::ServerIndex;
 use crate::path_state::PathState;
-use crate::request_state::{ClaimState, RequestState};
-use crate::server_observation::Dispatch;
-use crate::server_state::{Health, ServerState};
-use crate::slot_map::SlotState;
+use crate::request::{ClaimState, RequestState, Target};
+use crate::server::{Dispatch, ServerHealth, ServerState};
+use crate::steps::route::Route;
+use crate::view::{ServerIndex, SlotState};
 use crate::{RefusalReason, RequestOrigin};
 
 /// Scale of a server's load before it is divided by its weight.
 const LOAD_SCALE: u64 = 1_000_000;
 
-/// Where a request has to go.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Route {
-    /// To a server that this process dispatches to.
-    Own {
-        server: ServerIndex,
-        grant: Option<(Slot, FencingToken)>,
-    },
-    /// To another entry process.
-    Relay {
-        vm: VmId,
-        address: String,
-        server: Option<ServerIndex>,
-    },
-    /// Nowhere.
-    Refused(RefusalReason),
-}
-
 /// Finds who may serve a request.
 pub(crate) fn route(state: &mut PathState, request: &RequestState) -> Route {
     match request.demand.target {
@@ -276,7 +256,7 @@
 ) -> bool {
     let own = state.servers.get(&index);
     own.is_some_and(|own| {
-        let is_favored = favor == Favor::Waived || own.health == Health::Up;
+        let is_favored = favor == Favor::Waived || own.health == ServerHealth::Up;
         is_favored && is_open(own, state.is_running(), request)
     })
 }
--- a/crates/chicory_dispatch/src/sweep.rs
+++ b/crates/chicory_dispatch/src/steps/sweep.rs
@@ -4,13 +4,15 @@
 
 use chicory_types::{MonoTime, RequestId};
 
-use crate::directory::ServerIndex;
-use crate::exchanges::{ConnectionFate, break_answer, close, end_exchange};
-use crate::path_state::{Life, PathState};
-use crate::placing::{place, pump};
-use crate::request_state::{Exchange, Phase, RelayLeg, RequestState};
-use crate::server_state::{Health, Suspicion};
-use crate::{Effect, RefusalReason, arrivals, connections, health, orders, relays, renewals};
+use crate::life::Life;
+use crate::path_state::PathState;
+use crate::request::{Phase, RelayLeg, RequestState, ServerExchange};
+use crate::server::{ServerHealth, Suspicion};
+use crate::steps::exchanges::{ConnectionFate, break_answer, close, end_exchange};
+use crate::steps::placing::{place, pump};
+use crate::steps::{arrivals, connections, health, orders, relays, renewals};
+use crate::view::ServerIndex;
+use crate::{Effect, RefusalReason};
 
 /// Time between looks at servers and connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -96,7 +98,7 @@
     state: &mut PathState,
     id: RequestId,
     mut request: Box<RequestState>,
-    exchange: Exchange,
+    exchange: ServerExchange,
 ) {
     end_exchange(state, id, &request, exchange, ConnectionFate::Close);
     if exchange.is_forwarding {
@@ -175,7 +177,7 @@
     }
 }
 
-fn check_progress(state: &mut PathState, id: RequestId, exchange: Exchange, limit: Duration) {
+fn check_progress(state: &mut PathState, id: RequestId, exchange: ServerExchange, limit: Duration) {
     let silence = state.now.saturating_sub(exchange.heard_at);
     if exchange.is_forwarding {
         if silence >= state.config.stall_timeout {
@@ -188,14 +190,14 @@
 }
 
 /// Whether no probe has found the server alive a short while ago.
-fn is_unheard(state: &PathState, exchange: Exchange) -> bool {
+fn is_unheard(state: &PathState, exchange: ServerExchange) -> bool {
     let pause = state.config.progress_timeout / 2;
     let server = state.servers.get(&exchange.server);
     let alive_at = server.and_then(|server| server.alive_at);
     alive_at.is_none_or(|at| state.now >= at + pause)
 }
 
-fn break_stalled(state: &mut PathState, id: RequestId, exchange: Exchange) {
+fn break_stalled(state: &mut PathState, id: RequestId, exchange: ServerExchange) {
     let Some(mut request) = state.take(id) else {
         return;
     };
@@ -210,7 +212,7 @@
     let Some(server) = state.servers.get_mut(&index) else {
         return;
     };
-    if server.health != Health::Up || server.announced_at.is_none_or(|at| now < at + limit) {
+    if server.health != ServerHealth::Up || server.announced_at.is_none_or(|at| now < at + limit) {
         return;
     }
     server.announced_at = Some(now);
--- a/crates/chicory_dispatch/src/directory.rs
+++ b/crates/chicory_dispatch/src/view/directory.rs
@@ -4,28 +4,13 @@
 
 use chicory_ownership::{EntryRecord, ServerRecord, SlotOwner, ViewChange, ViewUpdate};
 use chicory_table::{ServerOverride, ServicePolicy, Table};
-use chicory_types::{
-    FencingToken, ServerId, ServiceName, Slot, SlotRun, ViewVersion, VmId, ZoneName,
-};
+use chicory_types::{ServerId, ServiceName, Slot, SlotRun, ViewVersion, ZoneName};
 
-use crate::slot_map::{SlotMap, SlotState};
+use crate::view::{DirectoryServer, Holdings, SlotMap, SlotState};
 
 /// Index of a backend server in the directory; it stays the same while the process lives.
 pub type ServerIndex = usize;
 
-/// What the directory knows of one backend server.
-#[derive(Clone, Debug)]
-pub struct DirectoryServer {
-    /// Name of the server.
-    pub id: ServerId,
-    /// What it announced; `None` once it is gone.
-    pub record: Option<ServerRecord>,
-    /// The only VM that may send it requests.
-    pub dispatcher: Option<VmId>,
-    /// Counter that grows with each new dispatcher.
-    pub epoch: u64,
-}
-
 /// The view of the availability zone that the zone group keeps up to date.
 ///
 /// Backend servers are referred to by [`ServerIndex`], so that a decision compares numbers and not
@@ -267,12 +252,3 @@
         self.slots.entry(service).or_default().assign(runs, state);
     }
 }
-
-/// Slots of one server.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Holdings {
-    /// Slots that it owns, with their tokens, ascending.
-    pub owned: Vec<(Slot, FencingToken)>,
-    /// Slots that it has to give up, ascending.
-    pub releasing: Vec<Slot>,
-}
--- a/crates/chicory_dispatch/src/slot_map.rs
+++ b/crates/chicory_dispatch/src/view/slot_map.rs
@@ -1,30 +1,8 @@
 //! Owner and custodian of each slot of one service.
 
-use chicory_types::{FencingToken, SLOTS_PER_SERVICE, Slot, SlotRun, ZoneName};
+use chicory_types::{SLOTS_PER_SERVICE, Slot, SlotRun, ZoneName};
 
-use crate::directory::{Holdings, ServerIndex};
-
-/// Who may serve a slot.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum SlotState {
-    /// Nobody.
-    #[default]
-    Unowned,
-    /// A backend server.
-    Owned {
-        /// The owner.
-        server: ServerIndex,
-        /// Token of the assignment.
-        token: FencingToken,
-    },
-    /// A backend server that gives the slot up.
-    Releasing {
-        /// The former owner.
-        server: ServerIndex,
-        /// Token of the assignment that ends.
-        token: FencingToken,
-    },
-}
+use crate::view::{Holdings, ServerIndex, SlotState};
 
 /// Index into the list of custodians; the greatest value stands for none.
 type ZoneIndex = u16;
