Judge a server by the beginning of its answers, not by how callers read

A transfer of 3 s to a slow caller raised the silence that is borne to 6 s, and made its server an outlier. The two tests fail where whole times count as beginnings. The rate limit of a server is now taken before a request is displaced, not after.

--- a/crates/chicory_dispatch/src/server/server_state.rs
+++ b/crates/chicory_dispatch/src/server/server_state.rs
@@ -126,21 +126,26 @@
 
     /// Decides whether a request of `flow` with `left` until its deadline may wait here.
     pub(crate) fn admit(&mut self, flow: FlowId, left: Duration, now: MonoTime) -> Admission {
-        if self.outstanding() == 0 {
-            return self.admit_by_rate(now, None);
-        }
         let wait = self.wait_behind(self.queue.ahead_of(flow));
-        if wait + self.service_time.mean() > left {
+        // An idle server takes any request, so that a wrong mean can heal.
+        let is_idle = self.outstanding() == 0;
+        if !is_idle && wait + self.service_time.mean() > left {
             return Admission::Refused {
                 reason: RefusalReason::DeadlineTooShort,
                 retry_after: wait,
             };
         }
-        if !self.is_full() {
-            return self.admit_by_rate(now, None);
+        if let Err(retry_after) = self.take_rate(now) {
+            return Admission::Refused {
+                reason: RefusalReason::RateLimited,
+                retry_after,
+            };
+        }
+        if is_idle || !self.is_full() {
+            return Admission::Accepted;
         }
         match self.queue.displace_for(flow) {
-            Some(entry) => self.admit_by_rate(now, Some(entry)),
+            Some(entry) => Admission::Displaces(entry.request),
             None => Admission::Refused {
                 reason: RefusalReason::QueueFull,
                 retry_after: wait,
@@ -148,6 +153,11 @@
         }
     }
 
+    fn take_rate(&mut self, now: MonoTime) -> Result<(), Duration> {
+        let rate = self.rate.as_mut();
+        rate.map_or(Ok(()), |rate| rate.try_take(now))
+    }
+
     fn is_full(&self) -> bool {
         let free_slots = self
             .limits
@@ -156,18 +166,6 @@
         self.claiming + self.queue.len() >= self.limits.queue_limit + free_slots
     }
 
-    fn admit_by_rate(&mut self, now: MonoTime, displaced: Option<QueueEntry>) -> Admission {
-        let taken = self.rate.as_mut().map_or(Ok(()), |rate| rate.try_take(now));
-        match (taken, displaced) {
-            (Ok(()), None) => Admission::Accepted,
-            (_, Some(entry)) => Admission::Displaces(entry.request),
-            (Err(retry_after), None) => Admission::Refused {
-                reason: RefusalReason::RateLimited,
-                retry_after,
-            },
-        }
-    }
-
     /// What to do next for the queue; the caller has tested the lease in the same call.
     pub(crate) fn next_step(&mut self, now: MonoTime) -> NextStep {
         let Some(front) = self.queue.front() else {
@@ -239,7 +237,7 @@
         if !self.service_time.is_learned() {
             return progress_timeout * UNLEARNED_FACTOR;
         }
-        let learned = self.service_time.peak() * PEAK_FACTOR;
+        let learned = self.service_time.head_peak() * PEAK_FACTOR;
         learned.clamp(progress_timeout, progress_timeout * MAX_SILENCE_FACTOR)
     }
 }
--- a/crates/chicory_dispatch/src/steps/exchanges.rs
+++ b/crates/chicory_dispatch/src/steps/exchanges.rs
@@ -57,6 +57,10 @@
         return;
     }
     heard(state, exchange);
+    if let Some(server) = state.servers.get_mut(&exchange.server) {
+        let taken = state.now.saturating_sub(exchange.written_at);
+        server.service_time.record_head(taken);
+    }
     match (echo, refusal) {
         (RequestIdEcho::Mismatched, _) => refuse_mismatched(state, id, exchange),
         (_, Some(refusal)) => on_server_refusal(state, id, exchange, refusal),
--- a/crates/chicory_dispatch/src/steps/sweep.rs
+++ b/crates/chicory_dispatch/src/steps/sweep.rs
@@ -228,12 +228,12 @@
 }
 
 fn eject_outlier(state: &mut PathState, index: ServerIndex) {
-    let Some(own) = state.servers.get(&index) else {
+    let own = state.servers.get(&index);
+    let Some(mean) = own.and_then(|own| own.service_time.head_mean()) else {
         return;
     };
-    let mean = own.service_time.mean();
     let is_ejected = state.observations[index].is_ejected(state.now);
-    if mean < OUTLIER_FLOOR || is_ejected || !own.service_time.has_sample() {
+    if mean < OUTLIER_FLOOR || is_ejected {
         return;
     }
     let median = median_of_peers(state, index);
@@ -246,8 +246,7 @@
     let record = state.directory.server(index)?.record.as_ref()?;
     let peers = state.directory.servers_of(&record.service).iter();
     let own = peers.filter_map(|peer| state.servers.get(peer));
-    let sampled = own.filter(|server| server.service_time.has_sample());
-    let mut means: Vec<Duration> = sampled.map(|server| server.service_time.mean()).collect();
+    let mut means: Vec<Duration> = own.filter_map(|s| s.service_time.head_mean()).collect();
     means.sort_unstable();
     (means.len() >= MIN_PEERS).then(|| means[means.len() / 2])
 }
--- a/crates/chicory_dispatch/tests/request_path/server_failures.rs
+++ b/crates/chicory_dispatch/tests/request_path/server_failures.rs
@@ -114,6 +114,14 @@
     expect_that!(world.path.counters().ejections, ge(1));
 }
 
+#[gtest]
+fn slow_callers_do_not_make_their_server_an_outlier() {
+    let mut world = World::new(&[(PLANS, "p1"), (PLANS, "p2"), (PLANS, "p3"), (PLANS, "p4")]);
+    world.server("p1").transfer_time = ms(200);
+    world.arrive_many(1, 400, ms(5), |id| head(id, PLANS));
+    expect_that!(world.path.counters().ejections, eq(0));
+}
+
 #[gtest]
 fn crossed_answer_reaches_nobody_and_closes_its_connection() {
     let mut world = World::new(&[(BOARD, "b1")]);
--- a/crates/chicory_dispatch/tests/request_path/silent_connections.rs
+++ b/crates/chicory_dispatch/tests/request_path/silent_connections.rs
@@ -61,6 +61,24 @@
     expect_that!(world.server("b1").probes, all![ge(1), le(4)]);
 }
 
+#[gtest]
+fn long_transfers_do_not_hide_silence() {
+    let mut world = World::new(&[(BOARD, "b1")]);
+    let patient = |id| chicory_dispatch::RequestHead {
+        deadline: Some(ms(9_000)),
+        ..head(id, BOARD)
+    };
+    world.server("b1").transfer_time = ms(3_000);
+    world.arrive_many(1, 12, ms(1_000), patient);
+    world.run_for(ms(4_000));
+    expect_that!(world.completed(1, 12), eq(12));
+    world.server("b1").transfer_time = ms(0);
+    world.silence("b1");
+    world.arrive(patient(20));
+    world.run_for(ms(700));
+    expect_true!(world.is_forwarded(20));
+}
+
 #[gtest]
 fn short_deadlines_do_not_hide_silence() {
     let mut world = world_with_connections();
--- a/crates/chicory_dispatch/tests/request_path/support/fake_server.rs
+++ b/crates/chicory_dispatch/tests/request_path/support/fake_server.rs
@@ -29,7 +29,10 @@
 #[derive(Clone, Debug)]
 pub struct FakeServer {
     pub mode: Mode,
+    /// Time until its answers begin.
     pub service_time: Duration,
+    /// Time from there to their end.
+    pub transfer_time: Duration,
     /// What its probes say of its health.
     pub says_healthy: bool,
     /// Connections opened before this one are silent.
@@ -48,6 +51,7 @@
         Self {
             mode: Mode::Up,
             service_time,
+            transfer_time: Duration::ZERO,
             says_healthy: true,
             silent_below: 0,
             runs: Vec::new(),
--- a/crates/chicory_dispatch/tests/request_path/support/world.rs
+++ b/crates/chicory_dispatch/tests/request_path/support/world.rs
@@ -327,7 +327,8 @@
             kept,
             is_reusable: true,
         };
-        self.later(Duration::ZERO, Some(connection), event);
+        let transfer_time = self.servers[&link.server].transfer_time;
+        self.later(transfer_time, Some(connection), event);
     }
 
     fn link_of(&self, request: RequestId) -> Option<(ConnectionId, Link)> {
