Say that a control process is ready only once it is a voter

The failure run that kills a second leader right after the repair needs to see the end of the repair; a learner that knows its leader was ready before, and the group then lost its majority. An operator who replaces a VM needs the same answer.

--- a/crates/chicory_control/src/core/mod.rs
+++ b/crates/chicory_control/src/core/mod.rs
@@ -120,10 +120,13 @@
         self.seat.member().incarnation
     }
 
-    /// Whether the process takes part in a zone group that has a leader.
+    /// Whether the process is a voter of a zone group that has a leader.
+    ///
+    /// So a process that was restarted is ready once its repair is done, and not before: until then
+    /// the group can't spare another voter.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.seat.has_leader()
+        self.seat.has_leader() && self.seat.is_voter()
     }
 
     /// Whether the process leads its zone's group, or the global group.
--- a/crates/chicory_control/src/zone_seat.rs
+++ b/crates/chicory_control/src/zone_seat.rs
@@ -135,7 +135,9 @@
         group.is_some_and(|group| group.replica().leader().is_some())
     }
 
-    fn is_voter(&self) -> bool {
+    /// Whether the process is a voter of the group, as far as it knows.
+    #[must_use]
+    pub fn is_voter(&self) -> bool {
         let member = self.member();
         let group = self.group.as_ref();
         group.is_some_and(|group| {
--- a/tools/demo_runner/src/failures/control_failures.rs
+++ b/tools/demo_runner/src/failures/control_failures.rs
@@ -15,10 +15,10 @@
 const SERVICE_TIME: &str = "5ms";
 /// How long a single control process is asked.
 const ASK_TIMEOUT_MS: &str = "400";
-/// Three zones, each with one control process, all in the global group.
+/// Three zones, each with three control processes, one of them in the global group.
 const THREE_GLOBAL: Shape = Shape {
     zones: 3,
-    controls: 1,
+    controls: 3,
     global_controls: 1,
     entries: 1,
 };
@@ -31,7 +31,7 @@
     run.cluster.kill_process(&first).await?;
     let second = until_leader(&run, Some(&first)).await?;
     run.cluster.start_process(&first)?;
-    until_member(&run, &first).await?;
+    run.cluster.wait_ready(&first).await?;
     run.cluster.kill_process(&second).await?;
     until_leader(&run, Some(&second)).await?;
     let after = run.until_good(KEY).await?;
@@ -50,7 +50,7 @@
     let after = run.until_good(KEY).await?;
     print_waited("leader isolated", after.waited);
     run.cluster.heal()?;
-    until_member(&run, &leader).await?;
+    run.cluster.wait_ready(&leader).await?;
     run.finish(Some(load)).await
 }
 
@@ -77,6 +77,29 @@
     run.finish(None).await
 }
 
+/// A zone whose control processes all forget everything at once is formed anew and goes on, and the
+/// table that it has in force never goes back.
+pub async fn zone_memory_lost(binaries: &Path) -> Result<Verdict, RunnerError> {
+    let mut run = FailureRun::start(ONE_ZONE, binaries, SERVICE_TIME).await?;
+    let load = run.start_load().await?;
+    let controls = run.cluster.vms.iter().filter(|vm| vm.is_control());
+    let controls: Vec<String> = controls.map(|vm| vm.name.clone()).collect();
+    for vm in &controls {
+        run.cluster.kill_process(vm).await?;
+    }
+    for vm in &controls {
+        run.cluster.start_process(vm)?;
+    }
+    for vm in &controls {
+        run.cluster.wait_ready(vm).await?;
+    }
+    let set = ["table", "set", ARCHIVE, "*", "weight=70", "--wait"];
+    run.cluster.operator.run(&set).await?;
+    let after = run.until_good(KEY).await?;
+    print_waited("memory of the zone lost", after.waited);
+    run.finish(Some(load)).await
+}
+
 /// Waits for a leader of the zone group other than `former`: only the leader answers for its zone.
 async fn until_leader(run: &FailureRun, former: Option<&str>) -> Result<String, RunnerError> {
     wait::until("a leader of the zone group", SETTLE_TIMEOUT, async || {
@@ -105,17 +128,3 @@
     }
     Err(String::from_utf8_lossy(&output.stderr).into_owned())
 }
-
-/// Waits until the zone group's leader is known to `vm`, which is asked alone.
-async fn until_member(run: &FailureRun, vm: &str) -> Result<(), RunnerError> {
-    let vm = run.cluster.vm(vm)?;
-    let what = format!("{} to be a member again", vm.name);
-    wait::until(&what, SETTLE_TIMEOUT, async || {
-        match ask_alone(run, vm).await {
-            Ok(()) => Ok(()),
-            Err(error) if error.contains("names") => Ok(()),
-            Err(error) => Err(error),
-        }
-    })
-    .await
-}
--- a/tools/demo_runner/src/failures/failure_case.rs
+++ b/tools/demo_runner/src/failures/failure_case.rs
@@ -34,6 +34,8 @@
     ControlIsolated,
     /// A control process loses its data folder.
     DataLost,
+    /// All control processes of a zone are killed at once and start again.
+    ZoneMemoryLost,
     /// A zone is cut off from the others.
     ZoneCut,
     /// Two operators edit the same revision, and one resends.
@@ -44,7 +46,7 @@
 
 impl FailureCase {
     /// All cases.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::ServerKilled,
         Self::ServerPaused,
         Self::ServerSilent,
@@ -55,6 +57,7 @@
         Self::LeadersKilled,
         Self::ControlIsolated,
         Self::DataLost,
+        Self::ZoneMemoryLost,
         Self::ZoneCut,
         Self::OperatorsRace,
         Self::OrderServerKilled,
@@ -73,6 +76,7 @@
             Self::LeadersKilled => "leaders-killed",
             Self::ControlIsolated => "control-isolated",
             Self::DataLost => "data-lost",
+            Self::ZoneMemoryLost => "zone-memory-lost",
             Self::ZoneCut => "zone-cut",
             Self::OperatorsRace => "operators-race",
             Self::OrderServerKilled => "order-server-killed",
@@ -91,6 +95,7 @@
             Self::LeadersKilled => control_failures::leaders_killed(binaries).await,
             Self::ControlIsolated => control_failures::isolated(binaries).await,
             Self::DataLost => control_failures::data_lost(binaries).await,
+            Self::ZoneMemoryLost => control_failures::zone_memory_lost(binaries).await,
             Self::ZoneCut => zone_failures::cut(binaries).await,
             Self::OperatorsRace => operator_failures::race(binaries).await,
             Self::OrderServerKilled => order_failures::server_killed(binaries).await,
@@ -133,8 +138,8 @@
 fn summary(verdict: &Verdict) -> String {
     let services = verdict.services.iter().map(|(service, figures)| {
         format!(
-            "; {service} {:?}, {} owner changes, unavailable {} ms at most",
-            figures.outcomes, figures.owner_changes, figures.longest_unavailable_ms
+            "; {service} {:?}, a key unavailable for {} ms at most",
+            figures.outcomes, figures.longest_unavailable_ms
         )
     });
     let services: Vec<String> = services.collect();
--- a/tools/demo_runner/src/failures/failure_run.rs
+++ b/tools/demo_runner/src/failures/failure_run.rs
@@ -7,9 +7,10 @@
 use chicory_standin::history::{HistoryEvent, HistoryRecord};
 use chicory_standin::load::Call;
 use snafu::{OptionExt, ensure};
+use uuid::Uuid;
 
 use super::background_load::BackgroundLoad;
-use crate::caller_side::{CallerSide, GoodAnswer, SETTLE_TIMEOUT, key_call};
+use crate::caller_side::{CallerSide, GoodAnswer, SETTLE_TIMEOUT, key_call, order_call};
 use crate::deployment::{Cluster, Shape, StandinShape};
 use crate::runner_error::UnexpectedSnafu;
 use crate::services::{ARCHIVE, ORDERS, put_table_in_force, standin};
@@ -50,11 +51,10 @@
                 cluster.start_standin(shape).await?;
             }
         }
+        settle(&cluster).await?;
         let history = cluster.new_history("caller");
         let caller = CallerSide::new("case", &history)?;
-        let run = Self { cluster, caller };
-        run.until_good(KEY).await?;
-        Ok(run)
+        Ok(Self { cluster, caller })
     }
 
     /// Starts load on all entry processes that run.
@@ -130,6 +130,22 @@
     }
 }
 
+/// Waits until the first start is over, which is no failure and isn't judged as one.
+async fn settle(cluster: &Cluster) -> Result<(), RunnerError> {
+    let unjudged = cluster.folder().join("settling.jsonl");
+    let caller = CallerSide::new("settling", &unjudged)?;
+    let addresses = cluster.caller_addresses(None);
+    for address in addresses {
+        let order_key = Uuid::new_v4().to_string();
+        for call in [key_call(ARCHIVE, KEY), order_call(ORDERS, KEY, &order_key)] {
+            caller
+                .until_good(std::slice::from_ref(&address), &call)
+                .await?;
+        }
+    }
+    Ok(())
+}
+
 /// The stand-ins of one zone.
 fn standins(zone: &str, service_time: &str) -> Vec<StandinShape> {
     let names = [(ARCHIVE, 1), (ARCHIVE, 2), (ORDERS, 1), (ORDERS, 2)];
