Report on servers that are up every 5 s only

Cause: every renewal carried the hottest slots of every server, 80 KB/s at a zone leader with 128 servers, ten times the limit. Ruled out: dropping the reports of servers that are up, since heat and the leader's watch for silent servers need them.

--- a/crates/chicory_control/examples/measure_control.rs
+++ b/crates/chicory_control/examples/measure_control.rs
@@ -1,8 +1,8 @@
 //! Measures what control costs a zone's voters and its entry processes, in virtual time.
 //!
 //! Three control processes form the group of one zone, and the first of them the global group. A
-//! stated number of entry processes renews every 0.4 s and reports on its share of backend servers
-//! with the most slots that a report may carry. Every message is encoded and decoded as between
+//! stated number of entry processes renews every 0.4 s and, every 5 s, reports on its share of backend
+//! servers with the most slots that a report may carry. Every message is encoded and decoded as between
 //! real processes; the transport below is not part of it. The figures are processor time per second
 //! of virtual time, and bytes per second.
 //!
@@ -33,6 +33,7 @@
 const VOTERS: usize = 3;
 const STEP: Duration = Duration::from_millis(10);
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 const WARM_UP: Duration = Duration::from_secs(30);
 const SPAN: Duration = Duration::from_secs(20);
 const SERVICES: usize = 20;
@@ -110,6 +111,7 @@
     record: EntryRecord,
     view: u64,
     next_renewal: MonoTime,
+    next_report: MonoTime,
     servers: BTreeMap<ServerId, u64>,
     unannounced: Vec<ServerRecord>,
     bytes: usize,
@@ -308,7 +310,7 @@
         let now = self.now;
         let entry = &mut self.entries[index];
         entry.next_renewal = now + RENEW_INTERVAL;
-        let request = entry.request();
+        let request = entry.request(now);
         let call = Call {
             call: Some(Question::Renew(request.into())),
         };
@@ -499,13 +501,18 @@
             },
             view: 0,
             next_renewal: Duration::from_millis(offset),
+            next_report: Duration::ZERO,
             servers: BTreeMap::new(),
             unannounced,
             bytes: 0,
         }
     }
 
-    fn request(&mut self) -> RenewRequest {
+    fn request(&mut self, now: MonoTime) -> RenewRequest {
+        let is_report_due = now >= self.next_report;
+        if is_report_due {
+            self.next_report = now + REPORT_INTERVAL;
+        }
         let reports = self.servers.keys().map(|server| ServerReport {
             server: server.clone(),
             incarnation: 1,
@@ -518,7 +525,7 @@
                 })
                 .collect(),
         });
-        let reports = reports.collect();
+        let reports = reports.filter(|_| is_report_due).collect();
         let is_first = self.view == 0;
         RenewRequest {
             entry: self.record.clone(),
--- a/crates/chicory_dispatch/src/request_path_config.rs
+++ b/crates/chicory_dispatch/src/request_path_config.rs
@@ -57,6 +57,8 @@
     pub eject_after_failures: u32,
     /// How long an ejected server gets no request by choice.
     pub ejection: Duration,
+    /// Time between two reports on a server that is up.
+    pub report_interval: Duration,
     /// Time from a server's wish to drain until it gets no request at all.
     pub drain_grace: Duration,
     /// Longest wait of a stopping process for its roles to be taken over.
@@ -89,6 +91,7 @@
                 ramp: Duration::from_secs(5),
                 eject_after_failures: 5,
                 ejection: Duration::from_secs(5),
+                report_interval: Duration::from_secs(5),
                 drain_grace: Duration::from_millis(1_500),
                 stop_grace: Duration::from_secs(3),
                 seed: 0,
@@ -162,6 +165,8 @@
         eject_after_failures: u32,
         /// Sets how long an ejected server gets no request by choice.
         ejection: Duration,
+        /// Sets the time between two reports on a server that is up.
+        report_interval: Duration,
         /// Sets the time from a server's wish to drain until it gets no request.
         drain_grace: Duration,
         /// Sets the longest wait of a stopping process for its roles to be taken over.
--- a/crates/chicory_dispatch/src/server/server_state.rs
+++ b/crates/chicory_dispatch/src/server/server_state.rs
@@ -9,7 +9,7 @@
 use crate::limits::TokenBucket;
 use crate::server::{
     Admission, ConnectionBreak, ConnectionPool, FairQueue, FlowId, GrantBook, NextStep, QueueEntry,
-    ServerHealth, ServerLimits, ServiceTime,
+    ReportSchedule, ServerHealth, ServerLimits, ServiceTime,
 };
 use crate::{ConnectionId, RefusalReason, RelayLoad};
 
@@ -44,6 +44,7 @@
     pub(crate) cancelled: Vec<(Slot, MonoTime)>,
     /// Exchanges in a row that reached their deadline without any answer.
     pub(crate) expired_in_row: u32,
+    pub(crate) reports: ReportSchedule,
     pub(crate) requests_since_report: u32,
     pub(crate) heat: BTreeMap<Slot, u32>,
     pub(crate) draining_since: Option<MonoTime>,
@@ -77,6 +78,7 @@
             breaks: Vec::new(),
             cancelled: Vec::new(),
             expired_in_row: 0,
+            reports: ReportSchedule::default(),
             requests_since_report: 0,
             heat: BTreeMap::new(),
             draining_since: None,
--- a/crates/chicory_dispatch/src/steps/renewals.rs
+++ b/crates/chicory_dispatch/src/steps/renewals.rs
@@ -1,5 +1,7 @@
 //! Renewals of the lease and what comes and goes with them.
 
+use std::time::Duration;
+
 use chicory_ownership::{
     EntryRecord, ReleasedSlots, RenewAnswer, RenewRefusal, RenewRequest, ServerCondition,
     ServerReport, SlotHeat, ViewChange, ViewUpdate,
@@ -29,7 +31,13 @@
     let released = released(state);
     state.told_announcements = state.announced.values().cloned().collect();
     state.told_resigned = untold_resignations(state);
-    let reports = state.servers.values_mut().map(report).collect();
+    let now = state.now;
+    let interval = state.config.report_interval;
+    let reports = state
+        .servers
+        .values_mut()
+        .filter_map(|server| report_if_due(now, server, interval))
+        .collect();
     RenewRequest {
         entry: EntryRecord {
             vm: state.config.vm.clone(),
@@ -51,6 +59,18 @@
     untold.map(|(id, _)| id.clone()).collect()
 }
 
+fn report_if_due(
+    now: MonoTime,
+    server: &mut ServerState,
+    interval: Duration,
+) -> Option<ServerReport> {
+    let is_down = server.is_down();
+    server
+        .reports
+        .take(now, is_down, interval)
+        .then(|| report(server))
+}
+
 fn report(server: &mut ServerState) -> ServerReport {
     let mut heat: Vec<SlotHeat> = std::mem::take(&mut server.heat)
         .into_iter()
--- a/crates/chicory_dispatch/tests/request_path/server_failures.rs
+++ b/crates/chicory_dispatch/tests/request_path/server_failures.rs
@@ -229,3 +229,27 @@
     expect_that!(early, all![ge(1), le(30)]);
     expect_that!(late, ge(35));
 }
+
+#[gtest]
+fn server_that_is_up_is_reported_on_now_and_then_and_one_that_is_down_with_every_renewal() {
+    let mut world = World::new(&[(BOARD, "b1")]);
+    world.run_for(ms(10_000));
+    let reported = world
+        .group
+        .renewals
+        .iter()
+        .filter(|r| !r.reports.is_empty());
+    expect_that!(reported.count(), le(3));
+    world.freeze("b1");
+    world.arrive(head(1, BOARD));
+    world.run_for(ms(2_000));
+    let before = world.group.renewals.len();
+    world.run_for(ms(4_000));
+    let renewals = &world.group.renewals[before..];
+    let tells = |r: &&chicory_ownership::RenewRequest| {
+        let mut reports = r.reports.iter();
+        reports.any(|report| report.condition == ServerCondition::Down)
+    };
+    expect_that!(renewals.len(), ge(5));
+    expect_that!(renewals.iter().filter(tells).count(), eq(renewals.len()));
+}
