--- a/crates/chicory_storage/src/disk.rs
+++ b/crates/chicory_storage/src/disk.rs
@@ -5,7 +5,7 @@
 /// Files of one data folder, named by paths relative to it with `/` between their parts.
 ///
 /// Data is durable once its file is synced, a name once its directory is synced.
-pub trait Disk {
+pub trait Disk: Send {
     /// Creates a directory unless it exists.
     ///
     /// # Errors
