--- a/crates/chicory_standin/src/check/figures.rs
+++ b/crates/chicory_standin/src/check/figures.rs
@@ -23,6 +23,8 @@
     pub owner_changes: u64,
     /// Answers by outcome.
     pub outcomes: BTreeMap<String, u64>,
+    /// Answers that weren't good, by reason.
+    pub reasons: BTreeMap<String, u64>,
     /// Sum over keys of the spans from the first failed send to the next good answer.
     pub unavailable_ms: u64,
     /// Longest of these spans.
@@ -111,6 +113,9 @@
                 let of_service = figures.entry(service.to_owned()).or_default();
                 let outcome = record.outcome.clone().unwrap_or_default();
                 *of_service.outcomes.entry(outcome).or_default() += 1;
+                if let Some(reason) = &record.reason {
+                    *of_service.reasons.entry(reason.clone()).or_default() += 1;
+                }
                 if is_good(record) {
                     let since = failing_since.remove(&(service, key));
                     of_service.add_span(since, record.mono_ns);
--- a/tools/demo_runner/src/failures/failure_case.rs
+++ b/tools/demo_runner/src/failures/failure_case.rs
@@ -112,8 +112,9 @@
     let mut failed = Vec::new();
     for case in cases {
         println!("{}", case.name());
-        match case.run(binaries).await {
-            Ok(verdict) => println!("  passed: {}", summary(&verdict)),
+        let result = Box::pin(case.run(binaries)).await;
+        match result {
+            Ok(_) => println!("  passed"),
             Err(error) => {
                 println!("  FAILED: {error}");
                 failed.push(case.name());
@@ -134,14 +135,3 @@
     }
     .fail()
 }
-
-fn summary(verdict: &Verdict) -> String {
-    let services = verdict.services.iter().map(|(service, figures)| {
-        format!(
-            "; {service} {:?}, a key unavailable for {} ms at most",
-            figures.outcomes, figures.longest_unavailable_ms
-        )
-    });
-    let services: Vec<String> = services.collect();
-    format!("{} runs{}", verdict.runs, services.concat())
-}
--- a/tools/demo_runner/src/failures/failure_run.rs
+++ b/tools/demo_runner/src/failures/failure_run.rs
@@ -126,6 +126,8 @@
             load.stop().await;
         }
         self.cluster.stop().await?;
+        let verdict = self.cluster.verdict(&[ARCHIVE])?;
+        println!("  {}", summary(&verdict));
         self.cluster.check_clean(&[ARCHIVE])
     }
 }
@@ -198,3 +200,14 @@
 pub fn print_waited(what: &str, waited: Duration) {
     println!("  {what}: next good answer after {} ms", waited.as_millis());
 }
+
+fn summary(verdict: &Verdict) -> String {
+    let services = verdict.services.iter().map(|(service, figures)| {
+        format!(
+            "; {service} {:?} {:?}, a key unavailable for {} ms at most",
+            figures.outcomes, figures.reasons, figures.longest_unavailable_ms
+        )
+    });
+    let services: Vec<String> = services.collect();
+    format!("{} runs{}", verdict.runs, services.concat())
+}
