Let events be written down

Cause: traces of real processes are to be replayed, and the Debug form that they were written in can't be read back. Ruled out: generated messages for every event, some fifty conversions for a file that only the same build reads. Conclusion: the types of both reducers' events derive serde's traits.

--- a/crates/chicory_consensus/src/entry.rs
+++ b/crates/chicory_consensus/src/entry.rs
@@ -1,11 +1,12 @@
 //! Entries of the replicated log.
 
 use chicory_types::{LogIndex, Term};
+use serde::{Deserialize, Serialize};
 
 use crate::Membership;
 
 /// One entry of the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Position in the log; the first entry has index 1.
     pub index: LogIndex,
@@ -16,7 +17,7 @@
 }
 
 /// Content of an entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryPayload {
     /// First entry of each leader; it commits what former terms left behind.
     Noop,
--- a/crates/chicory_consensus/src/member_id.rs
+++ b/crates/chicory_consensus/src/member_id.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use chicory_types::{Incarnation, VmId};
+use serde::{Deserialize, Serialize};
 
 /// Incarnation that stands for "not known yet" in the address of a first contact.
 pub const UNKNOWN_INCARNATION: Incarnation = 0;
@@ -23,7 +24,7 @@
 /// assert!(after.supersedes(&before));
 /// assert_eq!(after.to_string(), "vm-a#2");
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MemberId {
     /// Name of the VM.
     pub vm: VmId,
--- a/crates/chicory_consensus/src/membership.rs
+++ b/crates/chicory_consensus/src/membership.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use chicory_types::VmId;
+use serde::{Deserialize, Serialize};
 
 use crate::MemberId;
 
@@ -16,7 +17,7 @@
 /// let membership = Membership::of_voters([MemberId::new("vm-a", 1), MemberId::new("vm-b", 1)]);
 /// assert_eq!(membership.quorum(), 2);
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// Members whose votes and acknowledgements count.
     pub voters: BTreeSet<MemberId>,
--- a/crates/chicory_consensus/src/peer_message.rs
+++ b/crates/chicory_consensus/src/peer_message.rs
@@ -1,11 +1,12 @@
 //! Messages between the members of a group.
 
 use chicory_types::{LogIndex, MonoTime, Term};
+use serde::{Deserialize, Serialize};
 
 use crate::{Entry, MemberId, Membership, SnapshotHeader};
 
 /// One message between two members, with its envelope.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// Epoch of the group; messages of another epoch are refused.
     pub group_epoch: u64,
@@ -18,7 +19,7 @@
 }
 
 /// Content of a message.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessageBody {
     /// Tells the sender's incarnation and what it knows of the group.
     Hello(HelloStatus),
@@ -116,7 +117,7 @@
 }
 
 /// What became of an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AppendOutcome {
     /// The log matches the leader's up to this index, durably.
     Matched {
@@ -133,7 +134,7 @@
 }
 
 /// What the sender of a hello knows of the group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HelloStatus {
     /// Has no state and does not form groups; asks to be admitted.
     Joining,
--- a/crates/chicory_consensus/src/snapshot.rs
+++ b/crates/chicory_consensus/src/snapshot.rs
@@ -1,11 +1,12 @@
 //! Snapshots of the state machine.
 
 use chicory_types::{LogIndex, Term};
+use serde::{Deserialize, Serialize};
 
 use crate::Membership;
 
 /// Everything about a snapshot but its data.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotHeader {
     /// Index of the last entry that the snapshot covers.
     pub last_index: LogIndex,
--- a/crates/chicory_control/src/control_call.rs
+++ b/crates/chicory_control/src/control_call.rs
@@ -12,6 +12,7 @@
     EditId, FencingToken, Incarnation, OperatorName, OrderKey, Revision, ServerId, ServiceName,
     Slot, VmId, ZoneName,
 };
+use serde::{Deserialize, Serialize};
 
 use crate::GroupName;
 
@@ -19,7 +20,7 @@
 pub type CallId = u64;
 
 /// Who made a call, as its certificate says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Caller {
     /// An entry process.
     Entry(VmId),
@@ -30,7 +31,7 @@
 }
 
 /// A call of another process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlCall {
     /// An entry process renews its lease.
     Renew(RenewRequest),
@@ -67,7 +68,7 @@
 /// A member of a zone group that has no memory of its group asks the global group what to do.
 ///
 /// Until it is told to join, it takes no part in any group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormationRequest {
     /// The zone.
     pub zone: ZoneName,
@@ -85,7 +86,7 @@
 }
 
 /// What a member without memory is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FormationAnswer {
     /// Ask again: it isn't clear yet whether the group lives.
     Wait,
@@ -109,7 +110,7 @@
 }
 
 /// A call of an operator.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OperatorCall {
     /// Reads the table.
     GetTable,
--- a/crates/chicory_control/src/control_config.rs
+++ b/crates/chicory_control/src/control_config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chicory_types::{Incarnation, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// Interval of a zone leader's syncs with the global group.
 pub const ZONE_SYNC_INTERVAL: Duration = Duration::from_millis(500);
@@ -18,7 +19,7 @@
 pub const FORMATION_PATIENCE: Duration = Duration::from_secs(3);
 
 /// What a control process is told at its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlConfig {
     /// Its VM.
     pub vm: VmId,
--- a/crates/chicory_control/src/control_event.rs
+++ b/crates/chicory_control/src/control_event.rs
@@ -3,11 +3,12 @@
 use chicory_consensus::{MemberId, PeerMessage};
 use chicory_ownership::ZoneSyncAnswer;
 use chicory_types::{MonoTime, VmId};
+use serde::{Deserialize, Serialize};
 
 use crate::{CallId, Caller, ControlCall, FormationAnswer};
 
 /// A group that a control process may be a member of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum GroupName {
     /// The group of the whole cluster.
     Global,
@@ -16,7 +17,7 @@
 }
 
 /// Everything that can happen to a control process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlEvent {
     /// Time has passed; sent no later than the reducer's next wake-up.
     Tick {
--- a/crates/chicory_dispatch/src/announcement.rs
+++ b/crates/chicory_dispatch/src/announcement.rs
@@ -4,10 +4,11 @@
 
 use chicory_ownership::ServerRecord;
 use chicory_types::{FencingToken, ServiceName, SlotRun, ZoneName};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 /// An announcement of a backend server, sent again at each renewal.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Identifier of the exchange in this process.
     pub exchange: u64,
--- a/crates/chicory_dispatch/src/event.rs
+++ b/crates/chicory_dispatch/src/event.rs
@@ -4,6 +4,7 @@
 
 use chicory_ownership::{ClaimAnswer, RenewAnswer, StoredAnswer};
 use chicory_types::{MonoTime, RequestId, ServerId, VmId};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     Announcement, ConnectFailure, ConnectionId, ExchangeFailure, Outcome, ProbeResult,
@@ -11,7 +12,7 @@
 };
 
 /// Everything that can happen to the request path.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
     /// Time has passed; sent no later than the reducer's next wake-up.
     Tick,
--- a/crates/chicory_dispatch/src/exchange.rs
+++ b/crates/chicory_dispatch/src/exchange.rs
@@ -1,12 +1,13 @@
 //! Results of exchanges with backend servers and other entry processes.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Identifier of a connection to a backend server, unique in the process.
 pub type ConnectionId = u64;
 
 /// Why a connection could not be opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConnectFailure {
     /// The server's host refused it.
     Refused,
@@ -17,7 +18,7 @@
 }
 
 /// Why an exchange with a backend server failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ExchangeFailure {
     /// The connection broke before any byte of the request could have left.
     NothingSent,
@@ -30,7 +31,7 @@
 }
 
 /// Whether the server echoed the request id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestIdEcho {
     /// It echoed the id of this request.
     Matched,
@@ -41,7 +42,7 @@
 }
 
 /// A refusal by the backend server itself, which says that the request did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerRefusal {
     /// The fencing token isn't current.
     Token,
@@ -54,7 +55,7 @@
 }
 
 /// What a probe over a fresh connection found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ProbeResult {
     /// The server answered; its word on its load is a hint only.
     Answered {
@@ -68,7 +69,7 @@
 }
 
 /// Why a relay to another entry process failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayFailure {
     /// No stream could be opened, so no byte of the request left.
     NothingSent,
@@ -79,7 +80,7 @@
 }
 
 /// Load of a dispatcher, which comes with each relayed answer as a hint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayLoad {
     /// Requests in flight and waiting at the backend server that served the request.
     pub outstanding: u32,
--- a/crates/chicory_dispatch/src/refusal.rs
+++ b/crates/chicory_dispatch/src/refusal.rs
@@ -1,9 +1,10 @@
 //! What a caller is told of a request that got no answer from a backend server.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Whether a request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
     /// It ran; the answer is the server's.
     Ran,
--- a/crates/chicory_dispatch/src/request_head.rs
+++ b/crates/chicory_dispatch/src/request_head.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use chicory_types::{OrderKey, RequestId, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// Where a request came from.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestOrigin {
     /// From a caller.
     Caller,
@@ -19,7 +20,7 @@
 }
 
 /// What the reducer knows of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestHead {
     /// Identifier in this process.
     pub request: RequestId,
--- a/crates/chicory_dispatch/src/request_path_config.rs
+++ b/crates/chicory_dispatch/src/request_path_config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicory_types::{Incarnation, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// Settings of a [`RequestPath`](crate::RequestPath).
 ///
@@ -17,7 +18,7 @@
 ///     .build();
 /// assert_eq!(config.max_hops, 2);
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RequestPathConfig {
     /// Name of the VM.
     pub vm: VmId,
--- a/crates/chicory_ownership/src/claim.rs
+++ b/crates/chicory_ownership/src/claim.rs
@@ -1,9 +1,10 @@
 //! Claims that make an order run at most once.
 
 use chicory_types::{Incarnation, OrderKey, RequestId, ServiceName, VmId};
+use serde::{Deserialize, Serialize};
 
 /// The process that dispatches a claimed order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claimant {
     /// Its VM.
     pub vm: VmId,
@@ -14,7 +15,7 @@
 }
 
 /// Asks the zone group that has custody of the order key's slot for the right to run an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRequest {
     /// The order's service.
     pub service: ServiceName,
@@ -27,7 +28,7 @@
 }
 
 /// The answer of a finished order, kept for resends.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredAnswer {
     /// HTTP status.
     pub status: u16,
@@ -38,7 +39,7 @@
 }
 
 /// The answer to a claim, sent once a majority has it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimAnswer {
     /// The claimant may dispatch the order, once.
     Granted,
@@ -65,7 +66,7 @@
 }
 
 /// How a claimed order ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimResolution {
     /// It ran and this is its answer.
     Answered(StoredAnswer),
--- a/crates/chicory_ownership/src/claims/claim_record.rs
+++ b/crates/chicory_ownership/src/claims/claim_record.rs
@@ -1,11 +1,12 @@
 //! One claim as the zone group keeps it.
 
 use chicory_types::{OrderKey, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use crate::{Claimant, StoredAnswer};
 
 /// State of a claimed order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimState {
     /// The claimant may be running it.
     InProgress,
@@ -18,7 +19,7 @@
 }
 
 /// One claim as the zone group keeps it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// The service.
     pub service: ServiceName,
--- a/crates/chicory_ownership/src/custody.rs
+++ b/crates/chicory_ownership/src/custody.rs
@@ -1,6 +1,7 @@
 //! Which availability zone decides on a slot.
 
 use chicory_types::{SLOTS_PER_SERVICE, ServiceName, SlotRun, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// All slots of a service.
 pub const ALL_SLOTS: SlotRun = SlotRun {
@@ -9,7 +10,7 @@
 };
 
 /// How an availability zone came to the custody of slots.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CustodyCause {
     /// Nobody had it before.
     Initial,
@@ -32,7 +33,7 @@
 }
 
 /// Custody of a slot.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Custody {
     /// The zone that decides on the slot.
     pub zone: ZoneName,
@@ -45,7 +46,7 @@
 }
 
 /// Custody of a run of slots.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustodyRun {
     /// The service.
     pub service: ServiceName,
--- a/crates/chicory_ownership/src/custody_handover.rs
+++ b/crates/chicory_ownership/src/custody_handover.rs
@@ -1,11 +1,12 @@
 //! What one zone hands over to the next one with the custody of slots.
 
 use chicory_types::{ServiceName, SlotRun, ZoneName};
+use serde::{Deserialize, Serialize};
 
 use crate::{ClaimRecord, CustodyRun};
 
 /// Slots that a zone gives up for another one, with nothing left that runs on them.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustodyRelease {
     /// The service.
     pub service: ServiceName,
@@ -20,7 +21,7 @@
 }
 
 /// A release on its way to the zone that takes the slots over.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustodyHandover {
     /// Version of the custody that it came with.
     pub version: u64,
@@ -39,7 +40,7 @@
 }
 
 /// Custody of all slots at one version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustodyUpdate {
     /// The version.
     pub version: u64,
--- a/crates/chicory_ownership/src/renewal.rs
+++ b/crates/chicory_ownership/src/renewal.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use chicory_types::{Incarnation, ServerId, ServiceName, Slot, SlotRun, ViewVersion, VmId};
+use serde::{Deserialize, Serialize};
 
 use crate::{EntryRecord, ServerRecord, ViewChange};
 
 /// Slots that a dispatcher has stopped serving for good.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleasedSlots {
     /// The service.
     pub service: ServiceName,
@@ -22,7 +23,7 @@
 }
 
 /// What a dispatcher makes of a backend server, from its own traffic.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerCondition {
     /// It answers.
     Up,
@@ -31,7 +32,7 @@
 }
 
 /// Load of one slot since the last report.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotHeat {
     /// The slot.
     pub slot: Slot,
@@ -40,7 +41,7 @@
 }
 
 /// A dispatcher's report on one backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerReport {
     /// The backend server.
     pub server: ServerId,
@@ -55,7 +56,7 @@
 }
 
 /// What an entry process sends at each renewal.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewRequest {
     /// The sender.
     pub entry: EntryRecord,
@@ -79,7 +80,7 @@
 }
 
 /// Changes that bring a view up to date.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewUpdate {
     /// Version of the view after the changes.
     pub version: ViewVersion,
@@ -88,7 +89,7 @@
 }
 
 /// Why a renewal was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RenewRefusal {
     /// A later incarnation of the same VM is known.
     SupersededIncarnation,
@@ -97,7 +98,7 @@
 }
 
 /// The answer to a renewal.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RenewAnswer {
     /// The lease holds for `lease` from before the request was sent.
     Granted {
--- a/crates/chicory_ownership/src/server_record.rs
+++ b/crates/chicory_ownership/src/server_record.rs
@@ -1,9 +1,10 @@
 //! What processes and backend servers say of themselves.
 
 use chicory_types::{Incarnation, ServerId, ServiceName, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// What a backend server announced of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRecord {
     /// Name of the backend server.
     pub server: ServerId,
@@ -26,7 +27,7 @@
 }
 
 /// What an entry process said of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryRecord {
     /// VM of the process.
     pub vm: VmId,
--- a/crates/chicory_ownership/src/view_change.rs
+++ b/crates/chicory_ownership/src/view_change.rs
@@ -2,11 +2,12 @@
 
 use chicory_table::Table;
 use chicory_types::{FencingToken, ServerId, ServiceName, SlotRun, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
 
 use crate::{EntryRecord, ServerRecord};
 
 /// Who may serve a run of slots.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SlotOwner {
     /// Nobody yet.
     Unowned,
@@ -30,7 +31,7 @@
 /// One change of the view; the view is the fold of all changes since the last [`Reset`].
 ///
 /// [`Reset`]: ViewChange::Reset
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ViewChange {
     /// Everything known before is void.
     Reset,
--- a/crates/chicory_ownership/src/zone_sync.rs
+++ b/crates/chicory_ownership/src/zone_sync.rs
@@ -4,11 +4,12 @@
 
 use chicory_table::{CustodyLease, Table};
 use chicory_types::{Revision, ServiceName, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
 
 use crate::{CustodyRelease, CustodyUpdate, EntryRecord};
 
 /// Entry processes of an availability zone.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneDirectory {
     /// The zone.
     pub zone: ZoneName,
@@ -17,7 +18,7 @@
 }
 
 /// What the leader of a zone group sends, about as often as entry processes renew.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneSyncRequest {
     /// The zone.
     pub zone: ZoneName,
@@ -38,7 +39,7 @@
 }
 
 /// Why a zone's sync was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ZoneSyncRefusal {
     /// The zone or its new group is being registered; the next sync will do.
     Registering,
@@ -47,7 +48,7 @@
 }
 
 /// The answer to a zone's sync.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ZoneSyncAnswer {
     /// What the zone has to know.
     Current {
--- a/crates/chicory_table/src/server_override.rs
+++ b/crates/chicory_table/src/server_override.rs
@@ -1,7 +1,9 @@
 //! What the table says of a single backend server.
 
+use serde::{Deserialize, Serialize};
+
 /// What the table says of a single backend server; `None` leaves the service's value.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerOverride {
     /// Relative share of load; 0 drains the server.
     pub weight: Option<u32>,
--- a/crates/chicory_table/src/service_policy.rs
+++ b/crates/chicory_table/src/service_policy.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use chicory_types::ZoneName;
+use serde::{Deserialize, Serialize};
 
 use crate::CustodyLease;
 
 /// What the table says of a whole service, the row whose server is `*`.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServicePolicy {
     /// Relative share of load of a backend server without a row of its own.
     pub weight: u32,
--- a/crates/chicory_table/src/table.rs
+++ b/crates/chicory_table/src/table.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 
 use chicory_types::{Revision, ServerId, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use crate::{ServerOverride, ServicePolicy};
 
 /// The table in force at one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Table {
     /// Revision of this content; every accepted edit raises it by one.
     pub revision: Revision,
--- a/crates/chicory_table/src/table_content.rs
+++ b/crates/chicory_table/src/table_content.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use chicory_types::{ServerId, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use crate::{CustodyLease, ServerOverride, ServicePolicy, TableChange, TableFault};
 
@@ -25,7 +26,7 @@
 pub const MAX_OVERRIDES: usize = 8_192;
 
 /// The rows of the table without their revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableContent {
     /// Policy of each service.
     pub services: BTreeMap<ServiceName, ServicePolicy>,
--- a/crates/chicory_table/src/table_edit.rs
+++ b/crates/chicory_table/src/table_edit.rs
@@ -1,11 +1,12 @@
 //! An operator's edit of the table.
 
 use chicory_types::{EditId, OperatorName, Revision, ServerId, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use crate::{ServerOverride, ServicePolicy, TableContent};
 
 /// One change inside an edit.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TableChange {
     /// Creates a service or replaces its policy.
     PutService {
--- a/crates/chicory_types/src/fencing_token.rs
+++ b/crates/chicory_types/src/fencing_token.rs
@@ -1,5 +1,6 @@
 //! Fencing tokens.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// A number that orders the owners of a slot; a backend server refuses all but the greatest.
@@ -17,7 +18,9 @@
 /// assert!(before < after);
 /// assert_eq!(before.to_string(), "3.41");
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct FencingToken {
     /// Generation of the availability zone's custody of the slot.
     pub custody_generation: u64,
--- a/crates/chicory_types/src/slot_run.rs
+++ b/crates/chicory_types/src/slot_run.rs
@@ -1,5 +1,7 @@
 //! Runs of neighbouring slots.
 
+use serde::{Deserialize, Serialize};
+
 use crate::Slot;
 
 /// An inclusive run of slots; the compact form of assignments and custody.
@@ -12,7 +14,7 @@
 /// let runs = SlotRun::from_slots([4, 5, 6, 9]);
 /// assert_eq!(runs, vec![SlotRun::new(4, 6), SlotRun::new(9, 9)]);
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SlotRun {
     /// First slot of the run.
     pub first: Slot,
