Write traces that can be replayed

Cause: traces in Debug form could not be read back, and control processes wrote none. Conclusion: both processes write JSON lines with a version, the reducer's settings and every event; the part in the global group is made in one place for process, tests and replay.

--- a/crates/chicory_control/examples/drive_by_hand.rs
+++ b/crates/chicory_control/examples/drive_by_hand.rs
@@ -9,10 +9,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use chicory_consensus::{ConfigError, Formation, MemberId, Replica, ReplicaConfig, RestoredState};
+use chicory_consensus::{ConfigError, MemberId, RestoredState};
 use chicory_control::{
     Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent, ControlReply,
-    GlobalMachine, Group, OperatorCall,
+    OperatorCall, new_global_group,
 };
 use chicory_dispatch::{
     Announcement, Effect, Event, RequestHead, RequestIdEcho, RequestOrigin, RequestPath,
@@ -66,11 +66,9 @@
             global_vms: [VM.to_owned()].into(),
             seed: 42,
         };
-        let replica_config = ReplicaConfig::builder(MemberId::new(VM, 1), vec![VM.to_owned()])
-            .formation(Formation::Unanimous)
-            .build()?;
-        let replica = Replica::new(replica_config, RestoredState::fresh(), now);
-        let global = Group::new(replica, GlobalMachine::default(), false);
+        let member = MemberId::new(VM, 1);
+        let vms = &config.global_vms;
+        let global = new_global_group(member, vms, RestoredState::fresh(), false, now)?;
         let entry_config = RequestPathConfig::builder("entry-1", ZONE)
             .peer_address("10.0.0.1:7100")
             .announce_address("10.0.0.1:7101")
--- a/crates/chicory_control/examples/measure_control.rs
+++ b/crates/chicory_control/examples/measure_control.rs
@@ -11,12 +11,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use chicory_consensus::{
-    ConfigError, Formation, MemberId, PeerMessage, Replica, ReplicaConfig, RestoredState,
-};
+use chicory_consensus::{ConfigError, MemberId, PeerMessage, RestoredState};
 use chicory_control::{
     Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent, ControlReply,
-    GlobalMachine, Group, GroupName, OperatorCall, call_of, reply_message,
+    GroupName, OperatorCall, call_of, new_global_group, reply_message,
 };
 use chicory_ownership::{
     EntryRecord, RenewAnswer, RenewRequest, ServerCondition, ServerRecord, ServerReport, SlotHeat,
@@ -472,11 +470,9 @@
         };
         let global = if n == 0 {
             let member = MemberId::new(vm.clone(), incarnation);
-            let replica_config = ReplicaConfig::builder(member, vec![vm.clone()])
-                .formation(Formation::Unanimous)
-                .build()?;
-            let replica = Replica::new(replica_config, RestoredState::fresh(), Duration::ZERO);
-            Some(Group::new(replica, GlobalMachine::default(), false))
+            let vms = &config.global_vms;
+            let fresh = RestoredState::fresh();
+            Some(new_global_group(member, vms, fresh, false, Duration::ZERO)?)
         } else {
             None
         };
--- a/crates/chicory_control/src/core/mod.rs
+++ b/crates/chicory_control/src/core/mod.rs
@@ -16,7 +16,7 @@
 use crate::zone_seat::{FormationQuestion, ZoneSeat};
 use crate::{
     CallId, Caller, ControlCall, ControlConfig, ControlEffect, ControlEvent, ControlNote,
-    ControlReply, FormationAnswer, FormationRequest, GlobalMachine, Group, GroupName,
+    ControlReply, FormationAnswer, FormationRequest, GlobalGroup, GroupName,
 };
 
 /// How long a leader that stops waits for another one to take over.
@@ -49,9 +49,6 @@
     },
 }
 
-/// The global group, as a member sees it.
-pub type GlobalGroup = Group<GlobalMachine, GlobalWaiter>;
-
 /// The zone's exchange with the global group.
 #[derive(Debug, Default)]
 struct SyncState {
--- a/crates/chicory_control/src/lib.rs
+++ b/crates/chicory_control/src/lib.rs
@@ -10,6 +10,7 @@
 mod convert;
 mod core;
 mod formation_desk;
+mod global_group;
 mod global_machine;
 mod group;
 mod inquiry;
@@ -18,7 +19,7 @@
 mod zone_machine;
 mod zone_seat;
 
-pub use crate::core::{ControlCore, GlobalGroup, GlobalWaiter, ZoneWaiter};
+pub use crate::core::{ControlCore, GlobalWaiter, ZoneWaiter};
 pub use control_call::{
     Acknowledgement, CallId, Caller, ControlCall, ControlReply, FormationAnswer, FormationRequest,
     OperatorCall, OperatorFailure, OperatorReply, OwnerSummary, ServerSummary, ZoneSummary,
@@ -31,6 +32,7 @@
 pub use control_event::{ControlEvent, GroupName};
 pub use convert::{call_of, formation_answer_of, formation_request_message, reply_message};
 pub use formation_desk::{FormationDecision, FormationDesk};
+pub use global_group::{GlobalGroup, new_global_group};
 pub use global_machine::{GlobalEntry, GlobalMachine, ZoneFormation};
 pub use group::{Group, GroupEffect, GroupEffects, PersistRequest};
 pub use process::{ControlError, ControlMetric, ControlSettings, control_command, run};
--- a/crates/chicory_control/src/process/control_error.rs
+++ b/crates/chicory_control/src/process/control_error.rs
@@ -57,6 +57,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// The trace file can't be used.
+    #[snafu(display("{source}"))]
+    Trace {
+        /// Cause.
+        source: chicory_trace::TraceError,
+    },
     /// A committed entry or a snapshot could not be read.
     #[snafu(display("the replicated state can't be read; the process stops rather than go on"))]
     Corrupt,
--- a/crates/chicory_control/src/process/control_process.rs
+++ b/crates/chicory_control/src/process/control_process.rs
@@ -8,7 +8,8 @@
 use chicory_net::peer::{FaultFile, FaultSwitch, NoFaults, PeerEndpoint, PeerIdentity};
 use chicory_net::tls::{PeerRole, PeerTls, Subject};
 use chicory_telemetry::{Metrics, new_logger};
-use chicory_types::{Clock, Incarnation, SystemClock};
+use chicory_trace::{EventTrace, NoTrace, TraceWriter, TracedProcess};
+use chicory_types::{Clock, Incarnation, MonoTime, SystemClock};
 use slog::{Logger, error, info};
 use snafu::ResultExt;
 use tokio::signal::unix::{SignalKind, signal};
@@ -16,6 +17,7 @@
 
 use super::control_error::{
     AdminSnafu, ControlError, CorruptSnafu, MetricsSnafu, PeerSnafu, SignalSnafu, TlsSnafu,
+    TraceSnafu,
 };
 use super::control_settings::ControlSettings;
 use super::global_member::GlobalMember;
@@ -55,6 +57,7 @@
     metrics: Arc<Metrics>,
     logger: Logger,
     config: ControlConfig,
+    trace: Box<dyn EventTrace<ControlEvent>>,
 }
 
 /// Runs the process until it is asked to stop.
@@ -71,12 +74,13 @@
     let readiness = Readiness::default();
     let endpoint = start_peers(&settings, &events, &metrics)?;
     start_admin(&settings, &readiness, &metrics, stopped).await?;
-    let member = GlobalMember::open(&settings, started_at(&clock), clock.now(), &logger)?;
+    let now = clock.now();
+    let member = GlobalMember::open(&settings, started_at(&clock), now, &logger)?;
     let config = config_of(&settings, member.incarnation);
     info!(logger, "started"; "zone" => &config.zone, "incarnation" => config.incarnation,
         "is_global_member" => config.is_global_member());
     let process = Process {
-        core: ControlCore::new(config.clone(), member.group, clock.now()),
+        core: ControlCore::new(config.clone(), member.group, now),
         clock,
         links: PeerLinks::new(endpoint.clone(), settings.peers(), events, metrics.clone()),
         calls: PendingCalls::default(),
@@ -84,6 +88,7 @@
         readiness,
         metrics,
         logger,
+        trace: open_trace(&settings, now, &config)?,
         config,
     };
     let ended = process.run(inbox).await;
@@ -149,6 +154,21 @@
     }
 }
 
+fn open_trace(
+    settings: &ControlSettings,
+    now: MonoTime,
+    config: &ControlConfig,
+) -> Result<Box<dyn EventTrace<ControlEvent>>, ControlError> {
+    match &settings.trace_file {
+        Some(path) => {
+            let writer = TraceWriter::create(path, TracedProcess::Control, now, config)
+                .context(TraceSnafu)?;
+            Ok(Box::new(writer))
+        }
+        None => Ok(Box::new(NoTrace)),
+    }
+}
+
 fn started_at(clock: &SystemClock) -> Incarnation {
     let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(started.as_micros()).unwrap_or(u64::MAX)
@@ -240,6 +260,7 @@
         let mut events = vec![event];
         while let Some(event) = events.pop() {
             let now = self.clock.now();
+            self.trace.record(now, &event);
             let mut follow_ups = Vec::new();
             for effect in self.core.reduce(now, event) {
                 next = next.max_of(self.carry_out(effect, &mut follow_ups));
--- a/crates/chicory_control/src/process/global_member.rs
+++ b/crates/chicory_control/src/process/global_member.rs
@@ -1,15 +1,15 @@
 //! The process's part in the global group, from its data folder.
 
-use chicory_consensus::{Formation, MemberId, Replica, ReplicaConfig};
+use chicory_consensus::MemberId;
 use chicory_storage::{DataFolder, FolderIdentity, GroupStorage};
-use chicory_types::{Incarnation, MonoTime, fingerprint_of};
+use chicory_types::{Incarnation, MonoTime};
 use slog::{Logger, warn};
 use snafu::ResultExt;
 
 use super::control_error::{ControlError, GroupSnafu, StorageSnafu};
 use super::control_settings::ControlSettings;
 use super::global_store::{GlobalStore, NoStore};
-use crate::{GlobalGroup, GlobalMachine, Group};
+use crate::{GlobalGroup, new_global_group};
 
 /// Name of the global group's files.
 const GLOBAL_GROUP: &str = "global";
@@ -59,18 +59,10 @@
         }
         let member = MemberId::new(settings.vm.clone(), storage.incarnation());
         let vms = settings.global_peers.keys().cloned().collect();
-        let config = ReplicaConfig::builder(member, vms)
-            .formation(Formation::Unanimous)
-            .seed(fingerprint_of(&[
-                settings.vm.as_bytes(),
-                &identity.incarnation.to_le_bytes(),
-            ]))
-            .build()
-            .context(GroupSnafu)?;
-        let replica = Replica::new(config, restored, now);
+        let group = new_global_group(member, &vms, restored, true, now).context(GroupSnafu)?;
         Ok(Self {
             incarnation: identity.incarnation,
-            group: Some(Group::new(replica, GlobalMachine::default(), true)),
+            group: Some(group),
             store: Box::new(storage),
         })
     }
--- a/crates/chicory_control/tests/support/mod.rs
+++ b/crates/chicory_control/tests/support/mod.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use chicory_consensus::{Formation, MemberId, Replica, ReplicaConfig, RestoredState};
+use chicory_consensus::{MemberId, RestoredState};
 use chicory_control::{
     CallId, Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent,
-    ControlReply, GlobalMachine, Group, GroupName, OperatorCall, OperatorReply,
+    ControlReply, GroupName, OperatorCall, OperatorReply, new_global_group,
 };
 use chicory_ownership::{EntryRecord, RenewAnswer, RenewRequest, ServerRecord, ViewUpdate};
 use chicory_table::{CustodyLease, EditOutcome, ServicePolicy, TableChange};
@@ -106,14 +106,8 @@
         };
         let global = self.global_vms.contains(vm).then(|| {
             let member = MemberId::new(vm, self.last_incarnation);
-            let vms = self.global_vms.iter().cloned().collect();
-            let replica_config = ReplicaConfig::builder(member, vms)
-                .formation(Formation::Unanimous)
-                .seed(self.last_incarnation)
-                .build()
-                .unwrap();
-            let replica = Replica::new(replica_config, RestoredState::fresh(), self.now);
-            Group::new(replica, GlobalMachine::default(), false)
+            let fresh = RestoredState::fresh();
+            new_global_group(member, &self.global_vms, fresh, false, self.now).unwrap()
         });
         let started = Vm {
             core: ControlCore::new(config, global, self.now),
--- a/crates/chicory_entry/src/core_loop.rs
+++ b/crates/chicory_entry/src/core_loop.rs
@@ -13,6 +13,7 @@
 use chicory_net::http::SendError;
 use chicory_net::peer::{PeerEndpoint, RelayReader};
 use chicory_telemetry::Metrics;
+use chicory_trace::EventTrace;
 use chicory_types::{Clock, MonoTime, RequestId, ZoneName};
 use chicory_wire::proto::relay::RelayAnswerHead;
 use hyper::Response;
@@ -29,7 +30,6 @@
 use crate::server::{echo_of, has_stated_length, refusal_of};
 use crate::server_link_entry::ServerLinkEntry;
 use crate::started_answer::StartedAnswer;
-use crate::trace::EventTrace;
 use crate::zone::ZoneClient;
 
 /// Inputs taken before the clock is read again.
@@ -46,7 +46,7 @@
     pub(crate) zone: Arc<ZoneClient>,
     pub(crate) peers: PeerEndpoint,
     pub(crate) readiness: Readiness,
-    pub(crate) trace: Box<dyn EventTrace>,
+    pub(crate) trace: Box<dyn EventTrace<Event> + Send>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) logger: Logger,
     /// Held by tasks that must end before the process does.
--- a/crates/chicory_entry/src/entry_error.rs
+++ b/crates/chicory_entry/src/entry_error.rs
@@ -38,10 +38,10 @@
         source: std::io::Error,
     },
     /// The trace file could not be opened.
-    #[snafu(display("cannot write the trace: {source}"))]
+    #[snafu(display("{source}"))]
     Trace {
         /// The cause.
-        source: std::io::Error,
+        source: chicory_trace::TraceError,
     },
     /// The runtime or the signal handler could not be set up.
     #[snafu(display("cannot start: {source}"))]
--- a/crates/chicory_entry/src/entry_process.rs
+++ b/crates/chicory_entry/src/entry_process.rs
@@ -12,7 +12,8 @@
 };
 use chicory_net::tls::{PeerRole, PeerTls, Subject};
 use chicory_telemetry::Metrics;
-use chicory_types::{Clock, SystemClock};
+use chicory_trace::{EventTrace, NoTrace, TraceWriter, TracedProcess};
+use chicory_types::{Clock, MonoTime, SystemClock};
 use chicory_wire::proto::peer::reply::Reply as ReplyKind;
 use chicory_wire::proto::peer::{Call, CallError, Reply};
 use slog::{Logger, info};
@@ -25,13 +26,12 @@
 use crate::announce::AnnounceHandler;
 use crate::caller::CallerHandler;
 use crate::core_loop::{CoreLoop, CoreParts};
-use crate::entry_error::{EntryError, ListenSnafu};
+use crate::entry_error::{EntryError, ListenSnafu, TraceSnafu};
 use crate::inbox::Inbox;
 use crate::input::Input;
 use crate::relay::RelayServer;
 use crate::request_ids::RequestIds;
 use crate::settings::EntrySettings;
-use crate::trace::open_trace;
 use crate::zone::ZoneClient;
 use chicory_net::admin::{AdminHandler, Readiness};
 
@@ -192,15 +192,16 @@
     ) -> Result<JoinHandle<()>, EntryError> {
         let clock: Arc<dyn Clock + Send + Sync> = Arc::new(SystemClock::new());
         let config = self.path_config(addresses, clock.wall());
+        let started_at = clock.now();
         let core = CoreLoop::new(CoreParts {
-            path: RequestPath::new(config, clock.now()),
+            trace: self.open_trace(started_at, &config)?,
+            path: RequestPath::new(config, started_at),
             clock,
             inbox: self.inbox.clone(),
             zone_name: self.settings.zone.clone(),
             zone: ZoneClient::new(peers.clone(), self.settings.control.clone()),
             peers,
             readiness: self.readiness.clone(),
-            trace: open_trace(self.settings.trace_file.as_deref())?,
             metrics: self.metrics.clone(),
             logger: self.logger.clone(),
             open: self.open.clone(),
@@ -208,6 +209,21 @@
         Ok(tokio::spawn(core.run(inputs)))
     }
 
+    fn open_trace(
+        &self,
+        started_at: MonoTime,
+        config: &RequestPathConfig,
+    ) -> Result<Box<dyn EventTrace<Event> + Send>, EntryError> {
+        match &self.settings.trace_file {
+            Some(path) => {
+                let writer = TraceWriter::create(path, TracedProcess::Entry, started_at, config)
+                    .context(TraceSnafu)?;
+                Ok(Box::new(writer))
+            }
+            None => Ok(Box::new(NoTrace)),
+        }
+    }
+
     fn path_config(&self, addresses: EntryAddresses, wall: SystemTime) -> RequestPathConfig {
         let settings = &self.settings;
         let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/chicory_entry/src/lib.rs
+++ b/crates/chicory_entry/src/lib.rs
@@ -26,7 +26,6 @@
 mod server_link_entry;
 mod settings;
 mod started_answer;
-mod trace;
 mod write;
 mod zone;
 
