Replay recorded traces

Cause: proof by replay needs a tool that shows what others saw of a process. Conclusion: trace_replay feeds a trace to the reducer of this build, writes one line for each outcome, and compares with stated ones.

--- /dev/null
+++ b/tools/trace_replay/src/main.rs
@@ -0,0 +1,83 @@
+//! Replays one trace, and compares it with its stated outcomes where a file is given.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use trace_replay::{ReplayError, replay_control, replay_entry};
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let outcomes = match replay(&matches) {
+        Ok(outcomes) => outcomes,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Some(path) = matches.get_one::<PathBuf>("outcomes") {
+        return compare(&outcomes, path);
+    }
+    for outcome in outcomes {
+        println!("{outcome}");
+    }
+    ExitCode::SUCCESS
+}
+
+fn command() -> Command {
+    Command::new("trace_replay")
+        .about("Replays a recorded trace and shows what others saw of the process")
+        .arg(
+            Arg::new("process")
+                .value_parser(["entry", "control"])
+                .required(true)
+                .help("Kind of the process that wrote the trace"),
+        )
+        .arg(
+            Arg::new("trace")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("The trace file"),
+        )
+        .arg(
+            Arg::new("outcomes")
+                .long("outcomes")
+                .value_parser(value_parser!(PathBuf))
+                .help("File with the stated outcomes; the first difference is shown"),
+        )
+}
+
+fn replay(matches: &ArgMatches) -> Result<Vec<String>, ReplayError> {
+    let trace = matches
+        .get_one::<PathBuf>("trace")
+        .expect("clap requires the trace");
+    match matches.get_one::<String>("process").map(String::as_str) {
+        Some("entry") => replay_entry(trace),
+        _ => replay_control(trace),
+    }
+}
+
+fn compare(outcomes: &[String], path: &Path) -> ExitCode {
+    let stated = match std::fs::read_to_string(path) {
+        Ok(stated) => stated,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return ExitCode::FAILURE;
+        }
+    };
+    let stated: Vec<&str> = stated.lines().collect();
+    let length = stated.len().max(outcomes.len());
+    for index in 0..length {
+        let expected = stated.get(index).copied();
+        let found = outcomes.get(index).map(String::as_str);
+        if expected != found {
+            eprintln!(
+                "line {}: stated {expected:?}, replayed {found:?}",
+                index + 1
+            );
+            return ExitCode::FAILURE;
+        }
+    }
+    println!("{length} outcomes as stated");
+    ExitCode::SUCCESS
+}
