--- a/crates/chicory_consensus/tests/replica_rules.rs
+++ b/crates/chicory_consensus/tests/replica_rules.rs
@@ -7,6 +7,7 @@
     PeerMessageBody, Replica, ReplicaConfig, ReplicaEffect, ReplicaEvent, RestoredState, Role,
     Snapshot, SnapshotHeader,
 };
+use chicory_types::CLOCK_RATE_MARGIN_PERCENT;
 use googletest::prelude::*;
 use proptest::prelude::{any, prop_oneof, proptest};
 use proptest::strategy::{Just, Strategy};
@@ -236,8 +237,8 @@
     expect_that!(replica.commit_index(), eq(1));
 }
 
-#[gtest]
-fn leader_commits_former_terms_only_with_its_own() {
+/// A leader of term 5 whose last entry, the third, opened the term.
+fn leader() -> Replica {
     let mut replica = replica(stored(&[1, 2], true), 1);
     let granted = PeerMessageBody::PreVoteResponse {
         term: 4,
@@ -254,17 +255,64 @@
     replica.reduce(LATER, received(member("a"), granted));
     replica.reduce(LATER, persisted(2));
     assert_that!(replica.role(), eq(Role::Leader));
+    replica
+}
+
+fn matched(index: u64) -> ReplicaEvent {
+    let response = PeerMessageBody::AppendResponse {
+        term: 5,
+        sent_at: LATER,
+        outcome: AppendOutcome::Matched { index },
+    };
+    received(member("a"), response)
+}
+
+#[gtest]
+fn leader_commits_former_terms_only_with_its_own() {
+    let mut replica = leader();
     for (index, committed) in [(2, 0), (3, 3)] {
-        let response = PeerMessageBody::AppendResponse {
-            term: 5,
-            sent_at: LATER,
-            outcome: AppendOutcome::Matched { index },
-        };
-        replica.reduce(LATER, received(member("a"), response));
+        replica.reduce(LATER, matched(index));
         expect_that!(replica.commit_index(), eq(committed));
     }
 }
 
+/// The first tenth of a millisecond at which `holds` is true.
+fn first_tenth_ms(holds: impl Fn(Duration) -> bool) -> u32 {
+    let tenths = (0..10_000).find(|tenth| holds(Duration::from_micros(100) * *tenth));
+    tenths.expect("within a second")
+}
+
+#[gtest]
+fn lease_ends_before_voters_are_free_though_clock_rates_differ() {
+    let mut leader = leader();
+    leader.reduce(LATER, matched(3));
+    expect_true!(leader.has_leader_lease(LATER));
+    let lease_end = first_tenth_ms(|after| !leader.has_leader_lease(LATER + after));
+    let heard = || {
+        let mut voter = replica(stored(&[], true), 1);
+        voter.reduce(LATER, received(member("a"), append(0, 0, vec![], 0)));
+        voter
+    };
+    let request = || PeerMessageBody::RequestVote {
+        term: 6,
+        last_index: 9,
+        last_term: 5,
+        is_transfer: false,
+    };
+    let is_free = |after| {
+        let mut voter = heard();
+        let mut effects = voter.reduce(LATER + after, received(member("a"), request()));
+        effects.extend((1..3).flat_map(|ticket| voter.reduce(LATER + after, persisted(ticket))));
+        grants_vote(&effects)
+    };
+    let free = first_tenth_ms(is_free);
+    let (fast, slow) = (
+        100 + CLOCK_RATE_MARGIN_PERCENT,
+        100 - CLOCK_RATE_MARGIN_PERCENT,
+    );
+    expect_that!(lease_end * fast, le(free * slow));
+}
+
 #[gtest]
 fn member_with_a_stuck_disk_stands_once_only() {
     let mut replica = replica(stored(&[1, 2], true), 1);
