--- a/crates/chicory_dispatch/src/renewals.rs
+++ b/crates/chicory_dispatch/src/steps/renewals.rs
@@ -1,15 +1,19 @@
 //! Renewals of the lease and what comes and goes with them.
 
+use std::time::Duration;
+
 use chicory_ownership::{
     EntryRecord, ReleasedSlots, RenewAnswer, RenewRefusal, RenewRequest, ServerCondition,
     ServerReport, SlotHeat, ViewChange, ViewUpdate,
 };
 use chicory_types::{MonoTime, ServerId, Slot, VmId};
 
-use crate::directory::ServerIndex;
-use crate::path_state::{Life, PathState};
-use crate::server_state::ServerState;
-use crate::{Effect, roles};
+use crate::Effect;
+use crate::life::Life;
+use crate::path_state::PathState;
+use crate::server::ServerState;
+use crate::steps::roles;
+use crate::view::ServerIndex;
 
 /// Sends a renewal if one is due.
 pub(crate) fn send_if_due(state: &mut PathState) {
@@ -27,7 +31,13 @@
     let released = released(state);
     state.told_announcements = state.announced.values().cloned().collect();
     state.told_resigned = untold_resignations(state);
-    let reports = state.servers.values_mut().map(report).collect();
+    let now = state.now;
+    let interval = state.config.report_interval;
+    let reports = state
+        .servers
+        .values_mut()
+        .filter_map(|server| report_if_due(now, server, interval))
+        .collect();
     RenewRequest {
         entry: EntryRecord {
             vm: state.config.vm.clone(),
@@ -49,6 +59,18 @@
     untold.map(|(id, _)| id.clone()).collect()
 }
 
+fn report_if_due(
+    now: MonoTime,
+    server: &mut ServerState,
+    interval: Duration,
+) -> Option<ServerReport> {
+    let is_down = server.is_down();
+    server
+        .reports
+        .take(now, is_down, interval)
+        .then(|| report(server))
+}
+
 fn report(server: &mut ServerState) -> ServerReport {
     let mut heat: Vec<SlotHeat> = std::mem::take(&mut server.heat)
         .into_iter()
@@ -179,6 +201,6 @@
     if has_changes {
         roles::sync(state, is_first_view);
     } else {
-        crate::sweep::pump_all(state);
+        crate::steps::sweep::pump_all(state);
     }
 }
