--- a/crates/chicory_ownership/src/zone/place_planner.rs
+++ b/crates/chicory_ownership/src/zone/place_planner.rs
@@ -209,14 +209,14 @@
         if !policy.zones.contains(state.zone()) {
             return accepting;
         }
-        for (server, entry) in state.servers() {
+        let own = state.servers().iter();
+        for (server, entry) in own.filter(|(_, entry)| entry.record.service == *service) {
             let record = &entry.record;
             let weight = weight_of(state.table(), service, policy, server);
             let is_down = self.health.is_down(server, record.incarnation);
-            if record.service != *service || record.draining || weight == 0 || is_down {
-                continue;
+            if !record.draining && weight > 0 && !is_down {
+                accepting.insert(server.clone(), f64::from(weight));
             }
-            accepting.insert(server.clone(), f64::from(weight));
         }
         accepting
     }
