Send a small relayed request or answer in one piece

Cause: a relayed answer took a write for each frame, two reads for each, a task and a channel. Ruled out: flushing in a race with the body's next part, which could lose gathered bytes.

--- a/crates/chicory_entry/src/forward.rs
+++ b/crates/chicory_entry/src/forward.rs
@@ -120,7 +120,7 @@
     let source = if has_no_body(method, status) {
         BodySource::Empty
     } else {
-        relayed_body(reader, stated_length(&headers))
+        body_source(reader, &headers)
     };
     ForwardedAnswer {
         status,
@@ -133,6 +133,17 @@
     }
 }
 
+fn body_source(mut reader: RelayReader, headers: &HeaderMap) -> BodySource {
+    let length = stated_length(headers);
+    match reader.received_body() {
+        Ok(Some(body)) if length.is_none_or(|length| length == body.len() as u64) => {
+            BodySource::Full(body)
+        }
+        // A body that isn't whole fails as it is read.
+        _ => relayed_body(reader, length),
+    }
+}
+
 fn has_no_body(method: &Method, status: StatusCode) -> bool {
     method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
 }
--- a/crates/chicory_entry/src/relay/relay_client.rs
+++ b/crates/chicory_entry/src/relay/relay_client.rs
@@ -3,14 +3,15 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use chicory_net::http::{BodySource, HttpBody};
+use bytes::Bytes;
+use chicory_net::http::{BodyError, BodySource, HttpBody};
 use chicory_net::peer::{
     FrameError, PeerEndpoint, PeerError, RelayReader, RelayStream, RelayWriter,
 };
 use chicory_types::ZoneName;
 use chicory_wire::proto::relay::{RelayAnswerHead, RelayRequestHead};
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::{Body, Frame};
 
 use crate::exchange::{Attempt, ForwardedHead};
 use crate::inbox::Inbox;
@@ -130,6 +131,21 @@
     writer.end().await
 }
 
+/// Waits for the next frame of a body; what was gathered goes out first if that takes long.
+async fn next_frame(
+    writer: &mut RelayWriter,
+    body: &mut HttpBody,
+) -> Result<Option<Result<Frame<Bytes>, BodyError>>, FrameError> {
+    tokio::select! {
+        biased;
+        frame = body.frame() => return Ok(frame),
+        // A connection hands its body over when it is polled next, most often in one piece.
+        () = tokio::task::yield_now() => {}
+    }
+    writer.flush().await?;
+    Ok(body.frame().await)
+}
+
 /// Sends a body at the pace of the other end.
 ///
 /// A body that fails is left without its end, so that the other end sees the break.
@@ -138,7 +154,7 @@
     mut body: HttpBody,
 ) -> Result<(), FrameError> {
     while !body.is_end_stream() {
-        match body.frame().await {
+        match next_frame(writer, &mut body).await? {
             None => break,
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
--- a/crates/chicory_net/src/peer/frame.rs
+++ b/crates/chicory_net/src/peer/frame.rs
@@ -1,6 +1,6 @@
 //! Frames of the protocol between processes.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use prost::Message;
 use quinn::{RecvStream, SendStream};
 use snafu::{ResultExt, ensure};
@@ -43,13 +43,37 @@
     /// Fails for a message longer than [`MAX_FRAME_BYTES`].
     pub fn encode(message: &impl Message) -> Result<Bytes, FrameError> {
         let size_bytes = message.encoded_len();
-        ensure!(size_bytes <= MAX_FRAME_BYTES, OversizedSnafu { size_bytes });
         let mut buf = BytesMut::with_capacity(FRAME_HEADER_BYTES + size_bytes);
+        Self::append(&mut buf, message)?;
+        Ok(buf.freeze())
+    }
+
+    /// Appends a message with its header to a buffer.
+    pub(crate) fn append(buf: &mut BytesMut, message: &impl Message) -> Result<(), FrameError> {
+        let size_bytes = message.encoded_len();
+        ensure!(size_bytes <= MAX_FRAME_BYTES, OversizedSnafu { size_bytes });
+        buf.reserve(FRAME_HEADER_BYTES + size_bytes);
         buf.put_u16(FRAME_MAGIC);
         buf.put_u16(FRAME_VERSION);
         buf.put_u32(u32::try_from(size_bytes).unwrap_or(u32::MAX));
-        message.encode_raw(&mut buf);
-        Ok(buf.freeze())
+        message.encode_raw(buf);
+        Ok(())
+    }
+
+    /// Takes one frame off the front of a buffer; `None` while it isn't there in whole.
+    pub(crate) fn take<M: Message + Default>(buf: &mut BytesMut) -> Result<Option<M>, FrameError> {
+        let Some(header) = buf.first_chunk::<FRAME_HEADER_BYTES>() else {
+            return Ok(None);
+        };
+        let size_bytes = Self::payload_bytes(*header)?;
+        if buf.len() < FRAME_HEADER_BYTES + size_bytes {
+            return Ok(None);
+        }
+        buf.advance(FRAME_HEADER_BYTES);
+        let payload = buf.split_to(size_bytes);
+        M::decode(payload.freeze())
+            .context(MalformedSnafu)
+            .map(Some)
     }
 
     /// Decodes a whole frame from memory.
--- a/crates/chicory_net/src/peer/peer_connection.rs
+++ b/crates/chicory_net/src/peer/peer_connection.rs
@@ -67,8 +67,9 @@
     ///
     /// Fails where the connection is lost; nothing of the request has left then.
     pub async fn open_relay(&self) -> Result<RelayStream, PeerError> {
-        let (writer, reader) = self.open_bi(StreamKind::Relay).await?;
-        Ok(RelayStream::new(writer, reader))
+        let opened = self.connection.open_bi().await;
+        let (writer, reader) = opened.map_err(PeerError::from_connection)?;
+        Ok(RelayStream::open(writer, reader))
     }
 
     /// Waits for a stream that the other end opens.
--- a/crates/chicory_net/src/peer/peer_stream.rs
+++ b/crates/chicory_net/src/peer/peer_stream.rs
@@ -29,7 +29,9 @@
             (StreamKind::Call, Some(writer)) => {
                 Ok(Self::Call(CallStream::new(writer, reader, metrics)))
             }
-            (StreamKind::Relay, Some(writer)) => Ok(Self::Relay(RelayStream::new(writer, reader))),
+            (StreamKind::Relay, Some(writer)) => {
+                Ok(Self::Relay(RelayStream::accept(writer, reader)))
+            }
             (StreamKind::Messages, None) => {
                 Ok(Self::Messages(MessageReceiver::new(reader, metrics)))
             }
--- a/crates/chicory_net/src/peer/relay_reader.rs
+++ b/crates/chicory_net/src/peer/relay_reader.rs
@@ -1,14 +1,17 @@
 //! The receiving direction of a relayed request.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chicory_wire::proto::relay::relay_frame::Frame as Part;
 use chicory_wire::proto::relay::{RelayAnswerHead, RelayFrame, RelayRequestHead};
-use quinn::RecvStream;
-use snafu::ensure;
+use quinn::{ReadExactError, RecvStream};
+use snafu::{ResultExt, ensure};
 
-use crate::peer::frame_error::{UnexpectedSnafu, WrongLengthSnafu};
+use crate::peer::frame_error::{BrokenSnafu, UnexpectedSnafu, WrongLengthSnafu};
 use crate::peer::{Frame, FrameError};
 
+/// Bytes taken from the stream at a time.
+const MAX_CHUNK_BYTES: usize = 64 * 1024;
+
 /// A part of a relayed body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyPart {
@@ -22,6 +25,7 @@
 #[derive(Debug)]
 pub struct RelayReader {
     stream: RecvStream,
+    received: BytesMut,
     body_bytes: u64,
 }
 
@@ -29,6 +33,7 @@
     pub(crate) fn new(stream: RecvStream) -> Self {
         Self {
             stream,
+            received: BytesMut::new(),
             body_bytes: 0,
         }
     }
@@ -70,7 +75,37 @@
     /// Fails where the stream breaks before the body's end, and for a body whose length isn't the
     /// stated one.
     pub async fn next_part(&mut self) -> Result<BodyPart, FrameError> {
-        match self.next().await? {
+        let part = self.next().await?;
+        self.body_part(part)
+    }
+
+    /// The whole body, where all of it has been received already; it stays to be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a body whose length isn't the stated one.
+    pub fn received_body(&mut self) -> Result<Option<Bytes>, FrameError> {
+        let body_bytes = self.body_bytes;
+        let body = self.read_ahead();
+        // What was looked at stays to be read, in case it isn't taken.
+        self.body_bytes = body_bytes;
+        body
+    }
+
+    fn read_ahead(&mut self) -> Result<Option<Bytes>, FrameError> {
+        let mut ahead = self.received.clone();
+        let mut body = BytesMut::new();
+        while let Some(RelayFrame { frame }) = Frame::take(&mut ahead)? {
+            match self.body_part(frame)? {
+                BodyPart::Chunk(bytes) => body.extend_from_slice(&bytes),
+                BodyPart::End => return Ok(Some(body.freeze())),
+            }
+        }
+        Ok(None)
+    }
+
+    fn body_part(&mut self, part: Option<Part>) -> Result<BodyPart, FrameError> {
+        match part {
             Some(Part::Chunk(chunk)) => {
                 self.body_bytes += chunk.data.len() as u64;
                 Ok(BodyPart::Chunk(chunk.data.into()))
@@ -91,7 +126,17 @@
     }
 
     async fn next(&mut self) -> Result<Option<Part>, FrameError> {
-        let frame: RelayFrame = Frame::read(&mut self.stream).await?;
-        Ok(frame.frame)
+        loop {
+            if let Some(RelayFrame { frame }) = Frame::take(&mut self.received)? {
+                return Ok(frame);
+            }
+            let chunk = self.stream.read_chunk(MAX_CHUNK_BYTES, true).await;
+            let chunk = chunk.map_err(ReadExactError::ReadError);
+            let Some(chunk) = chunk.context(BrokenSnafu)? else {
+                let missing = ReadExactError::FinishedEarly(self.received.len());
+                return Err(FrameError::Broken { source: missing });
+            };
+            self.received.extend_from_slice(&chunk.bytes);
+        }
     }
 }
--- a/crates/chicory_net/src/peer/relay_stream.rs
+++ b/crates/chicory_net/src/peer/relay_stream.rs
@@ -14,7 +14,16 @@
 }
 
 impl RelayStream {
-    pub(crate) fn new(writer: SendStream, reader: RecvStream) -> Self {
+    /// Takes a stream that this end opens; its kind goes out with the first frame.
+    pub(crate) fn open(writer: SendStream, reader: RecvStream) -> Self {
+        Self {
+            writer: RelayWriter::opening(writer),
+            reader: RelayReader::new(reader),
+        }
+    }
+
+    /// Takes a stream that the other end opened, whose kind was read.
+    pub(crate) fn accept(writer: SendStream, reader: RecvStream) -> Self {
         Self {
             writer: RelayWriter::new(writer),
             reader: RelayReader::new(reader),
--- a/crates/chicory_net/src/peer/relay_writer.rs
+++ b/crates/chicory_net/src/peer/relay_writer.rs
@@ -1,21 +1,31 @@
 //! The sending direction of a relayed request.
 
+use bytes::{BufMut, BytesMut};
 use chicory_wire::proto::relay::relay_frame::Frame as Part;
 use chicory_wire::proto::relay::{
     BodyChunk, BodyEnd, RelayAnswerHead, RelayFrame, RelayRequestHead,
 };
 use quinn::{SendStream, VarInt};
+use snafu::ResultExt;
 
-use crate::peer::{Frame, FrameError};
+use crate::peer::frame_error::WriteSnafu;
+use crate::peer::{Frame, FrameError, StreamKind};
 
 /// Error code of a stream whose sender gave up.
 const CANCELLED: VarInt = VarInt::from_u32(1);
 
+/// Bytes that are gathered before they are handed to the stream.
+const GATHERED_BYTES: usize = 16 * 1024;
+
 /// The sending direction of a relayed request; dropped before [`end`](Self::end), it resets the
 /// stream, so that the other end never takes a part for the whole.
+///
+/// Small frames are gathered: most requests and answers go out in one piece. Whoever has to wait
+/// for the next part calls [`flush`](Self::flush) first.
 #[derive(Debug)]
 pub struct RelayWriter {
     stream: SendStream,
+    gathered: BytesMut,
     body_bytes: u64,
     has_ended: bool,
 }
@@ -24,11 +34,19 @@
     pub(crate) fn new(stream: SendStream) -> Self {
         Self {
             stream,
+            gathered: BytesMut::new(),
             body_bytes: 0,
             has_ended: false,
         }
     }
 
+    /// Starts with the stream's kind.
+    pub(crate) fn opening(stream: SendStream) -> Self {
+        let mut writer = Self::new(stream);
+        writer.gathered.put_u8(StreamKind::Relay.to_byte());
+        writer
+    }
+
     /// Sends the head of the request.
     ///
     /// # Errors
@@ -65,11 +83,25 @@
     pub async fn end(&mut self) -> Result<(), FrameError> {
         let total_bytes = self.body_bytes;
         self.send(Part::End(BodyEnd { total_bytes })).await?;
+        self.flush().await?;
         self.has_ended = true;
         let _ = self.stream.finish();
         Ok(())
     }
 
+    /// Hands what was gathered to the stream; waits while the other end is slower.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the stream takes no more.
+    pub async fn flush(&mut self) -> Result<(), FrameError> {
+        if self.gathered.is_empty() {
+            return Ok(());
+        }
+        let gathered = self.gathered.split().freeze();
+        self.stream.write_chunk(gathered).await.context(WriteSnafu)
+    }
+
     /// Completes once the other end has received all, has cancelled, or is lost.
     pub fn closed(&self) -> impl Future<Output = ()> + Send + 'static + use<> {
         let stopped = self.stream.stopped();
@@ -80,7 +112,11 @@
 
     async fn send(&mut self, part: Part) -> Result<(), FrameError> {
         let frame = RelayFrame { frame: Some(part) };
-        Frame::write(&mut self.stream, &frame).await
+        Frame::append(&mut self.gathered, &frame)?;
+        if self.gathered.len() >= GATHERED_BYTES {
+            self.flush().await?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/chicory_net/tests/peer_calls.rs
+++ b/crates/chicory_net/tests/peer_calls.rs
@@ -34,6 +34,7 @@
         ..RelayRequestHead::default()
     };
     opened.writer.send_request_head(head).await.expect("sent");
+    opened.writer.flush().await.expect("sent");
     let PeerStream::Relay(mut accepted) = here.accept().await.expect("a stream") else {
         panic!("not a relay");
     };
@@ -186,6 +187,7 @@
     let mut server = peer(&authority, "vm-2");
     let (mut opened, mut accepted) = relay(&client, &mut server).await;
     opened.writer.send_chunk(vec![1; 100]).await.expect("sent");
+    opened.writer.flush().await.expect("sent");
     let part = accepted.reader.next_part().await.expect("a part");
     expect_that!(part, matches_pattern!(BodyPart::Chunk(_)));
     drop(opened);
@@ -193,6 +195,29 @@
     expect_that!(part, err(matches_pattern!(FrameError::Broken { .. })));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_body_received_in_one_piece_is_taken_as_a_whole() {
+    let authority = authority();
+    let client = peer(&authority, "vm-1");
+    let mut server = peer(&authority, "vm-2");
+    let (opened, mut accepted) = relay(&client, &mut server).await;
+    let head = RelayAnswerHead::default();
+    accepted.writer.send_answer_head(head).await.expect("sent");
+    accepted.writer.send_chunk(vec![1; 5]).await.expect("sent");
+    accepted.writer.send_chunk(vec![2; 5]).await.expect("sent");
+    accepted.writer.end().await.expect("ended");
+    let mut reader = opened.reader;
+    reader.answer_head().await.expect("a head");
+    let body = reader.received_body().expect("a sound body");
+    expect_that!(body.expect("a whole body").len(), eq(10));
+    // It was only looked at.
+    let part = reader.next_part().await.expect("a part");
+    expect_that!(part, eq(&BodyPart::Chunk(vec![1; 5].into())));
+    reader.next_part().await.expect("a part");
+    expect_that!(reader.next_part().await, ok(eq(&BodyPart::End)));
+}
+
 #[gtest]
 #[tokio::test]
 async fn the_end_of_a_relay_stream_tells_the_other_side() {
