--- a/tools/demo_runner/src/command_line.rs
+++ b/tools/demo_runner/src/command_line.rs
@@ -4,13 +4,16 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use crate::deployment::Shape;
+use crate::deployment::{KEEP_FILES_VARIABLE, Shape};
 use crate::failures::FailureCase;
 
 /// The command line of the runner.
 pub fn command_line() -> Command {
     Command::new("demo_runner")
         .about("Starts small deployments on loopback and checks their outcomes")
+        .after_help(format!(
+            "Logs and histories are kept if {KEEP_FILES_VARIABLE} is set."
+        ))
         .subcommand_required(true)
         .subcommand(
             Command::new("demo")
--- a/tools/demo_runner/src/deployment/cluster.rs
+++ b/tools/demo_runner/src/deployment/cluster.rs
@@ -23,6 +23,9 @@
 /// How long one health check may take.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Environment variable that keeps logs and histories after a run.
+pub const KEEP_FILES_VARIABLE: &str = "CHICORY_KEEP_FILES";
+
 /// All processes of a deployment; dropping it kills them.
 #[derive(Debug)]
 pub struct Cluster {
@@ -45,9 +48,7 @@
     ///
     /// [`RunnerError`] if a process doesn't start or the deployment isn't formed in time.
     pub async fn start(shape: Shape, binaries: &Path) -> Result<Self, RunnerError> {
-        let folder = TempDir::new().context(FileSnafu {
-            path: std::env::temp_dir(),
-        })?;
+        let folder = new_folder()?;
         let vms = plan(shape)?;
         let global = peer_list(vms.iter().filter(|vm| vm.is_global()));
         let mut cluster = Self {
@@ -380,6 +381,18 @@
     }
 }
 
+/// A folder that is deleted with the deployment, unless its files are to be kept.
+fn new_folder() -> Result<TempDir, RunnerError> {
+    let mut folder = TempDir::new().context(FileSnafu {
+        path: std::env::temp_dir(),
+    })?;
+    if std::env::var_os(KEEP_FILES_VARIABLE).is_some() {
+        println!("files are kept in {}", folder.path().display());
+        folder.disable_cleanup(true);
+    }
+    Ok(folder)
+}
+
 fn plan(shape: Shape) -> Result<Vec<Vm>, RunnerError> {
     let mut ports = Ports::default();
     let mut vms = Vec::new();
--- a/tools/demo_runner/src/deployment/mod.rs
+++ b/tools/demo_runner/src/deployment/mod.rs
@@ -8,7 +8,7 @@
 mod standins;
 mod vm;
 
-pub use cluster::Cluster;
+pub use cluster::{Cluster, KEEP_FILES_VARIABLE};
 pub use operator::Operator;
 pub use shape::Shape;
 pub use standins::{StandinGroup, StandinShape};
--- a/tools/demo_runner/src/failures/failure_run.rs
+++ b/tools/demo_runner/src/failures/failure_run.rs
@@ -209,5 +209,10 @@
         )
     });
     let services: Vec<String> = services.collect();
-    format!("{} runs{}", verdict.runs, services.concat())
+    format!(
+        "{} runs{}; {} refused sends of orders that had run",
+        verdict.runs,
+        services.concat(),
+        verdict.refused_sends_of_run_orders
+    )
 }
