Say that an order did not run only after its claim was looked up

Cause: a failure run had a resend of an order that had run answered not-run, since no server was up and placing comes before the claim. The caller is told of the order, not of the send: it may place it anew under another key. Ruled out: looking the claim up before every refusal, which costs the zone group a commit for each order that an overload sheds. A new test failed first: no server, and a service that the table no longer has. Conclusion: refusals of orders before the claim's answer are unknown.

--- a/crates/chicory_dispatch/src/path_state.rs
+++ b/crates/chicory_dispatch/src/path_state.rs
@@ -168,10 +168,9 @@
         reason: RefusalReason,
         pause: Option<Duration>,
     ) {
-        let outcome = request.outcome();
-        self.resolve_refused(id, request, outcome);
+        self.resolve_refused(id, request, request.outcome());
         if !request.is_caller_gone {
-            self.emit_refusal(id, outcome, reason, pause);
+            self.emit_refusal(id, request.told_outcome(), reason, pause);
         }
     }
 
--- a/crates/chicory_dispatch/src/request/request_state.rs
+++ b/crates/chicory_dispatch/src/request/request_state.rs
@@ -16,6 +16,8 @@
     pub(crate) wake_at: MonoTime,
     pub(crate) phase: Phase,
     pub(crate) claim: ClaimState,
+    /// Whether the zone group has told what became of earlier sends of the order.
+    pub(crate) is_history_known: bool,
     /// Slot and token of the owner, for keyed services.
     pub(crate) grant: Option<(Slot, FencingToken)>,
     /// Tries so far.
@@ -43,6 +45,7 @@
             wake_at: expires_at,
             phase: Phase::Placing,
             claim: ClaimState::None,
+            is_history_known: false,
             grant: None,
             tries: 0,
             breaks: 0,
@@ -54,7 +57,18 @@
         }
     }
 
-    /// What is known of the request's run when it is refused.
+    /// What the caller is told when the request is refused.
+    ///
+    /// Of an order whose claim wasn't looked up nobody here knows whether an earlier send of it
+    /// ran, so that it is never said to be not run.
+    pub(crate) fn told_outcome(&self) -> Outcome {
+        if self.demand.needs_claim && !self.is_history_known {
+            return Outcome::Unknown;
+        }
+        self.outcome()
+    }
+
+    /// What is known of the run of this send.
     pub(crate) fn outcome(&self) -> Outcome {
         if self.may_have_run || self.is_sent {
             Outcome::Unknown
--- a/crates/chicory_dispatch/src/steps/arrivals.rs
+++ b/crates/chicory_dispatch/src/steps/arrivals.rs
@@ -18,6 +18,7 @@
         return;
     }
     count(state, &head);
+    let outcome = denied_outcome(state, &head);
     match check(state, &head) {
         Ok(checked) => {
             let request = RequestState::new(head, checked.demand, checked.expires_at);
@@ -25,11 +26,23 @@
         }
         Err(Denial { reason, pause }) => {
             let pause = pause.or_else(|| state.usual_pause(reason));
-            state.emit_refusal(id, Outcome::NotRun, reason, pause);
+            state.emit_refusal(id, outcome, reason, pause);
         }
     }
 }
 
+/// What the caller is told of a request that isn't even placed: an earlier send of an order may
+/// have run.
+fn denied_outcome(state: &PathState, head: &RequestHead) -> Outcome {
+    let policy = state.directory.policy(&head.service);
+    let may_be_order = policy.is_none_or(|policy| !policy.idempotent);
+    if may_be_order && !head.is_safe_method && head.order_key.is_some() {
+        Outcome::Unknown
+    } else {
+        Outcome::NotRun
+    }
+}
+
 /// What was found of a request that may be placed.
 struct Checked {
     demand: Demand,
--- a/crates/chicory_dispatch/src/steps/orders.rs
+++ b/crates/chicory_dispatch/src/steps/orders.rs
@@ -17,9 +17,10 @@
 
 /// Decides on the answer to a claim.
 pub(crate) fn on_answered(state: &mut PathState, id: RequestId, answer: ClaimAnswer) {
-    let Some((request, index)) = take_claiming(state, id) else {
+    let Some((mut request, index)) = take_claiming(state, id) else {
         return on_late_answer(state, id, &answer);
     };
+    request.is_history_known = tells_history(&answer);
     match answer {
         ClaimAnswer::Granted => on_granted(state, id, request, index),
         ClaimAnswer::Stored(answer) => answer_stored(state, id, &request, answer),
@@ -33,6 +34,14 @@
     }
 }
 
+/// Whether the answer tells what became of earlier sends of the order.
+fn tells_history(answer: &ClaimAnswer) -> bool {
+    !matches!(
+        answer,
+        ClaimAnswer::NotCustodian | ClaimAnswer::NotLeader { .. }
+    )
+}
+
 /// Takes a claiming request out, and gives its place in the queue up.
 fn take_claiming(state: &mut PathState, id: RequestId) -> Option<(Box<RequestState>, ServerIndex)> {
     let request = state.take(id)?;
--- a/crates/chicory_dispatch/tests/request_path/orders.rs
+++ b/crates/chicory_dispatch/tests/request_path/orders.rs
@@ -99,7 +99,7 @@
 }
 
 #[gtest]
-fn order_of_a_zone_that_is_cut_off_is_told_not_run() {
+fn order_of_a_zone_that_is_cut_off_is_told_unknown() {
     let mut world = World::new(&[(LEDGER, "l1")]);
     world.change_view([custody(LEDGER, FAR_ZONE)]);
     world.arrive(order(1, "k"));
@@ -109,7 +109,7 @@
             failure: chicory_dispatch::RelayFailure::NothingSent,
         });
     }
-    let expected = (RefusalReason::ZoneUnreachable, Outcome::NotRun);
+    let expected = (RefusalReason::ZoneUnreachable, Outcome::Unknown);
     expect_that!(world.refusal(1), some(eq(expected)));
 }
 
@@ -119,7 +119,7 @@
     world.group.answers_claims = false;
     world.arrive(order(1, "k"));
     world.run_for(ms(2_000));
-    let expected = (RefusalReason::DeadlinePassed, Outcome::NotRun);
+    let expected = (RefusalReason::DeadlinePassed, Outcome::Unknown);
     expect_that!(world.refusal(1), some(eq(expected)));
     expect_that!(resolutions(&world).len(), eq(1));
     world.feed(Event::ClaimAnswered {
@@ -157,7 +157,7 @@
     world.group.answers_claims = false;
     world.arrive(order(1, "k"));
     world.feed(Event::ClaimFailed { request: 1 });
-    let expected = (RefusalReason::ClaimUnavailable, Outcome::NotRun);
+    let expected = (RefusalReason::ClaimUnavailable, Outcome::Unknown);
     expect_that!(world.refusal(1), some(eq(expected)));
     expect_that!(
         resolutions(&world),
@@ -205,3 +205,20 @@
     world.run_for(ms(3_000));
     expect_true!(world.all_ended());
 }
+
+#[gtest]
+fn order_is_told_not_run_only_after_its_claim_was_looked_up() {
+    let mut world = World::new(&[(LEDGER, "l1")]);
+    world.change_view([chicory_ownership::ViewChange::ServerRemoved(
+        "l1".to_owned(),
+    )]);
+    world.arrive(order(1, "k"));
+    world.run_for(ms(3_000));
+    let expected = (RefusalReason::NoServer, Outcome::Unknown);
+    expect_that!(world.refusal(1), some(eq(expected)));
+    let mut unknown_service = order(2, "k");
+    unknown_service.service = "removed".to_owned();
+    world.arrive(unknown_service);
+    let expected = (RefusalReason::UnknownService, Outcome::Unknown);
+    expect_that!(world.refusal(2), some(eq(expected)));
+}
