Lead a zone's entry processes only with a table

Cause: a group that was formed anew answered renewals with revision 0 until its first sync, and entry processes refused known services as unknown. Conclusion: without a table the leader answers only once the global group has said that there is none.

--- a/crates/chicory_control/src/core/mod.rs
+++ b/crates/chicory_control/src/core/mod.rs
@@ -55,6 +55,8 @@
     due_at: MonoTime,
     is_outstanding: bool,
     is_reachable: bool,
+    /// Whether this process heard of the global group since it leads its zone.
+    has_synced: bool,
     /// Members of the global group are asked in turn until the leader is known.
     leader: Option<VmId>,
     turn: usize,
--- a/crates/chicory_control/src/core/stepping.rs
+++ b/crates/chicory_control/src/core/stepping.rs
@@ -156,6 +156,7 @@
                     let seed = self.config.seed ^ term;
                     self.zone_leader = Some(ZoneLeader::new(now, config, seed));
                     self.sync.is_outstanding = false;
+                    self.sync.has_synced = false;
                     effects.push(ControlEffect::Note(ControlNote::BecameLeader {
                         group: GroupName::Zone,
                         term,
--- a/crates/chicory_control/src/core/zone_side.rs
+++ b/crates/chicory_control/src/core/zone_side.rs
@@ -35,9 +35,9 @@
         now: MonoTime,
         request: &RenewRequest,
     ) -> (RenewAnswer, Vec<ZoneCommand>) {
-        let has_authority = self.has_zone_authority(now);
+        let may_answer = self.has_zone_authority(now) && self.knows_table();
         match (&mut self.zone_leader, self.seat.group()) {
-            (Some(leader), Some(group)) if has_authority => {
+            (Some(leader), Some(group)) if may_answer => {
                 leader.on_renew(now, group.machine().state(), request)
             }
             _ => {
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Whether the absence of a table means that there is none: a group that was formed anew has
+    /// to hear of the global group first, lest entry processes forget the services they serve.
+    fn knows_table(&self) -> bool {
+        let group = self.seat.group();
+        let has_table = group.is_some_and(|group| group.machine().state().table().revision > 0);
+        has_table || self.sync.has_synced
+    }
+
     pub(super) fn answer_claim(
         &mut self,
         now: MonoTime,
@@ -152,7 +160,10 @@
                 return;
             }
             ZoneSyncAnswer::Refused(_) => return,
-            ZoneSyncAnswer::Current { .. } => self.sync.leader = Some(from.clone()),
+            ZoneSyncAnswer::Current { table, .. } => {
+                self.sync.leader = Some(from.clone());
+                self.sync.has_synced |= table.is_none();
+            }
         }
         if !self.sync.is_reachable {
             self.sync.is_reachable = true;
