--- a/crates/chicory_consensus/tests/cluster/repairs.rs
+++ b/crates/chicory_consensus/tests/cluster/repairs.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use chicory_consensus::{
-    Formation, GroupStatus, HelloStatus, MemberId, PeerMessage, PeerMessageBody, ReplicaEvent,
+    Formation, GroupStatus, HelloStatus, MemberId, MembershipChange, PeerMessage, PeerMessageBody,
+    ProposalRejection, ReplicaEffect, ReplicaEvent,
 };
 use googletest::prelude::*;
 
@@ -271,3 +272,61 @@
         cluster.check_logs();
     }
 }
+
+/// Asks for changes and returns what became of each that was not taken.
+fn rejections(
+    cluster: &mut Cluster,
+    vm: &str,
+    changes: &[MembershipChange],
+) -> Vec<ProposalRejection> {
+    let now = cluster.now;
+    let node = cluster.nodes.get_mut(vm).expect("known VM");
+    let local = node.local(now);
+    let replica = node.replica.as_mut().expect("running");
+    let events = changes
+        .iter()
+        .map(|change| ReplicaEvent::ProposeMembership {
+            proposal_id: 1,
+            change: change.clone(),
+        });
+    let effects = events.flat_map(|event| replica.reduce(local, event));
+    let rejected = effects.filter_map(|effect| match effect {
+        ReplicaEffect::Rejected { reason, .. } => Some(reason),
+        _ => None,
+    });
+    rejected.collect()
+}
+
+#[gtest]
+fn membership_changes_one_at_a_time_on_request() {
+    let mut cluster = Cluster::with_leader(3, 0, 11);
+    let leader = cluster.leader().expect("a leader");
+    let follower = cluster.follower();
+    let newcomer = MemberId::new("vm-x", 1);
+    let add = MembershipChange::AddLearner(newcomer.clone());
+    let hint = Some(MemberId::new(&leader, 1));
+    let at_follower = rejections(&mut cluster, &follower, std::slice::from_ref(&add));
+    expect_that!(
+        at_follower,
+        eq(&[ProposalRejection::NotLeader { leader: hint }])
+    );
+    let promote = MembershipChange::Promote(newcomer.clone());
+    let invalid = rejections(&mut cluster, &leader, std::slice::from_ref(&promote));
+    expect_that!(invalid, eq(&[ProposalRejection::InvalidMembershipChange]));
+    let both = rejections(&mut cluster, &leader, &[add, promote]);
+    expect_that!(both, eq(&[ProposalRejection::MembershipChangeInProgress]));
+    cluster.run_for(Duration::from_secs(1));
+    let membership = cluster.replica(&leader).membership();
+    expect_true!(membership.learners.contains(&newcomer));
+    expect_that!(membership.voters, len(eq(3)));
+}
+
+#[gtest]
+fn leader_that_is_removed_gives_way() {
+    let mut cluster = Cluster::with_leader(3, 0, 12);
+    let leader = cluster.leader().expect("a leader");
+    let remove = MembershipChange::Remove(MemberId::new(&leader, 1));
+    expect_that!(rejections(&mut cluster, &leader, &[remove]), is_empty());
+    cluster.run_until(|c| c.leader().is_some_and(|l| l != leader));
+    cluster.commit(b"x");
+}
--- a/crates/chicory_storage/benches/replicated_log.rs
+++ b/crates/chicory_storage/benches/replicated_log.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use tempfile::TempDir;
 
-const VMS: [&str; 3] = ["vm-a", "vm-b", "vm-c"];
+const VMS: [&str; 7] = ["vm-a", "vm-b", "vm-c", "vm-d", "vm-e", "vm-f", "vm-g"];
 const COMMAND_BYTES: usize = 64;
 
 /// A member's files; the folder goes when it is dropped.
@@ -41,7 +41,7 @@
     }
 }
 
-/// Three voters whose messages arrive at once.
+/// Voters whose messages arrive at once.
 struct Group {
     now: Duration,
     replicas: Vec<Replica>,
@@ -54,10 +54,11 @@
 }
 
 impl Group {
-    fn new(has_disks: bool) -> Self {
+    fn new(size: usize, has_disks: bool) -> Self {
         let now = Duration::from_secs(1);
-        let vms: Vec<String> = VMS.iter().map(|vm| (*vm).to_owned()).collect();
-        let replicas = VMS.iter().zip(1..).map(|(vm, seed)| {
+        let members = &VMS[..size];
+        let vms: Vec<String> = members.iter().map(|vm| (*vm).to_owned()).collect();
+        let replicas = members.iter().zip(1..).map(|(vm, seed)| {
             let config = ReplicaConfig::builder(MemberId::new(*vm, 1), vms.clone())
                 .formation(Formation::Unanimous)
                 .seed(seed)
@@ -67,7 +68,7 @@
         let mut group = Self {
             now,
             replicas: replicas.collect(),
-            stores: VMS
+            stores: members
                 .iter()
                 .map(|vm| has_disks.then(|| Store::new(vm)))
                 .collect(),
@@ -174,7 +175,7 @@
     for (name, has_disks) in [("in_memory", false), ("with_fsync", true)] {
         let mut bench = criterion.benchmark_group(format!("three_voters_{name}"));
         for count in [1, 100, 1_000] {
-            let mut group = Group::new(has_disks);
+            let mut group = Group::new(3, has_disks);
             bench.throughput(Throughput::Elements(count as u64));
             bench.bench_function(format!("{count}_at_once"), |b| {
                 b.iter(|| group.commit(count));
@@ -185,19 +186,21 @@
 }
 
 fn idle_group(criterion: &mut Criterion) {
-    let mut group = Group::new(false);
-    group.messages = 0;
-    group.bytes = Some(0);
-    group.advance(Duration::from_secs(100));
-    let bytes = group.bytes.take().unwrap_or(0);
-    println!(
-        "idle group of three, all members together: {} messages/s, {} bytes/s",
-        group.messages / 100,
-        bytes / 100
-    );
-    criterion.bench_function("idle_group_of_three_per_second", |b| {
-        b.iter(|| black_box(&mut group).advance(Duration::from_secs(1)));
-    });
+    for size in [3, 5, 7] {
+        let mut group = Group::new(size, false);
+        group.messages = 0;
+        group.bytes = Some(0);
+        group.advance(Duration::from_secs(100));
+        let bytes = group.bytes.take().unwrap_or(0);
+        println!(
+            "idle group of {size}, all members together: {} messages/s, {} bytes/s",
+            group.messages / 100,
+            bytes / 100
+        );
+        criterion.bench_function(&format!("idle_group_of_{size}_per_second"), |b| {
+            b.iter(|| black_box(&mut group).advance(Duration::from_secs(1)));
+        });
+    }
 }
 
 criterion_group!(benches, committed_entries, idle_group);
