Hash server names without the leader's seed

Rendezvous placement would have moved most slots at each election, since the hash of a server's name depended on the seed of the leader. Nothing else used it, so ZoneLeader::new takes no seed any more; chicory_control is changed with it.

--- a/crates/chicory_control/src/core/stepping.rs
+++ b/crates/chicory_control/src/core/stepping.rs
@@ -153,8 +153,7 @@
                 GroupEffect::Rejected { waiter, .. } => effects.extend(rejected_zone(waiter)),
                 GroupEffect::BecameLeader { term } => {
                     let config = ZoneLeaderConfig::default();
-                    let seed = self.config.seed ^ term;
-                    self.zone_leader = Some(ZoneLeader::new(now, config, seed));
+                    self.zone_leader = Some(ZoneLeader::new(now, config));
                     self.sync.is_outstanding = false;
                     effects.push(ControlEffect::Note(ControlNote::BecameLeader {
                         group: GroupName::Zone,
--- a/crates/chicory_ownership/benches/zone_plan.rs
+++ b/crates/chicory_ownership/benches/zone_plan.rs
@@ -57,7 +57,7 @@
     fn new() -> Self {
         let mut zone = Self {
             state: ZoneState::new(ZONE.to_owned(), 1),
-            leader: ZoneLeader::new(Duration::ZERO, ZoneLeaderConfig::default(), 1),
+            leader: ZoneLeader::new(Duration::ZERO, ZoneLeaderConfig::default()),
         };
         let table = Table {
             revision: 1,
--- a/crates/chicory_ownership/src/zone/place_planner.rs
+++ b/crates/chicory_ownership/src/zone/place_planner.rs
@@ -5,7 +5,7 @@
 
 use chicory_table::{ServicePolicy, Table};
 use chicory_types::{MonoTime, SLOTS_PER_SERVICE, ServerId, ServiceName, Slot, SlotRun};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::zone_leader::ZoneLeader;
 use super::zone_state::SlotHold;
@@ -169,7 +169,7 @@
         let placement_servers = accepting
             .iter()
             .map(|(server, weight)| PlacementServer {
-                name_hash: xxh3_64_with_seed(server.as_bytes(), self.seed),
+                name_hash: xxh3_64(server.as_bytes()),
                 weight: *weight,
                 warmth: self.health.warmth(now, server, self.config.cold_start_ramp),
             })
--- a/crates/chicory_ownership/src/zone/zone_leader.rs
+++ b/crates/chicory_ownership/src/zone/zone_leader.rs
@@ -45,7 +45,6 @@
 /// a time, and an answered lease rests on a view that later commands of others can't contradict.
 pub struct ZoneLeader {
     pub(super) config: ZoneLeaderConfig,
-    pub(super) seed: u64,
     pub(super) election: Option<Election>,
     pub(super) leases: LeaseBook,
     pub(super) custody: CustodyHold,
@@ -65,12 +64,11 @@
 }
 
 impl ZoneLeader {
-    /// Creates the leader at its election; `seed` breaks ties in placement.
+    /// Creates the leader at its election.
     #[must_use]
-    pub fn new(now: MonoTime, config: ZoneLeaderConfig, seed: u64) -> Self {
+    pub fn new(now: MonoTime, config: ZoneLeaderConfig) -> Self {
         Self {
             config,
-            seed,
             election: None,
             leases: LeaseBook::new(now, config.dispatcher_lease),
             custody: CustodyHold::default(),
--- a/crates/chicory_ownership/tests/claims.rs
+++ b/crates/chicory_ownership/tests/claims.rs
@@ -248,7 +248,7 @@
         run,
         generation: 1,
     });
-    let leader = ZoneLeader::new(std::time::Duration::ZERO, ZoneLeaderConfig::default(), 1);
+    let leader = ZoneLeader::new(std::time::Duration::ZERO, ZoneLeaderConfig::default());
     let request = leader.sync_request(&from.state, "vm1".to_owned());
     let Some(release) = request.releases.first().cloned() else {
         return;
--- a/crates/chicory_ownership/tests/common/world.rs
+++ b/crates/chicory_ownership/tests/common/world.rs
@@ -328,13 +328,12 @@
 
     fn run_zone(&mut self, zone: &str) {
         let clock = self.any_clock();
-        let seed = self.rng.random();
         let commit_at = self.now + self.commit_delay();
         let now = self.now;
         let group = self.zones.get_mut(zone).unwrap();
         let mut outcomes = group.apply_until(now);
         if group.leader.is_none() && now >= group.next_election {
-            outcomes.extend(group.elect(now, clock, seed));
+            outcomes.extend(group.elect(now, clock));
         }
         let local = group.clock.at(now);
         let mut sync = None;
--- a/crates/chicory_ownership/tests/common/world_groups.rs
+++ b/crates/chicory_ownership/tests/common/world_groups.rs
@@ -43,20 +43,11 @@
     }
 
     /// Elects a leader, who first applies what earlier terms left in the log.
-    pub fn elect(
-        &mut self,
-        now: Duration,
-        clock: ClockModel,
-        seed: u64,
-    ) -> Vec<(ZoneCommand, ZoneOutcome)> {
+    pub fn elect(&mut self, now: Duration, clock: ClockModel) -> Vec<(ZoneCommand, ZoneOutcome)> {
         let outcomes = self.apply_until(Duration::MAX);
         self.term += 1;
         self.clock = clock;
-        self.leader = Some(ZoneLeader::new(
-            clock.at(now),
-            ZoneLeaderConfig::default(),
-            seed,
-        ));
+        self.leader = Some(ZoneLeader::new(clock.at(now), ZoneLeaderConfig::default()));
         outcomes
     }
 
--- a/crates/chicory_ownership/tests/random_schedules.rs
+++ b/crates/chicory_ownership/tests/random_schedules.rs
@@ -231,7 +231,7 @@
     let mut formed = ZoneGroup::new(zone, group.state.group_epoch() + 1);
     formed.term = group.term;
     formed.is_cut = group.is_cut;
-    formed.elect(now, clock, 1);
+    formed.elect(now, clock);
     *group = formed;
 }
 
--- a/crates/chicory_ownership/tests/world.rs
+++ b/crates/chicory_ownership/tests/world.rs
@@ -143,7 +143,7 @@
         let term = group.term;
         *group = common::world_groups::ZoneGroup::new("a", 2);
         group.term = term;
-        group.elect(now, clock, seed);
+        group.elect(now, clock);
         world.run_for(Duration::from_secs(6));
         expect_that!(world.serving(BOARD, 0), some(anything()), "seed {seed}");
         let custody = world.zones["a"].state.own_custody(&BOARD.to_owned(), 0);
