--- /dev/null
+++ b/crates/chicory_ownership/tests/leases.rs
@@ -0,0 +1,472 @@
+//! The leaders' part in leases, one rule a test.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chicory_ownership::*;
+use chicory_table::*;
+use chicory_types::ClockRateMargin;
+use common::fixtures::*;
+use googletest::prelude::*;
+
+const SERVER: &str = "s0";
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// A zone with entry processes `vm0` and `vm1`, where `vm0` dispatches to a server of the archive
+/// that owns all slots, and a leader that was elected long ago.
+struct Zone {
+    state: ZoneState,
+    leader: ZoneLeader,
+}
+
+impl Zone {
+    fn new(table: TableContent) -> Self {
+        let mut zone = Self {
+            state: ZoneState::new("a".to_owned(), 1),
+            leader: ZoneLeader::new(secs(0), ZoneLeaderConfig::default()),
+        };
+        let table = Table {
+            revision: 1,
+            services: table.services,
+            overrides: table.overrides,
+        };
+        zone.apply(&ZoneCommand::AdoptTable { table });
+        zone.adopt_custody(1);
+        for vm in ["vm0", "vm1"] {
+            let record = entry_record(vm, 1);
+            zone.apply(&ZoneCommand::RegisterEntry { record });
+        }
+        let record = server_record(SERVER, ARCHIVE, "a", 1);
+        zone.apply(&ZoneCommand::RegisterServer { record });
+        zone.apply(&ZoneCommand::AssignDispatcher {
+            server: SERVER.to_owned(),
+            vm: "vm0".to_owned(),
+            incarnation: 1,
+        });
+        zone.apply(&ZoneCommand::AssignSlots {
+            service: ARCHIVE.to_owned(),
+            runs: vec![ALL_SLOTS],
+            server: SERVER.to_owned(),
+        });
+        zone
+    }
+
+    fn unlimited() -> Self {
+        let mut table = content(&["a"]);
+        let archive = table.services.get_mut(ARCHIVE).unwrap();
+        archive.custody_lease = CustodyLease::Unlimited;
+        Self::new(table)
+    }
+
+    fn apply(&mut self, command: &ZoneCommand) -> ZoneOutcome {
+        self.state.apply(self.state.applied() + 1, command)
+    }
+
+    fn apply_all(&mut self, commands: &[ZoneCommand]) {
+        for command in commands {
+            self.apply(command);
+        }
+    }
+
+    fn adopt_custody(&mut self, version: u64) {
+        let custody = Custody {
+            zone: "a".to_owned(),
+            generation: version,
+            cause: CustodyCause::Initial,
+            moving_to: None,
+        };
+        let update = CustodyUpdate {
+            version,
+            runs: vec![CustodyRun {
+                service: ARCHIVE.to_owned(),
+                run: ALL_SLOTS,
+                custody,
+            }],
+            handovers: Vec::new(),
+        };
+        self.apply(&ZoneCommand::AdoptCustody { update, at_ms: 0 });
+    }
+
+    fn renew(&mut self, now: Duration, request: &RenewRequest) -> (Duration, Vec<ZoneCommand>) {
+        match self.leader.on_renew(now, &self.state, request) {
+            (RenewAnswer::Granted { lease, .. }, commands) => (lease, commands),
+            (other, _) => panic!("the renewal was answered {other:?}"),
+        }
+    }
+
+    fn lease_of(&mut self, now: Duration, vm: &str) -> Duration {
+        let request = renewal(vm, 1, self.state.view_version());
+        self.renew(now, &request).0
+    }
+
+    /// The global group answers a sync sent at `sent_at`.
+    fn sync(&mut self, sent_at: Duration, custody_version: u64) {
+        let answer = ZoneSyncAnswer::Current {
+            custody_leases: [(ARCHIVE.to_owned(), CustodyLease::Limited(CUSTODY_LEASE))].into(),
+            custody_version,
+            table: None,
+            custody: None,
+            zones: Vec::new(),
+        };
+        self.leader
+            .on_sync_answer(sent_at, sent_at, &self.state, &answer);
+    }
+
+    fn release_slots(&mut self) {
+        self.apply(&ZoneCommand::ReleaseSlots {
+            service: ARCHIVE.to_owned(),
+            runs: vec![ALL_SLOTS],
+            server: SERVER.to_owned(),
+        });
+    }
+}
+
+fn is_confirmation(command: &ZoneCommand) -> bool {
+    matches!(command, ZoneCommand::ConfirmReleased { .. })
+}
+
+fn is_assignment(command: &ZoneCommand) -> bool {
+    matches!(command, ZoneCommand::AssignDispatcher { .. })
+}
+
+fn is_resignation(command: &ZoneCommand) -> bool {
+    matches!(command, ZoneCommand::ReleaseDispatcher { .. })
+}
+
+fn released() -> Vec<ReleasedSlots> {
+    vec![ReleasedSlots {
+        service: ARCHIVE.to_owned(),
+        runs: vec![ALL_SLOTS],
+        server: SERVER.to_owned(),
+    }]
+}
+
+#[gtest]
+fn a_process_whose_roles_are_being_taken_gets_no_lease() {
+    let mut zone = Zone::unlimited();
+    expect_that!(zone.lease_of(secs(1), "vm1"), eq(DISPATCHER_LEASE));
+    let commands = zone.leader.plan(secs(3), &zone.state);
+    expect_that!(commands.iter().any(is_resignation), eq(true));
+    // Its renewal overtakes the commands on their way into the log.
+    expect_that!(zone.lease_of(secs(3), "vm0"), eq(Duration::ZERO));
+    zone.apply_all(&commands);
+    zone.leader.plan(secs(3), &zone.state);
+    expect_that!(zone.lease_of(secs(3), "vm0"), eq(DISPATCHER_LEASE));
+    let server = &zone.state.servers()[SERVER];
+    expect_that!(server.dispatcher.as_ref().unwrap().vm, eq("vm1"));
+}
+
+#[gtest]
+fn a_new_leader_outwaits_leases_that_it_does_not_know() {
+    let mut zone = Zone::unlimited();
+    let end = ClockRateMargin::grantor_end(secs(0), DISPATCHER_LEASE);
+    let just_before = end.saturating_sub(Duration::from_millis(1));
+    let commands = zone.leader.plan(just_before, &zone.state);
+    expect_that!(commands.iter().any(is_resignation), eq(false));
+    let commands = zone.leader.plan(end, &zone.state);
+    expect_that!(commands.iter().any(is_resignation), eq(true));
+}
+
+#[gtest]
+fn a_later_start_waits_for_the_roles_of_an_earlier_one() {
+    let mut zone = Zone::unlimited();
+    zone.lease_of(secs(3), "vm0");
+    let later = renewal("vm0", 2, 0);
+    let (lease, commands) = zone.renew(secs(4), &later);
+    expect_that!(lease, eq(Duration::ZERO));
+    zone.apply_all(&commands);
+    let (answer, _) = zone
+        .leader
+        .on_renew(secs(4), &zone.state, &renewal("vm0", 1, 0));
+    let refused = RenewAnswer::Refused(RenewRefusal::SupersededIncarnation);
+    expect_that!(answer, eq(&refused));
+    let commands = zone.leader.plan(secs(6), &zone.state);
+    zone.apply_all(&commands);
+    expect_that!(zone.renew(secs(6), &later).0, eq(DISPATCHER_LEASE));
+}
+
+#[gtest]
+fn a_release_counts_only_from_a_view_that_shows_it() {
+    let mut zone = Zone::unlimited();
+    let before = zone.state.view_version();
+    zone.release_slots();
+    let mut request = renewal("vm0", 1, before);
+    request.released = released();
+    let (_, commands) = zone.renew(secs(3), &request);
+    expect_that!(commands.iter().any(is_confirmation), eq(false));
+    request.known_view = zone.state.view_version();
+    let (_, commands) = zone.renew(secs(3), &request);
+    expect_that!(commands.iter().any(is_confirmation), eq(true));
+    // Only its dispatcher may report a server's slots.
+    request.entry = entry_record("vm1", 1);
+    let (_, commands) = zone.renew(secs(3), &request);
+    expect_that!(commands.iter().any(is_confirmation), eq(false));
+}
+
+#[gtest]
+fn a_delayed_resignation_is_ignored() {
+    let mut zone = Zone::unlimited();
+    let since = zone.state.servers()[SERVER]
+        .dispatcher
+        .as_ref()
+        .unwrap()
+        .since;
+    let mut request = renewal("vm0", 1, since - 1);
+    request.resigned = vec![SERVER.to_owned()];
+    let (_, commands) = zone.renew(secs(3), &request);
+    expect_that!(commands.iter().any(is_resignation), eq(false));
+    request.known_view = since;
+    let (_, commands) = zone.renew(secs(3), &request);
+    expect_that!(commands.iter().any(is_resignation), eq(true));
+}
+
+#[gtest]
+fn grants_of_a_dispatcher_that_resigned_are_outwaited() {
+    let mut zone = Zone::unlimited();
+    zone.lease_of(secs(3), "vm1");
+    zone.lease_of(secs(3), "vm0");
+    let mut request = renewal("vm0", 1, zone.state.view_version());
+    request.resigned = vec![SERVER.to_owned()];
+    let (_, commands) = zone.renew(secs(3), &request);
+    zone.apply_all(&commands);
+    let commands = zone.leader.plan(secs(3), &zone.state);
+    zone.apply_all(&commands);
+    zone.release_slots();
+    let dispatcher = zone.state.servers()[SERVER].dispatcher.clone().unwrap();
+    let mut request = renewal(&dispatcher.vm, 1, zone.state.view_version());
+    request.released = released();
+    let (_, commands) = zone.renew(secs(4), &request);
+    expect_that!(commands.iter().any(is_confirmation), eq(false));
+    let commands = zone.leader.plan(secs(5), &zone.state);
+    expect_that!(commands.iter().any(is_confirmation), eq(false));
+    let commands = zone.leader.plan(secs(6), &zone.state);
+    expect_that!(commands.iter().any(is_confirmation), eq(true));
+}
+
+#[gtest]
+fn a_server_that_was_removed_gets_a_dispatcher_after_a_full_lease() {
+    let mut zone = Zone::unlimited();
+    zone.apply(&ZoneCommand::ReleaseSlots {
+        service: ARCHIVE.to_owned(),
+        runs: vec![ALL_SLOTS],
+        server: SERVER.to_owned(),
+    });
+    let token = zone
+        .state
+        .holds(&ARCHIVE.to_owned())
+        .unwrap()
+        .get(0)
+        .unwrap()
+        .token;
+    zone.apply(&ZoneCommand::ConfirmReleased {
+        service: ARCHIVE.to_owned(),
+        runs: vec![ALL_SLOTS],
+        server: SERVER.to_owned(),
+        token,
+    });
+    let mut now = secs(3);
+    while zone.state.servers().contains_key(SERVER) {
+        zone.lease_of(now, "vm0");
+        let commands = zone.leader.plan(now, &zone.state);
+        // The slots stay free, so that the server may go.
+        let kept = commands
+            .into_iter()
+            .filter(|c| !matches!(c, ZoneCommand::AssignSlots { .. }));
+        let kept: Vec<ZoneCommand> = kept.collect();
+        zone.apply_all(&kept);
+        now += secs(1);
+    }
+    let record = server_record(SERVER, ARCHIVE, "a", 1);
+    zone.apply(&ZoneCommand::RegisterServer { record });
+    let commands = zone.leader.plan(now, &zone.state);
+    expect_that!(commands.iter().any(is_assignment), eq(false));
+    zone.lease_of(now + secs(2), "vm0");
+    let commands = zone.leader.plan(now + secs(3), &zone.state);
+    expect_that!(commands.iter().any(is_assignment), eq(true));
+}
+
+#[gtest]
+fn a_dispatchers_lease_ends_before_the_custody_of_its_slots() {
+    let mut zone = Zone::new(content(&["a"]));
+    expect_that!(zone.lease_of(secs(3), "vm0"), eq(Duration::ZERO));
+    zone.sync(secs(3), 1);
+    expect_that!(zone.lease_of(secs(3), "vm0"), eq(DISPATCHER_LEASE));
+    let custody_end = ClockRateMargin::holder_end(secs(3), CUSTODY_LEASE);
+    let late = secs(8);
+    let lease = zone.lease_of(late, "vm0");
+    expect_that!(late + lease, le(custody_end));
+    expect_that!(lease, gt(Duration::ZERO));
+    // A process without slots of the service isn't held back.
+    expect_that!(zone.lease_of(late, "vm1"), eq(DISPATCHER_LEASE));
+}
+
+#[gtest]
+fn slots_are_given_up_before_their_custody_ends() {
+    let mut zone = Zone::new(content(&["a"]));
+    zone.sync(secs(3), 1);
+    let is_release = |c: &ZoneCommand| matches!(c, ZoneCommand::ReleaseSlots { .. });
+    zone.lease_of(secs(4), "vm0");
+    let commands = zone.leader.plan(secs(4), &zone.state);
+    expect_that!(commands.iter().any(is_release), eq(false));
+    zone.lease_of(secs(6), "vm0");
+    let commands = zone.leader.plan(Duration::from_millis(6_400), &zone.state);
+    expect_that!(commands.iter().any(is_release), eq(true));
+}
+
+#[gtest]
+fn a_custody_lease_counts_once_its_custody_is_in_force() {
+    let mut zone = Zone::new(content(&["a"]));
+    zone.sync(secs(3), 2);
+    expect_that!(zone.lease_of(secs(3), "vm0"), eq(Duration::ZERO));
+    zone.adopt_custody(2);
+    expect_that!(zone.lease_of(secs(3), "vm0"), eq(DISPATCHER_LEASE));
+}
+
+/// A global group with zones a and b that share the archive.
+struct Cluster {
+    state: GlobalState,
+    leader: GlobalLeader,
+}
+
+impl Cluster {
+    fn new(lease: CustodyLease) -> Self {
+        let mut cluster = Self {
+            state: GlobalState::default(),
+            leader: GlobalLeader::new(secs(0), GlobalLeaderConfig::default()),
+        };
+        cluster.edit(0, lease);
+        for now in 1..=5 {
+            cluster.sync(secs(now), "a", 1);
+            cluster.sync(secs(now), "b", 1);
+            let commands = cluster.leader.plan(secs(now), 0, &cluster.state);
+            cluster.apply_all(&commands);
+        }
+        cluster
+    }
+
+    fn edit(&mut self, base_revision: u64, lease: CustodyLease) {
+        let policy = ServicePolicy {
+            custody_lease: lease,
+            ..policy(&["a", "b"])
+        };
+        let change = TableChange::PutService {
+            service: ARCHIVE.to_owned(),
+            policy,
+        };
+        let edit = edit(&format!("e{base_revision}"), base_revision, vec![change]);
+        self.apply_all(&[GlobalCommand::EditTable { edit, at_ms: 0 }]);
+    }
+
+    fn apply_all(&mut self, commands: &[GlobalCommand]) {
+        for command in commands {
+            self.state.apply(self.state.applied() + 1, command);
+        }
+    }
+
+    fn sync(&mut self, now: Duration, zone: &str, in_force_revision: u64) -> CustodyLease {
+        let request = ZoneSyncRequest {
+            zone: zone.to_owned(),
+            group_epoch: 1,
+            leader: "vm".to_owned(),
+            in_force_revision,
+            known_custody_version: self.state.custody_version(),
+            entries: Vec::new(),
+            served: BTreeSet::from([ARCHIVE.to_owned()]),
+            releases: Vec::new(),
+        };
+        match self.leader.on_zone_sync(now, &self.state, &request) {
+            ZoneSyncAnswer::Current { custody_leases, .. } => custody_leases[ARCHIVE],
+            _ => CustodyLease::Limited(Duration::ZERO),
+        }
+    }
+
+    fn takeovers(&mut self, now: Duration) -> Vec<GlobalCommand> {
+        let commands = self.leader.plan(now, 0, &self.state);
+        let is_takeover = |c: &GlobalCommand| {
+            let lease_ended = CustodyCause::LeaseEnded;
+            matches!(c, GlobalCommand::AssignCustody { cause, .. } if *cause == lease_ended)
+        };
+        commands.into_iter().filter(is_takeover).collect()
+    }
+}
+
+#[gtest]
+fn custody_that_is_being_passed_on_is_not_renewed() {
+    let mut cluster = Cluster::new(CustodyLease::Limited(CUSTODY_LEASE));
+    expect_that!(cluster.takeovers(secs(11)), is_empty());
+    cluster.sync(secs(12), "b", 1);
+    let commands = cluster.takeovers(secs(12));
+    expect_that!(commands, not(is_empty()));
+    let none = CustodyLease::Limited(Duration::ZERO);
+    expect_that!(cluster.sync(secs(12), "a", 1), eq(none));
+    cluster.apply_all(&commands);
+    let runs = cluster.state.runs_of(&ARCHIVE.to_owned(), &"a".to_owned());
+    expect_that!(runs, is_empty());
+}
+
+#[gtest]
+fn a_new_global_leader_outwaits_custody_leases() {
+    let mut cluster = Cluster::new(CustodyLease::Limited(CUSTODY_LEASE));
+    cluster.leader = GlobalLeader::new(secs(20), GlobalLeaderConfig::default());
+    cluster.sync(secs(25), "b", 1);
+    expect_that!(cluster.takeovers(secs(26)), is_empty());
+    cluster.sync(secs(27), "b", 1);
+    expect_that!(cluster.takeovers(secs(27)), not(is_empty()));
+}
+
+#[gtest]
+fn a_change_of_the_lease_binds_a_zone_once_it_is_in_force_there() {
+    let mut cluster = Cluster::new(CustodyLease::Unlimited);
+    cluster.edit(1, CustodyLease::Limited(CUSTODY_LEASE));
+    // Zone a is cut off, with a lease without limit in force.
+    for now in 6..30 {
+        cluster.sync(secs(now), "b", 2);
+        let commands = cluster.leader.plan(secs(now), 0, &cluster.state);
+        cluster.apply_all(&commands);
+    }
+    let runs = cluster.state.runs_of(&ARCHIVE.to_owned(), &"a".to_owned());
+    expect_that!(runs, not(is_empty()));
+    cluster.sync(secs(30), "a", 2);
+    let commands = cluster.leader.plan(secs(30), 0, &cluster.state);
+    cluster.apply_all(&commands);
+    cluster.sync(secs(37), "b", 2);
+    expect_that!(cluster.takeovers(secs(37)), not(is_empty()));
+}
+
+#[gtest]
+fn a_resent_eviction_and_a_stale_group_change_nothing() {
+    let mut cluster = Cluster::new(CustodyLease::Unlimited);
+    let evict = GlobalCommand::EvictZone {
+        zone: "a".to_owned(),
+        operator: "ana".to_owned(),
+        edit_id: "x".to_owned(),
+        at_ms: 0,
+    };
+    cluster.apply_all(std::slice::from_ref(&evict));
+    let version = cluster.state.custody_version();
+    cluster.apply_all(&[
+        GlobalCommand::ReadmitZone {
+            zone: "a".to_owned(),
+        },
+        evict,
+    ]);
+    expect_that!(cluster.state.custody_version(), eq(version));
+    expect_that!(cluster.state.zones()["a"].is_evicted, eq(false));
+    let reformed = GlobalCommand::RegisterZone {
+        zone: "b".to_owned(),
+        group_epoch: 2,
+        at_ms: 0,
+    };
+    let before: BTreeMap<_, _> = cluster.state.custody().clone();
+    cluster.apply_all(&[reformed]);
+    expect_that!(cluster.state.custody(), not(eq(&before)));
+    expect_that!(
+        cluster.sync(secs(6), "b", 1),
+        eq(CustodyLease::Limited(Duration::ZERO))
+    );
+}
