Give each public type of the request path its own file

Exchanges, refusals and announcements held several types a file; the exported names are the same. A fourth flag had made the state of a request fail the lints: what is known of an order's history is an enum now.

--- a/crates/chicory_dispatch/src/lib.rs
+++ b/crates/chicory_dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! serve it, and either relays it, sends it to a backend server, or refuses it at once. Bodies
 //! never pass through the reducer: it decides on heads and on progress.
 
-mod announcement;
+mod announce;
 mod counters;
 mod effect;
 mod event;
@@ -12,18 +12,20 @@
 mod lease;
 mod life;
 mod limits;
+mod outcomes;
 mod path_state;
-mod refusal;
 mod request;
 mod request_head;
+mod request_origin;
 mod request_path;
 mod request_path_config;
+mod request_path_config_builder;
 mod resignation;
 mod server;
 mod steps;
 mod view;
 
-pub use announcement::{Announcement, AnnouncementAnswer, AnnouncementError, GrantedRun};
+pub use announce::{Announcement, AnnouncementAnswer, AnnouncementError, GrantedRun};
 pub use counters::Counters;
 pub use effect::Effect;
 pub use event::Event;
@@ -31,8 +33,10 @@
     ConnectFailure, ConnectionId, ExchangeFailure, ProbeResult, RelayFailure, RelayLoad,
     RequestIdEcho, ServerRefusal,
 };
-pub use refusal::{Outcome, Refusal, RefusalReason};
-pub use request_head::{RequestHead, RequestOrigin};
+pub use outcomes::{Outcome, Refusal, RefusalReason};
+pub use request_head::RequestHead;
+pub use request_origin::RequestOrigin;
 pub use request_path::RequestPath;
-pub use request_path_config::{RequestPathConfig, RequestPathConfigBuilder};
+pub use request_path_config::RequestPathConfig;
+pub use request_path_config_builder::RequestPathConfigBuilder;
 pub use view::{Directory, DirectoryServer, Holdings, ServerIndex, SlotState};
--- a/crates/chicory_dispatch/src/refusal.rs
+++ b/crates/chicory_dispatch/src/outcomes/refusal_reason.rs
@@ -1,18 +1,4 @@
-//! What a caller is told of a request that got no answer from a backend server.
-
-use serde::{Deserialize, Serialize};
-use std::time::Duration;
-
-/// Whether a request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Outcome {
-    /// It ran; the answer is the server's.
-    Ran,
-    /// It did not run and never will.
-    NotRun,
-    /// It may have run or may still run.
-    Unknown,
-}
+//! Why a request was refused.
 
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -70,14 +56,3 @@
     /// The process is stopping.
     Stopping,
 }
-
-/// A final refusal; it goes out at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Whether the request ran.
-    pub outcome: Outcome,
-    /// Why it was refused.
-    pub reason: RefusalReason,
-    /// When to come back; `None` where a resend can't help.
-    pub retry_after: Option<Duration>,
-}
--- a/crates/chicory_dispatch/src/request/request_state.rs
+++ b/crates/chicory_dispatch/src/request/request_state.rs
@@ -2,7 +2,7 @@
 
 use chicory_types::{FencingToken, MonoTime, Slot};
 
-use crate::request::{ClaimState, Demand, Phase};
+use crate::request::{ClaimState, Demand, OrderHistory, Phase};
 use crate::view::ServerIndex;
 use crate::{Outcome, RequestHead, RequestOrigin};
 
@@ -16,8 +16,7 @@
     pub(crate) wake_at: MonoTime,
     pub(crate) phase: Phase,
     pub(crate) claim: ClaimState,
-    /// Whether the zone group has told what became of earlier sends of the order.
-    pub(crate) is_history_known: bool,
+    pub(crate) history: OrderHistory,
     /// Slot and token of the owner, for keyed services.
     pub(crate) grant: Option<(Slot, FencingToken)>,
     /// Tries so far.
@@ -45,7 +44,7 @@
             wake_at: expires_at,
             phase: Phase::Placing,
             claim: ClaimState::None,
-            is_history_known: false,
+            history: OrderHistory::Untold,
             grant: None,
             tries: 0,
             breaks: 0,
@@ -62,7 +61,7 @@
     /// Of an order whose claim wasn't looked up nobody here knows whether an earlier send of it
     /// ran, so that it is never said to be not run.
     pub(crate) fn told_outcome(&self) -> Outcome {
-        if self.demand.needs_claim && !self.is_history_known {
+        if self.demand.needs_claim && self.history == OrderHistory::Untold {
             return Outcome::Unknown;
         }
         self.outcome()
--- a/crates/chicory_dispatch/src/request_head.rs
+++ b/crates/chicory_dispatch/src/request_head.rs
@@ -2,22 +2,10 @@
 
 use std::time::Duration;
 
-use chicory_types::{OrderKey, RequestId, ServiceName, ZoneName};
+use chicory_types::{OrderKey, RequestId, ServiceName};
 use serde::{Deserialize, Serialize};
 
-/// Where a request came from.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RequestOrigin {
-    /// From a caller.
-    Caller,
-    /// From another entry process.
-    Relay {
-        /// Relays so far, this one included.
-        hops: u8,
-        /// Availability zone of the process that relayed it.
-        from_zone: ZoneName,
-    },
-}
+use crate::RequestOrigin;
 
 /// What the reducer knows of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_dispatch/src/request_path_config.rs
+++ b/crates/chicory_dispatch/src/request_path_config.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use chicory_types::{Incarnation, VmId, ZoneName};
+
+use crate::RequestPathConfigBuilder;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a [`RequestPath`](crate::RequestPath).
@@ -71,114 +73,30 @@
 impl RequestPathConfig {
     /// Starts a builder with the default settings.
     pub fn builder(vm: impl Into<VmId>, zone: impl Into<ZoneName>) -> RequestPathConfigBuilder {
-        RequestPathConfigBuilder {
-            config: Self {
-                vm: vm.into(),
-                incarnation: 1,
-                zone: zone.into(),
-                peer_address: String::new(),
-                announce_address: String::new(),
-                renew_interval: Duration::from_millis(400),
-                server_lease: Duration::from_millis(2_200),
-                progress_timeout: Duration::from_millis(600),
-                stall_timeout: Duration::from_secs(5),
-                retry_share: 0.1,
-                max_tries: 3,
-                max_hops: 2,
-                max_requests: 20_000,
-                idle_cap: Duration::from_secs(30),
-                age_cap: Duration::from_mins(5),
-                connect_rate_per_s: 200,
-                ramp: Duration::from_secs(5),
-                eject_after_failures: 5,
-                ejection: Duration::from_secs(5),
-                report_interval: Duration::from_secs(5),
-                drain_grace: Duration::from_millis(1_500),
-                stop_grace: Duration::from_secs(3),
-                seed: 0,
-            },
-        }
-    }
-}
-
-/// Builds a [`RequestPathConfig`].
-#[derive(Clone, Debug)]
-pub struct RequestPathConfigBuilder {
-    config: RequestPathConfig,
-}
-
-macro_rules! setters {
-    ($($(#[$doc:meta])* $name:ident: $type:ty,)*) => {
-        $(
-            $(#[$doc])*
-            #[must_use]
-            pub fn $name(mut self, $name: $type) -> Self {
-                self.config.$name = $name;
-                self
-            }
-        )*
-    };
-}
-
-impl RequestPathConfigBuilder {
-    /// Sets the host and port for relays from other entry processes.
-    #[must_use]
-    pub fn peer_address(mut self, address: impl Into<String>) -> Self {
-        self.config.peer_address = address.into();
-        self
-    }
-
-    /// Sets the host and port for announcements of backend servers.
-    #[must_use]
-    pub fn announce_address(mut self, address: impl Into<String>) -> Self {
-        self.config.announce_address = address.into();
-        self
-    }
-
-    setters! {
-        /// Sets the start of the process.
-        incarnation: Incarnation,
-        /// Sets the time between renewals of the lease.
-        renew_interval: Duration,
-        /// Sets the longest lease granted to a backend server.
-        server_lease: Duration,
-        /// Sets the silence after which a server is probed.
-        progress_timeout: Duration,
-        /// Sets the silence within an answer after which it is broken off.
-        stall_timeout: Duration,
-        /// Sets the retries as a share of fresh requests.
-        retry_share: f64,
-        /// Sets the most tries of one request.
-        max_tries: u32,
-        /// Sets the relays that one request may take.
-        max_hops: u8,
-        /// Sets the requests open at a time.
-        max_requests: usize,
-        /// Sets the idle time after which a connection is closed.
-        idle_cap: Duration,
-        /// Sets the age after which a connection takes no further request.
-        age_cap: Duration,
-        /// Sets the new connections per second.
-        connect_rate_per_s: u32,
-        /// Sets the span of the cold-start ramp.
-        ramp: Duration,
-        /// Sets the consecutive failures after which a server is ejected.
-        eject_after_failures: u32,
-        /// Sets how long an ejected server gets no request by choice.
-        ejection: Duration,
-        /// Sets the time between two reports on a server that is up.
-        report_interval: Duration,
-        /// Sets the time from a server's wish to drain until it gets no request.
-        drain_grace: Duration,
-        /// Sets the longest wait of a stopping process for its roles to be taken over.
-        stop_grace: Duration,
-        /// Sets the seed of all random choices.
-        seed: u64,
-    }
-
-    /// Ends the building.
-    #[must_use]
-    pub fn build(self) -> RequestPathConfig {
-        self.config
+        RequestPathConfigBuilder::new(Self {
+            vm: vm.into(),
+            incarnation: 1,
+            zone: zone.into(),
+            peer_address: String::new(),
+            announce_address: String::new(),
+            renew_interval: Duration::from_millis(400),
+            server_lease: Duration::from_millis(2_200),
+            progress_timeout: Duration::from_millis(600),
+            stall_timeout: Duration::from_secs(5),
+            retry_share: 0.1,
+            max_tries: 3,
+            max_hops: 2,
+            max_requests: 20_000,
+            idle_cap: Duration::from_secs(30),
+            age_cap: Duration::from_mins(5),
+            connect_rate_per_s: 200,
+            ramp: Duration::from_secs(5),
+            eject_after_failures: 5,
+            ejection: Duration::from_secs(5),
+            report_interval: Duration::from_secs(5),
+            drain_grace: Duration::from_millis(1_500),
+            stop_grace: Duration::from_secs(3),
+            seed: 0,
+        })
     }
 }
--- a/crates/chicory_dispatch/src/steps/orders.rs
+++ b/crates/chicory_dispatch/src/steps/orders.rs
@@ -6,7 +6,7 @@
 use chicory_types::{OrderKey, RequestId, ServiceName, VmId};
 
 use crate::path_state::PathState;
-use crate::request::{ClaimState, Phase, RequestState};
+use crate::request::{ClaimState, OrderHistory, Phase, RequestState};
 use crate::server::ServerState;
 use crate::steps::placing::{enter_queue, place, send_claim};
 use crate::view::ServerIndex;
@@ -20,7 +20,7 @@
     let Some((mut request, index)) = take_claiming(state, id) else {
         return on_late_answer(state, id, &answer);
     };
-    request.is_history_known = tells_history(&answer);
+    request.history = history_of(&answer);
     match answer {
         ClaimAnswer::Granted => on_granted(state, id, request, index),
         ClaimAnswer::Stored(answer) => answer_stored(state, id, &request, answer),
@@ -35,11 +35,11 @@
 }
 
 /// Whether the answer tells what became of earlier sends of the order.
-fn tells_history(answer: &ClaimAnswer) -> bool {
-    !matches!(
-        answer,
-        ClaimAnswer::NotCustodian | ClaimAnswer::NotLeader { .. }
-    )
+fn history_of(answer: &ClaimAnswer) -> OrderHistory {
+    match answer {
+        ClaimAnswer::NotCustodian | ClaimAnswer::NotLeader { .. } => OrderHistory::Untold,
+        _ => OrderHistory::Told,
+    }
 }
 
 /// Takes a claiming request out, and gives its place in the queue up.
