Serve on for a while after readiness went off

Cause: on SIGTERM under load (trial, release, 20 callers on open connections) 8 requests were told unknown although the loop had ended before it saw them, and 9 met a connection that closed. Ruled out: closing connections at once, which idle callers can't tell from a crash.

--- a/crates/chicory_entry/src/answer.rs
+++ b/crates/chicory_entry/src/answer.rs
@@ -2,12 +2,19 @@
 
 use std::time::Duration;
 
-use chicory_dispatch::{Outcome, Refusal, RelayLoad};
+use chicory_dispatch::{Outcome, Refusal, RefusalReason, RelayLoad};
 use chicory_net::http::HttpBody;
 use chicory_ownership::StoredAnswer;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 
+/// The refusal of a request that comes in after the process has finished its work.
+pub(crate) const REFUSED_STOPPING: Refusal = Refusal {
+    outcome: Outcome::NotRun,
+    reason: RefusalReason::Stopping,
+    retry_after: Some(Duration::ZERO),
+};
+
 /// What a request is answered.
 #[derive(Debug)]
 pub(crate) enum Answer {
--- a/crates/chicory_entry/src/caller/caller_handler.rs
+++ b/crates/chicory_entry/src/caller/caller_handler.rs
@@ -3,19 +3,21 @@
 use std::sync::Arc;
 
 use chicory_dispatch::{Event, Outcome, Refusal, RefusalReason, RequestHead, RequestOrigin};
+use chicory_net::admin::Readiness;
 use chicory_net::http::{AnswerFuture, HttpBody, HttpHandler};
 use chicory_types::{RequestId, fingerprint_of};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use tokio::sync::oneshot;
 
+use crate::answer::REFUSED_STOPPING;
 use crate::caller::CallerHead;
 use crate::caller::answer_response::{fault_response, refusal_response, response_of};
 use crate::caller::headers::{strip_hop_by_hop, strip_internal};
 use crate::exchange::{Exchange, ForwardedHead};
 use crate::inbox::Inbox;
-use crate::input::Input;
 use crate::request_body::RequestBody;
 use crate::request_ids::RequestIds;
 
@@ -25,6 +27,7 @@
     pub(crate) inbox: Inbox,
     pub(crate) ids: Arc<RequestIds>,
     pub(crate) max_buffered_bytes: usize,
+    pub(crate) readiness: Readiness,
 }
 
 impl HttpHandler for CallerHandler {
@@ -35,6 +38,17 @@
 
 impl CallerHandler {
     async fn answer(self, request: Request<Incoming>) -> Response<HttpBody> {
+        let readiness = self.readiness.clone();
+        let mut response = self.answer_open(request).await;
+        if readiness.is_stopping() {
+            // The caller's next request goes over a new connection, to a process that stays.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn answer_open(self, request: Request<Incoming>) -> Response<HttpBody> {
         let (parts, body) = request.into_parts();
         let head = match CallerHead::parse(&parts) {
             Ok(head) => head,
@@ -59,13 +73,15 @@
         };
         let (sender, receiver) = oneshot::channel();
         let exchange = Exchange::new(forwarded, body, sender);
-        self.inbox.send(Input::Arrived(Box::new((event, exchange))));
+        if !self.inbox.arrive(event, exchange) {
+            return refusal_response(&REFUSED_STOPPING);
+        }
         let mut guard = LeaveGuard::new(request, self.inbox);
         let answer = receiver.await;
         guard.disarm();
         match answer {
             Ok(answer) => response_of(answer),
-            Err(_) => refusal_response(&REFUSED_STOPPED),
+            Err(_) => refusal_response(&REFUSED_DROPPED),
         }
     }
 }
@@ -78,7 +94,7 @@
 };
 
 /// The refusal of a request that the loop has dropped without a word.
-const REFUSED_STOPPED: Refusal = Refusal {
+const REFUSED_DROPPED: Refusal = Refusal {
     outcome: Outcome::Unknown,
     reason: RefusalReason::Stopping,
     retry_after: None,
--- a/crates/chicory_entry/src/command.rs
+++ b/crates/chicory_entry/src/command.rs
@@ -92,6 +92,12 @@
                 "Retries as a share of fresh requests, per service",
             )
             .default_value("10"),
+            setting(
+                "stop-delay-ms",
+                "MS",
+                "How long a stopping process serves on after its readiness went off",
+            )
+            .default_value("500"),
             check_flag(),
         ])
 }
--- a/crates/chicory_entry/src/core_loop.rs
+++ b/crates/chicory_entry/src/core_loop.rs
@@ -23,6 +23,7 @@
 use tokio::sync::oneshot;
 
 use crate::admin::publish;
+use crate::answer::{Answer, REFUSED_STOPPING};
 use crate::exchange::{Attempt, Exchange};
 use crate::inbox::Inbox;
 use crate::input::{AnnounceReply, Input};
@@ -92,11 +93,14 @@
             for input in batch.drain(..) {
                 if flow.is_continue() {
                     flow = self.take(input);
+                } else {
+                    refuse_if_arrived(input);
                 }
             }
             self.publish_if_due();
             if flow.is_break() {
                 info!(self.parts.logger, "nothing is in flight, stopping");
+                refuse_waiting(inputs);
                 return;
             }
         }
@@ -297,6 +301,22 @@
     }
 }
 
+/// Refuses the requests that the reducer has not seen any more.
+fn refuse_waiting(mut inputs: UnboundedReceiver<Input>) {
+    inputs.close();
+    while let Ok(input) = inputs.try_recv() {
+        refuse_if_arrived(input);
+    }
+}
+
+fn refuse_if_arrived(input: Input) {
+    if let Input::Arrived(mut arrived) = input
+        && let Some(answer) = arrived.1.answer.take()
+    {
+        let _ = answer.send(Answer::Refused(REFUSED_STOPPING));
+    }
+}
+
 /// The exchange of an attempt, unless another attempt has begun since.
 fn current(
     exchanges: &mut BTreeMap<RequestId, Exchange>,
--- a/crates/chicory_entry/src/entry_process.rs
+++ b/crates/chicory_entry/src/entry_process.rs
@@ -58,6 +58,8 @@
 pub struct EntryProcess {
     addresses: EntryAddresses,
     inbox: Inbox,
+    readiness: Readiness,
+    stop_delay: Duration,
     core: JoinHandle<()>,
     listeners: Vec<JoinHandle<()>>,
     peers: PeerEndpoint,
@@ -116,6 +118,8 @@
         Ok(Self {
             addresses,
             inbox,
+            readiness: starting.readiness.clone(),
+            stop_delay: starting.settings.stop_delay,
             core,
             listeners,
             peers,
@@ -131,8 +135,17 @@
     }
 
     /// Asks the process to stop; no request in flight is cut off.
+    ///
+    /// Readiness goes off at once. Requests are served on for the stop delay, each answer closing
+    /// its connection, so that the balancer and callers with open connections go elsewhere.
     pub fn request_stop(&self) {
-        self.inbox.send_event(Event::StopRequested);
+        self.readiness.begin_stop();
+        let inbox = self.inbox.clone();
+        let delay = self.stop_delay;
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            inbox.send_event(Event::StopRequested);
+        });
     }
 
     /// Waits until the process has stopped.
@@ -251,6 +264,7 @@
             inbox: self.inbox.clone(),
             ids: self.ids.clone(),
             max_buffered_bytes: self.settings.max_buffered_bytes,
+            readiness: self.readiness.clone(),
         };
         let announce_handler = AnnounceHandler {
             inbox: self.inbox.clone(),
--- a/crates/chicory_entry/src/inbox.rs
+++ b/crates/chicory_entry/src/inbox.rs
@@ -1,8 +1,9 @@
 //! The way from the tasks of the process to its loop.
 
-use chicory_dispatch::Event;
+use chicory_dispatch::{Event, RequestHead};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
+use crate::exchange::Exchange;
 use crate::input::Input;
 
 /// The way from the tasks of the process to its loop.
@@ -24,6 +25,14 @@
         let _ = self.sender.send(input);
     }
 
+    /// Hands a request to the loop, which answers it in any case; `false` after the loop's end,
+    /// when the request surely won't run.
+    #[must_use]
+    pub(crate) fn arrive(&self, head: RequestHead, exchange: Exchange) -> bool {
+        let arrived = Input::Arrived(Box::new((head, exchange)));
+        self.sender.send(arrived).is_ok()
+    }
+
     pub(crate) fn send_event(&self, event: Event) {
         self.send(Input::Event(event));
     }
--- a/crates/chicory_entry/src/relay/relay_server.rs
+++ b/crates/chicory_entry/src/relay/relay_server.rs
@@ -11,11 +11,10 @@
 use hyper::Method;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::answer::Answer;
+use crate::answer::{Answer, REFUSED_STOPPING};
 use crate::caller::{CHICORY_OUTCOME, CHICORY_REASON, CHICORY_RETRY_AFTER_MS, response_of};
 use crate::exchange::{Exchange, ForwardedHead};
 use crate::inbox::Inbox;
-use crate::input::Input;
 use crate::relay::relay_client::send_body;
 use crate::relay::relay_headers::outcome_to_wire;
 use crate::relay::{from_wire, relayed_body, to_wire};
@@ -57,7 +56,12 @@
         let Some((event, exchange)) = arrived(request, head, body, sender) else {
             return;
         };
-        self.inbox.send(Input::Arrived(Box::new((event, exchange))));
+        if !self.inbox.arrive(event, exchange) {
+            let refused = Answer::Refused(REFUSED_STOPPING);
+            let _ = send_answer(&mut writer, echoed, refused).await;
+            let _ = tokio::time::timeout(LAST_RECEIPT_TIMEOUT, writer.closed()).await;
+            return;
+        }
         let answer = tokio::select! {
             answer = receiver => answer,
             () = writer.closed() => {
--- a/crates/chicory_entry/src/settings.rs
+++ b/crates/chicory_entry/src/settings.rs
@@ -51,6 +51,8 @@
     pub renew_interval: Duration,
     /// Retries as a share of fresh requests, in percent.
     pub retry_percent: u32,
+    /// How long a stopping process serves on after its readiness went off.
+    pub stop_delay: Duration,
 }
 
 impl EntrySettings {
@@ -90,6 +92,7 @@
             server_lease: reader.millis("server-lease-ms", 200..=60_000),
             renew_interval: reader.millis("renew-interval-ms", 50..=10_000),
             retry_percent: reader.count("retry-percent", 0..=100),
+            stop_delay: reader.millis("stop-delay-ms", 0..=60_000),
         };
         reader.finish(settings)
     }
--- a/crates/chicory_entry/tests/entry_process/requests.rs
+++ b/crates/chicory_entry/tests/entry_process/requests.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crate::support::fake_zone::policy;
-use crate::support::{FakeServer, World, get, get_until_ok, send, try_send};
-use chicory_net::http::HttpBody;
+use crate::support::{FakeServer, LONG, World, get, get_until_ok, send, try_send};
+use chicory_net::http::{HttpBody, SendError, ServerLink};
 use googletest::prelude::*;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -280,3 +280,48 @@
     expect_that!(answer.body.len(), eq(200_000));
     expect_that!(*seen.lock().expect("seen"), some(anything()));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_stop_under_load_leaves_no_answer_open() {
+    let world = World::new();
+    let server = FakeServer::start(echo).await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let _dispatcher = world.entry("vm-1").await;
+    let mut settings = world.settings("vm-2");
+    settings.stop_delay = Duration::from_millis(300);
+    let entry = world.entry_with(settings).await;
+    let to = entry.addresses().callers;
+    get_until_ok(to, "/archive/k").await;
+    // Callers that keep their connection for as long as they are let.
+    let callers: Vec<_> = (0..8)
+        .map(|_| tokio::spawn(call_until_closed(to)))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    entry.request_stop();
+    entry.stopped().await;
+    for caller in callers {
+        expect_that!(caller.await, ok(ok(gt(&0))));
+    }
+}
+
+/// Calls over one connection until an answer says that it closes; counts the calls.
+async fn call_until_closed(to: std::net::SocketAddr) -> std::result::Result<u32, SendError> {
+    let link = ServerLink::open(&to.to_string(), LONG, || ()).await;
+    let mut link = link.expect("connected");
+    let mut calls = 0;
+    loop {
+        let request = Request::get("/archive/k").header("host", "test");
+        let request = request.body(HttpBody::empty()).expect("a request");
+        let response = link.send(request).await?;
+        let closes = response.headers().contains_key("connection");
+        let body = response.into_body().collect().await;
+        expect_that!(body, ok(anything()));
+        calls += 1;
+        if closes {
+            return Ok(calls);
+        }
+        link.ready().await;
+    }
+}
--- a/crates/chicory_entry/tests/entry_process/support/mod.rs
+++ b/crates/chicory_entry/tests/entry_process/support/mod.rs
@@ -93,6 +93,7 @@
             server_lease: Duration::from_secs(2),
             renew_interval: Duration::from_millis(50),
             retry_percent: 10,
+            stop_delay: Duration::from_millis(100),
         }
     }
 
--- a/crates/chicory_net/src/admin/readiness.rs
+++ b/crates/chicory_net/src/admin/readiness.rs
@@ -7,6 +7,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Readiness {
     is_ready: Arc<AtomicBool>,
+    is_stopping: Arc<AtomicBool>,
 }
 
 impl Readiness {
@@ -18,6 +19,17 @@
     /// The answer.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed)
+        self.is_ready.load(Ordering::Relaxed) && !self.is_stopping()
+    }
+
+    /// Turns readiness off for good, while requests are still served.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether readiness is off for good.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
     }
 }
