--- a/crates/chicory_ownership/src/placement/greedy_placement.rs
+++ b/crates/chicory_ownership/src/placement/greedy_placement.rs
@@ -18,6 +18,8 @@
 pub const CHURN_BURST_SLOTS: u32 = 120;
 /// Load of a slot, in percent of a server's mean, from which it moves for fine balance.
 const HOT_SLOT_PERCENT: f64 = 0.5;
+/// Load of a slot, in percent of a server's mean, from which it gets a server apart from others.
+const ISOLATION_PERCENT: f64 = 60.0;
 /// Load of a server, in percent of the mean, below which cold slots move to it.
 const UNDERLOAD_PERCENT: u32 = 75;
 /// Rounds in a row that must find the load uneven before slots move.
@@ -144,7 +146,7 @@
                 let input = self.input;
                 self.slots[index].sort_by(|a, b| input.load_of(*a).total_cmp(&input.load_of(*b)));
             }
-            let Some(slot) = self.take_fitting(from, to, stop) else {
+            let Some(slot) = self.take_fitting(from, to, stop, mean) else {
                 break;
             };
             if !self.is_worth_it(from, to, slot, mean) {
@@ -169,12 +171,27 @@
             || percent_of_mean(self.queue.warm_load_with(to, 0.0)) < f64::from(UNDERLOAD_PERCENT)
     }
 
-    /// Takes the hottest slot that lifts `to` neither above the limit nor above `from`.
-    fn take_fitting(&mut self, from: u16, to: u16, stop: f64) -> Option<Slot> {
+    /// Takes a second hot slot from its server, or else the hottest slot that lifts `to` neither
+    /// above the limit nor above `from`.
+    fn take_fitting(&mut self, from: u16, to: u16, stop: f64, mean: f64) -> Option<Slot> {
+        if let Some(slot) = self.take_second_hot(from, to, mean) {
+            return Some(slot);
+        }
         let limit = stop.min(self.queue.load(from));
         let slots = &mut self.slots[usize::from(from)];
         let fits = |slot: &Slot| self.queue.warm_load_with(to, self.input.load_of(*slot)) < limit;
         let end = slots.partition_point(fits);
         (end > 0).then(|| slots.remove(end - 1))
     }
+
+    /// Two very hot slots part even where the other server is then above the limit: it can shed
+    /// its cold slots, they can't shed each other.
+    fn take_second_hot(&mut self, from: u16, to: u16, mean: f64) -> Option<Slot> {
+        let slots = &mut self.slots[usize::from(from)];
+        let second = slots.len().checked_sub(2)?;
+        let load = self.input.load_of(slots[second]);
+        let is_very_hot = self.queue.share_of(from, load) * 100.0 >= mean * ISOLATION_PERCENT;
+        let is_better = self.queue.warm_load_with(to, load) < self.queue.load(from);
+        (is_very_hot && is_better).then(|| slots.remove(second))
+    }
 }
