--- a/crates/chicory_control/src/core/stepping.rs
+++ b/crates/chicory_control/src/core/stepping.rs
@@ -155,6 +155,7 @@
                     let config = ZoneLeaderConfig::default();
                     self.zone_leader = Some(ZoneLeader::new(now, config));
                     self.sync.is_outstanding = false;
+                    self.sync.has_synced = false;
                     effects.push(ControlEffect::Note(ControlNote::BecameLeader {
                         group: GroupName::Zone,
                         term,
--- a/crates/chicory_dispatch/src/request/request_state.rs
+++ b/crates/chicory_dispatch/src/request/request_state.rs
@@ -2,7 +2,7 @@
 
 use chicory_types::{FencingToken, MonoTime, Slot};
 
-use crate::request::{ClaimState, Demand, Phase};
+use crate::request::{ClaimState, Demand, OrderHistory, Phase};
 use crate::view::ServerIndex;
 use crate::{Outcome, RequestHead, RequestOrigin};
 
@@ -16,6 +16,7 @@
     pub(crate) wake_at: MonoTime,
     pub(crate) phase: Phase,
     pub(crate) claim: ClaimState,
+    pub(crate) history: OrderHistory,
     /// Slot and token of the owner, for keyed services.
     pub(crate) grant: Option<(Slot, FencingToken)>,
     /// Tries so far.
@@ -43,6 +44,7 @@
             wake_at: expires_at,
             phase: Phase::Placing,
             claim: ClaimState::None,
+            history: OrderHistory::Untold,
             grant: None,
             tries: 0,
             breaks: 0,
@@ -54,7 +56,18 @@
         }
     }
 
-    /// What is known of the request's run when it is refused.
+    /// What the caller is told when the request is refused.
+    ///
+    /// Of an order whose claim wasn't looked up nobody here knows whether an earlier send of it
+    /// ran, so that it is never said to be not run.
+    pub(crate) fn told_outcome(&self) -> Outcome {
+        if self.demand.needs_claim && self.history == OrderHistory::Untold {
+            return Outcome::Unknown;
+        }
+        self.outcome()
+    }
+
+    /// What is known of the run of this send.
     pub(crate) fn outcome(&self) -> Outcome {
         if self.may_have_run || self.is_sent {
             Outcome::Unknown
--- a/crates/chicory_entry/src/core_loop.rs
+++ b/crates/chicory_entry/src/core_loop.rs
@@ -13,6 +13,7 @@
 use chicory_net::http::SendError;
 use chicory_net::peer::{PeerEndpoint, RelayReader};
 use chicory_telemetry::Metrics;
+use chicory_trace::EventTrace;
 use chicory_types::{Clock, MonoTime, RequestId, ZoneName};
 use chicory_wire::proto::relay::RelayAnswerHead;
 use hyper::Response;
@@ -22,6 +23,7 @@
 use tokio::sync::oneshot;
 
 use crate::admin::publish;
+use crate::answer::{Answer, REFUSED_STOPPING};
 use crate::exchange::{Attempt, Exchange};
 use crate::inbox::Inbox;
 use crate::input::{AnnounceReply, Input};
@@ -29,7 +31,6 @@
 use crate::server::{echo_of, has_stated_length, refusal_of};
 use crate::server_link_entry::ServerLinkEntry;
 use crate::started_answer::StartedAnswer;
-use crate::trace::EventTrace;
 use crate::zone::ZoneClient;
 
 /// Inputs taken before the clock is read again.
@@ -46,7 +47,7 @@
     pub(crate) zone: Arc<ZoneClient>,
     pub(crate) peers: PeerEndpoint,
     pub(crate) readiness: Readiness,
-    pub(crate) trace: Box<dyn EventTrace>,
+    pub(crate) trace: Box<dyn EventTrace<Event> + Send>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) logger: Logger,
     /// Held by tasks that must end before the process does.
@@ -92,11 +93,14 @@
             for input in batch.drain(..) {
                 if flow.is_continue() {
                     flow = self.take(input);
+                } else {
+                    refuse_if_arrived(input);
                 }
             }
             self.publish_if_due();
             if flow.is_break() {
                 info!(self.parts.logger, "nothing is in flight, stopping");
+                refuse_waiting(inputs);
                 return;
             }
         }
@@ -297,6 +301,22 @@
     }
 }
 
+/// Refuses the requests that the reducer has not seen any more.
+fn refuse_waiting(mut inputs: UnboundedReceiver<Input>) {
+    inputs.close();
+    while let Ok(input) = inputs.try_recv() {
+        refuse_if_arrived(input);
+    }
+}
+
+fn refuse_if_arrived(input: Input) {
+    if let Input::Arrived(mut arrived) = input
+        && let Some(answer) = arrived.1.answer.take()
+    {
+        let _ = answer.send(Answer::Refused(REFUSED_STOPPING));
+    }
+}
+
 /// The exchange of an attempt, unless another attempt has begun since.
 fn current(
     exchanges: &mut BTreeMap<RequestId, Exchange>,
