Test that a group formed anew outwaits its predecessor

Taking the wait out went unnoticed in the model, where former dispatchers learn of the new group within one renewal; the rule matters for those that are paused.

--- a/crates/chicory_ownership/tests/leases.rs
+++ b/crates/chicory_ownership/tests/leases.rs
@@ -470,3 +470,30 @@
         eq(CustodyLease::Limited(Duration::ZERO))
     );
 }
+
+/// What a leader elected at 0 s proposes at `now` in a group without any history.
+fn first_plan(group_epoch: u64, now: Duration) -> Vec<ZoneCommand> {
+    let mut zone = Zone::unlimited();
+    let table = zone.state.table().clone();
+    zone.state = ZoneState::new("a".to_owned(), group_epoch);
+    zone.apply(&ZoneCommand::AdoptTable { table });
+    zone.adopt_custody(1);
+    let record = server_record(SERVER, ARCHIVE, "a", 1);
+    zone.apply(&ZoneCommand::RegisterServer { record });
+    let (_, commands) = zone.renew(now, &renewal("vm0", 1, 0));
+    zone.apply_all(&commands);
+    zone.leader.plan(now, &zone.state)
+}
+
+#[gtest]
+fn a_group_formed_anew_grants_nothing_until_former_leases_are_over() {
+    let grants = |commands: &[ZoneCommand]| {
+        let is_grant =
+            |c: &&ZoneCommand| is_assignment(c) || matches!(c, ZoneCommand::AssignSlots { .. });
+        commands.iter().filter(is_grant).count()
+    };
+    expect_that!(grants(&first_plan(2, secs(2))), eq(0));
+    expect_that!(grants(&first_plan(2, secs(3))), eq(2));
+    // The first group of all has no predecessor.
+    expect_that!(grants(&first_plan(1, secs(1))), eq(2));
+}
