Close the listener for callers before the loop is asked to stop

Cause: callers in a closed loop kept requests open at all times, so that a stopping process never came to its end: seen with 8 callers on open connections, still served after 2 s. The listeners for announcements and admin pages stay until the loop has ended.

--- a/crates/chicory_entry/src/entry_process.rs
+++ b/crates/chicory_entry/src/entry_process.rs
@@ -38,7 +38,7 @@
 /// Limits of the listeners for announcements and admin pages.
 const SIDE_LIMITS: HttpLimits = HttpLimits::INTERNAL;
 /// How long what is still open may take after the loop has ended.
-const LAST_TASKS_TIMEOUT: Duration = Duration::from_secs(3);
+const LAST_TASKS_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Addresses that the process is bound to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,7 +63,8 @@
     core: JoinHandle<()>,
     listeners: Vec<JoinHandle<()>>,
     peers: PeerEndpoint,
-    stop_listeners: watch::Sender<bool>,
+    stop_callers: Arc<watch::Sender<bool>>,
+    stop_sides: watch::Sender<bool>,
     open: mpsc::Receiver<()>,
 }
 
@@ -75,7 +76,8 @@
     inbox: Inbox,
     ids: Arc<RequestIds>,
     readiness: Readiness,
-    stop: watch::Receiver<bool>,
+    callers_stop: watch::Receiver<bool>,
+    sides_stop: watch::Receiver<bool>,
     open: mpsc::Sender<()>,
 }
 
@@ -87,7 +89,8 @@
     /// Fails for certificates that can't be used and addresses that can't be bound.
     pub async fn start(settings: EntrySettings, logger: Logger) -> Result<Self, EntryError> {
         let (inbox, inputs) = Inbox::new();
-        let (stop_listeners, stop) = watch::channel(false);
+        let (stop_callers, callers_stop) = watch::channel(false);
+        let (stop_sides, sides_stop) = watch::channel(false);
         let (open_sender, open) = mpsc::channel(1);
         let starting = Starting {
             settings,
@@ -96,7 +99,8 @@
             inbox: inbox.clone(),
             ids: Arc::new(RequestIds::new()),
             readiness: Readiness::default(),
-            stop,
+            callers_stop,
+            sides_stop,
             open: open_sender,
         };
         let (peers, incoming) = starting.bind_peers()?;
@@ -123,7 +127,8 @@
             core,
             listeners,
             peers,
-            stop_listeners,
+            stop_callers: Arc::new(stop_callers),
+            stop_sides,
             open,
         })
     }
@@ -137,13 +142,17 @@
     /// Asks the process to stop; no request in flight is cut off.
     ///
     /// Readiness goes off at once. Requests are served on for the stop delay, each answer closing
-    /// its connection, so that the balancer and callers with open connections go elsewhere.
+    /// its connection, so that the balancer and callers with open connections go elsewhere. Then
+    /// the listener for callers closes, and what is in flight is finished.
     pub fn request_stop(&self) {
         self.readiness.begin_stop();
         let inbox = self.inbox.clone();
         let delay = self.stop_delay;
+        let stop_callers = self.stop_callers.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
+            // Whoever still sends requests must not keep the process from its end.
+            let _ = stop_callers.send(true);
             inbox.send_event(Event::StopRequested);
         });
     }
@@ -151,7 +160,7 @@
     /// Waits until the process has stopped.
     pub async fn stopped(mut self) {
         let _ = self.core.await;
-        let _ = self.stop_listeners.send(true);
+        let _ = self.stop_sides.send(true);
         let _ = tokio::time::timeout(LAST_TASKS_TIMEOUT, async {
             for listener in self.listeners {
                 let _ = listener.await;
@@ -270,10 +279,12 @@
             inbox: self.inbox.clone(),
         };
         let admin_handler = AdminHandler::new(self.readiness.clone(), self.metrics.clone());
+        let limits = self.settings.caller_limits;
+        let sides_stop = &self.sides_stop;
         vec![
-            self.serve(callers, caller_handler, self.settings.caller_limits),
-            self.serve(announcements, announce_handler, SIDE_LIMITS),
-            self.serve(admin, admin_handler, SIDE_LIMITS),
+            self.serve(callers, caller_handler, limits, &self.callers_stop),
+            self.serve(announcements, announce_handler, SIDE_LIMITS, sides_stop),
+            self.serve(admin, admin_handler, SIDE_LIMITS, sides_stop),
         ]
     }
 
@@ -282,10 +293,11 @@
         listener: HttpListener,
         handler: impl HttpHandler + 'static,
         limits: HttpLimits,
+        stop: &watch::Receiver<bool>,
     ) -> JoinHandle<()> {
         let handler = Arc::new(handler);
         let metrics = self.metrics.clone();
-        tokio::spawn(listener.serve(handler, limits, self.stop.clone(), metrics))
+        tokio::spawn(listener.serve(handler, limits, stop.clone(), metrics))
     }
 
     fn start_peers(&self, mut incoming: mpsc::Receiver<Incoming>) {
--- a/crates/chicory_entry/tests/entry_process/requests.rs
+++ b/crates/chicory_entry/tests/entry_process/requests.rs
@@ -12,6 +12,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
+/// Callers of the tests under load.
+const CALLERS: usize = 8;
+
 /// Answers with what it saw of the request.
 async fn echo(request: Request<Incoming>) -> Response<HttpBody> {
     let (head, body) = request.into_parts();
@@ -295,7 +298,7 @@
     let to = entry.addresses().callers;
     get_until_ok(to, "/archive/k").await;
     // Callers that keep their connection for as long as they are let.
-    let callers: Vec<_> = (0..8)
+    let callers: Vec<_> = (0..CALLERS)
         .map(|_| tokio::spawn(call_until_closed(to)))
         .collect();
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -325,3 +328,41 @@
         link.ready().await;
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn callers_that_never_rest_do_not_keep_a_process_from_its_end() {
+    let world = World::new();
+    let server = FakeServer::start(echo).await;
+    let record = server.record("archive-1", "archive");
+    world.zone.serve(record, "vm-1", policy(true, true));
+    let _dispatcher = world.entry("vm-1").await;
+    let entry = world.entry("vm-2").await;
+    let to = entry.addresses().callers;
+    get_until_ok(to, "/archive/k").await;
+    let refusals = Arc::new(AtomicUsize::new(0));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(call_for_ever(to, refusals.clone())))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    entry.request_stop();
+    entry.stopped().await;
+    for caller in callers {
+        caller.abort();
+    }
+    // At most the request that each had open as the listener closed.
+    expect_that!(refusals.load(Ordering::Relaxed), le(CALLERS));
+}
+
+/// Calls over fresh connections for ever; counts the refusals of a stopping process.
+async fn call_for_ever(to: std::net::SocketAddr, refusals: Arc<AtomicUsize>) {
+    loop {
+        let request = Request::get("/archive/k").header("host", "test");
+        let request = request.body(HttpBody::empty()).expect("a request");
+        let answer = try_send(to, request).await;
+        if answer.is_some_and(|answer| answer.header("chicory-reason") == "stopping") {
+            refusals.fetch_add(1, Ordering::Relaxed);
+        }
+        tokio::task::yield_now().await;
+    }
+}
