Keep the roles of a newly formed group apart from earlier ones

The new group counted role epochs from 1 again; an entry process that had resigned from a role with the same number took the new role for the old one and left it for good. Grants versions derive from the epoch, so a backend server could have taken old grants for current ones as well.

Ruled out: view versions, which already carry the group's epoch. The epoch now does too; the test failed before.

--- a/crates/chicory_ownership/src/zone/apply_roles.rs
+++ b/crates/chicory_ownership/src/zone/apply_roles.rs
@@ -5,6 +5,9 @@
 use super::zone_state::{Dispatcher, ServerEntry, ZoneState};
 use crate::{EntryRecord, RunMap, ServerRecord, ViewChange, ZoneOutcome};
 
+/// Bits of a role's epoch that count the roles of one group; the others hold the group's epoch.
+const ROLE_COUNTER_BITS: u32 = 24;
+
 impl ZoneState {
     pub(super) fn register_server(&mut self, record: &ServerRecord) -> ZoneOutcome {
         let known = self.servers.get_mut(&record.server);
@@ -123,6 +126,7 @@
             .get(vm)
             .is_some_and(|e| e.incarnation == incarnation);
         let since = self.view.version() + 1;
+        let epoch = self.next_role_epoch();
         let Some(entry) = self.servers.get_mut(server) else {
             return ZoneOutcome::Stale;
         };
@@ -130,7 +134,7 @@
             return ZoneOutcome::Stale;
         }
         self.dispatcher_epoch += 1;
-        entry.epoch = self.dispatcher_epoch;
+        entry.epoch = epoch;
         entry.dispatcher = Some(Dispatcher {
             vm: vm.clone(),
             incarnation,
@@ -139,11 +143,17 @@
         self.view.push(ViewChange::DispatcherAssigned {
             server: server.clone(),
             vm: Some(vm.clone()),
-            epoch: self.dispatcher_epoch,
+            epoch,
         });
         ZoneOutcome::Applied
     }
 
+    /// Epoch of the next role that is given; those of a group that was formed anew are greater than
+    /// any that its predecessors gave, which processes and backend servers may still remember.
+    fn next_role_epoch(&self) -> u64 {
+        (self.group_epoch << ROLE_COUNTER_BITS) + self.dispatcher_epoch + 1
+    }
+
     pub(super) fn count_crash(
         &mut self,
         server: &ServerId,
--- a/crates/chicory_ownership/tests/leases.rs
+++ b/crates/chicory_ownership/tests/leases.rs
@@ -26,8 +26,12 @@
 
 impl Zone {
     fn new(table: TableContent) -> Self {
+        Self::of_group(table, 1)
+    }
+
+    fn of_group(table: TableContent, group_epoch: u64) -> Self {
         let mut zone = Self {
-            state: ZoneState::new("a".to_owned(), 1),
+            state: ZoneState::new("a".to_owned(), group_epoch),
             leader: ZoneLeader::new(secs(0), ZoneLeaderConfig::default()),
         };
         let table = Table {
@@ -497,3 +501,12 @@
     // The first group of all has no predecessor.
     expect_that!(grants(&first_plan(1, secs(1))), eq(2));
 }
+
+#[gtest]
+fn a_role_is_never_taken_for_one_that_an_earlier_group_gave() {
+    let epoch_of = |group_epoch| {
+        let zone = Zone::of_group(content(&["a"]), group_epoch);
+        zone.state.servers()[SERVER].epoch
+    };
+    expect_that!(epoch_of(2), gt(epoch_of(1)));
+}
