Keep renewed announcements of served servers at their dispatcher

Ruled out: dropping all renewed announcements; a server without a dispatcher has nobody else who tells of it. Conclusion: the dispatcher reports on its servers, and announces only what is news. A test fails without it (5 records in 2 s, now none).

--- a/crates/chicory_dispatch/src/steps/announcements.rs
+++ b/crates/chicory_dispatch/src/steps/announcements.rs
@@ -71,10 +71,17 @@
     }
 }
 
-/// Tells the zone group with the next renewal, or at once if it is news.
+/// Tells the zone group what it doesn't know, at once.
+///
+/// A registered server that has a dispatcher is reported on by that one, so its announcements end
+/// here. One without a dispatcher is told of with every renewal.
 fn hand_on(state: &mut PathState, record: &ServerRecord) {
     let registered = state.directory.server_named(&record.server);
     let is_news = registered.and_then(|s| s.record.as_ref()) != Some(record);
+    let is_looked_after = registered.is_some_and(|s| s.dispatcher.is_some());
+    if !is_news && is_looked_after {
+        return;
+    }
     let is_room = state.announced.len() < MAX_PENDING;
     if is_room || state.announced.contains_key(&record.server) {
         state
--- a/crates/chicory_dispatch/tests/request_path/announcements.rs
+++ b/crates/chicory_dispatch/tests/request_path/announcements.rs
@@ -22,6 +22,25 @@
     expect_that!(told.map(|r| r.announcements.len()), some(eq(1)));
 }
 
+#[gtest]
+fn renewed_announcement_of_a_server_with_a_dispatcher_stays_here() {
+    let mut world = World::new(&[(BOARD, "b1")]);
+    world.run_for(ms(500));
+    let before = world.group.renewals.len();
+    for _ in 0..5 {
+        world.announce("b1", 0);
+        world.run_for(ms(400));
+    }
+    let told: usize = world.group.renewals[before..]
+        .iter()
+        .map(|renewal| renewal.announcements.len())
+        .sum();
+    expect_that!(told, eq(0));
+    world.announce_as("b1", |record| record.draining = true);
+    let told = world.group.renewals.last().map(|r| r.announcements.len());
+    expect_that!(told, some(eq(1)));
+}
+
 #[gtest]
 fn dispatcher_answers_with_all_grants_once() {
     let mut world = World::new(&[(BOARD, "b1")]);
