--- a/crates/chicory_ownership/src/zone/zone_state.rs
+++ b/crates/chicory_ownership/src/zone/zone_state.rs
@@ -78,6 +78,7 @@
     pub(super) directory: BTreeMap<ZoneName, Vec<EntryRecord>>,
     pub(super) entries: BTreeMap<VmId, EntryRecord>,
     pub(super) servers: BTreeMap<ServerId, ServerEntry>,
+    /// Roles that this group has given; the low part of their epochs.
     pub(super) dispatcher_epoch: u64,
     pub(super) holds: BTreeMap<ServiceName, RunMap<SlotHold>>,
     pub(super) token_counter: u64,
