Replay traces of real processes under a kill, a cut and a lost zone memory

Cause: proof by replay needs recorded traces with stated outcomes. Conclusion: the failure runs keep traces with CHICORY_KEEP_FILES=1.

--- a/tools/demo_runner/src/deployment/cluster.rs
+++ b/tools/demo_runner/src/deployment/cluster.rs
@@ -23,7 +23,7 @@
 /// How long one health check may take.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Environment variable that keeps logs and histories after a run.
+/// Environment variable that keeps logs, histories and traces after a run.
 pub const KEEP_FILES_VARIABLE: &str = "CHICORY_KEEP_FILES";
 
 /// All processes of a deployment; dropping it kills them.
--- a/tools/demo_runner/src/deployment/process_args.rs
+++ b/tools/demo_runner/src/deployment/process_args.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::path::Path;
 
+use super::cluster::KEEP_FILES_VARIABLE;
 use super::{Role, Vm};
 
 /// Name of the cluster.
@@ -37,9 +38,22 @@
     args.add_certificate(&certificate, folder);
     args.add("log-format", &"json");
     args.add("fault-file", &fault_file(vm, folder).display());
+    if std::env::var_os(KEEP_FILES_VARIABLE).is_some() {
+        args.add("trace-file", &trace_file(vm, folder).display());
+    }
     args.list
 }
 
+/// A file for the trace of the next start of a VM's process.
+fn trace_file(vm: &Vm, folder: &Path) -> std::path::PathBuf {
+    let name = |start: u32| folder.join(format!("{}.{start}.trace.jsonl", vm.name));
+    let mut start = 1;
+    while name(start).exists() {
+        start += 1;
+    }
+    name(start)
+}
+
 /// The data folder of a VM.
 pub fn data_folder(vm: &Vm, folder: &Path) -> std::path::PathBuf {
     folder.join(format!("{}.data", vm.name))
--- a/tools/trace_replay/src/control_replay.rs
+++ b/tools/trace_replay/src/control_replay.rs
@@ -1,6 +1,6 @@
 //! The replay of a control process.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 
 use chicory_consensus::{MemberId, RestoredState};
@@ -28,13 +28,14 @@
     for line in trace.lines {
         replay.feed(line.now(), line.event);
     }
-    Ok(replay.outcomes)
+    Ok(replay.finish())
 }
 
 struct ControlReplay {
     core: ControlCore,
     leased: BTreeSet<VmId>,
     renewing: Option<VmId>,
+    claims: BTreeMap<&'static str, u64>,
     outcomes: Vec<String>,
 }
 
@@ -52,10 +53,19 @@
             core: ControlCore::new(config, global, now),
             leased: BTreeSet::new(),
             renewing: None,
+            claims: BTreeMap::new(),
             outcomes: Vec::new(),
         })
     }
 
+    /// All outcomes, with the totals of claims last.
+    fn finish(mut self) -> Vec<String> {
+        let claims = self.claims.iter();
+        let totals = claims.map(|(answer, count)| format!("claims answered {answer}: {count}"));
+        self.outcomes.extend(totals);
+        self.outcomes
+    }
+
     fn feed(&mut self, now: MonoTime, event: ControlEvent) {
         self.renewing = match &event {
             ControlEvent::CallReceived {
@@ -85,8 +95,10 @@
     fn outcome_of_reply(&mut self, reply: &ControlReply) -> Option<String> {
         match reply {
             ControlReply::Renew(answer) => self.outcome_of_renewal(answer),
-            ControlReply::Claim(ClaimAnswer::NotLeader { .. }) => None,
-            ControlReply::Claim(answer) => Some(format!("claim: {}", name_of(answer))),
+            ControlReply::Claim(answer) => {
+                *self.claims.entry(name_of(answer)).or_default() += 1;
+                None
+            }
             ControlReply::Operator(OperatorReply::Edited(outcome)) => {
                 Some(format!("edit: {outcome:?}"))
             }
