Refuse keyed services that aren't idempotent

Cause: the claim of an order lives at the order key's slot, the owner at the key's. With equal zones two thirds of such orders were refused at run time. Conclusion: the table refuses the row with a fault of its own; the test failed first.

--- a/crates/chicory_table/src/table_content.rs
+++ b/crates/chicory_table/src/table_content.rs
@@ -125,6 +125,11 @@
     for zone in &policy.zones {
         check_name(zone, faults);
     }
+    if policy.keyed && !policy.idempotent {
+        faults.push(TableFault::KeyedOrders {
+            service: service.clone(),
+        });
+    }
     check_custody_lease(service, policy, faults);
 }
 
--- a/crates/chicory_table/src/table_fault.rs
+++ b/crates/chicory_table/src/table_fault.rs
@@ -38,6 +38,13 @@
         /// The service.
         service: ServiceName,
     },
+    /// A keyed service isn't idempotent: the key and the order key of a request would belong to
+    /// different slots, perhaps in different zones.
+    #[snafu(display("service {service}: a keyed service has to be idempotent"))]
+    KeyedOrders {
+        /// The service.
+        service: ServiceName,
+    },
     /// A service runs in no availability zone.
     #[snafu(display("service {service}: no zones"))]
     NoZones {
--- a/crates/chicory_table/tests/table_store.rs
+++ b/crates/chicory_table/tests/table_store.rs
@@ -206,3 +206,23 @@
         }
     }
 }
+
+#[gtest]
+fn a_keyed_service_has_to_be_idempotent() {
+    let mut store = TableStore::default();
+    let mut edit = put("a", 0, "s", 1);
+    let mut keyed_orders = policy(1);
+    keyed_orders.idempotent = false;
+    edit.changes.push(TableChange::PutService {
+        service: "s".to_owned(),
+        policy: keyed_orders,
+    });
+    let fault = TableFault::KeyedOrders {
+        service: "s".to_owned(),
+    };
+    expect_that!(
+        store.apply(&edit, 10),
+        eq(&EditOutcome::Invalid(vec![fault]))
+    );
+    expect_that!(store.table().revision, eq(0));
+}
--- a/crates/chicory_wire/src/audit_convert.rs
+++ b/crates/chicory_wire/src/audit_convert.rs
@@ -149,6 +149,7 @@
             TableFault::OrdersNeedUnlimitedCustody { service } => {
                 (Kind::OrdersNeedUnlimitedCustody, service, 0)
             }
+            TableFault::KeyedOrders { service } => (Kind::KeyedOrders, service, 0),
             TableFault::NoZones { service } => (Kind::NoZones, service, 0),
             TableFault::OverrideWithoutService { service } => {
                 (Kind::OverrideWithoutService, service, 0)
@@ -193,6 +194,7 @@
                 lease_ms: value.into(),
             },
             Kind::OrdersNeedUnlimitedCustody => Self::OrdersNeedUnlimitedCustody { service },
+            Kind::KeyedOrders => Self::KeyedOrders { service },
             Kind::NoZones => Self::NoZones { service },
             Kind::OverrideWithoutService => Self::OverrideWithoutService { service },
             Kind::BadName => Self::BadName { name: service },
