Give each type of the calls, events and views its own file

Cause: a newcomer had to search eight files that held two to twelve types each. Conclusion: no change of behaviour; public paths are the same.

--- /dev/null
+++ b/crates/chicory_control/src/calls/control_call.rs
@@ -0,0 +1,49 @@
+//! A call of another process.
+
+use crate::FormationRequest;
+use crate::OperatorCall;
+use chicory_ownership::ClaimRequest;
+use chicory_ownership::ClaimResolution;
+use chicory_ownership::Claimant;
+use chicory_ownership::RenewRequest;
+use chicory_ownership::ZoneSyncRequest;
+use chicory_types::OrderKey;
+use chicory_types::ServerId;
+use chicory_types::ServiceName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A call of another process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlCall {
+    /// An entry process renews its lease.
+    Renew(RenewRequest),
+    /// An entry process asks for the right to run an order.
+    Claim(ClaimRequest),
+    /// An entry process tells how an order ended.
+    ResolveClaim {
+        /// The service.
+        service: ServiceName,
+        /// The order key.
+        order_key: OrderKey,
+        /// Who held the claim.
+        claimant: Claimant,
+        /// How it ended.
+        resolution: ClaimResolution,
+    },
+    /// An entry process tells that a backend server crashed.
+    ReportCrash {
+        /// The server.
+        server: ServerId,
+        /// Fingerprints of the requests that it ran.
+        fingerprints: Vec<u64>,
+        /// Whether the only suspect ran alone.
+        was_alone: bool,
+    },
+    /// The leader of a zone group synchronises with the global group.
+    ZoneSync(ZoneSyncRequest),
+    /// A member of a zone group without memory asks what to do.
+    AskFormation(FormationRequest),
+    /// An operator's call.
+    Operator(OperatorCall),
+}
--- /dev/null
+++ b/crates/chicory_control/src/calls/operator_reply.rs
@@ -0,0 +1,53 @@
+//! The answer to an operator's call.
+
+use crate::OperatorFailure;
+use crate::OwnerSummary;
+use crate::ServerSummary;
+use crate::ZoneSummary;
+use chicory_table::AuditRecord;
+use chicory_table::EditOutcome;
+use chicory_table::Table;
+use chicory_types::Revision;
+use chicory_types::VmId;
+use chicory_types::ZoneName;
+
+/// The answer to an operator's call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorReply {
+    /// The table.
+    Table(Table),
+    /// What an edit did.
+    Edited(EditOutcome),
+    /// The revision in force and the state of all zones.
+    Status {
+        /// Newest revision.
+        revision: Revision,
+        /// The zones.
+        zones: Vec<ZoneSummary>,
+    },
+    /// The servers of a zone.
+    Zone {
+        /// The zone.
+        zone: ZoneName,
+        /// Revision of the table in force.
+        revision_in_force: Revision,
+        /// Its backend servers.
+        servers: Vec<ServerSummary>,
+    },
+    /// The owner of a key.
+    Owner(OwnerSummary),
+    /// A zone was evicted.
+    Evicted {
+        /// Slots that were in its custody.
+        moved_slots: u64,
+    },
+    /// Records of the audit trail.
+    Audit(Vec<AuditRecord>),
+    /// Another process leads the group.
+    NotLeader {
+        /// The leader, where it is known.
+        leader: Option<VmId>,
+    },
+    /// The call failed.
+    Failed(OperatorFailure),
+}
--- a/crates/chicory_control/src/control_event.rs
+++ b/crates/chicory_control/src/events/control_event.rs
@@ -1,20 +1,17 @@
 //! Everything that can happen to a control process.
 
-use chicory_consensus::{MemberId, PeerMessage};
+use crate::CallId;
+use crate::Caller;
+use crate::ControlCall;
+use crate::FormationAnswer;
+use crate::GroupName;
+use chicory_consensus::MemberId;
+use chicory_consensus::PeerMessage;
 use chicory_ownership::ZoneSyncAnswer;
-use chicory_types::{MonoTime, VmId};
-use serde::{Deserialize, Serialize};
-
-use crate::{CallId, Caller, ControlCall, FormationAnswer};
-
-/// A group that a control process may be a member of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum GroupName {
-    /// The group of the whole cluster.
-    Global,
-    /// The group of the process's availability zone.
-    Zone,
-}
+use chicory_types::MonoTime;
+use chicory_types::VmId;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Everything that can happen to a control process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/chicory_control/src/events/group_name.rs
@@ -0,0 +1,13 @@
+//! A group that a control process may be a member of.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A group that a control process may be a member of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum GroupName {
+    /// The group of the whole cluster.
+    Global,
+    /// The group of the process's availability zone.
+    Zone,
+}
--- a/crates/chicory_control/src/lib.rs
+++ b/crates/chicory_control/src/lib.rs
@@ -3,12 +3,12 @@
 //! A control process is a voter of the group of its availability zone and, on the few VMs with a
 //! disk, of the global group. [`ControlCore`] is its reducer; the binary carries out the effects.
 
-mod control_call;
+mod calls;
 mod control_config;
-mod control_effect;
-mod control_event;
 mod convert;
 mod core;
+mod effects;
+mod events;
 mod formation_desk;
 mod global_group;
 mod global_machine;
@@ -20,7 +20,7 @@
 mod zone_seat;
 
 pub use crate::core::{ControlCore, GlobalWaiter, ZoneWaiter};
-pub use control_call::{
+pub use calls::{
     Acknowledgement, CallId, Caller, ControlCall, ControlReply, FormationAnswer, FormationRequest,
     OperatorCall, OperatorFailure, OperatorReply, OwnerSummary, ServerSummary, ZoneSummary,
 };
@@ -28,9 +28,9 @@
     ControlConfig, FORMATION_INTERVAL, FORMATION_MARK_LIMIT, FORMATION_PATIENCE, PLAN_INTERVAL,
     ZONE_SYNC_INTERVAL,
 };
-pub use control_effect::{ControlEffect, ControlNote};
-pub use control_event::{ControlEvent, GroupName};
 pub use convert::{call_of, formation_answer_of, formation_request_message, reply_message};
+pub use effects::{ControlEffect, ControlNote};
+pub use events::{ControlEvent, GroupName};
 pub use formation_desk::{FormationDecision, FormationDesk};
 pub use global_group::{GlobalGroup, new_global_group};
 pub use global_machine::{GlobalEntry, GlobalMachine, ZoneFormation};
--- /dev/null
+++ b/crates/chicory_ownership/src/claim/claim_request.rs
@@ -0,0 +1,20 @@
+//! Asks the zone group that has custody of the order key's slot for the right to run an order.
+
+use crate::Claimant;
+use chicory_types::OrderKey;
+use chicory_types::ServiceName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Asks the zone group that has custody of the order key's slot for the right to run an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRequest {
+    /// The order's service.
+    pub service: ServiceName,
+    /// The caller's `Idempotency-Key`.
+    pub order_key: OrderKey,
+    /// Fingerprint of method, path and body; a key may not be used for another order.
+    pub fingerprint: u64,
+    /// Who will dispatch the order.
+    pub claimant: Claimant,
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/claim/claim_resolution.rs
@@ -0,0 +1,16 @@
+//! How a claimed order ended.
+
+use crate::StoredAnswer;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How a claimed order ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimResolution {
+    /// It ran and this is its answer.
+    Answered(StoredAnswer),
+    /// It surely did not run; the key may be claimed again.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/claim/claimant.rs
@@ -0,0 +1,18 @@
+//! The process that dispatches a claimed order.
+
+use chicory_types::Incarnation;
+use chicory_types::RequestId;
+use chicory_types::VmId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The process that dispatches a claimed order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimant {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// The request that it dispatches; a resent claim of the same attempt gets the same answer.
+    pub attempt: RequestId,
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/handover/custody_update.rs
@@ -0,0 +1,17 @@
+//! Custody of all slots at one version.
+
+use crate::CustodyHandover;
+use crate::CustodyRun;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Custody of all slots at one version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CustodyUpdate {
+    /// The version.
+    pub version: u64,
+    /// Custody of all slots.
+    pub runs: Vec<CustodyRun>,
+    /// Handovers to the receiving zone since its known version.
+    pub handovers: Vec<CustodyHandover>,
+}
--- a/crates/chicory_ownership/src/lib.rs
+++ b/crates/chicory_ownership/src/lib.rs
@@ -11,16 +11,16 @@
 mod claim;
 mod claims;
 mod custody;
-mod custody_handover;
 mod even_split;
 mod global;
+mod handover;
 mod heat_map;
 mod placement;
 mod quarantine;
+mod records;
 mod renewal;
 mod run_map;
-mod server_record;
-mod view_change;
+mod view;
 mod zone;
 mod zone_sync;
 
@@ -30,13 +30,13 @@
     MAX_STORED_BODY_BYTES,
 };
 pub use custody::{ALL_SLOTS, Custody, CustodyCause, CustodyRun};
-pub use custody_handover::{CustodyHandover, CustodyRelease, CustodyUpdate};
 pub use even_split::split_evenly;
 pub use global::{
     CUSTODY_GRACE, GlobalCommand, GlobalLeader, GlobalLeaderConfig, GlobalLeaderConfigBuilder,
     GlobalOutcome, GlobalSnapshot, GlobalState, LeaseChange, STRANDED_CUSTODY_LIMIT,
     ZONE_CONTACT_LIMIT, ZoneStatus,
 };
+pub use handover::{CustodyHandover, CustodyRelease, CustodyUpdate};
 pub use heat_map::{HEAT_HALF_LIFE, HeatMap};
 pub use placement::{
     CHURN_BURST_SLOTS, CHURN_SLOTS_PER_MINUTE, GreedyPlacement, MinMaxPlacement, PlacementInput,
@@ -47,13 +47,13 @@
     MAX_SUSPECTS, QUARANTINE_CRASHES, QUARANTINE_RETENTION, QUARANTINE_SHARED_CRASHES, Quarantine,
     Suspect,
 };
+pub use records::{EntryRecord, ServerRecord};
 pub use renewal::{
     ReleasedSlots, RenewAnswer, RenewRefusal, RenewRequest, ServerCondition, ServerReport,
     SlotHeat, ViewUpdate,
 };
 pub use run_map::RunMap;
-pub use server_record::{EntryRecord, ServerRecord};
-pub use view_change::{SlotOwner, ViewChange};
+pub use view::{SlotOwner, ViewChange};
 pub use zone::{
     COLD_START_RAMP, DISPATCHER_LEASE, Dispatcher, LeaseBook, MAX_DEPARTING_SLOTS, PLAN_INTERVAL,
     REBALANCE_INTERVAL, RENEW_INTERVAL, ServerEntry, SlotHold, SlotHoldRun, SlotMark,
--- /dev/null
+++ b/crates/chicory_ownership/src/records/entry_record.rs
@@ -0,0 +1,19 @@
+//! What an entry process said of itself.
+
+use chicory_types::Incarnation;
+use chicory_types::VmId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What an entry process said of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// VM of the process.
+    pub vm: VmId,
+    /// Start of the process.
+    pub incarnation: Incarnation,
+    /// Host and port for relays from other entry processes.
+    pub peer_address: String,
+    /// Host and port for announcements of backend servers.
+    pub announce_address: String,
+}
--- a/crates/chicory_ownership/src/server_record.rs
+++ b/crates/chicory_ownership/src/records/server_record.rs
@@ -1,7 +1,11 @@
-//! What processes and backend servers say of themselves.
+//! What a backend server announced of itself.
 
-use chicory_types::{Incarnation, ServerId, ServiceName, VmId, ZoneName};
-use serde::{Deserialize, Serialize};
+use chicory_types::Incarnation;
+use chicory_types::ServerId;
+use chicory_types::ServiceName;
+use chicory_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// What a backend server announced of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,16 +29,3 @@
     /// Whether it asks for no new work.
     pub draining: bool,
 }
-
-/// What an entry process said of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryRecord {
-    /// VM of the process.
-    pub vm: VmId,
-    /// Start of the process.
-    pub incarnation: Incarnation,
-    /// Host and port for relays from other entry processes.
-    pub peer_address: String,
-    /// Host and port for announcements of backend servers.
-    pub announce_address: String,
-}
--- /dev/null
+++ b/crates/chicory_ownership/src/renewal/released_slots.rs
@@ -0,0 +1,18 @@
+//! Slots that a dispatcher has stopped serving for good.
+
+use chicory_types::ServerId;
+use chicory_types::ServiceName;
+use chicory_types::SlotRun;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Slots that a dispatcher has stopped serving for good.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleasedSlots {
+    /// The service.
+    pub service: ServiceName,
+    /// The slots.
+    pub runs: Vec<SlotRun>,
+    /// The backend server that no longer owns them.
+    pub server: ServerId,
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/renewal/renew_request.rs
@@ -0,0 +1,34 @@
+//! What an entry process sends at each renewal.
+
+use crate::EntryRecord;
+use crate::ReleasedSlots;
+use crate::ServerRecord;
+use crate::ServerReport;
+use chicory_types::ServerId;
+use chicory_types::ViewVersion;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What an entry process sends at each renewal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewRequest {
+    /// The sender.
+    pub entry: EntryRecord,
+    /// Version of the view that the sender has.
+    pub known_view: ViewVersion,
+    /// Whether the sender is stopping and gives up its dispatcher roles.
+    pub stopping: bool,
+    /// Servers that announced themselves here since the last answered renewal.
+    pub announcements: Vec<ServerRecord>,
+    /// Slots released since the last answered renewal.
+    pub released: Vec<ReleasedSlots>,
+    /// Dispatcher roles given up, with nothing left in flight.
+    pub resigned: Vec<ServerId>,
+    /// Reports on the servers that the sender dispatches to.
+    pub reports: Vec<ServerReport>,
+}
+
+impl RenewRequest {
+    /// Most slots in one report.
+    pub const MAX_REPORTED_SLOTS: usize = 32;
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/renewal/server_report.rs
@@ -0,0 +1,23 @@
+//! A dispatcher's report on one backend server.
+
+use crate::ServerCondition;
+use crate::SlotHeat;
+use chicory_types::Incarnation;
+use chicory_types::ServerId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A dispatcher's report on one backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerReport {
+    /// The backend server.
+    pub server: ServerId,
+    /// Its start that the report is about.
+    pub incarnation: Incarnation,
+    /// Its condition.
+    pub condition: ServerCondition,
+    /// Requests dispatched since the last report.
+    pub requests: u32,
+    /// Its hottest slots, at most [`MAX_REPORTED_SLOTS`](crate::RenewRequest::MAX_REPORTED_SLOTS).
+    pub hottest_slots: Vec<SlotHeat>,
+}
--- a/crates/chicory_ownership/src/view_change.rs
+++ b/crates/chicory_ownership/src/view/view_change.rs
@@ -1,32 +1,16 @@
-//! Changes of the view that entry processes have of their availability zone.
+//! One change of the view; the view is the fold of all changes since the last [`Reset`].
 
+use crate::EntryRecord;
+use crate::ServerRecord;
+use crate::SlotOwner;
 use chicory_table::Table;
-use chicory_types::{FencingToken, ServerId, ServiceName, SlotRun, VmId, ZoneName};
-use serde::{Deserialize, Serialize};
-
-use crate::{EntryRecord, ServerRecord};
-
-/// Who may serve a run of slots.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SlotOwner {
-    /// Nobody yet.
-    Unowned,
-    /// A backend server, under a fencing token.
-    Owned {
-        /// The owner.
-        server: ServerId,
-        /// Token of the assignment.
-        token: FencingToken,
-    },
-    /// A backend server that must give the slots up: its dispatcher sends nothing new, lets what is
-    /// in flight end, outwaits the server's lease, and then reports the slots as released.
-    Releasing {
-        /// The owner that gives up.
-        server: ServerId,
-        /// Token of the assignment that ends.
-        token: FencingToken,
-    },
-}
+use chicory_types::ServerId;
+use chicory_types::ServiceName;
+use chicory_types::SlotRun;
+use chicory_types::VmId;
+use chicory_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// One change of the view; the view is the fold of all changes since the last [`Reset`].
 ///
--- /dev/null
+++ b/crates/chicory_ownership/src/zone_sync/zone_directory.rs
@@ -0,0 +1,15 @@
+//! Entry processes of an availability zone.
+
+use crate::EntryRecord;
+use chicory_types::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Entry processes of an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneDirectory {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Its entry processes.
+    pub entries: Vec<EntryRecord>,
+}
--- /dev/null
+++ b/crates/chicory_ownership/src/zone_sync/zone_sync_refusal.rs
@@ -0,0 +1,13 @@
+//! Why a zone's sync was refused.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Why a zone's sync was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ZoneSyncRefusal {
+    /// The zone or its new group is being registered; the next sync will do.
+    Registering,
+    /// A later group of the zone is registered.
+    SupersededGroup,
+}
