--- a/crates/chicory_control/src/calls/caller.rs
+++ b/crates/chicory_control/src/calls/caller.rs
@@ -1,9 +1,7 @@
 //! Who made a call, as its certificate says.
 
-use chicory_types::OperatorName;
-use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{OperatorName, VmId};
+use serde::{Deserialize, Serialize};
 
 /// Who made a call, as its certificate says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_control/src/calls/control_call.rs
+++ b/crates/chicory_control/src/calls/control_call.rs
@@ -1,17 +1,10 @@
 //! A call of another process.
 
-use crate::FormationRequest;
-use crate::OperatorCall;
-use chicory_ownership::ClaimRequest;
-use chicory_ownership::ClaimResolution;
-use chicory_ownership::Claimant;
-use chicory_ownership::RenewRequest;
-use chicory_ownership::ZoneSyncRequest;
-use chicory_types::OrderKey;
-use chicory_types::ServerId;
-use chicory_types::ServiceName;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_ownership::{ClaimRequest, ClaimResolution, Claimant, RenewRequest, ZoneSyncRequest};
+use chicory_types::{OrderKey, ServerId, ServiceName};
+use serde::{Deserialize, Serialize};
+
+use crate::{FormationRequest, OperatorCall};
 
 /// A call of another process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_control/src/calls/control_reply.rs
+++ b/crates/chicory_control/src/calls/control_reply.rs
@@ -1,11 +1,8 @@
 //! The answer to a call.
 
-use crate::Acknowledgement;
-use crate::FormationAnswer;
-use crate::OperatorReply;
-use chicory_ownership::ClaimAnswer;
-use chicory_ownership::RenewAnswer;
-use chicory_ownership::ZoneSyncAnswer;
+use chicory_ownership::{ClaimAnswer, RenewAnswer, ZoneSyncAnswer};
+
+use crate::{Acknowledgement, FormationAnswer, OperatorReply};
 
 /// The answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/chicory_control/src/calls/formation_answer.rs
+++ b/crates/chicory_control/src/calls/formation_answer.rs
@@ -1,10 +1,10 @@
 //! What a member without memory is told.
 
+use std::collections::BTreeSet;
+
 use chicory_consensus::MemberId;
 use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
-use std::collections::BTreeSet;
+use serde::{Deserialize, Serialize};
 
 /// What a member without memory is told.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_control/src/calls/formation_request.rs
+++ b/crates/chicory_control/src/calls/formation_request.rs
@@ -1,13 +1,12 @@
 //! A member of a zone group that has no memory of its group asks the global group what to do.
 
-use crate::GroupName;
-use chicory_types::Incarnation;
-use chicory_types::VmId;
-use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
 use std::collections::BTreeSet;
 
+use chicory_types::{Incarnation, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::GroupName;
+
 /// A member of a zone group that has no memory of its group asks the global group what to do.
 ///
 /// Until it is told to join, it takes no part in any group.
--- a/crates/chicory_control/src/calls/operator_call.rs
+++ b/crates/chicory_control/src/calls/operator_call.rs
@@ -1,13 +1,8 @@
 //! A call of an operator.
 
 use chicory_table::TableChange;
-use chicory_types::EditId;
-use chicory_types::OperatorName;
-use chicory_types::Revision;
-use chicory_types::ServiceName;
-use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{EditId, OperatorName, Revision, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// A call of an operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_control/src/calls/operator_reply.rs
+++ b/crates/chicory_control/src/calls/operator_reply.rs
@@ -1,15 +1,9 @@
 //! The answer to an operator's call.
 
-use crate::OperatorFailure;
-use crate::OwnerSummary;
-use crate::ServerSummary;
-use crate::ZoneSummary;
-use chicory_table::AuditRecord;
-use chicory_table::EditOutcome;
-use chicory_table::Table;
-use chicory_types::Revision;
-use chicory_types::VmId;
-use chicory_types::ZoneName;
+use chicory_table::{AuditRecord, EditOutcome, Table};
+use chicory_types::{Revision, VmId, ZoneName};
+
+use crate::{OperatorFailure, OwnerSummary, ServerSummary, ZoneSummary};
 
 /// The answer to an operator's call.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/chicory_control/src/calls/owner_summary.rs
+++ b/crates/chicory_control/src/calls/owner_summary.rs
@@ -1,10 +1,6 @@
 //! The owner of a key.
 
-use chicory_types::FencingToken;
-use chicory_types::ServerId;
-use chicory_types::Slot;
-use chicory_types::VmId;
-use chicory_types::ZoneName;
+use chicory_types::{FencingToken, ServerId, Slot, VmId, ZoneName};
 
 /// The owner of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/chicory_control/src/core/stepping.rs
+++ b/crates/chicory_control/src/core/stepping.rs
@@ -8,7 +8,7 @@
 use chicory_types::MonoTime;
 
 use super::{ControlCore, GlobalWaiter, ZoneWaiter};
-use crate::group::GroupEffect;
+use crate::GroupEffect;
 use crate::{
     Acknowledgement, ControlEffect, ControlNote, ControlReply, GlobalEntry, GroupName,
     OperatorFailure, OperatorReply,
--- a/crates/chicory_control/src/effects/control_effect.rs
+++ b/crates/chicory_control/src/effects/control_effect.rs
@@ -1,16 +1,11 @@
 //! Everything that a control process asks of its surroundings, to be carried out in order.
 
-use crate::CallId;
-use crate::ControlNote;
-use crate::ControlReply;
-use crate::FormationRequest;
-use crate::GroupName;
-use crate::PersistRequest;
-use chicory_consensus::MemberId;
-use chicory_consensus::PeerMessage;
+use chicory_consensus::{MemberId, PeerMessage};
 use chicory_ownership::ZoneSyncRequest;
 use chicory_types::VmId;
 
+use crate::{CallId, ControlNote, ControlReply, FormationRequest, GroupName, PersistRequest};
+
 /// Everything that a control process asks of its surroundings, to be carried out in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlEffect {
--- a/crates/chicory_control/src/effects/control_note.rs
+++ b/crates/chicory_control/src/effects/control_note.rs
@@ -1,8 +1,8 @@
 //! A change of state that operators may want to see.
 
+use chicory_types::{Revision, Term};
+
 use crate::GroupName;
-use chicory_types::Revision;
-use chicory_types::Term;
 
 /// A change of state that operators may want to see.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/chicory_control/src/events/control_event.rs
+++ b/crates/chicory_control/src/events/control_event.rs
@@ -1,17 +1,11 @@
 //! Everything that can happen to a control process.
 
-use crate::CallId;
-use crate::Caller;
-use crate::ControlCall;
-use crate::FormationAnswer;
-use crate::GroupName;
-use chicory_consensus::MemberId;
-use chicory_consensus::PeerMessage;
+use chicory_consensus::{MemberId, PeerMessage};
 use chicory_ownership::ZoneSyncAnswer;
-use chicory_types::MonoTime;
-use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{MonoTime, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::{CallId, Caller, ControlCall, FormationAnswer, GroupName};
 
 /// Everything that can happen to a control process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_control/src/events/group_name.rs
+++ b/crates/chicory_control/src/events/group_name.rs
@@ -1,7 +1,6 @@
 //! A group that a control process may be a member of.
 
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A group that a control process may be a member of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/chicory_control/src/global_machine.rs
+++ b/crates/chicory_control/src/global/global_machine.rs
@@ -1,40 +1,16 @@
-//! The state machine of the global group.
+//! The state machine of the global group: table, custody, and the formations of zone groups.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use chicory_consensus::MemberId;
-use chicory_ownership::{GlobalCommand, GlobalOutcome, GlobalSnapshot, GlobalState};
+use chicory_ownership::{GlobalOutcome, GlobalSnapshot, GlobalState};
 use chicory_types::{LogIndex, ZoneName};
 use chicory_wire::proto::log;
 use prost::Message;
+use snafu::ResultExt;
 
 use crate::convert::formation_record;
 use crate::state_machine::{InvalidSnafu, MalformedSnafu};
-use crate::{DecodeError, StateMachine};
-use snafu::ResultExt;
-
-/// Who may form the group of a zone.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ZoneFormation {
-    /// Epoch of the group; each is given out once.
-    pub group_epoch: u64,
-    /// Its founders.
-    pub founders: BTreeSet<MemberId>,
-}
-
-/// A command of the global group's log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum GlobalEntry {
-    /// A command on table or custody.
-    Ownership(GlobalCommand),
-    /// A zone's group is to be formed; changes nothing unless the epoch is the next one.
-    FormZone {
-        /// The zone.
-        zone: ZoneName,
-        /// Its formation.
-        formation: ZoneFormation,
-    },
-}
+use crate::{DecodeError, GlobalEntry, StateMachine, ZoneFormation};
 
 /// The state machine of the global group: table, custody, and the formations of zone groups.
 #[derive(Clone, Debug, Default)]
--- a/crates/chicory_control/src/group.rs
+++ b/crates/chicory_control/src/groups/group.rs
@@ -2,73 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use chicory_consensus::{
-    Entry, HardState, MemberId, PeerMessage, ProposalRejection, Replica, ReplicaEffect,
-    ReplicaEvent, Snapshot,
-};
-use chicory_types::{LogIndex, MonoTime, Term};
+use chicory_consensus::{Replica, ReplicaEffect, ReplicaEvent};
+use chicory_types::{LogIndex, MonoTime};
 
-use crate::{DecodeError, StateMachine};
-
-/// What is to be made durable before the group goes on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PersistRequest {
-    /// Identifier for the answer.
-    pub ticket: u64,
-    /// New term and vote.
-    pub hard_state: Option<HardState>,
-    /// Remove stored entries from this index on.
-    pub truncate_from: Option<LogIndex>,
-    /// Snapshot that stands for all entries up to its last index.
-    pub snapshot: Option<Snapshot>,
-    /// Entries to append.
-    pub entries: Vec<Entry>,
-}
-
-/// What a step of the group asks of its owner, in order.
-#[derive(Debug)]
-pub enum GroupEffect<O, W> {
-    /// Send a message to another member.
-    Send {
-        /// The receiver.
-        to: MemberId,
-        /// The message.
-        message: PeerMessage,
-    },
-    /// Make state durable and answer with the ticket.
-    Persist(Box<PersistRequest>),
-    /// A command was committed and applied.
-    Applied {
-        /// What it did.
-        outcome: O,
-        /// Who waits for it in this process.
-        waiter: Option<W>,
-    },
-    /// A proposal was not taken, or its outcome is unknown.
-    Rejected {
-        /// Who waits for it.
-        waiter: W,
-        /// Why.
-        reason: ProposalRejection,
-    },
-    /// This process leads the group from now on.
-    BecameLeader {
-        /// Its term.
-        term: Term,
-    },
-    /// This process leads the group no longer.
-    LostLeadership,
-    /// The group was formed anew without this member.
-    Superseded {
-        /// Epoch of the new group.
-        group_epoch: u64,
-    },
-    /// A committed command or a snapshot could not be read: this replica must stop.
-    Corrupt(DecodeError),
-}
-
-/// Effects of one step.
-pub type GroupEffects<M, W> = Vec<GroupEffect<<M as StateMachine>::Outcome, W>>;
+use crate::{GroupEffect, GroupEffects, PersistRequest, StateMachine};
 
 /// One replicated state machine: a replica of the log together with the state that it drives.
 ///
--- /dev/null
+++ b/crates/chicory_control/src/groups/mod.rs
@@ -0,0 +1,14 @@
+//! One replicated state machine: a replica of the log together with the state that it drives.
+
+mod group;
+mod group_effect;
+mod persist_request;
+
+use crate::StateMachine;
+
+/// Effects of one step.
+pub type GroupEffects<M, W> = Vec<GroupEffect<<M as StateMachine>::Outcome, W>>;
+
+pub use group::Group;
+pub use group_effect::GroupEffect;
+pub use persist_request::PersistRequest;
--- a/crates/chicory_ownership/src/claim/claim_answer.rs
+++ b/crates/chicory_ownership/src/claim/claim_answer.rs
@@ -1,9 +1,9 @@
 //! The answer to a claim, sent once a majority has it.
 
-use crate::StoredAnswer;
 use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+
+use crate::StoredAnswer;
 
 /// The answer to a claim, sent once a majority has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/claim/claim_request.rs
+++ b/crates/chicory_ownership/src/claim/claim_request.rs
@@ -1,10 +1,9 @@
 //! Asks the zone group that has custody of the order key's slot for the right to run an order.
 
+use chicory_types::{OrderKey, ServiceName};
+use serde::{Deserialize, Serialize};
+
 use crate::Claimant;
-use chicory_types::OrderKey;
-use chicory_types::ServiceName;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Asks the zone group that has custody of the order key's slot for the right to run an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/claim/claim_resolution.rs
+++ b/crates/chicory_ownership/src/claim/claim_resolution.rs
@@ -1,8 +1,8 @@
 //! How a claimed order ended.
 
+use serde::{Deserialize, Serialize};
+
 use crate::StoredAnswer;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// How a claimed order ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/claim/claimant.rs
+++ b/crates/chicory_ownership/src/claim/claimant.rs
@@ -1,10 +1,7 @@
 //! The process that dispatches a claimed order.
 
-use chicory_types::Incarnation;
-use chicory_types::RequestId;
-use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{Incarnation, RequestId, VmId};
+use serde::{Deserialize, Serialize};
 
 /// The process that dispatches a claimed order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/claim/stored_answer.rs
+++ b/crates/chicory_ownership/src/claim/stored_answer.rs
@@ -1,7 +1,6 @@
 //! The answer of a finished order, kept for resends.
 
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The answer of a finished order, kept for resends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/handover/custody_handover.rs
+++ b/crates/chicory_ownership/src/handover/custody_handover.rs
@@ -1,11 +1,9 @@
 //! A release on its way to the zone that takes the slots over.
 
+use chicory_types::{ServiceName, SlotRun, ZoneName};
+use serde::{Deserialize, Serialize};
+
 use crate::ClaimRecord;
-use chicory_types::ServiceName;
-use chicory_types::SlotRun;
-use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// A release on its way to the zone that takes the slots over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/handover/custody_release.rs
+++ b/crates/chicory_ownership/src/handover/custody_release.rs
@@ -1,10 +1,9 @@
 //! Slots that a zone gives up for another one, with nothing left that runs on them.
 
+use chicory_types::{ServiceName, SlotRun};
+use serde::{Deserialize, Serialize};
+
 use crate::ClaimRecord;
-use chicory_types::ServiceName;
-use chicory_types::SlotRun;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Slots that a zone gives up for another one, with nothing left that runs on them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/handover/custody_update.rs
+++ b/crates/chicory_ownership/src/handover/custody_update.rs
@@ -1,9 +1,8 @@
 //! Custody of all slots at one version.
 
-use crate::CustodyHandover;
-use crate::CustodyRun;
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+
+use crate::{CustodyHandover, CustodyRun};
 
 /// Custody of all slots at one version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/records/entry_record.rs
+++ b/crates/chicory_ownership/src/records/entry_record.rs
@@ -1,9 +1,7 @@
 //! What an entry process said of itself.
 
-use chicory_types::Incarnation;
-use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{Incarnation, VmId};
+use serde::{Deserialize, Serialize};
 
 /// What an entry process said of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/records/server_record.rs
+++ b/crates/chicory_ownership/src/records/server_record.rs
@@ -1,11 +1,7 @@
 //! What a backend server announced of itself.
 
-use chicory_types::Incarnation;
-use chicory_types::ServerId;
-use chicory_types::ServiceName;
-use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{Incarnation, ServerId, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// What a backend server announced of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/released_slots.rs
+++ b/crates/chicory_ownership/src/renewal/released_slots.rs
@@ -1,10 +1,7 @@
 //! Slots that a dispatcher has stopped serving for good.
 
-use chicory_types::ServerId;
-use chicory_types::ServiceName;
-use chicory_types::SlotRun;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{ServerId, ServiceName, SlotRun};
+use serde::{Deserialize, Serialize};
 
 /// Slots that a dispatcher has stopped serving for good.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/renew_answer.rs
+++ b/crates/chicory_ownership/src/renewal/renew_answer.rs
@@ -1,12 +1,12 @@
 //! The answer to a renewal.
 
-use crate::RenewRefusal;
-use crate::ViewUpdate;
-use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
 use std::time::Duration;
 
+use chicory_types::VmId;
+use serde::{Deserialize, Serialize};
+
+use crate::{RenewRefusal, ViewUpdate};
+
 /// The answer to a renewal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RenewAnswer {
--- a/crates/chicory_ownership/src/renewal/renew_refusal.rs
+++ b/crates/chicory_ownership/src/renewal/renew_refusal.rs
@@ -1,7 +1,6 @@
 //! Why a renewal was refused.
 
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Why a renewal was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/renew_request.rs
+++ b/crates/chicory_ownership/src/renewal/renew_request.rs
@@ -1,13 +1,9 @@
 //! What an entry process sends at each renewal.
 
-use crate::EntryRecord;
-use crate::ReleasedSlots;
-use crate::ServerRecord;
-use crate::ServerReport;
-use chicory_types::ServerId;
-use chicory_types::ViewVersion;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{ServerId, ViewVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::{EntryRecord, ReleasedSlots, ServerRecord, ServerReport};
 
 /// What an entry process sends at each renewal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/server_condition.rs
+++ b/crates/chicory_ownership/src/renewal/server_condition.rs
@@ -1,7 +1,6 @@
 //! What a dispatcher makes of a backend server, from its own traffic.
 
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// What a dispatcher makes of a backend server, from its own traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/server_report.rs
+++ b/crates/chicory_ownership/src/renewal/server_report.rs
@@ -1,11 +1,9 @@
 //! A dispatcher's report on one backend server.
 
-use crate::ServerCondition;
-use crate::SlotHeat;
-use chicory_types::Incarnation;
-use chicory_types::ServerId;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{Incarnation, ServerId};
+use serde::{Deserialize, Serialize};
+
+use crate::{ServerCondition, SlotHeat};
 
 /// A dispatcher's report on one backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/slot_heat.rs
+++ b/crates/chicory_ownership/src/renewal/slot_heat.rs
@@ -1,8 +1,7 @@
 //! Load of one slot since the last report.
 
 use chicory_types::Slot;
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Load of one slot since the last report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/renewal/view_update.rs
+++ b/crates/chicory_ownership/src/renewal/view_update.rs
@@ -1,9 +1,9 @@
 //! Changes that bring a view up to date.
 
-use crate::ViewChange;
 use chicory_types::ViewVersion;
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+
+use crate::ViewChange;
 
 /// Changes that bring a view up to date.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/view/slot_owner.rs
+++ b/crates/chicory_ownership/src/view/slot_owner.rs
@@ -1,9 +1,7 @@
 //! Who may serve a run of slots.
 
-use chicory_types::FencingToken;
-use chicory_types::ServerId;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{FencingToken, ServerId};
+use serde::{Deserialize, Serialize};
 
 /// Who may serve a run of slots.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/view/view_change.rs
+++ b/crates/chicory_ownership/src/view/view_change.rs
@@ -1,16 +1,10 @@
 //! One change of the view; the view is the fold of all changes since the last [`Reset`].
 
-use crate::EntryRecord;
-use crate::ServerRecord;
-use crate::SlotOwner;
 use chicory_table::Table;
-use chicory_types::ServerId;
-use chicory_types::ServiceName;
-use chicory_types::SlotRun;
-use chicory_types::VmId;
-use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
+use chicory_types::{ServerId, ServiceName, SlotRun, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::{EntryRecord, ServerRecord, SlotOwner};
 
 /// One change of the view; the view is the fold of all changes since the last [`Reset`].
 ///
--- a/crates/chicory_ownership/src/zone_sync/zone_directory.rs
+++ b/crates/chicory_ownership/src/zone_sync/zone_directory.rs
@@ -1,9 +1,9 @@
 //! Entry processes of an availability zone.
 
-use crate::EntryRecord;
 use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+
+use crate::EntryRecord;
 
 /// Entry processes of an availability zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/zone_sync/zone_sync_answer.rs
+++ b/crates/chicory_ownership/src/zone_sync/zone_sync_answer.rs
@@ -1,16 +1,13 @@
 //! The answer to a zone's sync.
 
-use crate::CustodyUpdate;
-use crate::ZoneDirectory;
-use crate::ZoneSyncRefusal;
-use chicory_table::CustodyLease;
-use chicory_table::Table;
-use chicory_types::ServiceName;
-use chicory_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
 use std::collections::BTreeMap;
 
+use chicory_table::{CustodyLease, Table};
+use chicory_types::{ServiceName, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::{CustodyUpdate, ZoneDirectory, ZoneSyncRefusal};
+
 /// The answer to a zone's sync.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ZoneSyncAnswer {
--- a/crates/chicory_ownership/src/zone_sync/zone_sync_request.rs
+++ b/crates/chicory_ownership/src/zone_sync/zone_sync_request.rs
@@ -1,15 +1,12 @@
 //! What the leader of a zone group sends, about as often as entry processes renew.
 
-use crate::CustodyRelease;
-use crate::EntryRecord;
-use chicory_types::Revision;
-use chicory_types::ServiceName;
-use chicory_types::VmId;
-use chicory_types::ZoneName;
-use serde::Deserialize;
-use serde::Serialize;
 use std::collections::BTreeSet;
 
+use chicory_types::{Revision, ServiceName, VmId, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::{CustodyRelease, EntryRecord};
+
 /// What the leader of a zone group sends, about as often as entry processes renew.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneSyncRequest {
