Keep the state of a zone's group on disk where there is one

Cause: a restart of all control processes of a zone lost its order claims, and its orders were refused for 12 hours, also on VMs that have disks. Ruled out: claims in the global group, which would put every order through it. Without disks the group is formed anew and refuses orders, as before. Two tests in virtual time show both; the first failed without the change (history lost). Old folders of a zone's groups stay on disk until an operator removes them.

--- a/crates/chicory_control/examples/drive_by_hand.rs
+++ b/crates/chicory_control/examples/drive_by_hand.rs
@@ -64,6 +64,7 @@
             zone: ZONE.to_owned(),
             zone_vms: [VM.to_owned()].into(),
             global_vms: [VM.to_owned()].into(),
+            is_zone_durable: false,
             seed: 42,
         };
         let member = MemberId::new(VM, 1);
@@ -75,7 +76,7 @@
             .build();
         Ok(Self {
             now,
-            control: ControlCore::new(config, Some(global), now),
+            control: ControlCore::new(config, Some(global), None, now)?,
             entry: RequestPath::new(entry_config, now),
             renewal_sent_at: now,
         })
--- a/crates/chicory_control/examples/measure_control.rs
+++ b/crates/chicory_control/examples/measure_control.rs
@@ -466,6 +466,7 @@
             zone: ZONE.to_owned(),
             zone_vms: vms.iter().cloned().collect(),
             global_vms: [vms[0].clone()].into(),
+            is_zone_durable: false,
             seed: incarnation,
         };
         let global = if n == 0 {
@@ -477,7 +478,7 @@
             None
         };
         Ok(Self {
-            core: ControlCore::new(config, global, Duration::ZERO),
+            core: ControlCore::new(config, global, None, Duration::ZERO)?,
             cost: Cost::default(),
         })
     }
--- a/crates/chicory_control/src/control_config.rs
+++ b/crates/chicory_control/src/control_config.rs
@@ -31,6 +31,8 @@
     pub zone_vms: BTreeSet<VmId>,
     /// VMs of the global group.
     pub global_vms: BTreeSet<VmId>,
+    /// Whether the process has a disk for the state of its zone's group.
+    pub is_zone_durable: bool,
     /// Seed of all randomness.
     pub seed: u64,
 }
--- a/crates/chicory_control/src/core/mod.rs
+++ b/crates/chicory_control/src/core/mod.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use chicory_consensus::ReplicaEvent;
+use chicory_consensus::{ConfigError, ReplicaEvent};
 use chicory_ownership::{GlobalLeader, ZoneLeader};
 use chicory_types::{Incarnation, MonoTime, Revision, VmId};
 
@@ -16,7 +16,7 @@
 use crate::zone_seat::{FormationQuestion, ZoneSeat};
 use crate::{
     CallId, Caller, ControlCall, ControlConfig, ControlEffect, ControlEvent, ControlNote,
-    ControlReply, FormationAnswer, FormationRequest, GlobalGroup, GroupName,
+    ControlReply, FormationAnswer, FormationRequest, GlobalGroup, GroupName, StoredSeat,
 };
 
 /// How long a leader that stops waits for another one to take over.
@@ -82,11 +82,20 @@
 }
 
 impl ControlCore {
-    /// Creates the reducer; `global` is the process's part in the global group, if it has one.
-    #[must_use]
-    pub fn new(config: ControlConfig, global: Option<GlobalGroup>, now: MonoTime) -> Self {
-        Self {
-            seat: ZoneSeat::new(config.clone(), now),
+    /// Creates the reducer; `global` is the process's part in the global group, if it has one, and
+    /// `stored` what it stored of its part in its zone's group.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError`] where the settings make no valid member.
+    pub fn new(
+        config: ControlConfig,
+        global: Option<GlobalGroup>,
+        stored: Option<StoredSeat>,
+        now: MonoTime,
+    ) -> Result<Self, ConfigError> {
+        Ok(Self {
+            seat: ZoneSeat::new(config.clone(), stored, now)?,
             config,
             global,
             global_leader: None,
@@ -98,7 +107,7 @@
             wall_ms: 0,
             revision_in_force: 0,
             stop_by: None,
-        }
+        })
     }
 
     /// When the next [`ControlEvent::Tick`] is due at the latest.
@@ -147,11 +156,12 @@
                 from,
                 message,
             } => self.receive(now, group, from, message, &mut effects),
-            ControlEvent::Persisted { ticket } => {
-                self.step_global(now, ReplicaEvent::Persisted { ticket }, &mut effects);
+            ControlEvent::Persisted { group, ticket } => {
+                self.step(now, group, ReplicaEvent::Persisted { ticket }, &mut effects);
             }
-            ControlEvent::PersistFailed { ticket } => {
-                self.step_global(now, ReplicaEvent::PersistFailed { ticket }, &mut effects);
+            ControlEvent::PersistFailed { group, ticket } => {
+                let event = ReplicaEvent::PersistFailed { ticket };
+                self.step(now, group, event, &mut effects);
             }
             ControlEvent::CallReceived {
                 call,
@@ -317,8 +327,15 @@
         let Some(group) = self.seat.group() else {
             return;
         };
+        let group_epoch = group.replica().group_epoch();
+        if self.config.is_zone_durable {
+            effects.push(ControlEffect::OpenZoneStore {
+                group_epoch,
+                member: group.replica().member().clone(),
+            });
+        }
         effects.push(ControlEffect::Note(ControlNote::EnteredZoneGroup {
-            group_epoch: group.replica().group_epoch(),
+            group_epoch,
             is_founder: matches!(answer, FormationAnswer::Found { .. }),
         }));
     }
--- a/crates/chicory_control/src/core/stepping.rs
+++ b/crates/chicory_control/src/core/stepping.rs
@@ -38,6 +38,19 @@
         }
     }
 
+    pub(super) fn step(
+        &mut self,
+        now: MonoTime,
+        group: GroupName,
+        event: ReplicaEvent,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        match group {
+            GroupName::Global => self.step_global(now, event, effects),
+            GroupName::Zone => self.step_zone(now, event, effects),
+        }
+    }
+
     pub(super) fn step_global(
         &mut self,
         now: MonoTime,
@@ -78,7 +91,10 @@
                     to,
                     message,
                 }),
-                GroupEffect::Persist(request) => effects.push(ControlEffect::Persist(request)),
+                GroupEffect::Persist(request) => effects.push(ControlEffect::Persist {
+                    group: GroupName::Global,
+                    request,
+                }),
                 GroupEffect::Applied { outcome, waiter } => {
                     effects.extend(waiter.and_then(|w| global_reply(w, outcome)));
                 }
@@ -168,8 +184,12 @@
                     }));
                 }
                 GroupEffect::Corrupt(_) => effects.push(ControlEffect::Abort),
-                // A zone's group keeps nothing on disk, and messages of other epochs are dropped.
-                GroupEffect::Persist(_) | GroupEffect::Superseded { .. } => {}
+                GroupEffect::Persist(request) => effects.push(ControlEffect::Persist {
+                    group: GroupName::Zone,
+                    request,
+                }),
+                // Messages of other epochs are dropped.
+                GroupEffect::Superseded { .. } => {}
             }
         }
         self.note_revision(effects);
--- a/crates/chicory_control/src/effects/control_effect.rs
+++ b/crates/chicory_control/src/effects/control_effect.rs
@@ -18,8 +18,21 @@
         /// The message.
         message: PeerMessage,
     },
-    /// Make state of the global group durable.
-    Persist(Box<PersistRequest>),
+    /// Keep what the zone's group makes durable from now on under the name of this member; comes
+    /// only with [`is_zone_durable`](crate::ControlConfig::is_zone_durable).
+    OpenZoneStore {
+        /// Epoch of the group.
+        group_epoch: u64,
+        /// The member.
+        member: MemberId,
+    },
+    /// Make state of a group durable.
+    Persist {
+        /// The group.
+        group: GroupName,
+        /// The state.
+        request: Box<PersistRequest>,
+    },
     /// Answer a call.
     Reply {
         /// The call.
--- a/crates/chicory_control/src/events/control_event.rs
+++ b/crates/chicory_control/src/events/control_event.rs
@@ -24,13 +24,17 @@
         /// The message.
         message: PeerMessage,
     },
-    /// State of the global group is durable.
+    /// State of a group is durable.
     Persisted {
+        /// The group.
+        group: GroupName,
         /// Ticket of the effect.
         ticket: u64,
     },
-    /// State of the global group could not be made durable.
+    /// State of a group could not be made durable.
     PersistFailed {
+        /// The group.
+        group: GroupName,
         /// Ticket of the effect.
         ticket: u64,
     },
--- a/crates/chicory_control/src/lib.rs
+++ b/crates/chicory_control/src/lib.rs
@@ -16,6 +16,7 @@
 mod inquiry;
 mod process;
 mod state_machine;
+mod stored_seat;
 mod zone_machine;
 mod zone_seat;
 
@@ -37,5 +38,6 @@
 pub use groups::{Group, GroupEffect, GroupEffects, PersistRequest};
 pub use process::{ControlError, ControlMetric, ControlSettings, control_command, run};
 pub use state_machine::{DecodeError, StateMachine};
+pub use stored_seat::StoredSeat;
 pub use zone_machine::ZoneMachine;
 pub use zone_seat::{FormationQuestion, ZoneGroup, ZoneSeat};
--- a/crates/chicory_control/src/process/command.rs
+++ b/crates/chicory_control/src/process/command.rs
@@ -35,7 +35,7 @@
         .arg(setting(
             "data-dir",
             "FOLDER",
-            "Folder for the state of the global group; required where this VM is in --global-peers",
+            "Folder for the state of this VM's groups; required where this VM is in --global-peers",
         ))
         .arg(setting("ca", "FILE", "Certificate of the deployment's authority, PEM"))
         .arg(setting("cert", "FILE", "Certificate of this process, PEM"))
--- a/crates/chicory_control/src/process/control_process.rs
+++ b/crates/chicory_control/src/process/control_process.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
+use chicory_consensus::MemberId;
 use chicory_net::admin::{AdminHandler, Readiness};
 use chicory_net::http::{HttpLimits, HttpListener};
 use chicory_net::peer::{FaultFile, FaultSwitch, NoFaults, PeerEndpoint, PeerIdentity};
@@ -16,19 +17,18 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::control_error::{
-    AdminSnafu, ControlError, CorruptSnafu, MetricsSnafu, PeerSnafu, SignalSnafu, TlsSnafu,
-    TraceSnafu,
+    AdminSnafu, ControlError, CorruptSnafu, GroupSnafu, MetricsSnafu, PeerSnafu, SignalSnafu,
+    TlsSnafu, TraceSnafu,
 };
 use super::control_settings::ControlSettings;
-use super::global_member::GlobalMember;
-use super::global_store::GlobalStore;
 use super::peer_links::PeerLinks;
 use super::pending_calls::{CallOrigin, PendingCalls};
 use super::shell_event::ShellEvent;
+use super::stored_state::StoredState;
 use super::{note_log, peer_server};
 use crate::{
     Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent, ControlReply,
-    PersistRequest,
+    GroupName, PersistRequest,
 };
 
 /// Events that may wait for the loop.
@@ -52,7 +52,7 @@
     clock: SystemClock,
     links: PeerLinks,
     calls: PendingCalls,
-    store: Box<dyn GlobalStore>,
+    stored: StoredState,
     readiness: Readiness,
     metrics: Arc<Metrics>,
     logger: Logger,
@@ -75,16 +75,18 @@
     let endpoint = start_peers(&settings, &events, &metrics)?;
     start_admin(&settings, &readiness, &metrics, stopped).await?;
     let now = clock.now();
-    let member = GlobalMember::open(&settings, started_at(&clock), now, &logger)?;
-    let config = config_of(&settings, member.incarnation);
+    let mut stored = StoredState::open(&settings, started_at(&clock))?;
+    let global = stored.open_global(&settings, now, &logger)?;
+    let seat = stored.open_zone(&logger)?;
+    let config = config_of(&settings, &stored);
     info!(logger, "started"; "zone" => &config.zone, "incarnation" => config.incarnation,
         "is_global_member" => config.is_global_member());
     let process = Process {
-        core: ControlCore::new(config.clone(), member.group, now),
+        core: ControlCore::new(config.clone(), global, seat, now).context(GroupSnafu)?,
         clock,
         links: PeerLinks::new(endpoint.clone(), settings.peers(), events, metrics.clone()),
         calls: PendingCalls::default(),
-        store: member.store,
+        stored,
         readiness,
         metrics,
         logger,
@@ -143,8 +145,10 @@
     Ok(())
 }
 
-fn config_of(settings: &ControlSettings, incarnation: Incarnation) -> ControlConfig {
+fn config_of(settings: &ControlSettings, stored: &StoredState) -> ControlConfig {
+    let incarnation = stored.incarnation;
     ControlConfig {
+        is_zone_durable: stored.is_durable(),
         vm: settings.vm.clone(),
         incarnation,
         zone: settings.zone.clone(),
@@ -275,7 +279,13 @@
             ControlEffect::Send { group, to, message } => {
                 self.links.send(group, &to.vm, message);
             }
-            ControlEffect::Persist(request) => follow_ups.push(self.persist(*request)),
+            ControlEffect::OpenZoneStore {
+                group_epoch,
+                member,
+            } => return self.begin_zone(group_epoch, &member),
+            ControlEffect::Persist { group, request } => {
+                follow_ups.push(self.persist(group, *request));
+            }
             ControlEffect::Reply { call, reply } => {
                 follow_ups.extend(self.reply(call, reply));
             }
@@ -305,17 +315,31 @@
         Next::GoOn
     }
 
-    fn persist(&mut self, request: PersistRequest) -> ControlEvent {
+    fn begin_zone(&mut self, group_epoch: u64, member: &MemberId) -> Next {
+        match self.stored.begin_zone(group_epoch, member) {
+            Ok(()) => Next::GoOn,
+            Err(error) => {
+                error!(self.logger, "the zone's group can't be stored"; "error" => %error);
+                Next::Fail
+            }
+        }
+    }
+
+    fn persist(&mut self, group: GroupName, request: PersistRequest) -> ControlEvent {
         let ticket = request.ticket;
-        match self.store.persist(request) {
+        let Some(store) = self.stored.store_of(group) else {
+            self.metrics.increment(super::ControlMetric::FailedWrites);
+            return ControlEvent::PersistFailed { group, ticket };
+        };
+        match store.persist(request) {
             Ok(()) => {
                 self.metrics.increment(super::ControlMetric::DurableWrites);
-                ControlEvent::Persisted { ticket }
+                ControlEvent::Persisted { group, ticket }
             }
             Err(error) => {
                 self.metrics.increment(super::ControlMetric::FailedWrites);
                 error!(self.logger, "state could not be made durable"; "error" => %error);
-                ControlEvent::PersistFailed { ticket }
+                ControlEvent::PersistFailed { group, ticket }
             }
         }
     }
--- a/crates/chicory_control/src/process/global_store.rs
+++ b/crates/chicory_control/src/process/group_store.rs
@@ -1,11 +1,11 @@
-//! Where the state of the global group is made durable.
+//! Where the state of a group is made durable.
 
 use chicory_storage::{GroupStorage, StorageError};
 
 use crate::PersistRequest;
 
-/// Where the state of the global group is made durable.
-pub trait GlobalStore {
+/// Where the state of a group is made durable.
+pub trait GroupStore {
     /// Makes state durable; it is when this returns.
     ///
     /// # Errors
@@ -14,17 +14,7 @@
     fn persist(&mut self, request: PersistRequest) -> Result<(), StorageError>;
 }
 
-/// For processes without a part in the global group, which have nothing to store.
-#[derive(Clone, Copy, Debug)]
-pub struct NoStore;
-
-impl GlobalStore for NoStore {
-    fn persist(&mut self, _request: PersistRequest) -> Result<(), StorageError> {
-        Ok(())
-    }
-}
-
-impl GlobalStore for GroupStorage {
+impl GroupStore for GroupStorage {
     fn persist(&mut self, request: PersistRequest) -> Result<(), StorageError> {
         Self::persist(
             self,
--- a/crates/chicory_control/src/process/mod.rs
+++ b/crates/chicory_control/src/process/mod.rs
@@ -5,13 +5,13 @@
 mod control_metric;
 mod control_process;
 mod control_settings;
-mod global_member;
-mod global_store;
+mod group_store;
 mod note_log;
 mod peer_links;
 mod peer_server;
 mod pending_calls;
 mod shell_event;
+mod stored_state;
 
 pub use command::control_command;
 pub use control_error::ControlError;
--- a/crates/chicory_control/src/zone_seat.rs
+++ b/crates/chicory_control/src/zone_seat.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use chicory_consensus::{ConfigError, Formation, MemberId, Replica, ReplicaConfig, RestoredState};
-use chicory_types::{MonoTime, VmId, fingerprint_of};
+use chicory_types::{Incarnation, MonoTime, VmId, fingerprint_of};
 
 use crate::control_config::FORMATION_INTERVAL;
 use crate::inquiry::Inquiry;
-use crate::{ControlConfig, FormationAnswer, Group, GroupName, ZoneMachine, ZoneWaiter};
+use crate::{
+    ControlConfig, FormationAnswer, Group, GroupName, StoredSeat, ZoneMachine, ZoneWaiter,
+};
 
 /// How long a member may be without a leader before it asks whether its group still exists.
 const LEADERLESS_LIMIT: Duration = Duration::from_secs(3);
@@ -37,7 +39,9 @@
 pub struct ZoneSeat {
     config: ControlConfig,
     /// Start of the process's memory; each new part in a group is a new member.
-    incarnation: u64,
+    incarnation: Incarnation,
+    /// Least start of the memory of the next part in a group.
+    next_incarnation: Incarnation,
     group: Option<ZoneGroup>,
     inquiry: Inquiry,
     has_leader_at: MonoTime,
@@ -45,17 +49,34 @@
 }
 
 impl ZoneSeat {
-    /// Creates the seat of a process that was just started.
-    #[must_use]
-    pub fn new(config: ControlConfig, now: MonoTime) -> Self {
-        Self {
+    /// Creates the seat of a process that was just started; with stored state it goes on as the
+    /// member that it was.
+    ///
+    /// # Errors
+    ///
+    /// [`ConfigError`] where the settings make no valid member.
+    pub fn new(
+        config: ControlConfig,
+        stored: Option<StoredSeat>,
+        now: MonoTime,
+    ) -> Result<Self, ConfigError> {
+        let mut seat = Self {
             incarnation: config.incarnation,
+            next_incarnation: config.incarnation,
             config,
             group: None,
             inquiry: Inquiry::Zone { since: now },
             has_leader_at: now,
             ask_at: now,
+        };
+        if let Some(stored) = stored {
+            let started = seat.incarnation;
+            seat.incarnation = stored.incarnation;
+            seat.enter(now, stored.group_epoch, Formation::Join, stored.state)?;
+            // A later part in a group is greater than any earlier one.
+            seat.next_incarnation = started;
         }
+        Ok(seat)
     }
 
     /// The group that the process takes part in.
@@ -158,9 +179,7 @@
     ) -> Result<bool, ConfigError> {
         let may_join = matches!(self.inquiry, Inquiry::Zone { .. }) && self.group.is_none();
         match answer {
-            FormationAnswer::Join { group_epoch } if may_join => {
-                self.enter(now, *group_epoch, Formation::Join)
-            }
+            FormationAnswer::Join { group_epoch } if may_join => self.join(now, *group_epoch),
             _ => Ok(false),
         }
     }
@@ -184,11 +203,14 @@
             return Ok(is_replaced);
         }
         match answer {
-            FormationAnswer::Join { group_epoch } => self.enter(now, *group_epoch, Formation::Join),
+            FormationAnswer::Join { group_epoch } => self.join(now, *group_epoch),
             FormationAnswer::Found {
                 group_epoch,
                 founders,
-            } => self.enter(now, *group_epoch, self.formation_of(founders)),
+            } => {
+                let formation = self.formation_of(founders);
+                self.enter(now, *group_epoch, formation, RestoredState::fresh())
+            }
             FormationAnswer::Wait => {
                 self.inquiry.note_answer(now);
                 Ok(false)
@@ -205,11 +227,16 @@
         }
     }
 
+    fn join(&mut self, now: MonoTime, group_epoch: u64) -> Result<bool, ConfigError> {
+        self.enter(now, group_epoch, Formation::Join, RestoredState::fresh())
+    }
+
     fn enter(
         &mut self,
         now: MonoTime,
         group_epoch: u64,
         formation: Formation,
+        state: RestoredState,
     ) -> Result<bool, ConfigError> {
         let zone_vms: Vec<VmId> = self.config.zone_vms.iter().cloned().collect();
         let replica_config = ReplicaConfig::builder(self.member(), zone_vms)
@@ -217,9 +244,9 @@
             .formation(formation)
             .seed(self.seed())
             .build()?;
-        let replica = Replica::new(replica_config, RestoredState::fresh(), now);
+        let replica = Replica::new(replica_config, state, now);
         let machine = ZoneMachine::new(self.config.zone.clone(), group_epoch);
-        self.group = Some(Group::new(replica, machine, false));
+        self.group = Some(Group::new(replica, machine, self.config.is_zone_durable));
         self.has_leader_at = now;
         Ok(true)
     }
@@ -236,7 +263,7 @@
     /// Leaves the group and forgets all of it; the process comes back as another member.
     fn leave(&mut self, now: MonoTime) {
         self.group = None;
-        self.incarnation += 1;
+        self.incarnation = self.next_incarnation.max(self.incarnation + 1);
         self.inquiry = Inquiry::Zone { since: now };
         self.ask_at = now;
     }
--- a/crates/chicory_control/tests/fleet.rs
+++ b/crates/chicory_control/tests/fleet.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use chicory_control::{Caller, ControlCall, ControlReply, OperatorCall};
-use chicory_ownership::{SlotOwner, ViewChange};
+use chicory_ownership::{ClaimAnswer, ClaimRequest, Claimant, SlotOwner, ViewChange};
 use chicory_table::EditOutcome;
+use chicory_types::slot_of_key;
 use googletest::prelude::*;
 use support::{Fleet, entry, server};
 
@@ -14,8 +15,8 @@
 /// The target for an accepted edit.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(18);
 
-fn formed() -> Fleet {
-    let mut fleet = Fleet::new();
+fn formed(has_disks: bool) -> Fleet {
+    let mut fleet = Fleet::with_disks(has_disks);
     let has_formed = fleet.run_until(FORMATION_LIMIT, |fleet| {
         fleet.have_all_leaders() && fleet.are_all_ready()
     });
@@ -24,7 +25,11 @@
 }
 
 fn with_table() -> Fleet {
-    let mut fleet = formed();
+    with_table_on(false)
+}
+
+fn with_table_on(has_disks: bool) -> Fleet {
+    let mut fleet = formed(has_disks);
     fleet.run(Duration::from_secs(4));
     assert_eq!(
         fleet.edit("e1", 0, "archive"),
@@ -68,7 +73,7 @@
 
 #[gtest]
 fn diskless_zone_groups_form_by_the_word_of_the_global_group() {
-    let fleet = formed();
+    let fleet = formed(false);
     expect_true!(fleet.have_all_leaders());
 }
 
@@ -211,3 +216,86 @@
     let reply = fleet.ask(&leader, Caller::Entry("entry-1".into()), operator_call);
     expect_that!(reply, some(eq(&ControlReply::NotAllowed)));
 }
+
+fn claim(fleet: &mut Fleet, zone: &str, attempt: u64) -> ClaimAnswer {
+    let leader = fleet.zone_leader(zone).unwrap();
+    let request = ClaimRequest {
+        service: "orders".to_owned(),
+        order_key: order_key_of(fleet, zone),
+        fingerprint: 1,
+        claimant: Claimant {
+            vm: "entry-9".to_owned(),
+            incarnation: 1,
+            attempt,
+        },
+    };
+    let from = Caller::Entry("entry-9".to_owned());
+    match fleet.ask(&leader, from, ControlCall::Claim(request)) {
+        Some(ControlReply::Claim(answer)) => answer,
+        other => panic!("no answer: {other:?}"),
+    }
+}
+
+/// An order key whose slot is in the custody of a zone.
+fn order_key_of(fleet: &mut Fleet, zone: &str) -> String {
+    let record = entry("entry-9");
+    let (_, update) = fleet.renew(zone, &record, 0, Vec::new()).unwrap();
+    let is_own = |key: &String| {
+        update.changes.iter().any(|change| match change {
+            ViewChange::CustodyAssigned {
+                service,
+                runs,
+                zone: custodian,
+                ..
+            } => {
+                let slot = slot_of_key(key);
+                service == "orders" && custodian == zone && runs.iter().any(|r| r.contains(slot))
+            }
+            _ => false,
+        })
+    };
+    (0..1_000)
+        .map(|n| format!("order-{n}"))
+        .find(is_own)
+        .unwrap()
+}
+
+#[gtest]
+fn a_zone_with_disks_forgets_no_claim_when_most_of_its_members_restart() {
+    let mut fleet = with_table_on(true);
+    expect_that!(
+        fleet.edit_orders("e2", 1),
+        eq(&EditOutcome::Accepted { revision: 2 })
+    );
+    fleet.run(Duration::from_secs(6));
+    expect_that!(claim(&mut fleet, "south", 1), eq(&ClaimAnswer::Granted));
+    for vm in fleet.vms_of("south").split_off(1) {
+        fleet.kill(&vm);
+        fleet.start(&vm);
+    }
+    let has_leader = |fleet: &Fleet| fleet.zone_leader("south").is_some() && fleet.are_all_ready();
+    expect_true!(fleet.run_until(Duration::from_secs(2), has_leader));
+    fleet.run(Duration::from_secs(1));
+    let resent = claim(&mut fleet, "south", 2);
+    expect_that!(
+        resent,
+        any![eq(&ClaimAnswer::InProgress), eq(&ClaimAnswer::Unknown)]
+    );
+}
+
+#[gtest]
+fn a_zone_without_disks_refuses_orders_that_it_may_have_forgotten() {
+    let mut fleet = with_table_on(false);
+    fleet.edit_orders("e2", 1);
+    fleet.run(Duration::from_secs(6));
+    expect_that!(claim(&mut fleet, "south", 1), eq(&ClaimAnswer::Granted));
+    for vm in fleet.vms_of("south").split_off(1) {
+        fleet.kill(&vm);
+        fleet.start(&vm);
+    }
+    let has_leader = |fleet: &Fleet| fleet.zone_leader("south").is_some() && fleet.are_all_ready();
+    fleet.run(Duration::from_secs(5));
+    expect_true!(fleet.run_until(Duration::from_secs(30), has_leader));
+    fleet.run(Duration::from_secs(6));
+    expect_that!(claim(&mut fleet, "south", 2), eq(&ClaimAnswer::HistoryLost));
+}
--- a/crates/chicory_control/tests/support/mod.rs
+++ b/crates/chicory_control/tests/support/mod.rs
@@ -6,7 +6,8 @@
 use chicory_consensus::{MemberId, RestoredState};
 use chicory_control::{
     CallId, Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent,
-    ControlReply, GroupName, OperatorCall, OperatorReply, new_global_group,
+    ControlReply, GroupName, OperatorCall, OperatorReply, PersistRequest, StoredSeat,
+    new_global_group,
 };
 use chicory_ownership::{EntryRecord, RenewAnswer, RenewRequest, ServerRecord, ViewUpdate};
 use chicory_table::{CustodyLease, EditOutcome, ServicePolicy, TableChange};
@@ -60,11 +61,15 @@
     last_call: CallId,
     replies: BTreeMap<u64, ControlReply>,
     last_incarnation: u64,
+    /// Whether the zones' groups keep their state on disks.
+    has_disks: bool,
+    disks: BTreeMap<VmId, StoredSeat>,
 }
 
 impl Fleet {
     /// Three zones of three control processes; the first of each is a member of the global group.
-    pub fn new() -> Self {
+    /// With disks, all keep the state of their zone's group.
+    pub fn with_disks(has_disks: bool) -> Self {
         let zone_names = ["north", "middle", "south"];
         let vms_of = |zone: &str| (1..=3).map(|n| format!("{zone}-{n}")).collect();
         let zones: BTreeMap<ZoneName, BTreeSet<VmId>> = zone_names
@@ -83,6 +88,8 @@
             last_call: 0,
             replies: BTreeMap::new(),
             last_incarnation: 0,
+            has_disks,
+            disks: BTreeMap::new(),
         };
         for vm in fleet.zones.values().flatten().cloned().collect::<Vec<_>>() {
             fleet.start(&vm);
@@ -102,6 +109,7 @@
             zone: zone.clone(),
             zone_vms: self.zones[&zone].clone(),
             global_vms: self.global_vms.clone(),
+            is_zone_durable: self.has_disks,
             seed: self.last_incarnation,
         };
         let global = self.global_vms.contains(vm).then(|| {
@@ -110,7 +118,7 @@
             new_global_group(member, &self.global_vms, fresh, false, self.now).unwrap()
         });
         let started = Vm {
-            core: ControlCore::new(config, global, self.now),
+            core: ControlCore::new(config, global, self.disks.get(vm).cloned(), self.now).unwrap(),
             zone,
             waiters: BTreeMap::new(),
             is_paused: false,
@@ -275,10 +283,44 @@
                 self.call(name, &to, ControlCall::AskFormation(request), waiter);
             }
             ControlEffect::Abort => panic!("{name} aborts"),
-            ControlEffect::Note(_) | ControlEffect::Stopped | ControlEffect::Persist(_) => {}
+            ControlEffect::OpenZoneStore {
+                group_epoch,
+                member,
+            } => {
+                let seat = StoredSeat {
+                    group_epoch,
+                    incarnation: member.incarnation,
+                    state: RestoredState::fresh(),
+                };
+                self.disks.insert(name.to_owned(), seat);
+            }
+            ControlEffect::Persist { group, request } => {
+                let ticket = request.ticket;
+                self.write(name, *request);
+                let event = ControlEvent::Persisted { group, ticket };
+                self.send(name, name, Cargo::Event(event));
+            }
+            ControlEffect::Note(_) | ControlEffect::Stopped => {}
         }
     }
 
+    fn write(&mut self, name: &str, request: PersistRequest) {
+        let state = &mut self.disks.get_mut(name).unwrap().state;
+        if let Some(hard_state) = request.hard_state {
+            state.hard_state = hard_state;
+        }
+        if let Some(from) = request.truncate_from {
+            state.entries.retain(|entry| entry.index < from);
+        }
+        if let Some(snapshot) = request.snapshot {
+            state
+                .entries
+                .retain(|entry| entry.index > snapshot.last_index);
+            state.snapshot = Some(snapshot);
+        }
+        state.entries.extend(request.entries);
+    }
+
     fn call(&mut self, name: &str, to: &str, request: ControlCall, waiter: Waiter) {
         let is_lost = !self.vms.contains_key(to) || !self.is_joined(name, to);
         if is_lost {
@@ -357,12 +399,33 @@
 
     /// Puts a service into the table; returns what became of it.
     pub fn edit(&mut self, edit_id: &str, base_revision: u64, service: &str) -> EditOutcome {
+        let policy = policy(self.zones.keys().cloned().collect());
+        self.put(edit_id, base_revision, service, policy)
+    }
+
+    /// Puts a service that takes orders into the table.
+    pub fn edit_orders(&mut self, edit_id: &str, base_revision: u64) -> EditOutcome {
+        let policy = ServicePolicy {
+            keyed: false,
+            idempotent: false,
+            ..policy(self.zones.keys().cloned().collect())
+        };
+        self.put(edit_id, base_revision, "orders", policy)
+    }
+
+    fn put(
+        &mut self,
+        edit_id: &str,
+        base_revision: u64,
+        service: &str,
+        policy: ServicePolicy,
+    ) -> EditOutcome {
         let call = OperatorCall::EditTable {
             edit_id: edit_id.to_owned(),
             base_revision,
             changes: vec![TableChange::PutService {
                 service: service.to_owned(),
-                policy: policy(self.zones.keys().cloned().collect()),
+                policy,
             }],
         };
         match self.operate(&call) {
--- a/tools/trace_replay/src/control_replay.rs
+++ b/tools/trace_replay/src/control_replay.rs
@@ -50,7 +50,7 @@
             None
         };
         Ok(Self {
-            core: ControlCore::new(config, global, now),
+            core: ControlCore::new(config, global, None, now).context(SettingsSnafu)?,
             leased: BTreeSet::new(),
             renewing: None,
             claims: BTreeMap::new(),
