Resend the demonstration's order until it is answered, choose ports apart

Seen in 2 of 9 runs, three at a time: right after the start the resend through another zone was answered unknown (zone-unreachable, come back in 1 s), which is honest, and the demonstration failed. It now goes on as a caller would; in exchange it fails if any send of an order that had run is answered not-run, which it only printed before.

Seen in 6 of 8 runs, four at a time: ports from the system's ephemeral range were taken by connections of other runs before the processes listened.

--- a/tools/demo_runner/src/demo/demo_run.rs
+++ b/tools/demo_runner/src/demo/demo_run.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 
-use chicory_standin::load::CallOutcome;
 use snafu::{OptionExt, ensure};
 use tokio::time::Instant;
 use uuid::Uuid;
@@ -117,17 +116,18 @@
             .until_good(&[first.listen.to_string()], &order)
             .await?;
         println!("order through {}: run by {}", first.name, ran.server);
-        let resent = self.caller.send(&other.listen.to_string(), &order).await;
+        let address = other.listen.to_string();
+        let resent = self.caller.until_good(&[address], &order).await?;
         ensure!(
-            resent.is_good() && resent.server.as_ref() == Some(&ran.server),
+            resent.server == ran.server,
             UnexpectedSnafu {
                 expected: format!("the stored answer of {}", ran.server),
-                found: format!("{resent:?}"),
+                found: resent.server,
             }
         );
         println!(
-            "order resent through {}: the same answer, not run again",
-            other.name
+            "order resent through {}: the same answer after {} sends, not run again",
+            other.name, resent.sends
         );
         Ok(())
     }
@@ -190,10 +190,17 @@
         self.cluster.stop().await?;
         println!("stopped every process as planned, each with exit code 0");
         let verdict = self.cluster.check_clean(&[ARCHIVE])?;
-        let not_run = CallOutcome::NotRun.name();
+        ensure!(
+            verdict.refused_sends_of_run_orders == 0,
+            UnexpectedSnafu {
+                expected: "no order that had run to be answered not-run",
+                found: verdict.refused_sends_of_run_orders.to_string(),
+            }
+        );
         println!(
-            "history: {} runs, no violation; {} sends of orders that had run were answered {not_run}",
-            verdict.runs, verdict.refused_sends_of_run_orders
+            "history: {} runs; no key had two owners, no order ran twice or was answered not-run \
+             after it had run",
+            verdict.runs
         );
         Ok(())
     }
--- a/tools/demo_runner/src/deployment/cluster.rs
+++ b/tools/demo_runner/src/deployment/cluster.rs
@@ -49,7 +49,8 @@
     /// [`RunnerError`] if a process doesn't start or the deployment isn't formed in time.
     pub async fn start(shape: Shape, binaries: &Path) -> Result<Self, RunnerError> {
         let folder = new_folder()?;
-        let vms = plan(shape)?;
+        let mut ports = Ports::new();
+        let vms = plan(shape, &mut ports)?;
         let global = peer_list(vms.iter().filter(|vm| vm.is_global()));
         let mut cluster = Self {
             operator: Operator::new(binaries, folder.path(), global),
@@ -61,6 +62,7 @@
             binaries: binaries.to_owned(),
         };
         cluster.make_certificates().await?;
+        drop(ports);
         for vm in cluster.vms.clone() {
             cluster.start_process(&vm.name)?;
         }
@@ -393,8 +395,7 @@
     Ok(folder)
 }
 
-fn plan(shape: Shape) -> Result<Vec<Vm>, RunnerError> {
-    let mut ports = Ports::default();
+fn plan(shape: Shape, ports: &mut Ports) -> Result<Vec<Vm>, RunnerError> {
     let mut vms = Vec::new();
     for (index, zone) in shape.zone_names().enumerate() {
         let zone_number = index + 1;
@@ -402,13 +403,12 @@
             let is_global = number <= shape.global_controls;
             let role = Role::Control { is_global };
             let name = format!("control-{zone_number}-{number}");
-            vms.push(Vm::new(name, zone, role, &mut ports)?);
+            vms.push(Vm::new(name, zone, role, ports)?);
         }
         for number in 1..=shape.entries {
             let name = format!("entry-{zone_number}-{number}");
-            vms.push(Vm::new(name, zone, Role::Entry, &mut ports)?);
+            vms.push(Vm::new(name, zone, Role::Entry, ports)?);
         }
     }
-    ports.release();
     Ok(vms)
 }
--- a/tools/demo_runner/src/deployment/vm.rs
+++ b/tools/demo_runner/src/deployment/vm.rs
@@ -51,7 +51,7 @@
     ///
     /// # Errors
     ///
-    /// [`RunnerError::Port`] if the system has no free port.
+    /// [`RunnerError::Unexpected`] if there is no free port.
     pub fn new(
         name: String,
         zone: &str,
--- a/tools/demo_runner/src/runner_error.rs
+++ b/tools/demo_runner/src/runner_error.rs
@@ -19,12 +19,6 @@
         /// The system's error.
         source: std::io::Error,
     },
-    /// No free port was found.
-    #[snafu(display("no free port: {source}"))]
-    Port {
-        /// The system's error.
-        source: std::io::Error,
-    },
     /// A process can't be started or signalled.
     #[snafu(display("{name}: {source}"))]
     Process {
