--- a/crates/chicory_control/src/control_event.rs
+++ b/crates/chicory_control/src/events/control_event.rs
@@ -5,16 +5,7 @@
 use chicory_types::{MonoTime, VmId};
 use serde::{Deserialize, Serialize};
 
-use crate::{CallId, Caller, ControlCall, FormationAnswer};
-
-/// A group that a control process may be a member of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum GroupName {
-    /// The group of the whole cluster.
-    Global,
-    /// The group of the process's availability zone.
-    Zone,
-}
+use crate::{CallId, Caller, ControlCall, FormationAnswer, GroupName};
 
 /// Everything that can happen to a control process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/chicory_ownership/src/server_record.rs
+++ b/crates/chicory_ownership/src/records/server_record.rs
@@ -1,6 +1,6 @@
-//! What processes and backend servers say of themselves.
+//! What a backend server announced of itself.
 
-use chicory_types::{Incarnation, ServerId, ServiceName, VmId, ZoneName};
+use chicory_types::{Incarnation, ServerId, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// What a backend server announced of itself.
@@ -25,16 +25,3 @@
     /// Whether it asks for no new work.
     pub draining: bool,
 }
-
-/// What an entry process said of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryRecord {
-    /// VM of the process.
-    pub vm: VmId,
-    /// Start of the process.
-    pub incarnation: Incarnation,
-    /// Host and port for relays from other entry processes.
-    pub peer_address: String,
-    /// Host and port for announcements of backend servers.
-    pub announce_address: String,
-}
