Fingerprint edits by their JSON form

Cause: the replicated store compared edits by their Debug text, which two builds may write differently, so that replicas could judge a resend differently. Conclusion: JSON names every field; its form changes only with the edit's.

--- a/crates/chicory_control/examples/measure_global.rs
+++ b/crates/chicory_control/examples/measure_global.rs
@@ -404,6 +404,7 @@
         let vm = vm_name(zone, n);
         let incarnation = 1;
         let config = ControlConfig {
+            is_zone_durable: false,
             vm: vm.clone(),
             incarnation,
             zone: zone_name(zone),
@@ -421,7 +422,7 @@
         };
         Ok(Self {
             zone: config.zone.clone(),
-            core: ControlCore::new(config, global, Duration::ZERO),
+            core: ControlCore::new(config, global, None, Duration::ZERO)?,
             cost: Cost::default(),
         })
     }
--- a/crates/chicory_table/src/table_store.rs
+++ b/crates/chicory_table/src/table_store.rs
@@ -167,10 +167,11 @@
 }
 
 /// Fingerprint of everything in an edit but its identifier.
+///
+/// Replicas compare it, so it must not depend on the build: JSON names every field.
 fn fingerprint(edit: &TableEdit) -> u64 {
-    let content = format!(
-        "{:?} {:?} {:?}",
-        edit.base_revision, edit.operator, edit.changes
-    );
-    chicory_types::fingerprint_of(&[content.as_bytes()])
+    let content = (edit.base_revision, &edit.operator, &edit.changes);
+    // Maps in an edit have text keys, so that it always has a JSON form.
+    let text = serde_json::to_string(&content).unwrap_or_default();
+    chicory_types::fingerprint_of(&[text.as_bytes()])
 }
