Allow each peer only as many streams as it needs

A connection takes memory for all streams that its peer may open as soon as it is open. With 16,384 each way a control process grew by 2.1 MB for each entry process, which is 154 MB for 64 of them against a limit of 32 MB.

Streams without answers are one for the identity and one for messages, so 32 will do for all; a control process is only asked calls, so 256 at a time from one peer. Relays keep their 16,384: a lower number would let slow ones hold up others.

The tests of chicory_net and chicory_entry pass in release builds.

--- a/crates/chicory_net/src/peer/endpoint.rs
+++ b/crates/chicory_net/src/peer/endpoint.rs
@@ -16,7 +16,7 @@
 use crate::peer::hello::Hello;
 use crate::peer::peer_error::{BindSnafu, ConnectSnafu};
 use crate::peer::{FaultSwitch, Frame, Incoming, PeerConnection, PeerError, PeerIdentity};
-use crate::tls::{ANY_PROCESS_NAME, PeerTls};
+use crate::tls::{ANY_PROCESS_NAME, PeerRole, PeerTls};
 
 /// How often an idle connection is tested.
 const KEEP_ALIVE_PERIOD: Duration = Duration::from_millis(250);
@@ -26,8 +26,15 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long further attempts fail at once after a failed one.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(100);
-/// Streams that a peer may have open at a time.
-const MAX_STREAMS: u32 = 16_384;
+/// Relayed requests and calls that a peer may have open at a time.
+///
+/// Memory for all of them is taken when a connection opens, so this is bounded by what a process
+/// is asked: many relays, but few calls.
+const MAX_RELAYS: u32 = 16_384;
+/// Calls that a peer may have open at a time at a control process.
+const MAX_CALLS: u32 = 256;
+/// Streams without answers that a peer may have open at a time: its identity, and messages.
+const MAX_MESSAGE_STREAMS: u32 = 32;
 /// Bytes in flight on one stream, the bound of what a slow reader makes a relay hold.
 const STREAM_WINDOW_BYTES: u32 = 512 * 1024;
 /// Bytes in flight on one connection.
@@ -78,7 +85,7 @@
             .wrap_udp_socket(socket)
             .context(BindSnafu { address })?;
         let socket = Arc::new(FaultySocket { inner, faults });
-        let transport = Arc::new(transport_config());
+        let transport = Arc::new(transport_config(identity.subject.role));
         let mut server_config = tls.server_config();
         server_config.transport_config(transport.clone());
         let mut endpoint = quinn::Endpoint::new_with_abstract_socket(
@@ -245,13 +252,17 @@
         .map_err(|_| PeerError::TimedOut { timeout })
 }
 
-fn transport_config() -> TransportConfig {
+fn transport_config(role: PeerRole) -> TransportConfig {
+    let max_questions = match role {
+        PeerRole::Control => MAX_CALLS,
+        _ => MAX_RELAYS,
+    };
     let mut config = TransportConfig::default();
     config
         .keep_alive_interval(Some(KEEP_ALIVE_PERIOD))
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
-        .max_concurrent_bidi_streams(MAX_STREAMS.into())
-        .max_concurrent_uni_streams(MAX_STREAMS.into())
+        .max_concurrent_bidi_streams(max_questions.into())
+        .max_concurrent_uni_streams(MAX_MESSAGE_STREAMS.into())
         .stream_receive_window(STREAM_WINDOW_BYTES.into())
         .receive_window(CONNECTION_WINDOW_BYTES.into());
     config
