Send a zone only the entry processes that changed

Ruled out: a version counted by the global leader, which a new leader wouldn't know; the zone sends fingerprints of what it has. Conclusion: what is left is a zone's own entry processes in its request.

--- a/crates/chicory_ownership/src/global/global_leader.rs
+++ b/crates/chicory_ownership/src/global/global_leader.rs
@@ -79,14 +79,21 @@
             custody_version: state.custody_version(),
             table,
             custody,
-            zones: self
-                .contacts
-                .values()
-                .map(|c| c.directory.clone())
-                .collect(),
+            zones: self.news_of_directories(request),
         }
     }
 
+    /// Entry processes of other zones that the zone doesn't know as they are.
+    fn news_of_directories(&self, request: &ZoneSyncRequest) -> Vec<ZoneDirectory> {
+        let directories = self.contacts.values().map(|contact| &contact.directory);
+        let is_news = |directory: &&ZoneDirectory| {
+            let known = request.known_directories.get(&directory.zone);
+            let fingerprint = ZoneDirectory::fingerprint(&directory.entries);
+            directory.zone != request.zone && known != Some(&fingerprint)
+        };
+        directories.filter(is_news).cloned().collect()
+    }
+
     /// The earliest moment at which [`plan`](Self::plan) has something to do by itself.
     #[must_use]
     pub fn next_wakeup(&self, now: MonoTime) -> MonoTime {
--- a/crates/chicory_ownership/src/zone/sync_client.rs
+++ b/crates/chicory_ownership/src/zone/sync_client.rs
@@ -5,7 +5,9 @@
 use chicory_types::{MonoTime, ServiceName, SlotRun, VmId};
 
 use super::zone_leader::ZoneLeader;
-use crate::{CustodyRelease, ZoneCommand, ZoneState, ZoneSyncAnswer, ZoneSyncRequest};
+use crate::{
+    CustodyRelease, ZoneCommand, ZoneDirectory, ZoneState, ZoneSyncAnswer, ZoneSyncRequest,
+};
 
 /// How long after the last answered sync slots are still prepared for a move to another zone.
 const GLOBAL_CONTACT_LIMIT: Duration = Duration::from_secs(2);
@@ -20,6 +22,11 @@
             leader,
             in_force_revision: state.table().revision,
             known_custody_version: state.custody_version(),
+            known_directories: state
+                .directory()
+                .iter()
+                .map(|(zone, entries)| (zone.clone(), ZoneDirectory::fingerprint(entries)))
+                .collect(),
             entries: state.entries().values().cloned().collect(),
             served: self.served_services(state),
             releases: next_release(state).into_iter().collect(),
@@ -65,7 +72,7 @@
                 at_ms: self.log_clock_ms(now, state),
             });
         }
-        let is_news = |listed: &crate::ZoneDirectory| {
+        let is_news = |listed: &ZoneDirectory| {
             let known = state.directory().get(&listed.zone);
             listed.zone != *state.zone() && known != Some(&listed.entries)
         };
--- a/crates/chicory_ownership/src/zone_sync/zone_directory.rs
+++ b/crates/chicory_ownership/src/zone_sync/zone_directory.rs
@@ -1,6 +1,6 @@
 //! Entry processes of an availability zone.
 
-use chicory_types::ZoneName;
+use chicory_types::{ZoneName, fingerprint_of};
 use serde::{Deserialize, Serialize};
 
 use crate::EntryRecord;
@@ -13,3 +13,23 @@
     /// Its entry processes.
     pub entries: Vec<EntryRecord>,
 }
+
+impl ZoneDirectory {
+    /// Fingerprint of the entry processes, by which one that is known isn't sent again.
+    #[must_use]
+    pub fn fingerprint(entries: &[EntryRecord]) -> u64 {
+        let incarnations: Vec<[u8; 8]> = entries
+            .iter()
+            .map(|entry| entry.incarnation.to_le_bytes())
+            .collect();
+        let parts = entries.iter().zip(&incarnations).flat_map(|(entry, at)| {
+            [
+                entry.vm.as_bytes(),
+                at.as_slice(),
+                entry.peer_address.as_bytes(),
+                entry.announce_address.as_bytes(),
+            ]
+        });
+        fingerprint_of(&parts.collect::<Vec<_>>())
+    }
+}
--- a/crates/chicory_ownership/src/zone_sync/zone_sync_answer.rs
+++ b/crates/chicory_ownership/src/zone_sync/zone_sync_answer.rs
@@ -22,7 +22,7 @@
         table: Option<Table>,
         /// Custody, where the zone's version is older.
         custody: Option<CustodyUpdate>,
-        /// Entry processes of all zones that were heard of.
+        /// Entry processes of the zones that were heard of, where the zone knows others.
         zones: Vec<ZoneDirectory>,
     },
     /// Another process leads the global group.
--- a/crates/chicory_ownership/src/zone_sync/zone_sync_request.rs
+++ b/crates/chicory_ownership/src/zone_sync/zone_sync_request.rs
@@ -1,6 +1,6 @@
 //! What the leader of a zone group sends, about as often as entry processes renew.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use chicory_types::{Revision, ServiceName, VmId, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,9 @@
     pub in_force_revision: Revision,
     /// Version of the custody in force in the zone.
     pub known_custody_version: u64,
+    /// Fingerprints of the entry processes of other zones that the zone knows of.
+    #[serde(default)]
+    pub known_directories: BTreeMap<ZoneName, u64>,
     /// Entry processes of the zone.
     pub entries: Vec<EntryRecord>,
     /// Services that have a backend server in the zone that accepts work.
--- a/crates/chicory_ownership/tests/leases.rs
+++ b/crates/chicory_ownership/tests/leases.rs
@@ -379,6 +379,7 @@
             leader: "vm".to_owned(),
             in_force_revision,
             known_custody_version: self.state.custody_version(),
+            known_directories: BTreeMap::new(),
             entries: Vec::new(),
             served: BTreeSet::from([ARCHIVE.to_owned()]),
             releases: Vec::new(),
--- a/crates/chicory_wire/src/zone_convert.rs
+++ b/crates/chicory_wire/src/zone_convert.rs
@@ -32,6 +32,7 @@
             entries: each_into(request.entries),
             releases: each_into(request.releases),
             served: request.served.into_iter().collect(),
+            known_directories: request.known_directories,
         }
     }
 }
@@ -49,6 +50,7 @@
             entries: each(message.entries)?,
             releases: each(message.releases)?,
             served: message.served.into_iter().collect(),
+            known_directories: message.known_directories,
         })
     }
 }
