Give a server of weight 0 no keyed work after the grace of a drain

Draining the last keyed server of a zone by the table left it at work until custody had moved: 16 s in a run of three zones by hand, and none of the tests looked at a keyed server of weight 0. Ruled out: making custody move sooner, which shortens the time and sets no bound on it. The price is the same as that of an announced drain: keys are refused as not run while their slots move.

--- a/crates/chicory_dispatch/src/steps/roles.rs
+++ b/crates/chicory_dispatch/src/steps/roles.rs
@@ -171,8 +171,9 @@
     }
 }
 
-pub(crate) fn follow_drain(state: &mut PathState, index: ServerIndex, is_draining: bool) {
-    if is_draining {
+/// Drains a server that announces so, or whose weight is 0.
+pub(crate) fn follow_drain(state: &mut PathState, index: ServerIndex, is_announced: bool) {
+    if is_announced || state.directory.weight(index) == 0 {
         health::drain(state, index);
     } else if let Some(server) = state.servers.get_mut(&index) {
         server.draining_since = None;
--- a/crates/chicory_dispatch/tests/request_path/drain_and_stop.rs
+++ b/crates/chicory_dispatch/tests/request_path/drain_and_stop.rs
@@ -29,17 +29,38 @@
     expect_that!(world.refusal(2), some(eq(expected)));
 }
 
-#[gtest]
-fn weight_of_zero_takes_no_work() {
-    let mut world = World::new(&[(PLANS, "p1"), (PLANS, "p2")]);
+/// The table with a server's weight set to 0.
+fn table_without(service: &str, server: &str) -> chicory_table::Table {
     let mut weighted = table();
-    let overrides = weighted.overrides.entry(PLANS.to_owned()).or_default();
+    let overrides = weighted.overrides.entry(service.to_owned()).or_default();
     let drained = chicory_table::ServerOverride {
         weight: Some(0),
         ..Default::default()
     };
-    overrides.insert("p1".to_owned(), drained);
-    world.change_view([ViewChange::TableInForce(weighted)]);
+    overrides.insert(server.to_owned(), drained);
+    weighted
+}
+
+#[gtest]
+fn owner_of_weight_zero_gets_no_work_after_two_seconds() {
+    let mut world = World::new(&[(BOARD, "b1")]);
+    world.change_view([ViewChange::TableInForce(table_without(BOARD, "b1"))]);
+    world.arrive(head(1, BOARD));
+    world.run_for(ms(2_000));
+    expect_true!(world.is_forwarded(1));
+    world.arrive(head(2, BOARD));
+    let expected = (RefusalReason::NoOwner, Outcome::NotRun);
+    expect_that!(world.refusal(2), some(eq(expected)));
+    world.change_view([ViewChange::TableInForce(table())]);
+    world.arrive(head(3, BOARD));
+    world.run_for(ms(100));
+    expect_true!(world.is_forwarded(3));
+}
+
+#[gtest]
+fn weight_of_zero_takes_no_work() {
+    let mut world = World::new(&[(PLANS, "p1"), (PLANS, "p2")]);
+    world.change_view([ViewChange::TableInForce(table_without(PLANS, "p1"))]);
     world.arrive_many(1, 50, ms(5), |id| head(id, PLANS));
     expect_that!(world.server("p1").runs, is_empty());
 }
