--- a/crates/chicory_control/examples/measure_control.rs
+++ b/crates/chicory_control/examples/measure_control/main.rs
@@ -8,6 +8,8 @@
 //!
 //! Run it with `cargo run --release -p chicory_control --example measure_control`.
 
+mod entry;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -16,17 +18,16 @@
     Caller, ControlCall, ControlConfig, ControlCore, ControlEffect, ControlEvent, ControlReply,
     GroupName, OperatorCall, call_of, new_global_group, reply_message,
 };
-use chicory_ownership::{
-    EntryRecord, RenewAnswer, RenewRequest, ServerCondition, ServerRecord, ServerReport, SlotHeat,
-    StoredAnswer, ViewChange, ViewUpdate,
-};
+use chicory_ownership::{RenewAnswer, StoredAnswer};
 use chicory_table::{CustodyLease, ServicePolicy, TableChange};
-use chicory_types::{MonoTime, ServerId, VmId};
+use chicory_types::{MonoTime, VmId};
 use chicory_wire::peer_message;
 use chicory_wire::proto::consensus;
 use chicory_wire::proto::peer::{Call, call::Call as Question};
 use prost::Message;
 
+use crate::entry::Entry;
+
 const ZONE: &str = "north";
 const VOTERS: usize = 3;
 const STEP: Duration = Duration::from_millis(10);
@@ -105,16 +106,6 @@
     cost: Cost,
 }
 
-struct Entry {
-    record: EntryRecord,
-    view: u64,
-    next_renewal: MonoTime,
-    next_report: MonoTime,
-    servers: BTreeMap<ServerId, u64>,
-    unannounced: Vec<ServerRecord>,
-    bytes: usize,
-}
-
 struct Deployment {
     now: MonoTime,
     voters: BTreeMap<VmId, Voter>,
@@ -483,90 +474,3 @@
         })
     }
 }
-
-impl Entry {
-    fn new(n: usize, size: Size) -> Self {
-        let own = (0..size.servers).filter(|server| server % size.entries == n);
-        let unannounced = own.map(server_record).collect();
-        let offset = u64::try_from(n).unwrap_or(0) * 7 % 400;
-        Self {
-            record: EntryRecord {
-                vm: format!("entry-{n}"),
-                incarnation: 1,
-                peer_address: format!("10.0.0.{n}:7100"),
-                announce_address: format!("10.0.0.{n}:7101"),
-            },
-            view: 0,
-            next_renewal: Duration::from_millis(offset),
-            next_report: Duration::ZERO,
-            servers: BTreeMap::new(),
-            unannounced,
-            bytes: 0,
-        }
-    }
-
-    fn request(&mut self, now: MonoTime) -> RenewRequest {
-        let is_report_due = now >= self.next_report;
-        if is_report_due {
-            self.next_report = now + REPORT_INTERVAL;
-        }
-        let reports = self.servers.keys().map(|server| ServerReport {
-            server: server.clone(),
-            incarnation: 1,
-            condition: ServerCondition::Up,
-            requests: 1_000,
-            hottest_slots: (0..RenewRequest::MAX_REPORTED_SLOTS)
-                .map(|n| SlotHeat {
-                    slot: u16::try_from(n * 500).unwrap_or(0),
-                    requests: 30,
-                })
-                .collect(),
-        });
-        let reports = reports.filter(|_| is_report_due).collect();
-        let is_first = self.view == 0;
-        RenewRequest {
-            entry: if is_first {
-                self.record.clone()
-            } else {
-                self.record.brief()
-            },
-            known_view: self.view,
-            stopping: false,
-            announcements: if is_first {
-                Vec::new()
-            } else {
-                std::mem::take(&mut self.unannounced)
-            },
-            released: Vec::new(),
-            resigned: Vec::new(),
-            reports,
-        }
-    }
-
-    fn follow(&mut self, update: ViewUpdate) {
-        self.view = update.version;
-        for change in update.changes {
-            if let ViewChange::DispatcherAssigned { server, vm, epoch } = change {
-                if vm.as_ref() == Some(&self.record.vm) {
-                    self.servers.insert(server, epoch);
-                } else {
-                    self.servers.remove(&server);
-                }
-            }
-        }
-    }
-}
-
-fn server_record(n: usize) -> ServerRecord {
-    ServerRecord {
-        server: format!("server-{n}"),
-        service: format!("service-{}", n % SERVICES),
-        address: format!("10.1.0.{n}:80"),
-        zone: ZONE.to_owned(),
-        slots: 3,
-        connections: 100,
-        incarnation: 1,
-        checks_grants: true,
-        draining: false,
-    }
-}
--- a/crates/chicory_control/src/main.rs
+++ b/crates/chicory_control/src/main.rs
@@ -3,21 +3,14 @@
 use std::process::ExitCode;
 
 use chicory_control::{ControlSettings, control_command, run};
-use chicory_settings::FAULTY_SETTINGS_EXIT_CODE;
+use chicory_settings::Start;
 
 fn main() -> ExitCode {
     let matches = control_command().get_matches();
-    let settings = match ControlSettings::read(&matches) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            eprint!("{faults}");
-            return ExitCode::from(FAULTY_SETTINGS_EXIT_CODE);
-        }
+    let settings = match Start::of(&matches, ControlSettings::read(&matches)) {
+        Start::Run(settings) => settings,
+        Start::Exit(code) => return code,
     };
-    if matches.get_flag("check") {
-        println!("settings are sound");
-        return ExitCode::SUCCESS;
-    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
--- a/crates/chicory_control/tests/support/mod.rs
+++ b/crates/chicory_control/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Control processes in virtual time, joined by a network whose links can be cut.
 
+mod fixtures;
+mod parcel;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -10,45 +13,17 @@
     new_global_group,
 };
 use chicory_ownership::{EntryRecord, RenewAnswer, RenewRequest, ServerRecord, ViewUpdate};
-use chicory_table::{CustodyLease, EditOutcome, ServicePolicy, TableChange};
+use chicory_table::{EditOutcome, ServicePolicy, TableChange};
 use chicory_types::{MonoTime, VmId, ZoneName};
 
+pub use fixtures::{entry, policy, server};
+use parcel::{Cargo, Parcel, Vm, Waiter};
+
 /// One-way delay of every link.
 const LINK_DELAY: Duration = Duration::from_millis(1);
 /// Step of virtual time.
 const STEP: Duration = Duration::from_millis(1);
 
-/// Who waits for a reply.
-enum Waiter {
-    Sync { vm: VmId, sent_at: MonoTime },
-    Formation { vm: VmId, group: GroupName },
-    Test(u64),
-}
-
-/// What travels.
-enum Cargo {
-    Event(ControlEvent),
-    Call {
-        from: Caller,
-        request: ControlCall,
-        waiter: Waiter,
-    },
-}
-
-struct Parcel {
-    due_at: MonoTime,
-    from: VmId,
-    to: VmId,
-    cargo: Cargo,
-}
-
-struct Vm {
-    core: ControlCore,
-    zone: ZoneName,
-    waiters: BTreeMap<CallId, Waiter>,
-    is_paused: bool,
-}
-
 /// Control processes in virtual time.
 pub struct Fleet {
     pub now: MonoTime,
@@ -506,44 +481,3 @@
         self.zones[zone].iter().cloned().collect()
     }
 }
-
-/// A keyed service in these zones.
-pub fn policy(zones: BTreeSet<ZoneName>) -> ServicePolicy {
-    ServicePolicy {
-        weight: 100,
-        max_in_flight: 3,
-        max_connections: 100,
-        queue_limit: 30,
-        rate_limit_per_s: 0,
-        keyed: true,
-        idempotent: true,
-        deadline: Duration::from_secs(2),
-        custody_lease: CustodyLease::Unlimited,
-        zones,
-    }
-}
-
-/// An entry process.
-pub fn entry(vm: &str) -> EntryRecord {
-    EntryRecord {
-        vm: vm.to_owned(),
-        incarnation: 1,
-        peer_address: "127.0.0.1:1".to_owned(),
-        announce_address: "127.0.0.1:2".to_owned(),
-    }
-}
-
-/// A backend server.
-pub fn server(name: &str, zone: &str) -> ServerRecord {
-    ServerRecord {
-        server: name.to_owned(),
-        service: "archive".to_owned(),
-        address: "127.0.0.1:9".to_owned(),
-        zone: zone.to_owned(),
-        slots: 3,
-        connections: 100,
-        incarnation: 1,
-        checks_grants: true,
-        draining: false,
-    }
-}
--- /dev/null
+++ b/crates/chicory_control/tests/support/parcel.rs
@@ -0,0 +1,37 @@
+//! What travels between control processes, and the processes themselves.
+
+use std::collections::BTreeMap;
+
+use chicory_control::{CallId, Caller, ControlCall, ControlCore, ControlEvent, GroupName};
+use chicory_types::{MonoTime, VmId, ZoneName};
+
+/// Who waits for a reply.
+pub(super) enum Waiter {
+    Sync { vm: VmId, sent_at: MonoTime },
+    Formation { vm: VmId, group: GroupName },
+    Test(u64),
+}
+
+/// What travels.
+pub(super) enum Cargo {
+    Event(ControlEvent),
+    Call {
+        from: Caller,
+        request: ControlCall,
+        waiter: Waiter,
+    },
+}
+
+pub(super) struct Parcel {
+    pub(super) due_at: MonoTime,
+    pub(super) from: VmId,
+    pub(super) to: VmId,
+    pub(super) cargo: Cargo,
+}
+
+pub(super) struct Vm {
+    pub(super) core: ControlCore,
+    pub(super) zone: ZoneName,
+    pub(super) waiters: BTreeMap<CallId, Waiter>,
+    pub(super) is_paused: bool,
+}
--- a/crates/chicory_entry/src/main.rs
+++ b/crates/chicory_entry/src/main.rs
@@ -3,24 +3,17 @@
 use std::process::ExitCode;
 
 use chicory_entry::{EntryError, EntryProcess, EntrySettings, command};
-use chicory_settings::FAULTY_SETTINGS_EXIT_CODE;
+use chicory_settings::Start;
 use chicory_telemetry::new_logger;
 use slog::{error, info};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let settings = match EntrySettings::read(&matches) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            eprint!("{faults}");
-            return ExitCode::from(FAULTY_SETTINGS_EXIT_CODE);
-        }
+    let settings = match Start::of(&matches, EntrySettings::read(&matches)) {
+        Start::Run(settings) => settings,
+        Start::Exit(code) => return code,
     };
-    if matches.get_flag("check") {
-        println!("settings are sound");
-        return ExitCode::SUCCESS;
-    }
     let logger = new_logger(settings.log_format, "chicory-entry", &settings.vm);
     let ended = tokio::runtime::Builder::new_current_thread()
         .enable_all()
