--- a/crates/chicory_storage/tests/data_folder.rs
+++ b/crates/chicory_storage/tests/data_folder.rs
@@ -14,18 +14,30 @@
 }
 
 #[gtest]
-fn folder_of_another_vm_is_refused() {
-    let dir = tempfile::tempdir().expect("a folder");
-    drop(DataFolder::open(dir.path(), &identity("vm-a", 1)).expect("opened"));
-    let foreign = DataFolder::open(dir.path(), &identity("vm-b", 1));
-    let is_refused = matches!(
-        foreign,
-        Err(StorageError::ForeignFolder {
-            field: IdentityField::Vm,
-            ..
-        })
-    );
-    expect_true!(is_refused);
+fn folder_of_another_cluster_vm_or_zone_is_refused() {
+    let own = identity("vm-a", 1);
+    let cluster = FolderIdentity {
+        cluster: "inland".into(),
+        ..own.clone()
+    };
+    let zone = FolderIdentity {
+        zone: "south".into(),
+        ..own.clone()
+    };
+    let others = [
+        (cluster, IdentityField::Cluster),
+        (identity("vm-b", 1), IdentityField::Vm),
+        (zone, IdentityField::Zone),
+    ];
+    for (other, expected) in others {
+        let dir = tempfile::tempdir().expect("a folder");
+        drop(DataFolder::open(dir.path(), &own).expect("opened"));
+        let Err(StorageError::ForeignFolder { field, .. }) = DataFolder::open(dir.path(), &other)
+        else {
+            panic!("a foreign folder was opened");
+        };
+        expect_that!(field, eq(expected));
+    }
 }
 
 #[gtest]
