--- a/crates/chicory_control/src/zone_seat.rs
+++ b/crates/chicory_control/src/zone_seat.rs
@@ -14,6 +14,7 @@
 
 /// How long a member may be without a leader before it asks whether its group still exists.
 const LEADERLESS_LIMIT: Duration = Duration::from_secs(3);
+
 /// The group of the zone, as a member sees it.
 pub type ZoneGroup = Group<ZoneMachine, ZoneWaiter>;
 
