--- a/crates/chicory_consensus/src/lib.rs
+++ b/crates/chicory_consensus/src/lib.rs
@@ -27,6 +27,9 @@
 //!   wait. The authority of the group epoch decides on a new group, which has a greater epoch;
 //!   messages of another epoch are refused, and a member of an older one stops taking part
 //!   ([`ReplicaEffect::EpochSuperseded`]).
+//! - **Open membership.** Where VMs are replaced at other addresses, any VM that says hello is
+//!   admitted as a learner. A caught-up learner takes the place of a voter that was silent for a
+//!   while: the voter is removed first, and the learner promoted in a later entry.
 //! - **Damaged state.** A member with [`RestoredState::may_vote`] unset never votes before it was
 //!   a learner again.
 //!
@@ -75,9 +78,9 @@
 pub use replica::Replica;
 pub use replica_config::{
     ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL, HELLO_INTERVAL,
-    INFLIGHT_WINDOW, LEADER_LEASE, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_UNCOMMITTED_ENTRIES,
-    ReplicaConfig, SNAPSHOT_AFTER_BYTES, SNAPSHOT_AFTER_ENTRIES, SNAPSHOT_CHUNK_BYTES,
-    TRAILING_ENTRIES,
+    INFLIGHT_WINDOW, LEADER_LEASE, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LEARNERS,
+    MAX_UNCOMMITTED_ENTRIES, ReplicaConfig, SNAPSHOT_AFTER_BYTES, SNAPSHOT_AFTER_ENTRIES,
+    SNAPSHOT_CHUNK_BYTES, TRAILING_ENTRIES, VOTER_SILENCE,
 };
 pub use replica_config_builder::ReplicaConfigBuilder;
 pub use replica_effect::ReplicaEffect;
--- a/crates/chicory_consensus/src/member_id.rs
+++ b/crates/chicory_consensus/src/member_id.rs
@@ -62,6 +62,12 @@
     }
 }
 
+impl From<(&VmId, &Incarnation)> for MemberId {
+    fn from((vm, incarnation): (&VmId, &Incarnation)) -> Self {
+        Self::new(vm, *incarnation)
+    }
+}
+
 impl fmt::Display for MemberId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}#{}", self.vm, self.incarnation)
--- a/crates/chicory_consensus/src/replica/forming.rs
+++ b/crates/chicory_consensus/src/replica/forming.rs
@@ -154,6 +154,7 @@
     pub(super) fn note_incarnation(&mut self, from: &MemberId) {
         let latest = self.contacts.entry(from.vm.clone()).or_default();
         *latest = from.incarnation.max(*latest);
+        self.heard_at.insert(from.vm.clone(), self.now);
     }
 
     /// A message for a former incarnation: the sender has to learn of this one.
--- a/crates/chicory_consensus/src/replica/membership_upkeep.rs
+++ b/crates/chicory_consensus/src/replica/membership_upkeep.rs
@@ -3,7 +3,9 @@
 use chicory_types::{ClockRateMargin, LogIndex};
 
 use super::{Replica, RoleState};
-use crate::{EntryPayload, MemberId, Membership, MembershipChange, ProposalRejection};
+use crate::{
+    EntryPayload, MAX_LEARNERS, MemberId, Membership, MembershipChange, ProposalRejection,
+};
 
 impl Replica {
     pub(super) fn on_propose_membership(&mut self, proposal_id: u64, change: &MembershipChange) {
@@ -66,22 +68,65 @@
             return Some(self.with_newcomer(newcomer));
         }
         let learner = self.caught_up_learner()?;
-        MembershipChange::Promote(learner).apply_to(self.membership())
+        let change = match self.voter_to_replace() {
+            Some(voter) => MembershipChange::Remove(voter),
+            None if self.has_seat(&learner) => MembershipChange::Promote(learner),
+            None => return None,
+        };
+        change.apply_to(self.membership())
+    }
+
+    /// Whether a learner may become a voter now.
+    fn has_seat(&self, learner: &MemberId) -> bool {
+        match self.config.open_voters {
+            None => self.is_candidate(learner),
+            Some(voter_count) => self.membership().voters.len() < voter_count,
+        }
+    }
+
+    /// A silent voter whose seat a caught-up learner of an open group can take.
+    fn voter_to_replace(&self) -> Option<MemberId> {
+        let RoleState::Leader(leading) = &self.role else {
+            return None;
+        };
+        let voters = &self.membership().voters;
+        if voters.len() < self.config.open_voters? {
+            return None;
+        }
+        let silent = voters.iter().find(|voter| {
+            let progress = leading.progress.get(voter);
+            progress.is_some_and(|progress| {
+                let heard_at = progress.contact.unwrap_or(leading.elected_at);
+                self.now >= heard_at.max(leading.elected_at) + self.config.voter_silence
+            })
+        });
+        silent.cloned()
     }
 
     /// A member that was heard of but is not in the membership.
     fn newcomer(&self) -> Option<MemberId> {
         let membership = self.membership();
-        let bootstrap_vms = self.config.bootstrap_vms.iter();
-        let others = bootstrap_vms.filter(|vm| **vm != self.config.member.vm);
-        others
-            .filter_map(|vm| Some(MemberId::new(vm, *self.contacts.get(vm)?)))
+        let own_vm = &self.config.member.vm;
+        let heard = self.contacts.iter().map(MemberId::from);
+        heard
+            .filter(|heard| heard.vm != *own_vm && self.may_join(heard))
             .find(|heard| {
                 let present = membership.member_on(&heard.vm);
                 present.is_none_or(|member| heard.supersedes(member))
             })
     }
 
+    /// Whether a VM that is not a member may become a learner.
+    fn may_join(&self, heard: &MemberId) -> bool {
+        if self.config.open_voters.is_none() {
+            return self.config.bootstrap_vms.contains(&heard.vm);
+        }
+        let heard_at = self.heard_at.get(&heard.vm);
+        let is_recent = heard_at.is_some_and(|at| self.now < *at + self.config.voter_silence);
+        let is_replacement = self.membership().member_on(&heard.vm).is_some();
+        is_recent && (is_replacement || self.membership().learners.len() < MAX_LEARNERS)
+    }
+
     /// The former incarnation leaves in the same step: it can neither vote nor acknowledge any
     /// more. The new one does not count before a later step, so quorums always overlap.
     fn with_newcomer(&self, newcomer: MemberId) -> Membership {
@@ -93,13 +138,14 @@
     }
 
     fn caught_up_learner(&self) -> Option<MemberId> {
-        let learners = self.membership().learners.iter();
+        let mut learners = self.membership().learners.iter();
         learners
-            .filter(|learner| self.is_caught_up(learner))
-            .find_map(|learner| {
-                let is_bootstrap = self.config.bootstrap_vms.contains(&learner.vm);
-                is_bootstrap.then(|| learner.clone())
-            })
+            .find(|learner| self.is_caught_up(learner) && self.is_candidate(learner))
+            .cloned()
+    }
+
+    fn is_candidate(&self, learner: &MemberId) -> bool {
+        self.config.open_voters.is_some() || self.config.bootstrap_vms.contains(&learner.vm)
     }
 
     /// Whether a learner has the entry that admitted it and lags by no more than one append.
--- a/crates/chicory_consensus/src/replica/mod.rs
+++ b/crates/chicory_consensus/src/replica/mod.rs
@@ -120,6 +120,8 @@
     proposals: BTreeMap<LogIndex, u64>,
     /// Latest incarnation heard of, by VM.
     contacts: BTreeMap<VmId, Incarnation>,
+    /// When each VM was last heard of.
+    heard_at: BTreeMap<VmId, MonoTime>,
     election_deadline: MonoTime,
     hello_deadline: MonoTime,
     /// No vote for another leader before this moment.
@@ -157,6 +159,7 @@
             receiver: None,
             proposals: BTreeMap::new(),
             contacts: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
             election_deadline: now,
             hello_deadline: now,
             refuse_votes_until: ClockRateMargin::grantor_end(now, config.leader_lease),
@@ -218,7 +221,8 @@
     }
 
     fn on_received(&mut self, from: &MemberId, message: PeerMessage) {
-        let is_known_vm = self.config.bootstrap_vms.contains(&from.vm)
+        let is_known_vm = self.config.open_voters.is_some()
+            || self.config.bootstrap_vms.contains(&from.vm)
             || self.log.membership().is_some_and(|m| m.contains(from));
         if *from != message.from || !is_known_vm || from.vm == self.config.member.vm {
             return;
--- a/crates/chicory_consensus/src/replica_config.rs
+++ b/crates/chicory_consensus/src/replica_config.rs
@@ -33,6 +33,11 @@
 /// Entries that may wait for their commit.
 pub const MAX_UNCOMMITTED_ENTRIES: u64 = 16_384;
 
+/// Time without a word from a voter after which a group with open membership replaces it.
+pub const VOTER_SILENCE: Duration = Duration::from_secs(5);
+/// Learners that a group with open membership admits at once.
+pub const MAX_LEARNERS: usize = 4;
+
 /// Settings of a replica, made by [`ReplicaConfigBuilder`].
 #[derive(Clone, Debug)]
 pub struct ReplicaConfig {
@@ -54,6 +59,8 @@
     pub(crate) trailing_entries: u64,
     pub(crate) max_uncommitted_entries: u64,
     pub(crate) seed: u64,
+    pub(crate) open_voters: Option<usize>,
+    pub(crate) voter_silence: Duration,
 }
 
 impl ReplicaConfig {
--- a/crates/chicory_consensus/src/replica_config_builder.rs
+++ b/crates/chicory_consensus/src/replica_config_builder.rs
@@ -12,7 +12,7 @@
 use crate::replica_config::{
     ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL, HELLO_INTERVAL,
     INFLIGHT_WINDOW, LEADER_LEASE, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_UNCOMMITTED_ENTRIES,
-    SNAPSHOT_AFTER_BYTES, SNAPSHOT_AFTER_ENTRIES, SNAPSHOT_CHUNK_BYTES, TRAILING_ENTRIES,
+    SNAPSHOT_AFTER_BYTES, SNAPSHOT_AFTER_ENTRIES, SNAPSHOT_CHUNK_BYTES, TRAILING_ENTRIES, VOTER_SILENCE,
 };
 use crate::{ConfigError, Formation, MemberId, ReplicaConfig};
 
@@ -58,6 +58,8 @@
             trailing_entries: TRAILING_ENTRIES,
             max_uncommitted_entries: MAX_UNCOMMITTED_ENTRIES,
             seed: 0,
+            open_voters: None,
+            voter_silence: VOTER_SILENCE,
         };
         Self { config }
     }
@@ -160,6 +162,15 @@
         self
     }
 
+    /// Opens the membership: any VM that says hello is admitted as a learner, and takes the place
+    /// of a voter that has been silent while the group has `voter_count` voters.
+    #[must_use]
+    pub fn open_membership(mut self, voter_count: usize, voter_silence: Duration) -> Self {
+        self.config.open_voters = Some(voter_count);
+        self.config.voter_silence = voter_silence;
+        self
+    }
+
     /// Range of the randomised time without a leader before a voter asks for an election.
     ///
     /// An attempt without a majority is repeated after a quarter to three quarters of `min`, so
--- /dev/null
+++ b/crates/chicory_directory/src/control_message.rs
@@ -0,0 +1,12 @@
+//! Messages of control VMs to entry VMs.
+
+use crate::{DirectoryUpdate, LinkStatus};
+
+/// A message from a control VM to an entry VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ControlMessage {
+    /// The directory changed.
+    Update(DirectoryUpdate),
+    /// The state of the control VM.
+    Status(LinkStatus),
+}
--- /dev/null
+++ b/crates/chicory_directory/src/directory_update.rs
@@ -0,0 +1,26 @@
+//! Changes of the directory.
+
+use chicory_ranges::ServerLife;
+use chicory_routes::RouteTable;
+
+use crate::{ServerRecord, ServiceRanges};
+
+/// Log index of the last entry that a directory reflects.
+pub type DirectoryVersion = u64;
+
+/// What changed in the directory since a former version, or all of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryUpdate {
+    /// Version after the update.
+    pub version: DirectoryVersion,
+    /// Whether the update replaces all servers and ranges that the receiver knows.
+    pub is_full: bool,
+    /// The route table, if it changed.
+    pub routes: Option<RouteTable>,
+    /// Servers that are new or changed.
+    pub servers: Vec<ServerRecord>,
+    /// Servers that left.
+    pub removed: Vec<ServerLife>,
+    /// Services whose owners changed, each with all its ranges.
+    pub ranges: Vec<ServiceRanges>,
+}
--- /dev/null
+++ b/crates/chicory_directory/src/lib.rs
@@ -0,0 +1,39 @@
+//! What control VMs tell entry VMs and each other about routes, servers and key ranges.
+//!
+//! These are the domain types of the links between processes; `chicory_wire` converts them to
+//! messages. A directory version is the log index of the last entry that it reflects, so versions
+//! can be compared between control VMs.
+
+mod command_outcome;
+mod control_message;
+mod directory_update;
+mod entry_message;
+mod entry_report;
+mod link_hello;
+mod link_status;
+mod peer_envelope;
+mod server_record;
+mod server_removal;
+mod server_state;
+mod service_ranges;
+mod site_answer;
+mod site_call;
+mod site_command;
+mod site_state;
+
+pub use command_outcome::CommandOutcome;
+pub use control_message::ControlMessage;
+pub use directory_update::{DirectoryUpdate, DirectoryVersion};
+pub use entry_message::EntryMessage;
+pub use entry_report::{EntryReport, KeyCount, PoisonReport, RequestFingerprint, ServerLoad};
+pub use link_hello::LinkHello;
+pub use link_status::LinkStatus;
+pub use peer_envelope::{PeerEnvelope, SiteCallId};
+pub use server_record::ServerRecord;
+pub use server_removal::{RemovalCause, ServerRemoval};
+pub use server_state::ServerState;
+pub use service_ranges::ServiceRanges;
+pub use site_answer::SiteAnswer;
+pub use site_call::SiteCall;
+pub use site_command::SiteCommand;
+pub use site_state::{SiteState, Versioned};
--- /dev/null
+++ b/crates/chicory_directory/src/link_status.rs
@@ -0,0 +1,22 @@
+//! State of a control VM as entry VMs need it.
+
+use chicory_types::VmId;
+
+use crate::{DirectoryVersion, RequestFingerprint};
+
+/// State of a control VM as entry VMs need it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LinkStatus {
+    /// The leader as far as it knows.
+    pub leader: Option<VmId>,
+    /// Whether a majority of the control VMs was in contact within the last moments.
+    pub is_in_contact: bool,
+    /// Version of its directory.
+    pub version: DirectoryVersion,
+    /// All control VMs that it knows.
+    pub control_vms: Vec<VmId>,
+    /// Number of entry VMs that follow the leader.
+    pub entry_count: u32,
+    /// Requests that crash the backend servers that run them.
+    pub poison: Vec<RequestFingerprint>,
+}
--- /dev/null
+++ b/crates/chicory_directory/src/site_answer.rs
@@ -0,0 +1,16 @@
+//! Answers to calls of operators and backend servers.
+
+use chicory_routes::RouteTable;
+
+/// What became of a [`SiteCall`](crate::SiteCall).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SiteAnswer {
+    /// It is done, and survives every loss that the group survives.
+    Done,
+    /// The route table in force.
+    Routes(RouteTable),
+    /// An announcement of a life that has ended or left.
+    Stale,
+    /// The group can't answer now; the outcome of a change is unknown.
+    Unavailable,
+}
--- /dev/null
+++ b/crates/chicory_directory/src/site_state.rs
@@ -0,0 +1,316 @@
+//! The replicated state: routes, servers and key ranges.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use chicory_ranges::{RangeBook, RangeMove, ServerLife};
+use chicory_routes::RouteTable;
+use chicory_types::{LogIndex, ServerId, ServiceName};
+
+use crate::{
+    CommandOutcome, DirectoryUpdate, DirectoryVersion, RemovalCause, ServerRecord, ServerRemoval,
+    ServerState, ServiceRanges, SiteCommand,
+};
+
+/// Removals that are remembered, against late announcements; a few days' worth of a busy site.
+const MAX_REMOVALS: usize = 4096;
+
+/// A value with the log index of its last change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versioned<T> {
+    /// The value.
+    pub value: T,
+    /// Log index of its last change.
+    pub changed_at: LogIndex,
+}
+
+/// Routes, servers and key ranges as all control VMs agree on them.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_directory::{SiteCommand, SiteState};
+/// use chicory_routes::RouteTable;
+///
+/// let mut state = SiteState::default();
+/// let table = RouteTable { version: 7, ..RouteTable::default() };
+/// state.apply(1, SiteCommand::PutRoutes(table));
+/// assert_eq!(state.routes().version, 7);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SiteState {
+    version: DirectoryVersion,
+    routes: Versioned<Arc<RouteTable>>,
+    servers: BTreeMap<ServerId, Versioned<ServerRecord>>,
+    removals: BTreeMap<ServerId, Versioned<ServerRemoval>>,
+    book: RangeBook,
+    ranges_changed_at: BTreeMap<ServiceName, LogIndex>,
+    /// Removals up to this index may be forgotten; older followers get everything anew.
+    forgotten_up_to: LogIndex,
+}
+
+impl<T: Default> Default for Versioned<T> {
+    fn default() -> Self {
+        Self {
+            value: T::default(),
+            changed_at: 0,
+        }
+    }
+}
+
+impl SiteState {
+    /// Restores a state from its parts.
+    #[must_use]
+    pub fn restore(
+        version: DirectoryVersion,
+        routes: Versioned<RouteTable>,
+        servers: Vec<Versioned<ServerRecord>>,
+        removals: Vec<Versioned<ServerRemoval>>,
+        book: RangeBook,
+        ranges_changed_at: BTreeMap<ServiceName, LogIndex>,
+        forgotten_up_to: LogIndex,
+    ) -> Self {
+        let servers = servers.into_iter().map(|s| (s.value.life.server.clone(), s));
+        let removals = removals.into_iter().map(|r| (r.value.life.server.clone(), r));
+        Self {
+            version,
+            routes: Versioned {
+                value: Arc::new(routes.value),
+                changed_at: routes.changed_at,
+            },
+            servers: servers.collect(),
+            removals: removals.collect(),
+            book,
+            ranges_changed_at,
+            forgotten_up_to,
+        }
+    }
+
+    /// Log index of the last command that was applied.
+    #[must_use]
+    pub fn version(&self) -> DirectoryVersion {
+        self.version
+    }
+
+    /// The route table in force.
+    #[must_use]
+    pub fn routes(&self) -> &Arc<RouteTable> {
+        &self.routes.value
+    }
+
+    /// Log index at which the route table came into force.
+    #[must_use]
+    pub fn routes_changed_at(&self) -> LogIndex {
+        self.routes.changed_at
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values().map(|server| &server.value)
+    }
+
+    /// All servers with the log index of their last change.
+    pub fn versioned_servers(&self) -> impl Iterator<Item = &Versioned<ServerRecord>> {
+        self.servers.values()
+    }
+
+    /// All removals that are remembered.
+    pub fn removals(&self) -> impl Iterator<Item = &Versioned<ServerRemoval>> {
+        self.removals.values()
+    }
+
+    /// Log index up to which removals may be forgotten.
+    #[must_use]
+    pub fn forgotten_up_to(&self) -> LogIndex {
+        self.forgotten_up_to
+    }
+
+    /// The server of this id.
+    #[must_use]
+    pub fn server(&self, server: &str) -> Option<&ServerRecord> {
+        self.servers.get(server).map(|server| &server.value)
+    }
+
+    /// The removal of the last life of this id.
+    #[must_use]
+    pub fn removal(&self, server: &str) -> Option<&ServerRemoval> {
+        self.removals.get(server).map(|removal| &removal.value)
+    }
+
+    /// Who owns which keys.
+    #[must_use]
+    pub fn book(&self) -> &RangeBook {
+        &self.book
+    }
+
+    /// Log index of the last change of a service's owners.
+    #[must_use]
+    pub fn ranges_changed_at(&self, service: &str) -> LogIndex {
+        self.ranges_changed_at.get(service).copied().unwrap_or(0)
+    }
+
+    /// Applies the command at a log index.
+    pub fn apply(&mut self, index: LogIndex, command: SiteCommand) -> CommandOutcome {
+        self.version = index;
+        match command {
+            SiteCommand::PutRoutes(table) => self.put_routes(index, table),
+            SiteCommand::PutServer(record) => self.put_server(index, record),
+            SiteCommand::RemoveServer(removal) => self.remove_server(index, removal),
+            SiteCommand::MoveRange(change) => self.move_range(index, &change),
+        }
+    }
+
+    fn put_routes(&mut self, index: LogIndex, table: RouteTable) -> CommandOutcome {
+        if table.version <= self.routes.value.version {
+            return CommandOutcome::Unchanged;
+        }
+        self.routes = Versioned {
+            value: Arc::new(table),
+            changed_at: index,
+        };
+        CommandOutcome::RoutesChanged
+    }
+
+    /// Whether an announcement tells of a life that is over.
+    #[must_use]
+    pub fn is_stale(&self, record: &ServerRecord) -> bool {
+        let started_at_ms = record.life.started_at_ms;
+        let known = self.server(&record.life.server);
+        let is_superseded = known.is_some_and(|known| known.life.started_at_ms > started_at_ms);
+        let removal = self.removal(&record.life.server);
+        let has_gone = removal.is_some_and(|removal| match removal.cause {
+            RemovalCause::Silent => removal.life.started_at_ms > started_at_ms,
+            RemovalCause::Left | RemovalCause::Replaced => {
+                removal.life.started_at_ms >= started_at_ms
+            }
+        });
+        is_superseded || has_gone || self.later_server_at(record).is_some()
+    }
+
+    /// A server at the same address that started later.
+    fn later_server_at(&self, record: &ServerRecord) -> Option<&ServerRecord> {
+        let mut others = self.others_at(record);
+        others.find(|other| other.life.started_at_ms > record.life.started_at_ms)
+    }
+
+    fn others_at(&self, record: &ServerRecord) -> impl Iterator<Item = &ServerRecord> {
+        let servers = self.servers();
+        servers.filter(|other| {
+            other.address == record.address && other.life.server != record.life.server
+        })
+    }
+
+    /// The record after an announcement: a server that drains never becomes ready again.
+    #[must_use]
+    pub fn merged(&self, mut record: ServerRecord) -> ServerRecord {
+        let known = self.server(&record.life.server);
+        let is_draining = known.is_some_and(|known| {
+            known.life == record.life && known.state == ServerState::Draining
+        });
+        if is_draining {
+            record.state = ServerState::Draining;
+        }
+        record
+    }
+
+    fn put_server(&mut self, index: LogIndex, record: ServerRecord) -> CommandOutcome {
+        if self.is_stale(&record) {
+            return CommandOutcome::Stale;
+        }
+        let record = self.merged(record);
+        let known = self.server(&record.life.server);
+        if known.is_some_and(|known| known.is_same_but_for_age(&record)) {
+            return CommandOutcome::Unchanged;
+        }
+        let former = known.map(|known| known.life.clone());
+        let mut ended: Vec<ServerLife> = former.into_iter().filter(|l| *l != record.life).collect();
+        let replaced: Vec<_> = self.others_at(&record).map(|o| o.life.clone()).collect();
+        for life in &replaced {
+            self.servers.remove(&life.server);
+            self.note_removal(index, life.clone(), RemovalCause::Replaced);
+        }
+        ended.extend(replaced);
+        self.removals.remove(&record.life.server);
+        let server = record.life.server.clone();
+        let value = Versioned {
+            value: record,
+            changed_at: index,
+        };
+        self.servers.insert(server, value);
+        CommandOutcome::ServerChanged { ended }
+    }
+
+    fn remove_server(&mut self, index: LogIndex, removal: ServerRemoval) -> CommandOutcome {
+        let life = removal.life;
+        let known = self.server(&life.server);
+        if known.is_none_or(|known| known.life != life) {
+            return CommandOutcome::Unchanged;
+        }
+        self.servers.remove(&life.server);
+        self.note_removal(index, life.clone(), removal.cause);
+        CommandOutcome::ServerRemoved(life)
+    }
+
+    fn note_removal(&mut self, index: LogIndex, life: ServerLife, cause: RemovalCause) {
+        let removal = Versioned {
+            value: ServerRemoval {
+                life: life.clone(),
+                cause,
+            },
+            changed_at: index,
+        };
+        self.removals.insert(life.server, removal);
+        if self.removals.len() > MAX_REMOVALS {
+            let oldest = self.removals.iter().min_by_key(|(_, r)| r.changed_at);
+            if let Some((server, changed_at)) = oldest.map(|(s, r)| (s.clone(), r.changed_at)) {
+                self.removals.remove(&server);
+                self.forgotten_up_to = changed_at;
+            }
+        }
+    }
+
+    fn move_range(&mut self, index: LogIndex, change: &RangeMove) -> CommandOutcome {
+        match self.book.apply(change) {
+            Ok(fence) => {
+                self.ranges_changed_at.insert(change.service.clone(), index);
+                CommandOutcome::RangeMoved(fence)
+            }
+            Err(rejection) => CommandOutcome::MoveRejected(rejection),
+        }
+    }
+
+    /// What changed since a version; `None` if nothing did.
+    #[must_use]
+    pub fn update_since(&self, known_version: DirectoryVersion) -> Option<DirectoryUpdate> {
+        if known_version >= self.version && self.version > 0 {
+            return None;
+        }
+        let is_full = known_version == 0 || known_version < self.forgotten_up_to;
+        let since = if is_full { 0 } else { known_version };
+        let servers = self.servers.values().filter(|s| s.changed_at > since);
+        let removals = self.removals.values().filter(|r| r.changed_at > since);
+        let services = self.ranges_changed_at.iter().filter(|(_, at)| **at > since);
+        let update = DirectoryUpdate {
+            version: self.version,
+            is_full,
+            routes: (self.routes.changed_at > since).then(|| (*self.routes.value).clone()),
+            servers: servers.map(|server| server.value.clone()).collect(),
+            removed: removals.map(|removal| removal.value.life.clone()).collect(),
+            ranges: services.map(|(service, _)| self.ranges_of(service)).collect(),
+        };
+        Some(update)
+    }
+
+    fn ranges_of(&self, service: &ServiceName) -> ServiceRanges {
+        let ranges = self.book.ranges(service).cloned();
+        ServiceRanges {
+            service: service.clone(),
+            ranges: ranges
+                .map(|owned| chicory_ranges::OwnedRange {
+                    handover: None,
+                    ..owned
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -0,0 +1,417 @@
+//! Pushes grants to backend servers and takes keys back.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chicory_types::{MonoTime, ServiceName};
+
+use crate::grant_desk_config::{CALL_TIMEOUT, GrantDeskConfig};
+use crate::tenure::{Departure, PendingCall, Tenure};
+use crate::{
+    CallId, CallOutcome, Fence, GrantCall, GrantEffect, GrantEvent, Key, KeyRange, OwnedRange, RangeBook, RangeMove,
+    ServerLife, Transfer,
+};
+
+type Place = (ServiceName, Key);
+
+/// Pushes the grants of a [`RangeBook`], renews them, and moves keys from owner to owner.
+///
+/// Only a leader runs one, from its election on, and carries out its effects only while it holds
+/// its lease. Keys get their next owner once the former one has released them, or once every
+/// grant that may have reached it has run out.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_ranges::{GrantDesk, GrantDeskConfig, GrantEvent, RangeBook};
+/// use std::time::Duration;
+///
+/// let book = RangeBook::default();
+/// let mut desk = GrantDesk::new(GrantDeskConfig::default(), Duration::ZERO, &book);
+/// assert!(desk.reduce(Duration::ZERO, GrantEvent::Tick, &book).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct GrantDesk {
+    config: GrantDeskConfig,
+    tenures: BTreeMap<Place, Tenure>,
+    /// Lives whose process is known to run: announced since the last broken connection.
+    verified: BTreeSet<ServerLife>,
+    /// Lives whose process has ended.
+    ended: BTreeSet<ServerLife>,
+    calls: BTreeMap<CallId, Place>,
+    last_call: CallId,
+    /// Before this moment a grant of a former leader may still hold.
+    former_leader_until: MonoTime,
+    /// Greater fences were given out in this leadership: no former leader granted them.
+    inherited_fence: Fence,
+    effects: Vec<GrantEffect>,
+}
+
+impl GrantDesk {
+    /// Starts a leader's desk at its election, once all that was ever committed is in `book`.
+    #[must_use]
+    pub fn new(config: GrantDeskConfig, elected_at: MonoTime, book: &RangeBook) -> Self {
+        let former_leader_until = elected_at + CALL_TIMEOUT + config.outwait();
+        let mut desk = Self {
+            config,
+            tenures: BTreeMap::new(),
+            verified: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            last_call: 0,
+            former_leader_until,
+            inherited_fence: book.last_fence(),
+            effects: Vec::new(),
+        };
+        desk.follow_book(elected_at, book);
+        desk
+    }
+
+    /// Takes in one event and returns the effects to carry out, in order.
+    pub fn reduce(
+        &mut self,
+        now: MonoTime,
+        event: GrantEvent,
+        book: &RangeBook,
+    ) -> Vec<GrantEffect> {
+        match event {
+            GrantEvent::Tick => {}
+            GrantEvent::BookChanged => self.follow_book(now, book),
+            GrantEvent::CallEnded { call, outcome } => self.on_call_ended(now, call, outcome),
+            GrantEvent::Announced(life) => self.on_announced(now, &life),
+            GrantEvent::Ended(life) => self.on_ended(now, life),
+            GrantEvent::Transfer(transfer) => self.on_transfer(now, transfer),
+            GrantEvent::MoveFailed { service, first } => self.on_move_failed(now, service, first),
+        }
+        self.run_due(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the next [`Tick`](GrantEvent::Tick) is due.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<MonoTime> {
+        let waits = self.tenures.values().filter_map(|tenure| self.wakeup_of(tenure));
+        waits.min()
+    }
+
+    /// Ranges of a service that are on their way, with their next owners.
+    pub fn departing(&self, service: &str) -> impl Iterator<Item = (KeyRange, &ServerLife)> {
+        let tenures = self.tenures.iter();
+        tenures
+            .filter(move |((of, _), _)| of == service)
+            .filter_map(|(_, tenure)| {
+                let departure = tenure.departure.as_ref()?;
+                Some((tenure.owned.range, &departure.to))
+            })
+    }
+
+    /// Whether a server answers grants, or holds none that it could fail to answer.
+    #[must_use]
+    pub fn is_silent(&self, now: MonoTime, life: &ServerLife, silence: Duration) -> bool {
+        let horizon = (now + self.config.outwait()).saturating_sub(silence);
+        let mut tenures = self.tenures.values();
+        tenures.any(|tenure| {
+            let is_own = tenure.owned.owner == *life;
+            is_own && tenure.answered_until < horizon
+        })
+    }
+
+    fn wakeup_of(&self, tenure: &Tenure) -> Option<MonoTime> {
+        match &tenure.departure {
+            Some(departure) if departure.is_proposed => None,
+            Some(departure) if departure.is_released => Some(tenure.free_at()),
+            Some(_) if tenure.call.is_none() => Some(tenure.free_at().min(tenure.due_at)),
+            Some(_) => Some(tenure.free_at()),
+            None if !tenure.is_settled() => None,
+            None if !self.verified.contains(&tenure.owned.owner) => None,
+            None => Some(tenure.due_at),
+        }
+    }
+
+    /// Makes tenures match the book; parts that are about to move stay apart.
+    fn follow_book(&mut self, now: MonoTime, book: &RangeBook) {
+        self.tenures.retain(|(service, _), tenure| {
+            let range = tenure.owned.range;
+            let current = book.owner(service, range.first);
+            current.is_some_and(|c| c.fence == tenure.owned.fence && c.range.covers(range))
+        });
+        for (service, owned) in book.all_ranges() {
+            self.add_missing(now, service, owned);
+        }
+        let tenures = &self.tenures;
+        self.calls.retain(|_, place| tenures.contains_key(place));
+    }
+
+    fn add_missing(&mut self, now: MonoTime, service: &ServiceName, owned: &OwnedRange) {
+        let mut at = u32::from(owned.range.first);
+        while let Ok(first) = Key::try_from(at) {
+            if first > owned.range.last {
+                return;
+            }
+            let place = (service.clone(), first);
+            let known = self.tenures.get(&place).map(|tenure| tenure.owned.range.last);
+            if let Some(last) = known {
+                at = u32::from(last) + 1;
+                continue;
+            }
+            let next = self.tenures.range((service.clone(), first)..).next();
+            let end = match next {
+                Some(((of, start), _)) if of == service && *start <= owned.range.last => start - 1,
+                _ => owned.range.last,
+            };
+            let part = OwnedRange {
+                range: KeyRange::new(first, end),
+                ..owned.clone()
+            };
+            self.tenures.insert(place, self.new_tenure(now, part));
+            at = u32::from(end) + 1;
+        }
+    }
+
+    /// A range under a fence that this desk has made no call for.
+    fn new_tenure(&self, now: MonoTime, owned: OwnedRange) -> Tenure {
+        let is_own = owned.fence > self.inherited_fence;
+        let held_until = if is_own { now } else { self.former_leader_until };
+        let is_ended = self.ended.contains(&owned.owner);
+        Tenure {
+            owned,
+            answered_until: if is_ended { now } else { held_until },
+            unanswered_until: if is_ended { now } else { held_until },
+            call: None,
+            due_at: now,
+            is_refencing: false,
+            departure: None,
+        }
+    }
+
+    fn on_announced(&mut self, now: MonoTime, life: &ServerLife) {
+        self.ended.remove(life);
+        if !self.verified.insert(life.clone()) {
+            return;
+        }
+        let tenures = self.tenures.values_mut();
+        for tenure in tenures.filter(|t| t.owned.owner == *life && t.call.is_none()) {
+            tenure.due_at = now;
+        }
+    }
+
+    fn on_ended(&mut self, now: MonoTime, life: ServerLife) {
+        self.verified.remove(&life);
+        let tenures = self.tenures.values_mut();
+        for tenure in tenures.filter(|t| t.owned.owner == life) {
+            tenure.answered_until = now;
+            tenure.unanswered_until = now;
+            if let Some(departure) = &mut tenure.departure {
+                departure.is_released = true;
+            }
+        }
+        self.ended.insert(life);
+    }
+
+    fn on_transfer(&mut self, now: MonoTime, transfer: Transfer) {
+        let Some(from) = transfer.from.clone() else {
+            self.effects.push(GrantEffect::Propose(RangeMove {
+                service: transfer.service,
+                range: transfer.range,
+                from: None,
+                to: transfer.to,
+                handover: None,
+            }));
+            return;
+        };
+        let tenures = self.tenures.iter();
+        let holding = tenures
+            .filter(|((service, _), tenure)| {
+                *service == transfer.service
+                    && tenure.owned.owner == from
+                    && tenure.is_settled()
+                    && tenure.owned.range.covers(transfer.range)
+            })
+            .map(|(place, _)| place.clone())
+            .next();
+        let Some(place) = holding else { return };
+        self.begin_departure(now, &place, &transfer);
+    }
+
+    /// Cuts the moving part out of its tenure; the rest goes on being renewed.
+    ///
+    /// Where a grant without an answer may still take effect, the owner first gets the same keys
+    /// under a greater fence. Its answer shows that the earlier grant can do nothing any more; the
+    /// planner then asks again.
+    fn begin_departure(&mut self, now: MonoTime, place: &Place, transfer: &Transfer) {
+        let Some(mut whole) = self.tenures.remove(place) else {
+            return;
+        };
+        let is_verified = self.verified.contains(&whole.owned.owner);
+        if now < whole.unanswered_until && is_verified {
+            whole.is_refencing = true;
+            self.effects.push(GrantEffect::Propose(whole.refencing_move(&place.0)));
+            self.tenures.insert(place.clone(), whole);
+            return;
+        }
+        for rest in whole.owned.range.without(transfer.range).into_iter().flatten() {
+            let mut kept = whole.clone();
+            kept.owned.range = rest;
+            self.tenures.insert((place.0.clone(), rest.first), kept);
+        }
+        whole.owned.range = transfer.range;
+        let mut departure = Departure::new(transfer.to.clone());
+        departure.is_released = self.ended.contains(&whole.owned.owner);
+        whole.departure = Some(departure);
+        whole.due_at = now;
+        let first = transfer.range.first;
+        self.tenures.insert((place.0.clone(), first), whole);
+    }
+
+    fn on_move_failed(&mut self, now: MonoTime, service: ServiceName, first: Key) {
+        let Some(tenure) = self.tenures.get_mut(&(service, first)) else {
+            return;
+        };
+        tenure.is_refencing = false;
+        if let Some(departure) = &mut tenure.departure {
+            departure.is_proposed = false;
+            tenure.due_at = now + self.config.retry_interval;
+        }
+    }
+
+    fn on_call_ended(&mut self, now: MonoTime, call: CallId, outcome: CallOutcome) {
+        let Some(place) = self.calls.remove(&call) else {
+            return;
+        };
+        let Some(mut tenure) = self.tenures.remove(&place) else {
+            return;
+        };
+        let pending = tenure.call.take();
+        let owner = tenure.owned.owner.clone();
+        let is_broken = matches!(
+            outcome,
+            CallOutcome::Unanswered | CallOutcome::Unreachable | CallOutcome::ConnectionRefused
+        );
+        if is_broken {
+            self.verified.remove(&owner);
+        }
+        match pending {
+            Some(pending) if pending.is_release => self.end_release(now, &mut tenure, outcome),
+            _ => self.end_grant(now, &place, &mut tenure, &outcome),
+        }
+        self.tenures.insert(place, tenure);
+    }
+
+    fn end_grant(
+        &mut self,
+        now: MonoTime,
+        place: &Place,
+        tenure: &mut Tenure,
+        outcome: &CallOutcome,
+    ) {
+        let outwait = now + self.config.outwait();
+        tenure.due_at = now + self.config.retry_interval;
+        match outcome {
+            CallOutcome::Done { .. } => {
+                tenure.answered_until = outwait;
+                tenure.due_at = now + self.config.renewal_interval;
+            }
+            CallOutcome::Unanswered => {
+                tenure.unanswered_until = tenure.unanswered_until.max(outwait);
+            }
+            // The server knows a greater fence than the book: only a still greater one helps.
+            CallOutcome::Fenced => {
+                tenure.is_refencing = true;
+                self.effects.push(GrantEffect::Propose(tenure.refencing_move(&place.0)));
+            }
+            CallOutcome::Rejected
+            | CallOutcome::Unreachable
+            | CallOutcome::ConnectionRefused => {}
+        }
+    }
+
+    fn end_release(&mut self, now: MonoTime, tenure: &mut Tenure, outcome: CallOutcome) {
+        tenure.due_at = now + self.config.retry_interval;
+        let Some(departure) = &mut tenure.departure else {
+            return;
+        };
+        if let CallOutcome::Done { handover } = outcome {
+            departure.is_released = true;
+            departure.handover = handover;
+        }
+    }
+
+    fn run_due(&mut self, now: MonoTime) {
+        let due = self.tenures.iter().filter_map(|(place, tenure)| {
+            let step = self.next_step(now, tenure);
+            (!matches!(step, Step::Wait)).then(|| (place.clone(), step))
+        });
+        for (place, step) in due.collect::<Vec<_>>() {
+            if let Some(mut tenure) = self.tenures.remove(&place) {
+                self.take_step(&place, &mut tenure, &step);
+                self.tenures.insert(place, tenure);
+            }
+        }
+    }
+
+    fn take_step(&mut self, place: &Place, tenure: &mut Tenure, step: &Step) {
+        match step {
+            Step::Wait => {}
+            Step::Grant => {
+                let content = GrantCall::Grant {
+                    range: tenure.owned.range,
+                    fence: tenure.owned.fence,
+                    hold: self.config.hold,
+                    handover: tenure.owned.handover.clone(),
+                };
+                self.call(place, tenure, content, false);
+            }
+            Step::Release => {
+                let content = GrantCall::Release {
+                    range: tenure.owned.range,
+                    fence: tenure.owned.fence,
+                };
+                self.call(place, tenure, content, true);
+            }
+            Step::Propose => {
+                let Some(departure) = &mut tenure.departure else {
+                    return;
+                };
+                departure.is_proposed = true;
+                let departure = departure.clone();
+                let change = tenure.final_move(&place.0, &departure);
+                self.effects.push(GrantEffect::Propose(change));
+            }
+        }
+    }
+
+    fn next_step(&self, now: MonoTime, tenure: &Tenure) -> Step {
+        let is_verified = self.verified.contains(&tenure.owned.owner);
+        match &tenure.departure {
+            Some(departure) if departure.is_proposed => Step::Wait,
+            Some(departure) if departure.is_released && now >= tenure.free_at() => Step::Propose,
+            Some(departure) if departure.is_released => Step::Wait,
+            Some(_) if tenure.call.is_none() && now >= tenure.free_at() => Step::Propose,
+            Some(_) if tenure.call.is_none() && now >= tenure.due_at => Step::Release,
+            Some(_) => Step::Wait,
+            None if !tenure.is_settled() || !is_verified || now < tenure.due_at => Step::Wait,
+            None => Step::Grant,
+        }
+    }
+
+    fn call(&mut self, place: &Place, tenure: &mut Tenure, content: GrantCall, is_release: bool) {
+        self.last_call += 1;
+        let id = self.last_call;
+        tenure.call = Some(PendingCall { id, is_release });
+        self.calls.insert(id, place.clone());
+        self.effects.push(GrantEffect::Call {
+            call: id,
+            service: place.0.clone(),
+            to: tenure.owned.owner.clone(),
+            content,
+        });
+    }
+}
+
+/// What is to be done for a tenure.
+enum Step {
+    Wait,
+    Grant,
+    Release,
+    Propose,
+}
--- /dev/null
+++ b/crates/chicory_ranges/src/grant_desk_config.rs
@@ -0,0 +1,48 @@
+//! Settings of a grant desk.
+
+use std::time::Duration;
+
+use chicory_types::CLOCK_RATE_MARGIN_PERCENT;
+
+/// How long a grant holds; operators allow 10 s at most, and it has to outlast an election and a
+/// cut of some seconds.
+pub const GRANT_HOLD: Duration = Duration::from_secs(8);
+/// Time between renewals: three renewals may fail before a grant runs out.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+/// Time before a call that failed is made again.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which a grant without an answer is given up and its connection reset.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a release without an answer is given up; it waits for running work.
+pub const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time added to a hold that is waited out, for delays within the machines.
+pub const OUTWAIT_SLACK: Duration = Duration::from_millis(300);
+
+/// Settings of a grant desk.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GrantDeskConfig {
+    /// How long a grant holds.
+    pub hold: Duration,
+    /// Time between renewals.
+    pub renewal_interval: Duration,
+    /// Time before a call that failed is made again.
+    pub retry_interval: Duration,
+}
+
+impl Default for GrantDeskConfig {
+    fn default() -> Self {
+        Self {
+            hold: GRANT_HOLD,
+            renewal_interval: RENEWAL_INTERVAL,
+            retry_interval: RETRY_INTERVAL,
+        }
+    }
+}
+
+impl GrantDeskConfig {
+    /// Longest time for which a server may hold keys after a call can't reach it any more.
+    #[must_use]
+    pub fn outwait(&self) -> Duration {
+        self.hold + self.hold * CLOCK_RATE_MARGIN_PERCENT / 100 + OUTWAIT_SLACK
+    }
+}
--- /dev/null
+++ b/crates/chicory_ranges/src/grant_effect.rs
@@ -0,0 +1,24 @@
+//! Effects that a grant desk asks its caller to carry out.
+
+use chicory_types::ServiceName;
+
+use crate::{CallId, GrantCall, RangeMove, ServerLife};
+
+/// An effect returned by [`GrantDesk::reduce`](crate::GrantDesk::reduce).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GrantEffect {
+    /// Make a call and answer [`CallEnded`](crate::GrantEvent::CallEnded).
+    Call {
+        /// Identifier for the answer.
+        call: CallId,
+        /// Service of the keys.
+        service: ServiceName,
+        /// The server.
+        to: ServerLife,
+        /// What it is told.
+        content: GrantCall,
+    },
+    /// Commit a move; afterwards [`BookChanged`](crate::GrantEvent::BookChanged) or
+    /// [`MoveFailed`](crate::GrantEvent::MoveFailed) is due.
+    Propose(RangeMove),
+}
--- /dev/null
+++ b/crates/chicory_ranges/src/lib.rs
@@ -0,0 +1,45 @@
+//! Exclusive ownership of key ranges.
+//!
+//! - [`RangeBook`] is replicated state: which life of which backend server owns which keys, under
+//!   which fence.
+//! - [`GrantDesk`] is a reducer that only a leader runs: it pushes grants to backend servers,
+//!   renews them, and takes keys back before they go to another owner.
+//! - [`RangePlanner`] decides which keys should move, from the load of each key.
+//!
+//! Nothing here does I/O or reads a clock.
+
+mod grant_call;
+mod grant_desk;
+mod grant_desk_config;
+mod grant_effect;
+mod grant_event;
+mod key_load;
+mod key_range;
+mod key_weights;
+mod owned_range;
+mod planned_server;
+mod range_book;
+mod range_move;
+mod range_planner;
+mod server_life;
+mod tenure;
+mod transfer;
+
+pub use grant_call::{CallId, CallOutcome, GrantCall};
+pub use grant_desk::GrantDesk;
+pub use grant_desk_config::{
+    CALL_TIMEOUT, GRANT_HOLD, GrantDeskConfig, OUTWAIT_SLACK, RELEASE_TIMEOUT, RENEWAL_INTERVAL,
+    RETRY_INTERVAL,
+};
+pub use grant_effect::GrantEffect;
+pub use grant_event::GrantEvent;
+pub use key_load::{KEY_LOAD_HALF_LIFE, KeyLoad};
+pub use key_range::{Key, KeyRange};
+pub use key_weights::KeyWeights;
+pub use owned_range::{Fence, OwnedRange};
+pub use planned_server::PlannedServer;
+pub use range_book::RangeBook;
+pub use range_move::{MoveRejection, RangeMove};
+pub use range_planner::RangePlanner;
+pub use server_life::ServerLife;
+pub use transfer::Transfer;
--- /dev/null
+++ b/crates/chicory_ranges/src/owned_range.rs
@@ -0,0 +1,19 @@
+//! A range with its owner.
+
+use crate::{KeyRange, ServerLife};
+
+/// Number that tells a later grant of a key from an earlier one; it never goes back.
+pub type Fence = u64;
+
+/// A range with its owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnedRange {
+    /// The keys.
+    pub range: KeyRange,
+    /// The start of a backend server that owns them.
+    pub owner: ServerLife,
+    /// Fence of the grant.
+    pub fence: Fence,
+    /// What the former owner handed over when it released the keys.
+    pub handover: Option<String>,
+}
--- /dev/null
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -0,0 +1,267 @@
+//! Decides which keys should change hands.
+
+use std::collections::BTreeMap;
+
+use chicory_types::ServiceName;
+
+use crate::{KeyRange, KeyWeights, PlannedServer, ServerLife, Transfer};
+
+/// Keys are moved only from servers that are loaded above the mean by this factor: moves cost
+/// callers a short pause, and operators count them.
+const OVERLOAD_FACTOR: f64 = 1.3;
+/// Pieces into which the keys of a leaving server are cut at most, so that no other server takes
+/// all of its load.
+const MAX_PIECES_OF_LEAVER: usize = 4;
+/// Transfers in one plan for balance alone; the next plan sees what they changed.
+const MAX_BALANCING_TRANSFERS: usize = 3;
+/// Requests that have to count before load is a reason to move keys.
+const MIN_BALANCING_WEIGHT: f64 = 20.0;
+
+/// Plans the transfers of one service.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_ranges::{KeyWeights, PlannedServer, RangePlanner, ServerLife};
+///
+/// let servers = vec![
+///     PlannedServer { life: ServerLife::new("a", 1), capacity: 3.0 },
+///     PlannedServer { life: ServerLife::new("b", 1), capacity: 3.0 },
+/// ];
+/// let planner = RangePlanner::new("archive".into(), servers, KeyWeights::even());
+/// let transfers = planner.plan(&[]);
+/// assert_eq!(transfers.len(), 2);
+/// ```
+#[derive(Debug)]
+pub struct RangePlanner {
+    service: ServiceName,
+    servers: Vec<PlannedServer>,
+    weights: KeyWeights,
+}
+
+impl RangePlanner {
+    /// Takes the servers that may own keys, and the load of each key.
+    #[must_use]
+    pub fn new(service: ServiceName, servers: Vec<PlannedServer>, weights: KeyWeights) -> Self {
+        Self {
+            service,
+            servers,
+            weights,
+        }
+    }
+
+    /// Transfers that are due, given the owner of each range; ranges on their way count for their
+    /// next owners.
+    #[must_use]
+    pub fn plan(&self, owners: &[(KeyRange, ServerLife)]) -> Vec<Transfer> {
+        if self.servers.is_empty() {
+            return Vec::new();
+        }
+        if owners.is_empty() {
+            return self.first_split();
+        }
+        let mut loads = self.loads(owners);
+        let mut transfers = self.place_orphans(owners, &mut loads);
+        if transfers.is_empty() {
+            transfers = self.balance(owners, &mut loads);
+        }
+        transfers
+    }
+
+    /// Cuts all keys in proportion to the servers' capacity.
+    fn first_split(&self) -> Vec<Transfer> {
+        let mut rest = Some(KeyRange::ALL);
+        let mut capacity_left: f64 = self.servers.iter().map(|server| server.capacity).sum();
+        let mut transfers = Vec::new();
+        for (index, server) in self.servers.iter().enumerate() {
+            let Some(range) = rest else { break };
+            let is_last = index + 1 == self.servers.len();
+            let weight = self.weights.of(range) * server.capacity / capacity_left;
+            let part = if is_last {
+                range
+            } else {
+                self.weights.lower_part(range, weight)
+            };
+            capacity_left -= server.capacity;
+            rest = range.without(part)[1];
+            transfers.push(self.transfer(part, None, &server.life));
+        }
+        transfers
+    }
+
+    /// Load of each server that may own keys.
+    fn loads(&self, owners: &[(KeyRange, ServerLife)]) -> BTreeMap<ServerLife, f64> {
+        let lives = self.servers.iter().map(|server| server.life.clone());
+        let mut loads: BTreeMap<ServerLife, f64> = lives.map(|life| (life, 0.0)).collect();
+        for (range, owner) in owners {
+            if let Some(load) = loads.get_mut(owner) {
+                *load += self.weights.of(*range);
+            }
+        }
+        loads
+    }
+
+    /// Places keys that nobody owns, and those of servers that may own none.
+    fn place_orphans(
+        &self,
+        owners: &[(KeyRange, ServerLife)],
+        loads: &mut BTreeMap<ServerLife, f64>,
+    ) -> Vec<Transfer> {
+        let mut orphans: Vec<(KeyRange, Option<ServerLife>)> = Vec::new();
+        let gaps = gaps(owners);
+        orphans.extend(gaps.into_iter().map(|range| (range, None)));
+        let left = owners.iter().filter(|(_, owner)| !loads.contains_key(owner));
+        orphans.extend(left.map(|(range, owner)| (*range, Some(owner.clone()))));
+        let mut transfers = Vec::new();
+        for (range, from) in orphans {
+            for piece in self.pieces(range) {
+                let Some(to) = self.least_loaded(loads) else { break };
+                if let Some(load) = loads.get_mut(&to) {
+                    *load += self.weights.of(piece);
+                }
+                transfers.push(self.transfer(piece, from.clone(), &to));
+            }
+        }
+        transfers
+    }
+
+    /// Cuts a range so that no piece is much of a server's fair share.
+    fn pieces(&self, range: KeyRange) -> Vec<KeyRange> {
+        let fair = self.weights.of(KeyRange::ALL) / self.capacity_sum();
+        let mean_capacity = self.capacity_sum() / self.count();
+        let limit = fair * mean_capacity / 3.0;
+        let mut pieces = Vec::new();
+        let mut rest = range;
+        while pieces.len() + 1 < MAX_PIECES_OF_LEAVER && self.weights.of(rest) > limit * 1.5 {
+            let part = self.weights.lower_part(rest, limit);
+            let Some(above) = rest.without(part)[1] else { break };
+            pieces.push(part);
+            rest = above;
+        }
+        pieces.push(rest);
+        pieces
+    }
+
+    /// Takes load from the servers with the most to those with the least.
+    fn balance(
+        &self,
+        owners: &[(KeyRange, ServerLife)],
+        loads: &mut BTreeMap<ServerLife, f64>,
+    ) -> Vec<Transfer> {
+        let total = self.weights.of(KeyRange::ALL);
+        let mean = total / self.capacity_sum();
+        let mut owners = owners.to_vec();
+        let mut transfers = Vec::new();
+        while transfers.len() < MAX_BALANCING_TRANSFERS {
+            let Some(from) = self.most_loaded(loads) else { break };
+            let Some(to) = self.least_loaded(loads) else { break };
+            let (high, low) = (loads[&from] / self.capacity(&from), loads[&to] / self.capacity(&to));
+            let is_newcomer = loads[&to] <= 0.0;
+            let is_overloaded = total >= MIN_BALANCING_WEIGHT && high > mean * OVERLOAD_FACTOR;
+            if from == to || !(is_newcomer || is_overloaded) {
+                break;
+            }
+            let capacities = self.capacity(&from) + self.capacity(&to);
+            let excess = (high - low) * self.capacity(&from) * self.capacity(&to) / capacities;
+            let Some(range) = self.part_to_move(&owners, &from, excess) else { break };
+            if let Some(load) = loads.get_mut(&from) {
+                *load -= self.weights.of(range);
+            }
+            if let Some(load) = loads.get_mut(&to) {
+                *load += self.weights.of(range);
+            }
+            change_owner(&mut owners, range, &to);
+            transfers.push(self.transfer(range, Some(from), &to));
+        }
+        transfers
+    }
+
+    /// The part of a server's keys whose load is close to `excess`, with as few keys as possible.
+    fn part_to_move(
+        &self,
+        owners: &[(KeyRange, ServerLife)],
+        from: &ServerLife,
+        excess: f64,
+    ) -> Option<KeyRange> {
+        let own = owners.iter().filter(|(_, owner)| owner == from);
+        let parts = own.filter_map(|(range, _)| self.part_of(*range, excess));
+        parts
+            .filter(|part| self.weights.of(*part) <= excess * 1.5)
+            .max_by(|one, other| self.density(*one).total_cmp(&self.density(*other)))
+    }
+
+    /// The denser end of a range with about the given weight; the whole range if it weighs less.
+    fn part_of(&self, range: KeyRange, weight: f64) -> Option<KeyRange> {
+        let whole = self.weights.of(range);
+        if whole <= weight * 1.2 {
+            return Some(range);
+        }
+        if range.key_count() < 2 {
+            return None;
+        }
+        let lower = self.weights.lower_part(range, weight);
+        let below = self.weights.lower_part(range, whole - weight);
+        let upper = range.without(below)[1]?;
+        let is_lower = self.density(lower) >= self.density(upper);
+        Some(if is_lower { lower } else { upper })
+    }
+
+    fn density(&self, range: KeyRange) -> f64 {
+        self.weights.of(range) / f64::from(range.key_count())
+    }
+
+    fn most_loaded(&self, loads: &BTreeMap<ServerLife, f64>) -> Option<ServerLife> {
+        let ratio = |life: &ServerLife, load: f64| load / self.capacity(life);
+        let loads = loads.iter();
+        let most = loads.max_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
+        most.map(|(life, _)| life.clone())
+    }
+
+    fn least_loaded(&self, loads: &BTreeMap<ServerLife, f64>) -> Option<ServerLife> {
+        let ratio = |life: &ServerLife, load: f64| load / self.capacity(life);
+        let loads = loads.iter();
+        let least = loads.min_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
+        least.map(|(life, _)| life.clone())
+    }
+
+    fn capacity(&self, life: &ServerLife) -> f64 {
+        let server = self.servers.iter().find(|server| server.life == *life);
+        server.map_or(1.0, |server| server.capacity)
+    }
+
+    fn capacity_sum(&self) -> f64 {
+        self.servers.iter().map(|server| server.capacity).sum()
+    }
+
+    fn count(&self) -> f64 {
+        u32::try_from(self.servers.len()).map_or(1.0, f64::from)
+    }
+
+    fn transfer(&self, range: KeyRange, from: Option<ServerLife>, to: &ServerLife) -> Transfer {
+        Transfer {
+            service: self.service.clone(),
+            range,
+            from,
+            to: to.clone(),
+        }
+    }
+}
+
+/// Keys that no range covers.
+fn gaps(owners: &[(KeyRange, ServerLife)]) -> Vec<KeyRange> {
+    let mut free = vec![KeyRange::ALL];
+    for (range, _) in owners {
+        let parts = free.into_iter().flat_map(|part| part.without(*range));
+        free = parts.flatten().collect();
+    }
+    free
+}
+
+fn change_owner(owners: &mut Vec<(KeyRange, ServerLife)>, range: KeyRange, to: &ServerLife) {
+    let former = std::mem::take(owners);
+    for (own, owner) in former {
+        let rest = own.without(range).into_iter().flatten();
+        owners.extend(rest.map(|part| (part, owner.clone())));
+    }
+    owners.push((range, to.clone()));
+}
--- /dev/null
+++ b/crates/chicory_ranges/src/transfer.rs
@@ -0,0 +1,18 @@
+//! A wish of the planner.
+
+use chicory_types::ServiceName;
+
+use crate::{KeyRange, ServerLife};
+
+/// Keys that should go from one owner to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transfer {
+    /// The service whose keys these are.
+    pub service: ServiceName,
+    /// The keys, all within one owned range.
+    pub range: KeyRange,
+    /// The owner now; `None` if the keys have none.
+    pub from: Option<ServerLife>,
+    /// The next owner.
+    pub to: ServerLife,
+}
--- /dev/null
+++ b/crates/chicory_routes/src/routed_service.rs
@@ -0,0 +1,26 @@
+//! One service of the route table.
+
+use std::time::Duration;
+
+use chicory_types::ServiceName;
+
+/// What the operator states about a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutedService {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Path of the health check.
+    pub health_path: Option<String>,
+    /// Most connections that one backend server takes from all callers together.
+    pub max_connections: Option<u32>,
+    /// Protocol that the backend servers speak.
+    pub protocol: Option<String>,
+    /// Whether connections to the backend servers are encrypted.
+    pub has_tls: Option<bool>,
+    /// Whether backend servers own keys exclusively.
+    pub is_keyed: Option<bool>,
+    /// How long keys stay slow that arrive without the state of their former owner.
+    pub warmup: Option<Duration>,
+    /// How backend servers learn which keys they own.
+    pub grant_mode: Option<String>,
+}
--- /dev/null
+++ b/crates/chicory_routes/tests/route_table.rs
@@ -0,0 +1,139 @@
+//! Checks of route tables, matching and splits.
+
+use std::time::Duration;
+
+use chicory_routes::{
+    RequestKind, Route, RouteMatcher, RouteTable, RouteTableFault, RouteTarget, RoutedService,
+    SplitCursor, WeightedService,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn service(name: &str) -> RoutedService {
+    RoutedService {
+        name: name.into(),
+        health_path: Some("/health".into()),
+        max_connections: Some(110),
+        protocol: None,
+        has_tls: None,
+        is_keyed: None,
+        warmup: None,
+        grant_mode: None,
+    }
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: Some(Duration::from_secs(1)),
+        latency_target: None,
+        priority: 0,
+        max_attempts: 2,
+        target: RouteTarget::Service("archive".into()),
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable {
+        version: 1,
+        routes,
+        services: vec![service("archive"), service("orders")],
+        limits: None,
+    }
+}
+
+fn fault_of(change: impl FnOnce(&mut Route)) -> RouteTableFault {
+    let mut changed = route("a", "host", "/a/");
+    change(&mut changed);
+    table(vec![changed]).check().expect_err("a fault")
+}
+
+#[gtest]
+fn table_without_faults_passes() {
+    let routes = vec![route("a", "host", "/a/"), route("b", "host", "/a/b/")];
+    expect_that!(table(routes).check(), ok(anything()));
+}
+
+#[gtest]
+fn each_fault_is_found() {
+    expect_that!(
+        fault_of(|r| r.host.clear()),
+        matches_pattern!(RouteTableFault::EmptyHost { .. })
+    );
+    expect_that!(
+        fault_of(|r| r.path_prefix = "/a".into()),
+        matches_pattern!(RouteTableFault::PathPrefix { .. })
+    );
+    expect_that!(
+        fault_of(|r| r.target = RouteTarget::Service("nowhere".into())),
+        matches_pattern!(RouteTableFault::UnknownService { .. })
+    );
+    expect_that!(
+        fault_of(|r| r.timeout = Some(Duration::from_secs(601))),
+        matches_pattern!(RouteTableFault::TimeoutTooLong { .. })
+    );
+    let weightless = WeightedService {
+        service: "archive".into(),
+        weight: 0,
+    };
+    expect_that!(
+        fault_of(|r| r.target = RouteTarget::Split(vec![weightless])),
+        matches_pattern!(RouteTableFault::NoWeight { .. })
+    );
+    let twice = table(vec![route("a", "host", "/a/"), route("b", "host", "/a/")]);
+    expect_that!(
+        twice.check(),
+        err(matches_pattern!(RouteTableFault::DuplicatePlace { .. }))
+    );
+}
+
+#[gtest]
+fn longest_prefix_wins() {
+    let routes = vec![
+        route("root", "host", "/"),
+        route("a", "host", "/a/"),
+        route("ab", "host", "/a/b/"),
+    ];
+    let matcher = RouteMatcher::new(&table(routes));
+    let name_at = |path| matcher.find("host", path).map(|m| m.route.name.clone());
+    expect_that!(name_at("/a/b/c"), some(eq("ab")));
+    expect_that!(name_at("/a/bc"), some(eq("a")));
+    expect_that!(name_at("/x"), some(eq("root")));
+    expect_that!(matcher.find("other", "/a/"), none());
+    expect_that!(matcher.find("HOST", "/a/x").is_some(), eq(true));
+}
+
+#[gtest]
+fn split_gives_each_part_its_share() {
+    let cursor = SplitCursor::new([90, 10, 0]);
+    let mut counts = [0; 3];
+    for _ in 0..200 {
+        counts[cursor.next()] += 1;
+    }
+    expect_that!(counts, eq([180, 20, 0]));
+}
+
+/// The route that trying all prefixes one by one finds.
+fn naive_find<'a>(routes: &'a [Route], host: &str, path: &str) -> Option<&'a Route> {
+    let fitting = routes
+        .iter()
+        .filter(|r| r.host == host && path.starts_with(&r.path_prefix));
+    fitting.max_by_key(|r| r.path_prefix.len())
+}
+
+proptest! {
+    #[test]
+    fn matcher_finds_what_trying_all_prefixes_finds(
+        prefixes in proptest::collection::btree_set("(/[ab]{1,2}){0,3}/", 1..12),
+        path in "(/[ab]{0,2}){1,4}",
+    ) {
+        let routes: Vec<Route> = prefixes.iter().map(|p| route(p, "host", p)).collect();
+        let matcher = RouteMatcher::new(&table(routes.clone()));
+        let found = matcher.find("host", &path).map(|m| m.route.name.clone());
+        let expected = naive_find(&routes, "host", &path).map(|r| r.name.clone());
+        prop_assert_eq!(found, expected);
+    }
+}
--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -10,15 +10,18 @@
 mod consensus_convert;
 mod convert_error;
 mod custody_convert;
+mod directory_convert;
 #[expect(
     missing_docs,
     clippy::pedantic,
     reason = "the generator decides on the form of this code"
 )]
 pub mod generated;
+mod link_convert;
 mod log_convert;
 mod record_macro;
 mod renewal_convert;
+mod routes_convert;
 mod table_convert;
 mod view_convert;
 mod zone_convert;
--- /dev/null
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -0,0 +1,268 @@
+//! Conversions of the messages on links between control and entry VMs.
+
+use std::time::Duration;
+
+use chicory_directory::{
+    ControlMessage, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus, PeerEnvelope,
+    PoisonReport, ServerLoad, SiteAnswer, SiteCall,
+};
+
+use crate::convert_error::{each, each_into, narrowed, required};
+use crate::proto::consensus::GroupName;
+use crate::proto::site::{
+    self, control_message, entry_message, link_hello, peer_envelope, site_answer, site_call,
+};
+use crate::proto::common;
+use crate::record_macro::convert_record;
+use crate::routes_convert::micros;
+use crate::{ConvertError, peer_message};
+
+convert_record!(LinkStatus, site::LinkStatus {
+    plain: [leader, is_in_contact, version, control_vms, entry_count, poison],
+    nested: [],
+    list: [],
+});
+convert_record!(PoisonReport, site::PoisonReport {
+    plain: [fingerprint],
+    nested: [life],
+    list: [],
+});
+convert_record!(EntryReport, site::EntryReport {
+    plain: [],
+    nested: [],
+    list: [keys, servers, poison],
+});
+
+impl From<KeyCount> for site::KeyCount {
+    fn from(count: KeyCount) -> Self {
+        Self {
+            service: count.service,
+            key: count.key.into(),
+            request_count: count.request_count,
+        }
+    }
+}
+
+impl TryFrom<site::KeyCount> for KeyCount {
+    type Error = ConvertError;
+
+    fn try_from(message: site::KeyCount) -> Result<Self, ConvertError> {
+        Ok(Self {
+            service: message.service,
+            key: narrowed(message.key, "key_count.key")?,
+            request_count: message.request_count,
+        })
+    }
+}
+
+impl From<ServerLoad> for site::ServerLoad {
+    fn from(load: ServerLoad) -> Self {
+        Self {
+            life: Some(load.life.into()),
+            in_flight: load.in_flight,
+            answered: load.answered,
+            service_time_us: micros(load.service_time),
+        }
+    }
+}
+
+impl TryFrom<site::ServerLoad> for ServerLoad {
+    type Error = ConvertError;
+
+    fn try_from(message: site::ServerLoad) -> Result<Self, ConvertError> {
+        Ok(Self {
+            life: required(message.life, "server_load.life")?.try_into()?,
+            in_flight: message.in_flight,
+            answered: message.answered,
+            service_time: Duration::from_micros(message.service_time_us),
+        })
+    }
+}
+
+impl From<LinkHello> for site::LinkHello {
+    fn from(hello: LinkHello) -> Self {
+        let from = match hello {
+            LinkHello::Control { vm } => link_hello::From::Control(site::ControlHello { vm }),
+            LinkHello::Entry {
+                vm,
+                zone,
+                known_version,
+            } => link_hello::From::Entry(site::EntryHello {
+                vm,
+                zone,
+                known_version,
+            }),
+        };
+        Self { from: Some(from) }
+    }
+}
+
+impl TryFrom<site::LinkHello> for LinkHello {
+    type Error = ConvertError;
+
+    fn try_from(message: site::LinkHello) -> Result<Self, ConvertError> {
+        Ok(match required(message.from, "link_hello.from")? {
+            link_hello::From::Control(hello) => Self::Control { vm: hello.vm },
+            link_hello::From::Entry(hello) => Self::Entry {
+                vm: hello.vm,
+                zone: hello.zone,
+                known_version: hello.known_version,
+            },
+        })
+    }
+}
+
+impl From<ControlMessage> for site::ControlMessage {
+    fn from(message: ControlMessage) -> Self {
+        use control_message::Message;
+        let message = match message {
+            ControlMessage::Update(update) => Message::Update(update.into()),
+            ControlMessage::Status(status) => Message::Status(status.into()),
+        };
+        Self {
+            message: Some(message),
+        }
+    }
+}
+
+impl TryFrom<site::ControlMessage> for ControlMessage {
+    type Error = ConvertError;
+
+    fn try_from(message: site::ControlMessage) -> Result<Self, ConvertError> {
+        use control_message::Message;
+        Ok(match required(message.message, "control_message.message")? {
+            Message::Update(update) => Self::Update(update.try_into()?),
+            Message::Status(status) => Self::Status(status.try_into()?),
+        })
+    }
+}
+
+impl From<EntryMessage> for site::EntryMessage {
+    fn from(message: EntryMessage) -> Self {
+        let EntryMessage::Report(report) = message;
+        Self {
+            message: Some(entry_message::Message::Report(report.into())),
+        }
+    }
+}
+
+impl TryFrom<site::EntryMessage> for EntryMessage {
+    type Error = ConvertError;
+
+    fn try_from(message: site::EntryMessage) -> Result<Self, ConvertError> {
+        let message = required(message.message, "entry_message.message")?;
+        let entry_message::Message::Report(report) = message;
+        Ok(Self::Report(report.try_into()?))
+    }
+}
+
+impl From<SiteCall> for site::SiteCall {
+    fn from(call: SiteCall) -> Self {
+        use site_call::Call;
+        let call = match call {
+            SiteCall::Announce(record) => Call::Announce(record.into()),
+            SiteCall::Leave {
+                server,
+                started_at_ms,
+            } => Call::Leave(site::Leave {
+                server,
+                started_at_ms,
+            }),
+            SiteCall::PutRoutes(table) => Call::PutRoutes(table.into()),
+            SiteCall::ReadRoutes => Call::ReadRoutes(common::Empty {}),
+        };
+        Self { call: Some(call) }
+    }
+}
+
+impl TryFrom<site::SiteCall> for SiteCall {
+    type Error = ConvertError;
+
+    fn try_from(message: site::SiteCall) -> Result<Self, ConvertError> {
+        use site_call::Call;
+        Ok(match required(message.call, "site_call.call")? {
+            Call::Announce(record) => Self::Announce(record.try_into()?),
+            Call::Leave(leave) => Self::Leave {
+                server: leave.server,
+                started_at_ms: leave.started_at_ms,
+            },
+            Call::PutRoutes(table) => Self::PutRoutes(table.try_into()?),
+            Call::ReadRoutes(_) => Self::ReadRoutes,
+        })
+    }
+}
+
+impl From<SiteAnswer> for site::SiteAnswer {
+    fn from(answer: SiteAnswer) -> Self {
+        use site_answer::Answer;
+        let empty = common::Empty {};
+        let answer = match answer {
+            SiteAnswer::Done => Answer::Done(empty),
+            SiteAnswer::Routes(table) => Answer::Routes(table.into()),
+            SiteAnswer::Stale => Answer::Stale(empty),
+            SiteAnswer::Unavailable => Answer::Unavailable(empty),
+        };
+        Self {
+            answer: Some(answer),
+        }
+    }
+}
+
+impl TryFrom<site::SiteAnswer> for SiteAnswer {
+    type Error = ConvertError;
+
+    fn try_from(message: site::SiteAnswer) -> Result<Self, ConvertError> {
+        use site_answer::Answer;
+        Ok(match required(message.answer, "site_answer.answer")? {
+            Answer::Done(_) => Self::Done,
+            Answer::Routes(table) => Self::Routes(table.try_into()?),
+            Answer::Stale(_) => Self::Stale,
+            Answer::Unavailable(_) => Self::Unavailable,
+        })
+    }
+}
+
+impl From<PeerEnvelope> for site::PeerEnvelope {
+    fn from(envelope: PeerEnvelope) -> Self {
+        use peer_envelope::Content;
+        let content = match envelope {
+            PeerEnvelope::Log(message) => Content::Log(peer_message(GroupName::Global, message)),
+            PeerEnvelope::Call { id, call } => Content::Call(site::PassedCall {
+                id,
+                call: Some(call.into()),
+            }),
+            PeerEnvelope::Answer { id, answer } => Content::Answer(site::PassedAnswer {
+                id,
+                answer: Some(answer.into()),
+            }),
+            PeerEnvelope::Announced(lives) => Content::Announced(site::Announced {
+                lives: each_into(lives),
+            }),
+            PeerEnvelope::Report(report) => Content::Report(report.into()),
+        };
+        Self {
+            content: Some(content),
+        }
+    }
+}
+
+impl TryFrom<site::PeerEnvelope> for PeerEnvelope {
+    type Error = ConvertError;
+
+    fn try_from(message: site::PeerEnvelope) -> Result<Self, ConvertError> {
+        use peer_envelope::Content;
+        Ok(match required(message.content, "peer_envelope.content")? {
+            Content::Log(message) => Self::Log(message.try_into()?),
+            Content::Call(passed) => Self::Call {
+                id: passed.id,
+                call: required(passed.call, "passed_call.call")?.try_into()?,
+            },
+            Content::Answer(passed) => Self::Answer {
+                id: passed.id,
+                answer: required(passed.answer, "passed_answer.answer")?.try_into()?,
+            },
+            Content::Announced(announced) => Self::Announced(each(announced.lives)?),
+            Content::Report(report) => Self::Report(report.try_into()?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/chicory_wire/src/routes_convert.rs
@@ -0,0 +1,156 @@
+//! Conversions of route tables.
+
+use std::time::Duration;
+
+use chicory_routes::{
+    CallerLimits, RequestKind, Route, RouteTable, RouteTarget, RoutedService, WeightedService,
+};
+
+use crate::convert_error::{each, each_into, enumerated, required};
+use crate::proto::site::{self, route::Target};
+use crate::record_macro::{convert_enum, convert_record};
+use crate::ConvertError;
+
+convert_enum!(RequestKind, site::RequestKind, [Idempotent, Order, Download]);
+convert_record!(WeightedService, site::WeightedService {
+    plain: [service, weight],
+    nested: [],
+    list: [],
+});
+/// Whole microseconds; spans beyond the range, which no setting reaches, are cut.
+pub(crate) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl From<RouteTarget> for Target {
+    fn from(target: RouteTarget) -> Self {
+        match target {
+            RouteTarget::Service(service) => Self::Service(service),
+            RouteTarget::Split(parts) => Self::Split(site::Split {
+                parts: each_into(parts),
+            }),
+        }
+    }
+}
+
+impl TryFrom<Target> for RouteTarget {
+    type Error = ConvertError;
+
+    fn try_from(target: Target) -> Result<Self, ConvertError> {
+        Ok(match target {
+            Target::Service(service) => Self::Service(service),
+            Target::Split(split) => Self::Split(each(split.parts)?),
+        })
+    }
+}
+
+impl From<Route> for site::Route {
+    fn from(route: Route) -> Self {
+        Self {
+            name: route.name,
+            host: route.host,
+            path_prefix: route.path_prefix,
+            kind: site::RequestKind::from(route.kind).into(),
+            timeout_us: route.timeout.map(micros),
+            latency_target_us: route.latency_target.map(micros),
+            priority: route.priority,
+            max_attempts: route.max_attempts,
+            target: Some(route.target.into()),
+        }
+    }
+}
+
+impl TryFrom<site::Route> for Route {
+    type Error = ConvertError;
+
+    fn try_from(message: site::Route) -> Result<Self, ConvertError> {
+        let kind: site::RequestKind = enumerated(message.kind, "route.kind")?;
+        Ok(Self {
+            name: message.name,
+            host: message.host,
+            path_prefix: message.path_prefix,
+            kind: kind.into(),
+            timeout: message.timeout_us.map(Duration::from_micros),
+            latency_target: message.latency_target_us.map(Duration::from_micros),
+            priority: message.priority,
+            max_attempts: message.max_attempts,
+            target: required(message.target, "route.target")?.try_into()?,
+        })
+    }
+}
+
+impl From<RoutedService> for site::RoutedService {
+    fn from(service: RoutedService) -> Self {
+        Self {
+            name: service.name,
+            health_path: service.health_path,
+            max_connections: service.max_connections,
+            protocol: service.protocol,
+            has_tls: service.has_tls,
+            is_keyed: service.is_keyed,
+            warmup_us: service.warmup.map(micros),
+            grant_mode: service.grant_mode,
+        }
+    }
+}
+
+impl From<site::RoutedService> for RoutedService {
+    fn from(message: site::RoutedService) -> Self {
+        Self {
+            name: message.name,
+            health_path: message.health_path,
+            max_connections: message.max_connections,
+            protocol: message.protocol,
+            has_tls: message.has_tls,
+            is_keyed: message.is_keyed,
+            warmup: message.warmup_us.map(Duration::from_micros),
+            grant_mode: message.grant_mode,
+        }
+    }
+}
+
+impl From<CallerLimits> for site::CallerLimits {
+    fn from(limits: CallerLimits) -> Self {
+        Self {
+            max_header_bytes: limits.max_header_bytes,
+            max_body_bytes: limits.max_body_bytes,
+            header_timeout_us: micros(limits.header_timeout),
+            idle_timeout_us: micros(limits.idle_timeout),
+        }
+    }
+}
+
+impl From<site::CallerLimits> for CallerLimits {
+    fn from(message: site::CallerLimits) -> Self {
+        Self {
+            max_header_bytes: message.max_header_bytes,
+            max_body_bytes: message.max_body_bytes,
+            header_timeout: Duration::from_micros(message.header_timeout_us),
+            idle_timeout: Duration::from_micros(message.idle_timeout_us),
+        }
+    }
+}
+
+impl From<RouteTable> for site::RouteTable {
+    fn from(table: RouteTable) -> Self {
+        Self {
+            version: table.version,
+            routes: each_into(table.routes),
+            services: each_into(table.services),
+            limits: table.limits.map(Into::into),
+        }
+    }
+}
+
+impl TryFrom<site::RouteTable> for RouteTable {
+    type Error = ConvertError;
+
+    fn try_from(message: site::RouteTable) -> Result<Self, ConvertError> {
+        Ok(Self {
+            version: message.version,
+            routes: each(message.routes)?,
+            services: each(message.services)?,
+            limits: message.limits.map(Into::into),
+        })
+    }
+}
