--- a/crates/chicory_directory/src/site_answer.rs
+++ b/crates/chicory_directory/src/site_answer.rs
@@ -11,6 +11,8 @@
     Routes(RouteTable),
     /// An announcement of a life that has ended or left.
     Stale,
+    /// An announcement for a service that the route table does not have.
+    UnknownService,
     /// The group can't answer now; the outcome of a change is unknown.
     Unavailable,
 }
--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -177,6 +177,11 @@
         let started_at_ms = record.life.started_at_ms;
         let known = self.server(&record.life.server);
         let is_superseded = known.is_some_and(|known| known.life.started_at_ms > started_at_ms);
+        // A process keeps its address and service as long as it lives.
+        let is_contradicted = known.is_some_and(|known| {
+            known.life == record.life
+                && (known.address != record.address || known.service != record.service)
+        });
         let removal = self.removal(&record.life.server);
         let has_gone = removal.is_some_and(|removal| match removal.cause {
             RemovalCause::Silent => removal.life.started_at_ms > started_at_ms,
@@ -184,7 +189,7 @@
                 removal.life.started_at_ms >= started_at_ms
             }
         });
-        is_superseded || has_gone || self.later_server_at(record).is_some()
+        is_superseded || is_contradicted || has_gone || self.later_server_at(record).is_some()
     }
 
     /// A server at the same address that started later.
@@ -213,6 +218,16 @@
         record
     }
 
+    /// Whether a server's service is in the route table, or was when the server was first known.
+    #[must_use]
+    pub fn knows_service_of(&self, record: &ServerRecord) -> bool {
+        let routes = self.routes();
+        let known = self.server(&record.life.server);
+        routes.version == 0
+            || routes.service(&record.service).is_some()
+            || known.is_some_and(|known| known.service == record.service)
+    }
+
     fn put_server(&mut self, index: LogIndex, record: ServerRecord) -> CommandOutcome {
         if self.is_stale(&record) {
             return CommandOutcome::Stale;
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -0,0 +1,438 @@
+//! Which backend server a request goes to, and what follows from each attempt.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use chicory_directory::{
+    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, PoisonReport, RequestFingerprint,
+    ServerLoad, ServerRecord,
+};
+use chicory_ranges::{Key, ServerLife};
+use chicory_types::{MonoTime, ServiceName};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::request_ticket::Attempt;
+use super::server_health::ServerHealth;
+use super::{
+    AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Refusal, RefusalReason, RequestTicket,
+    RetryBudget, Target,
+};
+use crate::Directory;
+
+/// Time that a caller waits if it does not say how long.
+const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
+/// Part of the end that is kept for the answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// Part of the time left that one attempt may take while another one could follow.
+const ATTEMPT_PART: f64 = 0.65;
+/// Longest wait for a key that changes hands: a release waits for running work.
+const MAX_OWNER_WAIT: Duration = Duration::from_millis(900);
+/// Part of the time left that is spent on waiting for an owner at most.
+const OWNER_WAIT_PART: f64 = 0.6;
+/// Pause before a server that did not own a key yet is asked again.
+const GRANT_LAG: Duration = Duration::from_millis(40);
+/// Time for which a draining server still gets requests for keys that it owns.
+const DRAINING_GRACE: Duration = Duration::from_millis(1200);
+/// Longest time for a connection to come about where another server could serve.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Idle connections older than this may have been forgotten by servers.
+const MAX_IDLE: Duration = Duration::from_secs(6);
+/// The same for orders, which can't be repeated when the connection turns out to be dead.
+const MAX_IDLE_OF_ORDERS: Duration = Duration::from_secs(2);
+/// Assumed time to an answer before there was one.
+const TYPICAL_LATENCY: Duration = Duration::from_millis(200);
+/// When to come back where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time without contact to a majority of control VMs after which unknown routes are not denied.
+const STALE_AFTER: Duration = Duration::from_millis(1500);
+/// Poison reports that wait to be sent at most.
+const MAX_POISON_REPORTS: usize = 64;
+
+/// What an arriving request meets.
+#[derive(Debug)]
+pub enum Arrival {
+    /// It is on its way; ask for the [`NextStep`].
+    Accepted(RequestTicket),
+    /// It is not served.
+    Refused(Refusal),
+}
+
+/// Decides which backend server requests go to.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_gateway::{Arrival, CallerFacts, Gateway, GatewayConfig};
+/// use std::time::Duration;
+///
+/// let mut gateway = Gateway::new(GatewayConfig::default());
+/// let arrival = gateway.arrive(Duration::ZERO, "host", "/a/", &CallerFacts::default());
+/// assert!(matches!(arrival, Arrival::Refused(_)));
+/// ```
+#[derive(Debug)]
+pub struct Gateway {
+    config: GatewayConfig,
+    directory: Directory,
+    health: BTreeMap<ServerLife, ServerHealth>,
+    budgets: BTreeMap<ServiceName, RetryBudget>,
+    entry_count: u32,
+    poison: BTreeSet<RequestFingerprint>,
+    in_contact_at: Option<MonoTime>,
+    key_counts: BTreeMap<(ServiceName, Key), u32>,
+    poison_reports: Vec<PoisonReport>,
+    rng: StdRng,
+}
+
+impl Gateway {
+    /// Starts without a directory.
+    #[must_use]
+    pub fn new(config: GatewayConfig) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(config.random_seed),
+            config,
+            directory: Directory::default(),
+            health: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            entry_count: 1,
+            poison: BTreeSet::new(),
+            in_contact_at: None,
+            key_counts: BTreeMap::new(),
+            poison_reports: Vec::new(),
+        }
+    }
+
+    /// The directory.
+    #[must_use]
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Whether requests can be served: there is a route table.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.directory.routes().version > 0
+    }
+
+    /// Age of the last contact to a majority of control VMs.
+    #[must_use]
+    pub fn contact_age(&self, now: MonoTime) -> Option<Duration> {
+        self.in_contact_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Takes in a change of the directory; whether anything changed.
+    pub fn update(&mut self, now: MonoTime, update: DirectoryUpdate) -> bool {
+        let has_changed = self.directory.apply(now, update);
+        let directory = &self.directory;
+        self.health
+            .retain(|life, health| health.in_flight > 0 || directory.server(life).is_some());
+        has_changed
+    }
+
+    /// Takes in the state of a control VM.
+    pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) {
+        if status.is_in_contact {
+            self.in_contact_at = Some(now);
+            self.entry_count = status.entry_count.max(1);
+        }
+        self.poison = status.poison.iter().copied().collect();
+    }
+
+    /// Takes in a request.
+    pub fn arrive(
+        &mut self,
+        now: MonoTime,
+        host: &str,
+        path: &str,
+        facts: &CallerFacts,
+    ) -> Arrival {
+        if !self.is_ready() {
+            return refuse(RefusalReason::NoDirectory);
+        }
+        let Some(route) = self.directory.matcher().find(host, path).cloned() else {
+            let is_stale = self.contact_age(now).is_none_or(|age| age > STALE_AFTER);
+            let reason = if is_stale {
+                RefusalReason::NoDirectory
+            } else {
+                RefusalReason::NoRoute
+            };
+            return refuse(reason);
+        };
+        let service = route.next_service().clone();
+        let is_keyed = self.directory.is_keyed(&service);
+        let key = facts.key.filter(|_| is_keyed);
+        if is_keyed && key.is_none() {
+            return refuse(RefusalReason::NoKey);
+        }
+        if let Some(key) = key {
+            *self.key_counts.entry((service.clone(), key)).or_default() += 1;
+        }
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.note_request(now, self.config.retry_window);
+        let time_left = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
+        let timeout = route.route.timeout.unwrap_or(time_left);
+        let ends_at = now + time_left.min(timeout).saturating_sub(ANSWER_MARGIN);
+        Arrival::Accepted(RequestTicket {
+            route,
+            routes_version: self.directory.routes().version,
+            service,
+            key,
+            arrived_at: now,
+            ends_at,
+            fingerprint: None,
+            attempts: Vec::new(),
+            may_have_run: false,
+            waiting_since: None,
+            not_before: now,
+        })
+    }
+
+    /// What is to be done for a request now.
+    pub fn next_step(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
+        if now >= ticket.ends_at {
+            return NextStep::Refuse(self.late_refusal(ticket));
+        }
+        if ticket.fingerprint.is_some_and(|f| self.poison.contains(&f)) {
+            let reason = RefusalReason::Poisoned;
+            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+        }
+        if ticket.key.is_some() {
+            return self.step_to_owner(now, ticket);
+        }
+        self.step_to_any(now, ticket)
+    }
+
+    fn step_to_owner(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
+        if now < ticket.not_before {
+            return NextStep::Wait(ticket.not_before);
+        }
+        let key = ticket.key.unwrap_or_default();
+        let entry = self.directory.owner(&ticket.service, key);
+        let record = entry.and_then(|owned| self.directory.server(&owned.owner));
+        let usable = record.filter(|record| self.may_take_keyed(now, record));
+        let Some(record) = usable.cloned() else {
+            return self.wait_for_owner(now, ticket);
+        };
+        let is_paused = self.health.get(&record.life).is_some_and(|h| h.is_paused(now));
+        if is_paused && !ticket.attempts.is_empty() {
+            let reason = RefusalReason::Unreachable;
+            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+        }
+        self.send(now, ticket, &record)
+    }
+
+    fn may_take_keyed(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        let draining_since = self.directory.draining_since(&record.life);
+        draining_since.is_none_or(|since| now < since + DRAINING_GRACE)
+    }
+
+    /// A key without a usable owner gets one soon, as a rule.
+    fn wait_for_owner(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
+        let since = *ticket.waiting_since.get_or_insert(now);
+        let left = ticket.ends_at.saturating_sub(since);
+        let wait = left.mul_f64(OWNER_WAIT_PART).min(MAX_OWNER_WAIT);
+        if now >= since + wait {
+            let reason = RefusalReason::NoOwner;
+            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER * 2));
+        }
+        NextStep::Wait(since + wait)
+    }
+
+    fn step_to_any(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
+        let Some(record) = self.choose(now, ticket) else {
+            let reason = match ticket.attempts.last().and_then(|attempt| attempt.ended) {
+                Some((AttemptOutcome::Shed, _)) => RefusalReason::Overloaded,
+                Some(_) => RefusalReason::Unreachable,
+                None => RefusalReason::NoServer,
+            };
+            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+        };
+        self.send(now, ticket, &record)
+    }
+
+    /// The server with the least expected cost; paused ones only if there is no other.
+    fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Option<ServerRecord> {
+        let tried: BTreeSet<&ServerLife> = ticket.attempts.iter().map(|a| &a.life).collect();
+        let typical = self.typical_latency(&ticket.service);
+        let mut best: Option<(bool, f64, ServerRecord)> = None;
+        for record in self.directory.ready_servers(&ticket.service) {
+            if tried.contains(&record.life) {
+                continue;
+            }
+            let health = self.health.get(&record.life);
+            let is_paused = health.is_some_and(|health| health.is_paused(now));
+            let cost = health.map_or_else(
+                || ServerHealth::default().cost(record.slots, typical),
+                |health| health.cost(record.slots, typical),
+            );
+            // A little chance keeps entry VMs that know the same from choosing the same.
+            let cost = cost * self.rng.random_range(0.9..1.1);
+            let is_better = best.as_ref().is_none_or(|(paused, least, _)| {
+                (is_paused, cost) < (*paused, *least)
+            });
+            if is_better {
+                best = Some((is_paused, cost, record.clone()));
+            }
+        }
+        best.map(|(_, _, record)| record)
+    }
+
+    fn typical_latency(&self, service: &str) -> Duration {
+        let servers = self.directory.ready_servers(service);
+        let known = servers.filter_map(|record| self.health.get(&record.life)?.latency());
+        let (sum, count) = known.fold((Duration::ZERO, 0), |(sum, n), latency| (sum + latency, n + 1));
+        if count == 0 { TYPICAL_LATENCY } else { sum / count }
+    }
+
+    fn send(&mut self, now: MonoTime, ticket: &mut RequestTicket, record: &ServerRecord) -> NextStep {
+        if !ticket.attempts.is_empty() && !self.may_send_again(now, ticket) {
+            let reason = RefusalReason::NoRetryLeft;
+            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+        }
+        let health = self.health.entry(record.life.clone()).or_default();
+        health.in_flight += 1;
+        ticket.attempts.push(Attempt {
+            life: record.life.clone(),
+            started_at: now,
+            ended: None,
+        });
+        let is_order = !ticket.route.route.kind.is_repeatable();
+        let left = ticket.ends_at.saturating_sub(now);
+        let can_follow = !is_order && ticket.key.is_none() && ticket.attempts_left() > 0;
+        let part = if can_follow { left.mul_f64(ATTEMPT_PART) } else { left };
+        NextStep::Send(Target {
+            life: record.life.clone(),
+            address: record.address,
+            give_up_at: now + part,
+            max_idle: if is_order { MAX_IDLE_OF_ORDERS } else { MAX_IDLE },
+            connect_timeout: CONNECT_TIMEOUT.min(left),
+        })
+    }
+
+    fn may_send_again(&mut self, now: MonoTime, ticket: &RequestTicket) -> bool {
+        let last = ticket.attempts.last().and_then(|attempt| attempt.ended);
+        let has_arrived = last.is_some_and(|(outcome, _)| {
+            !matches!(outcome, AttemptOutcome::Refused | AttemptOutcome::Unreachable)
+        });
+        if !has_arrived {
+            return true;
+        }
+        let budget = self.budgets.entry(ticket.service.clone()).or_default();
+        budget.try_retry(now, &self.config, self.entry_count)
+    }
+
+    /// Takes in what became of an attempt; whether the request may be sent again.
+    pub fn attempt_ended(
+        &mut self,
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        outcome: AttemptOutcome,
+    ) -> bool {
+        let Some(attempt) = ticket.attempts.last_mut() else {
+            return false;
+        };
+        if attempt.ended.is_some() {
+            return false;
+        }
+        attempt.ended = Some((outcome, now));
+        let took = now.saturating_sub(attempt.started_at);
+        let life = attempt.life.clone();
+        let health = self.health.entry(life.clone()).or_default();
+        health.in_flight = health.in_flight.saturating_sub(1);
+        health.note_end(now, outcome, took);
+        ticket.may_have_run |= outcome.may_have_run();
+        if outcome == AttemptOutcome::Broken {
+            self.suspect(ticket, life);
+        }
+        Self::may_try_again(now, ticket, outcome)
+    }
+
+    fn may_try_again(now: MonoTime, ticket: &mut RequestTicket, outcome: AttemptOutcome) -> bool {
+        let is_repeatable = ticket.route.route.kind.is_repeatable();
+        let is_allowed = is_repeatable || !ticket.may_have_run;
+        let is_final = matches!(
+            outcome,
+            AttemptOutcome::Answered | AttemptOutcome::Cancelled
+        );
+        if is_final || !is_allowed || now >= ticket.ends_at {
+            return false;
+        }
+        if ticket.key.is_none() {
+            return ticket.attempts_left() > 0;
+        }
+        // The owner of a key is the only server that can help, after a while.
+        ticket.not_before = now + GRANT_LAG;
+        let tries = ticket.attempts.len();
+        matches!(outcome, AttemptOutcome::WrongServer | AttemptOutcome::Unreachable) && tries < 4
+            || matches!(outcome, AttemptOutcome::Garbled | AttemptOutcome::Broken) && tries < 2
+    }
+
+    /// A server that breaks off while it runs a request may have been crashed by it.
+    fn suspect(&mut self, ticket: &RequestTicket, life: ServerLife) {
+        let Some(fingerprint) = ticket.fingerprint else {
+            return;
+        };
+        if self.poison_reports.len() < MAX_POISON_REPORTS {
+            self.poison_reports.push(PoisonReport { fingerprint, life });
+        }
+    }
+
+    /// The refusal after attempts that were not answered.
+    #[must_use]
+    pub fn final_refusal(&self, ticket: &RequestTicket, outcome: AttemptOutcome) -> Refusal {
+        let reason = match outcome {
+            AttemptOutcome::Shed => RefusalReason::Overloaded,
+            AttemptOutcome::WrongServer => RefusalReason::NoOwner,
+            AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
+            AttemptOutcome::Silent => RefusalReason::TimedOut,
+            _ => RefusalReason::BrokenAnswer,
+        };
+        self.refusal(ticket, reason, RETRY_AFTER)
+    }
+
+    fn late_refusal(&self, ticket: &RequestTicket) -> Refusal {
+        let reason = if ticket.may_have_run {
+            RefusalReason::TimedOut
+        } else {
+            RefusalReason::TooLate
+        };
+        self.refusal(ticket, reason, RETRY_AFTER)
+    }
+
+    #[expect(clippy::unused_self, reason = "when to come back will depend on the load")]
+    fn refusal(&self, ticket: &RequestTicket, reason: RefusalReason, after: Duration) -> Refusal {
+        Refusal {
+            reason,
+            may_have_run: ticket.may_have_run,
+            retry_after: (!ticket.may_have_run).then_some(after),
+        }
+    }
+
+    /// What happened since the former report.
+    pub fn take_report(&mut self) -> EntryReport {
+        let keys = std::mem::take(&mut self.key_counts).into_iter();
+        let servers = self.health.iter_mut().filter(|(_, health)| health.answered > 0);
+        EntryReport {
+            keys: keys
+                .map(|((service, key), request_count)| KeyCount {
+                    service,
+                    key,
+                    request_count,
+                })
+                .collect(),
+            servers: servers
+                .map(|(life, health)| ServerLoad {
+                    life: life.clone(),
+                    in_flight: health.in_flight,
+                    answered: std::mem::take(&mut health.answered),
+                    service_time: std::mem::take(&mut health.service_time),
+                })
+                .collect(),
+            poison: std::mem::take(&mut self.poison_reports),
+        }
+    }
+}
+
+fn refuse(reason: RefusalReason) -> Arrival {
+    Arrival::Refused(Refusal::not_run(reason).with_retry_after(RETRY_AFTER))
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -0,0 +1,34 @@
+//! Settings of the decisions.
+
+use std::time::Duration;
+
+/// Part of a service's requests that may be sent a second time; stated by the operators.
+const RETRY_RATIO: f64 = 0.2;
+/// Second sends allowed on top, over all entry VMs, in one window.
+const RETRY_SLACK: f64 = 50.0;
+/// Length of the window in which second sends are counted.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// Settings of the decisions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayConfig {
+    /// Part of a service's requests that may be sent a second time.
+    pub retry_ratio: f64,
+    /// Second sends allowed on top, over all entry VMs, in one window.
+    pub retry_slack: f64,
+    /// Length of the window in which second sends are counted.
+    pub retry_window: Duration,
+    /// Seed of random choices.
+    pub random_seed: u64,
+}
+
+impl Default for GatewayConfig {
+    fn default() -> Self {
+        Self {
+            retry_ratio: RETRY_RATIO,
+            retry_slack: RETRY_SLACK,
+            retry_window: RETRY_WINDOW,
+            random_seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -0,0 +1,18 @@
+//! Decisions about requests, without I/O.
+
+mod caller_facts;
+mod gateway;
+mod gateway_config;
+mod next_step;
+mod refusal;
+mod request_ticket;
+mod retry_budget;
+mod server_health;
+
+pub use caller_facts::CallerFacts;
+pub use gateway::{Arrival, Gateway};
+pub use gateway_config::GatewayConfig;
+pub use next_step::{AttemptOutcome, NextStep, Target};
+pub use refusal::{Refusal, RefusalReason};
+pub use request_ticket::RequestTicket;
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -0,0 +1,89 @@
+//! What is to be done for a request, and what became of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicory_ranges::ServerLife;
+use chicory_types::MonoTime;
+
+use super::Refusal;
+
+/// A backend server that a request is to be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The server.
+    pub life: ServerLife,
+    /// Its address.
+    pub address: SocketAddr,
+    /// When the attempt is given up.
+    pub give_up_at: MonoTime,
+    /// Longest idle time of a pooled connection that may carry the request.
+    pub max_idle: Duration,
+    /// Longest time for a new connection to come about.
+    pub connect_timeout: Duration,
+}
+
+/// What is to be done for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Send it to a server and report the [`AttemptOutcome`].
+    Send(Target),
+    /// Ask again when the directory has changed, or at this moment.
+    Wait(MonoTime),
+    /// Tell the caller that it isn't served.
+    Refuse(Refusal),
+}
+
+/// What became of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// The server answered, and the answer goes to the caller.
+    Answered,
+    /// The server answered with a failure of its own; the answer goes to the caller unless the
+    /// request can be sent again.
+    Failed,
+    /// The server is full and has not run it.
+    Shed,
+    /// The server does not own the key, or is another one; it has not run it.
+    WrongServer,
+    /// Nobody listens at the address.
+    Refused,
+    /// No connection came about; nothing was sent.
+    Unreachable,
+    /// The connection broke after something was sent.
+    Broken,
+    /// Something unusable came back.
+    Garbled,
+    /// The server did not answer in time.
+    Silent,
+    /// The caller went away.
+    Cancelled,
+}
+
+impl AttemptOutcome {
+    /// Whether the server may have run the request.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(
+            self,
+            Self::Shed | Self::WrongServer | Self::Refused | Self::Unreachable
+        )
+    }
+
+    /// A word for logs.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Shed => "shed",
+            Self::WrongServer => "wrong-server",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Garbled => "garbled",
+            Self::Silent => "silent",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/retry_budget.rs
@@ -0,0 +1,89 @@
+//! Bounds how often requests are sent a second time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+use super::GatewayConfig;
+
+/// Slices that a window is counted in.
+const SLICES: u32 = 10;
+/// Part of the allowance that one entry VM uses: counts of other VMs and windows differ a little.
+const USED_PART: f64 = 0.85;
+
+#[derive(Clone, Copy, Debug)]
+struct Slice {
+    begins_at: MonoTime,
+    requests: u32,
+    retries: u32,
+}
+
+/// Bounds the second sends of one service at one entry VM.
+///
+/// All entry VMs together may send `ratio` times the requests, and `slack` more, a second time in
+/// each window. An entry VM uses the ratio of its own requests and an even share of the slack.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_gateway::{GatewayConfig, RetryBudget};
+/// use std::time::Duration;
+///
+/// let mut budget = RetryBudget::default();
+/// let config = GatewayConfig::default();
+/// assert!(budget.try_retry(Duration::ZERO, &config, 10));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    slices: VecDeque<Slice>,
+}
+
+impl RetryBudget {
+    /// Counts a request.
+    pub fn note_request(&mut self, now: MonoTime, window: Duration) {
+        self.slice(now, window).requests += 1;
+    }
+
+    /// Takes a second send out of the budget, if there is one left.
+    pub fn try_retry(&mut self, now: MonoTime, config: &GatewayConfig, entry_count: u32) -> bool {
+        let allowed = self.allowed(now, config, entry_count);
+        let used: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        if f64::from(used) + 1.0 > allowed {
+            return false;
+        }
+        self.slice(now, config.retry_window).retries += 1;
+        true
+    }
+
+    fn allowed(&mut self, now: MonoTime, config: &GatewayConfig, entry_count: u32) -> f64 {
+        self.slice(now, config.retry_window);
+        let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
+        let share = config.retry_slack / f64::from(entry_count.max(1));
+        USED_PART * (config.retry_ratio * f64::from(requests) + share)
+    }
+
+    fn slice(&mut self, now: MonoTime, window: Duration) -> &mut Slice {
+        let length = window / SLICES;
+        while self
+            .slices
+            .front()
+            .is_some_and(|slice| slice.begins_at + window + length <= now)
+        {
+            self.slices.pop_front();
+        }
+        let is_current = self
+            .slices
+            .back()
+            .is_some_and(|slice| now < slice.begins_at + length);
+        if !is_current {
+            self.slices.push_back(Slice {
+                begins_at: now,
+                requests: 0,
+                retries: 0,
+            });
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -0,0 +1,117 @@
+//! What an entry VM has seen of one backend server.
+
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+use super::AttemptOutcome;
+
+/// Weight of the latest sample in averages.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// Pause after the first failure that shows a server to be away; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause: a server that comes back is found within this time.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Pause after a server turned a request away because it was full.
+const SHED_PAUSE: Duration = Duration::from_millis(120);
+/// Connections in a row that have to break before a server is paused.
+const BREAKS_TO_PAUSE: u32 = 2;
+
+/// What an entry VM has seen of one life of a backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerHealth {
+    pub(crate) in_flight: u32,
+    /// Average time to an answer.
+    latency_s: Option<f64>,
+    /// Part of recent requests that failed.
+    failure_rate: f64,
+    breaks_in_a_row: u32,
+    pause: Duration,
+    pub(crate) paused_until: MonoTime,
+    pub(crate) answered: u32,
+    pub(crate) service_time: Duration,
+}
+
+impl Default for ServerHealth {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            latency_s: None,
+            failure_rate: 0.0,
+            breaks_in_a_row: 0,
+            pause: FIRST_PAUSE,
+            paused_until: MonoTime::ZERO,
+            answered: 0,
+            service_time: Duration::ZERO,
+        }
+    }
+}
+
+impl ServerHealth {
+    pub(crate) fn is_paused(&self, now: MonoTime) -> bool {
+        now < self.paused_until
+    }
+
+    /// Average time to an answer, if there was one.
+    pub(crate) fn latency(&self) -> Option<Duration> {
+        self.latency_s.map(Duration::from_secs_f64)
+    }
+
+    /// Expected cost of one more request: less is better.
+    pub(crate) fn cost(&self, slots: u32, typical_latency: Duration) -> f64 {
+        let latency = self.latency_s.unwrap_or(typical_latency.as_secs_f64());
+        let load = f64::from(self.in_flight + 1) / f64::from(slots.max(1));
+        let failure = 1.0 + 6.0 * self.failure_rate;
+        latency * (0.5 + load) * failure
+    }
+
+    pub(crate) fn note_end(&mut self, now: MonoTime, outcome: AttemptOutcome, took: Duration) {
+        match outcome {
+            AttemptOutcome::Answered => {
+                self.note_latency(took);
+                self.note_failure(false);
+                self.breaks_in_a_row = 0;
+                self.pause = FIRST_PAUSE;
+                self.paused_until = MonoTime::ZERO;
+            }
+            AttemptOutcome::Failed => self.note_failure(true),
+            AttemptOutcome::Shed => {
+                self.note_failure(true);
+                self.paused_until = self.paused_until.max(now + SHED_PAUSE);
+            }
+            AttemptOutcome::Refused | AttemptOutcome::Unreachable => self.pause_now(now),
+            AttemptOutcome::Silent => {
+                self.note_latency(took);
+                self.note_break(now);
+            }
+            AttemptOutcome::Broken | AttemptOutcome::Garbled => self.note_break(now),
+            AttemptOutcome::WrongServer | AttemptOutcome::Cancelled => {}
+        }
+    }
+
+    fn note_latency(&mut self, took: Duration) {
+        self.answered += 1;
+        self.service_time += took;
+        let sample = took.as_secs_f64();
+        let average = self.latency_s.unwrap_or(sample);
+        self.latency_s = Some(average + SAMPLE_WEIGHT * (sample - average));
+    }
+
+    fn note_failure(&mut self, has_failed: bool) {
+        let sample = f64::from(u8::from(has_failed));
+        self.failure_rate += SAMPLE_WEIGHT * (sample - self.failure_rate);
+    }
+
+    fn note_break(&mut self, now: MonoTime) {
+        self.note_failure(true);
+        self.breaks_in_a_row += 1;
+        if self.breaks_in_a_row >= BREAKS_TO_PAUSE {
+            self.pause_now(now);
+        }
+    }
+
+    fn pause_now(&mut self, now: MonoTime) {
+        self.paused_until = now + self.pause;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! The entry process that follows the directory of a site and serves callers.
+//!
+//! [`Gateway`] decides, without any I/O: which backend server a request goes to, whether it is
+//! sent again, and what a caller is told. [`GatewayProcess`] carries that out: HTTP to callers and
+//! backend servers, and the link to the control VMs. What callers and servers speak is behind
+//! [`CallerBorder`] and [`ServerBorder`].
+
+mod decide;
+mod process;
+mod view;
+
+pub use decide::{
+    Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Refusal, RefusalReason,
+    RequestTicket, RetryBudget, Target,
+};
+pub use process::{
+    AnswerClass, CallerBorder, GatewayMetric, GatewayProcess, GatewayProcessConfig,
+    GatewayProcessError, ServerBorder,
+};
+pub use view::Directory;
--- /dev/null
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -0,0 +1,221 @@
+//! One attempt to have a request served by a backend server.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicory_net::http::{HttpBody, LinkError, SendError, ServerLink};
+use hyper::body::{Body, Incoming};
+use hyper::http::{HeaderMap, header, request};
+use hyper::{Request, Response, Version};
+use http_body_util::BodyExt;
+
+use super::GatewayMetric;
+use super::answer::{Answer, HELD_BYTES};
+use super::borders::AnswerClass;
+use super::shared::Shared;
+use crate::{AttemptOutcome, CallerFacts, Target};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [header::HeaderName; 6] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// A request as the caller sent it.
+pub(super) struct CallerRequest {
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    pub(super) facts: CallerFacts,
+}
+
+/// What became of an attempt: an answer to pass on, or none.
+pub(super) enum AttemptResult {
+    /// An answer; of a failure another server may do better.
+    Answered { answer: Box<Answer>, is_failure: bool },
+    /// No answer to pass on.
+    Ended(AttemptOutcome),
+}
+
+/// Sends a request to a server and reads its answer far enough to pass it on.
+pub(super) async fn run(
+    shared: &Shared,
+    request: &CallerRequest,
+    target: &Target,
+    time_left: Duration,
+) -> AttemptResult {
+    let limit = target.give_up_at.saturating_sub(shared.now());
+    let exchange = exchange(shared, request, target, time_left);
+    if let Ok(result) = tokio::time::timeout(limit, exchange).await {
+        return result;
+    }
+    // Connections that fell silent tend to do so together.
+    shared.pool.close_all(&target.life);
+    AttemptResult::Ended(AttemptOutcome::Silent)
+}
+
+async fn exchange(
+    shared: &Shared,
+    request: &CallerRequest,
+    target: &Target,
+    time_left: Duration,
+) -> AttemptResult {
+    let started_at = shared.now();
+    let (link, response) = match send(shared, request, target, time_left).await {
+        Ok(sent) => sent,
+        Err(outcome) => return AttemptResult::Ended(outcome),
+    };
+    let took = shared.now().saturating_sub(started_at);
+    shared.metrics.record(GatewayMetric::AttemptLatency, took);
+    let (head, body) = response.into_parts();
+    let keep_alive = shared.servers.keep_alive(&head);
+    let is_failure = match shared.servers.classify(&request.facts, &head) {
+        AnswerClass::Answer => false,
+        AnswerClass::Failure => true,
+        AnswerClass::Shed => {
+            finish(shared, target, link, &body, keep_alive);
+            return AttemptResult::Ended(AttemptOutcome::Shed);
+        }
+        AnswerClass::WrongServer => {
+            finish(shared, target, link, &body, keep_alive);
+            return AttemptResult::Ended(AttemptOutcome::WrongServer);
+        }
+        AnswerClass::Foreign => {
+            shared.metrics.increment(GatewayMetric::ForeignAnswers);
+            return AttemptResult::Ended(AttemptOutcome::Garbled);
+        }
+    };
+    match read_start(body).await {
+        Ok((parts, rest)) => {
+            let answer = Box::new(Answer {
+                head,
+                parts,
+                rest,
+                link,
+                keep_alive,
+            });
+            AttemptResult::Answered { answer, is_failure }
+        }
+        Err(_) => AttemptResult::Ended(AttemptOutcome::Broken),
+    }
+}
+
+/// Sends on a pooled connection, or on a new one if there is none or it turns out to be closed.
+async fn send(
+    shared: &Shared,
+    request: &CallerRequest,
+    target: &Target,
+    time_left: Duration,
+) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
+    let started_at = shared.now();
+    while let Some(mut link) = shared.pool.take(shared.now(), &target.life, target.max_idle) {
+        let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
+        match link.send(outgoing(shared, request, target, left)).await {
+            Ok(response) => return Ok((link, response)),
+            Err(SendError::NothingSent) => {}
+            Err(SendError::Malformed) => return Err(AttemptOutcome::Garbled),
+            Err(SendError::Broken) => return Err(AttemptOutcome::Broken),
+        }
+    }
+    shared.metrics.increment(GatewayMetric::Connections);
+    let address = target.address.to_string();
+    let opened = ServerLink::open(&address, target.connect_timeout, || {}).await;
+    let mut link = opened.map_err(|failure| match failure {
+        LinkError::Refused => AttemptOutcome::Refused,
+        _ => AttemptOutcome::Unreachable,
+    })?;
+    let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
+    let sent = link.send(outgoing(shared, request, target, left)).await;
+    let response = sent.map_err(|failure| match failure {
+        SendError::NothingSent => AttemptOutcome::Unreachable,
+        SendError::Malformed => AttemptOutcome::Garbled,
+        SendError::Broken => AttemptOutcome::Broken,
+    })?;
+    Ok((link, response))
+}
+
+/// The request as it goes to the server.
+fn outgoing(
+    shared: &Shared,
+    request: &CallerRequest,
+    target: &Target,
+    time_left: Duration,
+) -> Request<HttpBody> {
+    let mut headers = request.head.headers.clone();
+    remove_hop_by_hop(&mut headers);
+    headers.remove(header::EXPECT);
+    shared
+        .servers
+        .prepare(&mut headers, &request.facts, &target.life, time_left);
+    let has_body = !request.body.is_empty() || headers.contains_key(header::CONTENT_LENGTH);
+    let body = if has_body {
+        HttpBody::full(request.body.clone())
+    } else {
+        HttpBody::empty()
+    };
+    let mut outgoing = Request::new(body);
+    *outgoing.method_mut() = request.head.method.clone();
+    *outgoing.uri_mut() = request.head.uri.clone();
+    *outgoing.version_mut() = Version::HTTP_11;
+    *outgoing.headers_mut() = headers;
+    outgoing
+}
+
+/// Removes headers that concern one connection only, also those that the message names itself.
+pub(super) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
+}
+
+/// Reads a body to its end, or as far as answers are held back.
+async fn read_start(
+    mut body: Incoming,
+) -> Result<(VecDeque<Bytes>, Option<Incoming>), hyper::Error> {
+    let mut parts = VecDeque::new();
+    let mut held_bytes = 0;
+    while held_bytes < HELD_BYTES {
+        let Some(frame) = body.frame().await else {
+            return Ok((parts, None));
+        };
+        if let Ok(data) = frame?.into_data() {
+            held_bytes += data.len();
+            parts.push_back(data);
+        }
+    }
+    let rest = (!body.is_end_stream()).then_some(body);
+    Ok((parts, rest))
+}
+
+/// Keeps the connection of an answer that is not passed on, if its body is short.
+fn finish(
+    shared: &Shared,
+    target: &Target,
+    link: ServerLink,
+    body: &Incoming,
+    keep_alive: Option<Duration>,
+) {
+    if body.is_end_stream() {
+        shared
+            .pool
+            .put(shared.now(), &target.life, link, keep_alive);
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -0,0 +1,289 @@
+//! Serves the requests of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicory_net::http::{AnswerFuture, BodySource, HttpBody, HttpHandler};
+use chicory_types::MonoTime;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::http::{HeaderMap, HeaderValue, header, request};
+use hyper::{Request, Response};
+
+use super::GatewayMetric;
+use super::answer::Answer;
+use super::answer_observer::AnswerObserver;
+use super::attempt::{self, AttemptResult, CallerRequest, remove_hop_by_hop};
+use super::request_guard::RequestGuard;
+use super::request_log::RequestAccount;
+use super::shared::Shared;
+use crate::{
+    Arrival, AttemptOutcome, CallerFacts, NextStep, Refusal, RefusalReason, RequestTicket, Target,
+};
+
+/// Largest body that is held in memory to be sent.
+const MAX_HELD_BODY_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Serves the requests of callers.
+pub(super) struct CallerHandler {
+    shared: Arc<Shared>,
+}
+
+impl CallerHandler {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl HttpHandler for CallerHandler {
+    fn handle(&self, request: Request<Incoming>) -> AnswerFuture {
+        let shared = self.shared.clone();
+        Box::pin(async move {
+            let is_stopping = shared.readiness.is_stopping();
+            let mut response = Exchange::start(shared.clone(), request).await;
+            if is_stopping || shared.readiness.is_stopping() {
+                let headers = response.headers_mut();
+                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            response
+        })
+    }
+}
+
+/// One request from its head to the head of its answer.
+struct Exchange {
+    shared: Arc<Shared>,
+    started_at: MonoTime,
+    facts: CallerFacts,
+}
+
+impl Exchange {
+    async fn start(shared: Arc<Shared>, request: Request<Incoming>) -> Response<HttpBody> {
+        let started_at = shared.now();
+        shared.metrics.increment(GatewayMetric::Requests);
+        let (head, body) = request.into_parts();
+        let facts = shared.callers.read(&head);
+        let exchange = Self {
+            shared,
+            started_at,
+            facts,
+        };
+        let response = exchange.run(head, body).await;
+        let now = exchange.shared.now();
+        let took = now.saturating_sub(started_at);
+        let metrics = &exchange.shared.metrics;
+        metrics.record(GatewayMetric::RequestLatency, took);
+        response
+    }
+
+    async fn run(&self, head: request::Parts, body: Incoming) -> Response<HttpBody> {
+        let limits = self.shared.gateway().directory().routes().limits_in_force();
+        if header_bytes(&head) > limits.max_header_bytes {
+            return self.refuse(None, &Refusal::not_run(RefusalReason::HeaderTooLarge));
+        }
+        let arrival = {
+            let host = host_of(&head);
+            let mut gateway = self.shared.gateway();
+            gateway.arrive(self.started_at, host, head.uri.path(), &self.facts)
+        };
+        let ticket = match arrival {
+            Arrival::Accepted(ticket) => ticket,
+            Arrival::Refused(refusal) => return self.refuse(None, &refusal),
+        };
+        let max_body_bytes = limits.max_body_bytes.min(MAX_HELD_BODY_BYTES);
+        let body = match self.read_body(body, max_body_bytes, ticket.ends_at()).await {
+            Ok(body) => body,
+            Err(refusal) => return self.refuse(Some(&ticket), &refusal),
+        };
+        let request = CallerRequest {
+            head,
+            body,
+            facts: self.facts.clone(),
+        };
+        self.serve(ticket, &request).await
+    }
+
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: u64,
+        ends_at: MonoTime,
+    ) -> Result<Bytes, Refusal> {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let left = ends_at.saturating_sub(self.shared.now());
+        let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        let collected = tokio::time::timeout(left, Limited::new(body, max_bytes).collect()).await;
+        match collected {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(Refusal::not_run(RefusalReason::BodyTooLarge))
+            }
+            Ok(Err(_)) => Err(Refusal::not_run(RefusalReason::BodyUnreadable)),
+            Err(_) => Err(Refusal::not_run(RefusalReason::TooLate)),
+        }
+    }
+
+    async fn serve(&self, mut ticket: RequestTicket, request: &CallerRequest) -> Response<HttpBody> {
+        ticket.set_fingerprint(fingerprint(request));
+        let mut guard = RequestGuard::new(self.shared.clone(), ticket);
+        let mut changes = self.shared.changes.subscribe();
+        let mut failure: Option<(Box<Answer>, Target)> = None;
+        loop {
+            changes.mark_unchanged();
+            match guard.next_step() {
+                NextStep::Wait(until) => {
+                    let pause = until.saturating_sub(self.shared.now());
+                    // A change of the directory, or the end of the wait: either way ask again.
+                    drop(tokio::time::timeout(pause, changes.changed()).await);
+                }
+                NextStep::Refuse(refusal) => {
+                    if let Some((answer, target)) = failure {
+                        return self.pass_on(guard, *answer, &target);
+                    }
+                    return self.refuse(Some(&guard.ticket), &refusal);
+                }
+                NextStep::Send(target) => {
+                    let left = self.caller_time_left();
+                    let result = attempt::run(&self.shared, request, &target, left).await;
+                    match result {
+                        AttemptResult::Answered {
+                            answer,
+                            is_failure: false,
+                        } => return self.pass_on(guard, *answer, &target),
+                        AttemptResult::Answered { answer, .. } => {
+                            let may_retry = guard.end_attempt(AttemptOutcome::Failed);
+                            if !may_retry {
+                                return self.pass_on(guard, *answer, &target);
+                            }
+                            failure = Some((answer, target));
+                        }
+                        AttemptResult::Ended(outcome) => {
+                            if !guard.end_attempt(outcome) {
+                                if let Some((answer, target)) = failure {
+                                    return self.pass_on(guard, *answer, &target);
+                                }
+                                let refusal = {
+                                    let gateway = self.shared.gateway();
+                                    gateway.final_refusal(&guard.ticket, outcome)
+                                };
+                                return self.refuse(Some(&guard.ticket), &refusal);
+                            }
+                        }
+                    }
+                    self.shared.metrics.increment(GatewayMetric::Retries);
+                }
+            }
+        }
+    }
+
+    /// Time that the caller still waits, for the server to know.
+    fn caller_time_left(&self) -> Duration {
+        let elapsed = self.shared.now().saturating_sub(self.started_at);
+        let time_left = self.facts.time_left.unwrap_or(Duration::from_secs(30));
+        time_left.saturating_sub(elapsed)
+    }
+
+    /// Passes a server's answer on, unchanged but for what concerns the connection.
+    fn pass_on(&self, guard: RequestGuard, answer: Answer, target: &Target) -> Response<HttpBody> {
+        let now = self.shared.now();
+        self.shared.metrics.increment(GatewayMetric::Answered);
+        let account = self.account(Some(&guard.ticket));
+        let status = answer.head.status.as_u16();
+        self.shared.requests.answered(now, &account, status);
+        let mut headers = answer.head.headers;
+        remove_hop_by_hop(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        let source = match answer.rest {
+            Some(rest) => BodySource::Resumed {
+                parts: answer.parts,
+                rest,
+            },
+            None => BodySource::Full(joined(answer.parts)),
+        };
+        let observer = AnswerObserver {
+            guard,
+            life: target.life.clone(),
+            link: answer.link,
+            keep_alive: answer.keep_alive,
+        };
+        let body = HttpBody::observed(source, Box::new(observer));
+        response(answer.head.status, headers, body)
+    }
+
+    fn refuse(&self, ticket: Option<&RequestTicket>, refusal: &Refusal) -> Response<HttpBody> {
+        let metric = if refusal.may_have_run {
+            GatewayMetric::FailedMayHaveRun
+        } else {
+            GatewayMetric::RefusedNotRun
+        };
+        self.shared.metrics.increment(metric);
+        let account = self.account(ticket);
+        let now = self.shared.now();
+        let gateway = self.shared.gateway();
+        let requests = &self.shared.requests;
+        requests.refused(now, &account, refusal, &gateway);
+        let refused = self.shared.callers.refuse(&self.facts, refusal);
+        refused.map(HttpBody::full)
+    }
+
+    fn account<'a>(&'a self, ticket: Option<&'a RequestTicket>) -> RequestAccount<'a> {
+        RequestAccount {
+            facts: &self.facts,
+            ticket,
+            started_at: self.started_at,
+        }
+    }
+}
+
+fn response(
+    status: hyper::StatusCode,
+    headers: HeaderMap,
+    body: HttpBody,
+) -> Response<HttpBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn joined(mut parts: std::collections::VecDeque<Bytes>) -> Bytes {
+    if parts.len() <= 1 {
+        return parts.pop_front().unwrap_or_default();
+    }
+    parts.into_iter().flatten().collect()
+}
+
+/// The host that a request names, without a port.
+fn host_of(head: &request::Parts) -> &str {
+    let from_uri = head.uri.host();
+    let header = head.headers.get(header::HOST);
+    let from_header = header.and_then(|value| value.to_str().ok());
+    let host = from_uri.or(from_header).unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, port)| {
+        let is_port = port.bytes().all(|byte| byte.is_ascii_digit());
+        if is_port { name } else { host }
+    })
+}
+
+fn header_bytes(head: &request::Parts) -> u64 {
+    let headers = head.headers.iter();
+    let bytes: usize = headers.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    bytes as u64
+}
+
+/// The same for requests that are the same to a backend server.
+fn fingerprint(request: &CallerRequest) -> u64 {
+    let head = &request.head;
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let host = host_of(head);
+    let parts = [
+        head.method.as_str().as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        &request.body,
+    ];
+    chicory_types::fingerprint_of(&parts)
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -0,0 +1,221 @@
+//! Follows the directory of a control VM.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicory_directory::{ControlMessage, EntryMessage, LinkHello, LinkStatus};
+use chicory_link::{Backoff, Frame, LinkError, LinkStream, dial};
+use chicory_types::{VmId, ZoneName};
+use chicory_wire::proto::site;
+use slog::{info, warn};
+use tokio::time::{Instant, MissedTickBehavior};
+
+use super::GatewayMetric;
+use super::shared::Shared;
+
+/// Interval of reports; each is answered with the control VM's status.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Time without any message after which a control VM is given up.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Time without contact to a majority after which another control VM is looked for.
+const NO_CONTACT: Duration = Duration::from_millis(1200);
+
+/// Follows the directory: the leader's if it can, any other control VM's otherwise.
+pub(super) struct DirectoryLink {
+    shared: Arc<Shared>,
+    vm: VmId,
+    zone: ZoneName,
+    seeds: Vec<VmId>,
+    /// Control VMs, in the order in which they are tried.
+    candidates: Vec<VmId>,
+    next_candidate: usize,
+    leader: Option<VmId>,
+}
+
+/// Why a control VM is no longer followed.
+enum Parting {
+    /// It can't be followed any more.
+    Lost,
+    /// It names another leader.
+    Redirected(VmId),
+}
+
+impl DirectoryLink {
+    pub(super) fn new(shared: Arc<Shared>, vm: VmId, zone: ZoneName, seeds: Vec<VmId>) -> Self {
+        // Entry VMs begin with different seeds, so that not all of them meet at one.
+        let vm_hash = chicory_types::fingerprint_of(&[vm.as_bytes()]);
+        let first = usize::try_from(vm_hash % (seeds.len().max(1) as u64)).unwrap_or(0);
+        Self {
+            shared,
+            vm,
+            zone,
+            candidates: seeds.clone(),
+            seeds,
+            next_candidate: first,
+            leader: None,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        let mut backoff = Backoff::default();
+        let mut is_lost = false;
+        loop {
+            let Some(control_vm) = self.choose() else {
+                tokio::time::sleep(backoff.next_pause()).await;
+                continue;
+            };
+            let logger = &self.shared.logger;
+            match self.open(&control_vm).await {
+                Ok(stream) => {
+                    info!(logger, "follows control VM"; "control_vm" => &control_vm);
+                    is_lost = false;
+                    let followed_at = Instant::now();
+                    let parting = self.follow(&control_vm, stream).await;
+                    if followed_at.elapsed() > SILENCE {
+                        backoff.reset();
+                    }
+                    match parting {
+                        Parting::Redirected(leader) => self.leader = Some(leader),
+                        Parting::Lost => {
+                            self.on_lost(&control_vm);
+                            tokio::time::sleep(backoff.next_pause()).await;
+                        }
+                    }
+                }
+                Err(failure) => {
+                    if !is_lost {
+                        warn!(logger, "no link to control VM"; "control_vm" => &control_vm,
+                            "error" => %failure);
+                        is_lost = true;
+                    }
+                    self.leader = None;
+                    tokio::time::sleep(backoff.next_pause()).await;
+                }
+            }
+        }
+    }
+
+    fn on_lost(&mut self, control_vm: &VmId) {
+        self.shared.metrics.increment(GatewayMetric::ControlLinksLost);
+        let now = self.shared.now();
+        let contact_age = self.shared.gateway().contact_age(now);
+        warn!(self.shared.logger, "link to control VM lost"; "control_vm" => control_vm,
+            "contact_age" => ?contact_age);
+        self.leader = None;
+    }
+
+    /// The leader if it is known, else the next control VM in turn.
+    fn choose(&mut self) -> Option<VmId> {
+        if let Some(leader) = self.leader.take() {
+            return Some(leader);
+        }
+        let count = self.candidates.len();
+        let chosen = self.candidates.get(self.next_candidate % count.max(1)).cloned();
+        self.next_candidate = self.next_candidate.wrapping_add(1);
+        chosen
+    }
+
+    async fn open(&self, control_vm: &VmId) -> Result<LinkStream, LinkError> {
+        let address: SocketAddr = control_vm.parse().map_err(|_| LinkError::Content)?;
+        let (reader, mut writer) = dial(address).await?;
+        let hello = LinkHello::Entry {
+            vm: self.vm.clone(),
+            zone: self.zone.clone(),
+            known_version: self.shared.gateway().directory().version(),
+        };
+        writer.put(&site::LinkHello::from(hello));
+        writer.flush().await?;
+        Ok((reader, writer))
+    }
+
+    async fn follow(&mut self, own: &VmId, (mut reader, mut writer): LinkStream) -> Parting {
+        let mut reports = tokio::time::interval(REPORT_INTERVAL);
+        reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut heard_at = Instant::now();
+        let mut in_contact_at = Instant::now();
+        loop {
+            tokio::select! {
+                frame = reader.next() => {
+                    let Ok(Some(frame)) = frame else { return Parting::Lost };
+                    heard_at = Instant::now();
+                    let Some(status) = self.take_frame(frame) else { continue };
+                    if status.is_in_contact {
+                        in_contact_at = heard_at;
+                    }
+                    self.note_control_vms(&status);
+                    if let Some(leader) = status.leader.filter(|leader| leader != own) {
+                        return Parting::Redirected(leader);
+                    }
+                }
+                _ = reports.tick() => {
+                    if heard_at.elapsed() > SILENCE || in_contact_at.elapsed() > NO_CONTACT {
+                        return Parting::Lost;
+                    }
+                    let report = self.shared.gateway().take_report();
+                    writer.put(&site::EntryMessage::from(EntryMessage::Report(report)));
+                    if writer.flush().await.is_err() {
+                        return Parting::Lost;
+                    }
+                    self.prune();
+                }
+            }
+        }
+    }
+
+    fn take_frame(&self, frame: Frame) -> Option<LinkStatus> {
+        let message = frame.decode::<site::ControlMessage>();
+        let message = message.ok().and_then(|message| ControlMessage::try_from(message).ok());
+        let now = self.shared.now();
+        match message {
+            Some(ControlMessage::Update(update)) => {
+                let mut gateway = self.shared.gateway();
+                if gateway.update(now, update) {
+                    let directory = gateway.directory();
+                    let (version, routes) = (directory.version(), directory.routes().version);
+                    drop(gateway);
+                    self.shared.changes.send_modify(|changes| *changes += 1);
+                    self.note_version(version, routes);
+                }
+                None
+            }
+            Some(ControlMessage::Status(status)) => {
+                self.shared.gateway().note_status(now, &status);
+                Some(status)
+            }
+            None => {
+                warn!(self.shared.logger, "control VM sent something unreadable");
+                None
+            }
+        }
+    }
+
+    fn note_version(&self, version: u64, routes_version: u64) {
+        let metrics = &self.shared.metrics;
+        metrics.set(GatewayMetric::DirectoryVersion, version);
+        metrics.set(GatewayMetric::RoutesVersion, routes_version);
+        self.shared.readiness.set(routes_version > 0);
+        info!(self.shared.logger, "directory changed"; "version" => version,
+            "routes_version" => routes_version);
+    }
+
+    /// Seeds stay among the candidates: they may name machines that came later.
+    fn note_control_vms(&mut self, status: &LinkStatus) {
+        if status.control_vms.is_empty() {
+            return;
+        }
+        self.candidates.clone_from(&status.control_vms);
+        for seed in &self.seeds {
+            if !self.candidates.contains(seed) {
+                self.candidates.push(seed.clone());
+            }
+        }
+    }
+
+    fn prune(&self) {
+        let gateway = self.shared.gateway();
+        let directory = gateway.directory();
+        let pool = &self.shared.pool;
+        pool.prune(self.shared.now(), |life| directory.server(life).is_some());
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -0,0 +1,76 @@
+//! Metrics of an entry process.
+
+use chicory_telemetry::MetricName;
+
+/// Metrics of an entry process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GatewayMetric {
+    /// Requests of callers.
+    Requests,
+    /// Requests that got a backend server's answer.
+    Answered,
+    /// Requests that no server has run.
+    RefusedNotRun,
+    /// Requests that got no answer though a server may have run them.
+    FailedMayHaveRun,
+    /// Requests whose caller left.
+    Cancelled,
+    /// Requests sent to a further server.
+    Retries,
+    /// Connections to backend servers.
+    Connections,
+    /// Answers that were spoilt or belonged to other requests.
+    ForeignAnswers,
+    /// Links to control VMs that broke.
+    ControlLinksLost,
+    /// Version of the directory.
+    DirectoryVersion,
+    /// Version of the route table.
+    RoutesVersion,
+    /// Log lines about requests that were left out to bound their volume.
+    LogLinesSuppressed,
+    /// Time from a request's head to the head of its answer.
+    RequestLatency,
+    /// Time from sending to a backend server to the head of its answer.
+    AttemptLatency,
+}
+
+impl MetricName for GatewayMetric {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Requests => "gateway_requests",
+            Self::Answered => "gateway_answered",
+            Self::RefusedNotRun => "gateway_refused_not_run",
+            Self::FailedMayHaveRun => "gateway_failed_may_have_run",
+            Self::Cancelled => "gateway_cancelled",
+            Self::Retries => "gateway_retries",
+            Self::Connections => "gateway_connections",
+            Self::ForeignAnswers => "gateway_foreign_answers",
+            Self::ControlLinksLost => "gateway_control_links_lost",
+            Self::DirectoryVersion => "gateway_directory_version",
+            Self::RoutesVersion => "gateway_routes_version",
+            Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
+            Self::RequestLatency => "gateway_request_seconds",
+            Self::AttemptLatency => "gateway_attempt_seconds",
+        }
+    }
+
+    fn help(self) -> &'static str {
+        match self {
+            Self::Requests => "Requests of callers.",
+            Self::Answered => "Requests that got a backend server's answer.",
+            Self::RefusedNotRun => "Requests that no backend server has run.",
+            Self::FailedMayHaveRun => "Requests without an answer that may have run.",
+            Self::Cancelled => "Requests whose caller left.",
+            Self::Retries => "Requests sent to a further backend server.",
+            Self::Connections => "Connections opened to backend servers.",
+            Self::ForeignAnswers => "Answers that were spoilt or belonged to other requests.",
+            Self::ControlLinksLost => "Links to control VMs that broke.",
+            Self::DirectoryVersion => "Version of the directory.",
+            Self::RoutesVersion => "Version of the route table.",
+            Self::LogLinesSuppressed => "Log lines left out to bound their volume.",
+            Self::RequestLatency => "Time from a request's head to the head of its answer.",
+            Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -0,0 +1,22 @@
+//! The shell of an entry process: callers, backend servers, and the link to the control VMs.
+
+mod answer;
+mod answer_observer;
+mod attempt;
+mod borders;
+mod caller_handler;
+mod connection_pool;
+mod directory_link;
+mod gateway_metric;
+mod gateway_process;
+mod gateway_process_config;
+mod gateway_process_error;
+mod request_guard;
+mod request_log;
+mod shared;
+
+pub use borders::{AnswerClass, CallerBorder, ServerBorder};
+pub use gateway_metric::GatewayMetric;
+pub use gateway_process::GatewayProcess;
+pub use gateway_process_config::GatewayProcessConfig;
+pub use gateway_process_error::GatewayProcessError;
--- /dev/null
+++ b/crates/chicory_gateway/src/process/shared.rs
@@ -0,0 +1,62 @@
+//! What all tasks of an entry process share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use chicory_net::admin::Readiness;
+use chicory_telemetry::Metrics;
+use chicory_types::{Clock, MonoTime};
+use slog::Logger;
+use tokio::sync::watch;
+
+use super::connection_pool::ConnectionPool;
+use super::request_log::RequestLog;
+use super::{CallerBorder, ServerBorder};
+use crate::Gateway;
+
+/// What all tasks of an entry process share; they run on one thread, so that the locks are never
+/// waited for.
+pub(super) struct Shared {
+    gateway: Mutex<Gateway>,
+    pub(super) pool: ConnectionPool,
+    pub(super) clock: Arc<dyn Clock + Send + Sync>,
+    pub(super) callers: Arc<dyn CallerBorder>,
+    pub(super) servers: Arc<dyn ServerBorder>,
+    pub(super) readiness: Readiness,
+    /// Counts changes of the directory.
+    pub(super) changes: watch::Sender<u64>,
+    pub(super) requests: RequestLog,
+    pub(super) logger: Logger,
+    pub(super) metrics: Arc<Metrics>,
+}
+
+impl Shared {
+    pub(super) fn new(
+        gateway: Gateway,
+        clock: Arc<dyn Clock + Send + Sync>,
+        borders: (Arc<dyn CallerBorder>, Arc<dyn ServerBorder>),
+        readiness: Readiness,
+        logger: Logger,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            gateway: Mutex::new(gateway),
+            pool: ConnectionPool::default(),
+            clock,
+            callers: borders.0,
+            servers: borders.1,
+            readiness,
+            changes: watch::Sender::new(0),
+            requests: RequestLog::new(logger.clone(), metrics.clone()),
+            logger,
+            metrics,
+        }
+    }
+
+    pub(super) fn gateway(&self) -> MutexGuard<'_, Gateway> {
+        self.gateway.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -0,0 +1,165 @@
+//! The directory as an entry VM follows it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use chicory_directory::{DirectoryUpdate, DirectoryVersion, ServerRecord, ServerState};
+use chicory_ranges::{Key, OwnedRange, ServerLife};
+use chicory_routes::{RouteMatcher, RouteTable};
+use chicory_types::{MonoTime, ServerId, ServiceName};
+
+/// Routes, servers and owners of keys, as of one version.
+///
+/// It never goes back to an older version, whichever control VM it listens to.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_directory::DirectoryUpdate;
+/// use chicory_gateway::Directory;
+/// use std::time::Duration;
+///
+/// let mut directory = Directory::default();
+/// let update = DirectoryUpdate { version: 3, is_full: true, ..DirectoryUpdate::default() };
+/// assert!(directory.apply(Duration::ZERO, update));
+/// assert_eq!(directory.version(), 3);
+/// ```
+#[derive(Debug, Default)]
+pub struct Directory {
+    version: DirectoryVersion,
+    routes: Arc<RouteTable>,
+    matcher: RouteMatcher,
+    keyed: BTreeSet<ServiceName>,
+    servers: BTreeMap<ServerId, ServerRecord>,
+    /// When each server was first known here, with its present life.
+    known_since: BTreeMap<ServerLife, MonoTime>,
+    draining_since: BTreeMap<ServerLife, MonoTime>,
+    ranges: BTreeMap<ServiceName, BTreeMap<Key, OwnedRange>>,
+}
+
+impl Directory {
+    /// Takes in an update; whether anything changed. An older version changes nothing.
+    pub fn apply(&mut self, now: MonoTime, update: DirectoryUpdate) -> bool {
+        if update.version < self.version || (update.version == self.version && !update.is_full) {
+            return false;
+        }
+        self.version = update.version;
+        if update.is_full {
+            self.servers.clear();
+            self.ranges.clear();
+        }
+        if let Some(routes) = update.routes
+            && routes.version >= self.routes.version
+        {
+            self.put_routes(routes);
+        }
+        for life in update.removed {
+            let known = self.servers.get(&life.server);
+            if known.is_some_and(|known| known.life.started_at_ms <= life.started_at_ms) {
+                self.servers.remove(&life.server);
+            }
+        }
+        for record in update.servers {
+            self.put_server(now, record);
+        }
+        for of_service in update.ranges {
+            let ranges = of_service.ranges.into_iter();
+            let ranges = ranges.map(|owned| (owned.range.first, owned)).collect();
+            self.ranges.insert(of_service.service, ranges);
+        }
+        self.forget_gone();
+        true
+    }
+
+    fn put_routes(&mut self, routes: RouteTable) {
+        self.matcher = RouteMatcher::new(&routes);
+        let keyed = routes.services.iter().filter(|s| s.is_keyed == Some(true));
+        self.keyed = keyed.map(|service| service.name.clone()).collect();
+        self.routes = Arc::new(routes);
+    }
+
+    fn put_server(&mut self, now: MonoTime, record: ServerRecord) {
+        self.known_since.entry(record.life.clone()).or_insert(now);
+        if record.state == ServerState::Draining {
+            self.draining_since.entry(record.life.clone()).or_insert(now);
+        }
+        self.servers.insert(record.life.server.clone(), record);
+    }
+
+    fn forget_gone(&mut self) {
+        let servers = &self.servers;
+        let is_known = |life: &ServerLife| {
+            let known = servers.get(&life.server);
+            known.is_some_and(|known| known.life == *life)
+        };
+        self.known_since.retain(|life, _| is_known(life));
+        self.draining_since.retain(|life, _| is_known(life));
+    }
+
+    /// Version of the directory; 0 before the first update.
+    #[must_use]
+    pub fn version(&self) -> DirectoryVersion {
+        self.version
+    }
+
+    /// The route table in force.
+    #[must_use]
+    pub fn routes(&self) -> &Arc<RouteTable> {
+        &self.routes
+    }
+
+    /// Finds routes of requests.
+    #[must_use]
+    pub fn matcher(&self) -> &RouteMatcher {
+        &self.matcher
+    }
+
+    /// Whether servers of the service own keys exclusively.
+    #[must_use]
+    pub fn is_keyed(&self, service: &str) -> bool {
+        self.keyed.contains(service)
+    }
+
+    /// Servers of a service that take new work.
+    pub fn ready_servers<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a ServerRecord> + 'a {
+        let servers = self.servers.values();
+        servers.filter(move |record| {
+            record.service == service && record.state == ServerState::Ready
+        })
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values()
+    }
+
+    /// The record of this life, if the server is known and has not started again.
+    #[must_use]
+    pub fn server(&self, life: &ServerLife) -> Option<&ServerRecord> {
+        let record = self.servers.get(&life.server)?;
+        (record.life == *life).then_some(record)
+    }
+
+    /// The owner of a key, as the book has it.
+    #[must_use]
+    pub fn owner(&self, service: &str, key: Key) -> Option<&OwnedRange> {
+        let ranges = self.ranges.get(service)?;
+        let (_, owned) = ranges.range(..=key).next_back()?;
+        owned.range.contains(key).then_some(owned)
+    }
+
+    /// When this entry VM heard that a server drains.
+    #[must_use]
+    pub fn draining_since(&self, life: &ServerLife) -> Option<MonoTime> {
+        self.draining_since.get(life).copied()
+    }
+
+    /// When this entry VM first heard of a life.
+    #[must_use]
+    pub fn known_since(&self, life: &ServerLife) -> Option<MonoTime> {
+        self.known_since.get(life).copied()
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/view/mod.rs
@@ -0,0 +1,5 @@
+//! What an entry VM knows of its site.
+
+mod directory;
+
+pub use directory::Directory;
--- /dev/null
+++ b/crates/chicory_link/src/dial.rs
@@ -0,0 +1,48 @@
+//! Opens connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use crate::link_error::{DialTimeoutSnafu, IoSnafu};
+use crate::{FrameReader, FrameWriter, LinkError};
+
+/// Longest time for a connection to come about; a few round trips between availability zones.
+pub const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which sent bytes that nobody has acknowledged end a connection.
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Both directions of a link.
+pub type LinkStream = (FrameReader<OwnedReadHalf>, FrameWriter<OwnedWriteHalf>);
+
+/// Connects to a process.
+///
+/// # Errors
+///
+/// [`LinkError`] when no connection came about.
+pub async fn dial(address: SocketAddr) -> Result<LinkStream, LinkError> {
+    let dialled = tokio::time::timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(stream) = dialled else {
+        return DialTimeoutSnafu.fail();
+    };
+    split(stream.context(IoSnafu)?)
+}
+
+/// Prepares a connection for frames.
+///
+/// # Errors
+///
+/// [`LinkError`] when an option can't be set.
+pub fn split(stream: TcpStream) -> Result<LinkStream, LinkError> {
+    stream.set_nodelay(true).context(IoSnafu)?;
+    let socket = SockRef::from(&stream);
+    socket
+        .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+        .context(IoSnafu)?;
+    let (read, write) = stream.into_split();
+    Ok((FrameReader::new(read), FrameWriter::new(write)))
+}
--- /dev/null
+++ b/crates/chicory_link/src/frame_writer.rs
@@ -0,0 +1,47 @@
+//! Writes frames.
+
+use bytes::{BufMut, BytesMut};
+use prost::Message;
+use snafu::ResultExt;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+
+use crate::LinkError;
+use crate::link_error::IoSnafu;
+
+/// Writes frames to one direction of a connection.
+pub struct FrameWriter<W> {
+    write: W,
+    buffer: BytesMut,
+}
+
+impl<W: AsyncWrite + Unpin> FrameWriter<W> {
+    /// Writes to `write`.
+    pub fn new(write: W) -> Self {
+        Self {
+            write,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Puts a message into the buffer; [`flush`](Self::flush) sends it.
+    pub fn put(&mut self, message: &impl Message) {
+        let length = u32::try_from(message.encoded_len()).unwrap_or(u32::MAX);
+        self.buffer.put_u32(length);
+        self.buffer.extend_from_slice(&message.encode_to_vec());
+    }
+
+    /// Puts an empty frame into the buffer.
+    pub fn put_alive(&mut self) {
+        self.buffer.put_u32(0);
+    }
+
+    /// Sends all that was put, with one write where the connection takes it.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Io`] when the connection breaks.
+    pub async fn flush(&mut self) -> Result<(), LinkError> {
+        let buffer = self.buffer.split();
+        self.write.write_all(&buffer).await.context(IoSnafu)
+    }
+}
--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -38,6 +38,18 @@
             Ok(Err(error)) => return Err(sorted(error)),
             Ok(Ok(stream)) => stream,
         };
+        Self::on(stream, on_close).await
+    }
+
+    /// Takes over a connection that is open already; `on_close` is called once it is closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the connection breaks at once.
+    pub async fn on(
+        stream: TcpStream,
+        on_close: impl FnOnce() + Send + 'static,
+    ) -> Result<Self, LinkError> {
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -105,15 +105,12 @@
             })
     }
 
-    /// Whether a server answers grants, or holds none that it could fail to answer.
+    /// Whether a server has answered a grant within the last `silence`.
     #[must_use]
-    pub fn is_silent(&self, now: MonoTime, life: &ServerLife, silence: Duration) -> bool {
+    pub fn has_answered(&self, now: MonoTime, life: &ServerLife, silence: Duration) -> bool {
         let horizon = (now + self.config.outwait()).saturating_sub(silence);
         let mut tenures = self.tenures.values();
-        tenures.any(|tenure| {
-            let is_own = tenure.owned.owner == *life;
-            is_own && tenure.answered_until < horizon
-        })
+        tenures.any(|tenure| tenure.owned.owner == *life && tenure.answered_until >= horizon)
     }
 
     fn wakeup_of(&self, tenure: &Tenure) -> Option<MonoTime> {
--- a/crates/chicory_routes/tests/route_table.rs
+++ b/crates/chicory_routes/tests/route_table.rs
@@ -30,8 +30,8 @@
         kind: RequestKind::Idempotent,
         timeout: Some(Duration::from_secs(1)),
         latency_target: None,
-        priority: 0,
-        max_attempts: 2,
+        priority: Some(0),
+        max_attempts: Some(2),
         target: RouteTarget::Service("archive".into()),
     }
 }
--- /dev/null
+++ b/crates/chicory_site/src/core/calls.rs
@@ -0,0 +1,185 @@
+//! Calls of operators and backend servers.
+
+use chicory_directory::{
+    PeerEnvelope, RemovalCause, ServerRecord, ServerRemoval, SiteAnswer, SiteCall, SiteCommand,
+};
+use chicory_ranges::{GrantEvent, ServerLife};
+use chicory_types::{MonoTime, ServerId};
+
+use super::site_config::PASSED_CALL_TIMEOUT;
+use super::site_core::{PassedCall, Proposal, ReplyTo};
+use super::{SiteCore, SiteEffect, SiteNote};
+
+impl SiteCore {
+    /// Answers from the applied state where that is certain, and leaves the rest to the leader.
+    pub(super) fn on_call(&mut self, now: MonoTime, reply_to: ReplyTo, call: SiteCall) {
+        match self.local_answer(now, &call) {
+            Some(answer) => self.reply(reply_to, answer),
+            None if self.is_leading(now) => self.on_leader_call(now, reply_to, call),
+            None => self.pass_call(now, reply_to, call),
+        }
+    }
+
+    /// A call from another member that takes this one for the leader.
+    pub(super) fn on_passed_call(&mut self, now: MonoTime, reply_to: ReplyTo, call: SiteCall) {
+        match self.local_answer(now, &call) {
+            Some(answer) => self.reply(reply_to, answer),
+            None if self.is_leading(now) => self.on_leader_call(now, reply_to, call),
+            None => self.reply(reply_to, SiteAnswer::Unavailable),
+        }
+    }
+
+    /// What the applied state says already is committed and needs no leader.
+    fn local_answer(&mut self, now: MonoTime, call: &SiteCall) -> Option<SiteAnswer> {
+        match call {
+            SiteCall::Announce(record) => self.known_announcement(now, record),
+            SiteCall::PutRoutes(table) => {
+                let is_known = table.version <= self.state.routes().version;
+                is_known.then_some(SiteAnswer::Done)
+            }
+            SiteCall::Leave { .. } | SiteCall::ReadRoutes => None,
+        }
+    }
+
+    fn known_announcement(&mut self, now: MonoTime, record: &ServerRecord) -> Option<SiteAnswer> {
+        if !self.state.knows_service_of(record) {
+            return Some(SiteAnswer::UnknownService);
+        }
+        if self.state.is_stale(record) {
+            let life = record.life.clone();
+            self.note(SiteNote::StaleAnnouncement { life });
+            return Some(SiteAnswer::Stale);
+        }
+        let merged = self.state.merged(record.clone());
+        let known = self.state.server(&record.life.server)?;
+        if !known.is_same_but_for_age(&merged) {
+            return None;
+        }
+        if self.desk.is_some() {
+            self.on_life_seen(now, record.life.clone());
+        } else {
+            self.announced_here.insert(record.life.clone());
+        }
+        Some(SiteAnswer::Done)
+    }
+
+    pub(super) fn on_life_seen(&mut self, now: MonoTime, life: ServerLife) {
+        self.announced_at.insert(life.clone(), now);
+        let known = self.state.server(&life.server);
+        if known.is_some_and(|known| known.life == life) {
+            self.grant_events.push_back(GrantEvent::Announced(life));
+        }
+    }
+
+    fn on_leader_call(&mut self, now: MonoTime, reply_to: ReplyTo, call: SiteCall) {
+        let command = match call {
+            SiteCall::Announce(record) => {
+                self.note_first_seen(now, &record);
+                SiteCommand::PutServer(record)
+            }
+            SiteCall::PutRoutes(table) => SiteCommand::PutRoutes(table),
+            SiteCall::ReadRoutes => {
+                let answer = self.routes_answer();
+                self.reply(reply_to, answer);
+                return;
+            }
+            SiteCall::Leave {
+                server,
+                started_at_ms,
+            } => {
+                let Some(life) = self.leaving_life(&server, started_at_ms) else {
+                    self.reply(reply_to, SiteAnswer::Done);
+                    return;
+                };
+                let cause = RemovalCause::Left;
+                SiteCommand::RemoveServer(ServerRemoval { life, cause })
+            }
+        };
+        self.propose(now, Proposal::Call(reply_to), command);
+    }
+
+    fn note_first_seen(&mut self, now: MonoTime, record: &ServerRecord) {
+        self.announced_at.insert(record.life.clone(), now);
+        let is_new = self.state.server(&record.life.server).is_none();
+        let (_, latest) = self
+            .first_seen
+            .entry(record.service.clone())
+            .or_insert((now, now));
+        if is_new {
+            *latest = now;
+        }
+    }
+
+    fn routes_answer(&self) -> SiteAnswer {
+        let routes = self.state.routes();
+        if routes.version == 0 {
+            return SiteAnswer::Unavailable;
+        }
+        SiteAnswer::Routes((**routes).clone())
+    }
+
+    /// The life that leaves; `None` if it is not known, or if a later one is.
+    fn leaving_life(&self, server: &ServerId, started_at_ms: Option<u64>) -> Option<ServerLife> {
+        let known = &self.state.server(server)?.life;
+        let is_meant = started_at_ms.is_none_or(|at| at >= known.started_at_ms);
+        is_meant.then(|| known.clone())
+    }
+
+    fn pass_call(&mut self, now: MonoTime, reply_to: ReplyTo, call: SiteCall) {
+        let leader = self.leader_vm().filter(|leader| *leader != self.config.vm);
+        let Some(leader) = leader else {
+            self.reply(reply_to, SiteAnswer::Unavailable);
+            return;
+        };
+        let id = self.next_id();
+        let expires_at = now + PASSED_CALL_TIMEOUT;
+        self.passed_calls.insert(
+            id,
+            PassedCall {
+                reply_to,
+                expires_at,
+            },
+        );
+        self.effects.push(SiteEffect::SendToPeer {
+            to: leader,
+            envelope: PeerEnvelope::Call { id, call },
+        });
+    }
+
+    pub(super) fn expire_passed_calls(&mut self, now: MonoTime) {
+        let calls = self.passed_calls.iter();
+        let expired = calls.filter(|(_, call)| call.expires_at <= now);
+        for id in expired.map(|(id, _)| *id).collect::<Vec<_>>() {
+            if let Some(passed) = self.passed_calls.remove(&id) {
+                self.reply(passed.reply_to, SiteAnswer::Unavailable);
+            }
+        }
+    }
+
+    pub(super) fn pass_announcements_on(&mut self) {
+        if self.announced_here.is_empty() || self.desk.is_some() {
+            return;
+        }
+        let leader = self.leader_vm().filter(|leader| *leader != self.config.vm);
+        let Some(to) = leader else { return };
+        let lives = std::mem::take(&mut self.announced_here);
+        self.effects.push(SiteEffect::SendToPeer {
+            to,
+            envelope: PeerEnvelope::Announced(lives.into_iter().collect()),
+        });
+    }
+
+    pub(super) fn reply(&mut self, reply_to: ReplyTo, answer: SiteAnswer) {
+        if answer == SiteAnswer::Unavailable {
+            let answer = answer.clone();
+            self.note(SiteNote::CallUnanswered { answer });
+        }
+        self.effects.push(match reply_to {
+            ReplyTo::Caller(caller) => SiteEffect::Answer { caller, answer },
+            ReplyTo::Peer { vm, id } => SiteEffect::SendToPeer {
+                to: vm,
+                envelope: PeerEnvelope::Answer { id, answer },
+            },
+        });
+    }
+}
--- /dev/null
+++ b/crates/chicory_site/src/core/entries.rs
@@ -0,0 +1,126 @@
+//! Entry VMs that follow this member.
+
+use chicory_directory::{
+    ControlMessage, DirectoryUpdate, DirectoryVersion, EntryMessage, EntryReport, LinkStatus,
+    PeerEnvelope,
+};
+use chicory_ranges::KeyLoad;
+use chicory_types::{MonoTime, VmId, ZoneName};
+
+use super::entry_link::EntryLink;
+use super::{EntryLinkId, SiteCore, SiteEffect, SiteNote};
+
+impl SiteCore {
+    pub(super) fn on_entry_joined(
+        &mut self,
+        link: EntryLinkId,
+        vm: VmId,
+        zone: ZoneName,
+        known_version: DirectoryVersion,
+    ) {
+        self.note(SiteNote::EntryJoined {
+            vm: vm.clone(),
+            known_version,
+        });
+        let entry = EntryLink {
+            vm,
+            zone,
+            sent_version: known_version,
+        };
+        self.entries.insert(link, entry);
+        self.entries_version = 0;
+        self.send_status(link);
+    }
+
+    pub(super) fn on_entry_left(&mut self, link: EntryLinkId) {
+        if let Some(entry) = self.entries.remove(&link) {
+            self.note(SiteNote::EntryLeft { vm: entry.vm });
+        }
+    }
+
+    pub(super) fn on_entry_sent(&mut self, now: MonoTime, link: EntryLinkId, message: EntryMessage) {
+        let EntryMessage::Report(report) = message;
+        if self.desk.is_some() {
+            self.on_report(now, report);
+        } else if let Some(leader) = self.leader_vm() {
+            self.effects.push(SiteEffect::SendToPeer {
+                to: leader,
+                envelope: PeerEnvelope::Report(report),
+            });
+        }
+        self.send_status(link);
+    }
+
+    pub(super) fn on_report(&mut self, now: MonoTime, report: EntryReport) {
+        for count in report.keys {
+            let load = self.loads.entry(count.service);
+            let load = load.or_insert_with(|| KeyLoad::new(now));
+            load.add(count.key, count.request_count);
+        }
+        for poison in report.poison {
+            let fingerprint = poison.fingerprint;
+            if self.poison.report(now, poison) {
+                self.note(SiteNote::RequestPoisoned { fingerprint });
+            }
+        }
+    }
+
+    fn send_status(&mut self, link: EntryLinkId) {
+        let status = self.status();
+        self.effects.push(SiteEffect::SendToEntry {
+            link,
+            message: ControlMessage::Status(status),
+        });
+    }
+
+    fn status(&self) -> LinkStatus {
+        let leader = self.leader_vm();
+        let members = self.replica.as_ref().map(|replica| {
+            let members = replica.membership().members();
+            members.map(|member| member.vm.clone()).collect()
+        });
+        LinkStatus {
+            is_in_contact: leader.is_some(),
+            leader,
+            version: self.state.version(),
+            control_vms: members.unwrap_or_default(),
+            entry_count: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
+            poison: self.poison.poison(),
+        }
+    }
+
+    /// Sends entry VMs what changed since they were last told.
+    pub(super) fn update_entries(&mut self) {
+        let version = self.state.version();
+        if version == self.entries_version {
+            return;
+        }
+        self.entries_version = version;
+        let mut last: Option<(DirectoryVersion, Option<DirectoryUpdate>)> = None;
+        for (link, entry) in &mut self.entries {
+            let known = entry.sent_version;
+            if known >= version {
+                continue;
+            }
+            let is_same = last.as_ref().is_some_and(|(since, _)| *since == known);
+            if !is_same {
+                last = Some((known, self.state.update_since(known)));
+            }
+            let update = last.as_ref().and_then(|(_, update)| update.clone());
+            entry.sent_version = version;
+            if let Some(update) = update.filter(|update| update.is_full || !is_empty(update)) {
+                self.effects.push(SiteEffect::SendToEntry {
+                    link: *link,
+                    message: ControlMessage::Update(update),
+                });
+            }
+        }
+    }
+}
+
+fn is_empty(update: &DirectoryUpdate) -> bool {
+    update.routes.is_none()
+        && update.servers.is_empty()
+        && update.removed.is_empty()
+        && update.ranges.is_empty()
+}
--- /dev/null
+++ b/crates/chicory_site/src/core/keys.rs
@@ -0,0 +1,231 @@
+//! What only a leader does: grants of keys, planning, servers that went.
+
+use chicory_consensus::Replica;
+use chicory_directory::{RemovalCause, ServerRecord, ServerRemoval, ServerState, SiteCommand};
+use chicory_ranges::{
+    CallId, CallOutcome, GrantDesk, GrantEffect, GrantEvent, KeyRange, KeyWeights, PlannedServer,
+    RangePlanner, ServerLife, Transfer,
+};
+use chicory_types::{MonoTime, ServiceName};
+
+use super::site_config::{
+    BALANCING_INTERVAL, MAX_SETTLING_TIME, OWNER_SILENCE, SERVER_SILENCE, SETTLING_TIME,
+};
+use super::site_core::{Proposal, RunningGrant};
+use super::{GrantOrder, SiteCore, SiteEffect, SiteNote};
+
+impl SiteCore {
+    /// Takes up the leader's work once the lease is held, and gives it up without one.
+    pub(super) fn follow_leadership(&mut self, now: MonoTime) {
+        let is_leading = self.is_leading(now);
+        if is_leading == self.desk.is_some() {
+            return;
+        }
+        if !is_leading {
+            if !self.replica.as_ref().is_some_and(Replica::is_leader) {
+                self.give_up_leadership();
+            }
+            return;
+        }
+        let version = self.state.version();
+        self.note(SiteNote::LeadershipUsable { version });
+        let book = self.state.book();
+        self.desk = Some(GrantDesk::new(self.config.grants.clone(), now, book));
+        for record in self.state.servers() {
+            self.addresses.insert(record.life.clone(), record.address);
+            self.announced_at.insert(record.life.clone(), now);
+        }
+        self.plan_at = now;
+        self.balance_at = now + BALANCING_INTERVAL;
+    }
+
+    pub(super) fn give_up_leadership(&mut self) {
+        self.desk = None;
+        self.running_grants.clear();
+        self.first_seen.clear();
+        self.loads.clear();
+        self.grant_events.clear();
+    }
+
+    pub(super) fn on_grant_ended(&mut self, call: CallId, outcome: CallOutcome) {
+        let Some(running) = self.running_grants.remove(&call) else {
+            return;
+        };
+        if !matches!(outcome, CallOutcome::Done { .. }) {
+            self.note(SiteNote::GrantFailed {
+                life: running.life.clone(),
+                content: running.content,
+                outcome: outcome.clone(),
+            });
+        }
+        if outcome == CallOutcome::ConnectionRefused {
+            self.grant_events.push_back(GrantEvent::Ended(running.life));
+        }
+        let event = GrantEvent::CallEnded { call, outcome };
+        self.grant_events.push_back(event);
+    }
+
+    pub(super) fn run_grant_events(&mut self, now: MonoTime) {
+        while let Some(event) = self.grant_events.pop_front() {
+            let Some(desk) = &mut self.desk else {
+                continue;
+            };
+            for effect in desk.reduce(now, event, self.state.book()) {
+                self.take_grant_effect(now, effect);
+            }
+        }
+    }
+
+    fn take_grant_effect(&mut self, now: MonoTime, effect: GrantEffect) {
+        match effect {
+            GrantEffect::Propose(change) => {
+                let proposal = Proposal::Move {
+                    service: change.service.clone(),
+                    first: change.range.first,
+                };
+                self.propose(now, proposal, SiteCommand::MoveRange(change));
+            }
+            GrantEffect::Call {
+                call, to, content, ..
+            } => {
+                let address = self.addresses.get(&to).copied();
+                let is_leading = self.is_leading(now);
+                let Some(address) = address.filter(|_| is_leading) else {
+                    let outcome = CallOutcome::Unreachable;
+                    let event = GrantEvent::CallEnded { call, outcome };
+                    self.grant_events.push_back(event);
+                    return;
+                };
+                let running = RunningGrant {
+                    life: to.clone(),
+                    content: content.clone(),
+                };
+                self.running_grants.insert(call, running);
+                self.effects.push(SiteEffect::Grant(GrantOrder {
+                    call,
+                    life: to,
+                    address,
+                    content,
+                }));
+            }
+        }
+    }
+
+    /// Regular work of a leader.
+    pub(super) fn keep_up(&mut self, now: MonoTime) {
+        self.remove_silent_servers(now);
+        for load in self.loads.values_mut() {
+            load.decay(now);
+        }
+        let has_open_moves = self
+            .proposals
+            .values()
+            .any(|proposal| matches!(proposal, Proposal::Move { .. }));
+        if has_open_moves {
+            return;
+        }
+        let may_balance = now >= self.balance_at;
+        if may_balance {
+            self.balance_at = now + BALANCING_INTERVAL;
+        }
+        let routes = self.state.routes().clone();
+        let keyed = routes.services.iter().filter(|s| s.is_keyed == Some(true));
+        for service in keyed {
+            self.plan_service(now, &service.name, may_balance);
+        }
+    }
+
+    fn plan_service(&mut self, now: MonoTime, service: &ServiceName, may_balance: bool) {
+        let Some(desk) = &self.desk else { return };
+        let is_new = self.state.book().ranges(service).next().is_none();
+        if is_new && !self.has_settled(now, service) {
+            return;
+        }
+        let servers = self.eligible_servers(now, service);
+        let load = self.loads.get(service);
+        let weights = load.map_or_else(KeyWeights::even, chicory_ranges::KeyLoad::weights);
+        let owners = self.expected_owners(desk, service);
+        let planner = RangePlanner::new(service.clone(), servers, weights);
+        let is_departing = desk.departing(service).next().is_some();
+        let transfers = planner.plan(&owners);
+        for transfer in transfers {
+            let is_needed = self.is_needed(now, &transfer);
+            if is_needed || (may_balance && !is_departing) {
+                self.grant_events.push_back(GrantEvent::Transfer(transfer));
+            }
+        }
+    }
+
+    /// Whether a transfer is for more than balance: nobody owns the keys, or their owner may not.
+    fn is_needed(&self, now: MonoTime, transfer: &Transfer) -> bool {
+        let Some(from) = &transfer.from else {
+            return true;
+        };
+        let known = self.state.server(&from.server);
+        known.is_none_or(|record| record.life != *from || !self.may_own(now, record))
+    }
+
+    /// Whether the first servers of a service have all had time to announce themselves.
+    fn has_settled(&self, now: MonoTime, service: &ServiceName) -> bool {
+        let Some((first, latest)) = self.first_seen.get(service) else {
+            return self.state.servers().any(|record| record.service == *service);
+        };
+        now >= *latest + SETTLING_TIME || now >= *first + MAX_SETTLING_TIME
+    }
+
+    fn eligible_servers(&self, now: MonoTime, service: &ServiceName) -> Vec<PlannedServer> {
+        let servers = self.state.servers();
+        servers
+            .filter(|record| record.service == *service && self.may_own(now, record))
+            .map(|record| PlannedServer {
+                life: record.life.clone(),
+                capacity: f64::from(record.slots.max(1)),
+            })
+            .collect()
+    }
+
+    fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        record.state == ServerState::Ready && !self.is_silent(now, &record.life)
+    }
+
+    /// Whether a server neither announces itself nor answers grants.
+    fn is_silent(&self, now: MonoTime, life: &ServerLife) -> bool {
+        let announced_at = self.announced_at.get(life);
+        let is_quiet = announced_at.is_none_or(|at| now > *at + OWNER_SILENCE);
+        let desk = self.desk.as_ref();
+        is_quiet && !desk.is_some_and(|desk| desk.has_answered(now, life, OWNER_SILENCE))
+    }
+
+    fn expected_owners(
+        &self,
+        desk: &GrantDesk,
+        service: &ServiceName,
+    ) -> Vec<(KeyRange, ServerLife)> {
+        let departing: Vec<_> = desk.departing(service).collect();
+        let mut owners = Vec::new();
+        for owned in self.state.book().ranges(service) {
+            let mut rest = vec![owned.range];
+            for (range, to) in departing.iter().filter(|(r, _)| owned.range.covers(*r)) {
+                rest = rest.iter().flat_map(|part| part.without(*range)).flatten().collect();
+                owners.push((*range, (*to).clone()));
+            }
+            owners.extend(rest.into_iter().map(|part| (part, owned.owner.clone())));
+        }
+        owners
+    }
+
+    fn remove_silent_servers(&mut self, now: MonoTime) {
+        let servers = self.state.servers();
+        let silent = servers.filter(|record| {
+            let announced_at = self.announced_at.get(&record.life);
+            announced_at.is_none_or(|at| now > *at + SERVER_SILENCE)
+        });
+        for life in silent.map(|record| record.life.clone()).collect::<Vec<_>>() {
+            self.note(SiteNote::OwnerSilent { life: life.clone() });
+            self.announced_at.insert(life.clone(), now);
+            let cause = RemovalCause::Silent;
+            let command = SiteCommand::RemoveServer(ServerRemoval { life, cause });
+            self.propose(now, Proposal::Upkeep, command);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_site/src/core/mod.rs
@@ -0,0 +1,20 @@
+//! The reducer of a control process.
+
+mod calls;
+mod entries;
+mod entry_link;
+mod keys;
+mod log;
+mod poison_book;
+mod site_config;
+mod site_core;
+mod site_effect;
+mod site_event;
+mod site_note;
+
+pub use entry_link::EntryLinkId;
+pub use site_config::SiteConfig;
+pub use site_core::SiteCore;
+pub use site_effect::{GrantOrder, SiteEffect};
+pub use site_event::{CallerId, SiteEvent};
+pub use site_note::SiteNote;
--- /dev/null
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -0,0 +1,281 @@
+//! State and dispatch of the reducer.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use chicory_consensus::Replica;
+use chicory_directory::{PeerEnvelope, SiteCallId, SiteState};
+use chicory_ranges::{CallId, GrantCall, GrantDesk, GrantEvent, KeyLoad, ServerLife};
+use chicory_types::{MonoTime, ServiceName, VmId};
+
+use super::entry_link::EntryLink;
+use super::poison_book::PoisonBook;
+use super::site_config::{PASS_ON_INTERVAL, PLANNING_INTERVAL};
+use super::{CallerId, EntryLinkId, SiteConfig, SiteEffect, SiteEvent, SiteNote};
+
+/// Where the answer to a call goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ReplyTo {
+    /// To a caller of this process.
+    Caller(CallerId),
+    /// To the control VM that passed the call on.
+    Peer { vm: VmId, id: SiteCallId },
+}
+
+/// What a proposal is for.
+#[derive(Clone, Debug)]
+pub(super) enum Proposal {
+    /// A call waits for it.
+    Call(ReplyTo),
+    /// Keys change hands.
+    Move {
+        service: ServiceName,
+        first: chicory_ranges::Key,
+    },
+    /// Upkeep that nobody waits for.
+    Upkeep,
+}
+
+/// A call that was passed to the leader.
+#[derive(Clone, Debug)]
+pub(super) struct PassedCall {
+    pub(super) reply_to: ReplyTo,
+    pub(super) expires_at: MonoTime,
+}
+
+/// A call to a backend server that has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct RunningGrant {
+    pub(super) life: ServerLife,
+    pub(super) content: GrantCall,
+}
+
+/// The reducer of a control process.
+///
+/// It does no I/O and reads no clock: the caller passes the time in and carries the returned
+/// [`SiteEffect`]s out in order.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_site::{SiteConfig, SiteCore};
+/// use chicory_ranges::GrantDeskConfig;
+/// use std::time::Duration;
+///
+/// let config = SiteConfig {
+///     vm: "10.0.0.1:7540".into(),
+///     seeds: vec!["10.0.0.1:7540".into()],
+///     random_seed: 1,
+///     grants: GrantDeskConfig::default(),
+/// };
+/// let core = SiteCore::new(config, Duration::ZERO);
+/// assert!(!core.is_leading(Duration::ZERO));
+/// ```
+#[derive(Debug)]
+pub struct SiteCore {
+    pub(super) config: SiteConfig,
+    pub(super) replica: Option<Replica>,
+    pub(super) state: SiteState,
+    pub(super) known_leader: Option<VmId>,
+    pub(super) desk: Option<GrantDesk>,
+    pub(super) running_grants: BTreeMap<CallId, RunningGrant>,
+    /// Addresses of servers, also of those that left a while ago.
+    pub(super) addresses: BTreeMap<ServerLife, SocketAddr>,
+    /// When each server last announced itself, as far as a leader heard.
+    pub(super) announced_at: BTreeMap<ServerLife, MonoTime>,
+    /// Announcements that the leader has not been told of.
+    pub(super) announced_here: BTreeSet<ServerLife>,
+    pub(super) first_seen: BTreeMap<ServiceName, (MonoTime, MonoTime)>,
+    pub(super) loads: BTreeMap<ServiceName, KeyLoad>,
+    pub(super) poison: PoisonBook,
+    pub(super) proposals: BTreeMap<u64, Proposal>,
+    pub(super) passed_calls: BTreeMap<SiteCallId, PassedCall>,
+    pub(super) last_id: u64,
+    pub(super) entries: BTreeMap<EntryLinkId, EntryLink>,
+    pub(super) entries_version: u64,
+    pub(super) plan_at: MonoTime,
+    pub(super) balance_at: MonoTime,
+    pub(super) pass_on_at: MonoTime,
+    pub(super) is_stopping: bool,
+    pub(super) effects: Vec<SiteEffect>,
+    /// Events of the parts that are to be handled before the reducer returns.
+    pub(super) grant_events: VecDeque<GrantEvent>,
+}
+
+impl SiteCore {
+    /// Starts without storage; [`SiteEvent::StorageOpened`] brings it.
+    #[must_use]
+    pub fn new(config: SiteConfig, now: MonoTime) -> Self {
+        Self {
+            config,
+            replica: None,
+            state: SiteState::default(),
+            known_leader: None,
+            desk: None,
+            running_grants: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            announced_at: BTreeMap::new(),
+            announced_here: BTreeSet::new(),
+            first_seen: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            poison: PoisonBook::default(),
+            proposals: BTreeMap::new(),
+            passed_calls: BTreeMap::new(),
+            last_id: 0,
+            entries: BTreeMap::new(),
+            entries_version: 0,
+            plan_at: now,
+            balance_at: now,
+            pass_on_at: now,
+            is_stopping: false,
+            effects: Vec::new(),
+            grant_events: VecDeque::new(),
+        }
+    }
+
+    /// Takes in one event and returns the effects to carry out, in order.
+    pub fn reduce(&mut self, now: MonoTime, event: SiteEvent) -> Vec<SiteEffect> {
+        self.take_event(now, event);
+        self.check_deadlines(now);
+        self.run_grant_events(now);
+        self.update_entries();
+        self.note_leader();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When the next [`SiteEvent::Tick`] is due.
+    #[must_use]
+    pub fn next_wakeup(&self) -> MonoTime {
+        let replica = self.replica.as_ref().map(Replica::next_wakeup);
+        let desk = self.desk.as_ref().and_then(GrantDesk::next_wakeup);
+        let plan = self.desk.is_some().then_some(self.plan_at);
+        let has_to_pass_on = !self.announced_here.is_empty();
+        let pass_on = has_to_pass_on.then_some(self.pass_on_at);
+        let passed = self.passed_calls.values().map(|call| call.expires_at).min();
+        let wakeups = [replica, desk, plan, pass_on, passed];
+        wakeups.into_iter().flatten().min().unwrap_or(MonoTime::MAX)
+    }
+
+    /// Whether this member leads, holds the lease and has applied all that was ever committed.
+    #[must_use]
+    pub fn is_leading(&self, now: MonoTime) -> bool {
+        let replica = self.replica.as_ref();
+        replica.is_some_and(|replica| replica.is_leader() && replica.has_leader_lease(now))
+    }
+
+    /// The replicated state as far as it is applied here.
+    #[must_use]
+    pub fn state(&self) -> &SiteState {
+        &self.state
+    }
+
+    /// Number of entry VMs that follow this member.
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn take_event(&mut self, now: MonoTime, event: SiteEvent) {
+        match event {
+            SiteEvent::Tick => self.run_replica(now, chicory_consensus::ReplicaEvent::Tick),
+            SiteEvent::StorageOpened {
+                incarnation,
+                restored,
+                is_founder,
+            } => self.on_storage_opened(now, incarnation, restored, is_founder),
+            SiteEvent::Persisted { ticket } => {
+                self.run_replica(now, chicory_consensus::ReplicaEvent::Persisted { ticket });
+            }
+            SiteEvent::PersistFailed { .. } => self.on_persist_failed(),
+            SiteEvent::Called { caller, call } => {
+                self.on_call(now, ReplyTo::Caller(caller), call);
+            }
+            SiteEvent::PeerSent { from, envelope } => self.on_peer(now, from, envelope),
+            SiteEvent::GrantEnded { call, outcome } => self.on_grant_ended(call, outcome),
+            SiteEvent::EntryJoined {
+                link,
+                vm,
+                known_version,
+                zone,
+            } => self.on_entry_joined(link, vm, zone, known_version),
+            SiteEvent::EntrySent { link, message } => self.on_entry_sent(now, link, message),
+            SiteEvent::EntryLeft { link } => self.on_entry_left(link),
+            SiteEvent::Stopping => self.on_stopping(now),
+        }
+    }
+
+    fn on_peer(&mut self, now: MonoTime, from: VmId, envelope: PeerEnvelope) {
+        match envelope {
+            PeerEnvelope::Log(message) => {
+                let event = chicory_consensus::ReplicaEvent::Received {
+                    from: message.from.clone(),
+                    message,
+                };
+                self.run_replica(now, event);
+            }
+            PeerEnvelope::Call { id, call } => {
+                self.on_passed_call(now, ReplyTo::Peer { vm: from, id }, call);
+            }
+            PeerEnvelope::Answer { id, answer } => {
+                if let Some(passed) = self.passed_calls.remove(&id) {
+                    self.reply(passed.reply_to, answer);
+                }
+            }
+            PeerEnvelope::Announced(lives) => {
+                for life in lives {
+                    self.on_life_seen(now, life);
+                }
+            }
+            PeerEnvelope::Report(report) => self.on_report(now, report),
+        }
+    }
+
+    fn on_stopping(&mut self, now: MonoTime) {
+        self.is_stopping = true;
+        self.run_replica(now, chicory_consensus::ReplicaEvent::TransferLeadership);
+    }
+
+    fn check_deadlines(&mut self, now: MonoTime) {
+        let is_due = |replica: &Replica| replica.next_wakeup() <= now;
+        if self.replica.as_ref().is_some_and(is_due) {
+            self.run_replica(now, chicory_consensus::ReplicaEvent::Tick);
+        }
+        self.expire_passed_calls(now);
+        if now >= self.pass_on_at {
+            self.pass_on_at = now + PASS_ON_INTERVAL;
+            self.pass_announcements_on();
+        }
+        self.follow_leadership(now);
+        if self.desk.is_some() && now >= self.plan_at {
+            self.plan_at = now + PLANNING_INTERVAL;
+            self.keep_up(now);
+        }
+        let desk_wakeup = self.desk.as_ref().and_then(GrantDesk::next_wakeup);
+        if desk_wakeup.is_some_and(|at| at <= now) {
+            self.grant_events.push_back(GrantEvent::Tick);
+        }
+    }
+
+    /// Tells when the known leader changes.
+    fn note_leader(&mut self) {
+        let leader = self.leader_vm();
+        if leader != self.known_leader {
+            self.known_leader.clone_from(&leader);
+            self.note(SiteNote::LeaderChanged { leader });
+        }
+    }
+
+    pub(super) fn leader_vm(&self) -> Option<VmId> {
+        let leader = self.replica.as_ref().and_then(Replica::leader);
+        leader.map(|member| member.vm.clone())
+    }
+
+    pub(super) fn note(&mut self, note: SiteNote) {
+        self.effects.push(SiteEffect::Note(note));
+    }
+
+    pub(super) fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
--- /dev/null
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -0,0 +1,132 @@
+//! Decisions that logs tell of.
+
+use chicory_directory::{RequestFingerprint, SiteAnswer};
+use chicory_ranges::{CallOutcome, Fence, GrantCall, MoveRejection, RangeMove, ServerLife};
+use chicory_routes::RouteTableVersion;
+use chicory_types::{Incarnation, LogIndex, ServiceName, Term, VmId};
+
+/// A decision, or a change of what the process believes, with the inputs that decided it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SiteNote {
+    /// The storage was opened.
+    StorageOpened {
+        /// Incarnation of this member.
+        incarnation: Incarnation,
+        /// Last log index that was found.
+        last_index: LogIndex,
+        /// Whether the member may vote.
+        may_vote: bool,
+    },
+    /// The storage failed; this member takes no part until it works again.
+    StorageFailed,
+    /// This member leads.
+    BecameLeader {
+        /// Term of the leadership.
+        term: Term,
+    },
+    /// This member acts as leader: it holds the lease and has applied all that was committed.
+    LeadershipUsable {
+        /// Version of the directory.
+        version: LogIndex,
+    },
+    /// This member leads no longer.
+    LostLeadership {
+        /// Term of the former leadership.
+        term: Term,
+    },
+    /// The leader that this member knows of changed.
+    LeaderChanged {
+        /// The leader, if there is one.
+        leader: Option<VmId>,
+    },
+    /// A route table came into force.
+    RoutesInForce {
+        /// Its version.
+        routes_version: RouteTableVersion,
+        /// Log index of the entry.
+        index: LogIndex,
+    },
+    /// A route table was not higher than the one in force.
+    RoutesUnchanged {
+        /// Version that was sent.
+        sent_version: RouteTableVersion,
+        /// Version in force.
+        routes_version: RouteTableVersion,
+    },
+    /// A server is new or changed its state.
+    ServerChanged {
+        /// The server.
+        life: ServerLife,
+        /// Its service.
+        service: ServiceName,
+        /// Whether it drains.
+        is_draining: bool,
+        /// Log index of the entry.
+        index: LogIndex,
+    },
+    /// A server was removed.
+    ServerRemoved {
+        /// The server.
+        life: ServerLife,
+        /// Log index of the entry.
+        index: LogIndex,
+    },
+    /// An announcement told of a life that has ended or left.
+    StaleAnnouncement {
+        /// The life.
+        life: ServerLife,
+    },
+    /// Keys changed hands.
+    RangeMoved {
+        /// The move.
+        change: RangeMove,
+        /// Fence of the new grant.
+        fence: Fence,
+    },
+    /// A move did not fit the book.
+    MoveRejected {
+        /// Why.
+        rejection: MoveRejection,
+    },
+    /// A call to a backend server did not succeed.
+    GrantFailed {
+        /// The server.
+        life: ServerLife,
+        /// What it was told.
+        content: GrantCall,
+        /// What became of it.
+        outcome: CallOutcome,
+    },
+    /// A server does not answer grants and does not announce itself; its keys go to others.
+    OwnerSilent {
+        /// The server.
+        life: ServerLife,
+    },
+    /// A call could not be answered with success.
+    CallUnanswered {
+        /// What was answered.
+        answer: SiteAnswer,
+    },
+    /// A request crashes the servers that run it and is not passed on for a while.
+    RequestPoisoned {
+        /// The request.
+        fingerprint: RequestFingerprint,
+    },
+    /// A command or a snapshot of the log can't be read; the member takes no part.
+    LogUnreadable {
+        /// Log index.
+        index: LogIndex,
+    },
+    /// An entry VM follows this member.
+    EntryJoined {
+        /// The entry VM.
+        vm: VmId,
+        /// The directory version that it has.
+        known_version: LogIndex,
+    },
+    /// An entry VM follows this member no longer.
+    EntryLeft {
+        /// The entry VM.
+        vm: VmId,
+    },
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -0,0 +1,91 @@
+//! Serves the link of one entry VM.
+
+use std::time::Duration;
+
+use chicory_directory::{ControlMessage, EntryMessage, LinkHello};
+use chicory_link::{Frame, LinkError, LinkStream};
+use chicory_wire::proto::site;
+use tokio::sync::mpsc;
+
+use super::link_listener::LinkServer;
+use super::site_input::SiteInput;
+use crate::SiteEvent;
+
+/// Messages that may wait for one entry VM; an entry VM that reads more slowly is disconnected
+/// and asks for everything anew.
+const OUTBOX_MESSAGES: usize = 256;
+/// Time after which an entry VM without a report is given up.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+pub(super) async fn serve(server: LinkServer, link: LinkStream, hello: LinkHello) {
+    let LinkHello::Entry {
+        vm,
+        zone,
+        known_version,
+    } = hello
+    else {
+        return;
+    };
+    let id = server.id;
+    let (outbox, messages) = mpsc::channel(OUTBOX_MESSAGES);
+    let joined = SiteEvent::EntryJoined {
+        link: id,
+        vm,
+        zone,
+        known_version,
+    };
+    let inputs = [
+        SiteInput::EntryLink { link: id, outbox },
+        SiteInput::Event(joined),
+    ];
+    for input in inputs {
+        if server.inbox.send(input).is_err() {
+            return;
+        }
+    }
+    carry(&server, link, messages).await;
+    let left = SiteEvent::EntryLeft { link: id };
+    // Without a loop to tell, the process is ending.
+    drop(server.inbox.send(SiteInput::Event(left)));
+}
+
+async fn carry(
+    server: &LinkServer,
+    (mut reader, mut writer): LinkStream,
+    mut messages: mpsc::Receiver<ControlMessage>,
+) {
+    loop {
+        tokio::select! {
+            message = messages.recv() => {
+                let Some(message) = message else { return };
+                writer.put(&site::ControlMessage::from(message));
+                while let Ok(next) = messages.try_recv() {
+                    writer.put(&site::ControlMessage::from(next));
+                }
+                if writer.flush().await.is_err() {
+                    return;
+                }
+            }
+            frame = tokio::time::timeout(IDLE_TIMEOUT, reader.next()) => {
+                let Ok(Ok(Some(frame))) = frame else { return };
+                match decode(frame) {
+                    Ok(message) => {
+                        let event = SiteEvent::EntrySent { link: server.id, message };
+                        if server.inbox.send(SiteInput::Event(event)).is_err() {
+                            return;
+                        }
+                    }
+                    Err(failure) => {
+                        server.on_undecodable(&failure);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn decode(frame: Frame) -> Result<EntryMessage, LinkError> {
+    let message: site::EntryMessage = frame.decode()?;
+    EntryMessage::try_from(message).map_err(|_| LinkError::Content)
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/link_listener.rs
@@ -0,0 +1,126 @@
+//! Accepts links of control and entry VMs.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use chicory_directory::{LinkHello, PeerEnvelope};
+use chicory_link::{Frame, LinkError, LinkStream, split};
+use chicory_telemetry::Metrics;
+use chicory_types::VmId;
+use chicory_wire::proto::site;
+use slog::{Logger, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+use super::SiteMetric;
+use super::entry_server;
+use super::site_input::SiteInput;
+use crate::SiteEvent;
+
+/// Time within which a new link has to say whose it is.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Least time between signs of life on a link that only receives.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a link without any message is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Accepts links until the process ends.
+pub(super) struct LinkListener {
+    pub(super) listener: TcpListener,
+    pub(super) inbox: UnboundedSender<SiteInput>,
+    pub(super) logger: Logger,
+    pub(super) metrics: Arc<Metrics>,
+}
+
+impl LinkListener {
+    pub(super) async fn run(self) {
+        let links = Arc::new(AtomicU64::new(0));
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let link = LinkServer {
+                        inbox: self.inbox.clone(),
+                        logger: self.logger.clone(),
+                        metrics: self.metrics.clone(),
+                        id: links.fetch_add(1, Ordering::Relaxed) + 1,
+                    };
+                    tokio::spawn(link.serve(stream));
+                }
+                Err(failure) => {
+                    warn!(self.logger, "link not accepted"; "error" => %failure);
+                    tokio::time::sleep(ALIVE_INTERVAL).await;
+                }
+            }
+        }
+    }
+}
+
+/// One accepted link.
+pub(super) struct LinkServer {
+    pub(super) inbox: UnboundedSender<SiteInput>,
+    pub(super) logger: Logger,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) id: u64,
+}
+
+impl LinkServer {
+    async fn serve(self, stream: TcpStream) {
+        let Ok(mut link) = split(stream) else { return };
+        match tokio::time::timeout(HELLO_TIMEOUT, read_hello(&mut link)).await {
+            Ok(Ok(Some(LinkHello::Control { vm }))) => self.serve_control(link, vm).await,
+            Ok(Ok(Some(hello))) => entry_server::serve(self, link, hello).await,
+            Ok(Ok(None)) | Err(_) => {}
+            Ok(Err(failure)) => self.on_undecodable(&failure),
+        }
+    }
+
+    pub(super) fn on_undecodable(&self, failure: &LinkError) {
+        if matches!(failure, LinkError::Decode { .. }) {
+            self.metrics.increment(SiteMetric::UndecodableFrames);
+            warn!(self.logger, "link sent something unreadable"; "error" => %failure);
+        }
+    }
+
+    async fn serve_control(self, (mut reader, mut writer): LinkStream, vm: VmId) {
+        let mut alive_at = Instant::now() - ALIVE_INTERVAL;
+        loop {
+            let frame = tokio::time::timeout(IDLE_TIMEOUT, reader.next()).await;
+            let Ok(Ok(Some(frame))) = frame else { return };
+            match decode_envelope(frame) {
+                Ok(envelope) => {
+                    let from = vm.clone();
+                    let event = SiteEvent::PeerSent { from, envelope };
+                    if self.inbox.send(SiteInput::Event(event)).is_err() {
+                        return;
+                    }
+                }
+                Err(failure) => {
+                    self.on_undecodable(&failure);
+                    return;
+                }
+            }
+            if alive_at.elapsed() >= ALIVE_INTERVAL {
+                alive_at = Instant::now();
+                writer.put_alive();
+                if writer.flush().await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn read_hello((reader, _): &mut LinkStream) -> Result<Option<LinkHello>, LinkError> {
+    let Some(frame) = reader.next().await? else {
+        return Ok(None);
+    };
+    let hello: site::LinkHello = frame.decode()?;
+    Ok(LinkHello::try_from(hello).ok())
+}
+
+fn decode_envelope(frame: Frame) -> Result<PeerEnvelope, LinkError> {
+    let envelope: site::PeerEnvelope = frame.decode()?;
+    PeerEnvelope::try_from(envelope).map_err(|_| LinkError::Content)
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -0,0 +1,94 @@
+//! Writes decisions to the log.
+
+use chicory_ranges::{CallOutcome, GrantCall};
+use slog::{Logger, info, warn};
+
+use crate::SiteNote;
+
+/// Writes one line for a decision, with the inputs that decided it.
+pub(super) fn write(logger: &Logger, note: &SiteNote) {
+    match note {
+        SiteNote::StorageOpened {
+            incarnation,
+            last_index,
+            may_vote,
+        } => info!(logger, "member starts"; "incarnation" => incarnation,
+            "last_index" => last_index, "may_vote" => may_vote),
+        SiteNote::StorageFailed => warn!(logger, "member takes no part until its storage works"),
+        SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
+        SiteNote::LeadershipUsable { version } => {
+            info!(logger, "acts as leader"; "version" => version);
+        }
+        SiteNote::LostLeadership { term } => info!(logger, "leads no longer"; "term" => term),
+        SiteNote::LeaderChanged { leader } => {
+            let leader = leader.as_deref().unwrap_or("none");
+            info!(logger, "leader changed"; "leader" => leader);
+        }
+        SiteNote::RoutesInForce {
+            routes_version,
+            index,
+        } => info!(logger, "routes in force"; "routes_version" => routes_version,
+            "index" => index),
+        SiteNote::RoutesUnchanged {
+            sent_version,
+            routes_version,
+        } => info!(logger, "routes unchanged"; "sent_version" => sent_version,
+            "routes_version" => routes_version),
+        SiteNote::ServerChanged {
+            life,
+            service,
+            is_draining,
+            index,
+        } => info!(logger, "server changed"; "server" => %life, "service" => service,
+            "is_draining" => is_draining, "index" => index),
+        SiteNote::ServerRemoved { life, index } => {
+            info!(logger, "server removed"; "server" => %life, "index" => index);
+        }
+        SiteNote::StaleAnnouncement { life } => {
+            info!(logger, "announcement of a life that is over"; "server" => %life);
+        }
+        SiteNote::RangeMoved { change, fence } => {
+            let from = change.from.as_ref().map_or("nobody".into(), ToString::to_string);
+            info!(logger, "keys moved"; "service" => &change.service,
+                "keys" => %change.range, "from" => from, "to" => %change.to,
+                "fence" => fence, "has_handover" => change.handover.is_some());
+        }
+        SiteNote::MoveRejected { rejection } => {
+            info!(logger, "move rejected"; "reason" => %rejection);
+        }
+        SiteNote::GrantFailed {
+            life,
+            content,
+            outcome,
+        } => write_grant(logger, &life.to_string(), content, outcome),
+        SiteNote::OwnerSilent { life } => warn!(logger, "server is silent"; "server" => %life),
+        SiteNote::CallUnanswered { .. } => warn!(logger, "call unavailable"),
+        SiteNote::RequestPoisoned { fingerprint } => {
+            warn!(logger, "request crashes servers"; "fingerprint" => fingerprint);
+        }
+        SiteNote::LogUnreadable { index } => {
+            warn!(logger, "log can't be read"; "index" => index);
+        }
+        SiteNote::EntryJoined { vm, known_version } => {
+            info!(logger, "entry VM follows"; "entry_vm" => vm, "known_version" => known_version);
+        }
+        SiteNote::EntryLeft { vm } => info!(logger, "entry VM left"; "entry_vm" => vm),
+    }
+}
+
+fn write_grant(logger: &Logger, server: &str, content: &GrantCall, outcome: &CallOutcome) {
+    let (call, range, fence) = match content {
+        GrantCall::Grant { range, fence, .. } => ("grant", range, fence),
+        GrantCall::Release { range, fence } => ("release", range, fence),
+    };
+    let outcome = match outcome {
+        CallOutcome::Done { .. } => "done",
+        CallOutcome::Fenced => "fenced",
+        CallOutcome::Rejected => "rejected",
+        CallOutcome::Unanswered => "unanswered",
+        CallOutcome::Unreachable => "unreachable",
+        CallOutcome::ConnectionRefused => "connection refused",
+    };
+    warn!(logger, "call to server failed"; "server" => server, "call" => call,
+        "keys" => %range, "fence" => fence, "outcome" => outcome);
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/peer_links.rs
@@ -0,0 +1,147 @@
+//! Connections to other control VMs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicory_directory::{LinkHello, PeerEnvelope};
+use chicory_link::{Backoff, LinkStream, dial};
+use chicory_telemetry::Metrics;
+use chicory_types::VmId;
+use chicory_wire::proto::site;
+use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::SiteMetric;
+
+/// Messages that may wait for one peer; further ones are dropped, and the log sends anew.
+const OUTBOX_MESSAGES: usize = 1024;
+/// Time after which a connection without a sign of life is given up.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Connections to other control VMs, opened as messages need them.
+pub(super) struct PeerLinks {
+    own_vm: VmId,
+    outboxes: BTreeMap<VmId, mpsc::Sender<PeerEnvelope>>,
+    logger: Logger,
+    metrics: Arc<Metrics>,
+}
+
+impl PeerLinks {
+    pub(super) fn new(own_vm: VmId, logger: Logger, metrics: Arc<Metrics>) -> Self {
+        Self {
+            own_vm,
+            outboxes: BTreeMap::new(),
+            logger,
+            metrics,
+        }
+    }
+
+    /// Sends a message, or drops it when too many wait.
+    pub(super) fn send(&mut self, to: &VmId, envelope: PeerEnvelope) {
+        let Ok(address) = to.parse::<SocketAddr>() else {
+            warn!(self.logger, "peer has no address"; "peer" => to);
+            return;
+        };
+        let outbox = self.outboxes.entry(to.clone()).or_insert_with(|| {
+            let (sender, messages) = mpsc::channel(OUTBOX_MESSAGES);
+            let link = PeerLink {
+                own_vm: self.own_vm.clone(),
+                peer: to.clone(),
+                address,
+                messages,
+                logger: self.logger.clone(),
+                metrics: self.metrics.clone(),
+            };
+            tokio::spawn(link.run());
+            sender
+        });
+        if outbox.try_send(envelope).is_err() {
+            self.metrics.increment(SiteMetric::PeerMessagesDropped);
+        }
+    }
+}
+
+/// The connection to one other control VM.
+struct PeerLink {
+    own_vm: VmId,
+    peer: VmId,
+    address: SocketAddr,
+    messages: mpsc::Receiver<PeerEnvelope>,
+    logger: Logger,
+    metrics: Arc<Metrics>,
+}
+
+impl PeerLink {
+    async fn run(mut self) {
+        let mut backoff = Backoff::default();
+        let mut was_lost = false;
+        while let Some(first) = self.messages.recv().await {
+            match dial(self.address).await {
+                Ok(stream) => {
+                    if was_lost {
+                        info!(self.logger, "link to control VM regained"; "peer" => &self.peer);
+                        was_lost = false;
+                    }
+                    backoff.reset();
+                    self.carry(stream, first).await;
+                    self.metrics.increment(SiteMetric::PeerLinksLost);
+                }
+                Err(failure) => {
+                    if !was_lost {
+                        warn!(self.logger, "link to control VM lost"; "peer" => &self.peer,
+                            "error" => %failure);
+                        was_lost = true;
+                    }
+                    tokio::time::sleep(backoff.next_pause()).await;
+                    self.drop_waiting();
+                }
+            }
+        }
+    }
+
+    /// What waited while the peer was away is out of date.
+    fn drop_waiting(&mut self) {
+        while self.messages.try_recv().is_ok() {
+            self.metrics.increment(SiteMetric::PeerMessagesDropped);
+        }
+    }
+
+    /// Sends until the connection breaks, falls silent or was idle.
+    async fn carry(&mut self, (mut reader, mut writer): LinkStream, first: PeerEnvelope) {
+        let hello = LinkHello::Control {
+            vm: self.own_vm.clone(),
+        };
+        writer.put(&site::LinkHello::from(hello));
+        writer.put(&site::PeerEnvelope::from(first));
+        if writer.flush().await.is_err() {
+            return;
+        }
+        let mut heard_at = Instant::now();
+        let mut unanswered_since = Some(heard_at);
+        loop {
+            let silent_at = unanswered_since.unwrap_or(heard_at) + SILENCE;
+            tokio::select! {
+                message = self.messages.recv() => {
+                    let Some(message) = message else { return };
+                    writer.put(&site::PeerEnvelope::from(message));
+                    while let Ok(next) = self.messages.try_recv() {
+                        writer.put(&site::PeerEnvelope::from(next));
+                    }
+                    unanswered_since.get_or_insert_with(Instant::now);
+                    if writer.flush().await.is_err() {
+                        return;
+                    }
+                }
+                frame = reader.next() => {
+                    let Ok(Some(_)) = frame else { return };
+                    heard_at = Instant::now();
+                    unanswered_since = None;
+                }
+                () = tokio::time::sleep_until(silent_at) => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -0,0 +1,72 @@
+//! Metrics of a control process.
+
+use chicory_telemetry::MetricName;
+
+/// Metrics of a control process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SiteMetric {
+    /// Calls of operators and backend servers.
+    Calls,
+    /// Calls that could not be answered with success.
+    CallsUnavailable,
+    /// Calls to backend servers about keys.
+    GrantCalls,
+    /// Calls to backend servers that did not succeed.
+    GrantFailures,
+    /// Moves of keys.
+    RangeMoves,
+    /// Writes to the data folder.
+    Persists,
+    /// Failures of the data folder.
+    StorageFailures,
+    /// Messages to other control VMs that were dropped.
+    PeerMessagesDropped,
+    /// Links to other control VMs that broke.
+    PeerLinksLost,
+    /// Frames that could not be decoded.
+    UndecodableFrames,
+    /// Entry VMs that follow this member.
+    EntryVms,
+    /// Version of the directory.
+    DirectoryVersion,
+    /// Whether this member acts as leader.
+    IsLeading,
+}
+
+impl MetricName for SiteMetric {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Calls => "site_calls",
+            Self::CallsUnavailable => "site_calls_unavailable",
+            Self::GrantCalls => "site_grant_calls",
+            Self::GrantFailures => "site_grant_failures",
+            Self::RangeMoves => "site_range_moves",
+            Self::Persists => "site_persists",
+            Self::StorageFailures => "site_storage_failures",
+            Self::PeerMessagesDropped => "site_peer_messages_dropped",
+            Self::PeerLinksLost => "site_peer_links_lost",
+            Self::UndecodableFrames => "site_undecodable_frames",
+            Self::EntryVms => "site_entry_vms",
+            Self::DirectoryVersion => "site_directory_version",
+            Self::IsLeading => "site_is_leading",
+        }
+    }
+
+    fn help(self) -> &'static str {
+        match self {
+            Self::Calls => "Calls of operators and backend servers.",
+            Self::CallsUnavailable => "Calls that could not be answered with success.",
+            Self::GrantCalls => "Calls to backend servers about keys.",
+            Self::GrantFailures => "Calls to backend servers about keys that did not succeed.",
+            Self::RangeMoves => "Moves of keys.",
+            Self::Persists => "Writes to the data folder.",
+            Self::StorageFailures => "Failures of the data folder.",
+            Self::PeerMessagesDropped => "Messages to other control VMs that were dropped.",
+            Self::PeerLinksLost => "Links to other control VMs that broke.",
+            Self::UndecodableFrames => "Frames of links that could not be decoded.",
+            Self::EntryVms => "Entry VMs that follow this member.",
+            Self::DirectoryVersion => "Version of the directory.",
+            Self::IsLeading => "Whether this member acts as leader.",
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -0,0 +1,248 @@
+//! The loop of a control process.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, mpsc as std_mpsc};
+use std::time::Duration;
+
+use chicory_directory::{ControlMessage, SiteAnswer};
+use chicory_ranges::GrantDeskConfig;
+use chicory_telemetry::Metrics;
+use chicory_types::{Clock, MonoTime};
+use slog::{Logger, warn};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use super::link_listener::LinkListener;
+use super::peer_links::PeerLinks;
+use super::site_input::SiteInput;
+use super::site_process_error::ListenSnafu;
+use super::storage_worker::{self, StorageJob};
+use super::{
+    GrantPort, SiteHandle, SiteMetric, SiteProcessConfig, SiteProcessError, note_log,
+};
+use crate::{CallerId, EntryLinkId, SiteConfig, SiteCore, SiteEffect, SiteEvent};
+
+/// Least time between two rounds of timers, so that deadlines close together share a wake-up.
+const TIMER_GRAIN: Duration = Duration::from_millis(5);
+
+/// A control process: one loop round the reducer.
+pub struct SiteProcess {
+    core: SiteCore,
+    clock: Arc<dyn Clock + Send + Sync>,
+    inbox: mpsc::UnboundedSender<SiteInput>,
+    inputs: mpsc::UnboundedReceiver<SiteInput>,
+    listener: Option<LinkListener>,
+    storage: std_mpsc::Sender<StorageJob>,
+    peers: PeerLinks,
+    grants: Arc<dyn GrantPort>,
+    entries: BTreeMap<EntryLinkId, mpsc::Sender<ControlMessage>>,
+    callers: BTreeMap<CallerId, oneshot::Sender<SiteAnswer>>,
+    last_caller: CallerId,
+    logger: Logger,
+    metrics: Arc<Metrics>,
+}
+
+impl SiteProcess {
+    /// Listens for links and starts the storage thread.
+    ///
+    /// # Errors
+    ///
+    /// [`SiteProcessError`] when either fails.
+    pub async fn start(
+        config: SiteProcessConfig,
+        clock: Arc<dyn Clock + Send + Sync>,
+        grants: Arc<dyn GrantPort>,
+        logger: Logger,
+        metrics: Arc<Metrics>,
+    ) -> Result<(Self, SiteHandle), SiteProcessError> {
+        let address = config.link_address;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let (inbox, inputs) = mpsc::unbounded_channel();
+        let vm = address.to_string();
+        let site_config = SiteConfig {
+            vm: vm.clone(),
+            seeds: config.seeds.clone(),
+            random_seed: rand_seed(&vm, clock.now()),
+            grants: GrantDeskConfig::default(),
+        };
+        let storage = storage_worker::start(config, inbox.clone(), logger.clone())?;
+        let listener = LinkListener {
+            listener,
+            inbox: inbox.clone(),
+            logger: logger.clone(),
+            metrics: metrics.clone(),
+        };
+        let process = Self {
+            core: SiteCore::new(site_config, clock.now()),
+            clock,
+            inbox: inbox.clone(),
+            inputs,
+            listener: Some(listener),
+            storage,
+            peers: PeerLinks::new(vm, logger.clone(), metrics.clone()),
+            grants,
+            entries: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            last_caller: 0,
+            logger,
+            metrics,
+        };
+        Ok((process, SiteHandle::new(inbox)))
+    }
+
+    /// Runs until the runtime ends.
+    pub async fn run(mut self) {
+        if let Some(listener) = self.listener.take() {
+            tokio::spawn(listener.run());
+        }
+        self.store(StorageJob::Open);
+        loop {
+            let wakeup = self.core.next_wakeup();
+            let now = self.clock.now();
+            let pause = wakeup.saturating_sub(now).max(TIMER_GRAIN);
+            tokio::select! {
+                input = self.inputs.recv() => {
+                    let Some(input) = input else { return };
+                    self.take_input(input);
+                    while let Ok(next) = self.inputs.try_recv() {
+                        self.take_input(next);
+                    }
+                }
+                () = tokio::time::sleep(pause) => {}
+            }
+            if self.core.next_wakeup() <= self.clock.now() {
+                self.reduce(SiteEvent::Tick);
+            }
+        }
+    }
+
+    fn take_input(&mut self, input: SiteInput) {
+        match input {
+            SiteInput::Event(event) => {
+                if let SiteEvent::EntryLeft { link } = &event {
+                    self.entries.remove(link);
+                }
+                self.reduce(event);
+            }
+            SiteInput::Call { call, reply } => {
+                self.metrics.increment(SiteMetric::Calls);
+                self.last_caller += 1;
+                let caller = self.last_caller;
+                self.callers.insert(caller, reply);
+                self.reduce(SiteEvent::Called { caller, call });
+            }
+            SiteInput::EntryLink { link, outbox } => {
+                self.entries.insert(link, outbox);
+            }
+            SiteInput::Stop { done } => {
+                self.reduce(SiteEvent::Stopping);
+                if done.send(()).is_err() {
+                    warn!(self.logger, "stop took longer than its time");
+                }
+            }
+        }
+    }
+
+    fn reduce(&mut self, event: SiteEvent) {
+        let now = self.clock.now();
+        for effect in self.core.reduce(now, event) {
+            self.carry_out(effect);
+        }
+        let is_leading = self.core.is_leading(now);
+        self.metrics.set(SiteMetric::IsLeading, u64::from(is_leading));
+        let version = self.core.state().version();
+        self.metrics.set(SiteMetric::DirectoryVersion, version);
+        let entry_count = self.core.entry_count() as u64;
+        self.metrics.set(SiteMetric::EntryVms, entry_count);
+    }
+
+    fn carry_out(&mut self, effect: SiteEffect) {
+        match effect {
+            SiteEffect::Persist {
+                ticket,
+                hard_state,
+                truncate_from,
+                snapshot,
+                entries,
+            } => {
+                self.metrics.increment(SiteMetric::Persists);
+                self.store(StorageJob::Persist {
+                    ticket,
+                    hard_state,
+                    truncate_from,
+                    snapshot,
+                    entries,
+                });
+            }
+            SiteEffect::ReopenStorage => {
+                self.metrics.increment(SiteMetric::StorageFailures);
+                self.store(StorageJob::Open);
+            }
+            SiteEffect::Answer { caller, answer } => self.answer(caller, answer),
+            SiteEffect::SendToPeer { to, envelope } => self.peers.send(&to, envelope),
+            SiteEffect::SendToEntry { link, message } => self.send_to_entry(link, message),
+            SiteEffect::Grant(order) => {
+                self.metrics.increment(SiteMetric::GrantCalls);
+                let call = order.call;
+                let ended = self.grants.call(order);
+                let inbox = self.inbox.clone();
+                tokio::spawn(async move {
+                    let outcome = ended.await;
+                    let event = SiteEvent::GrantEnded { call, outcome };
+                    // Without a loop to tell, the process is ending.
+                    drop(inbox.send(SiteInput::Event(event)));
+                });
+            }
+            SiteEffect::Note(note) => {
+                self.count(&note);
+                note_log::write(&self.logger, &note);
+            }
+        }
+    }
+
+    fn count(&self, note: &crate::SiteNote) {
+        match note {
+            crate::SiteNote::GrantFailed { .. } => {
+                self.metrics.increment(SiteMetric::GrantFailures);
+            }
+            crate::SiteNote::RangeMoved { .. } => self.metrics.increment(SiteMetric::RangeMoves),
+            crate::SiteNote::CallUnanswered { .. } => {
+                self.metrics.increment(SiteMetric::CallsUnavailable);
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, caller: CallerId, answer: SiteAnswer) {
+        if let Some(reply) = self.callers.remove(&caller) {
+            // A caller that went away needs no answer.
+            drop(reply.send(answer));
+        }
+    }
+
+    /// An entry VM that reads too slowly is disconnected; it comes back and is sent everything.
+    fn send_to_entry(&mut self, link: EntryLinkId, message: ControlMessage) {
+        let Some(outbox) = self.entries.get(&link) else {
+            return;
+        };
+        if outbox.try_send(message).is_err() {
+            warn!(self.logger, "entry VM reads too slowly"; "link" => link);
+            self.entries.remove(&link);
+        }
+    }
+
+    fn store(&self, job: StorageJob) {
+        if self.storage.send(job).is_err() {
+            warn!(self.logger, "storage thread has ended");
+        }
+    }
+}
+
+/// Differs between VMs and between starts, so that election timeouts do too.
+fn rand_seed(vm: &str, now: MonoTime) -> u64 {
+    let time = now.as_nanos().to_le_bytes();
+    chicory_types::fingerprint_of(&[vm.as_bytes(), &time])
+}
--- /dev/null
+++ b/crates/chicory_site/src/process/site_process_config.rs
@@ -0,0 +1,23 @@
+//! Settings of a control process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use chicory_types::{ClusterName, VmId, ZoneName};
+
+/// Settings of a control process.
+#[derive(Clone, Debug)]
+pub struct SiteProcessConfig {
+    /// Name of the deployment; folders of another one are refused.
+    pub cluster: ClusterName,
+    /// Address of the links, which is also the id of the VM.
+    pub link_address: SocketAddr,
+    /// Availability zone of the VM.
+    pub zone: ZoneName,
+    /// Control VMs to look for.
+    pub seeds: Vec<VmId>,
+    /// Whether the deployment starts for the very first time.
+    pub is_first_start: bool,
+    /// The data folder.
+    pub data_dir: PathBuf,
+}
--- a/crates/chicory_telemetry/src/lib.rs
+++ b/crates/chicory_telemetry/src/lib.rs
@@ -11,7 +11,7 @@
 mod metrics_error;
 
 pub use log_format::LogFormat;
-pub use logger::new_logger;
+pub use logger::{new_logger, new_stdout_logger};
 pub use metric_name::MetricName;
 pub use metrics::Metrics;
 pub use metrics_error::MetricsError;
--- a/crates/chicory_telemetry/src/logger.rs
+++ b/crates/chicory_telemetry/src/logger.rs
@@ -32,6 +32,17 @@
     }
 }
 
+/// Creates the logger of a process, which writes JSON lines to standard output from a thread of
+/// its own.
+///
+/// Lines that come faster than they are written are dropped and counted, so that logging never
+/// blocks the work.
+pub fn new_stdout_logger(program: &'static str, vm: &str) -> Logger {
+    let fields = o!("program" => program, "vm" => vm.to_owned());
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    Logger::root(in_background(drain), fields)
+}
+
 fn in_background<D>(drain: D) -> slog::Fuse<slog_async::Async>
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/crates/chicory_telemetry/src/metrics.rs
+++ b/crates/chicory_telemetry/src/metrics.rs
@@ -1,10 +1,12 @@
-//! Counters and gauges of a process.
+//! Counters, gauges and histograms of a process.
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::{Mutex, PoisonError};
 
-use opentelemetry::metrics::{Counter, Gauge, Meter, MeterProvider};
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use snafu::ResultExt;
@@ -15,7 +17,12 @@
 /// Prefix of every metric.
 const METRIC_NAMESPACE: &str = "chicory";
 
-/// Counters and gauges of a process, shared by all its parts.
+/// Upper bounds of latency histograms, in seconds; callers wait for two seconds or so at most.
+const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0,
+];
+
+/// Counters, gauges and latency histograms of a process, shared by all its parts.
 ///
 /// # Examples
 ///
@@ -48,6 +55,7 @@
     registry: Registry,
     counters: Mutex<BTreeMap<&'static str, CountedValue>>,
     gauges: Mutex<BTreeMap<&'static str, Gauge<u64>>>,
+    histograms: Mutex<BTreeMap<&'static str, Histogram<f64>>>,
 }
 
 struct CountedValue {
@@ -78,6 +86,7 @@
             registry,
             counters: Mutex::default(),
             gauges: Mutex::default(),
+            histograms: Mutex::default(),
         })
     }
 
@@ -117,6 +126,18 @@
             .record(value, &[]);
     }
 
+    /// Records a span in a latency histogram.
+    pub fn record(&self, metric: impl MetricName, span: Duration) {
+        let mut histograms = self
+            .histograms
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        histograms
+            .entry(metric.name())
+            .or_insert_with(|| self.new_histogram(metric))
+            .record(span.as_secs_f64(), &[]);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -137,6 +158,14 @@
         CountedValue { counter, total: 0 }
     }
 
+    fn new_histogram(&self, metric: impl MetricName) -> Histogram<f64> {
+        self.meter
+            .f64_histogram(metric.name())
+            .with_description(metric.help())
+            .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+            .build()
+    }
+
     fn new_gauge(&self, metric: impl MetricName) -> Gauge<u64> {
         self.meter
             .u64_gauge(metric.name())
--- a/crates/chicory_types/src/lib.rs
+++ b/crates/chicory_types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each of these is needed on both sides of a module border, so they live in a crate of their own
 //! that depends on no other part of the workspace.
 
+mod boot_clock;
 mod clock;
 mod clock_rate_margin;
 mod fencing_token;
@@ -12,6 +13,7 @@
 
 pub mod prelude;
 
+pub use boot_clock::BootClock;
 pub use clock::{Clock, ManualClock, MonoTime, SystemClock};
 pub use clock_rate_margin::{CLOCK_RATE_MARGIN_PERCENT, ClockRateMargin};
 pub use fencing_token::FencingToken;
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -201,6 +201,7 @@
             SiteAnswer::Routes(table) => Answer::Routes(table.into()),
             SiteAnswer::Stale => Answer::Stale(empty),
             SiteAnswer::Unavailable => Answer::Unavailable(empty),
+            SiteAnswer::UnknownService => Answer::UnknownService(empty),
         };
         Self {
             answer: Some(answer),
@@ -218,6 +219,7 @@
             Answer::Routes(table) => Self::Routes(table.try_into()?),
             Answer::Stale(_) => Self::Stale,
             Answer::Unavailable(_) => Self::Unavailable,
+            Answer::UnknownService(_) => Self::UnknownService,
         })
     }
 }
