--- a/crates/chicory_ranges/src/grant_call.rs
+++ b/crates/chicory_ranges/src/grant_call.rs
@@ -46,6 +46,6 @@
     Unanswered,
     /// No connection came about, so the call was never sent.
     Unreachable,
-    /// Nobody listens at the address: the process has ended.
+    /// The connection was refused: the process has ended, or a partition refuses connections.
     ConnectionRefused,
 }
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -1,7 +1,6 @@
 //! Pushes grants to backend servers and takes keys back.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use chicory_types::{MonoTime, ServiceName};
 
@@ -105,12 +104,11 @@
             })
     }
 
-    /// Whether a server has answered a grant within the last `silence`.
+    /// Whether a grant of some keys may still hold at a server.
     #[must_use]
-    pub fn has_answered(&self, now: MonoTime, life: &ServerLife, silence: Duration) -> bool {
-        let horizon = (now + self.config.outwait()).saturating_sub(silence);
+    pub fn may_hold(&self, now: MonoTime, life: &ServerLife) -> bool {
         let mut tenures = self.tenures.values();
-        tenures.any(|tenure| tenure.owned.owner == *life && tenure.answered_until >= horizon)
+        tenures.any(|tenure| tenure.owned.owner == *life && now < tenure.free_at())
     }
 
     fn wakeup_of(&self, tenure: &Tenure) -> Option<MonoTime> {
--- a/crates/chicory_site/src/core/keys.rs
+++ b/crates/chicory_site/src/core/keys.rs
@@ -58,9 +58,6 @@
                 outcome: outcome.clone(),
             });
         }
-        if outcome == CallOutcome::ConnectionRefused {
-            self.grant_events.push_back(GrantEvent::Ended(running.life));
-        }
         let event = GrantEvent::CallEnded { call, outcome };
         self.grant_events.push_back(event);
     }
@@ -188,12 +185,12 @@
         record.state == ServerState::Ready && !self.is_silent(now, &record.life)
     }
 
-    /// Whether a server neither announces itself nor answers grants.
+    /// Whether a server does not announce itself, and every grant that it had has run out.
     fn is_silent(&self, now: MonoTime, life: &ServerLife) -> bool {
         let announced_at = self.announced_at.get(life);
         let is_quiet = announced_at.is_none_or(|at| now > *at + OWNER_SILENCE);
         let desk = self.desk.as_ref();
-        is_quiet && !desk.is_some_and(|desk| desk.has_answered(now, life, OWNER_SILENCE))
+        is_quiet && !desk.is_some_and(|desk| desk.may_hold(now, life))
     }
 
     fn expected_owners(
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -21,7 +21,8 @@
 /// Time without an announcement after which a server is taken out of the directory; several
 /// times the longest cut that is expected between servers and control VMs.
 pub(crate) const SERVER_SILENCE: Duration = Duration::from_secs(30);
-/// Time without an announcement and without an answer to grants after which keys are moved.
+/// Time without an announcement after which a server gets no further keys, and loses those whose
+/// grants have run out.
 pub(crate) const OWNER_SILENCE: Duration = Duration::from_millis(3500);
 /// Interval at which keys are moved for balance alone.
 pub(crate) const BALANCING_INTERVAL: Duration = Duration::from_secs(1);
