--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -16,10 +16,11 @@
 
 /// Interval of reports; each is answered with the control VM's status.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Time without any message after which a control VM is given up.
-const SILENCE: Duration = Duration::from_secs(1);
-/// Time without contact to a majority after which another control VM is looked for.
-const NO_CONTACT: Duration = Duration::from_millis(1200);
+/// Time without any message after which a control VM is given up: two reports and a margin.
+const SILENCE: Duration = Duration::from_millis(900);
+/// Time without contact to a majority after which another control VM is looked for; an election
+/// takes about as long.
+const NO_CONTACT: Duration = Duration::from_millis(500);
 
 /// Follows the directory: the leader's if it can, any other control VM's otherwise.
 pub(super) struct DirectoryLink {
@@ -31,6 +32,8 @@
     candidates: Vec<VmId>,
     next_candidate: usize,
     leader: Option<VmId>,
+    /// The control VM that was lost last; the others are tried first.
+    lost: Option<VmId>,
 }
 
 /// Why a control VM is no longer followed.
@@ -54,6 +57,7 @@
             seeds,
             next_candidate: first,
             leader: None,
+            lost: None,
         }
     }
 
@@ -76,7 +80,10 @@
                         backoff.reset();
                     }
                     match parting {
-                        Parting::Redirected(leader) => self.leader = Some(leader),
+                        Parting::Redirected(leader) => {
+                            self.leader = Some(leader);
+                            self.lost = None;
+                        }
                         Parting::Lost => {
                             self.on_lost(&control_vm);
                             tokio::time::sleep(backoff.next_pause()).await;
@@ -90,6 +97,7 @@
                         is_lost = true;
                     }
                     self.leader = None;
+                    self.lost = Some(control_vm);
                     tokio::time::sleep(backoff.next_pause()).await;
                 }
             }
@@ -103,6 +111,7 @@
         warn!(self.shared.logger, "link to control VM lost"; "control_vm" => control_vm,
             "contact_age" => ?contact_age);
         self.leader = None;
+        self.lost = Some(control_vm.clone());
     }
 
     /// The leader if it is known, else the next control VM in turn.
@@ -111,9 +120,14 @@
             return Some(leader);
         }
         let count = self.candidates.len();
-        let chosen = self.candidates.get(self.next_candidate % count.max(1)).cloned();
-        self.next_candidate = self.next_candidate.wrapping_add(1);
-        chosen
+        for _ in 0..count {
+            let chosen = self.candidates.get(self.next_candidate % count).cloned();
+            self.next_candidate = self.next_candidate.wrapping_add(1);
+            if chosen != self.lost || count == 1 {
+                return chosen;
+            }
+        }
+        None
     }
 
     async fn open(&self, control_vm: &VmId) -> Result<LinkStream, LinkError> {
@@ -134,13 +148,21 @@
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard_at = Instant::now();
         let mut in_contact_at = Instant::now();
+        let mut is_in_contact = true;
         loop {
+            let silent_at = heard_at + SILENCE;
+            let give_up_at = if is_in_contact {
+                silent_at
+            } else {
+                silent_at.min(in_contact_at + NO_CONTACT)
+            };
             tokio::select! {
                 frame = reader.next() => {
                     let Ok(Some(frame)) = frame else { return Parting::Lost };
                     heard_at = Instant::now();
                     let Some(status) = self.take_frame(frame) else { continue };
-                    if status.is_in_contact {
+                    is_in_contact = status.is_in_contact;
+                    if is_in_contact {
                         in_contact_at = heard_at;
                     }
                     self.note_control_vms(&status);
@@ -149,9 +171,6 @@
                     }
                 }
                 _ = reports.tick() => {
-                    if heard_at.elapsed() > SILENCE || in_contact_at.elapsed() > NO_CONTACT {
-                        return Parting::Lost;
-                    }
                     let report = self.shared.gateway().take_report();
                     writer.put(&site::EntryMessage::from(EntryMessage::Report(report)));
                     if writer.flush().await.is_err() {
@@ -159,6 +178,7 @@
                     }
                     self.prune();
                 }
+                () = tokio::time::sleep_until(give_up_at) => return Parting::Lost,
             }
         }
     }
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Entry VMs learn at once that the leader changed, and turn to the new one.
+    pub(super) fn send_statuses(&mut self) {
+        for link in self.entries.keys().copied().collect::<Vec<_>>() {
+            self.send_status(link);
+        }
+    }
+
     fn send_status(&mut self, link: EntryLinkId) {
         let status = self.status();
         self.effects.push(SiteEffect::SendToEntry {
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -262,6 +262,7 @@
         if leader != self.known_leader {
             self.known_leader.clone_from(&leader);
             self.note(SiteNote::LeaderChanged { leader });
+            self.send_statuses();
         }
     }
 
