Test grants in virtual time, and keep older grants in mind after a new fence

Random schedules of cuts, late grants and leader changes found two keys with two owners: a server that got its keys under a greater fence but did not answer was taken to hold nothing, and a late grant under the present fence was taken to be fenced by its repetition.

--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -125,19 +125,29 @@
 
     /// Makes tenures match the book; parts that are about to move stay apart.
     fn follow_book(&mut self, now: MonoTime, book: &RangeBook) {
-        self.tenures.retain(|(service, _), tenure| {
+        let is_current = |(service, _): &Place, tenure: &mut Tenure| {
             let range = tenure.owned.range;
             let current = book.owner(service, range.first);
             current.is_some_and(|c| c.fence == tenure.owned.fence && c.range.covers(range))
-        });
+        };
+        let past: BTreeMap<Place, Tenure> = self
+            .tenures
+            .extract_if(.., |place, tenure| !is_current(place, tenure))
+            .collect();
         for (service, owned) in book.all_ranges() {
-            self.add_missing(now, service, owned);
+            self.add_missing(now, service, owned, &past);
         }
         let tenures = &self.tenures;
         self.calls.retain(|_, place| tenures.contains_key(place));
     }
 
-    fn add_missing(&mut self, now: MonoTime, service: &ServiceName, owned: &OwnedRange) {
+    fn add_missing(
+        &mut self,
+        now: MonoTime,
+        service: &ServiceName,
+        owned: &OwnedRange,
+        past: &BTreeMap<Place, Tenure>,
+    ) {
         let mut at = u32::from(owned.range.first);
         while let Ok(first) = Key::try_from(at) {
             if first > owned.range.last {
@@ -158,7 +168,9 @@
                 range: KeyRange::new(first, end),
                 ..owned.clone()
             };
-            self.tenures.insert(place, self.new_tenure(now, part));
+            let mut tenure = self.new_tenure(now, part);
+            inherit(&mut tenure, service, past);
+            self.tenures.insert(place, tenure);
             at = u32::from(end) + 1;
         }
     }
@@ -169,9 +181,11 @@
         let held_until = if is_own { now } else { self.former_leader_until };
         let is_ended = self.ended.contains(&owned.owner);
         Tenure {
+            is_own,
             owned,
             answered_until: if is_ended { now } else { held_until },
-            unanswered_until: if is_ended { now } else { held_until },
+            unanswered_until: now,
+            older_until: if is_ended { now } else { held_until },
             call: None,
             due_at: now,
             is_refencing: false,
@@ -196,6 +210,7 @@
         for tenure in tenures.filter(|t| t.owned.owner == life) {
             tenure.answered_until = now;
             tenure.unanswered_until = now;
+            tenure.older_until = now;
             if let Some(departure) = &mut tenure.departure {
                 departure.is_released = true;
             }
@@ -238,7 +253,7 @@
             return;
         };
         let is_verified = self.verified.contains(&whole.owned.owner);
-        if now < whole.unanswered_until && is_verified {
+        if now < whole.uncertain_until() && is_verified {
             whole.is_refencing = true;
             self.effects.push(GrantEffect::Propose(whole.refencing_move(&place.0)));
             self.tenures.insert(place.clone(), whole);
@@ -304,6 +319,10 @@
         match outcome {
             CallOutcome::Done { .. } => {
                 tenure.answered_until = outwait;
+                // The server has seen this fence: calls under a smaller one change nothing there.
+                if tenure.is_own {
+                    tenure.older_until = now;
+                }
                 tenure.due_at = now + self.config.renewal_interval;
             }
             CallOutcome::Unanswered => {
@@ -403,6 +422,19 @@
     }
 }
 
+/// The same owner goes on holding what it was granted under a smaller fence.
+fn inherit(tenure: &mut Tenure, service: &ServiceName, past: &BTreeMap<Place, Tenure>) {
+    let own = past.iter().filter(|((of, _), former)| {
+        of == service
+            && former.owned.owner == tenure.owned.owner
+            && former.owned.range.overlaps(tenure.owned.range)
+    });
+    for (_, former) in own {
+        let former_until = former.answered_until.max(former.uncertain_until());
+        tenure.older_until = tenure.older_until.max(former_until);
+    }
+}
+
 /// What is to be done for a tenure.
 enum Step {
     Wait,
--- a/crates/chicory_ranges/src/tenure.rs
+++ b/crates/chicory_ranges/src/tenure.rs
@@ -8,10 +8,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Tenure {
     pub(crate) owned: OwnedRange,
+    /// Whether the fence was given out in this leadership, so that no former leader granted it.
+    pub(crate) is_own: bool,
     /// The owner may hold the keys until then by grants that were answered.
     pub(crate) answered_until: MonoTime,
-    /// A grant without an answer may take effect, and hold, until then.
+    /// A grant under this fence without an answer may take effect, and hold, until then.
     pub(crate) unanswered_until: MonoTime,
+    /// The same for grants under smaller fences, and for those of former leaders. The first answer
+    /// under a fence that only this leader used shows that nothing older can take effect any more.
+    pub(crate) older_until: MonoTime,
     pub(crate) call: Option<PendingCall>,
     /// When the next call is due.
     pub(crate) due_at: MonoTime,
@@ -51,9 +56,14 @@
     pub(crate) fn free_at(&self) -> MonoTime {
         let is_released = self.departure.as_ref().is_some_and(|d| d.is_released);
         if is_released {
-            return self.unanswered_until;
+            return self.uncertain_until();
         }
-        self.answered_until.max(self.unanswered_until)
+        self.answered_until.max(self.uncertain_until())
+    }
+
+    /// The moment from which no grant without an answer can take effect and hold.
+    pub(crate) fn uncertain_until(&self) -> MonoTime {
+        self.unanswered_until.max(self.older_until)
     }
 
     /// Whether nothing is under way that has to end first.
--- /dev/null
+++ b/crates/chicory_ranges/tests/grant_desk.rs
@@ -0,0 +1,165 @@
+//! Grants, releases and moves of keys under failures, in virtual time.
+
+mod support;
+
+use std::time::Duration;
+
+use chicory_ranges::{GrantEvent, KeyLoad, KeyRange, ServerLife};
+use googletest::prelude::*;
+use rand::RngExt;
+use support::{FakeServer, World};
+
+const ALL_KEYS: u32 = 65_536;
+
+fn life(index: u64) -> ServerLife {
+    ServerLife::new(format!("server-{index}"), 1)
+}
+
+fn settled(seed: u64) -> World {
+    let mut world = World::new(6, seed);
+    world.run(Duration::from_secs(3));
+    world
+}
+
+fn server(world: &mut World, index: u64) -> &mut FakeServer {
+    world.servers.get_mut(&life(index)).expect("known server")
+}
+
+#[gtest]
+fn all_keys_get_an_owner_and_keep_it() {
+    let mut world = settled(1);
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+    let moves = world.moves;
+    world.run(Duration::from_secs(30));
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+    expect_that!(world.moves, eq(moves));
+}
+
+#[gtest]
+fn keys_of_a_leaving_server_move_at_once_with_its_state() {
+    let mut world = settled(2);
+    world.leaving.push(life(0));
+    world.run(Duration::from_millis(400));
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+    expect_that!(world.servers[&life(0)].holding(world.now).count(), eq(0));
+    let handed_over = world.book.ranges(support::SERVICE).filter(|r| r.handover.is_some());
+    expect_that!(handed_over.count(), gt(0));
+}
+
+#[gtest]
+fn refused_connection_of_a_cut_server_is_no_proof_of_its_end() {
+    let mut world = settled(3);
+    server(&mut world, 0).is_cut = true;
+    server(&mut world, 0).cut_refuses = true;
+    // The world checks in each step that no key has two owners.
+    world.run(Duration::from_secs(20));
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+}
+
+#[gtest]
+fn short_cut_costs_no_move() {
+    let mut world = settled(4);
+    let moves = world.moves;
+    server(&mut world, 0).is_cut = true;
+    world.run(Duration::from_secs(5));
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+    server(&mut world, 0).is_cut = false;
+    world.run(Duration::from_secs(10));
+    expect_that!(world.moves, eq(moves));
+}
+
+#[gtest]
+fn later_start_of_a_server_frees_its_keys_at_once() {
+    let mut world = settled(5);
+    server(&mut world, 0).is_up = false;
+    let next = ServerLife::new("server-0", 2);
+    let started = FakeServer {
+        is_up: true,
+        ..FakeServer::default()
+    };
+    world.servers.insert(next, started);
+    world.feed(GrantEvent::Ended(life(0)));
+    world.servers.remove(&life(0));
+    world.run(Duration::from_millis(600));
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+}
+
+#[gtest]
+fn grant_without_an_answer_is_fenced_before_keys_move() {
+    let mut world = settled(6);
+    server(&mut world, 0).late_percent = 100;
+    world.run(Duration::from_millis(2600));
+    server(&mut world, 0).late_percent = 0;
+    world.leaving.push(life(0));
+    world.run(Duration::from_secs(30));
+    expect_that!(world.held_keys(), eq(ALL_KEYS));
+}
+
+#[gtest]
+fn new_leader_goes_on_without_a_gap() {
+    let mut world = settled(7);
+    let moves = world.moves;
+    for _ in 0..3 {
+        world.change_leader();
+        world.run(Duration::from_secs(4));
+        expect_that!(world.held_keys(), eq(ALL_KEYS));
+    }
+    expect_that!(world.moves, eq(moves));
+}
+
+#[gtest]
+fn hot_keys_are_spread_over_several_servers() {
+    let mut world = settled(8);
+    let mut load = KeyLoad::new(world.now);
+    for key in 30_000..30_200 {
+        load.add(key, 10);
+    }
+    world.weights = load.weights();
+    world.run(Duration::from_secs(20));
+    let hot = KeyRange::new(30_000, 30_199);
+    let ranges = world.book.ranges(support::SERVICE);
+    let owners: std::collections::BTreeSet<_> = ranges
+        .filter(|owned| owned.range.overlaps(hot))
+        .map(|owned| &owned.owner)
+        .collect();
+    expect_that!(owners.len(), ge(4));
+}
+
+/// Cuts, crashes, late grants, leaving servers and leaders that change, in any order.
+#[gtest]
+fn no_key_has_two_owners_under_random_failures() {
+    for seed in 0..60 {
+        let mut world = settled(seed);
+        for _ in 0..80 {
+            disturb(&mut world);
+            let pause = world.rng.random_range(50..1500);
+            world.run(Duration::from_millis(pause));
+        }
+        for server in world.servers.values_mut() {
+            server.is_cut = false;
+            server.late_percent = 0;
+        }
+        world.run(Duration::from_secs(40));
+        assert_that!(world.held_keys(), eq(ALL_KEYS), "seed {seed}");
+    }
+}
+
+fn disturb(world: &mut World) {
+    let index = world.rng.random_range(0..6);
+    let chance = world.rng.random_range(0..10);
+    let is_refusing = world.rng.random();
+    match chance {
+        0 | 1 => {
+            let server = server(world, index);
+            server.is_cut = true;
+            server.cut_refuses = is_refusing;
+        }
+        2 | 3 => server(world, index).is_cut = false,
+        4 => server(world, index).late_percent = 50,
+        5 => server(world, index).late_percent = 0,
+        6 => world.change_leader(),
+        7 if world.leaving.len() < 2 => world.leaving.push(life(index)),
+        8 => world.leaving.clear(),
+        _ => {}
+    }
+}
