Balance keys by measured speed, over all loaded servers, every 0.4 s

Cause: the plan stopped at the most loaded server when that had a single hot key; it waited for all moves to end before the next; servers of speed 0.6 and 1.4 counted alike. Ruled out: size of the queue at servers.

--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -70,8 +70,12 @@
         ranges_changed_at: BTreeMap<ServiceName, LogIndex>,
         forgotten_up_to: LogIndex,
     ) -> Self {
-        let servers = servers.into_iter().map(|s| (s.value.life.server.clone(), s));
-        let removals = removals.into_iter().map(|r| (r.value.life.server.clone(), r));
+        let servers = servers
+            .into_iter()
+            .map(|s| (s.value.life.server.clone(), s));
+        let removals = removals
+            .into_iter()
+            .map(|r| (r.value.life.server.clone(), r));
         Self {
             version,
             routes: Versioned {
@@ -209,9 +213,8 @@
     #[must_use]
     pub fn merged(&self, mut record: ServerRecord) -> ServerRecord {
         let known = self.server(&record.life.server);
-        let is_draining = known.is_some_and(|known| {
-            known.life == record.life && known.state == ServerState::Draining
-        });
+        let is_draining = known
+            .is_some_and(|known| known.life == record.life && known.state == ServerState::Draining);
         if is_draining {
             record.state = ServerState::Draining;
         }
@@ -311,7 +314,9 @@
             routes: (self.routes.changed_at > since).then(|| (*self.routes.value).clone()),
             servers: servers.map(|server| server.value.clone()).collect(),
             removed: removals.map(|removal| removal.value.life.clone()).collect(),
-            ranges: services.map(|(service, _)| self.ranges_of(service)).collect(),
+            ranges: services
+                .map(|(service, _)| self.ranges_of(service))
+                .collect(),
         };
         Some(update)
     }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -213,7 +213,10 @@
         let Some(record) = usable.cloned() else {
             return self.wait_for_owner(now, ticket);
         };
-        let is_paused = self.health.get(&record.life).is_some_and(|h| h.is_paused(now));
+        let is_paused = self
+            .health
+            .get(&record.life)
+            .is_some_and(|h| h.is_paused(now));
         if is_paused && !ticket.attempts.is_empty() {
             let reason = RefusalReason::Unreachable;
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
@@ -267,9 +270,9 @@
             );
             // A little chance keeps entry VMs that know the same from choosing the same.
             let cost = cost * self.rng.random_range(0.9..1.1);
-            let is_better = best.as_ref().is_none_or(|(paused, least, _)| {
-                (is_paused, cost) < (*paused, *least)
-            });
+            let is_better = best
+                .as_ref()
+                .is_none_or(|(paused, least, _)| (is_paused, cost) < (*paused, *least));
             if is_better {
                 best = Some((is_paused, cost, record.clone()));
             }
@@ -280,11 +283,22 @@
     fn typical_latency(&self, service: &str) -> Duration {
         let servers = self.directory.ready_servers(service);
         let known = servers.filter_map(|record| self.health.get(&record.life)?.latency());
-        let (sum, count) = known.fold((Duration::ZERO, 0), |(sum, n), latency| (sum + latency, n + 1));
-        if count == 0 { TYPICAL_LATENCY } else { sum / count }
+        let (sum, count) = known.fold((Duration::ZERO, 0), |(sum, n), latency| {
+            (sum + latency, n + 1)
+        });
+        if count == 0 {
+            TYPICAL_LATENCY
+        } else {
+            sum / count
+        }
     }
 
-    fn send(&mut self, now: MonoTime, ticket: &mut RequestTicket, record: &ServerRecord) -> NextStep {
+    fn send(
+        &mut self,
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        record: &ServerRecord,
+    ) -> NextStep {
         if !ticket.attempts.is_empty() && !self.may_send_again(now, ticket) {
             let reason = RefusalReason::NoRetryLeft;
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
@@ -299,12 +313,20 @@
         let is_order = !ticket.route.route.kind.is_repeatable();
         let left = ticket.ends_at.saturating_sub(now);
         let can_follow = !is_order && ticket.key.is_none() && ticket.attempts_left() > 0;
-        let part = if can_follow { left.mul_f64(ATTEMPT_PART) } else { left };
+        let part = if can_follow {
+            left.mul_f64(ATTEMPT_PART)
+        } else {
+            left
+        };
         NextStep::Send(Target {
             life: record.life.clone(),
             address: record.address,
             give_up_at: now + part,
-            max_idle: if is_order { MAX_IDLE_OF_ORDERS } else { MAX_IDLE },
+            max_idle: if is_order {
+                MAX_IDLE_OF_ORDERS
+            } else {
+                MAX_IDLE
+            },
             connect_timeout: CONNECT_TIMEOUT.min(left),
         })
     }
@@ -312,7 +334,10 @@
     fn may_send_again(&mut self, now: MonoTime, ticket: &RequestTicket) -> bool {
         let last = ticket.attempts.last().and_then(|attempt| attempt.ended);
         let has_arrived = last.is_some_and(|(outcome, _)| {
-            !matches!(outcome, AttemptOutcome::Refused | AttemptOutcome::Unreachable)
+            !matches!(
+                outcome,
+                AttemptOutcome::Refused | AttemptOutcome::Unreachable
+            )
         });
         if !has_arrived {
             return true;
@@ -363,7 +388,10 @@
         // The owner of a key is the only server that can help, after a while.
         ticket.not_before = now + GRANT_LAG;
         let tries = ticket.attempts.len();
-        matches!(outcome, AttemptOutcome::WrongServer | AttemptOutcome::Unreachable) && tries < 4
+        matches!(
+            outcome,
+            AttemptOutcome::WrongServer | AttemptOutcome::Unreachable
+        ) && tries < 4
             || matches!(outcome, AttemptOutcome::Garbled | AttemptOutcome::Broken) && tries < 2
     }
 
@@ -399,7 +427,10 @@
         self.refusal(ticket, reason, RETRY_AFTER)
     }
 
-    #[expect(clippy::unused_self, reason = "when to come back will depend on the load")]
+    #[expect(
+        clippy::unused_self,
+        reason = "when to come back will depend on the load"
+    )]
     fn refusal(&self, ticket: &RequestTicket, reason: RefusalReason, after: Duration) -> Refusal {
         Refusal {
             reason,
@@ -411,7 +442,10 @@
     /// What happened since the former report.
     pub fn take_report(&mut self) -> EntryReport {
         let keys = std::mem::take(&mut self.key_counts).into_iter();
-        let servers = self.health.iter_mut().filter(|(_, health)| health.answered > 0);
+        let servers = self
+            .health
+            .iter_mut()
+            .filter(|(_, health)| health.answered > 0);
         EntryReport {
             keys: keys
                 .map(|((service, key), request_count)| KeyCount {
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use chicory_net::http::{HttpBody, LinkError, SendError, ServerLink};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, header, request};
 use hyper::{Request, Response, Version};
-use http_body_util::BodyExt;
 
 use super::GatewayMetric;
 use super::answer::{Answer, HELD_BYTES};
@@ -38,7 +38,10 @@
 /// What became of an attempt: an answer to pass on, or none.
 pub(super) enum AttemptResult {
     /// An answer; of a failure another server may do better.
-    Answered { answer: Box<Answer>, is_failure: bool },
+    Answered {
+        answer: Box<Answer>,
+        is_failure: bool,
+    },
     /// No answer to pass on.
     Ended(AttemptOutcome),
 }
@@ -114,7 +117,10 @@
     time_left: Duration,
 ) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
     let started_at = shared.now();
-    while let Some(mut link) = shared.pool.take(shared.now(), &target.life, target.max_idle) {
+    while let Some(mut link) = shared
+        .pool
+        .take(shared.now(), &target.life, target.max_idle)
+    {
         let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
         match link.send(outgoing(shared, request, target, left)).await {
             Ok(response) => return Ok((link, response)),
--- a/crates/chicory_gateway/src/process/borders.rs
+++ b/crates/chicory_gateway/src/process/borders.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use chicory_ranges::ServerLife;
-use hyper::http::{HeaderMap, request, response};
 use hyper::Response;
+use hyper::http::{HeaderMap, request, response};
 
 use crate::{CallerFacts, Refusal};
 
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -126,7 +126,11 @@
         }
     }
 
-    async fn serve(&self, mut ticket: RequestTicket, request: &CallerRequest) -> Response<HttpBody> {
+    async fn serve(
+        &self,
+        mut ticket: RequestTicket,
+        request: &CallerRequest,
+    ) -> Response<HttpBody> {
         ticket.set_fingerprint(fingerprint(request));
         let mut guard = RequestGuard::new(self.shared.clone(), ticket);
         let mut changes = self.shared.changes.subscribe();
@@ -238,11 +242,7 @@
     }
 }
 
-fn response(
-    status: hyper::StatusCode,
-    headers: HeaderMap,
-    body: HttpBody,
-) -> Response<HttpBody> {
+fn response(status: hyper::StatusCode, headers: HeaderMap, body: HttpBody) -> Response<HttpBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
@@ -270,7 +270,9 @@
 
 fn header_bytes(head: &request::Parts) -> u64 {
     let headers = head.headers.iter();
-    let bytes: usize = headers.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let bytes: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
     bytes as u64
 }
 
--- a/crates/chicory_gateway/src/process/connection_pool.rs
+++ b/crates/chicory_gateway/src/process/connection_pool.rs
@@ -45,7 +45,9 @@
     ) -> Option<ServerLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(life)?;
-        let position = connections.iter().rposition(|c| c.is_usable(now, max_idle))?;
+        let position = connections
+            .iter()
+            .rposition(|c| c.is_usable(now, max_idle))?;
         Some(connections.remove(position).link)
     }
 
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -105,7 +105,9 @@
     }
 
     fn on_lost(&mut self, control_vm: &VmId) {
-        self.shared.metrics.increment(GatewayMetric::ControlLinksLost);
+        self.shared
+            .metrics
+            .increment(GatewayMetric::ControlLinksLost);
         let now = self.shared.now();
         let contact_age = self.shared.gateway().contact_age(now);
         warn!(self.shared.logger, "link to control VM lost"; "control_vm" => control_vm,
@@ -185,7 +187,9 @@
 
     fn take_frame(&self, frame: Frame) -> Option<LinkStatus> {
         let message = frame.decode::<site::ControlMessage>();
-        let message = message.ok().and_then(|message| ControlMessage::try_from(message).ok());
+        let message = message
+            .ok()
+            .and_then(|message| ControlMessage::try_from(message).ok());
         let now = self.shared.now();
         match message {
             Some(ControlMessage::Update(update)) => {
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -77,7 +77,9 @@
         let (close, closing) = watch::channel(false);
         let handler = Arc::new(CallerHandler::new(shared.clone()));
         let metrics = shared.metrics.clone();
-        let served = self.listener.serve(handler, CALLER_LIMITS, closing, metrics);
+        let served = self
+            .listener
+            .serve(handler, CALLER_LIMITS, closing, metrics);
         let served = tokio::spawn(served);
         // Without anybody to ask for a stop, the process serves on.
         if stop.wait_for(|stop| *stop).await.is_err() {
@@ -87,7 +89,10 @@
         info!(shared.logger, "stop begins"; "grace" => ?self.config.stop_grace);
         tokio::time::sleep(LOOK_AWAY_TIME).await;
         close.send_replace(true);
-        let rest = self.config.stop_grace.saturating_sub(LOOK_AWAY_TIME + STOP_MARGIN);
+        let rest = self
+            .config
+            .stop_grace
+            .saturating_sub(LOOK_AWAY_TIME + STOP_MARGIN);
         match tokio::time::timeout(rest, served).await {
             Ok(_) => info!(shared.logger, "stop ends, all requests were answered"),
             Err(_) => warn!(shared.logger, "stop ends with requests unanswered"),
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -95,14 +95,20 @@
     }
 
     fn is_sampled(&self) -> bool {
-        let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut allowance = self
+            .allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         allowance.answered += 1;
         allowance.answered % ANSWERED_SAMPLE == 1
     }
 
     /// Number of lines left out before this one; `None` if this one is left out too.
     fn take_line(&self, now: MonoTime) -> Option<u64> {
-        let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut allowance = self
+            .allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let elapsed = now.saturating_sub(allowance.filled_at).as_secs_f64();
         allowance.filled_at = now;
         let filled = allowance.lines + elapsed * FAILURE_LINES_PER_S;
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -81,7 +81,9 @@
     fn put_server(&mut self, now: MonoTime, record: ServerRecord) {
         self.known_since.entry(record.life.clone()).or_insert(now);
         if record.state == ServerState::Draining {
-            self.draining_since.entry(record.life.clone()).or_insert(now);
+            self.draining_since
+                .entry(record.life.clone())
+                .or_insert(now);
         }
         self.servers.insert(record.life.server.clone(), record);
     }
@@ -126,9 +128,8 @@
         service: &'a str,
     ) -> impl Iterator<Item = &'a ServerRecord> + 'a {
         let servers = self.servers.values();
-        servers.filter(move |record| {
-            record.service == service && record.state == ServerState::Ready
-        })
+        servers
+            .filter(move |record| record.service == service && record.state == ServerState::Ready)
     }
 
     /// All servers.
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -7,8 +7,8 @@
 use crate::grant_desk_config::{CALL_TIMEOUT, GrantDeskConfig};
 use crate::tenure::{Departure, PendingCall, Tenure};
 use crate::{
-    CallId, CallOutcome, Fence, GrantCall, GrantEffect, GrantEvent, Key, KeyRange, OwnedRange, RangeBook, RangeMove,
-    ServerLife, Transfer,
+    CallId, CallOutcome, Fence, GrantCall, GrantEffect, GrantEvent, Key, KeyRange, OwnedRange,
+    RangeBook, RangeMove, ServerLife, Transfer,
 };
 
 type Place = (ServiceName, Key);
@@ -89,7 +89,10 @@
     /// When the next [`Tick`](GrantEvent::Tick) is due.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<MonoTime> {
-        let waits = self.tenures.values().filter_map(|tenure| self.wakeup_of(tenure));
+        let waits = self
+            .tenures
+            .values()
+            .filter_map(|tenure| self.wakeup_of(tenure));
         waits.min()
     }
 
@@ -154,7 +157,10 @@
                 return;
             }
             let place = (service.clone(), first);
-            let known = self.tenures.get(&place).map(|tenure| tenure.owned.range.last);
+            let known = self
+                .tenures
+                .get(&place)
+                .map(|tenure| tenure.owned.range.last);
             if let Some(last) = known {
                 at = u32::from(last) + 1;
                 continue;
@@ -164,11 +170,11 @@
                 Some(((of, start), _)) if of == service && *start <= owned.range.last => start - 1,
                 _ => owned.range.last,
             };
-            let part = OwnedRange {
+            let missing = OwnedRange {
                 range: KeyRange::new(first, end),
                 ..owned.clone()
             };
-            let mut tenure = self.new_tenure(now, part);
+            let mut tenure = self.new_tenure(now, missing);
             inherit(&mut tenure, service, past);
             self.tenures.insert(place, tenure);
             at = u32::from(end) + 1;
@@ -178,7 +184,11 @@
     /// A range under a fence that this desk has made no call for.
     fn new_tenure(&self, now: MonoTime, owned: OwnedRange) -> Tenure {
         let is_own = owned.fence > self.inherited_fence;
-        let held_until = if is_own { now } else { self.former_leader_until };
+        let held_until = if is_own {
+            now
+        } else {
+            self.former_leader_until
+        };
         let is_ended = self.ended.contains(&owned.owner);
         Tenure {
             is_own,
@@ -255,11 +265,18 @@
         let is_verified = self.verified.contains(&whole.owned.owner);
         if now < whole.uncertain_until() && is_verified {
             whole.is_refencing = true;
-            self.effects.push(GrantEffect::Propose(whole.refencing_move(&place.0)));
+            self.effects
+                .push(GrantEffect::Propose(whole.refencing_move(&place.0)));
             self.tenures.insert(place.clone(), whole);
             return;
         }
-        for rest in whole.owned.range.without(transfer.range).into_iter().flatten() {
+        for rest in whole
+            .owned
+            .range
+            .without(transfer.range)
+            .into_iter()
+            .flatten()
+        {
             let mut kept = whole.clone();
             kept.owned.range = rest;
             self.tenures.insert((place.0.clone(), rest.first), kept);
@@ -331,11 +348,10 @@
             // The server knows a greater fence than the book: only a still greater one helps.
             CallOutcome::Fenced => {
                 tenure.is_refencing = true;
-                self.effects.push(GrantEffect::Propose(tenure.refencing_move(&place.0)));
+                self.effects
+                    .push(GrantEffect::Propose(tenure.refencing_move(&place.0)));
             }
-            CallOutcome::Rejected
-            | CallOutcome::Unreachable
-            | CallOutcome::ConnectionRefused => {}
+            CallOutcome::Rejected | CallOutcome::Unreachable | CallOutcome::ConnectionRefused => {}
         }
     }
 
--- a/crates/chicory_ranges/src/key_load.rs
+++ b/crates/chicory_ranges/src/key_load.rs
@@ -7,7 +7,7 @@
 use crate::{Key, KeyRange, KeyWeights};
 
 /// Time after which a request counts half; short, since hot keys change within seconds.
-pub const KEY_LOAD_HALF_LIFE: Duration = Duration::from_secs(3);
+pub const KEY_LOAD_HALF_LIFE: Duration = Duration::from_millis(1200);
 
 /// Part of the weight that is spread over all keys alike, so that idle keys count for something.
 const UNIFORM_SHARE: f32 = 0.15;
--- a/crates/chicory_ranges/src/key_weights.rs
+++ b/crates/chicory_ranges/src/key_weights.rs
@@ -58,7 +58,9 @@
         } else {
             above
         };
-        let last = range.first.saturating_add(Key::try_from(at).unwrap_or(Key::MAX));
+        let last = range
+            .first
+            .saturating_add(Key::try_from(at).unwrap_or(Key::MAX));
         KeyRange::new(range.first, last.min(range.last))
     }
 }
--- a/crates/chicory_ranges/src/range_book.rs
+++ b/crates/chicory_ranges/src/range_book.rs
@@ -63,7 +63,10 @@
 
     /// Owned ranges of a service, by ascending keys.
     pub fn ranges(&self, service: &str) -> impl Iterator<Item = &OwnedRange> {
-        self.services.get(service).into_iter().flat_map(BTreeMap::values)
+        self.services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
     }
 
     /// All owned ranges.
--- a/crates/chicory_ranges/src/range_planner.rs
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -1,6 +1,6 @@
 //! Decides which keys should change hands.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use chicory_types::ServiceName;
 
@@ -8,12 +8,12 @@
 
 /// Keys are moved only from servers that are loaded above the mean by this factor: moves cost
 /// callers a short pause, and operators count them.
-const OVERLOAD_FACTOR: f64 = 1.3;
+const OVERLOAD_FACTOR: f64 = 1.25;
 /// Pieces into which the keys of a leaving server are cut at most, so that no other server takes
 /// all of its load.
 const MAX_PIECES_OF_LEAVER: usize = 4;
 /// Transfers in one plan for balance alone; the next plan sees what they changed.
-const MAX_BALANCING_TRANSFERS: usize = 3;
+const MAX_BALANCING_TRANSFERS: usize = 6;
 /// Requests that have to count before load is a reason to move keys.
 const MIN_BALANCING_WEIGHT: f64 = 20.0;
 
@@ -110,12 +110,16 @@
         let mut orphans: Vec<(KeyRange, Option<ServerLife>)> = Vec::new();
         let gaps = gaps(owners);
         orphans.extend(gaps.into_iter().map(|range| (range, None)));
-        let left = owners.iter().filter(|(_, owner)| !loads.contains_key(owner));
+        let left = owners
+            .iter()
+            .filter(|(_, owner)| !loads.contains_key(owner));
         orphans.extend(left.map(|(range, owner)| (*range, Some(owner.clone()))));
         let mut transfers = Vec::new();
         for (range, from) in orphans {
             for piece in self.pieces(range) {
-                let Some(to) = self.least_loaded(loads) else { break };
+                let Some(to) = self.least_loaded(loads) else {
+                    break;
+                };
                 if let Some(load) = loads.get_mut(&to) {
                     *load += self.weights.of(piece);
                 }
@@ -134,7 +138,9 @@
         let mut rest = range;
         while pieces.len() + 1 < MAX_PIECES_OF_LEAVER && self.weights.of(rest) > limit * 1.5 {
             let part = self.weights.lower_part(rest, limit);
-            let Some(above) = rest.without(part)[1] else { break };
+            let Some(above) = rest.without(part)[1] else {
+                break;
+            };
             pieces.push(part);
             rest = above;
         }
@@ -152,10 +158,18 @@
         let mean = total / self.capacity_sum();
         let mut owners = owners.to_vec();
         let mut transfers = Vec::new();
+        let mut stuck: BTreeSet<ServerLife> = BTreeSet::new();
         while transfers.len() < MAX_BALANCING_TRANSFERS {
-            let Some(from) = self.most_loaded(loads) else { break };
-            let Some(to) = self.least_loaded(loads) else { break };
-            let (high, low) = (loads[&from] / self.capacity(&from), loads[&to] / self.capacity(&to));
+            let Some(from) = self.most_loaded(loads, &stuck) else {
+                break;
+            };
+            let Some(to) = self.least_loaded(loads) else {
+                break;
+            };
+            let (high, low) = (
+                loads[&from] / self.capacity(&from),
+                loads[&to] / self.capacity(&to),
+            );
             let is_newcomer = loads[&to] <= 0.0;
             let is_overloaded = total >= MIN_BALANCING_WEIGHT && high > mean * OVERLOAD_FACTOR;
             if from == to || !(is_newcomer || is_overloaded) {
@@ -163,7 +177,11 @@
             }
             let capacities = self.capacity(&from) + self.capacity(&to);
             let excess = (high - low) * self.capacity(&from) * self.capacity(&to) / capacities;
-            let Some(range) = self.part_to_move(&owners, &from, excess) else { break };
+            let Some(range) = self.part_to_move(&owners, &from, excess) else {
+                // A single hot key can't be divided; others may still have something to give.
+                stuck.insert(from);
+                continue;
+            };
             if let Some(load) = loads.get_mut(&from) {
                 *load -= self.weights.of(range);
             }
@@ -210,17 +228,23 @@
         self.weights.of(range) / f64::from(range.key_count())
     }
 
-    fn most_loaded(&self, loads: &BTreeMap<ServerLife, f64>) -> Option<ServerLife> {
+    fn most_loaded(
+        &self,
+        loads: &BTreeMap<ServerLife, f64>,
+        stuck: &BTreeSet<ServerLife>,
+    ) -> Option<ServerLife> {
         let ratio = |life: &ServerLife, load: f64| load / self.capacity(life);
-        let loads = loads.iter();
-        let most = loads.max_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
+        let loads = loads.iter().filter(|(life, _)| !stuck.contains(life));
+        let most =
+            loads.max_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
         most.map(|(life, _)| life.clone())
     }
 
     fn least_loaded(&self, loads: &BTreeMap<ServerLife, f64>) -> Option<ServerLife> {
         let ratio = |life: &ServerLife, load: f64| load / self.capacity(life);
         let loads = loads.iter();
-        let least = loads.min_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
+        let least =
+            loads.min_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
         least.map(|(life, _)| life.clone())
     }
 
--- a/crates/chicory_ranges/tests/grant_desk.rs
+++ b/crates/chicory_ranges/tests/grant_desk.rs
@@ -42,7 +42,10 @@
     world.run(Duration::from_millis(400));
     expect_that!(world.held_keys(), eq(ALL_KEYS));
     expect_that!(world.servers[&life(0)].holding(world.now).count(), eq(0));
-    let handed_over = world.book.ranges(support::SERVICE).filter(|r| r.handover.is_some());
+    let handed_over = world
+        .book
+        .ranges(support::SERVICE)
+        .filter(|r| r.handover.is_some());
     expect_that!(handed_over.count(), gt(0));
 }
 
--- a/crates/chicory_ranges/tests/support/mod.rs
+++ b/crates/chicory_ranges/tests/support/mod.rs
@@ -30,12 +30,15 @@
 impl FakeServer {
     fn fence_above(&self, range: KeyRange, fence: u64) -> bool {
         let seen = self.seen_fences.iter();
-        seen.filter(|(seen, _)| seen.overlaps(range)).any(|(_, known)| *known > fence)
+        seen.filter(|(seen, _)| seen.overlaps(range))
+            .any(|(_, known)| *known > fence)
     }
 
     fn apply(&mut self, arrived_at: Duration, content: &GrantCall) -> CallOutcome {
         match content {
-            GrantCall::Grant { range, fence, hold, .. } => {
+            GrantCall::Grant {
+                range, fence, hold, ..
+            } => {
                 if self.fence_above(*range, *fence) {
                     return CallOutcome::Fenced;
                 }
@@ -129,7 +132,9 @@
                         self.moves += 1;
                         events.push(event);
                     }
-                    GrantEffect::Call { call, to, content, .. } => {
+                    GrantEffect::Call {
+                        call, to, content, ..
+                    } => {
                         events.push(self.call(call, &to, content));
                     }
                 }
@@ -147,7 +152,8 @@
             Some(server) if server.is_cut => CallOutcome::Unreachable,
             Some(server) if !server.is_up => CallOutcome::ConnectionRefused,
             Some(server) if late < server.late_percent => {
-                self.late_calls.push((now + delay, now, to.clone(), content));
+                self.late_calls
+                    .push((now + delay, now, to.clone(), content));
                 CallOutcome::Unanswered
             }
             Some(server) => server.apply(now, &content),
@@ -158,7 +164,10 @@
     /// Lets time go on by one step, and checks that no key has two owners.
     pub fn step(&mut self) {
         self.now += STEP;
-        let due: Vec<_> = self.late_calls.extract_if(.., |(at, ..)| *at <= self.now).collect();
+        let due: Vec<_> = self
+            .late_calls
+            .extract_if(.., |(at, ..)| *at <= self.now)
+            .collect();
         for (_, arrived_at, life, content) in due {
             if let Some(server) = self.servers.get_mut(&life).filter(|server| server.is_up) {
                 server.apply(arrived_at, &content);
@@ -209,7 +218,11 @@
         for owned in self.book.ranges(SERVICE) {
             let mut rest = vec![owned.range];
             for (range, to) in departing.iter().filter(|(r, _)| owned.range.covers(*r)) {
-                rest = rest.iter().flat_map(|part| part.without(*range)).flatten().collect();
+                rest = rest
+                    .iter()
+                    .flat_map(|part| part.without(*range))
+                    .flatten()
+                    .collect();
                 owners.push((*range, to.clone()));
             }
             owners.extend(rest.into_iter().map(|part| (part, owned.owner.clone())));
--- a/crates/chicory_routes/src/route_table.rs
+++ b/crates/chicory_routes/src/route_table.rs
@@ -50,10 +50,7 @@
         let mut services = BTreeSet::new();
         for service in &self.services {
             let service = &service.name;
-            ensure!(
-                services.insert(service),
-                DuplicateServiceSnafu { service }
-            );
+            ensure!(services.insert(service), DuplicateServiceSnafu { service });
         }
         let mut places = BTreeSet::new();
         for route in &self.routes {
@@ -98,7 +95,9 @@
     );
     ensure!(route.target.has_weight(), NoWeightSnafu { route: name });
     ensure!(
-        route.timeout.is_none_or(|timeout| timeout <= MAX_ROUTE_TIMEOUT),
+        route
+            .timeout
+            .is_none_or(|timeout| timeout <= MAX_ROUTE_TIMEOUT),
         TimeoutTooLongSnafu { route: name }
     );
     Ok(())
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -38,7 +38,12 @@
         }
     }
 
-    pub(super) fn on_entry_sent(&mut self, now: MonoTime, link: EntryLinkId, message: EntryMessage) {
+    pub(super) fn on_entry_sent(
+        &mut self,
+        now: MonoTime,
+        link: EntryLinkId,
+        message: EntryMessage,
+    ) {
         let EntryMessage::Report(report) = message;
         if self.desk.is_some() {
             self.on_report(now, report);
@@ -57,6 +62,9 @@
             let load = load.or_insert_with(|| KeyLoad::new(now));
             load.add(count.key, count.request_count);
         }
+        for load in &report.servers {
+            self.speeds.note(load);
+        }
         for poison in report.poison {
             let fingerprint = poison.fingerprint;
             if self.poison.report(now, poison) {
--- a/crates/chicory_site/src/core/keys.rs
+++ b/crates/chicory_site/src/core/keys.rs
@@ -9,7 +9,8 @@
 use chicory_types::{MonoTime, ServiceName};
 
 use super::site_config::{
-    BALANCING_INTERVAL, MAX_SETTLING_TIME, OWNER_SILENCE, SERVER_SILENCE, SETTLING_TIME,
+    BALANCING_INTERVAL, MAX_DEPARTURES, MAX_SETTLING_TIME, OWNER_SILENCE, SERVER_SILENCE,
+    SETTLING_TIME,
 };
 use super::site_core::{Proposal, RunningGrant};
 use super::{GrantOrder, SiteCore, SiteEffect, SiteNote};
@@ -111,6 +112,9 @@
     /// Regular work of a leader.
     pub(super) fn keep_up(&mut self, now: MonoTime) {
         self.remove_silent_servers(now);
+        let state = &self.state;
+        self.speeds
+            .retain(|life| state.server(&life.server).is_some());
         for load in self.loads.values_mut() {
             load.decay(now);
         }
@@ -143,11 +147,11 @@
         let weights = load.map_or_else(KeyWeights::even, chicory_ranges::KeyLoad::weights);
         let owners = self.expected_owners(desk, service);
         let planner = RangePlanner::new(service.clone(), servers, weights);
-        let is_departing = desk.departing(service).next().is_some();
+        let may_balance = may_balance && desk.departing(service).count() < MAX_DEPARTURES;
         let transfers = planner.plan(&owners);
         for transfer in transfers {
             let is_needed = self.is_needed(now, &transfer);
-            if is_needed || (may_balance && !is_departing) {
+            if is_needed || may_balance {
                 self.grant_events.push_back(GrantEvent::Transfer(transfer));
             }
         }
@@ -165,18 +169,26 @@
     /// Whether the first servers of a service have all had time to announce themselves.
     fn has_settled(&self, now: MonoTime, service: &ServiceName) -> bool {
         let Some((first, latest)) = self.first_seen.get(service) else {
-            return self.state.servers().any(|record| record.service == *service);
+            return self
+                .state
+                .servers()
+                .any(|record| record.service == *service);
         };
         now >= *latest + SETTLING_TIME || now >= *first + MAX_SETTLING_TIME
     }
 
     fn eligible_servers(&self, now: MonoTime, service: &ServiceName) -> Vec<PlannedServer> {
         let servers = self.state.servers();
-        servers
+        let (lives, slots): (Vec<ServerLife>, Vec<u32>) = servers
             .filter(|record| record.service == *service && self.may_own(now, record))
-            .map(|record| PlannedServer {
-                life: record.life.clone(),
-                capacity: f64::from(record.slots.max(1)),
+            .map(|record| (record.life.clone(), record.slots.max(1)))
+            .unzip();
+        let speeds = self.speeds.relative(&lives);
+        let servers = lives.into_iter().zip(slots).zip(speeds);
+        servers
+            .map(|((life, slots), speed)| PlannedServer {
+                life,
+                capacity: f64::from(slots) * speed,
             })
             .collect()
     }
@@ -203,7 +215,11 @@
         for owned in self.state.book().ranges(service) {
             let mut rest = vec![owned.range];
             for (range, to) in departing.iter().filter(|(r, _)| owned.range.covers(*r)) {
-                rest = rest.iter().flat_map(|part| part.without(*range)).flatten().collect();
+                rest = rest
+                    .iter()
+                    .flat_map(|part| part.without(*range))
+                    .flatten()
+                    .collect();
                 owners.push((*range, (*to).clone()));
             }
             owners.extend(rest.into_iter().map(|part| (part, owned.owner.clone())));
--- a/crates/chicory_site/src/core/log.rs
+++ b/crates/chicory_site/src/core/log.rs
@@ -1,11 +1,7 @@
 //! The replicated log: replica effects, applying commands, snapshots.
 
-use chicory_consensus::{
-    ProposalRejection, Replica, ReplicaEffect, ReplicaEvent, RestoredState,
-};
-use chicory_directory::{
-    CommandOutcome, PeerEnvelope, SiteAnswer, SiteCommand, SiteState,
-};
+use chicory_consensus::{ProposalRejection, Replica, ReplicaEffect, ReplicaEvent, RestoredState};
+use chicory_directory::{CommandOutcome, PeerEnvelope, SiteAnswer, SiteCommand, SiteState};
 use chicory_ranges::GrantEvent;
 use chicory_types::{Incarnation, LogIndex, MonoTime};
 use chicory_wire::proto::site;
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod keys;
 mod log;
 mod poison_book;
+mod server_speeds;
 mod site_config;
 mod site_core;
 mod site_effect;
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -25,7 +25,10 @@
 /// grants have run out.
 pub(crate) const OWNER_SILENCE: Duration = Duration::from_millis(3500);
 /// Interval at which keys are moved for balance alone.
-pub(crate) const BALANCING_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const BALANCING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Ranges of a service on their way at once, above which none moves for balance alone.
+pub(crate) const MAX_DEPARTURES: usize = 8;
 
 /// Settings of the reducer.
 #[derive(Clone, Debug)]
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -10,6 +10,7 @@
 
 use super::entry_link::EntryLink;
 use super::poison_book::PoisonBook;
+use super::server_speeds::ServerSpeeds;
 use super::site_config::{PASS_ON_INTERVAL, PLANNING_INTERVAL};
 use super::{CallerId, EntryLinkId, SiteConfig, SiteEffect, SiteEvent, SiteNote};
 
@@ -87,6 +88,7 @@
     pub(super) announced_here: BTreeSet<ServerLife>,
     pub(super) first_seen: BTreeMap<ServiceName, (MonoTime, MonoTime)>,
     pub(super) loads: BTreeMap<ServiceName, KeyLoad>,
+    pub(super) speeds: ServerSpeeds,
     pub(super) poison: PoisonBook,
     pub(super) proposals: BTreeMap<u64, Proposal>,
     pub(super) passed_calls: BTreeMap<SiteCallId, PassedCall>,
@@ -118,6 +120,7 @@
             announced_here: BTreeSet::new(),
             first_seen: BTreeMap::new(),
             loads: BTreeMap::new(),
+            speeds: ServerSpeeds::default(),
             poison: PoisonBook::default(),
             proposals: BTreeMap::new(),
             passed_calls: BTreeMap::new(),
--- a/crates/chicory_site/src/lib.rs
+++ b/crates/chicory_site/src/lib.rs
@@ -12,5 +12,6 @@
     CallerId, EntryLinkId, GrantOrder, SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote,
 };
 pub use process::{
-    GrantFuture, GrantPort, SiteHandle, SiteMetric, SiteProcess, SiteProcessConfig, SiteProcessError,
+    GrantFuture, GrantPort, SiteHandle, SiteMetric, SiteProcess, SiteProcessConfig,
+    SiteProcessError,
 };
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -48,7 +48,10 @@
             info!(logger, "announcement of a life that is over"; "server" => %life);
         }
         SiteNote::RangeMoved { change, fence } => {
-            let from = change.from.as_ref().map_or("nobody".into(), ToString::to_string);
+            let from = change
+                .from
+                .as_ref()
+                .map_or("nobody".into(), ToString::to_string);
             info!(logger, "keys moved"; "service" => &change.service,
                 "keys" => %change.range, "from" => from, "to" => %change.to,
                 "fence" => fence, "has_handover" => change.handover.is_some());
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -18,9 +18,7 @@
 use super::site_input::SiteInput;
 use super::site_process_error::ListenSnafu;
 use super::storage_worker::{self, StorageJob};
-use super::{
-    GrantPort, SiteHandle, SiteMetric, SiteProcessConfig, SiteProcessError, note_log,
-};
+use super::{GrantPort, SiteHandle, SiteMetric, SiteProcessConfig, SiteProcessError, note_log};
 use crate::{CallerId, EntryLinkId, SiteConfig, SiteCore, SiteEffect, SiteEvent};
 
 /// Least time between two rounds of timers, so that deadlines close together share a wake-up.
@@ -152,7 +150,8 @@
             self.carry_out(effect);
         }
         let is_leading = self.core.is_leading(now);
-        self.metrics.set(SiteMetric::IsLeading, u64::from(is_leading));
+        self.metrics
+            .set(SiteMetric::IsLeading, u64::from(is_leading));
         let version = self.core.state().version();
         self.metrics.set(SiteMetric::DirectoryVersion, version);
         let entry_count = self.core.entry_count() as u64;
--- a/crates/chicory_site/src/process/storage_worker.rs
+++ b/crates/chicory_site/src/process/storage_worker.rs
@@ -124,18 +124,20 @@
 
     fn open(&mut self) -> Result<SiteEvent, StorageError> {
         let dir = self.config.data_dir.clone();
-        let is_founder = mark_founder(&dir, self.config.is_first_start)
-            .map_err(|source| StorageError::Folder {
+        let is_founder = mark_founder(&dir, self.config.is_first_start).map_err(|source| {
+            StorageError::Folder {
                 path: dir.clone(),
                 source,
-            })?;
+            }
+        })?;
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let identity = FolderIdentity {
             cluster: self.config.cluster.clone(),
             vm: self.config.link_address.to_string(),
             zone: self.config.zone.clone(),
-            incarnation: since_epoch
-                .map_or(1, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX)),
+            incarnation: since_epoch.map_or(1, |since| {
+                u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+            }),
         };
         let folder = DataFolder::open(&dir, &identity)?;
         let (storage, restored) = GroupStorage::open(folder.disk(), folder.identity(), GROUP)?;
--- a/crates/chicory_wire/src/directory_convert.rs
+++ b/crates/chicory_wire/src/directory_convert.rs
@@ -17,16 +17,22 @@
 
 convert_enum!(ServerState, site::ServerState, [Ready, Draining]);
 convert_enum!(RemovalCause, site::RemovalCause, [Left, Replaced, Silent]);
-convert_record!(ServerLife, site::ServerLife {
-    plain: [server, started_at_ms],
-    nested: [],
-    list: [],
-});
-convert_record!(ServiceRanges, site::ServiceRanges {
-    plain: [service],
-    nested: [],
-    list: [ranges],
-});
+convert_record!(
+    ServerLife,
+    site::ServerLife {
+        plain: [server, started_at_ms],
+        nested: [],
+        list: [],
+    }
+);
+convert_record!(
+    ServiceRanges,
+    site::ServiceRanges {
+        plain: [service],
+        nested: [],
+        list: [ranges],
+    }
+);
 
 impl From<ServerRecord> for site::ServerRecord {
     fn from(record: ServerRecord) -> Self {
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -8,30 +8,46 @@
 };
 
 use crate::convert_error::{each, each_into, narrowed, required};
+use crate::proto::common;
 use crate::proto::consensus::GroupName;
 use crate::proto::site::{
     self, control_message, entry_message, link_hello, peer_envelope, site_answer, site_call,
 };
-use crate::proto::common;
 use crate::record_macro::convert_record;
 use crate::routes_convert::micros;
 use crate::{ConvertError, peer_message};
 
-convert_record!(LinkStatus, site::LinkStatus {
-    plain: [leader, is_in_contact, version, control_vms, entry_count, poison],
-    nested: [],
-    list: [],
-});
-convert_record!(PoisonReport, site::PoisonReport {
-    plain: [fingerprint],
-    nested: [life],
-    list: [],
-});
-convert_record!(EntryReport, site::EntryReport {
-    plain: [],
-    nested: [],
-    list: [keys, servers, poison],
-});
+convert_record!(
+    LinkStatus,
+    site::LinkStatus {
+        plain: [
+            leader,
+            is_in_contact,
+            version,
+            control_vms,
+            entry_count,
+            poison
+        ],
+        nested: [],
+        list: [],
+    }
+);
+convert_record!(
+    PoisonReport,
+    site::PoisonReport {
+        plain: [fingerprint],
+        nested: [life],
+        list: [],
+    }
+);
+convert_record!(
+    EntryReport,
+    site::EntryReport {
+        plain: [],
+        nested: [],
+        list: [keys, servers, poison],
+    }
+);
 
 impl From<KeyCount> for site::KeyCount {
     fn from(count: KeyCount) -> Self {
@@ -130,10 +146,12 @@
 
     fn try_from(message: site::ControlMessage) -> Result<Self, ConvertError> {
         use control_message::Message;
-        Ok(match required(message.message, "control_message.message")? {
-            Message::Update(update) => Self::Update(update.try_into()?),
-            Message::Status(status) => Self::Status(status.try_into()?),
-        })
+        Ok(
+            match required(message.message, "control_message.message")? {
+                Message::Update(update) => Self::Update(update.try_into()?),
+                Message::Status(status) => Self::Status(status.try_into()?),
+            },
+        )
     }
 }
 
--- a/crates/chicory_wire/src/routes_convert.rs
+++ b/crates/chicory_wire/src/routes_convert.rs
@@ -6,17 +6,24 @@
     CallerLimits, RequestKind, Route, RouteTable, RouteTarget, RoutedService, WeightedService,
 };
 
+use crate::ConvertError;
 use crate::convert_error::{each, each_into, enumerated, required};
 use crate::proto::site::{self, route::Target};
 use crate::record_macro::{convert_enum, convert_record};
-use crate::ConvertError;
 
-convert_enum!(RequestKind, site::RequestKind, [Idempotent, Order, Download]);
-convert_record!(WeightedService, site::WeightedService {
-    plain: [service, weight],
-    nested: [],
-    list: [],
-});
+convert_enum!(
+    RequestKind,
+    site::RequestKind,
+    [Idempotent, Order, Download]
+);
+convert_record!(
+    WeightedService,
+    site::WeightedService {
+        plain: [service, weight],
+        nested: [],
+        list: [],
+    }
+);
 /// Whole microseconds; spans beyond the range, which no setting reaches, are cut.
 pub(crate) fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
