Keep requests back whose keys are on their way, and prefer near downloads

The leader now tells which ranges move. Answers of the entry VM's own left 15 ms before the caller's end, less than the way there and back; 40 ms now. Downloads crossed zones, the largest price. Balancing leaves one standard deviation of a load to chance.

--- a/crates/chicory_directory/src/link_status.rs
+++ b/crates/chicory_directory/src/link_status.rs
@@ -2,7 +2,7 @@
 
 use chicory_types::VmId;
 
-use crate::{DirectoryVersion, RequestFingerprint};
+use crate::{DirectoryVersion, MovingRange, RequestFingerprint};
 
 /// State of a control VM as entry VMs need it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -19,4 +19,6 @@
     pub entry_count: u32,
     /// Requests that crash the backend servers that run them.
     pub poison: Vec<RequestFingerprint>,
+    /// Keys on their way to another owner.
+    pub moving: Vec<MovingRange>,
 }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, PoisonReport, RequestFingerprint,
-    ServerLoad, ServerRecord,
+    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovingRange, PoisonReport,
+    RequestFingerprint, ServerLoad, ServerRecord,
 };
-use chicory_ranges::{Key, ServerLife};
+use chicory_ranges::{Key, OwnedRange, ServerLife};
+use chicory_routes::RequestKind;
 use chicory_types::{MonoTime, ServiceName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -23,7 +24,7 @@
 /// Time that a caller waits if it does not say how long.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
 /// Part of the end that is kept for the answer's way back.
-const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 /// Part of the time left that one attempt may take while another one could follow.
 const ATTEMPT_PART: f64 = 0.65;
 /// Longest wait for a key that changes hands: a release waits for running work.
@@ -46,6 +47,9 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time without contact to a majority of control VMs after which unknown routes are not denied.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
+/// Cost of a download from another availability zone, relative to one from the own: large answers
+/// are what fills the links between zones.
+const FAR_DOWNLOAD_COST: f64 = 1.8;
 /// Poison reports that wait to be sent at most.
 const MAX_POISON_REPORTS: usize = 64;
 
@@ -78,6 +82,7 @@
     budgets: BTreeMap<ServiceName, RetryBudget>,
     entry_count: u32,
     poison: BTreeSet<RequestFingerprint>,
+    moving: Vec<MovingRange>,
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     poison_reports: Vec<PoisonReport>,
@@ -96,6 +101,7 @@
             budgets: BTreeMap::new(),
             entry_count: 1,
             poison: BTreeSet::new(),
+            moving: Vec::new(),
             in_contact_at: None,
             key_counts: BTreeMap::new(),
             poison_reports: Vec::new(),
@@ -129,13 +135,16 @@
         has_changed
     }
 
-    /// Takes in the state of a control VM.
-    pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) {
+    /// Takes in the state of a control VM; whether waiting requests should ask again.
+    pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) -> bool {
         if status.is_in_contact {
             self.in_contact_at = Some(now);
             self.entry_count = status.entry_count.max(1);
         }
         self.poison = status.poison.iter().copied().collect();
+        let has_changed = self.moving != status.moving;
+        self.moving.clone_from(&status.moving);
+        has_changed
     }
 
     /// Takes in a request.
@@ -209,7 +218,8 @@
         let key = ticket.key.unwrap_or_default();
         let entry = self.directory.owner(&ticket.service, key);
         let record = entry.and_then(|owned| self.directory.server(&owned.owner));
-        let usable = record.filter(|record| self.may_take_keyed(now, record));
+        let is_moving = entry.is_some_and(|owned| self.is_moving(&ticket.service, key, owned));
+        let usable = record.filter(|record| !is_moving && self.may_take_keyed(now, record));
         let Some(record) = usable.cloned() else {
             return self.wait_for_owner(now, ticket);
         };
@@ -224,6 +234,14 @@
         self.send(now, ticket, &record)
     }
 
+    /// Whether the owner is giving the key up.
+    fn is_moving(&self, service: &str, key: Key, owned: &OwnedRange) -> bool {
+        let mut moving = self.moving.iter();
+        moving.any(|moving| {
+            moving.service == service && moving.range.contains(key) && moving.fence == owned.fence
+        })
+    }
+
     fn may_take_keyed(&self, now: MonoTime, record: &ServerRecord) -> bool {
         let draining_since = self.directory.draining_since(&record.life);
         draining_since.is_none_or(|since| now < since + DRAINING_GRACE)
@@ -268,6 +286,12 @@
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
             );
+            let is_large = ticket.route.route.kind == RequestKind::Download;
+            let cost = if is_large && record.zone != self.config.zone {
+                cost * FAR_DOWNLOAD_COST
+            } else {
+                cost
+            };
             // A little chance keeps entry VMs that know the same from choosing the same.
             let cost = cost * self.rng.random_range(0.9..1.1);
             let is_better = best
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use chicory_types::ZoneName;
+
 /// Part of a service's requests that may be sent a second time; stated by the operators.
 const RETRY_RATIO: f64 = 0.2;
 /// Second sends allowed on top, over all entry VMs, in one window.
@@ -18,6 +20,8 @@
     pub retry_slack: f64,
     /// Length of the window in which second sends are counted.
     pub retry_window: Duration,
+    /// Availability zone of the entry VM.
+    pub zone: ZoneName,
     /// Seed of random choices.
     pub random_seed: u64,
 }
@@ -28,6 +32,7 @@
             retry_ratio: RETRY_RATIO,
             retry_slack: RETRY_SLACK,
             retry_window: RETRY_WINDOW,
+            zone: ZoneName::new(),
             random_seed: 0,
         }
     }
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -204,7 +204,9 @@
                 None
             }
             Some(ControlMessage::Status(status)) => {
-                self.shared.gateway().note_status(now, &status);
+                if self.shared.gateway().note_status(now, &status) {
+                    self.shared.changes.send_modify(|changes| *changes += 1);
+                }
                 Some(status)
             }
             None => {
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -107,6 +107,12 @@
             })
     }
 
+    /// Ranges of all services that their owners are giving up, each with the fence that ends.
+    pub fn moving(&self) -> impl Iterator<Item = (&ServiceName, KeyRange, Fence)> {
+        let departing = self.tenures.iter().filter(|(_, t)| t.departure.is_some());
+        departing.map(|((service, _), t)| (service, t.owned.range, t.owned.fence))
+    }
+
     /// Whether a grant of some keys may still hold at a server.
     #[must_use]
     pub fn may_hold(&self, now: MonoTime, life: &ServerLife) -> bool {
--- a/crates/chicory_ranges/src/range_planner.rs
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -171,7 +171,10 @@
                 loads[&to] / self.capacity(&to),
             );
             let is_newcomer = loads[&to] <= 0.0;
-            let is_overloaded = total >= MIN_BALANCING_WEIGHT && high > mean * OVERLOAD_FACTOR;
+            // Few requests differ by chance alone; a standard deviation is left to it.
+            let fair = mean * self.capacity(&from);
+            let has_excess = loads[&from] > fair * OVERLOAD_FACTOR + loads[&from].sqrt();
+            let is_overloaded = total >= MIN_BALANCING_WEIGHT && has_excess;
             if from == to || !(is_newcomer || is_overloaded) {
                 break;
             }
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -2,9 +2,9 @@
 
 use chicory_directory::{
     ControlMessage, DirectoryUpdate, DirectoryVersion, EntryMessage, EntryReport, LinkStatus,
-    PeerEnvelope,
+    MovingRange, PeerEnvelope,
 };
-use chicory_ranges::KeyLoad;
+use chicory_ranges::{GrantDesk, KeyLoad};
 use chicory_types::{MonoTime, VmId, ZoneName};
 
 use super::entry_link::EntryLink;
@@ -73,6 +73,23 @@
         }
     }
 
+    /// Entry VMs keep requests back whose keys are on their way.
+    pub(super) fn tell_moving(&mut self) {
+        let desk = self.desk.iter();
+        let moving = desk.flat_map(GrantDesk::moving);
+        let moving: Vec<MovingRange> = moving
+            .map(|(service, range, fence)| MovingRange {
+                service: service.clone(),
+                range,
+                fence,
+            })
+            .collect();
+        if moving != self.moving {
+            self.moving = moving;
+            self.send_statuses();
+        }
+    }
+
     /// Entry VMs learn at once that the leader changed, and turn to the new one.
     pub(super) fn send_statuses(&mut self) {
         for link in self.entries.keys().copied().collect::<Vec<_>>() {
@@ -101,6 +118,7 @@
             control_vms: members.unwrap_or_default(),
             entry_count: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
             poison: self.poison.poison(),
+            moving: self.moving.clone(),
         }
     }
 
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use chicory_consensus::Replica;
-use chicory_directory::{PeerEnvelope, SiteCallId, SiteState};
+use chicory_directory::{MovingRange, PeerEnvelope, SiteCallId, SiteState};
 use chicory_ranges::{CallId, GrantCall, GrantDesk, GrantEvent, KeyLoad, ServerLife};
 use chicory_types::{MonoTime, ServiceName, VmId};
 
@@ -95,6 +95,8 @@
     pub(super) last_id: u64,
     pub(super) entries: BTreeMap<EntryLinkId, EntryLink>,
     pub(super) entries_version: u64,
+    /// Keys on their way, as entry VMs were told.
+    pub(super) moving: Vec<MovingRange>,
     pub(super) plan_at: MonoTime,
     pub(super) balance_at: MonoTime,
     pub(super) pass_on_at: MonoTime,
@@ -127,6 +129,7 @@
             last_id: 0,
             entries: BTreeMap::new(),
             entries_version: 0,
+            moving: Vec::new(),
             plan_at: now,
             balance_at: now,
             pass_on_at: now,
@@ -142,6 +145,7 @@
         self.check_deadlines(now);
         self.run_grant_events(now);
         self.update_entries();
+        self.tell_moving();
         self.note_leader();
         std::mem::take(&mut self.effects)
     }
--- a/crates/chicory_wire/src/directory_convert.rs
+++ b/crates/chicory_wire/src/directory_convert.rs
@@ -116,7 +116,7 @@
     }
 }
 
-fn key_range(first: u32, last: u32) -> Result<KeyRange, ConvertError> {
+pub(crate) fn key_range(first: u32, last: u32) -> Result<KeyRange, ConvertError> {
     let range = KeyRange {
         first: narrowed(first, "range.first")?,
         last: narrowed(last, "range.last")?,
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    ControlMessage, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus, PeerEnvelope,
-    PoisonReport, ServerLoad, SiteAnswer, SiteCall,
+    ControlMessage, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus, MovingRange,
+    PeerEnvelope, PoisonReport, ServerLoad, SiteAnswer, SiteCall,
 };
 
 use crate::convert_error::{each, each_into, narrowed, required};
+use crate::directory_convert::key_range;
 use crate::proto::common;
 use crate::proto::consensus::GroupName;
 use crate::proto::site::{
@@ -29,7 +30,7 @@
             poison
         ],
         nested: [],
-        list: [],
+        list: [moving],
     }
 );
 convert_record!(
@@ -49,6 +50,29 @@
     }
 );
 
+impl From<MovingRange> for site::MovingRange {
+    fn from(moving: MovingRange) -> Self {
+        Self {
+            service: moving.service,
+            first: moving.range.first.into(),
+            last: moving.range.last.into(),
+            fence: moving.fence,
+        }
+    }
+}
+
+impl TryFrom<site::MovingRange> for MovingRange {
+    type Error = ConvertError;
+
+    fn try_from(message: site::MovingRange) -> Result<Self, ConvertError> {
+        Ok(Self {
+            service: message.service,
+            range: key_range(message.first, message.last)?,
+            fence: message.fence,
+        })
+    }
+}
+
 impl From<KeyCount> for site::KeyCount {
     fn from(count: KeyCount) -> Self {
         Self {
