--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -33,9 +33,6 @@
 const OWNER_WAIT_PART: f64 = 0.6;
 /// Pause before a server that did not own a key yet is asked again.
 const GRANT_LAG: Duration = Duration::from_millis(40);
-/// Pause before a full owner is asked again: about the time of one request in its queue, or of a
-/// move of keys.
-const FULL_OWNER_PAUSE: Duration = Duration::from_millis(150);
 /// Time for which a draining server still gets requests for keys that it owns.
 const DRAINING_GRACE: Duration = Duration::from_millis(1200);
 /// Longest time for a connection to come about where another server could serve.
@@ -413,8 +410,13 @@
             return ticket.attempts_left() > 0;
         }
         // The owner of a key is the only server that can help, after a while.
-        ticket.not_before = now + pause_before_owner(outcome);
-        ticket.attempts.len() < tries_at_owner(outcome) && ticket.not_before < ticket.ends_at
+        ticket.not_before = now + GRANT_LAG;
+        let tries = ticket.attempts.len();
+        matches!(
+            outcome,
+            AttemptOutcome::WrongServer | AttemptOutcome::Unreachable
+        ) && tries < 4
+            || matches!(outcome, AttemptOutcome::Garbled | AttemptOutcome::Broken) && tries < 2
     }
 
     /// A server that breaks off while it runs a request may have been crashed by it.
@@ -489,24 +491,6 @@
     }
 }
 
-/// Pause before the owner of a key is asked again.
-fn pause_before_owner(outcome: AttemptOutcome) -> Duration {
-    match outcome {
-        AttemptOutcome::Shed => FULL_OWNER_PAUSE,
-        _ => GRANT_LAG,
-    }
-}
-
-/// Tries at the owner of a key, after the last one ended in this way.
-fn tries_at_owner(outcome: AttemptOutcome) -> usize {
-    match outcome {
-        AttemptOutcome::WrongServer | AttemptOutcome::Unreachable => 4,
-        AttemptOutcome::Shed => 3,
-        AttemptOutcome::Garbled | AttemptOutcome::Broken => 2,
-        _ => 0,
-    }
-}
-
 fn refuse(reason: RefusalReason) -> Arrival {
     Arrival::Refused(Refusal::not_run(reason).with_retry_after(RETRY_AFTER))
 }
