--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,8 +10,8 @@
 mod view;
 
 pub use decide::{
-    Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Refusal, RefusalReason,
-    RequestTicket, RetryBudget, Target,
+    Admission, Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Refusal,
+    RefusalReason, RequestTicket, RetryBudget, ServerPressure, Target,
 };
 pub use process::{
     AnswerClass, CallerBorder, GatewayMetric, GatewayProcess, GatewayProcessConfig,
