--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -16,8 +16,8 @@
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::{
-    Admission, AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Refusal, RefusalReason,
-    RequestTicket, RetryBudget, ServerPressure, Target,
+    AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Refusal, RefusalReason, RequestTicket,
+    RetryBudget, Target,
 };
 use crate::Directory;
 
@@ -192,14 +192,12 @@
             attempts: Vec::new(),
             may_have_run: false,
             waiting_since: None,
-            queued_for: None,
             not_before: now,
         })
     }
 
     /// What is to be done for a request now.
     pub fn next_step(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
-        self.leave_queue(ticket);
         if now >= ticket.ends_at {
             return NextStep::Refuse(self.late_refusal(ticket));
         }
@@ -233,65 +231,7 @@
             let reason = RefusalReason::Unreachable;
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
         }
-        self.admit(now, ticket, &record)
-    }
-
-    /// Sends a request, or lets it wait, if the server can still answer in time.
-    fn admit(
-        &mut self,
-        now: MonoTime,
-        ticket: &mut RequestTicket,
-        record: &ServerRecord,
-    ) -> NextStep {
-        let route = &ticket.route.route;
-        let target = route.latency_target.or(route.timeout);
-        let Some(target) = target else {
-            return self.send(now, ticket, record);
-        };
-        let waited = now.saturating_sub(ticket.arrived_at);
-        match self.pressure(record).admit(waited, target) {
-            Admission::Send => self.send(now, ticket, record),
-            Admission::Wait(wait) => {
-                ticket.queued_for = Some(record.life.clone());
-                let health = self.health.entry(record.life.clone()).or_default();
-                health.waiting += 1;
-                NextStep::Wait((now + wait).min(ticket.ends_at))
-            }
-            Admission::Refuse { retry_after } => {
-                let reason = RefusalReason::Overloaded;
-                NextStep::Refuse(self.refusal(ticket, reason, retry_after))
-            }
-        }
-    }
-
-    fn pressure(&self, record: &ServerRecord) -> ServerPressure {
-        let health = self.health.get(&record.life);
-        let latency = health.and_then(ServerHealth::latency);
-        let base = health.and_then(ServerHealth::base);
-        ServerPressure {
-            in_flight: health.map_or(0, |health| health.in_flight),
-            waiting: health.map_or(0, |health| health.waiting),
-            slots: record.slots,
-            base: base.unwrap_or(TYPICAL_LATENCY),
-            latency: latency.unwrap_or(TYPICAL_LATENCY),
-            entry_count: self.entry_count,
-        }
-    }
-
-    /// Takes a request out of the queue that it waits in, if any.
-    pub fn leave_queue(&mut self, ticket: &mut RequestTicket) {
-        let Some(life) = ticket.queued_for.take() else {
-            return;
-        };
-        if let Some(health) = self.health.get_mut(&life) {
-            health.waiting = health.waiting.saturating_sub(1);
-        }
-    }
-
-    /// Whether requests wait here for some server.
-    #[must_use]
-    pub fn has_waiting(&self) -> bool {
-        self.health.values().any(|health| health.waiting > 0)
+        self.send(now, ticket, &record)
     }
 
     /// Whether the owner is giving the key up.
@@ -328,16 +268,14 @@
             };
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
         };
-        self.admit(now, ticket, &record)
+        self.send(now, ticket, &record)
     }
 
-    /// The server with the least expected cost; full or paused ones only if there is no other.
+    /// The server with the least expected cost; paused ones only if there is no other.
     fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Option<ServerRecord> {
         let tried: BTreeSet<&ServerLife> = ticket.attempts.iter().map(|a| &a.life).collect();
         let typical = self.typical_latency(&ticket.service);
-        let route = &ticket.route.route;
-        let target = route.latency_target.or(route.timeout);
-        let mut best: Option<(bool, bool, f64, ServerRecord)> = None;
+        let mut best: Option<(bool, f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
             if tried.contains(&record.life) {
                 continue;
@@ -356,18 +294,14 @@
             };
             // A little chance keeps entry VMs that know the same from choosing the same.
             let cost = cost * self.rng.random_range(0.9..1.1);
-            let pressure = self.pressure(record);
-            let is_full = target.is_some_and(|target| {
-                pressure.is_congested(target) && pressure.in_flight >= pressure.limit(target)
-            });
-            let is_better = best.as_ref().is_none_or(|(paused, full, least, _)| {
-                (is_paused, is_full, cost) < (*paused, *full, *least)
-            });
+            let is_better = best
+                .as_ref()
+                .is_none_or(|(paused, least, _)| (is_paused, cost) < (*paused, *least));
             if is_better {
-                best = Some((is_paused, is_full, cost, record.clone()));
+                best = Some((is_paused, cost, record.clone()));
             }
         }
-        best.map(|(_, _, _, record)| record)
+        best.map(|(_, _, record)| record)
     }
 
     fn typical_latency(&self, service: &str) -> Duration {
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,6 +1,5 @@
 //! Decisions about requests, without I/O.
 
-mod admission;
 mod caller_facts;
 mod gateway;
 mod gateway_config;
@@ -10,7 +9,6 @@
 mod retry_budget;
 mod server_health;
 
-pub use admission::{Admission, ServerPressure};
 pub use caller_facts::CallerFacts;
 pub use gateway::{Arrival, Gateway};
 pub use gateway_config::GatewayConfig;
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -36,8 +36,6 @@
     pub(crate) may_have_run: bool,
     /// When it first had to wait for an owner.
     pub(crate) waiting_since: Option<MonoTime>,
-    /// The server whose queue here it waits in.
-    pub(crate) queued_for: Option<ServerLife>,
     /// Not before this moment, unless the directory changes.
     pub(crate) not_before: MonoTime,
 }
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -8,10 +8,6 @@
 
 /// Weight of the latest sample in averages.
 const SAMPLE_WEIGHT: f64 = 0.15;
-/// Weight of a sample below the base: waiting only ever adds, so low samples tell more.
-const LOW_SAMPLE_WEIGHT: f64 = 0.2;
-/// Weight of a sample above the base.
-const HIGH_SAMPLE_WEIGHT: f64 = 0.04;
 /// Pause after the first failure that shows a server to be away; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause: a server that comes back is found within this time.
@@ -25,10 +21,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ServerHealth {
     pub(crate) in_flight: u32,
-    /// Requests that wait here for the server.
-    pub(crate) waiting: u32,
-    /// Time to an answer that need not wait, as the lower envelope of all times.
-    base_s: Option<f64>,
     /// Average time to an answer.
     latency_s: Option<f64>,
     /// Part of recent requests that failed.
@@ -44,8 +36,6 @@
     fn default() -> Self {
         Self {
             in_flight: 0,
-            waiting: 0,
-            base_s: None,
             latency_s: None,
             failure_rate: 0.0,
             breaks_in_a_row: 0,
@@ -67,11 +57,6 @@
         self.latency_s.map(Duration::from_secs_f64)
     }
 
-    /// Time to an answer that need not wait, if there was one.
-    pub(crate) fn base(&self) -> Option<Duration> {
-        self.base_s.map(Duration::from_secs_f64)
-    }
-
     /// Expected cost of one more request: less is better.
     pub(crate) fn cost(&self, slots: u32, typical_latency: Duration) -> f64 {
         let latency = self.latency_s.unwrap_or(typical_latency.as_secs_f64());
@@ -108,13 +93,6 @@
         self.answered += 1;
         self.service_time += took;
         let sample = took.as_secs_f64();
-        let base = self.base_s.unwrap_or(sample);
-        let weight = if sample < base {
-            LOW_SAMPLE_WEIGHT
-        } else {
-            HIGH_SAMPLE_WEIGHT
-        };
-        self.base_s = Some(base + weight * (sample - base));
         let average = self.latency_s.unwrap_or(sample);
         self.latency_s = Some(average + SAMPLE_WEIGHT * (sample - average));
     }
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,8 +10,8 @@
 mod view;
 
 pub use decide::{
-    Admission, Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Refusal,
-    RefusalReason, RequestTicket, RetryBudget, ServerPressure, Target,
+    Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Refusal, RefusalReason,
+    RequestTicket, RetryBudget, Target,
 };
 pub use process::{
     AnswerClass, CallerBorder, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/request_guard.rs
+++ b/crates/chicory_gateway/src/process/request_guard.rs
@@ -36,19 +36,12 @@
         }
         let now = self.shared.now();
         let mut gateway = self.shared.gateway();
-        let may_retry = gateway.attempt_ended(now, &mut self.ticket, outcome);
-        let has_waiting = gateway.has_waiting();
-        drop(gateway);
-        if has_waiting {
-            self.shared.changes.send_modify(|changes| *changes += 1);
-        }
-        may_retry
+        gateway.attempt_ended(now, &mut self.ticket, outcome)
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.shared.gateway().leave_queue(&mut self.ticket);
         if self.is_attempt_open {
             self.shared.metrics.increment(GatewayMetric::Cancelled);
             self.end_attempt(AttemptOutcome::Cancelled);
