--- a/crates/chicory_consensus/tests/cluster/main.rs
+++ b/crates/chicory_consensus/tests/cluster/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod image;
 mod node;
+mod open_membership;
 mod repairs;
 mod schedules;
 mod snapshots;
--- /dev/null
+++ b/crates/chicory_site/tests/site_core.rs
@@ -0,0 +1,327 @@
+//! What operators, backend servers and entry VMs see of a site, under failures, in virtual time.
+
+mod support;
+
+use std::time::Duration;
+
+use chicory_directory::{
+    ControlMessage, EntryMessage, EntryReport, KeyCount, PoisonReport, ServerState, SiteAnswer,
+    SiteCall,
+};
+use chicory_ranges::{GrantCall, ServerLife};
+use chicory_site::SiteEvent;
+use googletest::prelude::*;
+use support::{World, server, table, vm_name};
+
+fn announce(name: &str, port: u16, state: ServerState) -> SiteCall {
+    SiteCall::Announce(server(name, 1, port, state))
+}
+
+#[gtest]
+fn table_is_acknowledged_and_read_back_at_any_member() {
+    let mut world = World::with_leader(3);
+    let follower = world.follower();
+    let put = world.ask(&follower, SiteCall::PutRoutes(table(7)));
+    expect_that!(put, some(eq(&SiteAnswer::Done)));
+    for index in 1..=3 {
+        let read = world.ask(&vm_name(index), SiteCall::ReadRoutes);
+        expect_that!(read, some(eq(&SiteAnswer::Routes(table(7)))));
+    }
+}
+
+#[gtest]
+fn highest_version_wins_and_other_content_under_it_changes_nothing() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(7)));
+    let mut other = table(7);
+    other.routes.clear();
+    for sent in [table(3), other] {
+        let answer = world.ask(&leader, SiteCall::PutRoutes(sent));
+        expect_that!(answer, some(eq(&SiteAnswer::Done)));
+    }
+    let read = world.ask(&leader, SiteCall::ReadRoutes);
+    expect_that!(read, some(eq(&SiteAnswer::Routes(table(7)))));
+}
+
+#[gtest]
+fn cut_off_leader_acknowledges_nothing_and_reads_nothing() {
+    let mut world = World::with_leader(3);
+    let old = world.await_leader();
+    world.ask(&old, SiteCall::PutRoutes(table(7)));
+    let ready = announce("server-1", 8001, ServerState::Ready);
+    world.ask(&old, ready);
+    world.set_cut(&old, true);
+    world.run(Duration::from_secs(2));
+    let new = world.await_leader();
+    expect_that!(new, not(eq(&old)));
+    expect_that!(
+        world.ask(&new, SiteCall::PutRoutes(table(8))),
+        some(eq(&SiteAnswer::Done))
+    );
+    let calls = [
+        SiteCall::ReadRoutes,
+        SiteCall::PutRoutes(table(9)),
+        announce("server-1", 8001, ServerState::Draining),
+        SiteCall::Leave {
+            server: "server-1".into(),
+            started_at_ms: None,
+        },
+    ];
+    for call in calls {
+        expect_that!(world.ask(&old, call), some(eq(&SiteAnswer::Unavailable)));
+    }
+    world.set_cut(&old, false);
+    world.run(Duration::from_secs(2));
+    let read = world.ask(&old, SiteCall::ReadRoutes);
+    expect_that!(read, some(eq(&SiteAnswer::Routes(table(8)))));
+}
+
+#[gtest]
+fn everything_acknowledged_survives_a_restart_of_all() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(7)));
+    for index in 1..=3 {
+        world.kill(&vm_name(index));
+    }
+    for index in 1..=3 {
+        world.start(&vm_name(index));
+    }
+    let leader = world.await_leader();
+    let read = world.ask(&leader, SiteCall::ReadRoutes);
+    expect_that!(read, some(eq(&SiteAnswer::Routes(table(7)))));
+}
+
+#[gtest]
+fn founder_that_dies_before_the_group_exists_goes_on_founding() {
+    let mut world = World::new(3);
+    world.run(Duration::from_millis(30));
+    world.kill(&vm_name(2));
+    world.run(Duration::from_millis(500));
+    world.start(&vm_name(2));
+    world.await_leader();
+}
+
+#[gtest]
+fn lost_voter_is_replaced_by_an_empty_one_at_another_address() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(7)));
+    let lost = world.follower();
+    world.kill(&lost);
+    world.add("10.9.0.1:7540", false);
+    world.run(Duration::from_secs(9));
+    // The group of the two survivors and the newcomer bears the loss of another one.
+    let leader = world.await_leader();
+    world.kill(&leader);
+    let next = world.await_leader();
+    let read = world.ask(&next, SiteCall::ReadRoutes);
+    expect_that!(read, some(eq(&SiteAnswer::Routes(table(7)))));
+    expect_that!(
+        world.ask(&next, SiteCall::PutRoutes(table(8))),
+        some(eq(&SiteAnswer::Done))
+    );
+}
+
+#[gtest]
+fn member_that_lost_its_disk_comes_back_without_forming_a_group() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(7)));
+    let wiped = world.follower();
+    world.kill(&wiped);
+    world.add(&wiped, false);
+    world.run(Duration::from_secs(3));
+    let read = world.ask(&wiped, SiteCall::ReadRoutes);
+    expect_that!(read, some(eq(&SiteAnswer::Routes(table(7)))));
+    let leader = world.await_leader();
+    if leader != wiped {
+        world.kill(&leader);
+    }
+    world.await_leader();
+}
+
+#[gtest]
+fn member_with_a_full_disk_gives_way_and_comes_back() {
+    let mut world = World::with_leader(3);
+    let full = world.await_leader();
+    world.set_disk_full(&full, true);
+    world.ask(&full, SiteCall::PutRoutes(table(7)));
+    world.run(Duration::from_secs(2));
+    let next = world.await_leader();
+    expect_that!(next, not(eq(&full)));
+    expect_that!(
+        world.ask(&next, SiteCall::PutRoutes(table(8))),
+        some(eq(&SiteAnswer::Done))
+    );
+    expect_that!(
+        world.ask(&full, SiteCall::ReadRoutes),
+        some(eq(&SiteAnswer::Unavailable))
+    );
+}
+
+#[gtest]
+fn announcements_of_ended_lives_change_nothing() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    let later = server("server-1", 5, 8001, ServerState::Ready);
+    world.ask(&leader, SiteCall::Announce(later.clone()));
+    let former = server("server-1", 4, 8001, ServerState::Ready);
+    expect_that!(
+        world.ask(&leader, SiteCall::Announce(former)),
+        some(eq(&SiteAnswer::Stale))
+    );
+    // Another server has the address: the former holder has ended.
+    let next = server("server-2", 9, 8001, ServerState::Ready);
+    world.ask(&leader, SiteCall::Announce(next));
+    expect_that!(
+        world.ask(&leader, SiteCall::Announce(later)),
+        some(eq(&SiteAnswer::Stale))
+    );
+    let state = world.core(&leader).state();
+    expect_that!(state.server("server-1"), none());
+}
+
+#[gtest]
+fn late_announcement_does_not_revive_a_server() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    world.ask(&leader, announce("server-1", 8001, ServerState::Draining));
+    world.ask(&leader, announce("server-1", 8001, ServerState::Ready));
+    let state = world.core(&leader).state();
+    let known = state.server("server-1").map(|record| record.state);
+    expect_that!(known, some(eq(ServerState::Draining)));
+    let leave = SiteCall::Leave {
+        server: "server-1".into(),
+        started_at_ms: Some(1),
+    };
+    world.ask(&leader, leave);
+    let late = world.ask(&leader, announce("server-1", 8001, ServerState::Ready));
+    expect_that!(late, some(eq(&SiteAnswer::Stale)));
+}
+
+#[gtest]
+fn announcement_for_an_unknown_service_is_refused_alone() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    world.ask(&leader, announce("server-1", 8001, ServerState::Ready));
+    let mut foreign = server("server-1", 1, 8001, ServerState::Ready);
+    foreign.service = "nowhere".into();
+    expect_that!(
+        world.ask(&leader, SiteCall::Announce(foreign)),
+        some(eq(&SiteAnswer::UnknownService))
+    );
+    let state = world.core(&leader).state();
+    let service = state.server("server-1").map(|record| record.service.clone());
+    expect_that!(service, some(eq("archive")));
+}
+
+#[gtest]
+fn keys_are_granted_to_the_servers_of_a_keyed_service() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    for index in 1..=4 {
+        let name = format!("server-{index}");
+        world.ask(&leader, announce(&name, 8000 + index, ServerState::Ready));
+    }
+    world.run(Duration::from_secs(2));
+    let granted: u32 = world
+        .core(&leader)
+        .state()
+        .book()
+        .ranges("archive")
+        .map(|owned| owned.range.key_count())
+        .sum();
+    expect_that!(granted, eq(65_536));
+    let told: std::collections::BTreeSet<&ServerLife> = world
+        .grants
+        .iter()
+        .filter(|(_, call)| matches!(call, GrantCall::Grant { .. }))
+        .map(|(life, _)| life)
+        .collect();
+    expect_that!(told.len(), eq(4));
+}
+
+#[gtest]
+fn draining_server_gives_its_keys_up() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    for index in 1..=4 {
+        let name = format!("server-{index}");
+        world.ask(&leader, announce(&name, 8000 + index, ServerState::Ready));
+    }
+    world.run(Duration::from_secs(2));
+    world.ask(&leader, announce("server-1", 8001, ServerState::Draining));
+    world.run(Duration::from_secs(1));
+    let state = world.core(&leader).state();
+    let left = state.book().ranges("archive");
+    let left = left.filter(|owned| owned.owner.server == "server-1");
+    expect_that!(left.count(), eq(0));
+}
+
+#[gtest]
+fn entry_vm_is_told_of_changes_and_of_a_new_leader() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    let joined = SiteEvent::EntryJoined {
+        link: 1,
+        vm: "entry-1".into(),
+        zone: "north".into(),
+        known_version: 0,
+    };
+    let follower = world.follower();
+    world.feed(&follower, joined);
+    world.ask(&leader, SiteCall::PutRoutes(table(3)));
+    world.run(Duration::from_millis(300));
+    let routes = world.entry_messages.iter().find_map(|(_, _, message)| match message {
+        ControlMessage::Update(update) => update.routes.as_ref().map(|routes| routes.version),
+        ControlMessage::Status(_) => None,
+    });
+    expect_that!(routes, some(eq(3)));
+    world.entry_messages.clear();
+    world.kill(&leader);
+    world.run(Duration::from_millis(600));
+    let leaderless = world.entry_messages.iter().any(|(_, _, message)| {
+        matches!(message, ControlMessage::Status(status) if !status.is_in_contact)
+    });
+    expect_that!(leaderless, eq(true));
+}
+
+#[gtest]
+fn request_that_crashes_two_servers_is_held_back_everywhere() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    let joined = SiteEvent::EntryJoined {
+        link: 1,
+        vm: "entry-1".into(),
+        zone: "north".into(),
+        known_version: 0,
+    };
+    world.feed(&leader, joined);
+    for server in ["server-1", "server-2"] {
+        let report = EntryReport {
+            keys: vec![KeyCount {
+                service: "archive".into(),
+                key: 7,
+                request_count: 2,
+            }],
+            servers: Vec::new(),
+            poison: vec![PoisonReport {
+                fingerprint: 99,
+                life: ServerLife::new(server, 1),
+            }],
+        };
+        let message = EntryMessage::Report(report);
+        world.feed(&leader, SiteEvent::EntrySent { link: 1, message });
+    }
+    let held_back = world.entry_messages.iter().any(|(_, _, message)| {
+        matches!(message, ControlMessage::Status(status) if status.poison == [99])
+    });
+    expect_that!(held_back, eq(true));
+}
--- /dev/null
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -0,0 +1,355 @@
+//! Control VMs in virtual time, with disks that keep what was synced, and a network with cuts.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicory_consensus::{Entry, HardState, RestoredState, Snapshot};
+use chicory_directory::{
+    ControlMessage, PeerEnvelope, ServerRecord, ServerState, SiteAnswer, SiteCall,
+};
+use chicory_ranges::{CallOutcome, GrantCall, GrantDeskConfig, ServerLife};
+use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
+use chicory_site::{SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
+
+const STEP: Duration = Duration::from_millis(10);
+const LINK_DELAY: Duration = Duration::from_millis(1);
+const SYNC_TIME: Duration = Duration::from_millis(5);
+
+/// What a disk holds.
+#[derive(Clone, Default)]
+struct Disk {
+    incarnation: u64,
+    is_founder: bool,
+    hard_state: HardState,
+    snapshot: Option<Snapshot>,
+    entries: Vec<Entry>,
+}
+
+impl Disk {
+    fn restored(&self) -> RestoredState {
+        RestoredState {
+            hard_state: self.hard_state.clone(),
+            snapshot: self.snapshot.clone(),
+            entries: self.entries.clone(),
+            may_vote: true,
+        }
+    }
+}
+
+struct Vm {
+    core: Option<SiteCore>,
+    disk: Disk,
+    is_disk_full: bool,
+    persists: VecDeque<(Duration, SiteEffect)>,
+}
+
+/// A site in virtual time.
+pub struct World {
+    pub now: Duration,
+    vms: BTreeMap<String, Vm>,
+    seeds: Vec<String>,
+    cuts: BTreeSet<(String, String)>,
+    in_flight: Vec<(Duration, String, String, PeerEnvelope)>,
+    pub answers: BTreeMap<u64, SiteAnswer>,
+    pub entry_messages: Vec<(String, u64, ControlMessage)>,
+    pub grants: Vec<(ServerLife, GrantCall)>,
+    pub notes: Vec<(String, SiteNote)>,
+    last_caller: u64,
+    starts: u64,
+}
+
+impl World {
+    pub fn new(count: usize) -> Self {
+        let seeds: Vec<String> = (1..=count).map(vm_name).collect();
+        let mut world = Self {
+            now: Duration::from_secs(1),
+            vms: BTreeMap::new(),
+            seeds: seeds.clone(),
+            cuts: BTreeSet::new(),
+            in_flight: Vec::new(),
+            answers: BTreeMap::new(),
+            entry_messages: Vec::new(),
+            grants: Vec::new(),
+            notes: Vec::new(),
+            last_caller: 0,
+            starts: 0,
+        };
+        for vm in &seeds {
+            world.add(vm, true);
+        }
+        world
+    }
+
+    pub fn with_leader(count: usize) -> Self {
+        let mut world = Self::new(count);
+        world.await_leader();
+        world
+    }
+
+    /// Starts a VM with an empty disk.
+    pub fn add(&mut self, vm: &str, is_founder: bool) {
+        self.starts += 1;
+        let disk = Disk {
+            incarnation: self.starts,
+            is_founder,
+            ..Disk::default()
+        };
+        let fresh = Vm {
+            core: None,
+            disk,
+            is_disk_full: false,
+            persists: VecDeque::new(),
+        };
+        self.vms.insert(vm.to_owned(), fresh);
+        self.start(vm);
+    }
+
+    pub fn start(&mut self, vm: &str) {
+        self.starts += 1;
+        let config = SiteConfig {
+            vm: vm.to_owned(),
+            seeds: self.seeds.clone(),
+            random_seed: self.starts * 77,
+            grants: GrantDeskConfig::default(),
+        };
+        let state = self.vms.get_mut(vm).expect("known VM");
+        state.core = Some(SiteCore::new(config, self.now));
+        let opened = SiteEvent::StorageOpened {
+            incarnation: state.disk.incarnation,
+            restored: state.disk.restored(),
+            is_founder: state.disk.is_founder,
+        };
+        self.feed(vm, opened);
+    }
+
+    pub fn kill(&mut self, vm: &str) {
+        let state = self.vms.get_mut(vm).expect("known VM");
+        state.core = None;
+        state.persists.clear();
+    }
+
+    pub fn set_disk_full(&mut self, vm: &str, is_full: bool) {
+        self.vms.get_mut(vm).expect("known VM").is_disk_full = is_full;
+    }
+
+    /// Cuts one VM off from all others, or joins it again.
+    pub fn set_cut(&mut self, vm: &str, is_cut: bool) {
+        for other in self.vms.keys().filter(|other| *other != vm) {
+            for pair in [(vm, other.as_str()), (other.as_str(), vm)] {
+                let pair = (pair.0.to_owned(), pair.1.to_owned());
+                if is_cut {
+                    self.cuts.insert(pair);
+                } else {
+                    self.cuts.remove(&pair);
+                }
+            }
+        }
+    }
+
+    pub fn core(&self, vm: &str) -> &SiteCore {
+        self.vms[vm].core.as_ref().expect("running VM")
+    }
+
+    pub fn leader(&self) -> Option<String> {
+        let running = self.vms.iter().filter_map(|(vm, s)| Some((vm, s.core.as_ref()?)));
+        let mut leading = running.filter(|(_, core)| core.is_leading(self.now));
+        leading.next().map(|(vm, _)| vm.clone())
+    }
+
+    pub fn await_leader(&mut self) -> String {
+        for _ in 0..1000 {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            self.step();
+        }
+        panic!("no leader within ten seconds");
+    }
+
+    pub fn follower(&self) -> String {
+        let leader = self.leader().expect("a leader");
+        let mut running = self.vms.iter().filter(|(_, state)| state.core.is_some());
+        let follower = running.find(|(vm, _)| **vm != leader);
+        follower.expect("a follower").0.clone()
+    }
+
+    pub fn call(&mut self, vm: &str, call: SiteCall) -> u64 {
+        self.last_caller += 1;
+        let caller = self.last_caller;
+        self.feed(vm, SiteEvent::Called { caller, call });
+        caller
+    }
+
+    /// Calls and waits for the answer, a second at most.
+    pub fn ask(&mut self, vm: &str, call: SiteCall) -> Option<SiteAnswer> {
+        let caller = self.call(vm, call);
+        for _ in 0..100 {
+            if let Some(answer) = self.answers.remove(&caller) {
+                return Some(answer);
+            }
+            self.step();
+        }
+        None
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        for vm in self.vms.keys().cloned().collect::<Vec<_>>() {
+            self.finish_persists(&vm);
+            let core = self.vms[&vm].core.as_ref();
+            if core.is_some_and(|core| core.next_wakeup() <= self.now) {
+                self.feed(&vm, SiteEvent::Tick);
+            }
+        }
+        let due: Vec<_> = self
+            .in_flight
+            .extract_if(.., |(at, ..)| *at <= self.now)
+            .collect();
+        for (_, from, to, envelope) in due {
+            let is_cut = self.cuts.contains(&(from.clone(), to.clone()));
+            let is_up = self.vms.get(&to).is_some_and(|vm| vm.core.is_some());
+            if is_up && !is_cut {
+                self.feed(&to, SiteEvent::PeerSent { from, envelope });
+            }
+        }
+    }
+
+    fn finish_persists(&mut self, vm: &str) {
+        loop {
+            let state = self.vms.get_mut(vm).expect("known VM");
+            let is_due = state.persists.front().is_some_and(|(at, _)| *at <= self.now);
+            if !is_due {
+                return;
+            }
+            let Some((_, effect)) = state.persists.pop_front() else {
+                return;
+            };
+            let SiteEffect::Persist {
+                ticket,
+                hard_state,
+                truncate_from,
+                snapshot,
+                entries,
+            } = effect
+            else {
+                return;
+            };
+            if state.is_disk_full {
+                self.feed(vm, SiteEvent::PersistFailed { ticket });
+                continue;
+            }
+            let disk = &mut state.disk;
+            if let Some(hard_state) = hard_state {
+                disk.hard_state = hard_state;
+            }
+            if let Some(from) = truncate_from {
+                disk.entries.retain(|entry| entry.index < from);
+            }
+            if let Some(snapshot) = snapshot {
+                disk.entries.retain(|entry| entry.index > snapshot.last_index);
+                disk.snapshot = Some(snapshot);
+            }
+            disk.entries.extend(entries);
+            self.feed(vm, SiteEvent::Persisted { ticket });
+        }
+    }
+
+    pub fn feed(&mut self, vm: &str, event: SiteEvent) {
+        let now = self.now;
+        let state = self.vms.get_mut(vm).expect("known VM");
+        let Some(core) = &mut state.core else { return };
+        for effect in core.reduce(now, event) {
+            self.carry_out(vm, effect);
+        }
+    }
+
+    fn carry_out(&mut self, vm: &str, effect: SiteEffect) {
+        let state = self.vms.get_mut(vm).expect("known VM");
+        match effect {
+            effect @ SiteEffect::Persist { .. } => {
+                state.persists.push_back((self.now + SYNC_TIME, effect));
+            }
+            SiteEffect::ReopenStorage => {
+                if !state.is_disk_full {
+                    let opened = SiteEvent::StorageOpened {
+                        incarnation: state.disk.incarnation,
+                        restored: state.disk.restored(),
+                        is_founder: state.disk.is_founder,
+                    };
+                    self.feed(vm, opened);
+                }
+            }
+            SiteEffect::Answer { caller, answer } => {
+                self.answers.insert(caller, answer);
+            }
+            SiteEffect::SendToPeer { to, envelope } => {
+                let at = self.now + LINK_DELAY;
+                self.in_flight.push((at, vm.to_owned(), to, envelope));
+            }
+            SiteEffect::SendToEntry { link, message } => {
+                self.entry_messages.push((vm.to_owned(), link, message));
+            }
+            SiteEffect::Grant(order) => {
+                self.grants.push((order.life, order.content));
+                let outcome = CallOutcome::Done { handover: None };
+                let call = order.call;
+                self.feed(vm, SiteEvent::GrantEnded { call, outcome });
+            }
+            SiteEffect::Note(note) => self.notes.push((vm.to_owned(), note)),
+        }
+    }
+}
+
+pub fn vm_name(index: usize) -> String {
+    format!("10.{index}.0.1:7540")
+}
+
+pub fn table(version: u64) -> RouteTable {
+    let service = |name: &str, is_keyed| RoutedService {
+        name: name.into(),
+        health_path: None,
+        max_connections: None,
+        protocol: None,
+        has_tls: None,
+        is_keyed: Some(is_keyed),
+        warmup: None,
+        grant_mode: None,
+    };
+    RouteTable {
+        version,
+        routes: vec![Route {
+            name: "reads".into(),
+            host: "host".into(),
+            path_prefix: "/reads/".into(),
+            kind: RequestKind::Idempotent,
+            timeout: Some(Duration::from_secs(1)),
+            latency_target: None,
+            priority: None,
+            max_attempts: None,
+            target: RouteTarget::Service("archive".into()),
+        }],
+        services: vec![service("archive", true), service("orders", false)],
+        limits: None,
+    }
+}
+
+pub fn server(name: &str, started_at_ms: u64, port: u16, state: ServerState) -> ServerRecord {
+    ServerRecord {
+        life: ServerLife::new(name, started_at_ms),
+        service: "archive".into(),
+        address: SocketAddr::from(([10, 9, 0, 1], port)),
+        zone: "north".into(),
+        software_version: "v1".into(),
+        slots: 3,
+        state,
+        cold_for: Duration::ZERO,
+    }
+}
