--- /dev/null
+++ b/crates/chicory_directory/tests/updates.rs
@@ -0,0 +1,118 @@
+//! Updates by parts lead to the same directory as the whole.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicory_directory::{
+    DirectoryUpdate, RemovalCause, ServerRecord, ServerRemoval, ServerState, SiteCommand, SiteState,
+};
+use chicory_ranges::{KeyRange, RangeMove, ServerLife};
+use chicory_routes::RouteTable;
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// A follower that takes updates in the plainest way.
+#[derive(Debug, Default, PartialEq)]
+struct NaiveFollower {
+    version: u64,
+    routes_version: u64,
+    servers: BTreeMap<String, ServerRecord>,
+    owners: BTreeMap<u16, (u16, ServerLife, u64)>,
+}
+
+impl NaiveFollower {
+    fn take(&mut self, update: DirectoryUpdate) {
+        self.version = update.version;
+        if update.is_full {
+            self.servers.clear();
+            self.owners.clear();
+        }
+        if let Some(routes) = update.routes {
+            self.routes_version = routes.version;
+        }
+        for life in update.removed {
+            // A later life may have come and gone between two updates: earlier ones went with it.
+            let known = self.servers.get(&life.server);
+            if known.is_some_and(|known| known.life.started_at_ms <= life.started_at_ms) {
+                self.servers.remove(&life.server);
+            }
+        }
+        for record in update.servers {
+            self.servers.insert(record.life.server.clone(), record);
+        }
+        for of_service in update.ranges {
+            self.owners = of_service
+                .ranges
+                .into_iter()
+                .map(|o| (o.range.first, (o.range.last, o.owner, o.fence)))
+                .collect();
+        }
+    }
+}
+
+fn record(rng: &mut StdRng) -> ServerRecord {
+    let index = rng.random_range(0..8_u16);
+    let state = if rng.random_range(0..4) == 0 {
+        ServerState::Draining
+    } else {
+        ServerState::Ready
+    };
+    ServerRecord {
+        life: ServerLife::new(format!("server-{index}"), rng.random_range(1..5)),
+        service: "archive".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8000 + rng.random_range(0..10_u16))),
+        zone: "north".into(),
+        software_version: String::new(),
+        slots: 3,
+        state,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn command(rng: &mut StdRng, state: &SiteState) -> SiteCommand {
+    match rng.random_range(0..10) {
+        0 => SiteCommand::PutRoutes(RouteTable {
+            version: rng.random_range(1..40),
+            ..RouteTable::default()
+        }),
+        1..=5 => SiteCommand::PutServer(record(rng)),
+        6 => SiteCommand::RemoveServer(ServerRemoval {
+            life: record(rng).life,
+            cause: RemovalCause::Left,
+        }),
+        _ => {
+            let key = rng.random();
+            let owner = state.book().owner("archive", key);
+            SiteCommand::MoveRange(RangeMove {
+                service: "archive".into(),
+                range: owner.map_or(KeyRange::ALL, |o| KeyRange::new(key, o.range.last)),
+                from: owner.map(|o| o.owner.clone()),
+                to: record(rng).life,
+                handover: None,
+            })
+        }
+    }
+}
+
+#[gtest]
+fn followers_by_parts_and_by_the_whole_agree() {
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut state = SiteState::default();
+        let mut follower = NaiveFollower::default();
+        for index in 1..400 {
+            let command = command(&mut rng, &state);
+            state.apply(index, command);
+            if rng.random_range(0..3) == 0
+                && let Some(update) = state.update_since(follower.version)
+            {
+                follower.take(update);
+                let mut fresh = NaiveFollower::default();
+                fresh.take(state.update_since(0).expect("a full update"));
+                assert_that!(follower, eq(&fresh), "seed {seed}, index {index}");
+            }
+        }
+    }
+}
