--- a/crates/chicory_consensus/tests/cluster/open_membership.rs
+++ b/crates/chicory_consensus/tests/cluster/open_membership.rs
@@ -57,7 +57,9 @@
         let mut events = vec![event];
         while let Some(event) = events.pop() {
             let replica = self.replicas.iter_mut().find(|(name, _)| name == vm);
-            let Some((_, Some(replica))) = replica else { return };
+            let Some((_, Some(replica))) = replica else {
+                return;
+            };
             for effect in replica.reduce(now, event) {
                 match effect {
                     ReplicaEffect::Persist { ticket, .. } => {
@@ -88,7 +90,10 @@
     }
 
     fn leader(&self) -> &Replica {
-        let running = self.replicas.iter().filter_map(|(_, replica)| replica.as_ref());
+        let running = self
+            .replicas
+            .iter()
+            .filter_map(|(_, replica)| replica.as_ref());
         let mut leading = running.filter(|replica| replica.role() == Role::Leader);
         leading.next().expect("a leader")
     }
@@ -100,7 +105,10 @@
 
     fn follower(&self) -> String {
         let leader = self.leader().member().vm.clone();
-        self.voters().into_iter().find(|vm| *vm != leader).expect("a follower")
+        self.voters()
+            .into_iter()
+            .find(|vm| *vm != leader)
+            .expect("a follower")
     }
 }
 
@@ -109,7 +117,10 @@
     let mut group = Group::founded();
     group.start("vm-x", Formation::Join);
     group.run(Duration::from_secs(8));
-    expect_that!(group.voters(), elements_are![eq("vm-a"), eq("vm-b"), eq("vm-c")]);
+    expect_that!(
+        group.voters(),
+        elements_are![eq("vm-a"), eq("vm-b"), eq("vm-c")]
+    );
     let learners = &group.leader().membership().learners;
     expect_that!(learners, contains(eq(&MemberId::new("vm-x", 1))));
 }
--- a/crates/chicory_gateway/tests/decisions.rs
+++ b/crates/chicory_gateway/tests/decisions.rs
@@ -11,9 +11,7 @@
     RequestTicket, Target,
 };
 use chicory_ranges::{KeyRange, OwnedRange, ServerLife};
-use chicory_routes::{
-    RequestKind, Route, RouteTable, RouteTarget, RoutedService, WeightedService,
-};
+use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService, WeightedService};
 use googletest::prelude::*;
 
 const START: Duration = Duration::from_secs(10);
@@ -265,7 +263,10 @@
         let mut gateway = gateway();
         let mut ticket = arrive(&mut gateway, "/orders/x", None);
         sent(gateway.next_step(START, &mut ticket));
-        expect_that!(gateway.attempt_ended(START, &mut ticket, outcome), eq(false));
+        expect_that!(
+            gateway.attempt_ended(START, &mut ticket, outcome),
+            eq(false)
+        );
         let refusal = gateway.final_refusal(&ticket, outcome);
         expect_that!(refusal.may_have_run, eq(true));
         expect_that!(refusal.retry_after, none());
@@ -288,7 +289,10 @@
         let second = sent(gateway.next_step(START, &mut ticket));
         expect_that!(second.life, not(eq(&first.life)));
         // The route allows two servers.
-        expect_that!(gateway.attempt_ended(START, &mut ticket, outcome), eq(false));
+        expect_that!(
+            gateway.attempt_ended(START, &mut ticket, outcome),
+            eq(false)
+        );
         let refusal = gateway.final_refusal(&ticket, outcome);
         expect_that!(refusal.may_have_run, eq(false));
     }
--- a/crates/chicory_routes/src/route_table.rs
+++ b/crates/chicory_routes/src/route_table.rs
@@ -6,8 +6,8 @@
 use snafu::ensure;
 
 use crate::route_table_fault::{
-    DuplicatePlaceSnafu, DuplicateServiceSnafu, EmptyHostSnafu, NoWeightSnafu, PathPrefixSnafu,
-    TimeoutTooLongSnafu, UnknownServiceSnafu,
+    DuplicatePlaceSnafu, DuplicateServiceSnafu, EmptyHostSnafu, NoTimeoutSnafu, NoWeightSnafu,
+    PathPrefixSnafu, TimeoutTooLongSnafu, UnknownServiceSnafu,
 };
 use crate::{CallerLimits, Route, RouteTableFault, RoutedService};
 
@@ -94,6 +94,10 @@
         }
     );
     ensure!(route.target.has_weight(), NoWeightSnafu { route: name });
+    ensure!(
+        route.timeout.is_none_or(|timeout| !timeout.is_zero()),
+        NoTimeoutSnafu { route: name }
+    );
     ensure!(
         route
             .timeout
--- a/crates/chicory_routes/src/route_table_fault.rs
+++ b/crates/chicory_routes/src/route_table_fault.rs
@@ -46,6 +46,12 @@
         /// Name of the route.
         route: String,
     },
+    /// The timeout of a route is 0, so that no request could be served.
+    #[snafu(display("the timeout of route {route} is 0"))]
+    NoTimeout {
+        /// Name of the route.
+        route: String,
+    },
     /// The timeout of a route is longer than any may be.
     #[snafu(display("the timeout of route {route} is over ten minutes"))]
     TimeoutTooLong {
--- a/crates/chicory_routes/tests/route_table.rs
+++ b/crates/chicory_routes/tests/route_table.rs
@@ -75,6 +75,10 @@
         fault_of(|r| r.timeout = Some(Duration::from_secs(601))),
         matches_pattern!(RouteTableFault::TimeoutTooLong { .. })
     );
+    expect_that!(
+        fault_of(|r| r.timeout = Some(Duration::ZERO)),
+        matches_pattern!(RouteTableFault::NoTimeout { .. })
+    );
     let weightless = WeightedService {
         service: "archive".into(),
         weight: 0,
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -216,7 +216,9 @@
         some(eq(&SiteAnswer::UnknownService))
     );
     let state = world.core(&leader).state();
-    let service = state.server("server-1").map(|record| record.service.clone());
+    let service = state
+        .server("server-1")
+        .map(|record| record.service.clone());
     expect_that!(service, some(eq("archive")));
 }
 
@@ -279,10 +281,13 @@
     world.feed(&follower, joined);
     world.ask(&leader, SiteCall::PutRoutes(table(3)));
     world.run(Duration::from_millis(300));
-    let routes = world.entry_messages.iter().find_map(|(_, _, message)| match message {
-        ControlMessage::Update(update) => update.routes.as_ref().map(|routes| routes.version),
-        ControlMessage::Status(_) => None,
-    });
+    let routes = world
+        .entry_messages
+        .iter()
+        .find_map(|(_, _, message)| match message {
+            ControlMessage::Update(update) => update.routes.as_ref().map(|routes| routes.version),
+            ControlMessage::Status(_) => None,
+        });
     expect_that!(routes, some(eq(3)));
     world.entry_messages.clear();
     world.kill(&leader);
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -152,7 +152,10 @@
     }
 
     pub fn leader(&self) -> Option<String> {
-        let running = self.vms.iter().filter_map(|(vm, s)| Some((vm, s.core.as_ref()?)));
+        let running = self
+            .vms
+            .iter()
+            .filter_map(|(vm, s)| Some((vm, s.core.as_ref()?)));
         let mut leading = running.filter(|(_, core)| core.is_leading(self.now));
         leading.next().map(|(vm, _)| vm.clone())
     }
@@ -225,7 +228,10 @@
     fn finish_persists(&mut self, vm: &str) {
         loop {
             let state = self.vms.get_mut(vm).expect("known VM");
-            let is_due = state.persists.front().is_some_and(|(at, _)| *at <= self.now);
+            let is_due = state
+                .persists
+                .front()
+                .is_some_and(|(at, _)| *at <= self.now);
             if !is_due {
                 return;
             }
@@ -254,7 +260,8 @@
                 disk.entries.retain(|entry| entry.index < from);
             }
             if let Some(snapshot) = snapshot {
-                disk.entries.retain(|entry| entry.index > snapshot.last_index);
+                disk.entries
+                    .retain(|entry| entry.index > snapshot.last_index);
                 disk.snapshot = Some(snapshot);
             }
             disk.entries.extend(entries);
