Count entry VMs by the leader's number only, and tell of grants without an answer

Ruled out: windows, sends that never arrived. Keys whose first grant had no answer yet are told like keys on their way.

--- a/crates/chicory_directory/src/link_status.rs
+++ b/crates/chicory_directory/src/link_status.rs
@@ -15,7 +15,7 @@
     pub version: DirectoryVersion,
     /// All control VMs that it knows.
     pub control_vms: Vec<VmId>,
-    /// Number of entry VMs that follow the leader.
+    /// Number of entry VMs that follow the leader; 0 if the sender does not lead.
     pub entry_count: u32,
     /// Requests that crash the backend servers that run them.
     pub poison: Vec<RequestFingerprint>,
--- a/crates/chicory_directory/src/moving_range.rs
+++ b/crates/chicory_directory/src/moving_range.rs
@@ -3,13 +3,14 @@
 use chicory_ranges::{Fence, KeyRange};
 use chicory_types::ServiceName;
 
-/// Keys that their owner is giving up: it turns requests for them away until they have moved.
+/// Keys that their owner is giving up, or that it has not been granted yet: it turns requests for
+/// them away.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct MovingRange {
     /// The service whose keys these are.
     pub service: ServiceName,
     /// The keys.
     pub range: KeyRange,
-    /// Fence of the grant that ends; under a greater one the keys have moved.
+    /// Fence of the grant; under a greater one the keys have moved.
     pub fence: Fence,
 }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -13,6 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::entry_count::EntryCount;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::{
@@ -32,7 +33,9 @@
 /// Part of the time left that is spent on waiting for an owner at most.
 const OWNER_WAIT_PART: f64 = 0.6;
 /// Pause before a server that did not own a key yet is asked again.
-const GRANT_LAG: Duration = Duration::from_millis(40);
+const GRANT_LAG: Duration = Duration::from_millis(50);
+/// Tries at the owner of a key before the request is refused.
+const MAX_OWNER_TRIES: usize = 3;
 /// Time for which a draining server still gets requests for keys that it owns.
 const DRAINING_GRACE: Duration = Duration::from_millis(1200);
 /// Longest time for a connection to come about where another server could serve.
@@ -80,7 +83,7 @@
     directory: Directory,
     health: BTreeMap<ServerLife, ServerHealth>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
-    entry_count: u32,
+    entry_count: EntryCount,
     poison: BTreeSet<RequestFingerprint>,
     moving: Vec<MovingRange>,
     in_contact_at: Option<MonoTime>,
@@ -99,7 +102,7 @@
             directory: Directory::default(),
             health: BTreeMap::new(),
             budgets: BTreeMap::new(),
-            entry_count: 1,
+            entry_count: EntryCount::default(),
             poison: BTreeSet::new(),
             moving: Vec::new(),
             in_contact_at: None,
@@ -139,7 +142,7 @@
     pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) -> bool {
         if status.is_in_contact {
             self.in_contact_at = Some(now);
-            self.entry_count = status.entry_count.max(1);
+            self.entry_count.note(now, status.entry_count);
         }
         self.poison = status.poison.iter().copied().collect();
         let has_changed = self.moving != status.moving;
@@ -367,7 +370,7 @@
             return true;
         }
         let budget = self.budgets.entry(ticket.service.clone()).or_default();
-        budget.try_retry(now, &self.config, self.entry_count)
+        budget.try_retry(now, &self.config, self.entry_count.get())
     }
 
     /// Takes in what became of an attempt; whether the request may be sent again.
@@ -410,12 +413,12 @@
             return ticket.attempts_left() > 0;
         }
         // The owner of a key is the only server that can help, after a while.
-        ticket.not_before = now + GRANT_LAG;
         let tries = ticket.attempts.len();
+        ticket.not_before = now + GRANT_LAG * u32::try_from(tries).unwrap_or(u32::MAX);
         matches!(
             outcome,
             AttemptOutcome::WrongServer | AttemptOutcome::Unreachable
-        ) && tries < 4
+        ) && tries < MAX_OWNER_TRIES
             || matches!(outcome, AttemptOutcome::Garbled | AttemptOutcome::Broken) && tries < 2
     }
 
--- a/crates/chicory_gateway/tests/decisions.rs
+++ b/crates/chicory_gateway/tests/decisions.rs
@@ -395,6 +395,34 @@
     expect_that!(second_sends, gt(0));
 }
 
+/// A control VM that does not lead, or a leader to which few entry VMs have come yet, knows a few
+/// entry VMs only.
+#[gtest]
+fn budget_does_not_grow_when_few_entry_vms_are_known_for_a_moment() {
+    let mut gateway = gateway();
+    for entry_count in [8, 0, 1, 2] {
+        let status = LinkStatus {
+            entry_count,
+            ..in_contact()
+        };
+        gateway.note_status(START, &status);
+    }
+    let mut second_sends = 0;
+    for _ in 0..100 {
+        let mut ticket = arrive(&mut gateway, "/plans/x", None);
+        sent(gateway.next_step(START, &mut ticket));
+        if gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed)
+            && let NextStep::Send(_) = gateway.next_step(START, &mut ticket)
+        {
+            second_sends += 1;
+            gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed);
+        }
+    }
+    let config = GatewayConfig::default();
+    let allowed = config.retry_ratio * 100.0 + config.retry_slack / 8.0;
+    expect_that!(f64::from(second_sends), le(allowed));
+}
+
 #[gtest]
 fn split_route_divides_requests_by_weight() {
     let mut gateway = gateway();
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -107,10 +107,12 @@
             })
     }
 
-    /// Ranges of all services that their owners are giving up, each with the fence that ends.
+    /// Ranges of all services that their owners are giving up, or have not been granted yet, each
+    /// with its fence: requests for them would be turned away.
     pub fn moving(&self) -> impl Iterator<Item = (&ServiceName, KeyRange, Fence)> {
-        let departing = self.tenures.iter().filter(|(_, t)| t.departure.is_some());
-        departing.map(|((service, _), t)| (service, t.owned.range, t.owned.fence))
+        let tenures = self.tenures.iter();
+        let moving = tenures.filter(|(_, t)| t.departure.is_some() || !t.is_granted);
+        moving.map(|((service, _), t)| (service, t.owned.range, t.owned.fence))
     }
 
     /// Whether a grant of some keys may still hold at a server.
@@ -197,6 +199,7 @@
         };
         let is_ended = self.ended.contains(&owned.owner);
         Tenure {
+            is_granted: !is_own,
             is_own,
             owned,
             answered_until: if is_ended { now } else { held_until },
@@ -341,6 +344,7 @@
         tenure.due_at = now + self.config.retry_interval;
         match outcome {
             CallOutcome::Done { .. } => {
+                tenure.is_granted = true;
                 tenure.answered_until = outwait;
                 // The server has seen this fence: calls under a smaller one change nothing there.
                 if tenure.is_own {
@@ -454,6 +458,7 @@
     for (_, former) in own {
         let former_until = former.answered_until.max(former.uncertain_until());
         tenure.older_until = tenure.older_until.max(former_until);
+        tenure.is_granted |= former.is_granted;
     }
 }
 
--- a/crates/chicory_ranges/src/tenure.rs
+++ b/crates/chicory_ranges/src/tenure.rs
@@ -10,6 +10,8 @@
     pub(crate) owned: OwnedRange,
     /// Whether the fence was given out in this leadership, so that no former leader granted it.
     pub(crate) is_own: bool,
+    /// Whether the owner is known, or must be assumed, to have been granted the keys.
+    pub(crate) is_granted: bool,
     /// The owner may hold the keys until then by grants that were answered.
     pub(crate) answered_until: MonoTime,
     /// A grant under this fence without an answer may take effect, and hold, until then.
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -116,7 +116,10 @@
             leader,
             version: self.state.version(),
             control_vms: members.unwrap_or_default(),
-            entry_count: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
+            entry_count: self
+                .desk
+                .as_ref()
+                .map_or(0, |_| u32::try_from(self.entries.len()).unwrap_or(u32::MAX)),
             poison: self.poison.poison(),
             moving: self.moving.clone(),
         }
