--- a/crates/chicory_directory/src/moving_range.rs
+++ b/crates/chicory_directory/src/moving_range.rs
@@ -3,8 +3,8 @@
 use chicory_ranges::{Fence, KeyRange};
 use chicory_types::ServiceName;
 
-/// Keys that their owner is giving up, or that it has not been granted yet: it turns requests for
-/// them away.
+/// Keys that their owner is giving up, has not been granted yet or holds no longer: it turns requests
+/// for them away.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct MovingRange {
     /// The service whose keys these are.
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -107,11 +107,15 @@
             })
     }
 
-    /// Ranges of all services that their owners are giving up, or have not been granted yet, each
-    /// with its fence: requests for them would be turned away.
-    pub fn moving(&self) -> impl Iterator<Item = (&ServiceName, KeyRange, Fence)> {
-        let tenures = self.tenures.iter();
-        let moving = tenures.filter(|(_, t)| t.departure.is_some() || !t.is_granted);
+    /// Ranges of all services that their owners are giving up, have not been granted yet or hold no
+    /// longer, each with its fence: requests for them would be turned away.
+    pub fn moving(&self, now: MonoTime) -> impl Iterator<Item = (&ServiceName, KeyRange, Fence)> {
+        // The owner's clock may run fast: it stops when the bare hold is over.
+        let slack = self.config.outwait().saturating_sub(self.config.hold);
+        let moving = self.tenures.iter().filter(move |(_, tenure)| {
+            let has_run_out = now + slack >= tenure.answered_until;
+            tenure.departure.is_some() || !tenure.is_granted || has_run_out
+        });
         moving.map(|((service, _), t)| (service, t.owned.range, t.owned.fence))
     }
 
--- a/crates/chicory_ranges/tests/grant_desk.rs
+++ b/crates/chicory_ranges/tests/grant_desk.rs
@@ -71,6 +71,25 @@
     expect_that!(world.moves, eq(moves));
 }
 
+/// Requests for keys whose grants have run out, but may still not move, need not be sent.
+#[gtest]
+fn keys_of_a_server_whose_grants_ran_out_are_told() {
+    let mut world = settled(4);
+    expect_that!(world.desk.moving(world.now).count(), eq(0));
+    server(&mut world, 0).is_cut = true;
+    world.run(Duration::from_secs(5));
+    expect_that!(world.desk.moving(world.now).count(), eq(0));
+    while world.servers[&life(0)].holding(world.now).count() > 0 {
+        world.step();
+    }
+    let owners = world.book.ranges(support::SERVICE);
+    let has_moved = owners.filter(|owned| owned.owner == life(0)).count() == 0;
+    expect_that!(
+        has_moved || world.desk.moving(world.now).count() > 0,
+        eq(true)
+    );
+}
+
 #[gtest]
 fn later_start_of_a_server_frees_its_keys_at_once() {
     let mut world = settled(5);
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -4,7 +4,7 @@
     ControlMessage, DirectoryUpdate, DirectoryVersion, EntryMessage, EntryReport, LinkStatus,
     MovingRange, PeerEnvelope,
 };
-use chicory_ranges::{GrantDesk, KeyLoad};
+use chicory_ranges::KeyLoad;
 use chicory_types::{MonoTime, VmId, ZoneName};
 
 use super::entry_link::EntryLink;
@@ -74,9 +74,9 @@
     }
 
     /// Entry VMs keep requests back whose keys are on their way.
-    pub(super) fn tell_moving(&mut self) {
+    pub(super) fn tell_moving(&mut self, now: MonoTime) {
         let desk = self.desk.iter();
-        let moving = desk.flat_map(GrantDesk::moving);
+        let moving = desk.flat_map(|desk| desk.moving(now));
         let moving: Vec<MovingRange> = moving
             .map(|(service, range, fence)| MovingRange {
                 service: service.clone(),
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -145,7 +145,7 @@
         self.check_deadlines(now);
         self.run_grant_events(now);
         self.update_entries();
-        self.tell_moving();
+        self.tell_moving(now);
         self.note_leader();
         std::mem::take(&mut self.effects)
     }
