Take a request for a crash only once its server has ended

A server that goes on answering clears its suspects now; a refused connection or a later start confirms them.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovingRange, PoisonReport,
-    RequestFingerprint, ServerLoad, ServerRecord,
+    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovingRange, RequestFingerprint,
+    ServerLoad, ServerRecord,
 };
 use chicory_ranges::{Key, OwnedRange, ServerLife};
 use chicory_routes::RequestKind;
@@ -13,6 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::crash_watch::CrashWatch;
 use super::entry_count::EntryCount;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
@@ -53,8 +54,6 @@
 /// Cost of a download from another availability zone, relative to one from the own: large answers
 /// are what fills the links between zones.
 const FAR_DOWNLOAD_COST: f64 = 1.8;
-/// Poison reports that wait to be sent at most.
-const MAX_POISON_REPORTS: usize = 64;
 
 /// What an arriving request meets.
 #[derive(Debug)]
@@ -88,7 +87,7 @@
     moving: Vec<MovingRange>,
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
-    poison_reports: Vec<PoisonReport>,
+    crashes: CrashWatch,
     rng: StdRng,
 }
 
@@ -107,7 +106,7 @@
             moving: Vec::new(),
             in_contact_at: None,
             key_counts: BTreeMap::new(),
-            poison_reports: Vec::new(),
+            crashes: CrashWatch::default(),
         }
     }
 
@@ -135,6 +134,8 @@
         let directory = &self.directory;
         self.health
             .retain(|life, health| health.in_flight > 0 || directory.server(life).is_some());
+        self.crashes
+            .note_ended(|life| directory.server(life).is_some());
         has_changed
     }
 
@@ -393,9 +394,8 @@
         health.in_flight = health.in_flight.saturating_sub(1);
         health.note_end(now, outcome, took);
         ticket.may_have_run |= outcome.may_have_run();
-        if outcome == AttemptOutcome::Broken {
-            self.suspect(ticket, life);
-        }
+        self.crashes
+            .note_end(now, ticket.fingerprint, &life, outcome);
         Self::may_try_again(now, ticket, outcome)
     }
 
@@ -422,16 +422,6 @@
             || matches!(outcome, AttemptOutcome::Garbled | AttemptOutcome::Broken) && tries < 2
     }
 
-    /// A server that breaks off while it runs a request may have been crashed by it.
-    fn suspect(&mut self, ticket: &RequestTicket, life: ServerLife) {
-        let Some(fingerprint) = ticket.fingerprint else {
-            return;
-        };
-        if self.poison_reports.len() < MAX_POISON_REPORTS {
-            self.poison_reports.push(PoisonReport { fingerprint, life });
-        }
-    }
-
     /// The refusal after attempts that were not answered.
     #[must_use]
     pub fn final_refusal(&self, ticket: &RequestTicket, outcome: AttemptOutcome) -> Refusal {
@@ -489,7 +479,7 @@
                     service_time: std::mem::take(&mut health.service_time),
                 })
                 .collect(),
-            poison: std::mem::take(&mut self.poison_reports),
+            poison: self.crashes.take_reports(),
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions about requests, without I/O.
 
 mod caller_facts;
+mod crash_watch;
 mod entry_count;
 mod gateway;
 mod gateway_config;
