--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -28,6 +28,8 @@
     pub in_flight: u32,
     /// Requests that it answered.
     pub answered: u32,
+    /// Requests that it turned away because it was full, or said so.
+    pub shed: u32,
     /// Sum of the times that these took.
     pub service_time: Duration,
 }
--- a/crates/chicory_gateway/src/decide/crash_watch.rs
+++ b/crates/chicory_gateway/src/decide/crash_watch.rs
@@ -55,7 +55,9 @@
             | AttemptOutcome::Failed
             | AttemptOutcome::Shed
             | AttemptOutcome::WrongServer => self.suspects.retain(|s| s.life != *life),
-            AttemptOutcome::Refused => self.confirm(|suspect| suspect.life == *life),
+            AttemptOutcome::Refused | AttemptOutcome::OtherServer => {
+                self.confirm(|suspect| suspect.life == *life);
+            }
             AttemptOutcome::Unreachable
             | AttemptOutcome::Garbled
             | AttemptOutcome::Silent
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -36,7 +36,7 @@
 /// Pause before a server that did not own a key yet is asked again.
 const GRANT_LAG: Duration = Duration::from_millis(50);
 /// Tries at the owner of a key before the request is refused.
-const MAX_OWNER_TRIES: usize = 3;
+const MAX_OWNER_TRIES: u32 = 3;
 /// Time for which a draining server still gets requests for keys that it owns.
 const DRAINING_GRACE: Duration = Duration::from_millis(1200);
 /// Longest time for a connection to come about where another server could serve.
@@ -247,6 +247,13 @@
     }
 
     fn may_take_keyed(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        if self
+            .health
+            .get(&record.life)
+            .is_some_and(|health| health.is_gone)
+        {
+            return false;
+        }
         let draining_since = self.directory.draining_since(&record.life);
         draining_since.is_none_or(|since| now < since + DRAINING_GRACE)
     }
@@ -281,10 +288,10 @@
         let typical = self.typical_latency(&ticket.service);
         let mut best: Option<(bool, f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
-            if tried.contains(&record.life) {
+            let health = self.health.get(&record.life);
+            if tried.contains(&record.life) || health.is_some_and(|health| health.is_gone) {
                 continue;
             }
-            let health = self.health.get(&record.life);
             let is_paused = health.is_some_and(|health| health.is_paused(now));
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
@@ -396,10 +403,16 @@
         ticket.may_have_run |= outcome.may_have_run();
         self.crashes
             .note_end(now, ticket.fingerprint, &life, outcome);
-        Self::may_try_again(now, ticket, outcome)
+        let is_congested = health.is_congested();
+        Self::may_try_again(now, ticket, outcome, is_congested)
     }
 
-    fn may_try_again(now: MonoTime, ticket: &mut RequestTicket, outcome: AttemptOutcome) -> bool {
+    fn may_try_again(
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        outcome: AttemptOutcome,
+        is_congested: bool,
+    ) -> bool {
         let is_repeatable = ticket.route.route.kind.is_repeatable();
         let is_allowed = is_repeatable || !ticket.may_have_run;
         let is_final = matches!(
@@ -413,13 +426,17 @@
             return ticket.attempts_left() > 0;
         }
         // The owner of a key is the only server that can help, after a while.
-        let tries = ticket.attempts.len();
-        ticket.not_before = now + GRANT_LAG * u32::try_from(tries).unwrap_or(u32::MAX);
-        matches!(
-            outcome,
-            AttemptOutcome::WrongServer | AttemptOutcome::Unreachable
-        ) && tries < MAX_OWNER_TRIES
-            || matches!(outcome, AttemptOutcome::Garbled | AttemptOutcome::Broken) && tries < 2
+        let tries = u32::try_from(ticket.attempts.len()).unwrap_or(u32::MAX);
+        ticket.not_before = now + GRANT_LAG * tries;
+        let max_tries = match outcome {
+            AttemptOutcome::WrongServer
+            | AttemptOutcome::OtherServer
+            | AttemptOutcome::Unreachable => MAX_OWNER_TRIES,
+            AttemptOutcome::Shed if !is_congested => MAX_OWNER_TRIES,
+            AttemptOutcome::Garbled | AttemptOutcome::Broken => 2,
+            _ => 0,
+        };
+        tries < max_tries
     }
 
     /// The refusal after attempts that were not answered.
@@ -427,7 +444,7 @@
     pub fn final_refusal(&self, ticket: &RequestTicket, outcome: AttemptOutcome) -> Refusal {
         let reason = match outcome {
             AttemptOutcome::Shed => RefusalReason::Overloaded,
-            AttemptOutcome::WrongServer => RefusalReason::NoOwner,
+            AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
             AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
             AttemptOutcome::Silent => RefusalReason::TimedOut,
             _ => RefusalReason::BrokenAnswer,
@@ -462,7 +479,7 @@
         let servers = self
             .health
             .iter_mut()
-            .filter(|(_, health)| health.answered > 0);
+            .filter(|(_, health)| health.answered + health.shed > 0);
         EntryReport {
             keys: keys
                 .map(|((service, key), request_count)| KeyCount {
@@ -476,6 +493,7 @@
                     life: life.clone(),
                     in_flight: health.in_flight,
                     answered: std::mem::take(&mut health.answered),
+                    shed: std::mem::take(&mut health.shed),
                     service_time: std::mem::take(&mut health.service_time),
                 })
                 .collect(),
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -44,8 +44,10 @@
     Failed,
     /// The server is full and has not run it.
     Shed,
-    /// The server does not own the key, or is another one; it has not run it.
+    /// The server does not own the key; it has not run it.
     WrongServer,
+    /// Another server has the address; it has not run it.
+    OtherServer,
     /// Nobody listens at the address.
     Refused,
     /// No connection came about; nothing was sent.
@@ -66,7 +68,7 @@
     pub fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::Shed | Self::WrongServer | Self::Refused | Self::Unreachable
+            Self::Shed | Self::WrongServer | Self::OtherServer | Self::Refused | Self::Unreachable
         )
     }
 
@@ -78,6 +80,7 @@
             Self::Failed => "failed",
             Self::Shed => "shed",
             Self::WrongServer => "wrong-server",
+            Self::OtherServer => "other-server",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -8,6 +8,12 @@
 
 /// Weight of the latest sample in averages.
 const SAMPLE_WEIGHT: f64 = 0.15;
+/// Weight of a sample below the base: waiting only ever adds, so low samples tell more.
+const LOW_SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of a sample above the base.
+const HIGH_SAMPLE_WEIGHT: f64 = 0.01;
+/// Factor by which a time exceeds the base when about every slot has another request waiting.
+const CONGESTED_FACTOR: f64 = 1.8;
 /// Pause after the first failure that shows a server to be away; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause: a server that comes back is found within this time.
@@ -20,7 +26,11 @@
 /// What an entry VM has seen of one life of a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerHealth {
+    /// Another server has its address: it has ended.
+    pub(crate) is_gone: bool,
     pub(crate) in_flight: u32,
+    /// Time to an answer that need not wait, as the lower envelope of all times.
+    base_s: Option<f64>,
     /// Average time to an answer.
     latency_s: Option<f64>,
     /// Part of recent requests that failed.
@@ -29,19 +39,23 @@
     pause: Duration,
     pub(crate) paused_until: MonoTime,
     pub(crate) answered: u32,
+    pub(crate) shed: u32,
     pub(crate) service_time: Duration,
 }
 
 impl Default for ServerHealth {
     fn default() -> Self {
         Self {
+            is_gone: false,
             in_flight: 0,
+            base_s: None,
             latency_s: None,
             failure_rate: 0.0,
             breaks_in_a_row: 0,
             pause: FIRST_PAUSE,
             paused_until: MonoTime::ZERO,
             answered: 0,
+            shed: 0,
             service_time: Duration::ZERO,
         }
     }
@@ -57,6 +71,15 @@
         self.latency_s.map(Duration::from_secs_f64)
     }
 
+    /// Whether requests have had to wait at the server; one that turns requests away without is not
+    /// full.
+    pub(crate) fn is_congested(&self) -> bool {
+        match (self.base_s, self.latency_s) {
+            (Some(base), Some(latency)) => latency > base * CONGESTED_FACTOR,
+            _ => false,
+        }
+    }
+
     /// Expected cost of one more request: less is better.
     pub(crate) fn cost(&self, slots: u32, typical_latency: Duration) -> f64 {
         let latency = self.latency_s.unwrap_or(typical_latency.as_secs_f64());
@@ -76,6 +99,7 @@
             }
             AttemptOutcome::Failed => self.note_failure(true),
             AttemptOutcome::Shed => {
+                self.shed += 1;
                 self.note_failure(true);
                 self.paused_until = self.paused_until.max(now + SHED_PAUSE);
             }
@@ -85,6 +109,7 @@
                 self.note_break(now);
             }
             AttemptOutcome::Broken | AttemptOutcome::Garbled => self.note_break(now),
+            AttemptOutcome::OtherServer => self.is_gone = true,
             AttemptOutcome::WrongServer | AttemptOutcome::Cancelled => {}
         }
     }
@@ -93,6 +118,13 @@
         self.answered += 1;
         self.service_time += took;
         let sample = took.as_secs_f64();
+        let base = self.base_s.unwrap_or(sample);
+        let weight = if sample < base {
+            LOW_SAMPLE_WEIGHT
+        } else {
+            HIGH_SAMPLE_WEIGHT
+        };
+        self.base_s = Some(base + weight * (sample - base));
         let average = self.latency_s.unwrap_or(sample);
         self.latency_s = Some(average + SAMPLE_WEIGHT * (sample - average));
     }
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -78,7 +78,7 @@
     shared.metrics.record(GatewayMetric::AttemptLatency, took);
     let (head, body) = response.into_parts();
     let keep_alive = shared.servers.keep_alive(&head);
-    let is_failure = match shared.servers.classify(&request.facts, &head) {
+    let is_failure = match shared.servers.classify(&request.facts, &target.life, &head) {
         AnswerClass::Answer => false,
         AnswerClass::Failure => true,
         AnswerClass::Shed => {
@@ -89,6 +89,9 @@
             finish(shared, target, link, &body, keep_alive);
             return AttemptResult::Ended(AttemptOutcome::WrongServer);
         }
+        AnswerClass::OtherServer => {
+            return AttemptResult::Ended(AttemptOutcome::OtherServer);
+        }
         AnswerClass::Foreign => {
             shared.metrics.increment(GatewayMetric::ForeignAnswers);
             return AttemptResult::Ended(AttemptOutcome::Garbled);
--- a/crates/chicory_gateway/src/process/borders.rs
+++ b/crates/chicory_gateway/src/process/borders.rs
@@ -27,8 +27,10 @@
     Failure,
     /// The server is full and has not run the request.
     Shed,
-    /// The server does not own the key, or is another one; it has not run the request.
+    /// The server does not own the key; it has not run the request.
     WrongServer,
+    /// Another server has the address; it has not run the request.
+    OtherServer,
     /// It belongs to another request, or lacks what every answer of a server has.
     Foreign,
 }
@@ -45,7 +47,12 @@
     );
 
     /// Tells what an answer means.
-    fn classify(&self, facts: &CallerFacts, head: &response::Parts) -> AnswerClass;
+    fn classify(
+        &self,
+        facts: &CallerFacts,
+        target: &ServerLife,
+        head: &response::Parts,
+    ) -> AnswerClass;
 
     /// How long the server keeps the connection of this answer open while it is idle.
     fn keep_alive(&self, head: &response::Parts) -> Option<Duration>;
--- a/crates/chicory_gateway/tests/decisions.rs
+++ b/crates/chicory_gateway/tests/decisions.rs
@@ -278,6 +278,7 @@
     let outcomes = [
         AttemptOutcome::Shed,
         AttemptOutcome::WrongServer,
+        AttemptOutcome::OtherServer,
         AttemptOutcome::Refused,
         AttemptOutcome::Unreachable,
     ];
@@ -452,6 +453,43 @@
     expect_that!(f64::from(second_sends), le(allowed));
 }
 
+/// Sends a request for a key whose owner has answered in `latencies_ms` before, and lets the owner
+/// turn it away; whether it is asked again.
+fn is_asked_again_after(latencies_ms: &[u64]) -> bool {
+    let mut gateway = gateway();
+    for latency_ms in latencies_ms {
+        let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+        sent(gateway.next_step(START, &mut ticket));
+        let ended_at = START + Duration::from_millis(*latency_ms);
+        gateway.attempt_ended(ended_at, &mut ticket, AttemptOutcome::Answered);
+    }
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+    sent(gateway.next_step(START, &mut ticket));
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed)
+}
+
+#[gtest]
+fn owner_that_turns_requests_away_without_being_full_is_asked_again() {
+    expect_that!(is_asked_again_after(&[100; 10]), eq(true));
+}
+
+#[gtest]
+fn full_owner_is_not_asked_again() {
+    let growing: Vec<u64> = (1..=30).map(|i| 100 + 20 * i).collect();
+    expect_that!(is_asked_again_after(&growing), eq(false));
+}
+
+#[gtest]
+fn server_whose_address_another_one_has_is_not_asked_again() {
+    let mut gateway = gateway();
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+    sent(gateway.next_step(START, &mut ticket));
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::OtherServer);
+    let mut next = arrive(&mut gateway, "/reads/x", Some(7));
+    let step = gateway.next_step(START, &mut next);
+    expect_that!(step, matches_pattern!(NextStep::Wait(_)));
+}
+
 #[gtest]
 fn split_route_divides_requests_by_weight() {
     let mut gateway = gateway();
--- a/crates/chicory_site/src/core/server_speeds.rs
+++ b/crates/chicory_site/src/core/server_speeds.rs
@@ -13,15 +13,24 @@
 /// Bounds of a speed relative to the typical one, against estimates from a few odd samples.
 const SPEED_BOUNDS: (f64, f64) = (0.5, 1.8);
 
+/// Weight of the latest report in the part of requests that a server turns away.
+const SHED_SAMPLE_WEIGHT: f64 = 0.1;
+/// Part of its capacity that a server loses in plans when it turns all requests away; some is left, so
+/// that it is seen to recover.
+const SHED_DISCOUNT: f64 = 0.6;
+
 /// The time that each server takes for a request that need not wait, as the lower envelope of
 /// reported times.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServerSpeeds {
     seconds: BTreeMap<ServerLife, f64>,
+    /// Part of recent requests that each server turned away.
+    shed_parts: BTreeMap<ServerLife, f64>,
 }
 
 impl ServerSpeeds {
     pub(crate) fn note(&mut self, load: &ServerLoad) {
+        self.note_shed(load);
         if load.answered == 0 || load.service_time == Duration::ZERO {
             return;
         }
@@ -35,6 +44,16 @@
         *estimate += weight * (sample - *estimate);
     }
 
+    fn note_shed(&mut self, load: &ServerLoad) {
+        let arrived = load.answered + load.shed;
+        if arrived == 0 {
+            return;
+        }
+        let sample = f64::from(load.shed) / f64::from(arrived);
+        let part = self.shed_parts.entry(load.life.clone()).or_default();
+        *part += SHED_SAMPLE_WEIGHT * (sample - *part);
+    }
+
     /// Speed of each server relative to the median of these servers; 1 for unknown ones.
     pub(crate) fn relative(&self, lives: &[ServerLife]) -> Vec<f64> {
         let mut known: Vec<f64> = lives
@@ -43,16 +62,19 @@
             .collect();
         known.sort_by(f64::total_cmp);
         let median = known.get(known.len() / 2).copied();
-        let speeds = lives
-            .iter()
-            .map(|life| match (median, self.seconds.get(life)) {
+        let speeds = lives.iter().map(|life| {
+            let speed = match (median, self.seconds.get(life)) {
                 (Some(median), Some(own)) => (median / own).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1),
                 _ => 1.0,
-            });
+            };
+            let shed_part = self.shed_parts.get(life).copied().unwrap_or(0.0);
+            speed * (1.0 - SHED_DISCOUNT * shed_part)
+        });
         speeds.collect()
     }
 
     pub(crate) fn retain(&mut self, is_known: impl Fn(&ServerLife) -> bool) {
         self.seconds.retain(|life, _| is_known(life));
+        self.shed_parts.retain(|life, _| is_known(life));
     }
 }
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -101,6 +101,7 @@
             life: Some(load.life.into()),
             in_flight: load.in_flight,
             answered: load.answered,
+            shed: load.shed,
             service_time_us: micros(load.service_time),
         }
     }
@@ -114,6 +115,7 @@
             life: required(message.life, "server_load.life")?.try_into()?,
             in_flight: message.in_flight,
             answered: message.answered,
+            shed: message.shed,
             service_time: Duration::from_micros(message.service_time_us),
         })
     }
