--- /dev/null
+++ b/crates/chicory_ranges/tests/range_planner.rs
@@ -0,0 +1,86 @@
+//! Plans for loads that differ.
+
+use chicory_ranges::{KeyLoad, KeyRange, PlannedServer, RangePlanner, ServerLife, Transfer};
+use googletest::prelude::*;
+use std::time::Duration;
+
+fn life(index: usize) -> ServerLife {
+    ServerLife::new(format!("server-{index}"), 1)
+}
+
+fn servers(capacities: &[f64]) -> Vec<PlannedServer> {
+    let servers = capacities.iter().enumerate();
+    servers
+        .map(|(index, capacity)| PlannedServer {
+            life: life(index),
+            capacity: *capacity,
+        })
+        .collect()
+}
+
+fn plan(
+    capacities: &[f64],
+    load: &[(u16, u32)],
+    owners: &[(KeyRange, ServerLife)],
+) -> Vec<Transfer> {
+    let mut keys = KeyLoad::new(Duration::ZERO);
+    for (key, request_count) in load {
+        keys.add(*key, *request_count);
+    }
+    let planner = RangePlanner::new("archive".into(), servers(capacities), keys.weights());
+    planner.plan(owners)
+}
+
+fn halves() -> Vec<(KeyRange, ServerLife)> {
+    vec![
+        (KeyRange::new(0, 32_767), life(0)),
+        (KeyRange::new(32_768, 65_535), life(1)),
+    ]
+}
+
+#[gtest]
+fn first_keys_are_divided_by_capacity() {
+    let transfers = plan(&[1.0, 3.0], &[], &[]);
+    let counts: Vec<u32> = transfers.iter().map(|t| t.range.key_count()).collect();
+    expect_that!(counts, eq(&vec![16_384, 49_152]));
+}
+
+#[gtest]
+fn even_load_moves_nothing() {
+    let load: Vec<(u16, u32)> = (0..64).map(|i| (i * 1024, 10)).collect();
+    expect_that!(plan(&[3.0, 3.0], &load, &halves()).len(), eq(0));
+}
+
+#[gtest]
+fn keys_of_a_server_that_left_go_to_others_in_pieces() {
+    let mut owners = halves();
+    owners[1].1 = ServerLife::new("gone", 1);
+    let transfers = plan(&[3.0, 3.0, 3.0, 3.0], &[], &owners);
+    let to: std::collections::BTreeSet<_> = transfers.iter().map(|t| t.to.clone()).collect();
+    let moved: u32 = transfers.iter().map(|t| t.range.key_count()).sum();
+    expect_that!(moved, eq(32_768));
+    expect_that!(to.len(), ge(2));
+}
+
+#[gtest]
+fn newcomer_gets_keys() {
+    let transfers = plan(&[3.0, 3.0, 3.0], &[], &halves());
+    expect_that!(transfers.iter().any(|t| t.to == life(2)), eq(true));
+}
+
+#[gtest]
+fn single_hot_key_goes_to_the_fastest_server() {
+    let owners = vec![
+        (KeyRange::new(0, 99), life(1)),
+        (KeyRange::new(100, 100), life(0)),
+        (KeyRange::new(101, 65_535), life(1)),
+    ];
+    let load = [(100, 500), (7, 20), (9000, 20)];
+    let transfers = plan(&[2.0, 4.0], &load, &owners);
+    let hot = transfers.iter().find(|t| t.range.contains(100));
+    expect_that!(hot.map(|t| t.to.clone()), some(eq(&life(1))));
+    // There it stays.
+    let owners = vec![(KeyRange::ALL, life(1))];
+    let transfers = plan(&[2.0, 4.0], &load, &owners);
+    expect_that!(transfers.iter().any(|t| t.range.contains(100)), eq(false));
+}
