--- a/crates/chicory_ranges/src/range_planner.rs
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -17,11 +17,6 @@
 /// Requests that have to count before load is a reason to move keys.
 const MIN_BALANCING_WEIGHT: f64 = 20.0;
 
-/// Part of a server's load that a single key has to make up to go to a faster server.
-const DOMINANT_PART: f64 = 0.6;
-/// Factor by which that server has to be faster: less is not worth the pause of a move.
-const FASTER_FACTOR: f64 = 1.25;
-
 /// Plans the transfers of one service.
 ///
 /// # Examples
@@ -187,10 +182,6 @@
             let excess = (high - low) * self.capacity(&from) * self.capacity(&to) / capacities;
             let Some(range) = self.part_to_move(&owners, &from, excess) else {
                 // A single hot key can't be divided; others may still have something to give.
-                if let Some((range, to)) = self.faster_owner(&owners, &from, loads[&from]) {
-                    change_owner(&mut owners, range, &to);
-                    transfers.push(self.transfer(range, Some(from.clone()), &to));
-                }
                 stuck.insert(from);
                 continue;
             };
@@ -206,25 +197,6 @@
         transfers
     }
 
-    /// A much faster server for a single key that makes up most of a server's load.
-    fn faster_owner(
-        &self,
-        owners: &[(KeyRange, ServerLife)],
-        from: &ServerLife,
-        load: f64,
-    ) -> Option<(KeyRange, ServerLife)> {
-        let mut own = owners.iter().filter(|(_, owner)| owner == from);
-        let (range, _) = own.find(|(range, _)| {
-            range.key_count() == 1 && self.weights.of(*range) > load * DOMINANT_PART
-        })?;
-        let fastest = self
-            .servers
-            .iter()
-            .max_by(|one, other| one.capacity.total_cmp(&other.capacity))?;
-        let is_faster = fastest.capacity > self.capacity(from) * FASTER_FACTOR;
-        is_faster.then(|| (*range, fastest.life.clone()))
-    }
-
     /// The part of a server's keys whose load is close to `excess`, with as few keys as possible.
     fn part_to_move(
         &self,
--- a/crates/chicory_ranges/tests/range_planner.rs
+++ b/crates/chicory_ranges/tests/range_planner.rs
@@ -67,20 +67,3 @@
     let transfers = plan(&[3.0, 3.0, 3.0], &[], &halves());
     expect_that!(transfers.iter().any(|t| t.to == life(2)), eq(true));
 }
-
-#[gtest]
-fn single_hot_key_goes_to_the_fastest_server() {
-    let owners = vec![
-        (KeyRange::new(0, 99), life(1)),
-        (KeyRange::new(100, 100), life(0)),
-        (KeyRange::new(101, 65_535), life(1)),
-    ];
-    let load = [(100, 500), (7, 20), (9000, 20)];
-    let transfers = plan(&[2.0, 4.0], &load, &owners);
-    let hot = transfers.iter().find(|t| t.range.contains(100));
-    expect_that!(hot.map(|t| t.to.clone()), some(eq(&life(1))));
-    // There it stays.
-    let owners = vec![(KeyRange::ALL, life(1))];
-    let transfers = plan(&[2.0, 4.0], &load, &owners);
-    expect_that!(transfers.iter().any(|t| t.range.contains(100)), eq(false));
-}
