--- a/crates/chicory_gateway/src/process/connection_pool.rs
+++ b/crates/chicory_gateway/src/process/connection_pool.rs
@@ -8,8 +8,8 @@
 use chicory_ranges::ServerLife;
 use chicory_types::MonoTime;
 
-/// Idle connections kept to one server.
-const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Idle connections kept to one server: servers bound the sum over all entry VMs.
+const MAX_IDLE_CONNECTIONS: usize = 3;
 /// Assumed idle time-out of a server that does not tell.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
 /// Time by which a connection is given up before the server would close it.
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -9,15 +9,16 @@
 use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
 use slog::{info, warn};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::GatewayMetric;
 use super::shared::Shared;
 
 /// Interval of reports; each is answered with the control VM's status.
-const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+const REPORT_INTERVAL: Duration = Duration::from_millis(350);
 /// Time without any message after which a control VM is given up: two reports and a margin.
-const SILENCE: Duration = Duration::from_millis(900);
+const SILENCE: Duration = Duration::from_millis(800);
 /// Time without contact to a majority after which another control VM is looked for; an election
 /// takes about as long.
 const NO_CONTACT: Duration = Duration::from_millis(500);
@@ -28,9 +29,8 @@
     vm: VmId,
     zone: ZoneName,
     seeds: Vec<VmId>,
-    /// Control VMs, in the order in which they are tried.
+    /// All control VMs that are known.
     candidates: Vec<VmId>,
-    next_candidate: usize,
     leader: Option<VmId>,
     /// The control VM that was lost last; the others are tried first.
     lost: Option<VmId>,
@@ -46,16 +46,12 @@
 
 impl DirectoryLink {
     pub(super) fn new(shared: Arc<Shared>, vm: VmId, zone: ZoneName, seeds: Vec<VmId>) -> Self {
-        // Entry VMs begin with different seeds, so that not all of them meet at one.
-        let vm_hash = chicory_types::fingerprint_of(&[vm.as_bytes()]);
-        let first = usize::try_from(vm_hash % (seeds.len().max(1) as u64)).unwrap_or(0);
         Self {
             shared,
             vm,
             zone,
             candidates: seeds.clone(),
             seeds,
-            next_candidate: first,
             leader: None,
             lost: None,
         }
@@ -65,14 +61,10 @@
         let mut backoff = Backoff::default();
         let mut is_lost = false;
         loop {
-            let Some(control_vm) = self.choose() else {
-                tokio::time::sleep(backoff.next_pause()).await;
-                continue;
-            };
-            let logger = &self.shared.logger;
-            match self.open(&control_vm).await {
-                Ok(stream) => {
-                    info!(logger, "follows control VM"; "control_vm" => &control_vm);
+            let targets = self.targets();
+            match self.open_any(&targets).await {
+                Ok((control_vm, stream)) => {
+                    info!(self.shared.logger, "follows control VM"; "control_vm" => &control_vm);
                     is_lost = false;
                     let followed_at = Instant::now();
                     let parting = self.follow(&control_vm, stream).await;
@@ -92,12 +84,12 @@
                 }
                 Err(failure) => {
                     if !is_lost {
-                        warn!(logger, "no link to control VM"; "control_vm" => &control_vm,
-                            "error" => %failure);
+                        warn!(self.shared.logger, "no link to control VM";
+                            "control_vms" => ?targets, "error" => %failure);
                         is_lost = true;
                     }
-                    self.leader = None;
-                    self.lost = Some(control_vm);
+                    // Whichever was lost before may be the only one left.
+                    self.lost = None;
                     tokio::time::sleep(backoff.next_pause()).await;
                 }
             }
@@ -116,33 +108,47 @@
         self.lost = Some(control_vm.clone());
     }
 
-    /// The leader if it is known, else the next control VM in turn.
-    fn choose(&mut self) -> Option<VmId> {
+    /// The leader if it is known, else all control VMs but the one that was lost last.
+    fn targets(&mut self) -> Vec<VmId> {
         if let Some(leader) = self.leader.take() {
-            return Some(leader);
+            return vec![leader];
         }
-        let count = self.candidates.len();
-        for _ in 0..count {
-            let chosen = self.candidates.get(self.next_candidate % count).cloned();
-            self.next_candidate = self.next_candidate.wrapping_add(1);
-            if chosen != self.lost || count == 1 {
-                return chosen;
-            }
+        let lost = self.lost.as_ref();
+        let others = self.candidates.iter().filter(|vm| Some(*vm) != lost);
+        let others: Vec<VmId> = others.cloned().collect();
+        if others.is_empty() {
+            return self.candidates.clone();
         }
-        None
+        others
     }
 
-    async fn open(&self, control_vm: &VmId) -> Result<LinkStream, LinkError> {
-        let address: SocketAddr = control_vm.parse().map_err(|_| LinkError::Content)?;
-        let (reader, mut writer) = dial(address).await?;
-        let hello = LinkHello::Entry {
-            vm: self.vm.clone(),
-            zone: self.zone.clone(),
-            known_version: self.shared.gateway().directory().version(),
-        };
-        writer.put(&site::LinkHello::from(hello));
-        writer.flush().await?;
-        Ok((reader, writer))
+    /// Dials all targets at once and takes the first that answers: one that is cut off costs no
+    /// time then.
+    async fn open_any(&self, targets: &[VmId]) -> Result<(VmId, LinkStream), LinkError> {
+        let mut dials = JoinSet::new();
+        for vm in targets {
+            let address: SocketAddr = vm.parse().map_err(|_| LinkError::Content)?;
+            let vm = vm.clone();
+            dials.spawn(async move { (vm, dial(address).await) });
+        }
+        let mut failure = LinkError::DialTimeout;
+        while let Some(dialled) = dials.join_next().await {
+            match dialled {
+                Ok((vm, Ok((reader, mut writer)))) => {
+                    let hello = LinkHello::Entry {
+                        vm: self.vm.clone(),
+                        zone: self.zone.clone(),
+                        known_version: self.shared.gateway().directory().version(),
+                    };
+                    writer.put(&site::LinkHello::from(hello));
+                    writer.flush().await?;
+                    return Ok((vm, (reader, writer)));
+                }
+                Ok((_, Err(error))) => failure = error,
+                Err(error) => warn!(self.shared.logger, "dial ended early"; "error" => %error),
+            }
+        }
+        Err(failure)
     }
 
     async fn follow(&mut self, own: &VmId, (mut reader, mut writer): LinkStream) -> Parting {
