--- a/crates/chicory_ranges/src/grant_desk_config.rs
+++ b/crates/chicory_ranges/src/grant_desk_config.rs
@@ -6,9 +6,9 @@
 
 /// How long a grant holds; operators allow 10 s at most, and it has to outlast an election and a
 /// cut of some seconds.
-pub const GRANT_HOLD: Duration = Duration::from_secs(8);
+pub const GRANT_HOLD: Duration = Duration::from_secs(5);
 /// Time between renewals: three renewals may fail before a grant runs out.
-pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(1250);
 /// Time before a call that failed is made again.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a grant without an answer is given up and its connection reset.
