--- a/crates/chicory_ranges/src/grant_desk_config.rs
+++ b/crates/chicory_ranges/src/grant_desk_config.rs
@@ -4,11 +4,13 @@
 
 use chicory_types::CLOCK_RATE_MARGIN_PERCENT;
 
-/// How long a grant holds; operators allow 10 s at most, and it has to outlast an election and a
-/// cut of some seconds.
-pub const GRANT_HOLD: Duration = Duration::from_secs(5);
+/// How long a grant holds unless operators allow less: long enough to outlast an election, and a
+/// cut of some seconds between a server and the control VMs.
+pub const GRANT_HOLD: Duration = Duration::from_secs(10);
 /// Time between renewals: three renewals may fail before a grant runs out.
-pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(1250);
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+/// Renewals that fit into a hold at least.
+const RENEWALS_IN_A_HOLD: u32 = 4;
 /// Time before a call that failed is made again.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a grant without an answer is given up and its connection reset.
@@ -40,6 +42,14 @@
 }
 
 impl GrantDeskConfig {
+    /// Bounds the hold by what operators allow, and renews often enough for it.
+    #[must_use]
+    pub fn with_max_hold(mut self, max_hold: Duration) -> Self {
+        self.hold = self.hold.min(max_hold);
+        self.renewal_interval = self.renewal_interval.min(self.hold / RENEWALS_IN_A_HOLD);
+        self
+    }
+
     /// Longest time for which a server may hold keys after a call can't reach it any more.
     #[must_use]
     pub fn outwait(&self) -> Duration {
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use chicory_directory::{ControlMessage, SiteAnswer};
-use chicory_ranges::GrantDeskConfig;
 use chicory_telemetry::Metrics;
 use chicory_types::{Clock, MonoTime};
 use slog::{Logger, warn};
@@ -64,7 +63,7 @@
             vm: vm.clone(),
             seeds: config.seeds.clone(),
             random_seed: rand_seed(&vm, clock.now()),
-            grants: GrantDeskConfig::default(),
+            grants: config.grants.clone(),
         };
         let storage = storage_worker::start(config, inbox.clone(), logger.clone())?;
         let listener = LinkListener {
--- a/crates/chicory_site/src/process/site_process_config.rs
+++ b/crates/chicory_site/src/process/site_process_config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use chicory_ranges::GrantDeskConfig;
 use chicory_types::{ClusterName, VmId, ZoneName};
 
 /// Settings of a control process.
@@ -20,4 +21,6 @@
     pub is_first_start: bool,
     /// The data folder.
     pub data_dir: PathBuf,
+    /// Settings of grants.
+    pub grants: GrantDeskConfig,
 }
