--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -223,7 +223,7 @@
         let entry = self.directory.owner(&ticket.service, key);
         let record = entry.and_then(|owned| self.directory.server(&owned.owner));
         let is_moving = entry.is_some_and(|owned| self.is_moving(&ticket.service, key, owned));
-        let usable = record.filter(|record| !is_moving && self.may_take_keyed(now, record));
+        let usable = record.filter(|record| !is_moving && self.may_take(now, record));
         let Some(record) = usable.cloned() else {
             return self.wait_for_owner(now, ticket);
         };
@@ -246,7 +246,15 @@
         })
     }
 
-    fn may_take_keyed(&self, now: MonoTime, record: &ServerRecord) -> bool {
+    /// Whether a request that was meant for a server may still go there: connecting takes time, and
+    /// the server may have begun to drain or have left meanwhile.
+    #[must_use]
+    pub fn may_still_send(&self, now: MonoTime, life: &ServerLife) -> bool {
+        let record = self.directory.server(life);
+        record.is_some_and(|record| self.may_take(now, record))
+    }
+
+    fn may_take(&self, now: MonoTime, record: &ServerRecord) -> bool {
         if self
             .health
             .get(&record.life)
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -139,7 +139,11 @@
         LinkError::Refused => AttemptOutcome::Refused,
         _ => AttemptOutcome::Unreachable,
     })?;
-    let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
+    let now = shared.now();
+    if !shared.gateway().may_still_send(now, &target.life) {
+        return Err(AttemptOutcome::Unreachable);
+    }
+    let left = time_left.saturating_sub(now.saturating_sub(started_at));
     let sent = link.send(outgoing(shared, request, target, left)).await;
     let response = sent.map_err(|failure| match failure {
         SendError::NothingSent => AttemptOutcome::Unreachable,
--- a/crates/chicory_gateway/tests/decisions.rs
+++ b/crates/chicory_gateway/tests/decisions.rs
@@ -333,6 +333,26 @@
     expect_that!(step, matches_pattern!(NextStep::Wait(_)));
 }
 
+/// While a connection comes about the server may begin to drain, or leave.
+#[gtest]
+fn request_is_not_sent_to_a_server_that_left_meanwhile() {
+    let mut gateway = gateway();
+    let (drains, leaves) = (ServerLife::new("l1", 1), ServerLife::new("l2", 1));
+    for life in [&drains, &leaves] {
+        expect_that!(gateway.may_still_send(START, life), eq(true));
+    }
+    let update = DirectoryUpdate {
+        version: 6,
+        servers: vec![server("l1", "library", ServerState::Draining)],
+        removed: vec![leaves.clone()],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    expect_that!(gateway.may_still_send(START, &leaves), eq(false));
+    let later = START + Duration::from_millis(1300);
+    expect_that!(gateway.may_still_send(later, &drains), eq(false));
+}
+
 #[gtest]
 fn server_that_refuses_connections_is_left_alone_for_a_while() {
     let mut gateway = gateway();
