--- a/crates/chicory_link/src/frame_writer.rs
+++ b/crates/chicory_link/src/frame_writer.rs
@@ -30,6 +30,13 @@
         self.buffer.extend_from_slice(&message.encode_to_vec());
     }
 
+    /// Puts a message into the buffer that is encoded already.
+    pub fn put_encoded(&mut self, message: &[u8]) {
+        let length = u32::try_from(message.len()).unwrap_or(u32::MAX);
+        self.buffer.put_u32(length);
+        self.buffer.extend_from_slice(message);
+    }
+
     /// Puts an empty frame into the buffer.
     pub fn put_alive(&mut self) {
         self.buffer.put_u32(0);
--- a/crates/chicory_ranges/tests/support/mod.rs
+++ b/crates/chicory_ranges/tests/support/mod.rs
@@ -179,12 +179,12 @@
             .filter(|(_, server)| server.is_up && !server.is_cut)
             .map(|(life, _)| life.clone())
             .collect();
-        if self.now.as_millis() % 800 == 0 {
+        if self.now.as_millis().is_multiple_of(800) {
             for life in announcing {
                 self.feed(GrantEvent::Announced(life));
             }
         }
-        if self.now.as_millis() % 200 == 0 {
+        if self.now.as_millis().is_multiple_of(200) {
             self.plan();
         }
         self.feed(GrantEvent::Tick);
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -1,5 +1,7 @@
 //! Entry VMs that follow this member.
 
+use std::collections::BTreeMap;
+
 use chicory_directory::{
     ControlMessage, DirectoryUpdate, DirectoryVersion, EntryMessage, EntryReport, LinkStatus,
     MovingRange, PeerEnvelope,
@@ -29,7 +31,7 @@
         };
         self.entries.insert(link, entry);
         self.entries_version = 0;
-        self.send_status(link);
+        self.send_status(vec![link]);
     }
 
     pub(super) fn on_entry_left(&mut self, link: EntryLinkId) {
@@ -53,7 +55,7 @@
                 envelope: PeerEnvelope::Report(report),
             });
         }
-        self.send_status(link);
+        self.send_status(vec![link]);
     }
 
     pub(super) fn on_report(&mut self, now: MonoTime, report: EntryReport) {
@@ -92,17 +94,17 @@
 
     /// Entry VMs learn at once that the leader changed, and turn to the new one.
     pub(super) fn send_statuses(&mut self) {
-        for link in self.entries.keys().copied().collect::<Vec<_>>() {
-            self.send_status(link);
-        }
+        let links = self.entries.keys().copied().collect();
+        self.send_status(links);
     }
 
-    fn send_status(&mut self, link: EntryLinkId) {
-        let status = self.status();
-        self.effects.push(SiteEffect::SendToEntry {
-            link,
-            message: ControlMessage::Status(status),
-        });
+    fn send_status(&mut self, links: Vec<EntryLinkId>) {
+        if links.is_empty() {
+            return;
+        }
+        let message = ControlMessage::Status(self.status());
+        self.effects
+            .push(SiteEffect::SendToEntries { links, message });
     }
 
     fn status(&self) -> LinkStatus {
@@ -132,23 +134,20 @@
             return;
         }
         self.entries_version = version;
-        let mut last: Option<(DirectoryVersion, Option<DirectoryUpdate>)> = None;
+        let mut by_version: BTreeMap<DirectoryVersion, Vec<EntryLinkId>> = BTreeMap::new();
         for (link, entry) in &mut self.entries {
-            let known = entry.sent_version;
-            if known >= version {
-                continue;
-            }
-            let is_same = last.as_ref().is_some_and(|(since, _)| *since == known);
-            if !is_same {
-                last = Some((known, self.state.update_since(known)));
+            if entry.sent_version < version {
+                let links = by_version.entry(entry.sent_version).or_default();
+                links.push(*link);
+                entry.sent_version = version;
             }
-            let update = last.as_ref().and_then(|(_, update)| update.clone());
-            entry.sent_version = version;
+        }
+        for (known, links) in by_version {
+            let update = self.state.update_since(known);
             if let Some(update) = update.filter(|update| update.is_full || !is_empty(update)) {
-                self.effects.push(SiteEffect::SendToEntry {
-                    link: *link,
-                    message: ControlMessage::Update(update),
-                });
+                let message = ControlMessage::Update(update);
+                self.effects
+                    .push(SiteEffect::SendToEntries { links, message });
             }
         }
     }
--- a/crates/chicory_site/src/core/site_effect.rs
+++ b/crates/chicory_site/src/core/site_effect.rs
@@ -55,10 +55,10 @@
         /// What to send.
         envelope: PeerEnvelope,
     },
-    /// Send something to an entry VM.
-    SendToEntry {
-        /// The link.
-        link: EntryLinkId,
+    /// Send something to entry VMs.
+    SendToEntries {
+        /// Their links.
+        links: Vec<EntryLinkId>,
         /// What to send.
         message: ControlMessage,
     },
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use chicory_directory::{ControlMessage, EntryMessage, LinkHello};
+use bytes::Bytes;
+use chicory_directory::{EntryMessage, LinkHello};
 use chicory_link::{Frame, LinkError, LinkStream};
 use chicory_wire::proto::site;
 use tokio::sync::mpsc;
@@ -52,15 +53,15 @@
 async fn carry(
     server: &LinkServer,
     (mut reader, mut writer): LinkStream,
-    mut messages: mpsc::Receiver<ControlMessage>,
+    mut messages: mpsc::Receiver<Bytes>,
 ) {
     loop {
         tokio::select! {
             message = messages.recv() => {
                 let Some(message) = message else { return };
-                writer.put(&site::ControlMessage::from(message));
+                writer.put_encoded(&message);
                 while let Ok(next) = messages.try_recv() {
-                    writer.put(&site::ControlMessage::from(next));
+                    writer.put_encoded(&next);
                 }
                 if writer.flush().await.is_err() {
                     return;
--- a/crates/chicory_site/src/process/site_input.rs
+++ b/crates/chicory_site/src/process/site_input.rs
@@ -1,6 +1,7 @@
 //! What reaches the loop of the process.
 
-use chicory_directory::{ControlMessage, SiteAnswer, SiteCall};
+use bytes::Bytes;
+use chicory_directory::{SiteAnswer, SiteCall};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{EntryLinkId, SiteEvent};
@@ -17,7 +18,8 @@
     /// A link of an entry VM, before its first event.
     EntryLink {
         link: EntryLinkId,
-        outbox: mpsc::Sender<ControlMessage>,
+        /// Takes encoded messages.
+        outbox: mpsc::Sender<Bytes>,
     },
     /// The process is to stop.
     Stop { done: oneshot::Sender<()> },
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -4,9 +4,12 @@
 use std::sync::{Arc, mpsc as std_mpsc};
 use std::time::Duration;
 
+use bytes::Bytes;
 use chicory_directory::{ControlMessage, SiteAnswer};
 use chicory_telemetry::Metrics;
 use chicory_types::{Clock, MonoTime};
+use chicory_wire::proto::site;
+use prost::Message;
 use slog::{Logger, warn};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -33,7 +36,7 @@
     storage: std_mpsc::Sender<StorageJob>,
     peers: PeerLinks,
     grants: Arc<dyn GrantPort>,
-    entries: BTreeMap<EntryLinkId, mpsc::Sender<ControlMessage>>,
+    entries: BTreeMap<EntryLinkId, mpsc::Sender<Bytes>>,
     callers: BTreeMap<CallerId, oneshot::Sender<SiteAnswer>>,
     last_caller: CallerId,
     logger: Logger,
@@ -181,7 +184,7 @@
             }
             SiteEffect::Answer { caller, answer } => self.answer(caller, answer),
             SiteEffect::SendToPeer { to, envelope } => self.peers.send(&to, envelope),
-            SiteEffect::SendToEntry { link, message } => self.send_to_entry(link, message),
+            SiteEffect::SendToEntries { links, message } => self.send_to_entries(&links, message),
             SiteEffect::Grant(order) => {
                 self.metrics.increment(SiteMetric::GrantCalls);
                 let call = order.call;
@@ -221,14 +224,19 @@
         }
     }
 
-    /// An entry VM that reads too slowly is disconnected; it comes back and is sent everything.
-    fn send_to_entry(&mut self, link: EntryLinkId, message: ControlMessage) {
-        let Some(outbox) = self.entries.get(&link) else {
-            return;
-        };
-        if outbox.try_send(message).is_err() {
-            warn!(self.logger, "entry VM reads too slowly"; "link" => link);
-            self.entries.remove(&link);
+    /// Encodes a message once for all entry VMs. One that reads too slowly is disconnected; it
+    /// comes back and is sent everything.
+    fn send_to_entries(&mut self, links: &[EntryLinkId], message: ControlMessage) {
+        let message = site::ControlMessage::from(message).encode_to_vec();
+        let message = Bytes::from(message);
+        for link in links {
+            let Some(outbox) = self.entries.get(link) else {
+                continue;
+            };
+            if outbox.try_send(message.clone()).is_err() {
+                warn!(self.logger, "entry VM reads too slowly"; "link" => link);
+                self.entries.remove(link);
+            }
         }
     }
 
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -301,8 +301,11 @@
                 let at = self.now + LINK_DELAY;
                 self.in_flight.push((at, vm.to_owned(), to, envelope));
             }
-            SiteEffect::SendToEntry { link, message } => {
-                self.entry_messages.push((vm.to_owned(), link, message));
+            SiteEffect::SendToEntries { links, message } => {
+                let messages = links
+                    .into_iter()
+                    .map(|link| (vm.to_owned(), link, message.clone()));
+                self.entry_messages.extend(messages);
             }
             SiteEffect::Grant(order) => {
                 self.grants.push((order.life, order.content));
