--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -34,9 +34,9 @@
 /// Part of the time left that is spent on waiting for an owner at most.
 const OWNER_WAIT_PART: f64 = 0.6;
 /// Pause before a server that did not own a key yet is asked again.
-const GRANT_LAG: Duration = Duration::from_millis(50);
+pub(super) const GRANT_LAG: Duration = Duration::from_millis(50);
 /// Tries at the owner of a key before the request is refused.
-const MAX_OWNER_TRIES: u32 = 3;
+pub(super) const MAX_OWNER_TRIES: u32 = 3;
 /// Time for which a draining server still gets requests for keys that it owns.
 const DRAINING_GRACE: Duration = Duration::from_millis(1200);
 /// Longest time for a connection to come about where another server could serve.
@@ -48,7 +48,7 @@
 /// Assumed time to an answer before there was one.
 const TYPICAL_LATENCY: Duration = Duration::from_millis(200);
 /// When to come back where nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time without contact to a majority of control VMs after which unknown routes are not denied.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
 /// Cost of a download from another availability zone, relative to one from the own: large answers
@@ -80,14 +80,14 @@
 pub struct Gateway {
     config: GatewayConfig,
     directory: Directory,
-    health: BTreeMap<ServerLife, ServerHealth>,
+    pub(super) health: BTreeMap<ServerLife, ServerHealth>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     entry_count: EntryCount,
     poison: BTreeSet<RequestFingerprint>,
     moving: Vec<MovingRange>,
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
-    crashes: CrashWatch,
+    pub(super) crashes: CrashWatch,
     rng: StdRng,
 }
 
@@ -389,98 +389,6 @@
         budget.try_retry(now, &self.config, self.entry_count.get())
     }
 
-    /// Takes in what became of an attempt; whether the request may be sent again.
-    pub fn attempt_ended(
-        &mut self,
-        now: MonoTime,
-        ticket: &mut RequestTicket,
-        outcome: AttemptOutcome,
-    ) -> bool {
-        let Some(attempt) = ticket.attempts.last_mut() else {
-            return false;
-        };
-        if attempt.ended.is_some() {
-            return false;
-        }
-        attempt.ended = Some((outcome, now));
-        let took = now.saturating_sub(attempt.started_at);
-        let life = attempt.life.clone();
-        let health = self.health.entry(life.clone()).or_default();
-        health.in_flight = health.in_flight.saturating_sub(1);
-        health.note_end(now, outcome, took);
-        ticket.may_have_run |= outcome.may_have_run();
-        self.crashes
-            .note_end(now, ticket.fingerprint, &life, outcome);
-        let is_congested = health.is_congested();
-        Self::may_try_again(now, ticket, outcome, is_congested)
-    }
-
-    fn may_try_again(
-        now: MonoTime,
-        ticket: &mut RequestTicket,
-        outcome: AttemptOutcome,
-        is_congested: bool,
-    ) -> bool {
-        let is_repeatable = ticket.route.route.kind.is_repeatable();
-        let is_allowed = is_repeatable || !ticket.may_have_run;
-        let is_final = matches!(
-            outcome,
-            AttemptOutcome::Answered | AttemptOutcome::Cancelled
-        );
-        if is_final || !is_allowed || now >= ticket.ends_at {
-            return false;
-        }
-        if ticket.key.is_none() {
-            return ticket.attempts_left() > 0;
-        }
-        // The owner of a key is the only server that can help, after a while.
-        let tries = u32::try_from(ticket.attempts.len()).unwrap_or(u32::MAX);
-        ticket.not_before = now + GRANT_LAG * tries;
-        let max_tries = match outcome {
-            AttemptOutcome::WrongServer
-            | AttemptOutcome::OtherServer
-            | AttemptOutcome::Unreachable => MAX_OWNER_TRIES,
-            AttemptOutcome::Shed if !is_congested => MAX_OWNER_TRIES,
-            AttemptOutcome::Garbled | AttemptOutcome::Broken => 2,
-            _ => 0,
-        };
-        tries < max_tries
-    }
-
-    /// The refusal after attempts that were not answered.
-    #[must_use]
-    pub fn final_refusal(&self, ticket: &RequestTicket, outcome: AttemptOutcome) -> Refusal {
-        let reason = match outcome {
-            AttemptOutcome::Shed => RefusalReason::Overloaded,
-            AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
-            AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
-            AttemptOutcome::Silent => RefusalReason::TimedOut,
-            _ => RefusalReason::BrokenAnswer,
-        };
-        self.refusal(ticket, reason, RETRY_AFTER)
-    }
-
-    fn late_refusal(&self, ticket: &RequestTicket) -> Refusal {
-        let reason = if ticket.may_have_run {
-            RefusalReason::TimedOut
-        } else {
-            RefusalReason::TooLate
-        };
-        self.refusal(ticket, reason, RETRY_AFTER)
-    }
-
-    #[expect(
-        clippy::unused_self,
-        reason = "when to come back will depend on the load"
-    )]
-    fn refusal(&self, ticket: &RequestTicket, reason: RefusalReason, after: Duration) -> Refusal {
-        Refusal {
-            reason,
-            may_have_run: ticket.may_have_run,
-            retry_after: (!ticket.may_have_run).then_some(after),
-        }
-    }
-
     /// What happened since the former report.
     pub fn take_report(&mut self) -> EntryReport {
         let keys = std::mem::take(&mut self.key_counts).into_iter();
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -0,0 +1,107 @@
+//! What follows from the end of an attempt.
+
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+use super::gateway::{GRANT_LAG, MAX_OWNER_TRIES, RETRY_AFTER};
+use super::{AttemptOutcome, Gateway, Refusal, RefusalReason, RequestTicket};
+
+impl Gateway {
+    /// Takes in what became of an attempt; whether the request may be sent again.
+    pub fn attempt_ended(
+        &mut self,
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        outcome: AttemptOutcome,
+    ) -> bool {
+        let Some(attempt) = ticket.attempts.last_mut() else {
+            return false;
+        };
+        if attempt.ended.is_some() {
+            return false;
+        }
+        attempt.ended = Some((outcome, now));
+        let took = now.saturating_sub(attempt.started_at);
+        let life = attempt.life.clone();
+        let health = self.health.entry(life.clone()).or_default();
+        health.in_flight = health.in_flight.saturating_sub(1);
+        health.note_end(now, outcome, took);
+        ticket.may_have_run |= outcome.may_have_run();
+        self.crashes
+            .note_end(now, ticket.fingerprint, &life, outcome);
+        let is_congested = health.is_congested();
+        Self::may_try_again(now, ticket, outcome, is_congested)
+    }
+
+    fn may_try_again(
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        outcome: AttemptOutcome,
+        is_congested: bool,
+    ) -> bool {
+        let is_repeatable = ticket.route.route.kind.is_repeatable();
+        let is_allowed = is_repeatable || !ticket.may_have_run;
+        let is_final = matches!(
+            outcome,
+            AttemptOutcome::Answered | AttemptOutcome::Cancelled
+        );
+        if is_final || !is_allowed || now >= ticket.ends_at {
+            return false;
+        }
+        if ticket.key.is_none() {
+            return ticket.attempts_left() > 0;
+        }
+        // The owner of a key is the only server that can help, after a while.
+        let tries = u32::try_from(ticket.attempts.len()).unwrap_or(u32::MAX);
+        ticket.not_before = now + GRANT_LAG * tries;
+        let max_tries = match outcome {
+            AttemptOutcome::WrongServer
+            | AttemptOutcome::OtherServer
+            | AttemptOutcome::Unreachable => MAX_OWNER_TRIES,
+            AttemptOutcome::Shed if !is_congested => MAX_OWNER_TRIES,
+            AttemptOutcome::Garbled | AttemptOutcome::Broken => 2,
+            _ => 0,
+        };
+        tries < max_tries
+    }
+
+    /// The refusal after attempts that were not answered.
+    #[must_use]
+    pub fn final_refusal(&self, ticket: &RequestTicket, outcome: AttemptOutcome) -> Refusal {
+        let reason = match outcome {
+            AttemptOutcome::Shed => RefusalReason::Overloaded,
+            AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
+            AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
+            AttemptOutcome::Silent => RefusalReason::TimedOut,
+            _ => RefusalReason::BrokenAnswer,
+        };
+        self.refusal(ticket, reason, RETRY_AFTER)
+    }
+
+    pub(super) fn late_refusal(&self, ticket: &RequestTicket) -> Refusal {
+        let reason = if ticket.may_have_run {
+            RefusalReason::TimedOut
+        } else {
+            RefusalReason::TooLate
+        };
+        self.refusal(ticket, reason, RETRY_AFTER)
+    }
+
+    #[expect(
+        clippy::unused_self,
+        reason = "when to come back will depend on the load"
+    )]
+    pub(super) fn refusal(
+        &self,
+        ticket: &RequestTicket,
+        reason: RefusalReason,
+        after: Duration,
+    ) -> Refusal {
+        Refusal {
+            reason,
+            may_have_run: ticket.may_have_run,
+            retry_after: (!ticket.may_have_run).then_some(after),
+        }
+    }
+}
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -4,6 +4,7 @@
 mod crash_watch;
 mod entry_count;
 mod gateway;
+mod gateway_attempts;
 mod gateway_config;
 mod next_step;
 mod refusal;
--- /dev/null
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -0,0 +1,190 @@
+//! Where requests go and what callers are told, without a network.
+
+use std::time::Duration;
+
+use crate::support::{
+    START, arrive, facts, gateway, in_contact, owned, ranges, refusal_of, sent, server, table,
+};
+use chicory_directory::{DirectoryUpdate, LinkStatus, MovingRange, ServerState};
+use chicory_gateway::{Arrival, Gateway, GatewayConfig, NextStep, RefusalReason};
+use chicory_ranges::{KeyRange, ServerLife};
+use chicory_routes::{RouteTarget, WeightedService};
+use googletest::prelude::*;
+
+#[gtest]
+fn keyed_request_goes_to_the_owner() {
+    let mut gateway = gateway();
+    for (key, owner) in [(0, "a1"), (999, "a1"), (1000, "a2"), (65_535, "a2")] {
+        let mut ticket = arrive(&mut gateway, "/reads/x", Some(key));
+        let target = sent(gateway.next_step(START, &mut ticket));
+        expect_that!(target.life.server, eq(owner));
+    }
+}
+
+#[gtest]
+fn keyed_request_without_a_key_is_refused() {
+    let mut gateway = gateway();
+    let reason = refusal_of(&mut gateway, START, "/reads/x", None);
+    expect_that!(reason, eq(RefusalReason::NoKey));
+}
+
+#[gtest]
+fn unknown_route_is_denied_only_with_a_current_table() {
+    let mut gateway = gateway();
+    let reason = refusal_of(&mut gateway, START, "/nowhere/x", None);
+    expect_that!(reason, eq(RefusalReason::NoRoute));
+    let later = START + Duration::from_secs(3);
+    let reason = refusal_of(&mut gateway, later, "/nowhere/x", None);
+    expect_that!(reason, eq(RefusalReason::NoDirectory));
+    let mut empty = Gateway::new(GatewayConfig::default());
+    let reason = refusal_of(&mut empty, START, "/reads/x", Some(1));
+    expect_that!(reason, eq(RefusalReason::NoDirectory));
+}
+
+#[gtest]
+fn older_directory_changes_nothing() {
+    let mut gateway = gateway();
+    let newer = DirectoryUpdate {
+        version: 9,
+        routes: Some(table(4)),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, newer);
+    let older = DirectoryUpdate {
+        version: 7,
+        is_full: true,
+        routes: Some(table(3)),
+        ..DirectoryUpdate::default()
+    };
+    expect_that!(gateway.update(START, older), eq(false));
+    expect_that!(gateway.directory().routes().version, eq(4));
+    expect_that!(gateway.directory().servers().count(), eq(6));
+}
+
+#[gtest]
+fn request_waits_while_its_key_is_on_its_way() {
+    let mut gateway = gateway();
+    let moving = LinkStatus {
+        moving: vec![MovingRange {
+            service: "archive".into(),
+            range: KeyRange::new(0, 100),
+            fence: 1,
+        }],
+        ..in_contact()
+    };
+    gateway.note_status(START, &moving);
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(50));
+    let step = gateway.next_step(START, &mut ticket);
+    expect_that!(step, matches_pattern!(NextStep::Wait(_)));
+    let update = DirectoryUpdate {
+        version: 6,
+        ranges: ranges(vec![
+            owned(0, 100, "a2", 3),
+            owned(101, 999, "a1", 1),
+            owned(1000, 65_535, "a2", 2),
+        ]),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    let target = sent(gateway.next_step(START, &mut ticket));
+    expect_that!(target.life.server, eq("a2"));
+}
+
+#[gtest]
+fn key_without_an_owner_is_refused_before_the_caller_gives_up() {
+    let mut gateway = gateway();
+    let update = DirectoryUpdate {
+        version: 6,
+        removed: vec![ServerLife::new("a1", 1)],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(1));
+    let NextStep::Wait(until) = gateway.next_step(START, &mut ticket) else {
+        panic!("expected a wait");
+    };
+    expect_that!(until, lt(START + Duration::from_millis(960)));
+    let step = gateway.next_step(until, &mut ticket);
+    let NextStep::Refuse(refusal) = step else {
+        panic!("expected a refusal");
+    };
+    expect_that!(refusal.may_have_run, eq(false));
+    expect_that!(refusal.retry_after, some(gt(Duration::ZERO)));
+}
+
+#[gtest]
+fn draining_server_gets_no_new_work() {
+    let mut gateway = gateway();
+    let update = DirectoryUpdate {
+        version: 6,
+        servers: vec![server("l1", "library", ServerState::Draining)],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    for _ in 0..20 {
+        let mut ticket = arrive(&mut gateway, "/plans/x", None);
+        let target = sent(gateway.next_step(START, &mut ticket));
+        expect_that!(target.life.server, eq("l2"));
+    }
+}
+
+#[gtest]
+fn draining_owner_of_a_key_gets_no_request_after_the_grace() {
+    let mut gateway = gateway();
+    let update = DirectoryUpdate {
+        version: 6,
+        servers: vec![server("a1", "archive", ServerState::Draining)],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    let later = START + Duration::from_millis(1900);
+    let arrival = gateway.arrive(later, "host", "/reads/x", &facts(Some(1)));
+    let Arrival::Accepted(mut ticket) = arrival else {
+        panic!("refused");
+    };
+    let step = gateway.next_step(later, &mut ticket);
+    expect_that!(step, matches_pattern!(NextStep::Wait(_)));
+}
+
+/// While a connection comes about the server may begin to drain, or leave.
+#[gtest]
+fn request_is_not_sent_to_a_server_that_left_meanwhile() {
+    let mut gateway = gateway();
+    let (drains, leaves) = (ServerLife::new("l1", 1), ServerLife::new("l2", 1));
+    for life in [&drains, &leaves] {
+        expect_that!(gateway.may_still_send(START, life), eq(true));
+    }
+    let update = DirectoryUpdate {
+        version: 6,
+        servers: vec![server("l1", "library", ServerState::Draining)],
+        removed: vec![leaves.clone()],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    expect_that!(gateway.may_still_send(START, &leaves), eq(false));
+    let later = START + Duration::from_millis(1300);
+    expect_that!(gateway.may_still_send(later, &drains), eq(false));
+}
+
+#[gtest]
+fn split_route_divides_requests_by_weight() {
+    let mut gateway = gateway();
+    let mut split = table(2);
+    let part = |service: &str, weight| WeightedService {
+        service: service.into(),
+        weight,
+    };
+    split.routes[1].target = RouteTarget::Split(vec![part("library", 75), part("ledger", 25)]);
+    let update = DirectoryUpdate {
+        version: 6,
+        routes: Some(split),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    let mut to_library = 0;
+    for _ in 0..100 {
+        let ticket = arrive(&mut gateway, "/plans/x", None);
+        to_library += u32::from(ticket.service() == "library");
+    }
+    expect_that!(to_library, eq(75));
+}
--- /dev/null
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -0,0 +1,5 @@
+//! Decisions of the gateway, without a network.
+
+mod choices;
+mod retries;
+mod support;
--- /dev/null
+++ b/crates/chicory_gateway/tests/decisions/retries.rs
@@ -0,0 +1,213 @@
+//! What follows from attempts that were not answered, without a network.
+
+use std::time::Duration;
+
+use crate::support::{START, arrive, gateway, in_contact, sent};
+use chicory_directory::{DirectoryUpdate, LinkStatus};
+use chicory_gateway::{AttemptOutcome, GatewayConfig, NextStep, RefusalReason};
+use googletest::prelude::*;
+
+#[gtest]
+fn order_that_may_have_run_is_never_sent_again() {
+    let outcomes = [
+        AttemptOutcome::Broken,
+        AttemptOutcome::Garbled,
+        AttemptOutcome::Silent,
+        AttemptOutcome::Failed,
+    ];
+    for outcome in outcomes {
+        let mut gateway = gateway();
+        let mut ticket = arrive(&mut gateway, "/orders/x", None);
+        sent(gateway.next_step(START, &mut ticket));
+        expect_that!(
+            gateway.attempt_ended(START, &mut ticket, outcome),
+            eq(false)
+        );
+        let refusal = gateway.final_refusal(&ticket, outcome);
+        expect_that!(refusal.may_have_run, eq(true));
+        expect_that!(refusal.retry_after, none());
+    }
+}
+
+#[gtest]
+fn order_that_has_not_run_goes_to_another_server() {
+    let outcomes = [
+        AttemptOutcome::Shed,
+        AttemptOutcome::WrongServer,
+        AttemptOutcome::OtherServer,
+        AttemptOutcome::Refused,
+        AttemptOutcome::Unreachable,
+    ];
+    for outcome in outcomes {
+        let mut gateway = gateway();
+        let mut ticket = arrive(&mut gateway, "/orders/x", None);
+        let first = sent(gateway.next_step(START, &mut ticket));
+        expect_that!(gateway.attempt_ended(START, &mut ticket, outcome), eq(true));
+        let second = sent(gateway.next_step(START, &mut ticket));
+        expect_that!(second.life, not(eq(&first.life)));
+        // The route allows two servers.
+        expect_that!(
+            gateway.attempt_ended(START, &mut ticket, outcome),
+            eq(false)
+        );
+        let refusal = gateway.final_refusal(&ticket, outcome);
+        expect_that!(refusal.may_have_run, eq(false));
+    }
+}
+
+#[gtest]
+fn server_that_refuses_connections_is_left_alone_for_a_while() {
+    let mut gateway = gateway();
+    let mut ticket = arrive(&mut gateway, "/plans/x", None);
+    let away = sent(gateway.next_step(START, &mut ticket)).life;
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Refused);
+    for _ in 0..10 {
+        let mut ticket = arrive(&mut gateway, "/plans/x", None);
+        let target = sent(gateway.next_step(START, &mut ticket));
+        expect_that!(target.life, not(eq(&away)));
+    }
+}
+
+#[gtest]
+fn poisoned_request_is_held_back() {
+    let mut gateway = gateway();
+    let poison = LinkStatus {
+        poison: vec![42],
+        ..in_contact()
+    };
+    gateway.note_status(START, &poison);
+    let mut ticket = arrive(&mut gateway, "/plans/x", None);
+    ticket.set_fingerprint(42);
+    let step = gateway.next_step(START, &mut ticket);
+    let NextStep::Refuse(refusal) = step else {
+        panic!("expected a refusal");
+    };
+    expect_that!(refusal.reason, eq(RefusalReason::Poisoned));
+}
+
+/// Lets a request break off at a server, and then another one end there in some way.
+fn reports_after(next: AttemptOutcome) -> usize {
+    let mut gateway = gateway();
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+    ticket.set_fingerprint(42);
+    sent(gateway.next_step(START, &mut ticket));
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Broken);
+    expect_that!(gateway.take_report().poison.len(), eq(0));
+    let mut other = arrive(&mut gateway, "/reads/y", Some(8));
+    sent(gateway.next_step(START, &mut other));
+    gateway.attempt_ended(START, &mut other, next);
+    gateway.take_report().poison.len()
+}
+
+#[gtest]
+fn request_is_reported_once_its_server_has_ended() {
+    expect_that!(reports_after(AttemptOutcome::Refused), eq(1));
+}
+
+#[gtest]
+fn request_whose_answer_was_lost_is_not_taken_for_a_crash() {
+    expect_that!(reports_after(AttemptOutcome::Answered), eq(0));
+    expect_that!(reports_after(AttemptOutcome::Shed), eq(0));
+}
+
+#[gtest]
+fn request_is_reported_when_its_server_starts_again() {
+    let mut gateway = gateway();
+    let mut ticket = arrive(&mut gateway, "/plans/x", None);
+    ticket.set_fingerprint(42);
+    let life = sent(gateway.next_step(START, &mut ticket)).life;
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Broken);
+    let update = DirectoryUpdate {
+        version: 6,
+        removed: vec![life],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    expect_that!(gateway.take_report().poison.len(), eq(1));
+}
+
+#[gtest]
+fn second_sends_stay_within_the_budget_of_all_entry_vms() {
+    let mut gateway = gateway();
+    let mut second_sends = 0;
+    let request_count = 1000;
+    for _ in 0..request_count {
+        let mut ticket = arrive(&mut gateway, "/plans/x", None);
+        sent(gateway.next_step(START, &mut ticket));
+        if gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed)
+            && let NextStep::Send(_) = gateway.next_step(START, &mut ticket)
+        {
+            second_sends += 1;
+            gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed);
+        }
+    }
+    let config = GatewayConfig::default();
+    let allowed = config.retry_ratio * f64::from(request_count) + config.retry_slack / 3.0;
+    expect_that!(f64::from(second_sends), le(allowed));
+    expect_that!(second_sends, gt(0));
+}
+
+/// A control VM that does not lead, or a leader to which few entry VMs have come yet, knows a few
+/// entry VMs only.
+#[gtest]
+fn budget_does_not_grow_when_few_entry_vms_are_known_for_a_moment() {
+    let mut gateway = gateway();
+    for entry_count in [8, 0, 1, 2] {
+        let status = LinkStatus {
+            entry_count,
+            ..in_contact()
+        };
+        gateway.note_status(START, &status);
+    }
+    let mut second_sends = 0;
+    for _ in 0..100 {
+        let mut ticket = arrive(&mut gateway, "/plans/x", None);
+        sent(gateway.next_step(START, &mut ticket));
+        if gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed)
+            && let NextStep::Send(_) = gateway.next_step(START, &mut ticket)
+        {
+            second_sends += 1;
+            gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed);
+        }
+    }
+    let config = GatewayConfig::default();
+    let allowed = config.retry_ratio * 100.0 + config.retry_slack / 8.0;
+    expect_that!(f64::from(second_sends), le(allowed));
+}
+
+/// Sends a request for a key whose owner has answered in `latencies_ms` before, and lets the owner
+/// turn it away; whether it is asked again.
+fn is_asked_again_after(latencies_ms: &[u64]) -> bool {
+    let mut gateway = gateway();
+    for latency_ms in latencies_ms {
+        let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+        sent(gateway.next_step(START, &mut ticket));
+        let ended_at = START + Duration::from_millis(*latency_ms);
+        gateway.attempt_ended(ended_at, &mut ticket, AttemptOutcome::Answered);
+    }
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+    sent(gateway.next_step(START, &mut ticket));
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::Shed)
+}
+
+#[gtest]
+fn owner_that_turns_requests_away_without_being_full_is_asked_again() {
+    expect_that!(is_asked_again_after(&[100; 10]), eq(true));
+}
+
+#[gtest]
+fn full_owner_is_not_asked_again() {
+    let growing: Vec<u64> = (1..=30).map(|i| 100 + 20 * i).collect();
+    expect_that!(is_asked_again_after(&growing), eq(false));
+}
+
+#[gtest]
+fn server_whose_address_another_one_has_is_not_asked_again() {
+    let mut gateway = gateway();
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+    sent(gateway.next_step(START, &mut ticket));
+    gateway.attempt_ended(START, &mut ticket, AttemptOutcome::OtherServer);
+    let mut next = arrive(&mut gateway, "/reads/x", Some(7));
+    let step = gateway.next_step(START, &mut next);
+    expect_that!(step, matches_pattern!(NextStep::Wait(_)));
+}
--- a/crates/chicory_site/src/core/keys.rs
+++ b/crates/chicory_site/src/core/keys.rs
@@ -234,7 +234,7 @@
             announced_at.is_none_or(|at| now > *at + SERVER_SILENCE)
         });
         for life in silent.map(|record| record.life.clone()).collect::<Vec<_>>() {
-            self.note(SiteNote::OwnerSilent { life: life.clone() });
+            self.note(SiteNote::ServerSilent { life: life.clone() });
             self.announced_at.insert(life.clone(), now);
             let cause = RemovalCause::Silent;
             let command = SiteCommand::RemoveServer(ServerRemoval { life, cause });
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -97,8 +97,8 @@
         /// What became of it.
         outcome: CallOutcome,
     },
-    /// A server does not answer grants and does not announce itself; its keys go to others.
-    OwnerSilent {
+    /// A server has not announced itself for long; it is removed.
+    ServerSilent {
         /// The server.
         life: ServerLife,
     },
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -64,7 +64,7 @@
             content,
             outcome,
         } => write_grant(logger, &life.to_string(), content, outcome),
-        SiteNote::OwnerSilent { life } => warn!(logger, "server is silent"; "server" => %life),
+        SiteNote::ServerSilent { life } => warn!(logger, "server is silent"; "server" => %life),
         SiteNote::CallUnanswered { .. } => warn!(logger, "call unavailable"),
         SiteNote::RequestPoisoned { fingerprint } => {
             warn!(logger, "request crashes servers"; "fingerprint" => fingerprint);
