Take the end of a call for its own tenure only

Cause, found by reading: a release that ended after its server had, and after the keys had gone to the next owner, was taken for the answer to that owner's grant; the owner then counted as granted, and older grants as fenced. Ruled out for renewals, which are over before keys move. Test fails before (0 ranges told as not granted, 1 expected).

--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -321,7 +321,11 @@
         let Some(mut tenure) = self.tenures.remove(&place) else {
             return;
         };
-        let pending = tenure.call.take();
+        let Some(pending) = tenure.call.take_if(|pending| pending.id == call) else {
+            // The keys have gone to another tenure meanwhile, which this call says nothing about.
+            self.tenures.insert(place, tenure);
+            return;
+        };
         let owner = tenure.owned.owner.clone();
         let is_broken = matches!(
             outcome,
@@ -330,9 +334,10 @@
         if is_broken {
             self.verified.remove(&owner);
         }
-        match pending {
-            Some(pending) if pending.is_release => self.end_release(now, &mut tenure, outcome),
-            _ => self.end_grant(now, &place, &mut tenure, &outcome),
+        if pending.is_release {
+            self.end_release(now, &mut tenure, outcome);
+        } else {
+            self.end_grant(now, &place, &mut tenure, &outcome);
         }
         self.tenures.insert(place, tenure);
     }
--- a/crates/chicory_ranges/tests/grant_desk.rs
+++ b/crates/chicory_ranges/tests/grant_desk.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use chicory_ranges::{GrantEvent, KeyLoad, KeyRange, ServerLife};
+use chicory_ranges::{
+    CallOutcome, GrantDesk, GrantDeskConfig, GrantEffect, GrantEvent, KeyLoad, KeyRange, RangeBook,
+    RangeMove, ServerLife, Transfer,
+};
 use googletest::prelude::*;
 use rand::RngExt;
 use support::{FakeServer, World};
@@ -147,6 +150,61 @@
     expect_that!(owners.len(), ge(4));
 }
 
+/// A release of a server that has ended is answered after its keys have gone to the next owner.
+#[gtest]
+fn late_answer_to_a_former_owner_says_nothing_about_the_next() {
+    let now = Duration::from_secs(100);
+    let mut book = RangeBook::default();
+    let mut desk = GrantDesk::new(GrantDeskConfig::default(), now, &book);
+    let first_move = RangeMove {
+        service: support::SERVICE.into(),
+        range: KeyRange::ALL,
+        from: None,
+        to: life(0),
+        handover: None,
+    };
+    book.apply(&first_move).expect("free keys");
+    desk.reduce(now, GrantEvent::Announced(life(1)), &book);
+    desk.reduce(now, GrantEvent::Announced(life(0)), &book);
+    let granted = calls(desk.reduce(now, GrantEvent::BookChanged, &book));
+    let done = CallOutcome::Done { handover: None };
+    let answered = GrantEvent::CallEnded {
+        call: granted[0],
+        outcome: done.clone(),
+    };
+    desk.reduce(now, answered, &book);
+    let transfer = Transfer {
+        service: support::SERVICE.into(),
+        range: KeyRange::ALL,
+        from: Some(life(0)),
+        to: life(1),
+    };
+    let release = calls(desk.reduce(now, GrantEvent::Transfer(transfer), &book));
+    desk.reduce(now, GrantEvent::Ended(life(0)), &book);
+    let second_move = RangeMove {
+        from: Some(life(0)),
+        to: life(1),
+        ..first_move
+    };
+    book.apply(&second_move).expect("keys of the ended server");
+    desk.reduce(now, GrantEvent::BookChanged, &book);
+    let late = GrantEvent::CallEnded {
+        call: release[0],
+        outcome: done,
+    };
+    desk.reduce(now, late, &book);
+    // The next owner has not answered its grant yet.
+    expect_that!(desk.moving(now).count(), eq(1));
+}
+
+fn calls(effects: Vec<GrantEffect>) -> Vec<u64> {
+    let calls = effects.into_iter().filter_map(|effect| match effect {
+        GrantEffect::Call { call, .. } => Some(call),
+        GrantEffect::Propose(_) => None,
+    });
+    calls.collect()
+}
+
 /// Cuts, crashes, late grants, leaving servers and leaders that change, in any order.
 #[gtest]
 fn no_key_has_two_owners_under_random_failures() {
