Send entry VMs the ranges that changed, and the moves that began or ended

Cause: each move of a range sent every entry VM all ranges of the service, and each change of what moves sent it the whole list.

Ruled out: downloads as the cause (supposed before): the log shows the updates arriving in order, each of them late, while the release went on; the link was not given up meanwhile.

A follower now says which fence it knows up to; moves later than that are told, as cuts. Moving ranges are told as begun and ended.

--- a/crates/chicory_directory/src/control_message.rs
+++ b/crates/chicory_directory/src/control_message.rs
@@ -1,6 +1,6 @@
 //! Messages of control VMs to entry VMs.
 
-use crate::{DirectoryUpdate, LinkStatus};
+use crate::{DirectoryUpdate, LinkStatus, MovesChange};
 
 /// A message from a control VM to an entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -9,4 +9,6 @@
     Update(DirectoryUpdate),
     /// The state of the control VM.
     Status(LinkStatus),
+    /// Other keys move than before; a status tells of all that move.
+    Moves(MovesChange),
 }
--- a/crates/chicory_directory/src/directory_update.rs
+++ b/crates/chicory_directory/src/directory_update.rs
@@ -1,6 +1,6 @@
 //! Changes of the directory.
 
-use chicory_ranges::ServerLife;
+use chicory_ranges::{Fence, ServerLife};
 use chicory_routes::RouteTable;
 
 use crate::{ServerRecord, ServiceRanges};
@@ -13,6 +13,8 @@
 pub struct DirectoryUpdate {
     /// Version after the update.
     pub version: DirectoryVersion,
+    /// The greatest fence that was given out by then.
+    pub last_fence: Fence,
     /// Whether the update replaces all servers and ranges that the receiver knows.
     pub is_full: bool,
     /// The route table, if it changed.
@@ -21,6 +23,6 @@
     pub servers: Vec<ServerRecord>,
     /// Servers that left.
     pub removed: Vec<ServerLife>,
-    /// Services whose owners changed, each with all its ranges.
+    /// Ranges that changed hands; they cut what the receiver knows of the same keys.
     pub ranges: Vec<ServiceRanges>,
 }
--- a/crates/chicory_directory/src/lib.rs
+++ b/crates/chicory_directory/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod command_outcome;
 mod control_message;
+mod directory_mark;
 mod directory_update;
 mod entry_message;
 mod entry_report;
 mod link_hello;
 mod link_status;
+mod moves_change;
 mod moving_range;
 mod peer_envelope;
 mod server_record;
@@ -24,11 +26,13 @@
 
 pub use command_outcome::CommandOutcome;
 pub use control_message::ControlMessage;
+pub use directory_mark::DirectoryMark;
 pub use directory_update::{DirectoryUpdate, DirectoryVersion};
 pub use entry_message::EntryMessage;
 pub use entry_report::{EntryReport, KeyCount, PoisonReport, RequestFingerprint, ServerLoad};
 pub use link_hello::LinkHello;
 pub use link_status::LinkStatus;
+pub use moves_change::MovesChange;
 pub use moving_range::MovingRange;
 pub use peer_envelope::{PeerEnvelope, SiteCallId};
 pub use server_record::ServerRecord;
--- a/crates/chicory_directory/src/link_hello.rs
+++ b/crates/chicory_directory/src/link_hello.rs
@@ -2,7 +2,7 @@
 
 use chicory_types::{VmId, ZoneName};
 
-use crate::DirectoryVersion;
+use crate::DirectoryMark;
 
 /// Who opens a link to a control VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,7 +18,7 @@
         vm: VmId,
         /// Its availability zone.
         zone: ZoneName,
-        /// The directory that it has; 0 for none.
-        known_version: DirectoryVersion,
+        /// The directory that it has.
+        known: DirectoryMark,
     },
 }
--- a/crates/chicory_directory/src/service_ranges.rs
+++ b/crates/chicory_directory/src/service_ranges.rs
@@ -1,13 +1,13 @@
-//! Owners of all keys of one service.
+//! Owners of keys of one service.
 
 use chicory_ranges::OwnedRange;
 use chicory_types::ServiceName;
 
-/// All owned ranges of one service.
+/// Owned ranges of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceRanges {
     /// The service.
     pub service: ServiceName,
-    /// Its ranges, by ascending keys; handovers are left out.
+    /// Ranges by ascending keys.
     pub ranges: Vec<OwnedRange>,
 }
--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use chicory_ranges::{RangeBook, RangeMove, ServerLife};
+use chicory_ranges::{Fence, OwnedRange, RangeBook, RangeMove, ServerLife};
 use chicory_routes::RouteTable;
-use chicory_types::{LogIndex, ServerId, ServiceName};
+use chicory_types::{LogIndex, ServerId};
 
 use crate::{
-    CommandOutcome, DirectoryUpdate, DirectoryVersion, RemovalCause, ServerRecord, ServerRemoval,
-    ServerState, ServiceRanges, SiteCommand,
+    CommandOutcome, DirectoryMark, DirectoryUpdate, DirectoryVersion, RemovalCause, ServerRecord,
+    ServerRemoval, ServerState, ServiceRanges, SiteCommand,
 };
 
 /// Removals that are remembered, against late announcements; a few days' worth of a busy site.
@@ -44,7 +44,6 @@
     servers: BTreeMap<ServerId, Versioned<ServerRecord>>,
     removals: BTreeMap<ServerId, Versioned<ServerRemoval>>,
     book: RangeBook,
-    ranges_changed_at: BTreeMap<ServiceName, LogIndex>,
     /// Removals up to this index may be forgotten; older followers get everything anew.
     forgotten_up_to: LogIndex,
 }
@@ -67,7 +66,6 @@
         servers: Vec<Versioned<ServerRecord>>,
         removals: Vec<Versioned<ServerRemoval>>,
         book: RangeBook,
-        ranges_changed_at: BTreeMap<ServiceName, LogIndex>,
         forgotten_up_to: LogIndex,
     ) -> Self {
         let servers = servers
@@ -85,7 +83,6 @@
             servers: servers.collect(),
             removals: removals.collect(),
             book,
-            ranges_changed_at,
             forgotten_up_to,
         }
     }
@@ -147,10 +144,13 @@
         &self.book
     }
 
-    /// Log index of the last change of a service's owners.
+    /// What a follower has that was told of everything.
     #[must_use]
-    pub fn ranges_changed_at(&self, service: &str) -> LogIndex {
-        self.ranges_changed_at.get(service).copied().unwrap_or(0)
+    pub fn mark(&self) -> DirectoryMark {
+        DirectoryMark {
+            version: self.version,
+            last_fence: self.book.last_fence(),
+        }
     }
 
     /// Applies the command at a log index.
@@ -160,7 +160,7 @@
             SiteCommand::PutRoutes(table) => self.put_routes(index, table),
             SiteCommand::PutServer(record) => self.put_server(index, record),
             SiteCommand::RemoveServer(removal) => self.remove_server(index, removal),
-            SiteCommand::MoveRange(change) => self.move_range(index, &change),
+            SiteCommand::MoveRange(change) => self.move_range(&change),
         }
     }
 
@@ -287,50 +287,54 @@
         }
     }
 
-    fn move_range(&mut self, index: LogIndex, change: &RangeMove) -> CommandOutcome {
+    fn move_range(&mut self, change: &RangeMove) -> CommandOutcome {
         match self.book.apply(change) {
-            Ok(fence) => {
-                self.ranges_changed_at.insert(change.service.clone(), index);
-                CommandOutcome::RangeMoved(fence)
-            }
+            Ok(fence) => CommandOutcome::RangeMoved(fence),
             Err(rejection) => CommandOutcome::MoveRejected(rejection),
         }
     }
 
-    /// What changed since a version; `None` if nothing did.
+    /// What a follower lacks; `None` if it lacks nothing.
     #[must_use]
-    pub fn update_since(&self, known_version: DirectoryVersion) -> Option<DirectoryUpdate> {
-        if known_version >= self.version && self.version > 0 {
+    pub fn update_since(&self, known: DirectoryMark) -> Option<DirectoryUpdate> {
+        if known.version >= self.version && self.version > 0 {
             return None;
         }
-        let is_full = known_version == 0 || known_version < self.forgotten_up_to;
-        let since = if is_full { 0 } else { known_version };
+        let is_full = known.version == 0 || known.version < self.forgotten_up_to;
+        let known = if is_full {
+            DirectoryMark::default()
+        } else {
+            known
+        };
+        let since = known.version;
         let servers = self.servers.values().filter(|s| s.changed_at > since);
         let removals = self.removals.values().filter(|r| r.changed_at > since);
-        let services = self.ranges_changed_at.iter().filter(|(_, at)| **at > since);
         let update = DirectoryUpdate {
             version: self.version,
+            last_fence: self.book.last_fence(),
             is_full,
             routes: (self.routes.changed_at > since).then(|| (*self.routes.value).clone()),
             servers: servers.map(|server| server.value.clone()).collect(),
             removed: removals.map(|removal| removal.value.life.clone()).collect(),
-            ranges: services
-                .map(|(service, _)| self.ranges_of(service))
-                .collect(),
+            ranges: self.ranges_since(known.last_fence),
         };
         Some(update)
     }
 
-    fn ranges_of(&self, service: &ServiceName) -> ServiceRanges {
-        let ranges = self.book.ranges(service).cloned();
-        ServiceRanges {
-            service: service.clone(),
-            ranges: ranges
-                .map(|owned| chicory_ranges::OwnedRange {
-                    handover: None,
-                    ..owned
-                })
-                .collect(),
-        }
+    /// Ranges with a greater fence; followers need no handovers.
+    fn ranges_since(&self, fence: Fence) -> Vec<ServiceRanges> {
+        let services = self.book.services().map(|service| {
+            let ranges = self.book.ranges(service).filter(|o| o.fence > fence);
+            ServiceRanges {
+                service: service.clone(),
+                ranges: ranges
+                    .map(|owned| OwnedRange {
+                        handover: None,
+                        ..owned.clone()
+                    })
+                    .collect(),
+            }
+        });
+        services.filter(|s| !s.ranges.is_empty()).collect()
     }
 }
--- a/crates/chicory_directory/tests/updates.rs
+++ b/crates/chicory_directory/tests/updates.rs
@@ -5,26 +5,34 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, RemovalCause, ServerRecord, ServerRemoval, ServerState, SiteCommand, SiteState,
+    DirectoryMark, DirectoryUpdate, MovesChange, MovingRange, RemovalCause, ServerRecord,
+    ServerRemoval, ServerState, SiteCommand, SiteState,
 };
-use chicory_ranges::{KeyRange, RangeMove, ServerLife};
+use chicory_ranges::{Fence, KeyRange, RangeMove, ServerLife};
 use chicory_routes::RouteTable;
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// Few keys, so that each can be followed by itself.
+const LAST_KEY: u16 = 99;
+
 /// A follower that takes updates in the plainest way.
 #[derive(Debug, Default, PartialEq)]
 struct NaiveFollower {
-    version: u64,
+    mark: DirectoryMark,
     routes_version: u64,
     servers: BTreeMap<String, ServerRecord>,
-    owners: BTreeMap<u16, (u16, ServerLife, u64)>,
+    /// Of each key that has one.
+    owners: BTreeMap<u16, (ServerLife, Fence)>,
 }
 
 impl NaiveFollower {
     fn take(&mut self, update: DirectoryUpdate) {
-        self.version = update.version;
+        self.mark = DirectoryMark {
+            version: update.version,
+            last_fence: update.last_fence,
+        };
         if update.is_full {
             self.servers.clear();
             self.owners.clear();
@@ -43,11 +51,11 @@
             self.servers.insert(record.life.server.clone(), record);
         }
         for of_service in update.ranges {
-            self.owners = of_service
-                .ranges
-                .into_iter()
-                .map(|o| (o.range.first, (o.range.last, o.owner, o.fence)))
-                .collect();
+            for owned in of_service.ranges {
+                for key in owned.range.first..=owned.range.last {
+                    self.owners.insert(key, (owned.owner.clone(), owned.fence));
+                }
+            }
         }
     }
 }
@@ -83,11 +91,13 @@
             cause: RemovalCause::Left,
         }),
         _ => {
-            let key = rng.random();
+            let key = rng.random_range(0..=LAST_KEY);
             let owner = state.book().owner("archive", key);
             SiteCommand::MoveRange(RangeMove {
                 service: "archive".into(),
-                range: owner.map_or(KeyRange::ALL, |o| KeyRange::new(key, o.range.last)),
+                range: owner.map_or(KeyRange::new(0, LAST_KEY), |o| {
+                    KeyRange::new(key, o.range.last)
+                }),
                 from: owner.map(|o| o.owner.clone()),
                 to: record(rng).life,
                 handover: None,
@@ -106,13 +116,38 @@
             let command = command(&mut rng, &state);
             state.apply(index, command);
             if rng.random_range(0..3) == 0
-                && let Some(update) = state.update_since(follower.version)
+                && let Some(update) = state.update_since(follower.mark)
             {
                 follower.take(update);
                 let mut fresh = NaiveFollower::default();
-                fresh.take(state.update_since(0).expect("a full update"));
+                let everything = state.update_since(DirectoryMark::default());
+                fresh.take(everything.expect("a full update"));
                 assert_that!(follower, eq(&fresh), "seed {seed}, index {index}");
             }
         }
     }
 }
+
+#[gtest]
+fn followers_of_moves_know_what_moves() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut moving: Vec<MovingRange> = Vec::new();
+    let mut followed = Vec::new();
+    for fence in 1..300_u64 {
+        let mut next = moving.clone();
+        next.retain(|_| rng.random_range(0..3) > 0);
+        for _ in 0..rng.random_range(0..3) {
+            next.push(MovingRange {
+                service: "archive".into(),
+                range: KeyRange::new(rng.random(), rng.random()),
+                fence,
+            });
+        }
+        MovesChange::between(&moving, &next).apply(&mut followed);
+        moving = next;
+        let key = |range: &MovingRange| (range.fence, range.range);
+        moving.sort_by_key(key);
+        followed.sort_by_key(key);
+        assert_that!(followed, eq(&moving), "fence {fence}");
+    }
+}
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovingRange, RequestFingerprint,
-    ServerLoad, ServerRecord,
+    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovesChange, MovingRange,
+    RequestFingerprint, ServerLoad, ServerRecord,
 };
 use chicory_ranges::{Key, OwnedRange, ServerLife};
 use chicory_routes::RequestKind;
@@ -151,6 +151,11 @@
         has_changed
     }
 
+    /// Takes in that other keys move than before: requests for these wait.
+    pub fn note_moves(&mut self, change: MovesChange) {
+        change.apply(&mut self.moving);
+    }
+
     /// Takes in a request.
     pub fn arrive(
         &mut self,
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -138,7 +138,7 @@
                     let hello = LinkHello::Entry {
                         vm: self.vm.clone(),
                         zone: self.zone.clone(),
-                        known_version: self.shared.gateway().directory().version(),
+                        known: self.shared.gateway().directory().mark(),
                     };
                     writer.put(&site::LinkHello::from(hello));
                     writer.flush().await?;
@@ -215,6 +215,11 @@
                 }
                 Some(status)
             }
+            Some(ControlMessage::Moves(change)) => {
+                self.shared.gateway().note_moves(change);
+                self.shared.changes.send_modify(|changes| *changes += 1);
+                None
+            }
             None => {
                 warn!(self.shared.logger, "control VM sent something unreadable");
                 None
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -3,8 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use chicory_directory::{DirectoryUpdate, DirectoryVersion, ServerRecord, ServerState};
-use chicory_ranges::{Key, OwnedRange, ServerLife};
+use chicory_directory::{
+    DirectoryMark, DirectoryUpdate, DirectoryVersion, ServerRecord, ServerState,
+};
+use chicory_ranges::{Key, OwnedRange, OwnerMap, ServerLife};
 use chicory_routes::{RouteMatcher, RouteTable};
 use chicory_types::{MonoTime, ServerId, ServiceName};
 
@@ -26,7 +28,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Directory {
-    version: DirectoryVersion,
+    mark: DirectoryMark,
     routes: Arc<RouteTable>,
     matcher: RouteMatcher,
     keyed: BTreeSet<ServiceName>,
@@ -34,19 +36,23 @@
     /// When each server was first known here, with its present life.
     known_since: BTreeMap<ServerLife, MonoTime>,
     draining_since: BTreeMap<ServerLife, MonoTime>,
-    ranges: BTreeMap<ServiceName, BTreeMap<Key, OwnedRange>>,
+    owners: BTreeMap<ServiceName, OwnerMap>,
 }
 
 impl Directory {
     /// Takes in an update; whether anything changed. An older version changes nothing.
     pub fn apply(&mut self, now: MonoTime, update: DirectoryUpdate) -> bool {
-        if update.version < self.version || (update.version == self.version && !update.is_full) {
+        let known = self.mark.version;
+        if update.version < known || (update.version == known && !update.is_full) {
             return false;
         }
-        self.version = update.version;
+        self.mark = DirectoryMark {
+            version: update.version,
+            last_fence: update.last_fence,
+        };
         if update.is_full {
             self.servers.clear();
-            self.ranges.clear();
+            self.owners.clear();
         }
         if let Some(routes) = update.routes
             && routes.version >= self.routes.version
@@ -63,9 +69,10 @@
             self.put_server(now, record);
         }
         for of_service in update.ranges {
-            let ranges = of_service.ranges.into_iter();
-            let ranges = ranges.map(|owned| (owned.range.first, owned)).collect();
-            self.ranges.insert(of_service.service, ranges);
+            let owners = self.owners.entry(of_service.service).or_default();
+            for owned in of_service.ranges {
+                owners.put(owned);
+            }
         }
         self.forget_gone();
         true
@@ -101,7 +108,13 @@
     /// Version of the directory; 0 before the first update.
     #[must_use]
     pub fn version(&self) -> DirectoryVersion {
-        self.version
+        self.mark.version
+    }
+
+    /// What this entry VM has, for a control VM to take it from there.
+    #[must_use]
+    pub fn mark(&self) -> DirectoryMark {
+        self.mark
     }
 
     /// The route table in force.
@@ -147,9 +160,7 @@
     /// The owner of a key, as the book has it.
     #[must_use]
     pub fn owner(&self, service: &str, key: Key) -> Option<&OwnedRange> {
-        let ranges = self.ranges.get(service)?;
-        let (_, owned) = ranges.range(..=key).next_back()?;
-        owned.range.contains(key).then_some(owned)
+        self.owners.get(service)?.owner(key)
     }
 
     /// When this entry VM heard that a server drains.
--- a/crates/chicory_gateway/tests/decisions/support.rs
+++ b/crates/chicory_gateway/tests/decisions/support.rs
@@ -91,6 +91,7 @@
     let ready = ServerState::Ready;
     let update = DirectoryUpdate {
         version: 5,
+        last_fence: 2,
         is_full: true,
         routes: Some(table(1)),
         servers: vec![
--- a/crates/chicory_ranges/src/range_book.rs
+++ b/crates/chicory_ranges/src/range_book.rs
@@ -6,7 +6,7 @@
 use snafu::ensure;
 
 use crate::range_move::OtherOwnerSnafu;
-use crate::{Fence, Key, KeyRange, MoveRejection, OwnedRange, RangeMove};
+use crate::{Fence, Key, KeyRange, MoveRejection, OwnedRange, OwnerMap, RangeMove};
 
 /// Ownership of the keys of all keyed services; replicated state.
 ///
@@ -28,7 +28,7 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RangeBook {
-    services: BTreeMap<ServiceName, BTreeMap<Key, OwnedRange>>,
+    services: BTreeMap<ServiceName, OwnerMap>,
     last_fence: Fence,
 }
 
@@ -44,8 +44,7 @@
             last_fence,
         };
         for (service, owned) in ranges {
-            let of_service = book.services.entry(service).or_default();
-            of_service.insert(owned.range.first, owned);
+            book.services.entry(service).or_default().put(owned);
         }
         book
     }
@@ -66,21 +65,19 @@
         self.services
             .get(service)
             .into_iter()
-            .flat_map(BTreeMap::values)
+            .flat_map(OwnerMap::ranges)
     }
 
     /// All owned ranges.
     pub fn all_ranges(&self) -> impl Iterator<Item = (&ServiceName, &OwnedRange)> {
         let services = self.services.iter();
-        services.flat_map(|(service, ranges)| ranges.values().map(move |owned| (service, owned)))
+        services.flat_map(|(service, owners)| owners.ranges().map(move |owned| (service, owned)))
     }
 
     /// The range that a key lies in.
     #[must_use]
     pub fn owner(&self, service: &str, key: Key) -> Option<&OwnedRange> {
-        let ranges = self.services.get(service)?;
-        let (_, owned) = ranges.range(..=key).next_back()?;
-        owned.range.contains(key).then_some(owned)
+        self.services.get(service)?.owner(key)
     }
 
     /// Carries out a move and returns the fence of the new grant.
@@ -90,7 +87,8 @@
     /// [`MoveRejection`] if the keys have another owner than the move assumes; nothing changes.
     pub fn apply(&mut self, change: &RangeMove) -> Result<Fence, MoveRejection> {
         let range = change.range;
-        let overlapped = self.overlapping(&change.service, range);
+        let owners = self.services.get(&change.service);
+        let overlapped = owners.map_or_else(Vec::new, |owners| owners.overlapping(range));
         let has_owner = match &change.from {
             None => overlapped.is_empty(),
             Some(from) => {
@@ -101,34 +99,15 @@
         let service = &change.service;
         ensure!(has_owner, OtherOwnerSnafu { service, range });
         self.last_fence += 1;
-        let of_service = self.services.entry(service.clone()).or_default();
-        for owned in overlapped {
-            of_service.remove(&owned.range.first);
-            for rest in owned.range.without(range).into_iter().flatten() {
-                let kept = OwnedRange {
-                    range: rest,
-                    ..owned.clone()
-                };
-                of_service.insert(rest.first, kept);
-            }
-        }
         let owned = OwnedRange {
             range,
             owner: change.to.clone(),
             fence: self.last_fence,
             handover: change.handover.clone(),
         };
-        of_service.insert(range.first, owned);
+        self.services.entry(service.clone()).or_default().put(owned);
         Ok(self.last_fence)
     }
-
-    fn overlapping(&self, service: &str, range: KeyRange) -> Vec<OwnedRange> {
-        let ranges = self.ranges(service);
-        ranges
-            .filter(|owned| owned.range.overlaps(range))
-            .cloned()
-            .collect()
-    }
 }
 
 fn overlap(one: KeyRange, other: KeyRange) -> u32 {
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use chicory_directory::{
-    ControlMessage, DirectoryUpdate, DirectoryVersion, EntryMessage, EntryReport, LinkStatus,
-    MovingRange, PeerEnvelope,
+    ControlMessage, DirectoryMark, DirectoryUpdate, EntryMessage, EntryReport, LinkStatus,
+    MovesChange, MovingRange, PeerEnvelope,
 };
 use chicory_ranges::KeyLoad;
 use chicory_types::{MonoTime, VmId, ZoneName};
@@ -18,16 +18,16 @@
         link: EntryLinkId,
         vm: VmId,
         zone: ZoneName,
-        known_version: DirectoryVersion,
+        known: DirectoryMark,
     ) {
         self.note(SiteNote::EntryJoined {
             vm: vm.clone(),
-            known_version,
+            known_version: known.version,
         });
         let entry = EntryLink {
             vm,
             zone,
-            sent_version: known_version,
+            sent: known,
         };
         self.entries.insert(link, entry);
         self.entries_version = 0;
@@ -86,9 +86,16 @@
                 fence,
             })
             .collect();
-        if moving != self.moving {
-            self.moving = moving;
-            self.send_statuses();
+        if moving == self.moving {
+            return;
+        }
+        let change = MovesChange::between(&self.moving, &moving);
+        self.moving = moving;
+        if !self.entries.is_empty() {
+            let links = self.entries.keys().copied().collect();
+            let message = ControlMessage::Moves(change);
+            self.effects
+                .push(SiteEffect::SendToEntries { links, message });
         }
     }
 
@@ -134,15 +141,15 @@
             return;
         }
         self.entries_version = version;
-        let mut by_version: BTreeMap<DirectoryVersion, Vec<EntryLinkId>> = BTreeMap::new();
+        let mark = self.state.mark();
+        let mut by_mark: BTreeMap<DirectoryMark, Vec<EntryLinkId>> = BTreeMap::new();
         for (link, entry) in &mut self.entries {
-            if entry.sent_version < version {
-                let links = by_version.entry(entry.sent_version).or_default();
-                links.push(*link);
-                entry.sent_version = version;
+            if entry.sent.version < version {
+                by_mark.entry(entry.sent).or_default().push(*link);
+                entry.sent = mark;
             }
         }
-        for (known, links) in by_version {
+        for (known, links) in by_mark {
             let update = self.state.update_since(known);
             if let Some(update) = update.filter(|update| update.is_full || !is_empty(update)) {
                 let message = ControlMessage::Update(update);
--- a/crates/chicory_site/src/core/entry_link.rs
+++ b/crates/chicory_site/src/core/entry_link.rs
@@ -1,6 +1,6 @@
 //! A link of an entry VM.
 
-use chicory_directory::DirectoryVersion;
+use chicory_directory::DirectoryMark;
 use chicory_types::{VmId, ZoneName};
 
 /// Identifier of a link of an entry VM, unique in the life of the process.
@@ -13,5 +13,5 @@
     #[expect(dead_code, reason = "placing work by availability zone will need it")]
     pub(crate) zone: ZoneName,
     /// The directory that it was sent.
-    pub(crate) sent_version: DirectoryVersion,
+    pub(crate) sent: DirectoryMark,
 }
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -202,9 +202,9 @@
             SiteEvent::EntryJoined {
                 link,
                 vm,
-                known_version,
+                known,
                 zone,
-            } => self.on_entry_joined(link, vm, zone, known_version),
+            } => self.on_entry_joined(link, vm, zone, known),
             SiteEvent::EntrySent { link, message } => self.on_entry_sent(now, link, message),
             SiteEvent::EntryLeft { link } => self.on_entry_left(link),
             SiteEvent::Stopping => self.on_stopping(now),
--- a/crates/chicory_site/src/core/site_event.rs
+++ b/crates/chicory_site/src/core/site_event.rs
@@ -1,7 +1,7 @@
 //! Events that the reducer reacts to.
 
 use chicory_consensus::RestoredState;
-use chicory_directory::{DirectoryVersion, EntryMessage, PeerEnvelope, SiteCall};
+use chicory_directory::{DirectoryMark, EntryMessage, PeerEnvelope, SiteCall};
 use chicory_ranges::{CallId, CallOutcome};
 use chicory_types::{Incarnation, VmId, ZoneName};
 
@@ -64,7 +64,7 @@
         /// Its availability zone.
         zone: ZoneName,
         /// The directory that it has.
-        known_version: DirectoryVersion,
+        known: DirectoryMark,
     },
     /// An entry VM sent something.
     EntrySent {
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -19,12 +19,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 pub(super) async fn serve(server: LinkServer, link: LinkStream, hello: LinkHello) {
-    let LinkHello::Entry {
-        vm,
-        zone,
-        known_version,
-    } = hello
-    else {
+    let LinkHello::Entry { vm, zone, known } = hello else {
         return;
     };
     let id = server.id;
@@ -33,7 +28,7 @@
         link: id,
         vm,
         zone,
-        known_version,
+        known,
     };
     let inputs = [
         SiteInput::EntryLink { link: id, outbox },
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    ControlMessage, EntryMessage, EntryReport, KeyCount, PoisonReport, ServerState, SiteAnswer,
-    SiteCall,
+    ControlMessage, DirectoryMark, EntryMessage, EntryReport, KeyCount, PoisonReport, ServerState,
+    SiteAnswer, SiteCall,
 };
 use chicory_ranges::{GrantCall, ServerLife};
 use chicory_site::SiteEvent;
@@ -275,7 +275,7 @@
         link: 1,
         vm: "entry-1".into(),
         zone: "north".into(),
-        known_version: 0,
+        known: DirectoryMark::default(),
     };
     let follower = world.follower();
     world.feed(&follower, joined);
@@ -286,7 +286,7 @@
         .iter()
         .find_map(|(_, _, message)| match message {
             ControlMessage::Update(update) => update.routes.as_ref().map(|routes| routes.version),
-            ControlMessage::Status(_) => None,
+            _ => None,
         });
     expect_that!(routes, some(eq(3)));
     world.entry_messages.clear();
@@ -306,7 +306,7 @@
         link: 1,
         vm: "entry-1".into(),
         zone: "north".into(),
-        known_version: 0,
+        known: DirectoryMark::default(),
     };
     world.feed(&leader, joined);
     for server in ["server-1", "server-2"] {
--- a/crates/chicory_wire/src/directory_convert.rs
+++ b/crates/chicory_wire/src/directory_convert.rs
@@ -1,6 +1,5 @@
 //! Conversions of servers, key ranges, replicated commands and snapshots.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use chicory_directory::{
@@ -186,6 +185,7 @@
     fn from(update: DirectoryUpdate) -> Self {
         Self {
             version: update.version,
+            last_fence: update.last_fence,
             is_full: update.is_full,
             routes: update.routes.map(Into::into),
             servers: each_into(update.servers),
@@ -201,6 +201,7 @@
     fn try_from(message: site::DirectoryUpdate) -> Result<Self, ConvertError> {
         Ok(Self {
             version: message.version,
+            last_fence: message.last_fence,
             is_full: message.is_full,
             routes: message.routes.map(TryInto::try_into).transpose()?,
             servers: each(message.servers)?,
@@ -220,12 +221,9 @@
             removal: Some(removal.value.clone().into()),
             changed_at: removal.changed_at,
         });
-        let ranges = state.book().services().map(|service| site::StoredRanges {
-            ranges: Some(site::ServiceRanges {
-                service: service.clone(),
-                ranges: each_into(state.book().ranges(service).cloned().collect()),
-            }),
-            changed_at: state.ranges_changed_at(service),
+        let ranges = state.book().services().map(|service| site::ServiceRanges {
+            service: service.clone(),
+            ranges: each_into(state.book().ranges(service).cloned().collect()),
         });
         Self {
             version: state.version(),
@@ -267,11 +265,8 @@
 
     fn try_from(message: site::SiteSnapshot) -> Result<Self, ConvertError> {
         let mut ranges = Vec::new();
-        let mut changed_at = BTreeMap::new();
-        for stored in message.ranges {
-            let of_service = required(stored.ranges, "stored_ranges.ranges")?;
+        for of_service in message.ranges {
             let of_service = ServiceRanges::try_from(of_service)?;
-            changed_at.insert(of_service.service.clone(), stored.changed_at);
             let service = of_service.service;
             let owned = of_service.ranges.into_iter();
             ranges.extend(owned.map(|owned| (service.clone(), owned)));
@@ -286,7 +281,6 @@
             each(message.servers)?,
             each(message.removals)?,
             RangeBook::restore(message.last_fence, ranges),
-            changed_at,
             message.forgotten_up_to,
         ))
     }
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    ControlMessage, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus, MovingRange,
-    PeerEnvelope, PoisonReport, ServerLoad, SiteAnswer, SiteCall,
+    ControlMessage, DirectoryMark, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus,
+    MovesChange, MovingRange, PeerEnvelope, PoisonReport, ServerLoad, SiteAnswer, SiteCall,
 };
 
 use crate::convert_error::{each, each_into, narrowed, required};
@@ -33,6 +33,14 @@
         list: [moving],
     }
 );
+convert_record!(
+    MovesChange,
+    site::MovesChange {
+        plain: [],
+        nested: [],
+        list: [begun, ended],
+    }
+);
 convert_record!(
     PoisonReport,
     site::PoisonReport {
@@ -125,14 +133,11 @@
     fn from(hello: LinkHello) -> Self {
         let from = match hello {
             LinkHello::Control { vm } => link_hello::From::Control(site::ControlHello { vm }),
-            LinkHello::Entry {
-                vm,
-                zone,
-                known_version,
-            } => link_hello::From::Entry(site::EntryHello {
+            LinkHello::Entry { vm, zone, known } => link_hello::From::Entry(site::EntryHello {
                 vm,
                 zone,
-                known_version,
+                known_version: known.version,
+                known_last_fence: known.last_fence,
             }),
         };
         Self { from: Some(from) }
@@ -148,7 +153,10 @@
             link_hello::From::Entry(hello) => Self::Entry {
                 vm: hello.vm,
                 zone: hello.zone,
-                known_version: hello.known_version,
+                known: DirectoryMark {
+                    version: hello.known_version,
+                    last_fence: hello.known_last_fence,
+                },
             },
         })
     }
@@ -160,6 +168,7 @@
         let message = match message {
             ControlMessage::Update(update) => Message::Update(update.into()),
             ControlMessage::Status(status) => Message::Status(status.into()),
+            ControlMessage::Moves(change) => Message::Moves(change.into()),
         };
         Self {
             message: Some(message),
@@ -176,6 +185,7 @@
             match required(message.message, "control_message.message")? {
                 Message::Update(update) => Self::Update(update.try_into()?),
                 Message::Status(status) => Self::Status(status.try_into()?),
+                Message::Moves(change) => Self::Moves(change.try_into()?),
             },
         )
     }
