--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -61,7 +61,7 @@
             .await
             .context(ListenSnafu { address })?;
         let (inbox, inputs) = mpsc::unbounded_channel();
-        let vm = address.to_string();
+        let vm = config.vm.clone();
         let site_config = SiteConfig {
             vm: vm.clone(),
             seeds: config.seeds.clone(),
--- a/crates/chicory_site/src/process/site_process_config.rs
+++ b/crates/chicory_site/src/process/site_process_config.rs
@@ -11,7 +11,9 @@
 pub struct SiteProcessConfig {
     /// Name of the deployment; folders of another one are refused.
     pub cluster: ClusterName,
-    /// Address of the links, which is also the id of the VM.
+    /// Id of the VM: the address at which the others reach its links.
+    pub vm: VmId,
+    /// Address to listen on for links.
     pub link_address: SocketAddr,
     /// Availability zone of the VM.
     pub zone: ZoneName,
--- a/crates/chicory_site/src/process/storage_worker.rs
+++ b/crates/chicory_site/src/process/storage_worker.rs
@@ -133,7 +133,7 @@
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let identity = FolderIdentity {
             cluster: self.config.cluster.clone(),
-            vm: self.config.link_address.to_string(),
+            vm: self.config.vm.clone(),
             zone: self.config.zone.clone(),
             incarnation: since_epoch.map_or(1, |since| {
                 u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
