Watch a new connection before an order is sent on it

Cause: a backend server that has too many connections accepts a new one and resets it.

Ruled out: fewer connections kept idle (servers take 500 each; the resets are at owners of hot keys); a longer time-out to connect.

A new connection is watched for 5 ms, more than a round trip within a region, before an order is sent on it, and before any request where the server broke a connection in the last 5 s. One that is reset meanwhile has carried nothing: the request goes to another server, without using the retry budget, or is refused at once with a time to come back. Refusals because a server was full say so, not that it was unreachable.

Tests: decisions without a network, and a server on loopback that resets what it accepts; the latter failed first (502 or unreachable, no overload).

--- a/crates/chicory_gateway/src/decide/crash_watch.rs
+++ b/crates/chicory_gateway/src/decide/crash_watch.rs
@@ -59,6 +59,7 @@
                 self.confirm(|suspect| suspect.life == *life);
             }
             AttemptOutcome::Unreachable
+            | AttemptOutcome::TurnedAway
             | AttemptOutcome::Garbled
             | AttemptOutcome::Silent
             | AttemptOutcome::Cancelled => {}
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -242,7 +242,7 @@
             .get(&record.life)
             .is_some_and(|h| h.is_paused(now));
         if is_paused && !ticket.attempts.is_empty() {
-            let reason = RefusalReason::Unreachable;
+            let reason = ticket.reason_after_attempts();
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
         }
         self.send(now, ticket, &record)
@@ -290,11 +290,7 @@
 
     fn step_to_any(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
         let Some(record) = self.choose(now, ticket) else {
-            let reason = match ticket.attempts.last().and_then(|attempt| attempt.ended) {
-                Some((AttemptOutcome::Shed, _)) => RefusalReason::Overloaded,
-                Some(_) => RefusalReason::Unreachable,
-                None => RefusalReason::NoServer,
-            };
+            let reason = ticket.reason_after_attempts();
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
         };
         self.send(now, ticket, &record)
@@ -356,14 +352,19 @@
             let reason = RefusalReason::NoRetryLeft;
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
         }
+        let is_order = !ticket.route.route.kind.is_repeatable();
         let health = self.health.entry(record.life.clone()).or_default();
         health.in_flight += 1;
+        let settle = if is_order || health.is_wary(now) {
+            self.config.settle
+        } else {
+            Duration::ZERO
+        };
         ticket.attempts.push(Attempt {
             life: record.life.clone(),
             started_at: now,
             ended: None,
         });
-        let is_order = !ticket.route.route.kind.is_repeatable();
         let left = ticket.ends_at.saturating_sub(now);
         let can_follow = !is_order && ticket.key.is_none() && ticket.attempts_left() > 0;
         let part = if can_follow {
@@ -381,6 +382,7 @@
                 MAX_IDLE
             },
             connect_timeout: CONNECT_TIMEOUT.min(left),
+            settle,
         })
     }
 
@@ -389,7 +391,7 @@
         let has_arrived = last.is_some_and(|(outcome, _)| {
             !matches!(
                 outcome,
-                AttemptOutcome::Refused | AttemptOutcome::Unreachable
+                AttemptOutcome::Refused | AttemptOutcome::Unreachable | AttemptOutcome::TurnedAway
             )
         });
         if !has_arrived {
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -70,7 +70,7 @@
     #[must_use]
     pub fn final_refusal(&self, ticket: &RequestTicket, outcome: AttemptOutcome) -> Refusal {
         let reason = match outcome {
-            AttemptOutcome::Shed => RefusalReason::Overloaded,
+            AttemptOutcome::Shed | AttemptOutcome::TurnedAway => RefusalReason::Overloaded,
             AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
             AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
             AttemptOutcome::Silent => RefusalReason::TimedOut,
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -10,6 +10,9 @@
 const RETRY_SLACK: f64 = 50.0;
 /// Length of the window in which second sends are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// A server that has too many connections resets a new one within a round trip, which is below
+/// this within a region.
+const SETTLE: Duration = Duration::from_millis(5);
 
 /// Settings of the decisions.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,6 +23,8 @@
     pub retry_slack: f64,
     /// Length of the window in which second sends are counted.
     pub retry_window: Duration,
+    /// Time for which a new connection is watched before anything is sent on it.
+    pub settle: Duration,
     /// Availability zone of the entry VM.
     pub zone: ZoneName,
     /// Seed of random choices.
@@ -32,6 +37,7 @@
             retry_ratio: RETRY_RATIO,
             retry_slack: RETRY_SLACK,
             retry_window: RETRY_WINDOW,
+            settle: SETTLE,
             zone: ZoneName::new(),
             random_seed: 0,
         }
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -21,6 +21,8 @@
     pub max_idle: Duration,
     /// Longest time for a new connection to come about.
     pub connect_timeout: Duration,
+    /// Time for which a new connection is watched before anything is sent on it.
+    pub settle: Duration,
 }
 
 /// What is to be done for a request.
@@ -52,6 +54,8 @@
     Refused,
     /// No connection came about; nothing was sent.
     Unreachable,
+    /// The server closed a new connection before anything was sent on it: it has too many.
+    TurnedAway,
     /// The connection broke after something was sent.
     Broken,
     /// Something unusable came back.
@@ -68,7 +72,12 @@
     pub fn may_have_run(self) -> bool {
         !matches!(
             self,
-            Self::Shed | Self::WrongServer | Self::OtherServer | Self::Refused | Self::Unreachable
+            Self::Shed
+                | Self::WrongServer
+                | Self::OtherServer
+                | Self::Refused
+                | Self::Unreachable
+                | Self::TurnedAway
         )
     }
 
@@ -83,6 +92,7 @@
             Self::OtherServer => "other-server",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
+            Self::TurnedAway => "turned-away",
             Self::Broken => "broken",
             Self::Garbled => "garbled",
             Self::Silent => "silent",
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -8,7 +8,7 @@
 use chicory_routes::{MatchedRoute, RouteTableVersion};
 use chicory_types::{MonoTime, ServiceName};
 
-use super::AttemptOutcome;
+use super::{AttemptOutcome, RefusalReason};
 
 /// One attempt to have a request served.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,6 +76,17 @@
         self.fingerprint = Some(fingerprint);
     }
 
+    /// Why there is no server left to send the request to.
+    pub(crate) fn reason_after_attempts(&self) -> RefusalReason {
+        match self.attempts.last().and_then(|attempt| attempt.ended) {
+            Some((AttemptOutcome::Shed | AttemptOutcome::TurnedAway, _)) => {
+                RefusalReason::Overloaded
+            }
+            Some(_) => RefusalReason::Unreachable,
+            None => RefusalReason::NoServer,
+        }
+    }
+
     /// Number of further servers that the request may be sent to.
     pub(crate) fn attempts_left(&self) -> usize {
         let sent = self.attempts.iter();
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -20,6 +20,9 @@
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 /// Pause after a server turned a request away because it was full.
 const SHED_PAUSE: Duration = Duration::from_millis(120);
+/// Time after a break in which new connections are watched: a spell of too many connections lasts
+/// for seconds.
+const WARY_TIME: Duration = Duration::from_secs(5);
 /// Connections in a row that have to break before a server is paused.
 const BREAKS_TO_PAUSE: u32 = 2;
 
@@ -38,6 +41,8 @@
     breaks_in_a_row: u32,
     pause: Duration,
     pub(crate) paused_until: MonoTime,
+    /// Until then new connections are watched before anything is sent on them.
+    wary_until: MonoTime,
     pub(crate) answered: u32,
     pub(crate) shed: u32,
     pub(crate) service_time: Duration,
@@ -54,6 +59,7 @@
             breaks_in_a_row: 0,
             pause: FIRST_PAUSE,
             paused_until: MonoTime::ZERO,
+            wary_until: MonoTime::ZERO,
             answered: 0,
             shed: 0,
             service_time: Duration::ZERO,
@@ -66,6 +72,11 @@
         now < self.paused_until
     }
 
+    /// Whether the server lately broke connections, as one does that has too many.
+    pub(crate) fn is_wary(&self, now: MonoTime) -> bool {
+        now < self.wary_until
+    }
+
     /// Average time to an answer, if there was one.
     pub(crate) fn latency(&self) -> Option<Duration> {
         self.latency_s.map(Duration::from_secs_f64)
@@ -89,6 +100,9 @@
     }
 
     pub(crate) fn note_end(&mut self, now: MonoTime, outcome: AttemptOutcome, took: Duration) {
+        if matches!(outcome, AttemptOutcome::Broken | AttemptOutcome::TurnedAway) {
+            self.wary_until = now + WARY_TIME;
+        }
         match outcome {
             AttemptOutcome::Answered => {
                 self.note_latency(took);
@@ -98,7 +112,7 @@
                 self.paused_until = MonoTime::ZERO;
             }
             AttemptOutcome::Failed => self.note_failure(true),
-            AttemptOutcome::Shed => {
+            AttemptOutcome::Shed | AttemptOutcome::TurnedAway => {
                 self.shed += 1;
                 self.note_failure(true);
                 self.paused_until = self.paused_until.max(now + SHED_PAUSE);
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to have a request served by a backend server.
 
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -137,8 +138,17 @@
     let opened = ServerLink::open(&address, target.connect_timeout, || {}).await;
     let mut link = opened.map_err(|failure| match failure {
         LinkError::Refused => AttemptOutcome::Refused,
+        LinkError::Network { source } if source.kind() == ErrorKind::ConnectionReset => {
+            AttemptOutcome::TurnedAway
+        }
         _ => AttemptOutcome::Unreachable,
     })?;
+    if !target.settle.is_zero() {
+        tokio::time::sleep(target.settle).await;
+        if !link.is_ready() {
+            return Err(AttemptOutcome::TurnedAway);
+        }
+    }
     let now = shared.now();
     if !shared.gateway().may_still_send(now, &target.life) {
         return Err(AttemptOutcome::Unreachable);
--- a/crates/chicory_gateway/tests/decisions/retries.rs
+++ b/crates/chicory_gateway/tests/decisions/retries.rs
@@ -37,6 +37,7 @@
         AttemptOutcome::OtherServer,
         AttemptOutcome::Refused,
         AttemptOutcome::Unreachable,
+        AttemptOutcome::TurnedAway,
     ];
     for outcome in outcomes {
         let mut gateway = gateway();
@@ -68,6 +69,42 @@
     }
 }
 
+#[gtest]
+fn new_connections_are_watched_for_orders_and_after_breaks() {
+    let mut gateway = gateway();
+    let mut settle_of = |path, key, outcome| {
+        let mut ticket = arrive(&mut gateway, path, key);
+        let target = sent(gateway.next_step(START, &mut ticket));
+        gateway.attempt_ended(START, &mut ticket, outcome);
+        target.settle
+    };
+    let answered = AttemptOutcome::Answered;
+    expect_that!(settle_of("/orders/x", None, answered), gt(Duration::ZERO));
+    expect_that!(settle_of("/reads/x", Some(7), answered), eq(Duration::ZERO));
+    settle_of("/reads/x", Some(7), AttemptOutcome::Broken);
+    expect_that!(settle_of("/reads/x", Some(7), answered), gt(Duration::ZERO));
+    expect_that!(
+        settle_of("/reads/x", Some(5000), answered),
+        eq(Duration::ZERO)
+    );
+}
+
+#[gtest]
+fn keyed_request_that_the_owner_turned_away_is_refused_at_once() {
+    let mut gateway = gateway();
+    let mut ticket = arrive(&mut gateway, "/reads/x", Some(7));
+    sent(gateway.next_step(START, &mut ticket));
+    let outcome = AttemptOutcome::TurnedAway;
+    expect_that!(
+        gateway.attempt_ended(START, &mut ticket, outcome),
+        eq(false)
+    );
+    let refusal = gateway.final_refusal(&ticket, outcome);
+    expect_that!(refusal.reason, eq(RefusalReason::Overloaded));
+    expect_that!(refusal.may_have_run, eq(false));
+    expect_that!(refusal.retry_after, some(anything()));
+}
+
 #[gtest]
 fn poisoned_request_is_held_back() {
     let mut gateway = gateway();
