Add a fault soak of the platform's programs

tools/soak plays three control processes and four to a hundred entry processes on loopback, with stand-ins of ours for servers, callers, operators and the balancer (platform/stand_ins), and proxies that cut, delay, reset and silence.

--- /dev/null
+++ b/tools/soak/src/cluster.rs
@@ -0,0 +1,208 @@
+//! The processes of one deployment.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use platform_stand_ins::BootFile;
+use rustix::process::Signal;
+use snafu::ResultExt;
+
+use crate::addresses::{Addresses, LINK_PORT};
+use crate::soak_error::{FileSnafu, SoakError};
+use crate::vm_process::VmProcess;
+
+/// Control VMs, one an availability zone.
+pub(crate) const CONTROL_VMS: u8 = 3;
+
+/// How the names of log segments begin.
+const SEGMENT_PREFIX: &str = "log-";
+/// Length of a torn record: its header and a little of its body.
+const TORN_BYTES: usize = 15;
+
+/// A VM by its role and number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Vm {
+    /// A control VM.
+    Control(u8),
+    /// An entry VM.
+    Entry(u8),
+}
+
+impl Vm {
+    /// Its name in logs.
+    pub(crate) fn name(self) -> String {
+        match self {
+            Self::Control(index) => format!("control-{index}"),
+            Self::Entry(index) => format!("entry-{index}"),
+        }
+    }
+
+    fn index(self) -> u8 {
+        match self {
+            Self::Control(index) | Self::Entry(index) => index,
+        }
+    }
+}
+
+/// The processes of one deployment, with their settings, disks and logs.
+pub(crate) struct Cluster {
+    binaries: PathBuf,
+    folder: PathBuf,
+    addresses: Addresses,
+    processes: BTreeMap<Vm, VmProcess>,
+}
+
+impl Cluster {
+    pub(crate) fn new(binaries: PathBuf, folder: PathBuf, addresses: Addresses) -> Self {
+        Self {
+            binaries,
+            folder,
+            addresses,
+            processes: BTreeMap::new(),
+        }
+    }
+
+    /// Starts the process of a VM; the very first start of a deployment forms its group.
+    pub(crate) fn start(&mut self, vm: Vm, is_first_start: bool) -> Result<(), SoakError> {
+        let settings = self.write_settings(vm, is_first_start)?;
+        let (program, own_address) = match vm {
+            Vm::Control(index) => ("platform-control", self.addresses.control_own(index)),
+            Vm::Entry(index) => ("platform-entry", self.addresses.entry(index)),
+        };
+        let process = VmProcess::start(
+            &vm.name(),
+            &self.binaries.join(program),
+            &settings,
+            own_address,
+            &self.folder.join(format!("{}.log", vm.name())),
+        )?;
+        self.processes.insert(vm, process);
+        Ok(())
+    }
+
+    fn write_settings(&self, vm: Vm, is_first_start: bool) -> Result<PathBuf, SoakError> {
+        let addresses = self.addresses;
+        let index = vm.index();
+        let (address, listen) = match vm {
+            Vm::Control(_) => {
+                let control = ("control".to_owned(), addresses.control_interface(index));
+                (addresses.control_told(index), vec![control])
+            }
+            Vm::Entry(_) => {
+                let callers = ("front".to_owned(), addresses.callers(index));
+                let ready = ("ready".to_owned(), addresses.readiness(index));
+                (addresses.entry(index), vec![callers, ready])
+            }
+        };
+        let seeds = (0..CONTROL_VMS).map(|index| addresses.control_interface(index));
+        let data_dir = self.data_dir(vm);
+        let file = BootFile {
+            vm_name: vm.name(),
+            address,
+            zone: format!("zone-{}", index % CONTROL_VMS),
+            link_port: LINK_PORT,
+            seeds: seeds.collect(),
+            is_first_start,
+            data_dir: matches!(vm, Vm::Control(_)).then(|| data_dir.clone()),
+            listen: listen.into_iter().collect(),
+        };
+        if matches!(vm, Vm::Control(_)) {
+            fs::create_dir_all(&data_dir).context(FileSnafu { path: &data_dir })?;
+        }
+        let path = self.folder.join(format!("{}.toml", vm.name()));
+        file.write(&path).context(FileSnafu { path: &path })?;
+        Ok(path)
+    }
+
+    fn data_dir(&self, vm: Vm) -> PathBuf {
+        self.folder.join(format!("{}.disk", vm.name()))
+    }
+
+    /// Ends a process at once.
+    pub(crate) async fn kill(&mut self, vm: Vm) -> Result<(), SoakError> {
+        match self.processes.remove(&vm) {
+            Some(mut process) => process.kill().await,
+            None => Ok(()),
+        }
+    }
+
+    pub(crate) fn signal(&self, vm: Vm, signal: Signal) -> Result<(), SoakError> {
+        self.processes
+            .get(&vm)
+            .map_or(Ok(()), |process| process.signal(signal))
+    }
+
+    /// Takes a process out that was asked to stop, so that its end can be waited for.
+    pub(crate) fn take(&mut self, vm: Vm) -> Option<VmProcess> {
+        self.processes.remove(&vm)
+    }
+
+    pub(crate) fn is_running(&self, vm: Vm) -> bool {
+        self.processes.contains_key(&vm)
+    }
+
+    /// VMs whose process has ended without being asked to.
+    pub(crate) fn ended_by_themselves(&mut self) -> Vec<Vm> {
+        let processes = self.processes.iter_mut();
+        let ended = processes.filter_map(|(vm, process)| process.has_ended().then_some(*vm));
+        let ended: Vec<Vm> = ended.collect();
+        for vm in &ended {
+            self.processes.remove(vm);
+        }
+        ended
+    }
+
+    /// Empties the disk of a VM whose process does not run.
+    pub(crate) fn wipe(&self, vm: Vm) -> Result<(), SoakError> {
+        let path = self.data_dir(vm);
+        fs::remove_dir_all(&path).context(FileSnafu { path })
+    }
+
+    /// Leaves the beginning of a record at the end of the log of a VM whose process does not run,
+    /// as a loss of power may.
+    pub(crate) fn tear(&self, vm: Vm) -> Result<(), SoakError> {
+        let files = files_below(&self.data_dir(vm))?.into_iter();
+        let segments = files.filter(|path| {
+            let name = path.file_name().unwrap_or_default();
+            name.to_string_lossy().starts_with(SEGMENT_PREFIX)
+        });
+        let Some(path) = segments.max() else {
+            return Ok(());
+        };
+        let mut content = fs::read(&path).context(FileSnafu { path: &path })?;
+        let torn = content.len().min(TORN_BYTES);
+        content.extend_from_within(..torn);
+        fs::write(&path, content).context(FileSnafu { path: &path })
+    }
+
+    /// VMs whose log tells of a panic.
+    pub(crate) fn panicked(&self) -> Result<Vec<String>, SoakError> {
+        let mut panicked = Vec::new();
+        for path in files_below(&self.folder)? {
+            if path.extension().is_some_and(|extension| extension == "log") {
+                let bytes = fs::read(&path).context(FileSnafu { path: &path })?;
+                if String::from_utf8_lossy(&bytes).contains("panicked at") {
+                    panicked.push(path.display().to_string());
+                }
+            }
+        }
+        Ok(panicked)
+    }
+}
+
+fn files_below(folder: &Path) -> Result<Vec<PathBuf>, SoakError> {
+    let mut files = Vec::new();
+    let mut folders = vec![folder.to_owned()];
+    while let Some(path) = folders.pop() {
+        for entry in fs::read_dir(&path).context(FileSnafu { path: &path })? {
+            let path = entry.context(FileSnafu { path: &path })?.path();
+            if path.is_dir() {
+                folders.push(path);
+            } else {
+                files.push(path);
+            }
+        }
+    }
+    Ok(files)
+}
--- /dev/null
+++ b/tools/soak/src/inflict.rs
@@ -0,0 +1,271 @@
+//! How faults and planned work are carried out.
+
+use std::time::{Duration, Instant};
+
+use platform_stand_ins::Conduct;
+use rustix::process::Signal;
+
+use crate::cluster::{CONTROL_VMS, Cluster, Vm};
+use crate::fault::Fault;
+use crate::link_source::LinkSource;
+use crate::proxy_rules::{Direction, Order, Selection, Treatment};
+use crate::{Run, SoakError};
+
+/// Time that a server serves on after its leave was acknowledged; stated by the operators.
+const DRAIN: Duration = Duration::from_millis(2300);
+/// Time after which a process that ended is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// Time that a planned stop takes at most; planned work beside it is excused nothing.
+const STOP_LENGTH: Duration = Duration::from_secs(8);
+
+impl Run {
+    /// Carries a fault or a work out to its end.
+    pub(crate) async fn inflict(&self, fault: Fault) -> Result<(), SoakError> {
+        if let Some(length) = fault.disturbance() {
+            self.promises.calm.disturb(length + RESTART_PAUSE);
+        }
+        match fault {
+            Fault::Kill { vm, down } => self.kill(&[vm], down).await?,
+            Fault::KillAllControl { down } => {
+                let all: Vec<Vm> = (0..CONTROL_VMS).map(Vm::Control).collect();
+                self.kill(&all, down).await?;
+            }
+            Fault::KillEntries { down } => {
+                let every_other = (0..self.entry_count).step_by(2);
+                let vms: Vec<Vm> = every_other.map(Vm::Entry).collect();
+                self.kill(&vms, down).await?;
+            }
+            Fault::Pause { vm, length } => self.pause(vm, length).await?,
+            Fault::Wipe { control, down } => {
+                let vm = Vm::Control(control);
+                self.down(vm, down, |cluster| cluster.wipe(vm)).await?;
+            }
+            Fault::Tear { control, down } => {
+                let vm = Vm::Control(control);
+                self.down(vm, down, |cluster| cluster.tear(vm)).await?;
+            }
+            Fault::Cut {
+                control,
+                length,
+                is_one_way,
+            } => self.cut(control, length, is_one_way).await,
+            Fault::SlowLinks {
+                control,
+                delay,
+                length,
+            } => {
+                let selection = Selection::to(self.addresses.control_id(control));
+                let rule = self.rules.add(selection, None, Treatment::Delay(delay));
+                tokio::time::sleep(length).await;
+                self.rules.remove(rule);
+            }
+            Fault::ResetLinks { control } => {
+                let selection = Selection::to(self.addresses.control_id(control));
+                self.rules.order(Order::Reset(selection));
+            }
+            Fault::SilenceLinks { control } => {
+                let selection = Selection::to(self.addresses.control_id(control));
+                self.rules.order(Order::Silence(selection));
+            }
+            Fault::Reload => self.reload().await?,
+            Fault::HotKey { key, length } => {
+                self.load.set_hot_key(Some(key));
+                tokio::time::sleep(length).await;
+                self.load.set_hot_key(None);
+            }
+            Fault::Stop { vm } => self.stop(vm).await?,
+            Fault::CrashServer { server, down } => {
+                self.fleet.lock().await.crash(server);
+                tokio::time::sleep(down).await;
+                self.fleet.lock().await.start_life(server).await?;
+            }
+            Fault::Replace { server } => self.replace(server).await?,
+            Fault::Misbehave {
+                server,
+                conduct,
+                length,
+            } => self.misbehave(server, conduct, length).await,
+            Fault::HinderServer {
+                server,
+                delay,
+                length,
+            } => self.hinder_server(server, delay, length).await,
+            Fault::CutServerFromControl { server, length } => {
+                self.cut_from_control(server, length).await;
+            }
+            Fault::ResetServer { server } => self.order_server(server, Order::Reset).await,
+            Fault::SilenceServer { server } => self.order_server(server, Order::Silence).await,
+        }
+        Ok(())
+    }
+
+    async fn kill(&self, vms: &[Vm], down: Duration) -> Result<(), SoakError> {
+        {
+            let mut cluster = self.cluster.lock().await;
+            for vm in vms {
+                cluster.kill(*vm).await?;
+            }
+        }
+        tokio::time::sleep(down.max(RESTART_PAUSE)).await;
+        for vm in vms {
+            self.start_again(*vm).await?;
+        }
+        Ok(())
+    }
+
+    /// Kills a process and does something to its disk before it starts again.
+    async fn down(
+        &self,
+        vm: Vm,
+        down: Duration,
+        damage: impl Fn(&Cluster) -> Result<(), SoakError>,
+    ) -> Result<(), SoakError> {
+        {
+            let mut cluster = self.cluster.lock().await;
+            // Another fault has it down already, and starts it again.
+            if !cluster.is_running(vm) {
+                return Ok(());
+            }
+            cluster.kill(vm).await?;
+            damage(&cluster)?;
+        }
+        tokio::time::sleep(down.max(RESTART_PAUSE)).await;
+        self.start_again(vm).await
+    }
+
+    async fn start_again(&self, vm: Vm) -> Result<(), SoakError> {
+        let mut cluster = self.cluster.lock().await;
+        if cluster.is_running(vm) {
+            return Ok(());
+        }
+        if let Vm::Entry(index) = vm {
+            let entry = self.addresses.callers(index);
+            self.promises.begins_life(entry);
+            self.load.set_stopping(entry, false);
+        }
+        cluster.start(vm, false)
+    }
+
+    async fn pause(&self, vm: Vm, length: Duration) -> Result<(), SoakError> {
+        self.cluster.lock().await.signal(vm, Signal::STOP)?;
+        tokio::time::sleep(length).await;
+        self.promises.note_thaw();
+        self.cluster.lock().await.signal(vm, Signal::CONT)
+    }
+
+    async fn cut(&self, control: u8, length: Duration, is_one_way: bool) {
+        let id = self.addresses.control_id(control);
+        let vm = LinkSource::Vm(id.to_string());
+        // One way: nothing reaches the VM, what it sends arrives.
+        let (to_it, from_it) = if is_one_way {
+            (Some(Direction::Forth), Some(Direction::Back))
+        } else {
+            (None, None)
+        };
+        let rules = [
+            self.rules.add(Selection::to(id), to_it, Treatment::Block),
+            self.rules
+                .add(Selection::from(vm), from_it, Treatment::Block),
+        ];
+        tokio::time::sleep(length).await;
+        self.promises.note_thaw();
+        for rule in rules {
+            self.rules.remove(rule);
+        }
+    }
+
+    async fn reload(&self) -> Result<(), SoakError> {
+        let cluster = self.cluster.lock().await;
+        let controls = (0..CONTROL_VMS).map(Vm::Control);
+        for vm in controls.chain((0..self.entry_count).map(Vm::Entry)) {
+            cluster.signal(vm, Signal::HUP)?;
+        }
+        Ok(())
+    }
+
+    async fn stop(&self, vm: Vm) -> Result<(), SoakError> {
+        let Some(mut process) = self.cluster.lock().await.take(vm) else {
+            return Ok(());
+        };
+        if let Vm::Entry(index) = vm {
+            let entry = self.addresses.callers(index);
+            self.promises.calm.disturb_entry(entry, STOP_LENGTH);
+            self.load.set_stopping(entry, true);
+        }
+        let asked_at = Instant::now();
+        process.signal(Signal::TERM)?;
+        if !process.stopped().await {
+            // A paused process can't stop.
+            if self.promises.calm.was_calm(asked_at, Instant::now()) {
+                self.promises
+                    .note([format!("{} does not stop in time", vm.name())]);
+            }
+            process.kill().await?;
+        }
+        tokio::time::sleep(RESTART_PAUSE).await;
+        self.start_again(vm).await
+    }
+
+    /// Another server starts, then the old one drains and leaves.
+    async fn replace(&self, server: usize) -> Result<(), SoakError> {
+        let Some(leaving) = self.fleet.lock().await.server(server) else {
+            return Ok(());
+        };
+        leaving.drain_and_leave(DRAIN).await;
+        let mut fleet = self.fleet.lock().await;
+        let is_same = fleet
+            .server(server)
+            .is_some_and(|present| present.name() == leaving.name());
+        if is_same {
+            fleet.crash(server);
+            fleet.start_life(server).await?;
+        }
+        Ok(())
+    }
+
+    async fn misbehave(&self, server: usize, conduct: Conduct, length: Duration) {
+        let Some(server) = self.fleet.lock().await.server(server) else {
+            return;
+        };
+        server.set_conduct(conduct);
+        tokio::time::sleep(length).await;
+        server.set_conduct(Conduct::Honest);
+    }
+
+    async fn hinder_server(&self, server: usize, delay: Option<Duration>, length: Duration) {
+        let Some(server) = self.fleet.lock().await.server(server) else {
+            return;
+        };
+        let selection = Selection::to(server.plan().announced_address);
+        let rule = match delay {
+            Some(delay) => self.rules.add(selection, None, Treatment::Delay(delay)),
+            None => self
+                .rules
+                .add(selection, Some(Direction::Back), Treatment::Block),
+        };
+        tokio::time::sleep(length).await;
+        self.promises.note_thaw();
+        self.rules.remove(rule);
+    }
+
+    async fn cut_from_control(&self, server: usize, length: Duration) {
+        let Some(server) = self.fleet.lock().await.server(server) else {
+            return;
+        };
+        let selection = Selection {
+            to: Some(server.plan().announced_address),
+            from: Some(LinkSource::KeyCalls),
+        };
+        let rule = self.rules.add(selection, None, Treatment::Block);
+        tokio::time::sleep(length).await;
+        self.promises.note_thaw();
+        self.rules.remove(rule);
+    }
+
+    async fn order_server(&self, server: usize, order: impl Fn(Selection) -> Order) {
+        if let Some(server) = self.fleet.lock().await.server(server) {
+            let selection = Selection::to(server.plan().announced_address);
+            self.rules.order(order(selection));
+        }
+    }
+}
--- /dev/null
+++ b/tools/soak/src/options.rs
@@ -0,0 +1,97 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Arg, Command, value_parser};
+
+/// The command line.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Folder of the programs.
+    pub binaries: PathBuf,
+    /// Seeds to play.
+    pub seeds: Vec<u64>,
+    /// Runs at a time.
+    pub jobs: usize,
+    /// Rounds of faults in each run, each with a calm part of planned work after it.
+    pub rounds: u32,
+    /// Entry VMs of each run.
+    pub entry_count: u8,
+    /// Folder for the logs of runs that broke a promise.
+    pub logs: PathBuf,
+    /// Whether logs of runs that broke none are kept too.
+    pub keeps_logs: bool,
+}
+
+impl Options {
+    /// Reads the command line; prints what is wrong and ends the program if it is malformed.
+    #[must_use]
+    pub fn from_command_line() -> Self {
+        let mut matches = command().get_matches();
+        let first: u64 = matches.remove_one("seed").unwrap_or(1);
+        let count: u64 = matches.remove_one("count").unwrap_or(1);
+        Self {
+            binaries: matches.remove_one("binaries").unwrap_or_default(),
+            seeds: (first..first + count).collect(),
+            jobs: matches.remove_one("jobs").unwrap_or(1),
+            rounds: matches.remove_one("rounds").unwrap_or(1),
+            entry_count: matches.remove_one("entries").unwrap_or(4),
+            logs: matches.remove_one("logs").unwrap_or_default(),
+            keeps_logs: matches.get_flag("keep-logs"),
+        }
+    }
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str| {
+        let argument = Arg::new(name).long(name).default_value(default);
+        argument.value_name("N")
+    };
+    let folder = |name: &'static str| {
+        let argument = Arg::new(name).long(name).value_name("FOLDER");
+        argument.value_parser(value_parser!(PathBuf))
+    };
+    Command::new("soak")
+        .about("Runs the platform's programs under random faults and checks their promises")
+        .arg(
+            folder("binaries")
+                .required(true)
+                .help("Folder of the programs"),
+        )
+        .arg(
+            folder("logs")
+                .default_value("target/soak")
+                .help("Folder for the logs of runs that broke a promise"),
+        )
+        .arg(
+            number("seed", "1")
+                .value_parser(value_parser!(u64))
+                .help("First seed"),
+        )
+        .arg(
+            number("count", "1")
+                .value_parser(value_parser!(u64))
+                .help("Number of seeds"),
+        )
+        .arg(
+            number("jobs", "1")
+                .value_parser(value_parser!(usize))
+                .help("Runs at a time"),
+        )
+        .arg(
+            number("rounds", "1")
+                .value_parser(value_parser!(u32))
+                .help("Rounds of faults and of planned work in each run"),
+        )
+        .arg(
+            number("entries", "4")
+                .value_parser(value_parser!(u8).range(2..=100))
+                .help("Entry VMs of each run"),
+        )
+        .arg(
+            Arg::new("keep-logs")
+                .long("keep-logs")
+                .action(clap::ArgAction::SetTrue)
+                .help("Keep the logs of all runs"),
+        )
+}
--- /dev/null
+++ b/tools/soak/src/vm_process.rs
@@ -0,0 +1,83 @@
+//! The process of one VM.
+
+use std::fs::OpenOptions;
+use std::net::IpAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use snafu::ResultExt;
+use tokio::process::{Child, Command};
+
+use crate::soak_error::{FileSnafu, ProcessSnafu, SoakError};
+
+/// Time in which a process has to end after it was asked to; a little more than its grace.
+const STOP_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The process of one VM; it is killed when this is dropped.
+#[derive(Debug)]
+pub(crate) struct VmProcess {
+    name: String,
+    child: Child,
+}
+
+impl VmProcess {
+    /// Starts a program that appends its output to `log`.
+    pub(crate) fn start(
+        name: &str,
+        program: &Path,
+        settings: &Path,
+        own_address: IpAddr,
+        log: &PathBuf,
+    ) -> Result<Self, SoakError> {
+        let path = log.clone();
+        let options = OpenOptions::new().create(true).append(true).open(log);
+        let output = options.context(FileSnafu { path })?;
+        let errors = output.try_clone().context(FileSnafu { path: log })?;
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(settings)
+            .arg("--listen-ip")
+            .arg(own_address.to_string())
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .kill_on_drop(true)
+            .spawn()
+            .context(ProcessSnafu { name })?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Sends a signal; a process that has ended takes none.
+    pub(crate) fn signal(&self, signal: Signal) -> Result<(), SoakError> {
+        let id = self.child.id().and_then(|id| i32::try_from(id).ok());
+        let Some(pid) = id.and_then(Pid::from_raw) else {
+            return Ok(());
+        };
+        let name = &self.name;
+        kill_process(pid, signal)
+            .map_err(std::io::Error::from)
+            .context(ProcessSnafu { name })
+    }
+
+    /// Ends the process at once.
+    pub(crate) async fn kill(&mut self) -> Result<(), SoakError> {
+        let name = &self.name;
+        self.child.kill().await.context(ProcessSnafu { name })
+    }
+
+    /// Waits for the end of a process that was asked to stop; `false` if it takes too long.
+    pub(crate) async fn stopped(&mut self) -> bool {
+        let ended = tokio::time::timeout(STOP_TIMEOUT, self.child.wait()).await;
+        matches!(ended, Ok(Ok(_)))
+    }
+
+    /// Whether the process has ended by itself.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
