Bound the log lines about changes of the directory

Cause: each change of servers or keys wrote a line at each entry VM, 20 to 30 a second while servers are replaced; the bound that is stated was for failed requests only. Each route table still has its line; other changes have four a second at most, with the number left out.

--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -6,6 +6,7 @@
 
 use chicory_directory::{ControlMessage, EntryMessage, LinkHello, LinkStatus};
 use chicory_link::{Backoff, Frame, LinkError, LinkStream, dial};
+use chicory_routes::RouteTableVersion;
 use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
 use slog::{info, warn};
@@ -24,6 +25,10 @@
 /// takes about as long.
 const NO_CONTACT: Duration = Duration::from_millis(500);
 
+/// Least time between two log lines about servers and keys: four a second show when a VM fell
+/// behind.
+const NOTE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Follows the directory: the leader's if it can, any other control VM's otherwise.
 pub(super) struct DirectoryLink {
     shared: Arc<Shared>,
@@ -35,6 +40,15 @@
     leader: Option<VmId>,
     /// The control VM that was lost last; the others are tried first.
     lost: Option<VmId>,
+    noted: NotedChange,
+}
+
+/// The last change of the directory that has a log line.
+struct NotedChange {
+    at: Instant,
+    routes_version: RouteTableVersion,
+    /// Changes since then without a line.
+    suppressed: u64,
 }
 
 /// Why a control VM is no longer followed.
@@ -65,6 +79,11 @@
             seeds,
             leader: None,
             lost: None,
+            noted: NotedChange {
+                at: Instant::now(),
+                routes_version: 0,
+                suppressed: 0,
+            },
         }
     }
 
@@ -206,7 +225,7 @@
         }
     }
 
-    fn take_frame(&self, frame: Frame) -> FrameEffect {
+    fn take_frame(&mut self, frame: Frame) -> FrameEffect {
         let message = frame.decode::<site::ControlMessage>();
         let message = message
             .ok()
@@ -250,7 +269,8 @@
         }
     }
 
-    fn note_version(&self) {
+    /// Each route table has a line; servers and keys may change many times a second.
+    fn note_version(&mut self) {
         let (version, routes_version) = {
             let gateway = self.shared.gateway();
             let mark = gateway.directory().mark();
@@ -260,8 +280,19 @@
         metrics.set(GatewayMetric::DirectoryVersion, version);
         metrics.set(GatewayMetric::RoutesVersion, routes_version);
         self.shared.readiness.set(routes_version > 0);
+        let noted = &mut self.noted;
+        let has_new_routes = noted.routes_version != routes_version;
+        if !has_new_routes && noted.at.elapsed() < NOTE_INTERVAL {
+            noted.suppressed += 1;
+            return;
+        }
         info!(self.shared.logger, "directory changed"; "version" => version,
-            "routes_version" => routes_version);
+            "routes_version" => routes_version, "lines_suppressed" => noted.suppressed);
+        *noted = NotedChange {
+            at: Instant::now(),
+            routes_version,
+            suppressed: 0,
+        };
     }
 
     /// Seeds stay among the candidates: they may name machines that came later.
