Explain the end of a request from collected log lines

chicoryctl explain ID FILES prints the request's line, its cause as far as the lines tell it, and what was said of its servers, its key, its entry process and the group of control VMs round that time.

--- a/crates/chicory_ctl/src/command_line.rs
+++ b/crates/chicory_ctl/src/command_line.rs
@@ -29,6 +29,7 @@
         .subcommand(zone_command())
         .subcommand(owner_command())
         .subcommand(audit_command())
+        .subcommand(explain_command())
 }
 
 fn connection_args() -> [Arg; 8] {
@@ -173,6 +174,17 @@
         .arg(setting("limit", "COUNT", "Most records").default_value("100"))
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Tells from collected log files why a request ended as it did")
+        .arg(positional("request", "Id of the request").required(true))
+        .arg(
+            positional("files", "Log files of entry and control VMs")
+                .num_args(1..)
+                .required(true),
+        )
+}
+
 fn edit_args(command: Command) -> Command {
     command
         .arg(edit_id_arg())
--- a/crates/chicory_ctl/src/ctl_error.rs
+++ b/crates/chicory_ctl/src/ctl_error.rs
@@ -54,6 +54,15 @@
         /// All faults.
         source: SettingFaults,
     },
+    /// No log line tells of a request.
+    #[snafu(display(
+        "no line tells of request {request}: it was answered, its line was left out, or a file is \
+         missing"
+    ))]
+    UnknownRequest {
+        /// Its id.
+        request: String,
+    },
     /// A file can't be read or written.
     #[snafu(display("{}: {source}", path.display()))]
     File {
@@ -178,6 +187,7 @@
             | Self::Certificates { .. }
             | Self::TableFile { .. }
             | Self::MalformedChange { .. }
+            | Self::UnknownRequest { .. }
             | Self::NotConfirmed { .. } => ExitStatus::Faulty,
             Self::Client { source } => client_status(source),
             Self::Answer { .. } => ExitStatus::Unreachable,
--- a/crates/chicory_ctl/src/lib.rs
+++ b/crates/chicory_ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 mod command_line;
 mod ctl_error;
+pub mod explain;
 mod history;
 mod report;
 mod run;
--- a/crates/chicory_ctl/src/run.rs
+++ b/crates/chicory_ctl/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::client::{ControlClient, PeerClient, PeerClientSettings};
 use crate::command::{
-    AuditQuery, EditIntent, Editor, IssueRequest, audit, drain, evict_zone, export_table,
+    AuditQuery, EditIntent, Editor, IssueRequest, audit, drain, evict_zone, explain, export_table,
     get_table, import_table, init_authority, issue_certificate, owner, remove_row, set_row,
     show_zone, status, wait_until_in_force,
 };
@@ -75,6 +75,11 @@
     match path.as_slice() {
         ["ca", "init"] => init(leaf),
         ["ca", "issue"] => issue(leaf),
+        ["explain"] => {
+            let files = leaf.get_many::<String>("files").into_iter().flatten();
+            let files: Vec<PathBuf> = files.map(PathBuf::from).collect();
+            explain(text(leaf, "request"), &files)
+        }
         path => run_with_client(leaf, path).await,
     }
 }
