Prefer servers to which an idle connection leads

Supposed cause of late answers at entry VMs with thin links: a new connection costs a round trip on them, and half of all requests open one.

--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod request_ticket;
 mod retry_budget;
+mod server_choice;
 mod server_health;
 
 pub use caller_facts::CallerFacts;
