--- a/crates/chicory_dispatch/src/steps/arrivals.rs
+++ b/crates/chicory_dispatch/src/steps/arrivals.rs
@@ -7,7 +7,7 @@
 use crate::limits::{CrashSuspicion, ServiceLimits};
 use crate::path_state::PathState;
 use crate::request::{Demand, Phase, RequestState};
-use crate::steps::exchanges::{ConnectionFate, end_exchange};
+use crate::steps::exchange_ends::{ConnectionFate, end_exchange};
 use crate::steps::placing::place;
 use crate::{Effect, Outcome, RefusalReason, RequestHead, RequestOrigin};
 
--- a/crates/chicory_dispatch/src/steps/health.rs
+++ b/crates/chicory_dispatch/src/steps/health.rs
@@ -7,7 +7,7 @@
 use crate::path_state::PathState;
 use crate::request::Phase;
 use crate::server::{ServerHealth, Suspicion};
-use crate::steps::exchanges::{ConnectionFate, break_answer, close, end_exchange};
+use crate::steps::exchange_ends::{ConnectionFate, break_answer, close, end_exchange};
 use crate::steps::placing::{place, pump};
 use crate::steps::retries;
 use crate::view::ServerIndex;
--- a/crates/chicory_dispatch/src/steps/placing.rs
+++ b/crates/chicory_dispatch/src/steps/placing.rs
@@ -9,7 +9,7 @@
 use crate::path_state::PathState;
 use crate::request::{ClaimState, Phase, RequestState, ServerExchange};
 use crate::server::{Admission, NextStep, QueueEntry};
-use crate::steps::relays;
+use crate::steps::relay_starts;
 use crate::steps::route::Route;
 use crate::steps::router::route;
 use crate::view::ServerIndex;
@@ -26,7 +26,7 @@
             vm,
             address,
             server,
-        } => relays::send(state, id, request, vm, address, server),
+        } => relay_starts::send(state, id, request, vm, address, server),
         Route::Own { server, grant } => {
             request.grant = grant;
             admit(state, id, request, server);
@@ -220,3 +220,11 @@
     state.counters.writes += 1;
     state.emit(effect);
 }
+
+/// Writes what waits for any server.
+pub(crate) fn pump_all(state: &mut PathState) {
+    let own: Vec<ServerIndex> = state.servers.keys().copied().collect();
+    for index in own {
+        pump(state, index);
+    }
+}
--- a/crates/chicory_dispatch/src/steps/relays.rs
+++ b/crates/chicory_dispatch/src/steps/relays.rs
@@ -2,58 +2,18 @@
 
 use std::time::Duration;
 
-use chicory_types::{RequestId, VmId};
+use chicory_types::RequestId;
 
 use crate::path_state::PathState;
 use crate::request::{Phase, RelayLeg, RequestState};
-use crate::steps::retries;
-use crate::view::ServerIndex;
+use crate::steps::{placing, retries};
 use crate::{Effect, Outcome, RefusalReason, RelayFailure, RelayLoad};
 
 /// How long an entry process gets no relays after one failed.
 const ENTRY_AVOIDANCE: Duration = Duration::from_millis(500);
-/// Longest time by which a relay's deadline is shorter, so that the far end can say first what
-/// became of the request.
-const MAX_DEADLINE_MARGIN: Duration = Duration::from_millis(10);
-/// Share of the time left that this margin may take.
-const MARGIN_SHARE: u32 = 10;
 /// Longest pause that a refusing dispatcher may ask for, for the request to be tried again here.
 const MAX_PAUSE: Duration = Duration::from_millis(100);
 
-/// Sends a request that was taken out to another entry process.
-pub(crate) fn send(
-    state: &mut PathState,
-    id: RequestId,
-    mut request: Box<RequestState>,
-    vm: VmId,
-    address: String,
-    server: Option<ServerIndex>,
-) {
-    let left = state.left(&request);
-    let margin = (left / MARGIN_SHARE).min(MAX_DEADLINE_MARGIN);
-    let deadline = left.saturating_sub(margin);
-    let hops = request.hops() + 1;
-    request.tries += 1;
-    request.is_sent = true;
-    request.phase = Phase::Relayed(RelayLeg {
-        vm: vm.clone(),
-        server,
-        is_forwarding: false,
-    });
-    if let Some(seen) = server.and_then(|index| state.observations.get_mut(index)) {
-        seen.relayed += 1;
-    }
-    state.put(id, request);
-    state.counters.relays += 1;
-    state.emit(Effect::Relay {
-        request: id,
-        to: vm,
-        address,
-        hops,
-        deadline,
-    });
-}
-
 /// Ends the accounting of a relay.
 pub(crate) fn end(state: &mut PathState, leg: &RelayLeg) {
     let seen = leg
@@ -184,7 +144,7 @@
 /// An order that did not leave this process has no claim yet: it may go another way.
 fn retry_unsent_order(state: &mut PathState, id: RequestId, request: Box<RequestState>) {
     if request.tries < state.config.max_tries {
-        crate::steps::placing::place(state, id, request);
+        placing::place(state, id, request);
     } else {
         state.refuse(id, &request, RefusalReason::RelayFailed);
     }
--- a/crates/chicory_dispatch/src/steps/renewals.rs
+++ b/crates/chicory_dispatch/src/steps/renewals.rs
@@ -12,7 +12,7 @@
 use crate::life::Life;
 use crate::path_state::PathState;
 use crate::server::ServerState;
-use crate::steps::roles;
+use crate::steps::{placing, roles};
 use crate::view::ServerIndex;
 
 /// Sends a renewal if one is due.
@@ -213,6 +213,6 @@
     if has_changes {
         roles::sync(state, is_first_view);
     } else {
-        crate::steps::sweep::pump_all(state);
+        placing::pump_all(state);
     }
 }
--- a/crates/chicory_dispatch/src/steps/roles.rs
+++ b/crates/chicory_dispatch/src/steps/roles.rs
@@ -9,7 +9,7 @@
 use crate::request::{Phase, RequestState};
 use crate::resignation::Resignation;
 use crate::server::{Dispatch, GrantBook, ServerLimits, ServerObservation, ServerState};
-use crate::steps::exchanges::{ConnectionFate, close, end_exchange};
+use crate::steps::exchange_ends::{ConnectionFate, close, end_exchange};
 use crate::steps::placing::pump;
 use crate::steps::{health, retries};
 use crate::view::{ServerIndex, SlotState};
@@ -210,7 +210,7 @@
     };
     end_exchange(state, id, &request, exchange, ConnectionFate::Close);
     if exchange.is_forwarding {
-        return crate::steps::exchanges::break_answer(state, id, &mut request);
+        return crate::steps::exchange_ends::break_answer(state, id, &mut request);
     }
     request.end_unproven();
     request.avoid(exchange.server);
--- a/crates/chicory_dispatch/src/steps/sweep.rs
+++ b/crates/chicory_dispatch/src/steps/sweep.rs
@@ -8,8 +8,8 @@
 use crate::path_state::PathState;
 use crate::request::{Phase, RelayLeg, RequestState, ServerExchange};
 use crate::server::{ServerHealth, Suspicion};
-use crate::steps::exchanges::{ConnectionFate, break_answer, close, end_exchange};
-use crate::steps::placing::{place, pump};
+use crate::steps::exchange_ends::{ConnectionFate, break_answer, close, end_exchange};
+use crate::steps::placing::{place, pump, pump_all};
 use crate::steps::{arrivals, connections, health, orders, relays, renewals};
 use crate::view::ServerIndex;
 use crate::{Effect, RefusalReason};
@@ -42,14 +42,6 @@
     }
 }
 
-/// Writes what waits for any server.
-pub(crate) fn pump_all(state: &mut PathState) {
-    let own: Vec<ServerIndex> = state.servers.keys().copied().collect();
-    for index in own {
-        pump(state, index);
-    }
-}
-
 fn fire_timers(state: &mut PathState) {
     while let Some((at, id)) = state.timers.first().copied() {
         if at > state.now {
--- a/tools/demo_runner/src/deployment/cluster.rs
+++ b/tools/demo_runner/src/deployment/cluster.rs
@@ -12,7 +12,7 @@
 
 use super::operator::OPERATOR_NAME;
 use super::ports::Ports;
-use super::process_args::{data_folder, fault_file, peer_list, process_args};
+use super::process_args::{KEEP_FILES_VARIABLE, data_folder, fault_file, peer_list, process_args};
 use super::{Operator, Role, Shape, StandinGroup, StandinShape, Vm};
 use crate::child_process::{ChildProcess, Signal};
 use crate::runner_error::{FileSnafu, UnexpectedSnafu};
@@ -23,9 +23,6 @@
 /// How long one health check may take.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Environment variable that keeps logs, histories and traces after a run.
-pub const KEEP_FILES_VARIABLE: &str = "CHICORY_KEEP_FILES";
-
 /// All processes of a deployment; dropping it kills them.
 #[derive(Debug)]
 pub struct Cluster {
--- a/tools/demo_runner/src/deployment/mod.rs
+++ b/tools/demo_runner/src/deployment/mod.rs
@@ -8,8 +8,9 @@
 mod standins;
 mod vm;
 
-pub use cluster::{Cluster, KEEP_FILES_VARIABLE};
+pub use cluster::Cluster;
 pub use operator::Operator;
+pub use process_args::KEEP_FILES_VARIABLE;
 pub use shape::Shape;
 pub use standins::{StandinGroup, StandinShape};
 pub use vm::{Role, Vm};
--- a/tools/demo_runner/src/deployment/process_args.rs
+++ b/tools/demo_runner/src/deployment/process_args.rs
@@ -3,9 +3,11 @@
 use std::fmt::Display;
 use std::path::Path;
 
-use super::cluster::KEEP_FILES_VARIABLE;
 use super::{Role, Vm};
 
+/// Environment variable that keeps logs, histories and traces after a run.
+pub const KEEP_FILES_VARIABLE: &str = "CHICORY_KEEP_FILES";
+
 /// Name of the cluster.
 pub const CLUSTER_NAME: &str = "demo";
 
