Read and replace a site's route table with chicoryctl, as CSV

Routes, services and limits have a CSV form, checked with the row and column of a fault; chicoryctl routes check, get and put speak to control VMs over their links. The highest version wins, beside the compare-and-set of the product's own table. Tests: what is written comes back, faults, and a control process on loopback.

--- /dev/null
+++ b/crates/chicory_ctl/src/client/site_client.rs
@@ -0,0 +1,68 @@
+//! Asks control VMs of a site about its route table.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicory_directory::{LinkHello, SiteAnswer, SiteCall};
+use chicory_link::{Frame, LinkError, dial};
+use chicory_types::OperatorName;
+use chicory_wire::proto::site;
+use tokio::time::Instant;
+
+use crate::CtlError;
+use crate::ctl_error::SiteSnafu;
+
+/// Pause before the first control VM is asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time for one control VM to answer; it may have to pass the call on.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Asks control VMs of a site about its route table, one after the other until one answers.
+#[derive(Clone, Debug)]
+pub struct SiteClient {
+    /// Addresses of links.
+    pub control_vms: Vec<SocketAddr>,
+    /// Name of the operator, for the logs.
+    pub operator: OperatorName,
+    /// How long to try.
+    pub timeout: Duration,
+}
+
+impl SiteClient {
+    /// Calls until a control VM answers for its group.
+    ///
+    /// # Errors
+    ///
+    /// [`CtlError::Site`] if none does in time. Whether a change was made isn't known then; to send
+    /// it again does no harm.
+    pub async fn call(&self, call: &SiteCall) -> Result<SiteAnswer, CtlError> {
+        let give_up_at = Instant::now() + self.timeout;
+        let mut last = "no control VM was named".to_owned();
+        while Instant::now() < give_up_at {
+            for vm in &self.control_vms {
+                let asked = tokio::time::timeout(ANSWER_TIMEOUT, self.ask(*vm, call)).await;
+                last = match asked {
+                    Ok(Ok(SiteAnswer::Unavailable)) => format!("{vm} has no leader"),
+                    Ok(Ok(answer)) => return Ok(answer),
+                    Ok(Err(failure)) => format!("{vm}: {failure}"),
+                    Err(_) => format!("{vm} does not answer"),
+                };
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+        SiteSnafu { last }.fail()
+    }
+
+    async fn ask(&self, vm: SocketAddr, call: &SiteCall) -> Result<SiteAnswer, LinkError> {
+        let (mut reader, mut writer) = dial(vm).await?;
+        let hello = LinkHello::Operator {
+            operator: self.operator.clone(),
+        };
+        writer.put(&site::LinkHello::from(hello));
+        writer.put(&site::SiteCall::from(call.clone()));
+        writer.flush().await?;
+        let frame = reader.next().await?;
+        let message: site::SiteAnswer = frame.map_or(Err(LinkError::Content), Frame::decode)?;
+        SiteAnswer::try_from(message).map_err(|_| LinkError::Content)
+    }
+}
--- a/crates/chicory_ctl/src/command_line.rs
+++ b/crates/chicory_ctl/src/command_line.rs
@@ -30,6 +30,7 @@
         .subcommand(owner_command())
         .subcommand(audit_command())
         .subcommand(explain_command())
+        .subcommand(routes_command())
 }
 
 fn connection_args() -> [Arg; 8] {
@@ -174,6 +175,44 @@
         .arg(setting("limit", "COUNT", "Most records").default_value("100"))
 }
 
+fn routes_command() -> Command {
+    let site = || {
+        setting(
+            "site",
+            "ADDRESS,...",
+            "Addresses of links of the site's control VMs, tried in turn",
+        )
+        .required(true)
+        .value_delimiter(',')
+    };
+    let file = |help| positional("file", help);
+    Command::new("routes")
+        .about("Checks, reads and replaces the route table of a site")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Checks a CSV file without sending it")
+                .arg(file("CSV file").required(true)),
+        )
+        .subcommand(
+            Command::new("get")
+                .about("Writes the table in force as CSV")
+                .arg(file("CSV file; standard output by default"))
+                .arg(site()),
+        )
+        .subcommand(
+            Command::new("put")
+                .about("Replaces the table by a CSV file, unless a higher version is in force")
+                .arg(file("CSV file").required(true))
+                .arg(
+                    setting("routes-version", "NUMBER", "Version of the table")
+                        .required(true)
+                        .value_parser(clap::value_parser!(u64)),
+                )
+                .arg(site()),
+        )
+}
+
 fn explain_command() -> Command {
     Command::new("explain")
         .about("Tells from collected log files why a request ended as it did")
--- a/crates/chicory_ctl/src/ctl_error.rs
+++ b/crates/chicory_ctl/src/ctl_error.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chicory_net::tls::TlsError;
+use chicory_routes::RouteCsvFault;
 use chicory_settings::SettingFaults;
 use chicory_types::{EditId, Revision, ZoneName};
 use chicory_wire::ConvertError;
@@ -54,6 +55,26 @@
         /// All faults.
         source: SettingFaults,
     },
+    /// A route table given as CSV is faulty.
+    #[snafu(display("{origin}: {source}"))]
+    RouteFile {
+        /// Where the text came from.
+        origin: String,
+        /// The first fault.
+        source: RouteCsvFault,
+    },
+    /// The site refused a route table.
+    #[snafu(display("the site refused the routes: {fault}"))]
+    RoutesRefused {
+        /// Why.
+        fault: String,
+    },
+    /// No control VM of the site answered; to send the same again does no harm.
+    #[snafu(display("no control VM answered for its group, the last: {last}"))]
+    Site {
+        /// What the last one did.
+        last: String,
+    },
     /// No log line tells of a request.
     #[snafu(display(
         "no line tells of request {request}: it was answered, its line was left out, or a file is \
@@ -188,12 +209,14 @@
             | Self::TableFile { .. }
             | Self::MalformedChange { .. }
             | Self::UnknownRequest { .. }
+            | Self::RouteFile { .. }
             | Self::NotConfirmed { .. } => ExitStatus::Faulty,
             Self::Client { source } => client_status(source),
-            Self::Answer { .. } => ExitStatus::Unreachable,
+            Self::Answer { .. } | Self::Site { .. } => ExitStatus::Unreachable,
             Self::NoSuchEntry { .. }
             | Self::Conflict { .. }
             | Self::Invalid { .. }
+            | Self::RoutesRefused { .. }
             | Self::EditIdReused { .. } => ExitStatus::Refused,
             Self::OutcomeUnknown { .. } => ExitStatus::Unknown,
             Self::NotInForce { .. } => ExitStatus::NotInForce,
--- a/crates/chicory_ctl/src/run.rs
+++ b/crates/chicory_ctl/src/run.rs
@@ -10,11 +10,11 @@
 use serde_json::json;
 use snafu::ResultExt;
 
-use crate::client::{ControlClient, PeerClient, PeerClientSettings};
+use crate::client::{ControlClient, PeerClient, PeerClientSettings, SiteClient};
 use crate::command::{
-    AuditQuery, EditIntent, Editor, IssueRequest, audit, drain, evict_zone, explain, export_table,
-    get_table, import_table, init_authority, issue_certificate, owner, remove_row, set_row,
-    show_zone, status, wait_until_in_force,
+    AuditQuery, EditIntent, Editor, IssueRequest, audit, check_routes, drain, evict_zone, explain,
+    export_table, get_routes, get_table, import_table, init_authority, issue_certificate, owner,
+    put_routes, remove_row, set_row, show_zone, status, wait_until_in_force,
 };
 use crate::ctl_error::FileSnafu;
 use crate::{CtlError, EditHistory, ExitStatus, OutputFormat, Report};
@@ -75,6 +75,8 @@
     match path.as_slice() {
         ["ca", "init"] => init(leaf),
         ["ca", "issue"] => issue(leaf),
+        ["routes", "check"] => check_routes(Path::new(text(leaf, "file"))),
+        ["routes", verb] => run_routes(leaf, verb).await,
         ["explain"] => {
             let files = leaf.get_many::<String>("files").into_iter().flatten();
             let files: Vec<PathBuf> = files.map(PathBuf::from).collect();
@@ -84,6 +86,29 @@
     }
 }
 
+async fn run_routes(matches: &ArgMatches, verb: &str) -> Result<Report, CtlError> {
+    let mut reader = SettingsReader::new(matches);
+    let texts = matches.get_many::<String>("site").into_iter().flatten();
+    let mut control_vms = Vec::new();
+    for text in texts {
+        match text.parse() {
+            Ok(address) => control_vms.push(address),
+            Err(_) => reader.fault("site", Some(text.clone()), "an IP address and a port"),
+        }
+    }
+    let client = SiteClient {
+        control_vms,
+        operator: reader.optional_text("operator").unwrap_or_default(),
+        timeout: reader.millis("timeout-ms", 1..=MAX_WAIT_MS),
+    };
+    let client = reader.finish(client)?;
+    let file = matches.get_one::<String>("file").map(Path::new);
+    match (verb, file, matches.try_get_one::<u64>("routes-version")) {
+        ("put", Some(file), Ok(Some(version))) => put_routes(&client, *version, file).await,
+        _ => get_routes(&client, file).await,
+    }
+}
+
 fn init(matches: &ArgMatches) -> Result<Report, CtlError> {
     let mut reader = SettingsReader::new(matches);
     let validity = validity(&mut reader);
--- a/crates/chicory_directory/src/link_hello.rs
+++ b/crates/chicory_directory/src/link_hello.rs
@@ -1,6 +1,6 @@
 //! The first message on a link.
 
-use chicory_types::{VmId, ZoneName};
+use chicory_types::{OperatorName, VmId, ZoneName};
 
 use crate::DirectoryMark;
 
@@ -21,4 +21,9 @@
         /// The directory that it has.
         known: DirectoryMark,
     },
+    /// An operator, who calls about the route table.
+    Operator {
+        /// The name, for the logs.
+        operator: OperatorName,
+    },
 }
--- a/crates/chicory_directory/src/site_answer.rs
+++ b/crates/chicory_directory/src/site_answer.rs
@@ -9,6 +9,8 @@
     Done,
     /// The route table in force.
     Routes(RouteTable),
+    /// The route table can't be in force, and why; nothing changed.
+    Invalid(String),
     /// An announcement of a life that has ended or left.
     Stale,
     /// An announcement for a service that the route table does not have.
--- a/crates/chicory_routes/src/lib.rs
+++ b/crates/chicory_routes/src/lib.rs
@@ -6,6 +6,9 @@
 mod caller_limits;
 mod request_kind;
 mod route;
+mod route_csv;
+mod route_csv_fault;
+mod route_csv_row;
 mod route_matcher;
 mod route_place;
 mod route_table;
@@ -18,6 +21,8 @@
 pub use caller_limits::CallerLimits;
 pub use request_kind::RequestKind;
 pub use route::Route;
+pub use route_csv::{parse_route_csv, route_csv};
+pub use route_csv_fault::RouteCsvFault;
 pub use route_matcher::{MatchedRoute, RouteMatcher};
 pub use route_place::RoutePlace;
 pub use route_table::{MAX_ROUTE_TIMEOUT, RouteTable, RouteTableVersion};
--- a/crates/chicory_site/src/process/link_listener.rs
+++ b/crates/chicory_site/src/process/link_listener.rs
@@ -16,6 +16,7 @@
 
 use super::SiteMetric;
 use super::entry_server;
+use super::operator_server;
 use super::site_input::SiteInput;
 use crate::SiteEvent;
 
@@ -70,6 +71,9 @@
         let Ok(mut link) = split(stream) else { return };
         match tokio::time::timeout(HELLO_TIMEOUT, read_hello(&mut link)).await {
             Ok(Ok(Some(LinkHello::Control { vm }))) => self.serve_control(link, vm).await,
+            Ok(Ok(Some(LinkHello::Operator { operator }))) => {
+                operator_server::serve(self, link, operator).await;
+            }
             Ok(Ok(Some(hello))) => entry_server::serve(self, link, hello).await,
             Ok(Ok(None)) | Err(_) => {}
             Ok(Err(failure)) => self.on_undecodable(&failure),
--- a/crates/chicory_site/src/process/mod.rs
+++ b/crates/chicory_site/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod grant_port;
 mod link_listener;
 mod note_log;
+mod operator_server;
 mod peer_links;
 mod site_handle;
 mod site_input;
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -133,6 +133,9 @@
     fn from(hello: LinkHello) -> Self {
         let from = match hello {
             LinkHello::Control { vm } => link_hello::From::Control(site::ControlHello { vm }),
+            LinkHello::Operator { operator } => {
+                link_hello::From::Operator(site::OperatorHello { operator })
+            }
             LinkHello::Entry { vm, zone, known } => link_hello::From::Entry(site::EntryHello {
                 vm,
                 zone,
@@ -151,6 +154,9 @@
     fn try_from(message: site::LinkHello) -> Result<Self, ConvertError> {
         Ok(match required(message.from, "link_hello.from")? {
             link_hello::From::Control(hello) => Self::Control { vm: hello.vm },
+            link_hello::From::Operator(hello) => Self::Operator {
+                operator: hello.operator,
+            },
             link_hello::From::Entry(hello) => Self::Entry {
                 vm: hello.vm,
                 zone: hello.zone,
@@ -255,6 +261,7 @@
         let answer = match answer {
             SiteAnswer::Done => Answer::Done(empty),
             SiteAnswer::Routes(table) => Answer::Routes(table.into()),
+            SiteAnswer::Invalid(fault) => Answer::Invalid(fault),
             SiteAnswer::Stale => Answer::Stale(empty),
             SiteAnswer::Unavailable => Answer::Unavailable(empty),
             SiteAnswer::UnknownService => Answer::UnknownService(empty),
@@ -273,6 +280,7 @@
         Ok(match required(message.answer, "site_answer.answer")? {
             Answer::Done(_) => Self::Done,
             Answer::Routes(table) => Self::Routes(table.try_into()?),
+            Answer::Invalid(fault) => Self::Invalid(fault),
             Answer::Stale(_) => Self::Stale,
             Answer::Unavailable(_) => Self::Unavailable,
             Answer::UnknownService(_) => Self::UnknownService,
--- a/tools/soak/src/link_source.rs
+++ b/tools/soak/src/link_source.rs
@@ -36,7 +36,7 @@
         let hello = hello.and_then(|hello| LinkHello::try_from(hello).ok());
         Some(match hello {
             Some(LinkHello::Control { vm } | LinkHello::Entry { vm, .. }) => Self::Vm(vm),
-            None => Self::Other,
+            Some(LinkHello::Operator { .. }) | None => Self::Other,
         })
     }
 }
