--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -10,8 +10,8 @@
 use chicory_ranges::{Key, OwnedRange, ServerLife};
 use chicory_routes::RequestKind;
 use chicory_types::{MonoTime, ServiceName};
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use super::crash_watch::CrashWatch;
 use super::entry_count::EntryCount;
@@ -45,10 +45,16 @@
 const MAX_IDLE: Duration = Duration::from_secs(6);
 /// The same for orders, which can't be repeated when the connection turns out to be dead.
 const MAX_IDLE_OF_ORDERS: Duration = Duration::from_secs(2);
+/// Assumed time to an answer before there was one.
+const TYPICAL_LATENCY: Duration = Duration::from_millis(200);
 /// When to come back where nothing better is known.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time without contact to a majority of control VMs after which unknown routes are not denied.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
+/// Cost of a download from another availability zone, relative to one from the own: large answers
+/// are what fills the links between zones.
+const FAR_DOWNLOAD_COST: f64 = 1.8;
+
 /// What an arriving request meets.
 #[derive(Debug)]
 pub enum Arrival {
@@ -72,8 +78,8 @@
 /// ```
 #[derive(Debug)]
 pub struct Gateway {
-    pub(super) config: GatewayConfig,
-    pub(super) directory: Directory,
+    config: GatewayConfig,
+    directory: Directory,
     pub(super) health: BTreeMap<ServerLife, ServerHealth>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     entry_count: EntryCount,
@@ -82,7 +88,7 @@
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashWatch,
-    pub(super) rng: StdRng,
+    rng: StdRng,
 }
 
 impl Gateway {
@@ -290,6 +296,52 @@
         self.send(now, ticket, &record)
     }
 
+    /// The server with the least expected cost; paused ones only if there is no other.
+    fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Option<ServerRecord> {
+        let tried: BTreeSet<&ServerLife> = ticket.attempts.iter().map(|a| &a.life).collect();
+        let typical = self.typical_latency(&ticket.service);
+        let mut best: Option<(bool, f64, ServerRecord)> = None;
+        for record in self.directory.ready_servers(&ticket.service) {
+            let health = self.health.get(&record.life);
+            if tried.contains(&record.life) || health.is_some_and(|health| health.is_gone) {
+                continue;
+            }
+            let is_paused = health.is_some_and(|health| health.is_paused(now));
+            let cost = health.map_or_else(
+                || ServerHealth::default().cost(record.slots, typical),
+                |health| health.cost(record.slots, typical),
+            );
+            let is_large = ticket.route.route.kind == RequestKind::Download;
+            let cost = if is_large && record.zone != self.config.zone {
+                cost * FAR_DOWNLOAD_COST
+            } else {
+                cost
+            };
+            // A little chance keeps entry VMs that know the same from choosing the same.
+            let cost = cost * self.rng.random_range(0.9..1.1);
+            let is_better = best
+                .as_ref()
+                .is_none_or(|(paused, least, _)| (is_paused, cost) < (*paused, *least));
+            if is_better {
+                best = Some((is_paused, cost, record.clone()));
+            }
+        }
+        best.map(|(_, _, record)| record)
+    }
+
+    fn typical_latency(&self, service: &str) -> Duration {
+        let servers = self.directory.ready_servers(service);
+        let known = servers.filter_map(|record| self.health.get(&record.life)?.latency());
+        let (sum, count) = known.fold((Duration::ZERO, 0), |(sum, n), latency| {
+            (sum + latency, n + 1)
+        });
+        if count == 0 {
+            TYPICAL_LATENCY
+        } else {
+            sum / count
+        }
+    }
+
     fn send(
         &mut self,
         now: MonoTime,
@@ -324,7 +376,11 @@
             life: record.life.clone(),
             address: record.address,
             give_up_at: now + part,
-            max_idle: max_idle(ticket.route.route.kind),
+            max_idle: if is_order {
+                MAX_IDLE_OF_ORDERS
+            } else {
+                MAX_IDLE
+            },
             connect_timeout: CONNECT_TIMEOUT.min(left),
             settle,
         })
@@ -374,15 +430,6 @@
     }
 }
 
-/// Longest idle time of a connection that may carry a request.
-pub(super) fn max_idle(kind: RequestKind) -> Duration {
-    if kind.is_repeatable() {
-        MAX_IDLE
-    } else {
-        MAX_IDLE_OF_ORDERS
-    }
-}
-
 fn refuse(reason: RefusalReason) -> Arrival {
     Arrival::Refused(Refusal::not_run(reason).with_retry_after(RETRY_AFTER))
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -10,7 +10,6 @@
 mod refusal;
 mod request_ticket;
 mod retry_budget;
-mod server_choice;
 mod server_health;
 
 pub use caller_facts::CallerFacts;
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -39,7 +39,6 @@
     /// Part of recent requests that failed.
     failure_rate: f64,
     breaks_in_a_row: u32,
-    answered_at: Option<MonoTime>,
     pause: Duration,
     pub(crate) paused_until: MonoTime,
     /// Until then new connections are watched before anything is sent on them.
@@ -58,7 +57,6 @@
             latency_s: None,
             failure_rate: 0.0,
             breaks_in_a_row: 0,
-            answered_at: None,
             pause: FIRST_PAUSE,
             paused_until: MonoTime::ZERO,
             wary_until: MonoTime::ZERO,
@@ -79,12 +77,6 @@
         now < self.wary_until
     }
 
-    /// Whether an idle connection is likely to be there, not older than `max_idle`.
-    pub(crate) fn is_warm(&self, now: MonoTime, max_idle: Duration) -> bool {
-        let is_free = self.in_flight == 0;
-        is_free && self.answered_at.is_some_and(|at| now < at + max_idle)
-    }
-
     /// Average time to an answer, if there was one.
     pub(crate) fn latency(&self) -> Option<Duration> {
         self.latency_s.map(Duration::from_secs_f64)
@@ -116,7 +108,6 @@
                 self.note_latency(took);
                 self.note_failure(false);
                 self.breaks_in_a_row = 0;
-                self.answered_at = Some(now);
                 self.pause = FIRST_PAUSE;
                 self.paused_until = MonoTime::ZERO;
             }
