Refuse at once where an availability zone is cut off

Cause: an entry VM found out for each server by itself that it can't be reached, with 0.3 s to connect for the first request of each; on a cut of 30 s callers of a cut-off zone were told 'unreachable' 0.35 s late, and unkeyed requests spent their attempts on servers behind the cut.

Ruled out: pauses of single servers, which exist: an entry VM asks each server of a large site once in 8 s.

Three connections in a row that fail to servers of one zone, without a sign of life from any of it, close the zone: keyed requests are refused at once with a time to come back, others go elsewhere, and one request in 0.3 s finds out whether it can be reached again.

Tests without a network: three, the first failed before.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -9,7 +9,7 @@
 };
 use chicory_ranges::{Key, OwnedRange, ServerLife};
 use chicory_routes::RequestKind;
-use chicory_types::{MonoTime, ServiceName};
+use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -17,6 +17,7 @@
 use super::entry_count::EntryCount;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
+use super::zone_reach::ZoneReach;
 use super::{
     AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Refusal, RefusalReason, RequestTicket,
     RetryBudget, Target,
@@ -88,6 +89,7 @@
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashWatch,
+    pub(super) zones: BTreeMap<ZoneName, ZoneReach>,
     rng: StdRng,
 }
 
@@ -107,6 +109,7 @@
             in_contact_at: None,
             key_counts: BTreeMap::new(),
             crashes: CrashWatch::default(),
+            zones: BTreeMap::new(),
         }
     }
 
@@ -241,6 +244,10 @@
             .health
             .get(&record.life)
             .is_some_and(|h| h.is_paused(now));
+        if ticket.attempts.is_empty() && self.is_zone_closed(now, &record) {
+            let reason = RefusalReason::Unreachable;
+            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+        }
         if is_paused && !ticket.attempts.is_empty() {
             let reason = ticket.reason_after_attempts();
             return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
@@ -248,6 +255,11 @@
         self.send(now, ticket, &record)
     }
 
+    fn is_zone_closed(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        let reach = self.zones.get(&record.zone);
+        reach.is_some_and(|reach| reach.is_closed(now))
+    }
+
     /// Whether the owner is giving the key up.
     fn is_moving(&self, service: &str, key: Key, owned: &OwnedRange) -> bool {
         let mut moving = self.moving.iter();
@@ -306,7 +318,8 @@
             if tried.contains(&record.life) || health.is_some_and(|health| health.is_gone) {
                 continue;
             }
-            let is_paused = health.is_some_and(|health| health.is_paused(now));
+            let is_paused = health.is_some_and(|health| health.is_paused(now))
+                || self.is_zone_closed(now, record);
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
@@ -355,6 +368,9 @@
         let is_order = !ticket.route.route.kind.is_repeatable();
         let health = self.health.entry(record.life.clone()).or_default();
         health.in_flight += 1;
+        if let Some(reach) = self.zones.get_mut(&record.zone) {
+            reach.note_sent(now);
+        }
         let settle = if is_order || health.is_wary(now) {
             self.config.settle
         } else {
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chicory_ranges::ServerLife;
 use chicory_types::MonoTime;
 
 use super::gateway::{GRANT_LAG, MAX_OWNER_TRIES, RETRY_AFTER};
@@ -27,13 +28,34 @@
         let health = self.health.entry(life.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
         health.note_end(now, outcome, took);
+        let is_congested = health.is_congested();
+        self.note_reach(now, &life, outcome);
         ticket.may_have_run |= outcome.may_have_run();
         self.crashes
             .note_end(now, ticket.fingerprint, &life, outcome);
-        let is_congested = health.is_congested();
         Self::may_try_again(now, ticket, outcome, is_congested)
     }
 
+    fn note_reach(&mut self, now: MonoTime, life: &ServerLife, outcome: AttemptOutcome) {
+        let Some(record) = self.directory().server(life) else {
+            return;
+        };
+        let zone = record.zone.clone();
+        let reach = self.zones.entry(zone).or_default();
+        match outcome {
+            // A cut may answer new connections with resets.
+            AttemptOutcome::Unreachable | AttemptOutcome::Refused => reach.note_miss(now),
+            AttemptOutcome::Answered
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Shed
+            | AttemptOutcome::TurnedAway
+            | AttemptOutcome::WrongServer
+            | AttemptOutcome::OtherServer
+            | AttemptOutcome::Garbled => reach.note_contact(),
+            AttemptOutcome::Broken | AttemptOutcome::Silent | AttemptOutcome::Cancelled => {}
+        }
+    }
+
     fn may_try_again(
         now: MonoTime,
         ticket: &mut RequestTicket,
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -11,6 +11,7 @@
 mod request_ticket;
 mod retry_budget;
 mod server_health;
+mod zone_reach;
 
 pub use caller_facts::CallerFacts;
 pub use gateway::{Arrival, Gateway};
--- a/crates/chicory_gateway/tests/decisions/retries.rs
+++ b/crates/chicory_gateway/tests/decisions/retries.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::support::{START, arrive, gateway, in_contact, sent};
-use chicory_directory::{DirectoryUpdate, LinkStatus};
-use chicory_gateway::{AttemptOutcome, GatewayConfig, NextStep, RefusalReason};
+use crate::support::{START, arrive, facts, gateway, in_contact, owned, ranges, sent, server};
+use chicory_directory::{DirectoryUpdate, LinkStatus, ServerRecord, ServerState};
+use chicory_gateway::{Arrival, AttemptOutcome, Gateway, GatewayConfig, NextStep, RefusalReason};
 use googletest::prelude::*;
 
 #[gtest]
@@ -248,3 +248,93 @@
     let step = gateway.next_step(START, &mut next);
     expect_that!(step, matches_pattern!(NextStep::Wait(_)));
 }
+
+/// A gateway with servers of the archive in two availability zones: those named `s…` own the lower
+/// keys and are in the south.
+fn gateway_over_two_zones() -> Gateway {
+    let mut gateway = gateway();
+    let south = (0..4).map(|index| ServerRecord {
+        zone: "south".into(),
+        ..server(&format!("s{index}"), "archive", ServerState::Ready)
+    });
+    let south_library = ["ls", "lt"].map(|name| ServerRecord {
+        zone: "south".into(),
+        ..server(name, "library", ServerState::Ready)
+    });
+    let owners = (0..4).map(|index| owned(index * 10, index * 10 + 9, &format!("s{index}"), 9));
+    let update = DirectoryUpdate {
+        version: 9,
+        last_fence: 9,
+        servers: south.chain(south_library).collect(),
+        ranges: ranges(owners.collect()),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    gateway
+}
+
+/// The next step of a request for a key; a request that is sent ends with `outcome`.
+fn ask(gateway: &mut Gateway, now: Duration, key: u16, outcome: AttemptOutcome) -> NextStep {
+    let arrival = gateway.arrive(now, "host", "/reads/x", &facts(Some(key)));
+    let Arrival::Accepted(mut ticket) = arrival else {
+        panic!("refused: {arrival:?}");
+    };
+    let step = gateway.next_step(now, &mut ticket);
+    if matches!(step, NextStep::Send(_)) {
+        gateway.attempt_ended(now, &mut ticket, outcome);
+    }
+    step
+}
+
+#[gtest]
+fn requests_for_a_zone_that_is_cut_off_are_refused_at_once() {
+    for outcome in [AttemptOutcome::Unreachable, AttemptOutcome::Refused] {
+        let mut gateway = gateway_over_two_zones();
+        for key in [0, 10, 20] {
+            sent(ask(&mut gateway, START, key, outcome));
+        }
+        // Another server of the zone, which was never asked.
+        let NextStep::Refuse(refusal) = ask(&mut gateway, START, 30, outcome) else {
+            panic!("expected a refusal");
+        };
+        expect_that!(refusal.reason, eq(RefusalReason::Unreachable));
+        expect_that!(refusal.may_have_run, eq(false));
+        expect_that!(refusal.retry_after, some(anything()));
+        sent(ask(&mut gateway, START, 500, AttemptOutcome::Answered));
+        for _ in 0..10 {
+            let mut ticket = arrive(&mut gateway, "/plans/x", None);
+            let target = sent(gateway.next_step(START, &mut ticket));
+            expect_that!(target.life.server, starts_with("l"));
+            expect_that!(target.life.server, not(any!(eq("ls"), eq("lt"))));
+        }
+    }
+}
+
+#[gtest]
+fn one_request_finds_out_that_a_zone_can_be_reached_again() {
+    let mut gateway = gateway_over_two_zones();
+    let away = AttemptOutcome::Unreachable;
+    for key in [0, 10, 20] {
+        sent(ask(&mut gateway, START, key, away));
+    }
+    let later = START + Duration::from_millis(300);
+    sent(ask(&mut gateway, later, 30, away));
+    expect_that!(
+        ask(&mut gateway, later, 30, away),
+        matches_pattern!(NextStep::Refuse(_))
+    );
+    let healed = later + Duration::from_millis(300);
+    sent(ask(&mut gateway, healed, 30, AttemptOutcome::Shed));
+    for key in [0, 10, 20, 30] {
+        sent(ask(&mut gateway, healed, key, AttemptOutcome::Answered));
+    }
+}
+
+#[gtest]
+fn single_servers_that_are_away_do_not_close_their_zone() {
+    let mut gateway = gateway_over_two_zones();
+    for _ in 0..10 {
+        sent(ask(&mut gateway, START, 0, AttemptOutcome::Unreachable));
+        sent(ask(&mut gateway, START, 10, AttemptOutcome::Answered));
+    }
+}
