--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -133,6 +133,13 @@
             .map_or(Ok(()), |process| process.signal(signal))
     }
 
+    /// Tells a process that its settings may have changed, if it has come so far as to listen.
+    pub(crate) fn reload(&self, vm: Vm) -> Result<(), SoakError> {
+        let process = self.processes.get(&vm);
+        let process = process.filter(|process| process.has_spoken());
+        process.map_or(Ok(()), |process| process.signal(Signal::HUP))
+    }
+
     /// Takes a process out that was asked to stop, so that its end can be waited for.
     pub(crate) fn take(&mut self, vm: Vm) -> Option<VmProcess> {
         self.processes.remove(&vm)
--- a/tools/soak/src/inflict.rs
+++ b/tools/soak/src/inflict.rs
@@ -178,7 +178,7 @@
         let cluster = self.cluster.lock().await;
         let controls = (0..CONTROL_VMS).map(Vm::Control);
         for vm in controls.chain((0..self.entry_count).map(Vm::Entry)) {
-            cluster.signal(vm, Signal::HUP)?;
+            cluster.reload(vm)?;
         }
         Ok(())
     }
--- a/tools/soak/src/vm_process.rs
+++ b/tools/soak/src/vm_process.rs
@@ -19,6 +19,9 @@
 #[derive(Debug)]
 pub(crate) struct VmProcess {
     name: String,
+    log: PathBuf,
+    /// Length of the log when the process was started.
+    log_bytes: u64,
     child: Child,
 }
 
@@ -34,6 +37,7 @@
         let path = log.clone();
         let options = OpenOptions::new().create(true).append(true).open(log);
         let output = options.context(FileSnafu { path })?;
+        let log_bytes = output.metadata().map_or(0, |metadata| metadata.len());
         let errors = output.try_clone().context(FileSnafu { path: log })?;
         let child = Command::new(program)
             .arg("--settings")
@@ -48,6 +52,8 @@
             .context(ProcessSnafu { name })?;
         Ok(Self {
             name: name.to_owned(),
+            log: log.clone(),
+            log_bytes,
             child,
         })
     }
@@ -64,6 +70,13 @@
             .context(ProcessSnafu { name })
     }
 
+    /// Whether the process has written a line: it has taken its signals over by then. One that
+    /// comes before a program's first instructions ends it, whatever the program does.
+    pub(crate) fn has_spoken(&self) -> bool {
+        let metadata = std::fs::metadata(&self.log);
+        metadata.is_ok_and(|metadata| metadata.len() > self.log_bytes)
+    }
+
     /// Ends the process at once.
     pub(crate) async fn kill(&mut self) -> Result<(), SoakError> {
         let name = &self.name;
