End the soak's processes when it is asked to stop, and keep soaks apart

A soak that was ended by a signal left 28 processes behind, seen once; asked to stop it drops its runs now, which ends them. Two soaks at a time used the same addresses, and one did not play; each takes networks by its process id.

--- a/tools/soak/src/addresses.rs
+++ b/tools/soak/src/addresses.rs
@@ -14,6 +14,8 @@
 const SERVER_PORT: u16 = 7700;
 /// First network of runs, so that they don't meet other users of loopback.
 const FIRST_NETWORK: u8 = 30;
+/// Networks by which processes of the soak with neighbouring ids are apart.
+const NETWORKS_APART: usize = 37;
 /// Runs at a time that have networks of their own.
 const NETWORKS: usize = 200;
 
@@ -25,9 +27,10 @@
 }
 
 impl Addresses {
-    /// Addresses of the run with this index.
+    /// Addresses of the run with this index; other processes of the soak use other ones, as a rule.
     pub(crate) fn new(run: usize) -> Self {
-        let network = u8::try_from(run % NETWORKS).unwrap_or(0);
+        let process = usize::try_from(std::process::id()).unwrap_or(0);
+        let network = u8::try_from((process * NETWORKS_APART + run) % NETWORKS).unwrap_or(0);
         Self {
             network: FIRST_NETWORK + network,
         }
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
@@ -12,7 +13,7 @@
     let options = Options::from_command_line();
     let runtime = tokio::runtime::Runtime::new();
     let failed = match runtime {
-        Ok(runtime) => runtime.block_on(play(options)),
+        Ok(runtime) => runtime.block_on(play_until_stopped(options)),
         Err(failure) => {
             eprintln!("can't start: {failure}");
             return ExitCode::FAILURE;
@@ -26,6 +27,29 @@
     ExitCode::FAILURE
 }
 
+/// Plays all seeds unless it is asked to stop; either way the processes that were started end.
+async fn play_until_stopped(options: Options) -> Vec<u64> {
+    let seeds = options.seeds.clone();
+    let asked_to_stop = async {
+        let kinds = [SignalKind::interrupt(), SignalKind::terminate()];
+        let [interrupt, terminate] = kinds.map(signal);
+        let (Ok(mut interrupt), Ok(mut terminate)) = (interrupt, terminate) else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+    };
+    tokio::select! {
+        failed = play(options) => failed,
+        () = asked_to_stop => {
+            println!("asked to stop; not all of these seeds were played");
+            seeds
+        }
+    }
+}
+
 /// Plays all seeds, some at a time; those that failed.
 async fn play(options: Options) -> Vec<u64> {
     let places = Arc::new(Semaphore::new(options.jobs));
