--- a/tools/soak/src/table_promises.rs
+++ b/tools/soak/src/table_promises.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use platform_stand_ins::ReadTable;
+use platform_stand_ins::{Operator, ReadTable};
 use serde_json::Value;
 
 use crate::calm::Calm;
@@ -70,7 +70,7 @@
         }
         match self.sent.get(&read.version) {
             None => broken.push(format!("table {} is read, nobody sent it", read.version)),
-            Some(sent) if outline(sent) != outline(&read.content) => {
+            Some(sent) if Operator::outline(sent) != Operator::outline(&read.content) => {
                 broken.push(format!("table {} is read with other content", read.version));
             }
             Some(_) => {}
@@ -128,23 +128,3 @@
         broken
     }
 }
-
-/// What matters of a table: its routes by host and prefix, with their services.
-fn outline(table: &Value) -> BTreeMap<(String, String), String> {
-    let columns = table["routes"]["columns"].as_array();
-    let place = |name: &str| {
-        let mut columns = columns.into_iter().flatten();
-        columns.position(|column| column == name)
-    };
-    let cell = |row: &Value, name: &str| {
-        let cell = place(name).map(|place| row[place].to_string());
-        cell.unwrap_or_default()
-    };
-    let rows = table["routes"]["rows"].as_array();
-    let rows = rows.into_iter().flatten();
-    rows.map(|row| {
-        let at = (cell(row, "hostname"), cell(row, "pathPrefix"));
-        (at, cell(row, "service"))
-    })
-    .collect()
-}
