Serve uploads: orders with a large body

Cause: the operator's table of the new site was refused whole, as its kind 'upload' was unknown, and the log line named neither route nor value.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -8,7 +8,6 @@
     RequestFingerprint, ServerLoad, ServerRecord,
 };
 use chicory_ranges::{Key, OwnedRange, ServerLife};
-use chicory_routes::RequestKind;
 use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -324,7 +323,7 @@
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
             );
-            let is_large = ticket.route.route.kind == RequestKind::Download;
+            let is_large = ticket.route.route.kind.is_large();
             let cost = if is_large && record.zone != self.config.zone {
                 cost * FAR_DOWNLOAD_COST
             } else {
--- a/crates/chicory_routes/src/route_csv_row.rs
+++ b/crates/chicory_routes/src/route_csv_row.rs
@@ -180,6 +180,7 @@
         RequestKind::Idempotent => "idempotent",
         RequestKind::Order => "order",
         RequestKind::Download => "download",
+        RequestKind::Upload => "upload",
     }
 }
 
@@ -188,6 +189,7 @@
         RequestKind::Idempotent,
         RequestKind::Order,
         RequestKind::Download,
+        RequestKind::Upload,
     ];
     kinds.into_iter().find(|kind| kind_text(*kind) == text)
 }
--- a/crates/chicory_routes/tests/route_csv.rs
+++ b/crates/chicory_routes/tests/route_csv.rs
@@ -60,6 +60,11 @@
                 RequestKind::Download,
                 RouteTarget::Service("archive".into()),
             ),
+            route(
+                "drafts",
+                RequestKind::Upload,
+                RouteTarget::Service("archive".into()),
+            ),
         ],
         services: vec![service("archive", Some(true)), service("ledger", None)],
         limits: Some(CallerLimits::default()),
--- a/crates/chicory_wire/src/routes_convert.rs
+++ b/crates/chicory_wire/src/routes_convert.rs
@@ -15,7 +15,7 @@
 convert_enum!(
     RequestKind,
     site::RequestKind,
-    [Idempotent, Order, Download]
+    [Idempotent, Order, Download, Upload]
 );
 convert_record!(
     WeightedService,
