Keep keys with their owner until an earlier grant can be fenced

Cause: a leader that began a move for balance while the owner was not verified (no announcement since its election or since a broken call) released the keys although grants of the former leader, or grants without an answer, could still take effect for up to 11 s. Ruled out: a late reassignment of the keys of lost servers; these moved within 0.2 s of the proof of their end.

--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -270,16 +270,19 @@
     ///
     /// Where a grant without an answer may still take effect, the owner first gets the same keys
     /// under a greater fence. Its answer shows that the earlier grant can do nothing any more; the
-    /// planner then asks again.
+    /// planner then asks again. Until the owner is known to run it keeps the keys: once released,
+    /// nobody could have them before the earlier grant has run out.
     fn begin_departure(&mut self, now: MonoTime, place: &Place, transfer: &Transfer) {
         let Some(mut whole) = self.tenures.remove(place) else {
             return;
         };
-        let is_verified = self.verified.contains(&whole.owned.owner);
-        if now < whole.uncertain_until() && is_verified {
-            whole.is_refencing = true;
-            self.effects
-                .push(GrantEffect::Propose(whole.refencing_move(&place.0)));
+        let is_ended = self.ended.contains(&whole.owned.owner);
+        if now < whole.uncertain_until() && !is_ended {
+            if self.verified.contains(&whole.owned.owner) {
+                whole.is_refencing = true;
+                self.effects
+                    .push(GrantEffect::Propose(whole.refencing_move(&place.0)));
+            }
             self.tenures.insert(place.clone(), whole);
             return;
         }
@@ -296,7 +299,7 @@
         }
         whole.owned.range = transfer.range;
         let mut departure = Departure::new(transfer.to.clone());
-        departure.is_released = self.ended.contains(&whole.owned.owner);
+        departure.is_released = is_ended;
         whole.departure = Some(departure);
         whole.due_at = now;
         let first = transfer.range.first;
--- a/crates/chicory_ranges/tests/grant_desk.rs
+++ b/crates/chicory_ranges/tests/grant_desk.rs
@@ -150,6 +150,27 @@
     expect_that!(owners.len(), ge(4));
 }
 
+/// A new leader does not know which grants of the former one may still take effect. To release keys
+/// then would leave them without an owner until the last of these has run out.
+#[gtest]
+fn balance_under_a_new_leader_leaves_no_key_without_an_owner() {
+    let mut world = settled(9);
+    // The next plan is due before the next announcements.
+    world.run(Duration::from_millis(250));
+    let mut load = KeyLoad::new(world.now);
+    for key in 30_000..30_200 {
+        load.add(key, 10);
+    }
+    world.change_leader();
+    world.weights = load.weights();
+    let moves = world.moves;
+    for _ in 0..400 {
+        world.step();
+        assert_that!(world.held_keys(), eq(ALL_KEYS), "at {:?}", world.now);
+    }
+    expect_that!(world.moves, gt(moves));
+}
+
 /// A release of a server that has ended is answered after its keys have gone to the next owner.
 #[gtest]
 fn late_answer_to_a_former_owner_says_nothing_about_the_next() {
