Have callers close connections that stay idle

Cause: each connection costs about 25 KB for its buffers. A caller that is refused comes back on a new connection, and the former one stays open and idle for 20 s, so that entry VMs held up to 1,200 connections after faults and peaked at 30 MB. A refusal now closes its connection, answers ask callers to keep idle connections for 4 s, and an entry VM closes them after 8 s.

--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -25,6 +25,17 @@
 /// Largest body that is held in memory to be sent.
 const MAX_HELD_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
+/// Idle time that callers are told to keep connections for: most ask again sooner, and each idle
+/// connection costs memory for its buffers.
+const KEEP_ALIVE_TIME: HeaderValue = HeaderValue::from_static("timeout=4");
+
+/// Marks an answer of the entry VM's own: the caller comes back on another connection, so that the
+/// one of the refused request would only stay idle.
+#[derive(Clone, Copy)]
+struct RefusedByEntry;
+
 /// Serves the requests of callers.
 pub(super) struct CallerHandler {
     shared: Arc<Shared>,
@@ -42,9 +53,13 @@
         Box::pin(async move {
             let is_stopping = shared.readiness.is_stopping();
             let mut response = Exchange::start(shared.clone(), request).await;
-            if is_stopping || shared.readiness.is_stopping() {
-                let headers = response.headers_mut();
-                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            let is_refused = response.extensions().get::<RefusedByEntry>().is_some();
+            let is_closing = is_stopping || shared.readiness.is_stopping() || is_refused;
+            let headers = response.headers_mut();
+            if is_closing {
+                headers.insert(header::CONNECTION, CLOSE);
+            } else {
+                headers.insert(KEEP_ALIVE, KEEP_ALIVE_TIME);
             }
             response
         })
@@ -229,7 +244,8 @@
         let gateway = self.shared.gateway();
         let requests = &self.shared.requests;
         requests.refused(now, &account, refusal, &gateway);
-        let refused = self.shared.callers.refuse(&self.facts, refusal);
+        let mut refused = self.shared.callers.refuse(&self.facts, refusal);
+        refused.extensions_mut().insert(RefusedByEntry);
         refused.map(HttpBody::full)
     }
 
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -23,11 +23,12 @@
 const LOOK_AWAY_TIME: Duration = Duration::from_millis(2600);
 /// Part of the grace that is kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
-/// What callers' connections may do; the table's idle time-out of 15 s is below this.
+/// What callers' connections may do; idle ones stay open for twice the time that callers are told,
+/// so that a request rarely crosses the close.
 const CALLER_LIMITS: HttpLimits = HttpLimits {
     max_head_bytes: 64 * 1024,
     max_connections: 3000,
-    head_timeout: Duration::from_secs(20),
+    head_timeout: Duration::from_secs(8),
 };
 
 /// An entry process.
