Decide about refused callers in a crate of policies

Three policies without I/O, each with a switch that only a hidden option of the entry program sets, so that what they are worth can be measured: - outages: keys without a usable owner for longer than a move takes, and owners to which no connection comes about, are refused at once; one request now and then finds out whether they are back. Before, each request waited 0.9 s, or 0.3 s for a connection. - return-time: Retry-After is the expected end of what blocks the request, spread, and within a third of the time that the caller has left.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -7,7 +7,8 @@
     DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovesChange, MovingRange,
     RequestFingerprint, ServerLoad, ServerRecord,
 };
-use chicory_ranges::{Key, OwnedRange, ServerLife};
+use chicory_policy::KeyOutages;
+use chicory_ranges::{Fence, Key, OwnedRange, ServerLife};
 use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -18,13 +19,13 @@
 use super::server_health::ServerHealth;
 use super::zone_reach::ZoneReach;
 use super::{
-    AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Refusal, RefusalReason, RequestTicket,
-    RetryBudget, Target,
+    AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Policy, Refusal, RefusalReason,
+    RequestTicket, RetryBudget, Target,
 };
 use crate::{Directory, UpdateOutcome};
 
 /// Time that a caller waits if it does not say how long.
-const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
+pub(super) const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
 /// Part of the end that is kept for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 /// Part of the time left that one attempt may take while another one could follow.
@@ -47,8 +48,6 @@
 const MAX_IDLE_OF_ORDERS: Duration = Duration::from_secs(2);
 /// Assumed time to an answer before there was one.
 const TYPICAL_LATENCY: Duration = Duration::from_millis(200);
-/// When to come back where nothing better is known.
-pub(super) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time without contact to a majority of control VMs after which unknown routes are not denied.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
 /// Cost of a download from another availability zone, relative to one from the own: large answers
@@ -64,6 +63,14 @@
     Refused(Refusal),
 }
 
+/// The server for a request that any server of its service may serve.
+enum Choice {
+    Server(ServerRecord),
+    /// Those that could take it have as many requests as they answer in time.
+    AllFull,
+    Nobody,
+}
+
 /// Decides which backend server requests go to.
 ///
 /// # Examples
@@ -78,18 +85,22 @@
 /// ```
 #[derive(Debug)]
 pub struct Gateway {
-    config: GatewayConfig,
-    directory: Directory,
+    pub(super) config: GatewayConfig,
+    pub(super) directory: Directory,
     pub(super) health: BTreeMap<ServerLife, ServerHealth>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
-    entry_count: EntryCount,
+    pub(super) entry_count: EntryCount,
     poison: BTreeSet<RequestFingerprint>,
     moving: Vec<MovingRange>,
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashWatch,
     pub(super) zones: BTreeMap<ZoneName, ZoneReach>,
-    rng: StdRng,
+    /// Keys without a usable owner, by service and fence.
+    ownerless: KeyOutages<(ServiceName, Fence)>,
+    /// Servers to which no connection comes about.
+    pub(super) unreachable: KeyOutages<ServerLife>,
+    pub(super) rng: StdRng,
 }
 
 impl Gateway {
@@ -109,6 +120,8 @@
             key_counts: BTreeMap::new(),
             crashes: CrashWatch::default(),
             zones: BTreeMap::new(),
+            ownerless: KeyOutages::default(),
+            unreachable: KeyOutages::default(),
         }
     }
 
@@ -136,6 +149,9 @@
         let directory = &self.directory;
         self.health
             .retain(|life, health| health.in_flight > 0 || directory.server(life).is_some());
+        self.unreachable
+            .retain(|life| directory.server(life).is_some());
+        self.ownerless.forget_quiet(now);
         self.crashes
             .note_ended(|life| directory.server(life).is_some());
         outcome
@@ -172,7 +188,7 @@
         facts: &CallerFacts,
     ) -> Arrival {
         if !self.is_ready() {
-            return refuse(RefusalReason::NoDirectory);
+            return self.refuse(facts, RefusalReason::NoDirectory);
         }
         let Some(route) = self.directory.matcher().find(host, path).cloned() else {
             let is_stale = self.contact_age(now).is_none_or(|age| age > STALE_AFTER);
@@ -181,13 +197,13 @@
             } else {
                 RefusalReason::NoRoute
             };
-            return refuse(reason);
+            return self.refuse(facts, reason);
         };
         let service = route.next_service().clone();
         let is_keyed = self.directory.is_keyed(&service);
         let key = facts.key.filter(|_| is_keyed);
         if is_keyed && key.is_none() {
-            return refuse(RefusalReason::NoKey);
+            return self.refuse(facts, RefusalReason::NoKey);
         }
         if let Some(key) = key {
             *self.key_counts.entry((service.clone(), key)).or_default() += 1;
@@ -204,6 +220,7 @@
             key,
             arrived_at: now,
             ends_at,
+            caller_ends_at: now + time_left,
             fingerprint: None,
             attempts: Vec::new(),
             may_have_run: false,
@@ -212,14 +229,18 @@
         })
     }
 
+    fn refuse(&mut self, facts: &CallerFacts, reason: RefusalReason) -> Arrival {
+        Arrival::Refused(self.refusal_at_arrival(facts, reason))
+    }
+
     /// What is to be done for a request now.
     pub fn next_step(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
         if now >= ticket.ends_at {
-            return NextStep::Refuse(self.late_refusal(ticket));
+            return NextStep::Refuse(self.late_refusal(now, ticket));
         }
         if ticket.fingerprint.is_some_and(|f| self.poison.contains(&f)) {
             let reason = RefusalReason::Poisoned;
-            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
         if ticket.key.is_some() {
             return self.step_to_owner(now, ticket);
@@ -236,20 +257,31 @@
         let record = entry.and_then(|owned| self.directory.server(&owned.owner));
         let is_moving = entry.is_some_and(|owned| self.is_moving(&ticket.service, key, owned));
         let usable = record.filter(|record| !is_moving && self.may_take(now, record));
-        let Some(record) = usable.cloned() else {
-            return self.wait_for_owner(now, ticket);
+        let usable = usable.cloned();
+        let fence = entry.map_or(0, |owned| owned.fence);
+        let part = (ticket.service.clone(), fence);
+        let Some(record) = usable else {
+            return self.wait_for_owner(now, ticket, &part);
         };
+        self.ownerless.note_usable(&part);
         let is_paused = self
             .health
             .get(&record.life)
             .is_some_and(|h| h.is_paused(now));
-        if ticket.attempts.is_empty() && self.is_zone_closed(now, &record) {
+        if ticket.attempts.is_empty()
+            && (self.is_zone_closed(now, &record) || self.is_unreachable(now, &record))
+        {
             let reason = RefusalReason::Unreachable;
-            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
         if is_paused && !ticket.attempts.is_empty() {
             let reason = ticket.reason_after_attempts();
-            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
+        }
+        let chance = self.draw_chance();
+        if !self.admits(&record, ticket, chance) {
+            let reason = RefusalReason::Overloaded;
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
         self.send(now, ticket, &record)
     }
@@ -259,6 +291,12 @@
         reach.is_some_and(|reach| reach.is_closed(now))
     }
 
+    /// Whether no connection to a server came about, and it is too early to try again.
+    fn is_unreachable(&mut self, now: MonoTime, record: &ServerRecord) -> bool {
+        let is_on = !self.config.without.contains(&Policy::Outages);
+        is_on && !self.unreachable.takes_probe(now, &record.life)
+    }
+
     /// Whether the owner is giving the key up.
     fn is_moving(&self, service: &str, key: Key, owned: &OwnedRange) -> bool {
         let mut moving = self.moving.iter();
@@ -287,28 +325,45 @@
         draining_since.is_none_or(|since| now < since + DRAINING_GRACE)
     }
 
-    /// A key without a usable owner gets one soon, as a rule.
-    fn wait_for_owner(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
+    /// A key without a usable owner gets one soon, unless it has been without one for long.
+    fn wait_for_owner(
+        &mut self,
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        part: &(ServiceName, Fence),
+    ) -> NextStep {
+        let is_lasting = self.ownerless.note_unusable(now, part);
+        if is_lasting && !self.config.without.contains(&Policy::Outages) {
+            return NextStep::Refuse(self.refusal(now, ticket, RefusalReason::NoOwner));
+        }
         let since = *ticket.waiting_since.get_or_insert(now);
         let left = ticket.ends_at.saturating_sub(since);
         let wait = left.mul_f64(OWNER_WAIT_PART).min(MAX_OWNER_WAIT);
         if now >= since + wait {
             let reason = RefusalReason::NoOwner;
-            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER * 2));
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
         NextStep::Wait(since + wait)
     }
 
     fn step_to_any(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
-        let Some(record) = self.choose(now, ticket) else {
-            let reason = ticket.reason_after_attempts();
-            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
-        };
-        self.send(now, ticket, &record)
+        match self.choose(now, ticket) {
+            Choice::Server(record) => self.send(now, ticket, &record),
+            Choice::AllFull => {
+                let reason = RefusalReason::Overloaded;
+                NextStep::Refuse(self.refusal(now, ticket, reason))
+            }
+            Choice::Nobody => {
+                let reason = ticket.reason_after_attempts();
+                NextStep::Refuse(self.refusal(now, ticket, reason))
+            }
+        }
     }
 
     /// The server with the least expected cost; paused ones only if there is no other.
-    fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Option<ServerRecord> {
+    fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Choice {
+        let chance = self.draw_chance();
+        let mut nobody = Choice::Nobody;
         let tried: BTreeSet<&ServerLife> = ticket.attempts.iter().map(|a| &a.life).collect();
         let typical = self.typical_latency(&ticket.service);
         let mut best: Option<(bool, f64, ServerRecord)> = None;
@@ -317,6 +372,10 @@
             if tried.contains(&record.life) || health.is_some_and(|health| health.is_gone) {
                 continue;
             }
+            if !self.admits(record, ticket, chance) {
+                nobody = Choice::AllFull;
+                continue;
+            }
             let is_paused = health.is_some_and(|health| health.is_paused(now))
                 || self.is_zone_closed(now, record);
             let cost = health.map_or_else(
@@ -324,7 +383,9 @@
                 |health| health.cost(record.slots, typical),
             );
             let is_large = ticket.route.route.kind.is_large();
-            let cost = if is_large && record.zone != self.config.zone {
+            let is_near =
+                record.zone == self.config.zone || self.config.without.contains(&Policy::OwnZone);
+            let cost = if is_large && !is_near {
                 cost * FAR_DOWNLOAD_COST
             } else {
                 cost
@@ -338,7 +399,7 @@
                 best = Some((is_paused, cost, record.clone()));
             }
         }
-        best.map(|(_, _, record)| record)
+        best.map_or(nobody, |(_, _, record)| Choice::Server(record))
     }
 
     fn typical_latency(&self, service: &str) -> Duration {
@@ -362,7 +423,7 @@
     ) -> NextStep {
         if !ticket.attempts.is_empty() && !self.may_send_again(now, ticket) {
             let reason = RefusalReason::NoRetryLeft;
-            return NextStep::Refuse(self.refusal(ticket, reason, RETRY_AFTER));
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
         let is_order = !ticket.route.route.kind.is_repeatable();
         let health = self.health.entry(record.life.clone()).or_default();
@@ -444,7 +505,3 @@
         }
     }
 }
-
-fn refuse(reason: RefusalReason) -> Arrival {
-    Arrival::Refused(Refusal::not_run(reason).with_retry_after(RETRY_AFTER))
-}
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -1,9 +1,12 @@
 //! Settings of the decisions.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use chicory_types::ZoneName;
 
+use super::Policy;
+
 /// Part of a service's requests that may be sent a second time; stated by the operators.
 const RETRY_RATIO: f64 = 0.2;
 /// Second sends allowed on top, over all entry VMs, in one window.
@@ -29,6 +32,8 @@
     pub zone: ZoneName,
     /// Seed of random choices.
     pub random_seed: u64,
+    /// Policies that are switched off, to measure what they are worth.
+    pub without: BTreeSet<Policy>,
 }
 
 impl Default for GatewayConfig {
@@ -40,6 +45,7 @@
             settle: SETTLE,
             zone: ZoneName::new(),
             random_seed: 0,
+            without: BTreeSet::new(),
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions about requests, without I/O.
 
+mod admission;
 mod caller_facts;
 mod crash_watch;
 mod entry_count;
@@ -7,7 +8,9 @@
 mod gateway_attempts;
 mod gateway_config;
 mod next_step;
+mod policy;
 mod refusal;
+mod refusals;
 mod request_ticket;
 mod retry_budget;
 mod server_health;
@@ -17,6 +20,7 @@
 pub use gateway::{Arrival, Gateway};
 pub use gateway_config::GatewayConfig;
 pub use next_step::{AttemptOutcome, NextStep, Target};
+pub use policy::Policy;
 pub use refusal::{Refusal, RefusalReason};
 pub use request_ticket::RequestTicket;
 pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -0,0 +1,41 @@
+//! Policies that can be switched off for a measurement.
+
+/// A policy that can be switched off, to measure what it is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Policy {
+    /// Bounds the requests on their way to each server by what it answers in time.
+    Admission,
+    /// Refuses requests at once whose keys have had no usable owner for longer than a move takes.
+    Outages,
+    /// Tells refused callers to come back when what blocks them is expected to be over.
+    ReturnTime,
+    /// Prefers servers of the own availability zone for requests without keys.
+    OwnZone,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 4] = [
+        Self::Admission,
+        Self::Outages,
+        Self::ReturnTime,
+        Self::OwnZone,
+    ];
+
+    /// The name that settings use.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Admission => "admission",
+            Self::Outages => "outages",
+            Self::ReturnTime => "return-time",
+            Self::OwnZone => "own-zone",
+        }
+    }
+
+    /// The policy of this name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|policy| policy.name() == name)
+    }
+}
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -31,6 +31,8 @@
     pub(crate) arrived_at: MonoTime,
     /// When the caller, or the route, waits no longer.
     pub(crate) ends_at: MonoTime,
+    /// When the caller waits no longer.
+    pub(crate) caller_ends_at: MonoTime,
     pub(crate) fingerprint: Option<RequestFingerprint>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) may_have_run: bool,
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chicory_policy::AdmissionWindow;
 use chicory_types::MonoTime;
 
 use super::AttemptOutcome;
@@ -46,6 +47,8 @@
     pub(crate) answered: u32,
     pub(crate) shed: u32,
     pub(crate) service_time: Duration,
+    /// Bounds the requests on their way.
+    pub(crate) window: AdmissionWindow,
 }
 
 impl Default for ServerHealth {
@@ -63,6 +66,7 @@
             answered: 0,
             shed: 0,
             service_time: Duration::ZERO,
+            window: AdmissionWindow::default(),
         }
     }
 }
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,8 +10,8 @@
 mod view;
 
 pub use decide::{
-    Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Refusal, RefusalReason,
-    RequestTicket, RetryBudget, Target,
+    Arrival, AttemptOutcome, CallerFacts, Gateway, GatewayConfig, NextStep, Policy, Refusal,
+    RefusalReason, RequestTicket, RetryBudget, Target,
 };
 pub use process::{
     AnswerClass, CallerBorder, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -185,8 +185,9 @@
                                     return self.pass_on(guard, *answer, &target);
                                 }
                                 let refusal = {
-                                    let gateway = self.shared.gateway();
-                                    gateway.final_refusal(&guard.ticket, outcome)
+                                    let now = self.shared.now();
+                                    let mut gateway = self.shared.gateway();
+                                    gateway.final_refusal(now, &guard.ticket, outcome)
                                 };
                                 return self.refuse(Some(&guard.ticket), &refusal);
                             }
--- /dev/null
+++ b/crates/chicory_policy/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions about requests under load and faults, without I/O.
+//!
+//! Each type answers one load or fault, reads no clock and draws no random numbers, so that a load
+//! can be played against it in virtual time:
+//!
+//! | type | load or fault | decision |
+//! |---|---|---|
+//! | [`AdmissionWindow`] | more requests for a server than it can answer in time | how many are on their way to it at once |
+//! | [`KeyOutages`] | keys whose owner is gone or can't be reached for seconds | wait for the owner, or refuse at once |
+//! | [`ReturnTime`] | callers that are refused | when they come back |
+
+mod admission_window;
+mod key_outages;
+mod return_time;
+
+pub use admission_window::AdmissionWindow;
+pub use key_outages::KeyOutages;
+pub use return_time::ReturnTime;
