Look for another control VM beside one without a majority

The entry VM gave it up after 0.5 s, waited up to 0.8 s, as pauses had grown during the cut, and only then dialled the others; one more such turn left it with an old table for over 2 s. The test, on loopback, fails on the former code: the entry VM leaves before another control VM answers.

--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -1,19 +1,18 @@
 //! Follows the directory of a control VM.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use chicory_directory::{ControlMessage, EntryMessage, LinkHello, LinkStatus};
-use chicory_link::{Backoff, Frame, LinkError, LinkStream, dial};
+use chicory_link::{Backoff, Frame, LinkError, LinkStream};
 use chicory_routes::RouteTableVersion;
 use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
 use slog::{info, warn};
-use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::GatewayMetric;
+use super::control_vm_search::{ControlVmSearch, dial_any};
 use super::shared::Shared;
 use crate::UpdateOutcome;
 
@@ -21,10 +20,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(350);
 /// Time without any message after which a control VM is given up: two reports and a margin.
 const SILENCE: Duration = Duration::from_millis(800);
-/// Time without contact to a majority after which another control VM is looked for; an election
-/// takes about as long.
-const NO_CONTACT: Duration = Duration::from_millis(500);
-
+/// Longest pause before control VMs are dialled again: callers are served by an old directory until
+/// then.
+const MAX_DIAL_PAUSE: Duration = Duration::from_millis(200);
 /// Least time between two log lines about servers and keys: four a second show when a VM fell
 /// behind.
 const NOTE_INTERVAL: Duration = Duration::from_millis(250);
@@ -57,6 +55,8 @@
     Lost,
     /// It names another leader.
     Redirected(VmId),
+    /// It has no contact to a majority, and another one answers.
+    Replaced(VmId, LinkStream),
 }
 
 /// What follows from a message.
@@ -90,42 +90,53 @@
     pub(super) async fn run(mut self) {
         let mut backoff = Backoff::default();
         let mut is_lost = false;
+        let mut found = None;
         loop {
-            let targets = self.targets();
-            match self.open_any(&targets).await {
-                Ok((control_vm, stream)) => {
-                    info!(self.shared.logger, "follows control VM"; "control_vm" => &control_vm);
-                    is_lost = false;
-                    let followed_at = Instant::now();
-                    let parting = self.follow(&control_vm, stream).await;
-                    if followed_at.elapsed() > SILENCE {
-                        backoff.reset();
-                    }
-                    match parting {
-                        Parting::Redirected(leader) => {
-                            self.leader = Some(leader);
-                            self.lost = None;
-                        }
-                        Parting::Lost => {
-                            self.on_lost(&control_vm);
-                            tokio::time::sleep(backoff.next_pause()).await;
-                        }
-                    }
+            let opened = match found.take() {
+                Some(opened) => Ok(opened),
+                None => self.open_any(&mut is_lost).await,
+            };
+            let Ok((control_vm, stream)) = opened else {
+                // Whichever was lost before may be the only one left.
+                self.lost = None;
+                tokio::time::sleep(backoff.next_pause().min(MAX_DIAL_PAUSE)).await;
+                continue;
+            };
+            is_lost = false;
+            let followed_at = Instant::now();
+            let parting = self.follow(&control_vm, stream).await;
+            if followed_at.elapsed() > SILENCE {
+                backoff.reset();
+            }
+            match parting {
+                Parting::Redirected(leader) => {
+                    self.leader = Some(leader);
+                    self.lost = None;
                 }
-                Err(failure) => {
-                    if !is_lost {
-                        warn!(self.shared.logger, "no link to control VM";
-                            "control_vms" => ?targets, "error" => %failure);
-                        is_lost = true;
-                    }
-                    // Whichever was lost before may be the only one left.
+                Parting::Replaced(next, stream) => {
                     self.lost = None;
-                    tokio::time::sleep(backoff.next_pause()).await;
+                    found = Some((next, stream));
+                }
+                Parting::Lost => {
+                    self.on_lost(&control_vm);
+                    tokio::time::sleep(backoff.next_pause().min(MAX_DIAL_PAUSE)).await;
                 }
             }
         }
     }
 
+    async fn open_any(&mut self, is_lost: &mut bool) -> Result<(VmId, LinkStream), LinkError> {
+        let targets = self.targets();
+        let opened = dial_any(&targets, &self.shared.logger).await;
+        if let Err(failure) = &opened
+            && !std::mem::replace(is_lost, true)
+        {
+            warn!(self.shared.logger, "no link to control VM";
+                "control_vms" => ?targets, "error" => %failure);
+        }
+        opened
+    }
+
     fn on_lost(&mut self, control_vm: &VmId) {
         self.shared
             .metrics
@@ -152,48 +163,30 @@
         others
     }
 
-    /// Dials all targets at once and takes the first that answers: one that is cut off costs no
-    /// time then.
-    async fn open_any(&self, targets: &[VmId]) -> Result<(VmId, LinkStream), LinkError> {
-        let mut dials = JoinSet::new();
-        for vm in targets {
-            let address: SocketAddr = vm.parse().map_err(|_| LinkError::Content)?;
-            let vm = vm.clone();
-            dials.spawn(async move { (vm, dial(address).await) });
-        }
-        let mut failure = LinkError::DialTimeout;
-        while let Some(dialled) = dials.join_next().await {
-            match dialled {
-                Ok((vm, Ok((reader, mut writer)))) => {
-                    let hello = LinkHello::Entry {
-                        vm: self.vm.clone(),
-                        zone: self.zone.clone(),
-                        known: self.shared.gateway().directory().mark(),
-                    };
-                    writer.put(&site::LinkHello::from(hello));
-                    writer.flush().await?;
-                    return Ok((vm, (reader, writer)));
-                }
-                Ok((_, Err(error))) => failure = error,
-                Err(error) => warn!(self.shared.logger, "dial ended early"; "error" => %error),
-            }
-        }
-        Err(failure)
+    /// Tells a control VM who follows it, and what is known already.
+    async fn greet(&self, (_, writer): &mut LinkStream) -> Result<(), LinkError> {
+        let hello = LinkHello::Entry {
+            vm: self.vm.clone(),
+            zone: self.zone.clone(),
+            known: self.shared.gateway().directory().mark(),
+        };
+        writer.put(&site::LinkHello::from(hello));
+        writer.flush().await
     }
 
-    async fn follow(&mut self, own: &VmId, (mut reader, mut writer): LinkStream) -> Parting {
+    async fn follow(&mut self, own: &VmId, mut stream: LinkStream) -> Parting {
+        if self.greet(&mut stream).await.is_err() {
+            return Parting::Lost;
+        }
+        info!(self.shared.logger, "follows control VM"; "control_vm" => own);
+        let (mut reader, mut writer) = stream;
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard_at = Instant::now();
-        let mut in_contact_at = Instant::now();
-        let mut is_in_contact = true;
+        // Beside a control VM without a majority another one is looked for. It is followed until
+        // then: it may be the first to hear of a new leader.
+        let mut search = ControlVmSearch::default();
         loop {
-            let silent_at = heard_at + SILENCE;
-            let give_up_at = if is_in_contact {
-                silent_at
-            } else {
-                silent_at.min(in_contact_at + NO_CONTACT)
-            };
             tokio::select! {
                 frame = reader.next() => {
                     let Ok(Some(frame)) = frame else { return Parting::Lost };
@@ -203,15 +196,17 @@
                         FrameEffect::Reported(status) => status,
                         FrameEffect::Lost => return Parting::Lost,
                     };
-                    is_in_contact = status.is_in_contact;
-                    if is_in_contact {
-                        in_contact_at = heard_at;
-                    }
                     self.note_control_vms(&status);
+                    if status.is_in_contact {
+                        search.end();
+                    } else {
+                        search.begin(self.others(own), &self.shared.logger);
+                    }
                     if let Some(leader) = status.leader.filter(|leader| leader != own) {
                         return Parting::Redirected(leader);
                     }
                 }
+                (next, stream) = search.found() => return Parting::Replaced(next, stream),
                 _ = reports.tick() => {
                     let report = self.shared.gateway().take_report();
                     writer.put(&site::EntryMessage::from(EntryMessage::Report(report)));
@@ -220,11 +215,16 @@
                     }
                     self.prune();
                 }
-                () = tokio::time::sleep_until(give_up_at) => return Parting::Lost,
+                () = tokio::time::sleep_until(heard_at + SILENCE) => return Parting::Lost,
             }
         }
     }
 
+    fn others(&self, own: &VmId) -> Vec<VmId> {
+        let others = self.candidates.iter().filter(|vm| *vm != own);
+        others.cloned().collect()
+    }
+
     fn take_frame(&mut self, frame: Frame) -> FrameEffect {
         let message = frame.decode::<site::ControlMessage>();
         let message = message
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod borders;
 mod caller_handler;
 mod connection_pool;
+mod control_vm_search;
 mod directory_link;
 mod gateway_metric;
 mod gateway_process;
--- /dev/null
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -0,0 +1,146 @@
+//! Which control VM an entry process follows, against control VMs on loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicory_directory::{ControlMessage, LinkStatus};
+use chicory_gateway::{
+    AnswerClass, CallerBorder, CallerFacts, GatewayConfig, GatewayProcess, GatewayProcessConfig,
+    Refusal, ServerBorder,
+};
+use chicory_link::{LinkStream, split};
+use chicory_net::admin::Readiness;
+use chicory_ranges::ServerLife;
+use chicory_telemetry::Metrics;
+use chicory_types::BootClock;
+use chicory_wire::proto::site;
+use googletest::prelude::*;
+use hyper::Response;
+use hyper::http::{HeaderMap, request, response};
+use slog::{Logger, o};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Time after which the test is given up; no verdict depends on it otherwise.
+const DEADLINE: Duration = Duration::from_secs(20);
+const ANY_PORT: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+
+/// Borders of an entry process that nobody calls.
+struct NoBorder;
+
+impl CallerBorder for NoBorder {
+    fn read(&self, _head: &request::Parts) -> CallerFacts {
+        CallerFacts::default()
+    }
+
+    fn refuse(&self, _facts: &CallerFacts, _refusal: &Refusal) -> Response<Bytes> {
+        Response::default()
+    }
+}
+
+impl ServerBorder for NoBorder {
+    fn prepare(&self, _: &mut HeaderMap, _: &CallerFacts, _: &ServerLife, _: Duration) {}
+
+    fn classify(&self, _: &CallerFacts, _: &ServerLife, _: &response::Parts) -> AnswerClass {
+        AnswerClass::Answer
+    }
+
+    fn keep_alive(&self, _head: &response::Parts) -> Option<Duration> {
+        None
+    }
+}
+
+async fn start_entry(seeds: Vec<SocketAddr>) -> watch::Sender<bool> {
+    let config = GatewayProcessConfig {
+        vm: "entry-1".into(),
+        zone: "north".into(),
+        caller_address: ANY_PORT.into(),
+        seeds: seeds.iter().map(SocketAddr::to_string).collect(),
+        stop_grace: Duration::from_secs(6),
+        decisions: GatewayConfig::default(),
+    };
+    let borders = (Arc::new(NoBorder) as _, Arc::new(NoBorder) as _);
+    let started = GatewayProcess::start(
+        config,
+        Arc::new(BootClock),
+        borders,
+        Readiness::default(),
+        Logger::root(slog::Discard, o!()),
+        Arc::new(Metrics::new().expect("metrics")),
+    );
+    let process = started.await.expect("an entry process");
+    let (open, stop) = watch::channel(false);
+    tokio::spawn(process.run(stop));
+    open
+}
+
+/// Accepts an entry VM and reads its hello.
+async fn accept(listener: &TcpListener) -> LinkStream {
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let mut link = split(stream).expect("a link");
+    let hello = link.0.next().await.expect("a frame");
+    hello
+        .expect("a hello")
+        .decode::<site::LinkHello>()
+        .expect("a hello");
+    link
+}
+
+/// Answers each report with a state; returns when the link ends, or after the first one if `once`.
+async fn report(link: &mut LinkStream, status: &LinkStatus, once: bool) {
+    while let Ok(Some(_)) = link.0.next().await {
+        let message = ControlMessage::Status(status.clone());
+        link.1.put(&site::ControlMessage::from(message));
+        if link.1.flush().await.is_err() || once {
+            return;
+        }
+    }
+}
+
+/// After a cut the control VM of the own availability zone is the first to answer, and is without
+/// a majority for a while. Were it given up before another one answers, an entry VM would go by an
+/// old directory for the time of a further turn.
+#[gtest]
+#[tokio::test]
+async fn control_vm_without_a_majority_is_followed_until_another_one_answers() {
+    let cut_off = TcpListener::bind(SocketAddr::from(ANY_PORT))
+        .await
+        .expect("a port");
+    // The port of the other control VM is taken, but nobody listens there yet.
+    let other = tokio::net::TcpSocket::new_v4().expect("a socket");
+    other.bind(ANY_PORT.into()).expect("a port");
+    let seeds = vec![
+        cut_off.local_addr().expect("an address"),
+        other.local_addr().expect("an address"),
+    ];
+    let _open = start_entry(seeds).await;
+    let no_contact = LinkStatus::default();
+    let order = async {
+        let mut link = accept(&cut_off).await;
+        report(&mut link, &no_contact, true).await;
+        // Long enough for any number of reports: the entry VM stays.
+        let stays = tokio::time::timeout(
+            Duration::from_secs(2),
+            report(&mut link, &no_contact, false),
+        );
+        expect_that!(
+            stays.await.is_err(),
+            eq(true),
+            "left before another one answered"
+        );
+        let other = other.listen(8).expect("a listener");
+        let mut next = accept(&other).await;
+        let in_contact = LinkStatus {
+            is_in_contact: true,
+            ..LinkStatus::default()
+        };
+        tokio::join!(
+            report(&mut link, &no_contact, false),
+            report(&mut next, &in_contact, true),
+        );
+    };
+    let in_time = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(in_time, ok(anything()));
+}
