Revert "Have callers return at once after a server shed by chance"

The average of the latency lags behind a burst: a server that is full does not count as congested yet, and callers come back into its queue.

--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -7,8 +7,6 @@
 
 use super::{AttemptOutcome, CallerFacts, Gateway, Policy, Refusal, RefusalReason, RequestTicket};
 
-/// When to come back where nothing blocks the request any more.
-const AT_ONCE: Duration = Duration::from_millis(10);
 /// When to come back where nothing is known of what blocks the request.
 const SOON: Duration = Duration::from_millis(300);
 /// Time that a move of keys, an election or a new connection to a control VM takes as a rule.
@@ -71,23 +69,7 @@
             };
         }
         let time_left = ticket.caller_ends_at.saturating_sub(now);
-        let expected_end = if self.was_shed_by_chance(ticket) {
-            AT_ONCE
-        } else {
-            expected_end(reason)
-        };
-        Refusal::not_run(reason).with_retry_after(self.return_after(expected_end, time_left))
-    }
-
-    /// Whether the last server turned the request away although nothing waits there: another try
-    /// may fare better at once.
-    fn was_shed_by_chance(&self, ticket: &RequestTicket) -> bool {
-        let Some(last) = ticket.attempts.last() else {
-            return false;
-        };
-        let is_shed = matches!(last.ended, Some((AttemptOutcome::Shed, _)));
-        let health = self.health.get(&last.life);
-        is_shed && health.is_some_and(|health| !health.is_congested())
+        Refusal::not_run(reason).with_retry_after(self.return_after(reason, time_left))
     }
 
     /// The refusal of a request that has no ticket yet.
@@ -97,16 +79,15 @@
         reason: RefusalReason,
     ) -> Refusal {
         let time_left = facts.time_left.unwrap_or(super::gateway::DEFAULT_TIME_LEFT);
-        let after = self.return_after(expected_end(reason), time_left);
-        Refusal::not_run(reason).with_retry_after(after)
+        Refusal::not_run(reason).with_retry_after(self.return_after(reason, time_left))
     }
 
-    fn return_after(&mut self, expected_end: Duration, time_left: Duration) -> Duration {
+    fn return_after(&mut self, reason: RefusalReason, time_left: Duration) -> Duration {
         if self.config.without.contains(&Policy::ReturnTime) {
             return SOON;
         }
         let chance = self.draw_chance();
-        let after = ReturnTime::new(expected_end).spread(chance);
+        let after = ReturnTime::new(expected_end(reason)).spread(chance);
         after.within(time_left)
     }
 }
--- a/crates/chicory_policy/src/return_time.rs
+++ b/crates/chicory_policy/src/return_time.rs
@@ -5,8 +5,8 @@
 /// Greatest part of the time that a caller has left that passes before it comes back: the rest is
 /// for the answer, or for one more try.
 const MAX_PART_OF_TIME_LEFT: f64 = 0.33;
-/// Least time before a caller comes back, about a round trip.
-const LEAST: Duration = Duration::from_millis(10);
+/// Least time before a caller comes back, about a round trip and the work of a refusal.
+const LEAST: Duration = Duration::from_millis(50);
 /// Bounds of the factor by which times are spread.
 const SPREAD: (f64, f64) = (0.75, 1.25);
 
