--- a/crates/chicory_ranges/src/range_planner.rs
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -14,9 +14,6 @@
 const MAX_PIECES_OF_LEAVER: usize = 4;
 /// Transfers in one plan for balance alone; the next plan sees what they changed.
 const MAX_BALANCING_TRANSFERS: usize = 6;
-/// Factor by which the load of the next owner of a hot key has to be below that of the present one:
-/// hysteresis against keys that go to and fro.
-const HOT_KEY_GAIN: f64 = 1.4;
 /// Requests that have to count before load is a reason to move keys.
 const MIN_BALANCING_WEIGHT: f64 = 20.0;
 
@@ -183,10 +180,7 @@
             }
             let capacities = self.capacity(&from) + self.capacity(&to);
             let excess = (high - low) * self.capacity(&from) * self.capacity(&to) / capacities;
-            let part = self.part_to_move(&owners, &from, excess);
-            let part = part.map(|range| (range, to));
-            let Some((range, to)) = part.or_else(|| self.hot_key_move(&owners, &from, loads))
-            else {
+            let Some(range) = self.part_to_move(&owners, &from, excess) else {
                 // A single hot key can't be divided; others may still have something to give.
                 stuck.insert(from);
                 continue;
@@ -217,28 +211,6 @@
             .max_by(|one, other| self.density(*one).total_cmp(&self.density(*other)))
     }
 
-    /// A move of a server's hottest key alone, if another one can do clearly more for it.
-    ///
-    /// No server but one can do anything for a key that asks for more than its owner can do.
-    fn hot_key_move(
-        &self,
-        owners: &[(KeyRange, ServerLife)],
-        from: &ServerLife,
-        loads: &BTreeMap<ServerLife, f64>,
-    ) -> Option<(KeyRange, ServerLife)> {
-        let own = owners.iter().filter(|(_, owner)| owner == from);
-        let keys = own.flat_map(|(range, _)| range.first..=range.last);
-        let keys = keys.map(|key| KeyRange::new(key, key));
-        let hottest =
-            keys.max_by(|one, other| self.weights.of(*one).total_cmp(&self.weights.of(*other)))?;
-        let weight = self.weights.of(hottest);
-        let load_with = |life: &ServerLife| (loads[life] + weight) / self.capacity(life);
-        let others = loads.keys().filter(|life| *life != from);
-        let to = others.min_by(|one, other| load_with(one).total_cmp(&load_with(other)))?;
-        let load_now = loads[from] / self.capacity(from);
-        (load_with(to) * HOT_KEY_GAIN < load_now).then(|| (hottest, to.clone()))
-    }
-
     /// The denser end of a range with about the given weight; the whole range if it weighs less.
     fn part_of(&self, range: KeyRange, weight: f64) -> Option<KeyRange> {
         let whole = self.weights.of(range);
