--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -63,14 +63,6 @@
     Refused(Refusal),
 }
 
-/// The server for a request that any server of its service may serve.
-enum Choice {
-    Server(ServerRecord),
-    /// Those that could take it have as many requests as they answer in time.
-    AllFull,
-    Nobody,
-}
-
 /// Decides which backend server requests go to.
 ///
 /// # Examples
@@ -86,10 +78,10 @@
 #[derive(Debug)]
 pub struct Gateway {
     pub(super) config: GatewayConfig,
-    pub(super) directory: Directory,
+    directory: Directory,
     pub(super) health: BTreeMap<ServerLife, ServerHealth>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
-    pub(super) entry_count: EntryCount,
+    entry_count: EntryCount,
     poison: BTreeSet<RequestFingerprint>,
     moving: Vec<MovingRange>,
     in_contact_at: Option<MonoTime>,
@@ -278,11 +270,6 @@
             let reason = ticket.reason_after_attempts();
             return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
-        let chance = self.draw_chance();
-        if !self.admits(&record, ticket, chance) {
-            let reason = RefusalReason::Overloaded;
-            return NextStep::Refuse(self.refusal(now, ticket, reason));
-        }
         self.send(now, ticket, &record)
     }
 
@@ -347,23 +334,15 @@
     }
 
     fn step_to_any(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
-        match self.choose(now, ticket) {
-            Choice::Server(record) => self.send(now, ticket, &record),
-            Choice::AllFull => {
-                let reason = RefusalReason::Overloaded;
-                NextStep::Refuse(self.refusal(now, ticket, reason))
-            }
-            Choice::Nobody => {
-                let reason = ticket.reason_after_attempts();
-                NextStep::Refuse(self.refusal(now, ticket, reason))
-            }
-        }
+        let Some(record) = self.choose(now, ticket) else {
+            let reason = ticket.reason_after_attempts();
+            return NextStep::Refuse(self.refusal(now, ticket, reason));
+        };
+        self.send(now, ticket, &record)
     }
 
     /// The server with the least expected cost; paused ones only if there is no other.
-    fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Choice {
-        let chance = self.draw_chance();
-        let mut nobody = Choice::Nobody;
+    fn choose(&mut self, now: MonoTime, ticket: &RequestTicket) -> Option<ServerRecord> {
         let tried: BTreeSet<&ServerLife> = ticket.attempts.iter().map(|a| &a.life).collect();
         let typical = self.typical_latency(&ticket.service);
         let mut best: Option<(bool, f64, ServerRecord)> = None;
@@ -372,10 +351,6 @@
             if tried.contains(&record.life) || health.is_some_and(|health| health.is_gone) {
                 continue;
             }
-            if !self.admits(record, ticket, chance) {
-                nobody = Choice::AllFull;
-                continue;
-            }
             let is_paused = health.is_some_and(|health| health.is_paused(now))
                 || self.is_zone_closed(now, record);
             let cost = health.map_or_else(
@@ -399,7 +374,7 @@
                 best = Some((is_paused, cost, record.clone()));
             }
         }
-        best.map_or(nobody, |(_, _, record)| Choice::Server(record))
+        best.map(|(_, _, record)| record)
     }
 
     fn typical_latency(&self, service: &str) -> Duration {
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -27,7 +27,6 @@
         health.in_flight = health.in_flight.saturating_sub(1);
         health.note_end(now, outcome, took);
         let is_congested = health.is_congested();
-        self.note_load(now, ticket, outcome, took);
         self.note_reach(now, &life, outcome);
         ticket.may_have_run |= outcome.may_have_run();
         self.crashes
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,6 +1,5 @@
 //! Decisions about requests, without I/O.
 
-mod admission;
 mod caller_facts;
 mod crash_watch;
 mod entry_count;
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -3,8 +3,6 @@
 /// A policy that can be switched off, to measure what it is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Policy {
-    /// Bounds the requests on their way to each server by what it answers in time.
-    Admission,
     /// Refuses requests at once whose keys have had no usable owner for longer than a move takes.
     Outages,
     /// Tells refused callers to come back when what blocks them is expected to be over.
@@ -15,18 +13,12 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 4] = [
-        Self::Admission,
-        Self::Outages,
-        Self::ReturnTime,
-        Self::OwnZone,
-    ];
+    pub const ALL: [Self; 3] = [Self::Outages, Self::ReturnTime, Self::OwnZone];
 
     /// The name that settings use.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
-            Self::Admission => "admission",
             Self::Outages => "outages",
             Self::ReturnTime => "return-time",
             Self::OwnZone => "own-zone",
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -4,6 +4,7 @@
 
 use chicory_policy::ReturnTime;
 use chicory_types::MonoTime;
+use rand::RngExt;
 
 use super::{AttemptOutcome, CallerFacts, Gateway, Policy, Refusal, RefusalReason, RequestTicket};
 
@@ -18,11 +19,10 @@
 /// When what blocks a request is expected to be over.
 fn expected_end(reason: RefusalReason) -> Duration {
     match reason {
-        RefusalReason::NoDirectory => AFTER_A_CHANGE,
+        RefusalReason::NoDirectory | RefusalReason::Overloaded => AFTER_A_CHANGE,
         RefusalReason::NoOwner | RefusalReason::Unreachable | RefusalReason::NoServer => {
             AFTER_AN_OUTAGE
         }
-        RefusalReason::Overloaded => AFTER_A_CHANGE,
         _ => SOON,
     }
 }
@@ -86,7 +86,7 @@
         if self.config.without.contains(&Policy::ReturnTime) {
             return SOON;
         }
-        let chance = self.draw_chance();
+        let chance = self.rng.random_range(0.0..1.0);
         let after = ReturnTime::new(expected_end(reason)).spread(chance);
         after.within(time_left)
     }
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use chicory_policy::AdmissionWindow;
 use chicory_types::MonoTime;
 
 use super::AttemptOutcome;
@@ -47,8 +46,6 @@
     pub(crate) answered: u32,
     pub(crate) shed: u32,
     pub(crate) service_time: Duration,
-    /// Bounds the requests on their way.
-    pub(crate) window: AdmissionWindow,
 }
 
 impl Default for ServerHealth {
@@ -66,7 +63,6 @@
             answered: 0,
             shed: 0,
             service_time: Duration::ZERO,
-            window: AdmissionWindow::default(),
         }
     }
 }
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -5,14 +5,11 @@
 //!
 //! | type | load or fault | decision |
 //! |---|---|---|
-//! | [`AdmissionWindow`] | more requests for a server than it can answer in time | how many are on their way to it at once |
 //! | [`KeyOutages`] | keys whose owner is gone or can't be reached for seconds | wait for the owner, or refuse at once |
 //! | [`ReturnTime`] | callers that are refused | when they come back |
 
-mod admission_window;
 mod key_outages;
 mod return_time;
 
-pub use admission_window::AdmissionWindow;
 pub use key_outages::KeyOutages;
 pub use return_time::ReturnTime;
