--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chicory_directory::{ControlMessage, EntryMessage, LinkHello, LinkStatus};
+use chicory_directory::{ControlMessage, EntryMessage, LinkStatus};
 use chicory_link::{Backoff, Frame, LinkError, LinkStream};
 use chicory_routes::RouteTableVersion;
 use chicory_types::{VmId, ZoneName};
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::GatewayMetric;
-use super::control_vm_search::{ControlVmSearch, dial_any};
+use super::control_vm_search::{ControlVmSearch, EntryIdentity};
 use super::shared::Shared;
 use crate::UpdateOutcome;
 
@@ -55,7 +55,7 @@
     Lost,
     /// It names another leader.
     Redirected(VmId),
-    /// It has no contact to a majority, and another one answers.
+    /// It has no contact to a majority, and another one has.
     Replaced(VmId, LinkStream),
 }
 
@@ -127,7 +127,7 @@
 
     async fn open_any(&mut self, is_lost: &mut bool) -> Result<(VmId, LinkStream), LinkError> {
         let targets = self.targets();
-        let opened = dial_any(&targets, &self.shared.logger).await;
+        let opened = self.identity().open_any(&targets).await;
         if let Err(failure) = &opened
             && !std::mem::replace(is_lost, true)
         {
@@ -163,23 +163,8 @@
         others
     }
 
-    /// Tells a control VM who follows it, and what is known already.
-    async fn greet(&self, (_, writer): &mut LinkStream) -> Result<(), LinkError> {
-        let hello = LinkHello::Entry {
-            vm: self.vm.clone(),
-            zone: self.zone.clone(),
-            known: self.shared.gateway().directory().mark(),
-        };
-        writer.put(&site::LinkHello::from(hello));
-        writer.flush().await
-    }
-
-    async fn follow(&mut self, own: &VmId, mut stream: LinkStream) -> Parting {
-        if self.greet(&mut stream).await.is_err() {
-            return Parting::Lost;
-        }
+    async fn follow(&mut self, own: &VmId, (mut reader, mut writer): LinkStream) -> Parting {
         info!(self.shared.logger, "follows control VM"; "control_vm" => own);
-        let (mut reader, mut writer) = stream;
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard_at = Instant::now();
@@ -200,7 +185,7 @@
                     if status.is_in_contact {
                         search.end();
                     } else {
-                        search.begin(self.others(own), &self.shared.logger);
+                        search.begin(self.identity(), self.others(own));
                     }
                     if let Some(leader) = status.leader.filter(|leader| leader != own) {
                         return Parting::Redirected(leader);
@@ -220,6 +205,14 @@
         }
     }
 
+    fn identity(&self) -> EntryIdentity {
+        EntryIdentity {
+            shared: self.shared.clone(),
+            vm: self.vm.clone(),
+            zone: self.zone.clone(),
+        }
+    }
+
     fn others(&self, own: &VmId) -> Vec<VmId> {
         let others = self.candidates.iter().filter(|vm| *vm != own);
         others.cloned().collect()
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -76,6 +76,15 @@
     open
 }
 
+/// Accepts an entry VM, reads its hello and tells it the state at once.
+async fn accept_and_tell(listener: &TcpListener, status: &LinkStatus) -> LinkStream {
+    let mut link = accept(listener).await;
+    let message = ControlMessage::Status(status.clone());
+    link.1.put(&site::ControlMessage::from(message));
+    link.1.flush().await.expect("an open link");
+    link
+}
+
 /// Accepts an entry VM and reads its hello.
 async fn accept(listener: &TcpListener) -> LinkStream {
     let (stream, _) = listener.accept().await.expect("a connection");
@@ -131,11 +140,19 @@
             "left before another one answered"
         );
         let other = other.listen(8).expect("a listener");
-        let mut next = accept(&other).await;
+        // It is not turned to before it has a majority: the two would only take turns.
+        for _ in 0..3 {
+            let mut next = accept_and_tell(&other, &no_contact).await;
+            expect_that!(
+                next.0.next().await.is_ok_and(|frame| frame.is_none()),
+                eq(true)
+            );
+        }
         let in_contact = LinkStatus {
             is_in_contact: true,
             ..LinkStatus::default()
         };
+        let mut next = accept_and_tell(&other, &in_contact).await;
         tokio::join!(
             report(&mut link, &no_contact, false),
             report(&mut next, &in_contact, true),
