Ask the balancer to turn callers away without a majority

An entry VM now counts as fit only while it has heard of a majority within 0.8 s; otherwise readiness is off and answers close their connections, so that callers come to entry VMs elsewhere. It serves what still comes.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -50,6 +50,10 @@
 const TYPICAL_LATENCY: Duration = Duration::from_millis(200);
 /// Time without contact to a majority of control VMs after which unknown routes are not denied.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
+/// Time without contact to a majority of control VMs after which callers are better served by other
+/// entry VMs: two reports and a margin. The balancer takes out a VM that is unready twice, a second
+/// apart, so that an election does not turn callers away.
+const FIT_CONTACT_AGE: Duration = Duration::from_millis(800);
 /// Cost of a download from another availability zone, relative to one from the own: large answers
 /// are what fills the links between zones.
 const FAR_DOWNLOAD_COST: f64 = 1.8;
@@ -129,6 +133,17 @@
         self.directory.routes().version > 0
     }
 
+    /// Whether callers are best served by this entry VM: without contact to a majority of the control
+    /// VMs it misses the moves of keys, and may be cut off from most servers too.
+    #[must_use]
+    pub fn is_fit(&self, now: MonoTime) -> bool {
+        if self.config.without.contains(&Policy::Readiness) {
+            return self.is_ready();
+        }
+        let contact_age = self.contact_age(now);
+        self.is_ready() && contact_age.is_some_and(|age| age <= FIT_CONTACT_AGE)
+    }
+
     /// Age of the last contact to a majority of control VMs.
     #[must_use]
     pub fn contact_age(&self, now: MonoTime) -> Option<Duration> {
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -7,13 +7,21 @@
     Outages,
     /// Tells refused callers to come back when what blocks them is expected to be over.
     ReturnTime,
+    /// Asks the balancer to turn callers to other entry VMs while no control VM with a majority can
+    /// be reached.
+    Readiness,
     /// Prefers servers of the own availability zone for requests without keys.
     OwnZone,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 3] = [Self::Outages, Self::ReturnTime, Self::OwnZone];
+    pub const ALL: [Self; 4] = [
+        Self::Outages,
+        Self::ReturnTime,
+        Self::Readiness,
+        Self::OwnZone,
+    ];
 
     /// The name that settings use.
     #[must_use]
@@ -21,6 +29,7 @@
         match self {
             Self::Outages => "outages",
             Self::ReturnTime => "return-time",
+            Self::Readiness => "readiness",
             Self::OwnZone => "own-zone",
         }
     }
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -54,7 +54,7 @@
             let is_stopping = shared.readiness.is_stopping();
             let mut response = Exchange::start(shared.clone(), request).await;
             let is_refused = response.extensions().get::<RefusedByEntry>().is_some();
-            let is_closing = is_stopping || shared.readiness.is_stopping() || is_refused;
+            let is_closing = is_stopping || !shared.readiness.is_ready() || is_refused;
             let headers = response.headers_mut();
             if is_closing {
                 headers.insert(header::CONNECTION, CLOSE);
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -272,7 +272,7 @@
         let metrics = &self.shared.metrics;
         metrics.set(GatewayMetric::DirectoryVersion, version);
         metrics.set(GatewayMetric::RoutesVersion, routes_version);
-        self.shared.readiness.set(routes_version > 0);
+        self.shared.update_readiness();
         let noted = &mut self.noted;
         let has_new_routes = noted.routes_version != routes_version;
         if !has_new_routes && noted.at.elapsed() < NOTE_INTERVAL {
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 
 use super::caller_handler::CallerHandler;
 use super::directory_link::DirectoryLink;
@@ -23,6 +24,8 @@
 const LOOK_AWAY_TIME: Duration = Duration::from_millis(2600);
 /// Part of the grace that is kept for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Interval at which an entry VM looks whether it is fit to serve; the balancer asks once a second.
+const FITNESS_INTERVAL: Duration = Duration::from_millis(250);
 /// What callers' connections may do; idle ones stay open for twice the time that callers are told,
 /// so that a request rarely crosses the close.
 const CALLER_LIMITS: HttpLimits = HttpLimits {
@@ -75,6 +78,7 @@
             self.config.seeds,
         );
         tokio::spawn(link.run());
+        tokio::spawn(watch_fitness(shared.clone()));
         let (close, closing) = watch::channel(false);
         let handler = Arc::new(CallerHandler::new(shared.clone()));
         let metrics = shared.metrics.clone();
@@ -100,3 +104,13 @@
         }
     }
 }
+
+/// Keeps readiness in step with the contact to the control VMs, which ends without any event.
+async fn watch_fitness(shared: Arc<Shared>) {
+    let mut looks = tokio::time::interval(FITNESS_INTERVAL);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        shared.update_readiness();
+    }
+}
--- a/crates/chicory_gateway/src/process/shared.rs
+++ b/crates/chicory_gateway/src/process/shared.rs
@@ -5,7 +5,7 @@
 use chicory_net::admin::Readiness;
 use chicory_telemetry::Metrics;
 use chicory_types::{Clock, MonoTime};
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::watch;
 
 use super::connection_pool::ConnectionPool;
@@ -56,6 +56,19 @@
         self.gateway.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells the balancer and callers whether they are best served here.
+    pub(super) fn update_readiness(&self) {
+        let now = self.now();
+        let is_fit = self.gateway().is_fit(now);
+        if self.readiness.is_on() == is_fit {
+            return;
+        }
+        self.readiness.set(is_fit);
+        let contact_age = self.gateway().contact_age(now);
+        info!(self.logger, "readiness changed"; "is_ready" => is_fit,
+            "contact_age" => ?contact_age);
+    }
+
     pub(super) fn now(&self) -> MonoTime {
         self.clock.now()
     }
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicory_directory::{ControlMessage, LinkStatus};
+use chicory_directory::{ControlMessage, DirectoryUpdate, LinkStatus};
 use chicory_gateway::{
     AnswerClass, CallerBorder, CallerFacts, GatewayConfig, GatewayProcess, GatewayProcessConfig,
     Refusal, ServerBorder,
@@ -13,6 +13,7 @@
 use chicory_link::{LinkStream, split};
 use chicory_net::admin::Readiness;
 use chicory_ranges::ServerLife;
+use chicory_routes::{RouteTable, RouteTableDelta};
 use chicory_telemetry::Metrics;
 use chicory_types::BootClock;
 use chicory_wire::proto::site;
@@ -52,7 +53,14 @@
     }
 }
 
-async fn start_entry(seeds: Vec<SocketAddr>) -> watch::Sender<bool> {
+/// An entry process that runs until it is dropped.
+struct Entry {
+    readiness: Readiness,
+    _open: watch::Sender<bool>,
+}
+
+async fn start_entry(seeds: Vec<SocketAddr>) -> Entry {
+    let readiness = Readiness::default();
     let config = GatewayProcessConfig {
         vm: "entry-1".into(),
         zone: "north".into(),
@@ -66,14 +74,17 @@
         config,
         Arc::new(BootClock),
         borders,
-        Readiness::default(),
+        readiness.clone(),
         Logger::root(slog::Discard, o!()),
         Arc::new(Metrics::new().expect("metrics")),
     );
     let process = started.await.expect("an entry process");
     let (open, stop) = watch::channel(false);
     tokio::spawn(process.run(stop));
-    open
+    Entry {
+        readiness,
+        _open: open,
+    }
 }
 
 /// Accepts an entry VM, reads its hello and tells it the state at once.
@@ -124,7 +135,7 @@
         cut_off.local_addr().expect("an address"),
         other.local_addr().expect("an address"),
     ];
-    let _open = start_entry(seeds).await;
+    let _entry = start_entry(seeds).await;
     let no_contact = LinkStatus::default();
     let order = async {
         let mut link = accept(&cut_off).await;
@@ -161,3 +172,52 @@
     let in_time = tokio::time::timeout(DEADLINE, order).await;
     expect_that!(in_time, ok(anything()));
 }
+
+/// Waits until the entry process tells the balancer this.
+async fn until_ready_is(entry: &Entry, is_ready: bool) {
+    while entry.readiness.is_ready() != is_ready {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// In a cut availability zone entry VMs reach neither a majority nor most owners of keys: callers
+/// are better off elsewhere until the cut ends.
+#[gtest]
+#[tokio::test]
+async fn balancer_is_asked_to_turn_callers_away_without_a_majority() {
+    let control = TcpListener::bind(SocketAddr::from(ANY_PORT))
+        .await
+        .expect("a port");
+    let entry = start_entry(vec![control.local_addr().expect("an address")]).await;
+    let in_contact = LinkStatus {
+        is_in_contact: true,
+        ..LinkStatus::default()
+    };
+    let order = async {
+        let mut link = accept_and_tell(&control, &in_contact).await;
+        let update = DirectoryUpdate {
+            version: 1,
+            is_full: true,
+            routes: Some(RouteTableDelta::whole(&RouteTable {
+                version: 1,
+                ..RouteTable::default()
+            })),
+            ..DirectoryUpdate::default()
+        };
+        let message = ControlMessage::Update(update);
+        link.1.put(&site::ControlMessage::from(message));
+        link.1.flush().await.expect("an open link");
+        for (status, is_ready) in [
+            (&in_contact, true),
+            (&LinkStatus::default(), false),
+            (&in_contact, true),
+        ] {
+            tokio::select! {
+                () = report(&mut link, status, false) => panic!("the entry VM left"),
+                () = until_ready_is(&entry, is_ready) => {}
+            }
+        }
+    };
+    let in_time = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(in_time, ok(anything()));
+}
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -28,6 +28,21 @@
     expect_that!(reason, eq(RefusalReason::NoKey));
 }
 
+#[gtest]
+fn entry_vm_is_fit_only_in_contact_with_a_majority() {
+    let mut gateway = gateway();
+    let soon = START + Duration::from_millis(700);
+    let later = START + Duration::from_secs(1);
+    expect_that!(gateway.is_fit(soon), eq(true));
+    expect_that!(gateway.is_fit(later), eq(false));
+    // Requests that come all the same are served.
+    expect_that!(gateway.is_ready(), eq(true));
+    gateway.note_status(later, &LinkStatus::default());
+    expect_that!(gateway.is_fit(later), eq(false));
+    gateway.note_status(later, &in_contact());
+    expect_that!(gateway.is_fit(later), eq(true));
+}
+
 #[gtest]
 fn unknown_route_is_denied_only_with_a_current_table() {
     let mut gateway = gateway();
--- a/crates/chicory_net/src/admin/readiness.rs
+++ b/crates/chicory_net/src/admin/readiness.rs
@@ -16,10 +16,16 @@
         self.is_ready.store(is_ready, Ordering::Relaxed);
     }
 
+    /// What was set last, whether or not the process stops.
+    #[must_use]
+    pub fn is_on(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+
     /// The answer.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed) && !self.is_stopping()
+        self.is_on() && !self.is_stopping()
     }
 
     /// Turns readiness off for good, while requests are still served.
