Draw first election deadlines from the early part of their range

The first deadline is now drawn from the first third of the range. Ruled out: the dials of entry VMs, which had their links before.

--- a/crates/chicory_consensus/src/replica/mod.rs
+++ b/crates/chicory_consensus/src/replica/mod.rs
@@ -70,6 +70,10 @@
     elected_at: MonoTime,
 }
 
+/// Part of the range of election timeouts that first deadlines are drawn from; enough for two members
+/// not to ask within the same round trip.
+const FIRST_DEADLINE_DIVISOR: u32 = 3;
+
 /// One member of a replicated log, as a reducer over [`ReplicaEvent`]s.
 ///
 /// It does no I/O and reads no clock: the caller passes the time in and carries the returned
@@ -167,7 +171,7 @@
             held: VecDeque::new(),
             config,
         };
-        replica.reset_election_deadline();
+        replica.set_first_election_deadline();
         replica.restore_applied_state();
         replica.enter_first_phase();
         replica
@@ -367,6 +371,16 @@
         });
     }
 
+    /// After a start of all members at once everybody waits for a leader. The first deadline is
+    /// therefore drawn from the earliest part of the range; a member that starts beside a leader hears
+    /// of it before.
+    fn set_first_election_deadline(&mut self) {
+        let min = self.config.election_timeout_min;
+        let max = self.config.election_timeout_max;
+        let spread = max.saturating_sub(min) / FIRST_DEADLINE_DIVISOR;
+        self.election_deadline = self.now + self.rng.random_range(min..min + spread);
+    }
+
     fn reset_election_deadline(&mut self) {
         let min = self.config.election_timeout_min;
         let max = self.config.election_timeout_max;
--- a/crates/chicory_consensus/tests/cluster/elections.rs
+++ b/crates/chicory_consensus/tests/cluster/elections.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use chicory_consensus::{MemberId, PeerMessage, PeerMessageBody, ReplicaEvent, Role};
+use chicory_consensus::{LEADER_LEASE, MemberId, PeerMessage, PeerMessageBody, ReplicaEvent, Role};
 use googletest::prelude::*;
 
 use crate::harness::{Cluster, VMS};
 
+/// Time that one election may take: a spread of first deadlines, two rounds of messages and two syncs.
+const ELECTION_TIME: Duration = Duration::from_millis(250);
+
 #[gtest]
 fn group_forms_and_commits() {
     for disks in [0, 3] {
@@ -37,6 +40,27 @@
     }
 }
 
+/// All VMs lose power at once: nobody is served before there is a leader again.
+#[gtest]
+fn group_that_starts_again_at_once_soon_has_a_leader() {
+    for seed in 0..100 {
+        let mut cluster = Cluster::with_leader(3, 3, seed);
+        for vm in cluster.vms() {
+            cluster.crash(&vm);
+        }
+        cluster.run_for(Duration::from_secs(1));
+        for vm in cluster.vms() {
+            cluster.start(&vm);
+            cluster.run_for(Duration::from_millis(20));
+        }
+        let started_at = cluster.now;
+        cluster.await_leader();
+        let gap = cluster.now.saturating_sub(started_at);
+        // Members that restart owe a former leader its lease; then comes one election.
+        expect_that!(gap, lt(LEADER_LEASE + ELECTION_TIME), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn paused_leader_does_not_use_its_lease() {
     let mut cluster = Cluster::with_leader(3, 0, 2);
