--- a/tools/soak/src/load.rs
+++ b/tools/soak/src/load.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use platform_stand_ins::{Caller, CallerAnswer, CallerRequest, is_ready};
+use platform_stand_ins::{Caller, CallerAnswer, CallerRequest, RequestForm, is_ready};
 use rand::RngExt;
 use tokio::task::JoinSet;
 
@@ -185,14 +185,19 @@
                 let key = hot.unwrap_or_else(|| rng.random());
                 ("reads", Some(key), &[ARCHIVE])
             }
-            6..=8 => ("orders", None, &[LEDGER]),
+            6..=7 => ("orders", None, &[LEDGER]),
+            8 => ("drafts", None, &[LEDGER]),
             _ => ("plans", None, &[LIBRARY, LEDGER]),
         };
         let request = CallerRequest {
             attempt_id: format!("a{id:08x}"),
             host: HOST.to_owned(),
             path: format!("/{path}/{id}?x=1"),
-            is_order: path == "orders",
+            form: match path {
+                "orders" => RequestForm::Order,
+                "drafts" => RequestForm::Upload,
+                _ => RequestForm::Read,
+            },
             key,
             time_left: TIME_LEFT,
         };
--- a/tools/soak/src/operators.rs
+++ b/tools/soak/src/operators.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use platform_stand_ins::{Caller, CallerAnswer, CallerRequest, Operator};
+use platform_stand_ins::{Caller, CallerAnswer, CallerRequest, Operator, RequestForm};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
@@ -169,7 +169,7 @@
                 attempt_id: format!("look-{}-{number}", entry.ip()),
                 host: HOST.to_owned(),
                 path: format!("{}{number}", mark(version)),
-                is_order: false,
+                form: RequestForm::Read,
                 key: None,
                 time_left: Duration::from_millis(800),
             };
@@ -195,8 +195,8 @@
 }
 
 fn table(version: u64, marks: &[u64]) -> Value {
-    let route = |name: &str, prefix: String, is_order: bool, service: &str| {
-        (name.to_owned(), prefix, is_order, service.to_owned())
+    let route = |name: &str, prefix: String, form: RequestForm, service: &str| {
+        (name.to_owned(), prefix, form, service.to_owned())
     };
     // The plans go to another service with every third version.
     let plans = if version.is_multiple_of(3) {
@@ -205,12 +205,13 @@
         LIBRARY
     };
     let mut routes = vec![
-        route("reads", "/reads/".to_owned(), false, ARCHIVE),
-        route("orders", "/orders/".to_owned(), true, LEDGER),
-        route("plans", "/plans/".to_owned(), false, plans),
+        route("reads", "/reads/".to_owned(), RequestForm::Read, ARCHIVE),
+        route("orders", "/orders/".to_owned(), RequestForm::Order, LEDGER),
+        route("drafts", "/drafts/".to_owned(), RequestForm::Upload, LEDGER),
+        route("plans", "/plans/".to_owned(), RequestForm::Read, plans),
     ];
     for version in marks {
-        routes.push(route("mark", mark(*version), false, LIBRARY));
+        routes.push(route("mark", mark(*version), RequestForm::Read, LIBRARY));
     }
     Operator::table(version, HOST, &routes, &[ARCHIVE], &[LEDGER, LIBRARY])
 }
--- a/tools/soak/src/request_promises.rs
+++ b/tools/soak/src/request_promises.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use platform_stand_ins::{CallerAnswer, CallerRequest, SeenRequest};
+use platform_stand_ins::{CallerAnswer, CallerRequest, RequestForm, SeenRequest};
 
 use crate::calm::Calm;
 
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 struct Asked {
     path: String,
-    is_order: bool,
+    form: RequestForm,
     services: BTreeSet<&'static str>,
     since: Instant,
     runs: u32,
@@ -42,7 +42,7 @@
     pub fn asks(&mut self, request: &CallerRequest, services: &[&'static str]) {
         let asked = Asked {
             path: request.path.clone(),
-            is_order: request.is_order,
+            form: request.form,
             services: services.iter().copied().collect(),
             since: Instant::now(),
             runs: 0,
@@ -71,8 +71,8 @@
             return vec![format!("{server} runs {id}, which nobody sent")];
         };
         let mut broken = Vec::new();
-        let method = if asked.is_order { "POST" } else { "GET" };
-        let body_bytes = if asked.is_order { id.len() } else { 0 };
+        let method = asked.form.method();
+        let body_bytes = asked.form.body(id).len();
         if seen.path != asked.path || seen.method != method || seen.body_bytes != body_bytes {
             broken.push(format!("{server} runs {id} changed: {seen:?}"));
         }
@@ -80,10 +80,10 @@
             broken.push(format!("{server} of {service} runs {id}, {}", asked.path));
         }
         asked.runs += 1;
-        if asked.is_order && asked.runs > 1 {
+        if asked.form.is_order() && asked.runs > 1 {
             broken.push(format!("order {id} runs {} times", asked.runs));
         }
-        if asked.is_order && asked.was_promised_not_run {
+        if asked.form.is_order() && asked.was_promised_not_run {
             broken.push(format!("order {id} runs after it was refused"));
         }
         asked.servers.insert(server.to_owned());
@@ -131,7 +131,7 @@
                 }
                 if NOT_RUN.contains(status) {
                     asked.was_promised_not_run = true;
-                    if asked.is_order && asked.runs > 0 {
+                    if asked.form.is_order() && asked.runs > 0 {
                         broken.push(format!("order {id} is refused with {status} and has run"));
                     }
                     if !has_retry_after {
--- a/tools/soak/tests/promises.rs
+++ b/tools/soak/tests/promises.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use platform_stand_ins::{
-    CallerAnswer, CallerRequest, HeldGrant, Operator, ReadTable, SeenRequest, body_of,
+    CallerAnswer, CallerRequest, HeldGrant, Operator, ReadTable, RequestForm, SeenRequest, body_of,
 };
 use soak::{Calm, KeyPromises, Plan, RequestPromises, TablePromises};
 
@@ -51,7 +51,7 @@
         attempt_id: id.into(),
         host: "host".into(),
         path: "/orders/1".into(),
-        is_order: true,
+        form: RequestForm::Order,
         key: None,
         time_left: Duration::from_secs(1),
     }
@@ -153,7 +153,7 @@
 }
 
 fn table(version: u64, service: &str) -> serde_json::Value {
-    let route = ("a".into(), "/a/".into(), false, service.into());
+    let route = ("a".into(), "/a/".into(), RequestForm::Read, service.into());
     Operator::table(version, "host", &[route], &[], &["one", "two"])
 }
 
