Give the link to control VMs and the refusals of owners shorter functions

Names and files only: one type a file, no flags passed as bool, a policy's switch asked in one place.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -7,7 +7,7 @@
     DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovesChange, MovingRange,
     RequestFingerprint, ServerLoad, ServerRecord,
 };
-use chicory_policy::KeyOutages;
+use chicory_policy::Outages;
 use chicory_ranges::{Fence, Key, OwnedRange, ServerLife};
 use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
@@ -54,9 +54,9 @@
 /// entry VMs: two reports and a margin. The balancer takes out a VM that is unready twice, a second
 /// apart, so that an election does not turn callers away.
 const FIT_CONTACT_AGE: Duration = Duration::from_millis(800);
-/// Cost of a download from another availability zone, relative to one from the own: large answers
-/// are what fills the links between zones.
-const FAR_DOWNLOAD_COST: f64 = 1.8;
+/// Cost of a large request or answer over the border of an availability zone, relative to one within:
+/// these are what fills the links between zones.
+const FAR_LARGE_COST: f64 = 1.8;
 
 /// What an arriving request meets.
 #[derive(Debug)]
@@ -93,9 +93,9 @@
     pub(super) crashes: CrashWatch,
     pub(super) zones: BTreeMap<ZoneName, ZoneReach>,
     /// Keys without a usable owner, by service and fence.
-    ownerless: KeyOutages<(ServiceName, Fence)>,
+    ownerless: Outages<(ServiceName, Fence)>,
     /// Servers to which no connection comes about.
-    pub(super) unreachable: KeyOutages<ServerLife>,
+    pub(super) unreachable: Outages<ServerLife>,
     pub(super) rng: StdRng,
 }
 
@@ -116,8 +116,8 @@
             key_counts: BTreeMap::new(),
             crashes: CrashWatch::default(),
             zones: BTreeMap::new(),
-            ownerless: KeyOutages::default(),
-            unreachable: KeyOutages::default(),
+            ownerless: Outages::default(),
+            unreachable: Outages::default(),
         }
     }
 
@@ -137,11 +137,9 @@
     /// VMs it misses the moves of keys, and may be cut off from most servers too.
     #[must_use]
     pub fn is_fit(&self, now: MonoTime) -> bool {
-        if self.config.without.contains(&Policy::Readiness) {
-            return self.is_ready();
-        }
         let contact_age = self.contact_age(now);
-        self.is_ready() && contact_age.is_some_and(|age| age <= FIT_CONTACT_AGE)
+        let has_contact = contact_age.is_some_and(|age| age <= FIT_CONTACT_AGE);
+        self.is_ready() && (has_contact || !self.config.uses(Policy::Readiness))
     }
 
     /// Age of the last contact to a majority of control VMs.
@@ -264,30 +262,34 @@
         let record = entry.and_then(|owned| self.directory.server(&owned.owner));
         let is_moving = entry.is_some_and(|owned| self.is_moving(&ticket.service, key, owned));
         let usable = record.filter(|record| !is_moving && self.may_take(now, record));
-        let usable = usable.cloned();
         let fence = entry.map_or(0, |owned| owned.fence);
         let part = (ticket.service.clone(), fence);
-        let Some(record) = usable else {
+        let Some(record) = usable.cloned() else {
             return self.wait_for_owner(now, ticket, &part);
         };
         self.ownerless.note_usable(&part);
-        let is_paused = self
-            .health
-            .get(&record.life)
-            .is_some_and(|h| h.is_paused(now));
-        if ticket.attempts.is_empty()
-            && (self.is_zone_closed(now, &record) || self.is_unreachable(now, &record))
-        {
-            let reason = RefusalReason::Unreachable;
-            return NextStep::Refuse(self.refusal(now, ticket, reason));
-        }
-        if is_paused && !ticket.attempts.is_empty() {
-            let reason = ticket.reason_after_attempts();
+        if let Some(reason) = self.reason_to_hold_back(now, ticket, &record) {
             return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
         self.send(now, ticket, &record)
     }
 
+    /// Why a request is kept from the owner of its key, if it is.
+    fn reason_to_hold_back(
+        &mut self,
+        now: MonoTime,
+        ticket: &RequestTicket,
+        record: &ServerRecord,
+    ) -> Option<RefusalReason> {
+        if ticket.attempts.is_empty() {
+            let is_away = self.is_zone_closed(now, record) || self.is_unreachable(now, record);
+            return is_away.then_some(RefusalReason::Unreachable);
+        }
+        let health = self.health.get(&record.life);
+        let is_paused = health.is_some_and(|health| health.is_paused(now));
+        is_paused.then(|| ticket.reason_after_attempts())
+    }
+
     fn is_zone_closed(&self, now: MonoTime, record: &ServerRecord) -> bool {
         let reach = self.zones.get(&record.zone);
         reach.is_some_and(|reach| reach.is_closed(now))
@@ -295,8 +297,7 @@
 
     /// Whether no connection to a server came about, and it is too early to try again.
     fn is_unreachable(&mut self, now: MonoTime, record: &ServerRecord) -> bool {
-        let is_on = !self.config.without.contains(&Policy::Outages);
-        is_on && !self.unreachable.takes_probe(now, &record.life)
+        self.config.uses(Policy::Outages) && !self.unreachable.takes_probe(now, &record.life)
     }
 
     /// Whether the owner is giving the key up.
@@ -335,7 +336,7 @@
         part: &(ServiceName, Fence),
     ) -> NextStep {
         let is_lasting = self.ownerless.note_unusable(now, part);
-        if is_lasting && !self.config.without.contains(&Policy::Outages) {
+        if is_lasting && self.config.uses(Policy::Outages) {
             return NextStep::Refuse(self.refusal(now, ticket, RefusalReason::NoOwner));
         }
         let since = *ticket.waiting_since.get_or_insert(now);
@@ -373,10 +374,9 @@
                 |health| health.cost(record.slots, typical),
             );
             let is_large = ticket.route.route.kind.is_large();
-            let is_near =
-                record.zone == self.config.zone || self.config.without.contains(&Policy::OwnZone);
-            let cost = if is_large && !is_near {
-                cost * FAR_DOWNLOAD_COST
+            let is_far = record.zone != self.config.zone;
+            let cost = if is_large && is_far && self.config.uses(Policy::OwnZone) {
+                cost * FAR_LARGE_COST
             } else {
                 cost
             };
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -36,6 +36,14 @@
     pub without: BTreeSet<Policy>,
 }
 
+impl GatewayConfig {
+    /// Whether a policy is in use.
+    #[must_use]
+    pub fn uses(&self, policy: Policy) -> bool {
+        !self.without.contains(&policy)
+    }
+}
+
 impl Default for GatewayConfig {
     fn default() -> Self {
         Self {
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -83,7 +83,7 @@
     }
 
     fn return_after(&mut self, reason: RefusalReason, time_left: Duration) -> Duration {
-        if self.config.without.contains(&Policy::ReturnTime) {
+        if !self.config.uses(Policy::ReturnTime) {
             return SOON;
         }
         let chance = self.rng.random_range(0.0..1.0);
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::GatewayMetric;
-use super::control_vm_search::{ControlVmSearch, EntryIdentity};
+use super::control_vm_search::ControlVmSearch;
+use super::entry_identity::{EntryIdentity, WantedControlVm};
 use super::shared::Shared;
 use crate::UpdateOutcome;
 
@@ -38,6 +39,8 @@
     leader: Option<VmId>,
     /// The control VM that was lost last; the others are tried first.
     lost: Option<VmId>,
+    /// A log line has told that no control VM can be reached.
+    is_loss_told: bool,
     noted: NotedChange,
 }
 
@@ -79,6 +82,7 @@
             seeds,
             leader: None,
             lost: None,
+            is_loss_told: false,
             noted: NotedChange {
                 at: Instant::now(),
                 routes_version: 0,
@@ -89,12 +93,11 @@
 
     pub(super) async fn run(mut self) {
         let mut backoff = Backoff::default();
-        let mut is_lost = false;
         let mut found = None;
         loop {
             let opened = match found.take() {
                 Some(opened) => Ok(opened),
-                None => self.open_any(&mut is_lost).await,
+                None => self.open_any().await,
             };
             let Ok((control_vm, stream)) = opened else {
                 // Whichever was lost before may be the only one left.
@@ -102,7 +105,6 @@
                 tokio::time::sleep(backoff.next_pause().min(MAX_DIAL_PAUSE)).await;
                 continue;
             };
-            is_lost = false;
             let followed_at = Instant::now();
             let parting = self.follow(&control_vm, stream).await;
             if followed_at.elapsed() > SILENCE {
@@ -125,11 +127,13 @@
         }
     }
 
-    async fn open_any(&mut self, is_lost: &mut bool) -> Result<(VmId, LinkStream), LinkError> {
+    async fn open_any(&mut self) -> Result<(VmId, LinkStream), LinkError> {
         let targets = self.targets();
-        let opened = self.identity().open_any(&targets).await;
+        let entry = self.identity();
+        let opened = entry.open_first(&targets, WantedControlVm::Any).await;
+        let was_told = std::mem::replace(&mut self.is_loss_told, opened.is_err());
         if let Err(failure) = &opened
-            && !std::mem::replace(is_lost, true)
+            && !was_told
         {
             warn!(self.shared.logger, "no link to control VM";
                 "control_vms" => ?targets, "error" => %failure);
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod connection_pool;
 mod control_vm_search;
 mod directory_link;
+mod entry_identity;
 mod gateway_metric;
 mod gateway_process;
 mod gateway_process_config;
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -5,11 +5,11 @@
 //!
 //! | type | load or fault | decision |
 //! |---|---|---|
-//! | [`KeyOutages`] | keys whose owner is gone or can't be reached for seconds | wait for the owner, or refuse at once |
+//! | [`Outages`] | keys whose owner is gone, and servers that can't be reached, for seconds | wait, ask now and then, or refuse at once |
 //! | [`ReturnTime`] | callers that are refused | when they come back |
 
-mod key_outages;
+mod outages;
 mod return_time;
 
-pub use key_outages::KeyOutages;
+pub use outages::Outages;
 pub use return_time::ReturnTime;
--- a/crates/chicory_policy/src/key_outages.rs
+++ b/crates/chicory_policy/src/outages.rs
@@ -1,4 +1,4 @@
-//! Tells short moves of keys from outages that last.
+//! Tells short interruptions from outages that last.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,32 +21,33 @@
     probed_at: MonoTime,
 }
 
-/// Remembers which parts of the keys have had no usable owner, and since when.
+/// Remembers what requests could not be sent to, and since when.
 ///
 /// It answers the loss of a server, whose keys nobody may own until its grants have run out: the
 /// first requests wait, as a move would soon be over; once the outage has lasted, later ones are
 /// refused at once, and keep the time that they have for coming back.
 ///
-/// `Part` names a part of the keys that shares its owner, such as a service and a fence.
+/// `Part` names what fails together: keys that share their owner, such as a service and a fence, or
+/// one server.
 ///
 /// # Examples
 ///
 /// ```
-/// use chicory_policy::KeyOutages;
+/// use chicory_policy::Outages;
 /// use std::time::Duration;
 ///
-/// let mut outages = KeyOutages::default();
+/// let mut outages = Outages::default();
 /// assert!(!outages.note_unusable(Duration::from_secs(1), &"keys 0 to 99"));
 /// assert!(outages.note_unusable(Duration::from_secs(2), &"keys 0 to 99"));
 /// outages.note_usable(&"keys 0 to 99");
 /// assert!(!outages.note_unusable(Duration::from_secs(3), &"keys 0 to 99"));
 /// ```
 #[derive(Clone, Debug)]
-pub struct KeyOutages<Part> {
+pub struct Outages<Part> {
     outages: BTreeMap<Part, Outage>,
 }
 
-impl<Part: Ord> Default for KeyOutages<Part> {
+impl<Part: Ord> Default for Outages<Part> {
     fn default() -> Self {
         Self {
             outages: BTreeMap::new(),
@@ -54,7 +55,7 @@
     }
 }
 
-impl<Part: Ord + Clone> KeyOutages<Part> {
+impl<Part: Ord + Clone> Outages<Part> {
     /// Takes in that a request found no usable owner; whether the outage lasts.
     pub fn note_unusable(&mut self, now: MonoTime, part: &Part) -> bool {
         let outage = self.outages.entry(part.clone()).or_insert(Outage {
--- a/crates/chicory_policy/tests/refused_callers.rs
+++ b/crates/chicory_policy/tests/refused_callers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_policy::{KeyOutages, ReturnTime};
+use chicory_policy::{Outages, ReturnTime};
 use googletest::prelude::*;
 
 const PART: &str = "keys of a lost server";
@@ -31,7 +31,7 @@
 
 #[gtest]
 fn short_move_is_waited_for_and_a_lost_server_is_not() {
-    let mut outages = KeyOutages::default();
+    let mut outages = Outages::default();
     for millis in (0..700).step_by(50) {
         expect_that!(outages.note_unusable(at(millis), &PART), eq(false));
     }
@@ -45,7 +45,7 @@
 
 #[gtest]
 fn few_requests_look_whether_an_unreachable_server_is_back() {
-    let mut outages = KeyOutages::default();
+    let mut outages = Outages::default();
     expect_that!(outages.takes_probe(at(0), &PART), eq(true));
     outages.note_unusable(at(0), &PART);
     let probes = (10..2000).step_by(10);
@@ -56,7 +56,7 @@
 
 #[gtest]
 fn outage_that_nobody_met_lately_is_forgotten() {
-    let mut outages = KeyOutages::default();
+    let mut outages = Outages::default();
     outages.note_unusable(at(0), &PART);
     outages.forget_quiet(at(10_000));
     expect_that!(outages.note_unusable(at(10_000), &PART), eq(false));
