--- a/crates/chicory_gateway/src/process/control_vm_search.rs
+++ b/crates/chicory_gateway/src/process/control_vm_search.rs
@@ -10,6 +10,7 @@
 
 /// Pause before each round of dials: a cut that ends is noticed within this time and that of a dial.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// Looks for a control VM beside the one that is followed, for as long as it is wanted.
 #[derive(Default)]
 pub(super) struct ControlVmSearch {
