Greet one control VM at a time

After a loss of power of everything 73 entry VMs greeted four control VMs every 100 ms; these had 0.15 of a core each, fell silent for over 0.8 s, were given up and greeted again: 2,800 links in 18 s at one control VM, and no recovery. Only the control VM that is followed, and one other at a time, are greeted now; others are tried in turn, after 0.5 s without contact, with pauses that grow to 0.4 s. The test of the link now keeps the followed control VM answering while the other one is tried.

--- a/crates/chicory_gateway/src/process/control_vm_search.rs
+++ b/crates/chicory_gateway/src/process/control_vm_search.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-use chicory_link::LinkStream;
+use chicory_link::{Backoff, LinkStream};
 use chicory_types::VmId;
 use tokio::task::JoinSet;
 
-use super::entry_identity::{EntryIdentity, WantedControlVm};
+use super::entry_identity::EntryIdentity;
 
-/// Pause before each round of dials: a cut that ends is noticed within this time and that of a dial.
-const SEARCH_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause before the next control VM is tried: a cut that ends is noticed within this time and
+/// that of a dial, while many entry VMs that search at once don't keep control VMs from an election.
+const MAX_SEARCH_PAUSE: Duration = Duration::from_millis(400);
 
 /// Looks for a control VM beside the one that is followed, for as long as it is wanted.
 #[derive(Default)]
@@ -19,17 +20,20 @@
 }
 
 impl ControlVmSearch {
-    /// Begins to look among `targets` for one in contact with a majority, unless a search runs
+    /// Begins to try `targets` in turn for one in contact with a majority, unless a search runs
     /// already.
     pub(super) fn begin(&mut self, entry: EntryIdentity, targets: Vec<VmId>) {
         if !self.running.is_empty() || targets.is_empty() {
             return;
         }
         self.running.spawn(async move {
+            let mut backoff = Backoff::default();
+            let mut turns = targets.into_iter().cycle();
             loop {
-                tokio::time::sleep(SEARCH_PAUSE).await;
-                if let Ok(found) = entry.open_first(&targets, WantedControlVm::InContact).await {
-                    return found;
+                tokio::time::sleep(backoff.next_pause().min(MAX_SEARCH_PAUSE)).await;
+                let Some(vm) = turns.next() else { continue };
+                if let Ok(stream) = entry.open_in_contact(&vm).await {
+                    return (vm, stream);
                 }
             }
         });
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -13,7 +13,7 @@
 
 use super::GatewayMetric;
 use super::control_vm_search::ControlVmSearch;
-use super::entry_identity::{EntryIdentity, WantedControlVm};
+use super::entry_identity::EntryIdentity;
 use super::shared::Shared;
 use crate::UpdateOutcome;
 
@@ -21,6 +21,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(350);
 /// Time without any message after which a control VM is given up: two reports and a margin.
 const SILENCE: Duration = Duration::from_millis(800);
+/// Time without contact to a majority after which another control VM is looked for; an election
+/// takes about as long.
+const NO_CONTACT: Duration = Duration::from_millis(500);
 /// Longest pause before control VMs are dialled again: callers are served by an old directory until
 /// then.
 const MAX_DIAL_PAUSE: Duration = Duration::from_millis(200);
@@ -129,8 +132,7 @@
 
     async fn open_any(&mut self) -> Result<(VmId, LinkStream), LinkError> {
         let targets = self.targets();
-        let entry = self.identity();
-        let opened = entry.open_first(&targets, WantedControlVm::Any).await;
+        let opened = self.identity().open_first(&targets).await;
         let was_told = std::mem::replace(&mut self.is_loss_told, opened.is_err());
         if let Err(failure) = &opened
             && !was_told
@@ -172,6 +174,7 @@
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard_at = Instant::now();
+        let mut in_contact_at = Instant::now();
         // Beside a control VM without a majority another one is looked for. It is followed until
         // then: it may be the first to hear of a new leader.
         let mut search = ControlVmSearch::default();
@@ -187,8 +190,9 @@
                     };
                     self.note_control_vms(&status);
                     if status.is_in_contact {
+                        in_contact_at = heard_at;
                         search.end();
-                    } else {
+                    } else if heard_at > in_contact_at + NO_CONTACT {
                         search.begin(self.identity(), self.others(own));
                     }
                     if let Some(leader) = status.leader.filter(|leader| leader != own) {
--- a/crates/chicory_gateway/src/process/entry_identity.rs
+++ b/crates/chicory_gateway/src/process/entry_identity.rs
@@ -17,15 +17,6 @@
 /// zones.
 const STATE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Which control VMs will do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum WantedControlVm {
-    /// Any that answers.
-    Any,
-    /// One that is in contact with a majority.
-    InContact,
-}
-
 /// Who an entry VM is, as it tells control VMs.
 #[derive(Clone)]
 pub(super) struct EntryIdentity {
@@ -35,59 +26,58 @@
 }
 
 impl EntryIdentity {
-    /// Opens a link to a control VM, which learns who follows it and what is known already.
-    async fn open(&self, vm: &VmId) -> Result<LinkStream, LinkError> {
-        let address: SocketAddr = vm.parse().map_err(|_| LinkError::Content)?;
-        let (reader, mut writer) = dial(address).await?;
+    /// Tells a control VM who follows it and what is known already. It answers with its state and all
+    /// that is missing, so that only a control VM that may be followed is greeted.
+    async fn greet(&self, (_, writer): &mut LinkStream) -> Result<(), LinkError> {
         let hello = LinkHello::Entry {
             vm: self.vm.clone(),
             zone: self.zone.clone(),
             known: self.shared.gateway().directory().mark(),
         };
         writer.put(&site::LinkHello::from(hello));
-        writer.flush().await?;
-        Ok((reader, writer))
+        writer.flush().await
     }
 
     /// Opens a link to a control VM that is in contact with a majority.
-    async fn open_in_contact(&self, vm: &VmId) -> Result<LinkStream, LinkError> {
-        let (mut reader, writer) = self.open(vm).await?;
-        let Ok(frame) = tokio::time::timeout(STATE_TIMEOUT, reader.next()).await else {
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when it can't be reached, or tells that it has no majority.
+    pub(super) async fn open_in_contact(&self, vm: &VmId) -> Result<LinkStream, LinkError> {
+        let mut stream = dial(address_of(vm)?).await?;
+        self.greet(&mut stream).await?;
+        let Ok(frame) = tokio::time::timeout(STATE_TIMEOUT, stream.0.next()).await else {
             return Err(LinkError::DialTimeout);
         };
         let message: site::ControlMessage = frame?.ok_or(LinkError::Content)?.decode()?;
         match ControlMessage::try_from(message) {
-            Ok(ControlMessage::Status(status)) if status.is_in_contact => Ok((reader, writer)),
+            Ok(ControlMessage::Status(status)) if status.is_in_contact => Ok(stream),
             _ => Err(LinkError::Content),
         }
     }
 
-    /// Dials all targets at once and takes the first that will do: one that is cut off costs no
-    /// time then.
+    /// Dials all targets at once and opens a link to the first that answers: one that is cut off
+    /// costs no time then.
     ///
     /// # Errors
     ///
-    /// [`LinkError`] of one of the targets when none will do.
+    /// [`LinkError`] of one of the targets when none answers.
     pub(super) async fn open_first(
         &self,
         targets: &[VmId],
-        wanted: WantedControlVm,
     ) -> Result<(VmId, LinkStream), LinkError> {
         let mut dials = JoinSet::new();
         for vm in targets {
-            let (entry, vm) = (self.clone(), vm.clone());
-            dials.spawn(async move {
-                let opened = match wanted {
-                    WantedControlVm::Any => entry.open(&vm).await,
-                    WantedControlVm::InContact => entry.open_in_contact(&vm).await,
-                };
-                (vm, opened)
-            });
+            let (address, vm) = (address_of(vm)?, vm.clone());
+            dials.spawn(async move { (vm, dial(address).await) });
         }
         let mut failure = LinkError::DialTimeout;
         while let Some(dialled) = dials.join_next().await {
             match dialled {
-                Ok((vm, Ok(stream))) => return Ok((vm, stream)),
+                Ok((vm, Ok(mut stream))) => {
+                    self.greet(&mut stream).await?;
+                    return Ok((vm, stream));
+                }
                 Ok((_, Err(error))) => failure = error,
                 Err(error) => {
                     warn!(self.shared.logger, "dial ended early"; "error" => %error);
@@ -97,3 +87,7 @@
         Err(failure)
     }
 }
+
+fn address_of(vm: &VmId) -> Result<SocketAddr, LinkError> {
+    vm.parse().map_err(|_| LinkError::Content)
+}
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -151,19 +151,23 @@
             "left before another one answered"
         );
         let other = other.listen(8).expect("a listener");
-        // It is not turned to before it has a majority: the two would only take turns.
-        for _ in 0..3 {
-            let mut next = accept_and_tell(&other, &no_contact).await;
-            expect_that!(
-                next.0.next().await.is_ok_and(|frame| frame.is_none()),
-                eq(true)
-            );
-        }
         let in_contact = LinkStatus {
             is_in_contact: true,
             ..LinkStatus::default()
         };
-        let mut next = accept_and_tell(&other, &in_contact).await;
+        // It is not turned to before it has a majority: the two would only take turns.
+        let tried = async {
+            for _ in 0..3 {
+                let mut next = accept_and_tell(&other, &no_contact).await;
+                let ended = next.0.next().await;
+                expect_that!(ended.is_ok_and(|frame| frame.is_none()), eq(true));
+            }
+            accept_and_tell(&other, &in_contact).await
+        };
+        let mut next = tokio::select! {
+            () = report(&mut link, &no_contact, false) => panic!("left before a majority answered"),
+            next = tried => next,
+        };
         tokio::join!(
             report(&mut link, &no_contact, false),
             report(&mut next, &in_contact, true),
