--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -87,6 +87,12 @@
     }
 }
 
+/// A control VM's listener on a port of its own.
+async fn listen() -> TcpListener {
+    let bound = TcpListener::bind(SocketAddr::from(ANY_PORT)).await;
+    bound.expect("a port")
+}
+
 /// Accepts an entry VM, reads its hello and tells it the state at once.
 async fn accept_and_tell(listener: &TcpListener, status: &LinkStatus) -> LinkStream {
     let mut link = accept(listener).await;
@@ -125,9 +131,7 @@
 #[gtest]
 #[tokio::test]
 async fn control_vm_without_a_majority_is_followed_until_another_one_answers() {
-    let cut_off = TcpListener::bind(SocketAddr::from(ANY_PORT))
-        .await
-        .expect("a port");
+    let cut_off = listen().await;
     // The port of the other control VM is taken, but nobody listens there yet.
     let other = tokio::net::TcpSocket::new_v4().expect("a socket");
     other.bind(ANY_PORT.into()).expect("a port");
@@ -189,9 +193,7 @@
 #[gtest]
 #[tokio::test]
 async fn balancer_is_asked_to_turn_callers_away_without_a_majority() {
-    let control = TcpListener::bind(SocketAddr::from(ANY_PORT))
-        .await
-        .expect("a port");
+    let control = listen().await;
     let entry = start_entry(vec![control.local_addr().expect("an address")]).await;
     let in_contact = LinkStatus {
         is_in_contact: true,
