Tell long turns of control VMs and slow updates of entry VMs apart

Neither logs nor metrics told whether a table was late because it was given up on its way, because older states waited before it, or because the control VM was busy.

Entry VMs now write how long an update was under way and its bytes where it took 100 ms or more, and why a link ended, with the bytes of the message that was not whole yet. Control VMs write turns of their loop that take 100 ms or more with the number of inputs, and what waits for an entry VM that is cut off. The reader of frames tells parts of frames; nothing acts on them yet.

--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chicory_directory::{ControlMessage, EntryMessage, LinkStatus};
-use chicory_link::{Backoff, Frame, LinkError, LinkStream};
+use chicory_link::{Arrival, Backoff, Frame, LinkError, LinkStream, Transfer};
 use chicory_routes::RouteTableVersion;
 use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
@@ -14,6 +14,7 @@
 use super::GatewayMetric;
 use super::control_vm_search::ControlVmSearch;
 use super::entry_identity::EntryIdentity;
+use super::loss_cause::LossCause;
 use super::shared::Shared;
 use crate::UpdateOutcome;
 
@@ -27,6 +28,8 @@
 /// Longest pause before control VMs are dialled again: callers are served by an old directory until
 /// then.
 const MAX_DIAL_PAUSE: Duration = Duration::from_millis(200);
+/// Time that an update may be under way without a log line.
+const SLOW_UPDATE: Duration = Duration::from_millis(100);
 /// Least time between two log lines about servers and keys: four a second show when a VM fell
 /// behind.
 const NOTE_INTERVAL: Duration = Duration::from_millis(250);
@@ -58,7 +61,7 @@
 /// Why a control VM is no longer followed.
 enum Parting {
     /// It can't be followed any more.
-    Lost,
+    Lost(LossCause),
     /// It names another leader.
     Redirected(VmId),
     /// It has no contact to a majority, and another one has.
@@ -122,8 +125,8 @@
                     self.lost = None;
                     found = Some((next, stream));
                 }
-                Parting::Lost => {
-                    self.on_lost(&control_vm);
+                Parting::Lost(cause) => {
+                    self.on_lost(&control_vm, cause);
                     tokio::time::sleep(backoff.next_pause().min(MAX_DIAL_PAUSE)).await;
                 }
             }
@@ -143,14 +146,14 @@
         opened
     }
 
-    fn on_lost(&mut self, control_vm: &VmId) {
+    fn on_lost(&mut self, control_vm: &VmId, cause: LossCause) {
         self.shared
             .metrics
             .increment(GatewayMetric::ControlLinksLost);
         let now = self.shared.now();
         let contact_age = self.shared.gateway().contact_age(now);
         warn!(self.shared.logger, "link to control VM lost"; "control_vm" => control_vm,
-            "contact_age" => ?contact_age);
+            "cause" => %cause, "contact_age" => ?contact_age);
         self.leader = None;
         self.lost = Some(control_vm.clone());
     }
@@ -180,13 +183,17 @@
         let mut search = ControlVmSearch::default();
         loop {
             tokio::select! {
-                frame = reader.next() => {
-                    let Ok(Some(frame)) = frame else { return Parting::Lost };
+                arrival = reader.next_arrival() => {
+                    let (frame, transfer) = match arrival {
+                        Ok(Arrival::Part) => continue,
+                        Ok(Arrival::Frame { frame, transfer }) => (frame, transfer),
+                        Ok(Arrival::End) | Err(_) => return Parting::Lost(LossCause::Ended),
+                    };
                     heard_at = Instant::now();
-                    let status = match self.take_frame(frame) {
+                    let status = match self.take_frame(frame, transfer) {
                         FrameEffect::Followed => continue,
                         FrameEffect::Reported(status) => status,
-                        FrameEffect::Lost => return Parting::Lost,
+                        FrameEffect::Lost => return Parting::Lost(LossCause::Unusable),
                     };
                     self.note_control_vms(&status);
                     if status.is_in_contact {
@@ -204,11 +211,14 @@
                     let report = self.shared.gateway().take_report();
                     writer.put(&site::EntryMessage::from(EntryMessage::Report(report)));
                     if writer.flush().await.is_err() {
-                        return Parting::Lost;
+                        return Parting::Lost(LossCause::Ended);
                     }
                     self.prune();
                 }
-                () = tokio::time::sleep_until(heard_at + SILENCE) => return Parting::Lost,
+                () = tokio::time::sleep_until(heard_at + SILENCE) => {
+                    let unfinished_bytes = reader.unfinished_bytes();
+                    return Parting::Lost(LossCause::Silent { unfinished_bytes });
+                }
             }
         }
     }
@@ -226,7 +236,7 @@
         others.cloned().collect()
     }
 
-    fn take_frame(&mut self, frame: Frame) -> FrameEffect {
+    fn take_frame(&mut self, frame: Frame, transfer: Transfer) -> FrameEffect {
         let message = frame.decode::<site::ControlMessage>();
         let message = message
             .ok()
@@ -237,6 +247,7 @@
                 let outcome = self.shared.gateway().update(now, update);
                 match outcome {
                     UpdateOutcome::Changed => {
+                        self.note_transfer(transfer);
                         self.shared.changes.send_modify(|changes| *changes += 1);
                         self.note_version();
                         FrameEffect::Followed
@@ -270,6 +281,16 @@
         }
     }
 
+    fn note_transfer(&self, transfer: Transfer) {
+        let metrics = &self.shared.metrics;
+        metrics.record(GatewayMetric::UpdateTransfer, transfer.took);
+        metrics.add(GatewayMetric::UpdateBytes, transfer.size_bytes as u64);
+        if transfer.took >= SLOW_UPDATE {
+            info!(self.shared.logger, "update was under way for long"; "took" => ?transfer.took,
+                "size_bytes" => transfer.size_bytes);
+        }
+    }
+
     /// Each route table has a line; servers and keys may change many times a second.
     fn note_version(&mut self) {
         let (version, routes_version) = {
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -27,6 +27,10 @@
     DirectoryVersion,
     /// Version of the route table.
     RoutesVersion,
+    /// Time from the first byte of an update of the directory to its last.
+    UpdateTransfer,
+    /// Bytes of updates of the directory.
+    UpdateBytes,
     /// Log lines about requests that were left out to bound their volume.
     LogLinesSuppressed,
     /// Time from a request's head to the head of its answer.
@@ -49,6 +53,8 @@
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
+            Self::UpdateTransfer => "gateway_update_transfer_seconds",
+            Self::UpdateBytes => "gateway_update_bytes",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
@@ -68,6 +74,8 @@
             Self::ControlLinksLost => "Links to control VMs that broke.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
+            Self::UpdateTransfer => "Time from an update's first byte to its last.",
+            Self::UpdateBytes => "Bytes of updates of the directory.",
             Self::LogLinesSuppressed => "Log lines left out to bound their volume.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
--- a/crates/chicory_link/src/frame_reader.rs
+++ b/crates/chicory_link/src/frame_reader.rs
@@ -1,44 +1,31 @@
 //! Reads frames.
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use prost::Message;
+use std::io;
+
+use bytes::{Buf, BytesMut};
 use snafu::ResultExt;
-use tokio::io::AsyncRead;
-use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
+use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::time::Instant;
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
-use crate::LinkError;
-use crate::link_error::{DecodeSnafu, IoSnafu};
+use crate::arrival::{Arrival, Transfer};
+use crate::link_error::IoSnafu;
+use crate::{Frame, LinkError};
 
 /// Largest frame: a route table of some ten thousand routes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
-
-/// One frame.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Frame {
-    /// The other end is alive.
-    Alive,
-    /// An encoded message.
-    Message(Bytes),
-}
-
-impl Frame {
-    /// Decodes the message.
-    ///
-    /// # Errors
-    ///
-    /// [`LinkError::Decode`] when it is of another type; an empty frame decodes to the default.
-    pub fn decode<M: Message + Default>(self) -> Result<M, LinkError> {
-        match self {
-            Self::Alive => Ok(M::default()),
-            Self::Message(bytes) => M::decode(bytes).context(DecodeSnafu),
-        }
-    }
-}
+/// Room for each read; most messages are smaller.
+const READ_BYTES: usize = 4 * 1024;
 
 /// Reads frames from one direction of a connection.
 pub struct FrameReader<R> {
-    frames: FramedRead<R, LengthDelimitedCodec>,
+    read: R,
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+    /// When the first byte of the unfinished frame came.
+    begun_at: Option<Instant>,
+    /// Bytes of the unfinished frame that were read so far, with its length.
+    unfinished_bytes: usize,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
@@ -48,7 +35,11 @@
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
         Self {
-            frames: FramedRead::new(read, codec),
+            read,
+            codec,
+            buffer: BytesMut::new(),
+            begun_at: None,
+            unfinished_bytes: 0,
         }
     }
 
@@ -58,13 +49,71 @@
     ///
     /// [`LinkError::Io`] when the connection breaks.
     pub async fn next(&mut self) -> Result<Option<Frame>, LinkError> {
-        let frame = self.frames.next().await.transpose().context(IoSnafu)?;
-        Ok(frame.map(|bytes: BytesMut| {
-            if bytes.is_empty() {
-                Frame::Alive
-            } else {
-                Frame::Message(bytes.freeze())
+        loop {
+            match self.next_arrival().await? {
+                Arrival::Part => {}
+                Arrival::Frame { frame, .. } => return Ok(Some(frame)),
+                Arrival::End => return Ok(None),
             }
-        }))
+        }
+    }
+
+    /// The next frame or part of one. A large frame on a slow link takes long: silence is judged
+    /// by parts, not by whole frames. Nothing is lost when the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::Io`] when the connection breaks or ends within a frame.
+    pub async fn next_arrival(&mut self) -> Result<Arrival, LinkError> {
+        if let Some(arrival) = self.take_frame()? {
+            return Ok(arrival);
+        }
+        self.buffer.reserve(READ_BYTES);
+        let read_bytes = self
+            .read
+            .read_buf(&mut self.buffer)
+            .await
+            .context(IoSnafu)?;
+        if read_bytes == 0 {
+            return self.end();
+        }
+        self.unfinished_bytes += read_bytes;
+        self.begun_at.get_or_insert_with(Instant::now);
+        Ok(self.take_frame()?.unwrap_or(Arrival::Part))
+    }
+
+    /// Bytes of the frame that is not whole yet.
+    #[must_use]
+    pub fn unfinished_bytes(&self) -> usize {
+        self.unfinished_bytes
+    }
+
+    fn take_frame(&mut self) -> Result<Option<Arrival>, LinkError> {
+        let Some(bytes) = self.codec.decode(&mut self.buffer).context(IoSnafu)? else {
+            return Ok(None);
+        };
+        let now = Instant::now();
+        let begun_at = self.begun_at.take().unwrap_or(now);
+        // What is left belongs to frames that came together with this one.
+        self.begun_at = self.buffer.has_remaining().then_some(now);
+        self.unfinished_bytes = self.buffer.remaining();
+        let transfer = Transfer {
+            size_bytes: bytes.len(),
+            took: now - begun_at,
+        };
+        let frame = if bytes.is_empty() {
+            Frame::Alive
+        } else {
+            Frame::Message(bytes.freeze())
+        };
+        Ok(Some(Arrival::Frame { frame, transfer }))
+    }
+
+    fn end(&self) -> Result<Arrival, LinkError> {
+        if self.unfinished_bytes == 0 {
+            return Ok(Arrival::End);
+        }
+        let failure = io::Error::from(io::ErrorKind::UnexpectedEof);
+        Err(failure).context(IoSnafu)
     }
 }
--- /dev/null
+++ b/crates/chicory_link/tests/frame_reader.rs
@@ -0,0 +1,75 @@
+//! What a reader of frames tells of frames that come in parts.
+
+use std::time::Duration;
+
+use chicory_link::{Arrival, Frame, FrameReader, LinkError};
+use googletest::prelude::*;
+use tokio::io::{AsyncWriteExt, DuplexStream, duplex};
+
+const PAUSE: Duration = Duration::from_millis(30);
+const MESSAGE: &[u8] = b"a message of some length";
+
+fn framed(message: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(message.len()).expect("a short message");
+    [&length.to_be_bytes(), message].concat()
+}
+
+fn link() -> (DuplexStream, FrameReader<DuplexStream>) {
+    let (write, read) = duplex(1024);
+    (write, FrameReader::new(read))
+}
+
+#[gtest]
+#[tokio::test]
+async fn frame_in_parts_is_told_part_by_part_and_whole_at_its_end() {
+    let (mut write, mut reader) = link();
+    let bytes = framed(MESSAGE);
+    let (first, rest) = bytes.split_at(9);
+    write.write_all(first).await.expect("an open link");
+    expect_that!(reader.next_arrival().await, ok(eq(&Arrival::Part)));
+    expect_that!(reader.unfinished_bytes(), eq(9));
+    tokio::time::sleep(PAUSE).await;
+    write.write_all(rest).await.expect("an open link");
+    let Ok(Arrival::Frame { frame, transfer }) = reader.next_arrival().await else {
+        panic!("no frame");
+    };
+    expect_that!(frame, eq(&Frame::Message(MESSAGE.into())));
+    expect_that!(transfer.took, ge(PAUSE));
+    expect_that!(transfer.size_bytes, eq(MESSAGE.len()));
+    expect_that!(reader.unfinished_bytes(), eq(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn frames_that_come_together_are_told_one_by_one() {
+    let (mut write, mut reader) = link();
+    let bytes = [framed(MESSAGE), framed(b""), framed(b"x")].concat();
+    write.write_all(&bytes).await.expect("an open link");
+    drop(write);
+    let mut frames = Vec::new();
+    while let Ok(Some(frame)) = reader.next().await {
+        frames.push(frame);
+    }
+    let expected = [
+        Frame::Message(MESSAGE.into()),
+        Frame::Alive,
+        Frame::Message((&b"x"[..]).into()),
+    ];
+    expect_that!(frames, eq(&expected));
+    expect_that!(reader.next().await, ok(none()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn connection_that_ends_within_a_frame_is_no_clean_end() {
+    let (mut write, mut reader) = link();
+    write
+        .write_all(&framed(MESSAGE)[..9])
+        .await
+        .expect("an open link");
+    drop(write);
+    expect_that!(
+        reader.next().await,
+        err(matches_pattern!(LinkError::Io { .. }))
+    );
+}
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -26,6 +26,9 @@
 /// Least time between two rounds of timers, so that deadlines close together share a wake-up.
 const TIMER_GRAIN: Duration = Duration::from_millis(5);
 
+/// Time that the inputs which came together may take without a log line: heartbeats wait meanwhile.
+const LONG_TURN: Duration = Duration::from_millis(100);
+
 /// A control process: one loop round the reducer.
 pub struct SiteProcess {
     core: SiteCore,
@@ -106,10 +109,7 @@
             tokio::select! {
                 input = self.inputs.recv() => {
                     let Some(input) = input else { return };
-                    self.take_input(input);
-                    while let Ok(next) = self.inputs.try_recv() {
-                        self.take_input(next);
-                    }
+                    self.take_turn(input);
                 }
                 () = tokio::time::sleep(pause) => {}
             }
@@ -119,6 +119,22 @@
         }
     }
 
+    fn take_turn(&mut self, first: SiteInput) {
+        let begun_at = self.clock.now();
+        let mut input_count = 1_u64;
+        self.take_input(first);
+        while let Ok(next) = self.inputs.try_recv() {
+            input_count += 1;
+            self.take_input(next);
+        }
+        let took = self.clock.now().saturating_sub(begun_at);
+        self.metrics.record(SiteMetric::TurnTime, took);
+        if took >= LONG_TURN {
+            warn!(self.logger, "turn took long"; "took" => ?took, "inputs" => input_count,
+                "is_leading" => self.core.is_leading(begun_at + took));
+        }
+    }
+
     fn take_input(&mut self, input: SiteInput) {
         match input {
             SiteInput::Event(event) => {
@@ -234,7 +250,9 @@
                 continue;
             };
             if outbox.try_send(message.clone()).is_err() {
-                warn!(self.logger, "entry VM reads too slowly"; "link" => link);
+                let waiting = outbox.max_capacity() - outbox.capacity();
+                warn!(self.logger, "entry VM reads too slowly"; "link" => link,
+                    "waiting_messages" => waiting, "next_bytes" => message.len());
                 self.entries.remove(link);
             }
         }
