Add tests that fail on the causes of old tables and of the collapse

- route_table_is_not_given_up_while_it_arrives_over_a_thin_link: a table that arrives over 2 s, a part each 100 ms, is given up after 0.8 s.
Callers saw 404 for routes acknowledged 2 s before.
- burst_of_changes_does_not_cut_off_entry_vms_that_read: grants of 400 ranges end together; the loop puts a message for each into every link's queue before any link gets its turn, and cuts off the entry VM at 256 though it reads at once.

--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -10,17 +10,19 @@
     AnswerClass, CallerBorder, CallerFacts, GatewayConfig, GatewayProcess, GatewayProcessConfig,
     Refusal, ServerBorder,
 };
-use chicory_link::{LinkStream, split};
+use chicory_link::{FrameReader, LinkStream, split};
 use chicory_net::admin::Readiness;
 use chicory_ranges::ServerLife;
-use chicory_routes::{RouteTable, RouteTableDelta};
+use chicory_routes::{RequestKind, Route, RouteTable, RouteTableDelta, RouteTarget};
 use chicory_telemetry::Metrics;
 use chicory_types::BootClock;
 use chicory_wire::proto::site;
 use googletest::prelude::*;
 use hyper::Response;
 use hyper::http::{HeaderMap, request, response};
+use prost::Message;
 use slog::{Logger, o};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -227,3 +229,77 @@
     let in_time = tokio::time::timeout(DEADLINE, order).await;
     expect_that!(in_time, ok(anything()));
 }
+
+fn framed(message: ControlMessage) -> Vec<u8> {
+    let message = site::ControlMessage::from(message).encode_to_vec();
+    let length = u32::try_from(message.len()).expect("a frame");
+    [&length.to_be_bytes()[..], &message].concat()
+}
+
+/// A table as large as a grown site's.
+fn large_table() -> RouteTable {
+    let route = |index: usize| Route {
+        name: format!("route-{index}"),
+        host: format!("host-{index}"),
+        path_prefix: "/".into(),
+        kind: RequestKind::Idempotent,
+        timeout: None,
+        latency_target: None,
+        priority: None,
+        max_attempts: None,
+        target: RouteTarget::Service("archive".into()),
+    };
+    RouteTable {
+        version: 1,
+        routes: (0..2000).map(route).collect(),
+        ..RouteTable::default()
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn route_table_is_not_given_up_while_it_arrives_over_a_thin_link() {
+    let control = listen().await;
+    let entry = start_entry(vec![control.local_addr().expect("an address")]).await;
+    let order = async {
+        let (stream, _) = control.accept().await.expect("a connection");
+        let (read, mut write) = stream.into_split();
+        let mut reader = FrameReader::new(read);
+        reader.next().await.expect("a hello");
+        let status = ControlMessage::Status(LinkStatus {
+            is_in_contact: true,
+            ..LinkStatus::default()
+        });
+        let update = ControlMessage::Update(DirectoryUpdate {
+            version: 1,
+            is_full: true,
+            routes: Some(RouteTableDelta::whole(&large_table())),
+            ..DirectoryUpdate::default()
+        });
+        write
+            .write_all(&framed(status.clone()))
+            .await
+            .expect("an open link");
+        let update = framed(update);
+        for part in update.chunks(update.len() / 20) {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            if write.write_all(part).await.is_err() {
+                return false;
+            }
+        }
+        let status = framed(status);
+        let told = async {
+            while let Ok(Some(_)) = reader.next().await {
+                if write.write_all(&status).await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            () = told => false,
+            () = until_ready_is(&entry, true) => true,
+        }
+    };
+    let came = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(came, ok(eq(&true)));
+}
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -43,6 +43,7 @@
     former_leader_until: MonoTime,
     /// Greater fences were given out in this leadership: no former leader granted them.
     inherited_fence: Fence,
+    visit_count: u64,
     effects: Vec<GrantEffect>,
 }
 
@@ -60,6 +61,7 @@
             last_call: 0,
             former_leader_until,
             inherited_fence: book.last_fence(),
+            visit_count: 0,
             effects: Vec::new(),
         };
         desk.follow_book(elected_at, book);
@@ -96,6 +98,12 @@
         waits.min()
     }
 
+    /// Ranges that were looked at since the start: the work that was done.
+    #[must_use]
+    pub fn visit_count(&self) -> u64 {
+        self.visit_count
+    }
+
     /// Ranges of a service that are on their way, with their next owners.
     pub fn departing(&self, service: &str) -> impl Iterator<Item = (KeyRange, &ServerLife)> {
         let tenures = self.tenures.iter();
@@ -140,6 +148,7 @@
 
     /// Makes tenures match the book; parts that are about to move stay apart.
     fn follow_book(&mut self, now: MonoTime, book: &RangeBook) {
+        self.visit_count += self.tenures.len() as u64;
         let is_current = |(service, _): &Place, tenure: &mut Tenure| {
             let range = tenure.owned.range;
             let current = book.owner(service, range.first);
@@ -252,6 +261,7 @@
             }));
             return;
         };
+        self.visit_count += self.tenures.len() as u64;
         let tenures = self.tenures.iter();
         let holding = tenures
             .filter(|((service, _), tenure)| {
@@ -389,6 +399,7 @@
     }
 
     fn run_due(&mut self, now: MonoTime) {
+        self.visit_count += self.tenures.len() as u64;
         let due = self.tenures.iter().filter_map(|(place, tenure)| {
             let step = self.next_step(now, tenure);
             (!matches!(step, Step::Wait)).then(|| (place.clone(), step))
--- /dev/null
+++ b/crates/chicory_site/tests/site_process.rs
@@ -0,0 +1,167 @@
+//! What entry VMs get from a control process on loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicory_directory::{
+    ControlMessage, DirectoryMark, EntryMessage, EntryReport, LinkHello, ServerRecord, ServerState,
+    SiteAnswer,
+};
+use chicory_link::{Arrival, LinkStream, dial};
+use chicory_ranges::{CallOutcome, GrantDeskConfig, ServerLife};
+use chicory_routes::{RouteTable, RoutedService};
+use chicory_site::{
+    GrantFuture, GrantOrder, GrantPort, SiteHandle, SiteProcess, SiteProcessConfig,
+};
+use chicory_telemetry::Metrics;
+use chicory_types::BootClock;
+use chicory_wire::proto::site;
+use googletest::prelude::*;
+use slog::{Logger, o};
+use tempfile::TempDir;
+
+/// Time after which the test is given up; no verdict depends on it otherwise.
+const DEADLINE: Duration = Duration::from_secs(30);
+/// Servers of the keyed service: as many as a grown site has.
+const SERVER_COUNT: u16 = 400;
+
+/// Backend servers that do whatever they are told at once.
+struct WillingServers;
+
+impl GrantPort for WillingServers {
+    fn call(&self, _order: GrantOrder) -> GrantFuture {
+        Box::pin(async { CallOutcome::Done { handover: None } })
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let bound = std::net::TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let address = bound.and_then(|listener| listener.local_addr());
+    address.expect("a free port")
+}
+
+async fn start_site(folder: &TempDir) -> (SocketAddr, SiteHandle) {
+    let address = free_address();
+    let config = SiteProcessConfig {
+        cluster: "cluster".into(),
+        vm: address.to_string(),
+        link_address: address,
+        zone: "north".into(),
+        seeds: vec![address.to_string()],
+        is_first_start: true,
+        data_dir: folder.path().to_path_buf(),
+        grants: GrantDeskConfig::default(),
+    };
+    let started = SiteProcess::start(
+        config,
+        Arc::new(BootClock),
+        Arc::new(WillingServers),
+        Logger::root(slog::Discard, o!()),
+        Arc::new(Metrics::new().expect("metrics")),
+    );
+    let (process, site) = started.await.expect("a control process");
+    tokio::spawn(process.run());
+    (address, site)
+}
+
+fn table(version: u64) -> RouteTable {
+    RouteTable {
+        version,
+        services: vec![RoutedService {
+            name: "archive".into(),
+            health_path: None,
+            max_connections: None,
+            protocol: None,
+            has_tls: None,
+            is_keyed: Some(true),
+            warmup: None,
+            grant_mode: None,
+        }],
+        ..RouteTable::default()
+    }
+}
+
+fn server(index: u16) -> ServerRecord {
+    ServerRecord {
+        life: ServerLife::new(format!("server-{index}"), 1),
+        service: "archive".into(),
+        address: SocketAddr::from(([10, 9, 0, 1], 1000 + index)),
+        zone: "north".into(),
+        software_version: "v1".into(),
+        slots: 3,
+        state: ServerState::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// Calls again until the site has a leader.
+async fn put_table(site: &SiteHandle, version: u64) {
+    while !matches!(site.put_routes(table(version)).await, Ok(SiteAnswer::Done)) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn follow(address: SocketAddr) -> LinkStream {
+    let mut link = dial(address).await.expect("a link");
+    let hello = LinkHello::Entry {
+        vm: "entry-1".into(),
+        zone: "north".into(),
+        known: DirectoryMark::default(),
+    };
+    link.1.put(&site::LinkHello::from(hello));
+    link.1.flush().await.expect("an open link");
+    link
+}
+
+/// Number of servers that own keys and that the entry VM was told of; `None` if the link ends.
+async fn owners_told(link: &mut LinkStream, owner_count: usize) -> Option<usize> {
+    let mut owners = std::collections::BTreeSet::new();
+    let mut reports = tokio::time::interval(Duration::from_millis(300));
+    while owners.len() < owner_count {
+        let frame = tokio::select! {
+            arrival = link.0.next_arrival() => match arrival.ok()? {
+                Arrival::Part => continue,
+                Arrival::Frame { frame, .. } => frame,
+                Arrival::End => return None,
+            },
+            _ = reports.tick() => {
+                let report = EntryMessage::Report(EntryReport::default());
+                link.1.put(&site::EntryMessage::from(report));
+                link.1.flush().await.ok()?;
+                continue;
+            }
+        };
+        let message = frame.decode::<site::ControlMessage>().expect("a message");
+        let message = ControlMessage::try_from(message).expect("a whole message");
+        if let ControlMessage::Update(update) = message {
+            let ranges = update.ranges.into_iter().flat_map(|of| of.ranges);
+            owners.extend(ranges.map(|owned| owned.owner));
+        }
+    }
+    Some(owners.len())
+}
+
+#[gtest]
+#[tokio::test]
+async fn burst_of_changes_does_not_cut_off_entry_vms_that_read() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (address, site) = start_site(&folder).await;
+    let order = async {
+        put_table(&site, 1).await;
+        let mut link = follow(address).await;
+        let mut calls = tokio::task::JoinSet::new();
+        for index in 0..SERVER_COUNT {
+            let site = site.clone();
+            calls.spawn(async move { site.announce(server(index)).await });
+        }
+        let owner_count = usize::from(SERVER_COUNT);
+        owners_told(&mut link, owner_count).await?;
+        // A while longer than it takes to cut off a link that lags.
+        let stays =
+            tokio::time::timeout(Duration::from_secs(1), owners_told(&mut link, usize::MAX));
+        stays.await.is_err().then_some(owner_count)
+    };
+    let told = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(told, ok(some(eq(&usize::from(SERVER_COUNT)))));
+}
