Judge a silent link by bytes, not by whole messages

Cause: an entry VM gave a control VM up after 0.8 s without a whole message. The table, 170 KB in one message, takes longer on a link of 4.3 Mbit/s beside bodies; the link was given up midway, dialled again and the transfer started from nothing. Links ended as silent after some ten to a hundred KB of a message, none as ended. Class: a timeout shorter than the work that it guards, and a retry that loses all progress.

Now each byte that comes shows that the other end lives. The same on links between control VMs, on those that wait for reports of entry VMs, and for the signs of life of a receiver.

--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -20,7 +20,7 @@
 
 /// Interval of reports; each is answered with the control VM's status.
 const REPORT_INTERVAL: Duration = Duration::from_millis(350);
-/// Time without any message after which a control VM is given up: two reports and a margin.
+/// Time without any byte after which a control VM is given up: two reports and a margin.
 const SILENCE: Duration = Duration::from_millis(800);
 /// Time without contact to a majority after which another control VM is looked for; an election
 /// takes about as long.
@@ -184,12 +184,12 @@
         loop {
             tokio::select! {
                 arrival = reader.next_arrival() => {
+                    heard_at = Instant::now();
                     let (frame, transfer) = match arrival {
                         Ok(Arrival::Part) => continue,
                         Ok(Arrival::Frame { frame, transfer }) => (frame, transfer),
                         Ok(Arrival::End) | Err(_) => return Parting::Lost(LossCause::Ended),
                     };
-                    heard_at = Instant::now();
                     let status = match self.take_frame(frame, transfer) {
                         FrameEffect::Followed => continue,
                         FrameEffect::Reported(status) => status,
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chicory_directory::{EntryMessage, LinkHello};
-use chicory_link::{Frame, LinkError, LinkStream};
+use chicory_link::{Arrival, Frame, LinkError, LinkStream};
 use chicory_wire::proto::site;
 use tokio::sync::mpsc;
 
@@ -15,7 +15,7 @@
 /// Messages that may wait for one entry VM; an entry VM that reads more slowly is disconnected
 /// and asks for everything anew.
 const OUTBOX_MESSAGES: usize = 256;
-/// Time after which an entry VM without a report is given up.
+/// Time without any byte after which an entry VM is given up: several reports.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 pub(super) async fn serve(server: LinkServer, link: LinkStream, hello: LinkHello) {
@@ -62,8 +62,12 @@
                     return;
                 }
             }
-            frame = tokio::time::timeout(IDLE_TIMEOUT, reader.next()) => {
-                let Ok(Ok(Some(frame))) = frame else { return };
+            arrival = tokio::time::timeout(IDLE_TIMEOUT, reader.next_arrival()) => {
+                let frame = match arrival {
+                    Ok(Ok(Arrival::Part)) => continue,
+                    Ok(Ok(Arrival::Frame { frame, .. })) => frame,
+                    Ok(Ok(Arrival::End) | Err(_)) | Err(_) => return,
+                };
                 match decode(frame) {
                     Ok(message) => {
                         let event = SiteEvent::EntrySent { link: server.id, message };
--- a/crates/chicory_site/src/process/link_listener.rs
+++ b/crates/chicory_site/src/process/link_listener.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chicory_directory::{LinkHello, PeerEnvelope};
-use chicory_link::{Frame, LinkError, LinkStream, split};
+use chicory_link::{Arrival, Frame, LinkError, LinkStream, split};
 use chicory_telemetry::Metrics;
 use chicory_types::VmId;
 use chicory_wire::proto::site;
@@ -24,7 +24,7 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// Least time between signs of life on a link that only receives.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(300);
-/// Time after which a link without any message is closed.
+/// Time without any byte after which a link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Accepts links until the process ends.
@@ -90,20 +90,15 @@
     async fn serve_control(self, (mut reader, mut writer): LinkStream, vm: VmId) {
         let mut alive_at = Instant::now() - ALIVE_INTERVAL;
         loop {
-            let frame = tokio::time::timeout(IDLE_TIMEOUT, reader.next()).await;
-            let Ok(Ok(Some(frame))) = frame else { return };
-            match decode_envelope(frame) {
-                Ok(envelope) => {
-                    let from = vm.clone();
-                    let event = SiteEvent::PeerSent { from, envelope };
-                    if self.inbox.send(SiteInput::Event(event)).is_err() {
-                        return;
-                    }
-                }
-                Err(failure) => {
-                    self.on_undecodable(&failure);
-                    return;
-                }
+            let arrival = tokio::time::timeout(IDLE_TIMEOUT, reader.next_arrival()).await;
+            let arrived = match arrival {
+                Ok(Ok(Arrival::Part)) => Ok(()),
+                Ok(Ok(Arrival::Frame { frame, .. })) => self.take_envelope(frame, &vm),
+                Ok(Ok(Arrival::End) | Err(_)) | Err(_) => return,
+            };
+            if let Err(failure) = arrived {
+                self.on_undecodable(&failure);
+                return;
             }
             if alive_at.elapsed() >= ALIVE_INTERVAL {
                 alive_at = Instant::now();
@@ -114,6 +109,14 @@
             }
         }
     }
+
+    fn take_envelope(&self, frame: Frame, vm: &VmId) -> Result<(), LinkError> {
+        let envelope = decode_envelope(frame)?;
+        let from = vm.clone();
+        let event = SiteEvent::PeerSent { from, envelope };
+        let sent = self.inbox.send(SiteInput::Event(event));
+        sent.map_err(|_| LinkError::Content)
+    }
 }
 
 async fn read_hello((reader, _): &mut LinkStream) -> Result<Option<LinkHello>, LinkError> {
