Take in together what comes together, so that a scale-in does not depose its leader

Cause: each event of a leader looked at all ranges, several times: the grant desk for a call, a transfer or a changed book, the planner for the capacity of a server when it compared servers. With 350 servers and 118 leaving, one planning tick took 48 ms and one commit 34 ms of processor time, some 0.3 s each with 0.15 cores, and the ends of 470 calls 60 ms. The leader sent nothing for up to 1.1 s and was voted out after 0.4 to 0.8 s; its successor had all of the work before it again, with 73 entry VMs that joined it: metastable. The loop also took in whatever had come before any link got its turn, so that 256 messages queued for each entry VM and all were cut off, which read at once.

Events that come together are now taken in together: one look at all ranges for a batch, one message about moving keys, then the links get their turn. A transfer finds its range by key, and the planner keeps capacities beside loads.

--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -75,14 +75,36 @@
         event: GrantEvent,
         book: &RangeBook,
     ) -> Vec<GrantEffect> {
-        match event {
-            GrantEvent::Tick => {}
-            GrantEvent::BookChanged => self.follow_book(now, book),
-            GrantEvent::CallEnded { call, outcome } => self.on_call_ended(now, call, outcome),
-            GrantEvent::Announced(life) => self.on_announced(now, &life),
-            GrantEvent::Ended(life) => self.on_ended(now, life),
-            GrantEvent::Transfer(transfer) => self.on_transfer(now, transfer),
-            GrantEvent::MoveFailed { service, first } => self.on_move_failed(now, service, first),
+        self.reduce_all(now, [event], book)
+    }
+
+    /// Takes in events that came together and returns the effects to carry out, in order.
+    ///
+    /// What concerns all ranges is done once: hundreds of events come together when many servers
+    /// leave.
+    pub fn reduce_all(
+        &mut self,
+        now: MonoTime,
+        events: impl IntoIterator<Item = GrantEvent>,
+        book: &RangeBook,
+    ) -> Vec<GrantEffect> {
+        let mut follows_book = false;
+        for event in events {
+            match event {
+                GrantEvent::Tick => {}
+                GrantEvent::BookChanged if follows_book => {}
+                GrantEvent::BookChanged => {
+                    follows_book = true;
+                    self.follow_book(now, book);
+                }
+                GrantEvent::CallEnded { call, outcome } => self.on_call_ended(now, call, outcome),
+                GrantEvent::Announced(life) => self.on_announced(now, &life),
+                GrantEvent::Ended(life) => self.on_ended(now, life),
+                GrantEvent::Transfer(transfer) => self.on_transfer(now, transfer),
+                GrantEvent::MoveFailed { service, first } => {
+                    self.on_move_failed(now, service, first);
+                }
+            }
         }
         self.run_due(now);
         std::mem::take(&mut self.effects)
@@ -261,21 +283,24 @@
             }));
             return;
         };
-        self.visit_count += self.tenures.len() as u64;
-        let tenures = self.tenures.iter();
-        let holding = tenures
-            .filter(|((service, _), tenure)| {
-                *service == transfer.service
-                    && tenure.owned.owner == from
-                    && tenure.is_settled()
-                    && tenure.owned.range.covers(transfer.range)
-            })
-            .map(|(place, _)| place.clone())
-            .next();
-        let Some(place) = holding else { return };
+        let Some(place) = self.settled_place(&transfer, &from) else {
+            return;
+        };
         self.begin_departure(now, &place, &transfer);
     }
 
+    /// Where the tenure of the keys begins, if `from` owns them and nothing is under way there.
+    fn settled_place(&mut self, transfer: &Transfer, from: &ServerLife) -> Option<Place> {
+        self.visit_count += 1;
+        let first = (transfer.service.clone(), transfer.range.first);
+        let (place, tenure) = self.tenures.range(..=first).next_back()?;
+        let is_settled = place.0 == transfer.service
+            && tenure.owned.owner == *from
+            && tenure.is_settled()
+            && tenure.owned.range.covers(transfer.range);
+        is_settled.then(|| place.clone())
+    }
+
     /// Cuts the moving part out of its tenure; the rest goes on being renewed.
     ///
     /// Where a grant without an answer may still take effect, the owner first gets the same keys
--- a/crates/chicory_ranges/src/lib.rs
+++ b/crates/chicory_ranges/src/lib.rs
@@ -23,6 +23,7 @@
 mod range_move;
 mod range_planner;
 mod server_life;
+mod server_share;
 mod tenure;
 mod transfer;
 
--- a/crates/chicory_ranges/src/range_planner.rs
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -4,8 +4,11 @@
 
 use chicory_types::ServiceName;
 
+use crate::server_share::ServerShare;
 use crate::{KeyRange, KeyWeights, PlannedServer, ServerLife, Transfer};
 
+type Shares = BTreeMap<ServerLife, ServerShare>;
+
 /// Keys are moved only from servers that are loaded above the mean by this factor: moves cost
 /// callers a short pause, and operators count them.
 const OVERLOAD_FACTOR: f64 = 1.25;
@@ -60,10 +63,10 @@
         if owners.is_empty() {
             return self.first_split();
         }
-        let mut loads = self.loads(owners);
-        let mut transfers = self.place_orphans(owners, &mut loads);
+        let mut shares = self.shares(owners);
+        let mut transfers = self.place_orphans(owners, &mut shares);
         if transfers.is_empty() {
-            transfers = self.balance(owners, &mut loads);
+            transfers = self.balance(owners, &mut shares);
         }
         transfers
     }
@@ -89,39 +92,45 @@
         transfers
     }
 
-    /// Load of each server that may own keys.
-    fn loads(&self, owners: &[(KeyRange, ServerLife)]) -> BTreeMap<ServerLife, f64> {
-        let lives = self.servers.iter().map(|server| server.life.clone());
-        let mut loads: BTreeMap<ServerLife, f64> = lives.map(|life| (life, 0.0)).collect();
+    /// Share of each server that may own keys.
+    fn shares(&self, owners: &[(KeyRange, ServerLife)]) -> Shares {
+        let without_load = |server: &PlannedServer| ServerShare {
+            load: 0.0,
+            capacity: server.capacity,
+        };
+        let servers = self.servers.iter();
+        let mut shares: Shares = servers
+            .map(|server| (server.life.clone(), without_load(server)))
+            .collect();
         for (range, owner) in owners {
-            if let Some(load) = loads.get_mut(owner) {
-                *load += self.weights.of(*range);
+            if let Some(share) = shares.get_mut(owner) {
+                share.load += self.weights.of(*range);
             }
         }
-        loads
+        shares
     }
 
     /// Places keys that nobody owns, and those of servers that may own none.
     fn place_orphans(
         &self,
         owners: &[(KeyRange, ServerLife)],
-        loads: &mut BTreeMap<ServerLife, f64>,
+        shares: &mut Shares,
     ) -> Vec<Transfer> {
         let mut orphans: Vec<(KeyRange, Option<ServerLife>)> = Vec::new();
         let gaps = gaps(owners);
         orphans.extend(gaps.into_iter().map(|range| (range, None)));
         let left = owners
             .iter()
-            .filter(|(_, owner)| !loads.contains_key(owner));
+            .filter(|(_, owner)| !shares.contains_key(owner));
         orphans.extend(left.map(|(range, owner)| (*range, Some(owner.clone()))));
         let mut transfers = Vec::new();
         for (range, from) in orphans {
             for piece in self.pieces(range) {
-                let Some(to) = self.least_loaded(loads) else {
+                let Some(to) = least_loaded(shares) else {
                     break;
                 };
-                if let Some(load) = loads.get_mut(&to) {
-                    *load += self.weights.of(piece);
+                if let Some(share) = shares.get_mut(&to) {
+                    share.load += self.weights.of(piece);
                 }
                 transfers.push(self.transfer(piece, from.clone(), &to));
             }
@@ -149,47 +158,41 @@
     }
 
     /// Takes load from the servers with the most to those with the least.
-    fn balance(
-        &self,
-        owners: &[(KeyRange, ServerLife)],
-        loads: &mut BTreeMap<ServerLife, f64>,
-    ) -> Vec<Transfer> {
+    fn balance(&self, owners: &[(KeyRange, ServerLife)], shares: &mut Shares) -> Vec<Transfer> {
         let total = self.weights.of(KeyRange::ALL);
         let mean = total / self.capacity_sum();
         let mut owners = owners.to_vec();
         let mut transfers = Vec::new();
         let mut stuck: BTreeSet<ServerLife> = BTreeSet::new();
         while transfers.len() < MAX_BALANCING_TRANSFERS {
-            let Some(from) = self.most_loaded(loads, &stuck) else {
+            let Some(from) = most_loaded(shares, &stuck) else {
                 break;
             };
-            let Some(to) = self.least_loaded(loads) else {
+            let Some(to) = least_loaded(shares) else {
                 break;
             };
-            let (high, low) = (
-                loads[&from] / self.capacity(&from),
-                loads[&to] / self.capacity(&to),
-            );
-            let is_newcomer = loads[&to] <= 0.0;
+            let (high, low) = (shares[&from], shares[&to]);
+            let is_newcomer = low.load <= 0.0;
             // Few requests differ by chance alone; a standard deviation is left to it.
-            let fair = mean * self.capacity(&from);
-            let has_excess = loads[&from] > fair * OVERLOAD_FACTOR + loads[&from].sqrt();
+            let fair = mean * high.capacity;
+            let has_excess = high.load > fair * OVERLOAD_FACTOR + high.load.sqrt();
             let is_overloaded = total >= MIN_BALANCING_WEIGHT && has_excess;
             if from == to || !(is_newcomer || is_overloaded) {
                 break;
             }
-            let capacities = self.capacity(&from) + self.capacity(&to);
-            let excess = (high - low) * self.capacity(&from) * self.capacity(&to) / capacities;
+            let capacities = high.capacity + low.capacity;
+            let difference = high.use_ratio() - low.use_ratio();
+            let excess = difference * high.capacity * low.capacity / capacities;
             let Some(range) = self.part_to_move(&owners, &from, excess) else {
                 // A single hot key can't be divided; others may still have something to give.
                 stuck.insert(from);
                 continue;
             };
-            if let Some(load) = loads.get_mut(&from) {
-                *load -= self.weights.of(range);
+            if let Some(share) = shares.get_mut(&from) {
+                share.load -= self.weights.of(range);
             }
-            if let Some(load) = loads.get_mut(&to) {
-                *load += self.weights.of(range);
+            if let Some(share) = shares.get_mut(&to) {
+                share.load += self.weights.of(range);
             }
             change_owner(&mut owners, range, &to);
             transfers.push(self.transfer(range, Some(from), &to));
@@ -231,31 +234,6 @@
         self.weights.of(range) / f64::from(range.key_count())
     }
 
-    fn most_loaded(
-        &self,
-        loads: &BTreeMap<ServerLife, f64>,
-        stuck: &BTreeSet<ServerLife>,
-    ) -> Option<ServerLife> {
-        let ratio = |life: &ServerLife, load: f64| load / self.capacity(life);
-        let loads = loads.iter().filter(|(life, _)| !stuck.contains(life));
-        let most =
-            loads.max_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
-        most.map(|(life, _)| life.clone())
-    }
-
-    fn least_loaded(&self, loads: &BTreeMap<ServerLife, f64>) -> Option<ServerLife> {
-        let ratio = |life: &ServerLife, load: f64| load / self.capacity(life);
-        let loads = loads.iter();
-        let least =
-            loads.min_by(|one, other| ratio(one.0, *one.1).total_cmp(&ratio(other.0, *other.1)));
-        least.map(|(life, _)| life.clone())
-    }
-
-    fn capacity(&self, life: &ServerLife) -> f64 {
-        let server = self.servers.iter().find(|server| server.life == *life);
-        server.map_or(1.0, |server| server.capacity)
-    }
-
     fn capacity_sum(&self) -> f64 {
         self.servers.iter().map(|server| server.capacity).sum()
     }
@@ -274,6 +252,18 @@
     }
 }
 
+fn most_loaded(shares: &Shares, stuck: &BTreeSet<ServerLife>) -> Option<ServerLife> {
+    let shares = shares.iter().filter(|(life, _)| !stuck.contains(life));
+    let most = shares.max_by(|one, other| one.1.use_ratio().total_cmp(&other.1.use_ratio()));
+    most.map(|(life, _)| life.clone())
+}
+
+fn least_loaded(shares: &Shares) -> Option<ServerLife> {
+    let shares = shares.iter();
+    let least = shares.min_by(|one, other| one.1.use_ratio().total_cmp(&other.1.use_ratio()));
+    least.map(|(life, _)| life.clone())
+}
+
 /// Keys that no range covers.
 fn gaps(owners: &[(KeyRange, ServerLife)]) -> Vec<KeyRange> {
     let mut free = vec![KeyRange::ALL];
--- a/crates/chicory_ranges/tests/scale_in.rs
+++ b/crates/chicory_ranges/tests/scale_in.rs
@@ -56,10 +56,8 @@
     fn settle(&mut self, mut events: Vec<GrantEvent>) {
         while !events.is_empty() {
             let came_together = std::mem::take(&mut events);
-            for event in came_together {
-                let effects = self.desk.reduce(self.now, event, &self.book);
-                events.extend(effects.into_iter().map(|effect| self.carry_out(effect)));
-            }
+            let effects = self.desk.reduce_all(self.now, came_together, &self.book);
+            events.extend(effects.into_iter().map(|effect| self.carry_out(effect)));
         }
     }
 
--- a/crates/chicory_site/src/core/keys.rs
+++ b/crates/chicory_site/src/core/keys.rs
@@ -64,11 +64,10 @@
     }
 
     pub(super) fn run_grant_events(&mut self, now: MonoTime) {
-        while let Some(event) = self.grant_events.pop_front() {
-            let Some(desk) = &mut self.desk else {
-                continue;
-            };
-            for effect in desk.reduce(now, event, self.state.book()) {
+        while !self.grant_events.is_empty() {
+            let events = std::mem::take(&mut self.grant_events);
+            let Some(desk) = &mut self.desk else { return };
+            for effect in desk.reduce_all(now, events, self.state.book()) {
                 self.take_grant_effect(now, effect);
             }
         }
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -143,7 +143,20 @@
 
     /// Takes in one event and returns the effects to carry out, in order.
     pub fn reduce(&mut self, now: MonoTime, event: SiteEvent) -> Vec<SiteEffect> {
-        self.take_event(now, event);
+        self.reduce_all(now, [event])
+    }
+
+    /// Takes in events that came together and returns the effects to carry out, in order.
+    ///
+    /// What concerns all keys or all entry VMs is done once.
+    pub fn reduce_all(
+        &mut self,
+        now: MonoTime,
+        events: impl IntoIterator<Item = SiteEvent>,
+    ) -> Vec<SiteEffect> {
+        for event in events {
+            self.take_event(now, event);
+        }
         self.check_deadlines(now);
         self.run_grant_events(now);
         self.update_entries();
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -29,6 +29,17 @@
 /// Time that the inputs which came together may take without a log line: heartbeats wait meanwhile.
 const LONG_TURN: Duration = Duration::from_millis(100);
 
+/// Events of one turn; a turn of this many takes a few milliseconds.
+const MAX_TURN_EVENTS: usize = 256;
+
+/// Inputs that came together.
+#[derive(Default)]
+struct Turn {
+    events: Vec<SiteEvent>,
+    /// Who waits for the end of a turn with a stop in it.
+    stops: Vec<oneshot::Sender<()>>,
+}
+
 /// A control process: one loop round the reducer.
 pub struct SiteProcess {
     core: SiteCore,
@@ -110,22 +121,33 @@
                 input = self.inputs.recv() => {
                     let Some(input) = input else { return };
                     self.take_turn(input);
+                    // Links send what this turn gave them before the next one.
+                    tokio::task::yield_now().await;
                 }
                 () = tokio::time::sleep(pause) => {}
             }
             if self.core.next_wakeup() <= self.clock.now() {
-                self.reduce(SiteEvent::Tick);
+                self.reduce(vec![SiteEvent::Tick]);
             }
         }
     }
 
+    /// Takes in inputs that came together, so that what concerns all keys is done once for them.
     fn take_turn(&mut self, first: SiteInput) {
         let begun_at = self.clock.now();
-        let mut input_count = 1_u64;
-        self.take_input(first);
-        while let Ok(next) = self.inputs.try_recv() {
-            input_count += 1;
-            self.take_input(next);
+        let mut turn = Turn::default();
+        self.add_to_turn(&mut turn, first);
+        while turn.events.len() < MAX_TURN_EVENTS
+            && let Ok(next) = self.inputs.try_recv()
+        {
+            self.add_to_turn(&mut turn, next);
+        }
+        let input_count = turn.events.len();
+        self.reduce(turn.events);
+        for done in turn.stops {
+            if done.send(()).is_err() {
+                warn!(self.logger, "stop took longer than its time");
+            }
         }
         let took = self.clock.now().saturating_sub(begun_at);
         self.metrics.record(SiteMetric::TurnTime, took);
@@ -135,36 +157,34 @@
         }
     }
 
-    fn take_input(&mut self, input: SiteInput) {
+    fn add_to_turn(&mut self, turn: &mut Turn, input: SiteInput) {
         match input {
             SiteInput::Event(event) => {
                 if let SiteEvent::EntryLeft { link } = &event {
                     self.entries.remove(link);
                 }
-                self.reduce(event);
+                turn.events.push(event);
             }
             SiteInput::Call { call, reply } => {
                 self.metrics.increment(SiteMetric::Calls);
                 self.last_caller += 1;
                 let caller = self.last_caller;
                 self.callers.insert(caller, reply);
-                self.reduce(SiteEvent::Called { caller, call });
+                turn.events.push(SiteEvent::Called { caller, call });
             }
             SiteInput::EntryLink { link, outbox } => {
                 self.entries.insert(link, outbox);
             }
             SiteInput::Stop { done } => {
-                self.reduce(SiteEvent::Stopping);
-                if done.send(()).is_err() {
-                    warn!(self.logger, "stop took longer than its time");
-                }
+                turn.events.push(SiteEvent::Stopping);
+                turn.stops.push(done);
             }
         }
     }
 
-    fn reduce(&mut self, event: SiteEvent) {
+    fn reduce(&mut self, events: Vec<SiteEvent>) {
         let now = self.clock.now();
-        for effect in self.core.reduce(now, event) {
+        for effect in self.core.reduce_all(now, events) {
             self.carry_out(effect);
         }
         let is_leading = self.core.is_leading(now);
