Give a slow link the newest state and none before it

Cause: an update counted as sent when it entered a queue of 256 messages, so that a slow link carried each state in turn, and each status with all moving keys behind them. Class: a queue without back-pressure where only the newest state matters.

An entry VM has one set of messages under way at most: a status, an update, the moving keys. What changes meanwhile goes out as one, made once the link has taken all of that. The kernel keeps 64 KB for a link.

The test fails before: a link that reads late is sent all 40 tables of 40 (at most 4 now, one that is under way and what the kernel took).

--- a/crates/chicory_directory/src/lib.rs
+++ b/crates/chicory_directory/src/lib.rs
@@ -13,6 +13,7 @@
 mod link_hello;
 mod link_status;
 mod moves_change;
+mod moves_history;
 mod moving_range;
 mod peer_envelope;
 mod route_history;
@@ -34,6 +35,7 @@
 pub use link_hello::LinkHello;
 pub use link_status::LinkStatus;
 pub use moves_change::MovesChange;
+pub use moves_history::{MovesHistory, MovesVersion};
 pub use moving_range::MovingRange;
 pub use peer_envelope::{PeerEnvelope, SiteCallId};
 pub use route_history::RouteHistory;
--- a/crates/chicory_directory/src/link_status.rs
+++ b/crates/chicory_directory/src/link_status.rs
@@ -1,8 +1,9 @@
 //! State of a control VM as entry VMs need it.
 
+use chicory_routes::RouteTableVersion;
 use chicory_types::VmId;
 
-use crate::{DirectoryVersion, MovingRange, RequestFingerprint};
+use crate::{DirectoryVersion, RequestFingerprint};
 
 /// State of a control VM as entry VMs need it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -19,6 +20,6 @@
     pub entry_count: u32,
     /// Requests that crash the backend servers that run them.
     pub poison: Vec<RequestFingerprint>,
-    /// Keys on their way to another owner.
-    pub moving: Vec<MovingRange>,
+    /// Version of its route table. It may go out long before the table itself.
+    pub routes_version: RouteTableVersion,
 }
--- a/crates/chicory_directory/tests/updates.rs
+++ b/crates/chicory_directory/tests/updates.rs
@@ -1,11 +1,11 @@
 //! Updates by parts lead to the same directory as the whole.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use chicory_directory::{
-    CommandOutcome, DirectoryMark, DirectoryUpdate, MovesChange, MovingRange, RemovalCause,
+    CommandOutcome, DirectoryMark, DirectoryUpdate, MovesHistory, MovingRange, RemovalCause,
     RouteHistory, ServerRecord, ServerRemoval, ServerState, SiteCommand, SiteState,
 };
 use chicory_ranges::{Fence, KeyRange, RangeMove, ServerLife};
@@ -155,25 +155,33 @@
 }
 
 #[gtest]
-fn followers_of_moves_know_what_moves() {
+fn followers_of_moves_know_what_moves_however_far_they_lag() {
     let mut rng = StdRng::seed_from_u64(3);
-    let mut moving: Vec<MovingRange> = Vec::new();
-    let mut followed = Vec::new();
+    let mut history = MovesHistory::default();
+    let mut moving: BTreeSet<MovingRange> = BTreeSet::new();
+    let mut told = 0;
+    let mut followed = BTreeSet::new();
+    let mut was_told_all = 0;
     for fence in 1..300_u64 {
-        let mut next = moving.clone();
-        next.retain(|_| rng.random_range(0..3) > 0);
+        moving.retain(|_| rng.random_range(0..3) > 0);
         for _ in 0..rng.random_range(0..3) {
-            next.push(MovingRange {
+            moving.insert(MovingRange {
                 service: "archive".into(),
                 range: KeyRange::new(rng.random(), rng.random()),
                 fence,
             });
         }
-        MovesChange::between(&moving, &next).apply(&mut followed);
-        moving = next;
-        let key = |range: &MovingRange| (range.fence, range.range);
-        moving.sort_by_key(key);
-        followed.sort_by_key(key);
+        let is_change = history.note(moving.clone());
+        expect_that!(history.note(moving.clone()), eq(false));
+        if !is_change || rng.random_range(0..4) == 0 {
+            continue;
+        }
+        let change = history.change_since(told);
+        was_told_all += u32::from(change.is_full);
+        change.apply(&mut followed);
+        told = history.version();
         assert_that!(followed, eq(&moving), "fence {fence}");
     }
+    // Only the first time, as it never lags by as many sets as are remembered.
+    expect_that!(was_told_all, eq(1));
 }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -87,7 +87,7 @@
     budgets: BTreeMap<ServiceName, RetryBudget>,
     entry_count: EntryCount,
     poison: BTreeSet<RequestFingerprint>,
-    moving: Vec<MovingRange>,
+    moving: BTreeSet<MovingRange>,
     in_contact_at: Option<MonoTime>,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashWatch,
@@ -111,7 +111,7 @@
             budgets: BTreeMap::new(),
             entry_count: EntryCount::default(),
             poison: BTreeSet::new(),
-            moving: Vec::new(),
+            moving: BTreeSet::new(),
             in_contact_at: None,
             key_counts: BTreeMap::new(),
             crashes: CrashWatch::default(),
@@ -167,16 +167,13 @@
         self.directory.set_incomplete();
     }
 
-    /// Takes in the state of a control VM; whether waiting requests should ask again.
-    pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) -> bool {
+    /// Takes in the state of a control VM.
+    pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) {
         if status.is_in_contact {
             self.in_contact_at = Some(now);
             self.entry_count.note(now, status.entry_count);
         }
         self.poison = status.poison.iter().copied().collect();
-        let has_changed = self.moving != status.moving;
-        self.moving.clone_from(&status.moving);
-        has_changed
     }
 
     /// Takes in that other keys move than before: requests for these wait.
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -263,9 +263,7 @@
                 }
             }
             Some(ControlMessage::Status(status)) => {
-                if self.shared.gateway().note_status(now, &status) {
-                    self.shared.changes.send_modify(|changes| *changes += 1);
-                }
+                self.shared.gateway().note_status(now, &status);
                 FrameEffect::Reported(status)
             }
             Some(ControlMessage::Moves(change)) => {
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -5,7 +5,9 @@
 use crate::support::{
     START, arrive, facts, gateway, in_contact, owned, ranges, refusal_of, sent, server, table,
 };
-use chicory_directory::{DirectoryMark, DirectoryUpdate, LinkStatus, MovingRange, ServerState};
+use chicory_directory::{
+    DirectoryMark, DirectoryUpdate, LinkStatus, MovesChange, MovingRange, ServerState,
+};
 use chicory_gateway::{Arrival, Gateway, GatewayConfig, NextStep, RefusalReason, UpdateOutcome};
 use chicory_ranges::{KeyRange, ServerLife};
 use chicory_routes::{RouteTableDelta, RouteTarget, WeightedService};
@@ -106,15 +108,14 @@
 #[gtest]
 fn request_waits_while_its_key_is_on_its_way() {
     let mut gateway = gateway();
-    let moving = LinkStatus {
-        moving: vec![MovingRange {
+    gateway.note_moves(MovesChange {
+        begun: vec![MovingRange {
             service: "archive".into(),
             range: KeyRange::new(0, 100),
             fence: 1,
         }],
-        ..in_contact()
-    };
-    gateway.note_status(START, &moving);
+        ..MovesChange::default()
+    });
     let mut ticket = arrive(&mut gateway, "/reads/x", Some(50));
     let step = gateway.next_step(START, &mut ticket);
     expect_that!(step, matches_pattern!(NextStep::Wait(_)));
--- a/crates/chicory_link/src/dial.rs
+++ b/crates/chicory_link/src/dial.rs
@@ -16,6 +16,10 @@
 /// Time after which sent bytes that nobody has acknowledged end a connection.
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bytes that wait in the kernel: what has gone there can't be replaced by what is newer. As much
+/// as the longest link between regions has under way at a few MB/s.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Both directions of a link.
 pub type LinkStream = (FrameReader<OwnedReadHalf>, FrameWriter<OwnedWriteHalf>);
 
@@ -43,6 +47,9 @@
     socket
         .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
         .context(IoSnafu)?;
+    socket
+        .set_send_buffer_size(SEND_BUFFER_BYTES)
+        .context(IoSnafu)?;
     let (read, write) = stream.into_split();
     Ok((FrameReader::new(read), FrameWriter::new(write)))
 }
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -4,7 +4,7 @@
 
 use chicory_directory::{
     ControlMessage, DirectoryMark, DirectoryUpdate, EntryMessage, EntryReport, LinkStatus,
-    MovesChange, MovingRange, PeerEnvelope,
+    MovesVersion, MovingRange, PeerEnvelope,
 };
 use chicory_ranges::KeyLoad;
 use chicory_types::{MonoTime, VmId, ZoneName};
@@ -24,14 +24,13 @@
             vm: vm.clone(),
             known_version: known.version,
         });
-        let entry = EntryLink {
-            vm,
-            zone,
-            sent: known,
-        };
-        self.entries.insert(link, entry);
-        self.entries_version = 0;
-        self.send_status(vec![link]);
+        self.entries.insert(link, EntryLink::new(vm, zone, known));
+    }
+
+    pub(super) fn on_entry_ready(&mut self, link: EntryLinkId) {
+        if let Some(entry) = self.entries.get_mut(&link) {
+            entry.is_ready = true;
+        }
     }
 
     pub(super) fn on_entry_left(&mut self, link: EntryLinkId) {
@@ -55,7 +54,9 @@
                 envelope: PeerEnvelope::Report(report),
             });
         }
-        self.send_status(vec![link]);
+        if let Some(entry) = self.entries.get_mut(&link) {
+            entry.is_status_due = true;
+        }
     }
 
     pub(super) fn on_report(&mut self, now: MonoTime, report: EntryReport) {
@@ -76,42 +77,22 @@
     }
 
     /// Entry VMs keep requests back whose keys are on their way.
-    pub(super) fn tell_moving(&mut self, now: MonoTime) {
+    pub(super) fn note_moving(&mut self, now: MonoTime) {
         let desk = self.desk.iter();
         let moving = desk.flat_map(|desk| desk.moving(now));
-        let moving: Vec<MovingRange> = moving
-            .map(|(service, range, fence)| MovingRange {
-                service: service.clone(),
-                range,
-                fence,
-            })
-            .collect();
-        if moving == self.moving {
-            return;
-        }
-        let change = MovesChange::between(&self.moving, &moving);
-        self.moving = moving;
-        if !self.entries.is_empty() {
-            let links = self.entries.keys().copied().collect();
-            let message = ControlMessage::Moves(change);
-            self.effects
-                .push(SiteEffect::SendToEntries { links, message });
-        }
+        let moving = moving.map(|(service, range, fence)| MovingRange {
+            service: service.clone(),
+            range,
+            fence,
+        });
+        self.moves.note(moving.collect());
     }
 
     /// Entry VMs learn at once that the leader changed, and turn to the new one.
-    pub(super) fn send_statuses(&mut self) {
-        let links = self.entries.keys().copied().collect();
-        self.send_status(links);
-    }
-
-    fn send_status(&mut self, links: Vec<EntryLinkId>) {
-        if links.is_empty() {
-            return;
+    pub(super) fn owe_statuses(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.is_status_due = true;
         }
-        let message = ControlMessage::Status(self.status());
-        self.effects
-            .push(SiteEffect::SendToEntries { links, message });
     }
 
     fn status(&self) -> LinkStatus {
@@ -130,33 +111,82 @@
                 .as_ref()
                 .map_or(0, |_| u32::try_from(self.entries.len()).unwrap_or(u32::MAX)),
             poison: self.poison.poison(),
-            moving: self.moving.clone(),
+            routes_version: self.state.routes().version,
         }
     }
 
-    /// Sends entry VMs what changed since they were last told.
-    pub(super) fn update_entries(&mut self) {
-        let version = self.state.version();
-        if version == self.entries_version {
-            return;
+    /// Sends entry VMs what changed since they were last told. One whose link is not ready gets all
+    /// of it as one once it is, so that a slow link carries the newest state and none before it.
+    ///
+    /// The state of this member goes first, as an update may be long under way; keys stop moving
+    /// after the update that tells of their next owner.
+    pub(super) fn tell_entries(&mut self) {
+        let status_links = self.links_owed_a_status();
+        if !status_links.is_empty() {
+            let message = ControlMessage::Status(self.status());
+            self.send_to_entries(status_links, message);
+        }
+        for (known, links) in self.links_by_mark() {
+            let update = self.state.update_since(known, &self.route_history);
+            if let Some(update) = update.filter(|update| update.is_full || !is_empty(update)) {
+                self.send_to_entries(links, ControlMessage::Update(update));
+            }
+        }
+        for (told, links) in self.links_by_told_moves() {
+            let message = ControlMessage::Moves(self.moves.change_since(told));
+            self.send_to_entries(links, message);
+        }
+        for link in std::mem::take(&mut self.busy_links) {
+            if let Some(entry) = self.entries.get_mut(&link) {
+                entry.is_ready = false;
+            }
         }
-        self.entries_version = version;
+    }
+
+    fn send_to_entries(&mut self, links: Vec<EntryLinkId>, message: ControlMessage) {
+        self.busy_links.extend(&links);
+        self.effects
+            .push(SiteEffect::SendToEntries { links, message });
+    }
+
+    /// Links that are ready and owed a status; a new route table is announced by one.
+    fn links_owed_a_status(&mut self) -> Vec<EntryLinkId> {
+        let routes_version = self.state.routes().version;
+        let mut links = Vec::new();
+        for (link, entry) in &mut self.entries {
+            let is_due = entry.is_status_due || entry.sent.routes_version < routes_version;
+            if entry.is_ready && is_due {
+                entry.is_status_due = false;
+                links.push(*link);
+            }
+        }
+        links
+    }
+
+    /// Links that are ready and lack a part of the directory, by what they have.
+    fn links_by_mark(&mut self) -> BTreeMap<DirectoryMark, Vec<EntryLinkId>> {
         let mark = self.state.mark();
         let mut by_mark: BTreeMap<DirectoryMark, Vec<EntryLinkId>> = BTreeMap::new();
         for (link, entry) in &mut self.entries {
-            if entry.sent.version < version {
+            if entry.is_ready && entry.sent.version < mark.version {
                 by_mark.entry(entry.sent).or_default().push(*link);
                 entry.sent = mark;
             }
         }
-        for (known, links) in by_mark {
-            let update = self.state.update_since(known, &self.route_history);
-            if let Some(update) = update.filter(|update| update.is_full || !is_empty(update)) {
-                let message = ControlMessage::Update(update);
-                self.effects
-                    .push(SiteEffect::SendToEntries { links, message });
+        by_mark
+    }
+
+    /// Links that are ready and were told of other moving keys, by what they were told.
+    fn links_by_told_moves(&mut self) -> BTreeMap<MovesVersion, Vec<EntryLinkId>> {
+        let version = self.moves.version();
+        let mut by_told: BTreeMap<MovesVersion, Vec<EntryLinkId>> = BTreeMap::new();
+        for (link, entry) in &mut self.entries {
+            if entry.is_ready && entry.told_moves != version {
+                by_told.entry(entry.told_moves).or_default().push(*link);
+                entry.told_moves = version;
             }
         }
+        by_told
     }
 }
 
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use chicory_consensus::Replica;
-use chicory_directory::{MovingRange, PeerEnvelope, RouteHistory, SiteCallId, SiteState};
+use chicory_directory::{MovesHistory, PeerEnvelope, RouteHistory, SiteCallId, SiteState};
 use chicory_ranges::{CallId, GrantCall, GrantDesk, GrantEvent, KeyLoad, ServerLife};
 use chicory_types::{MonoTime, ServiceName, VmId};
 
@@ -94,10 +94,11 @@
     pub(super) passed_calls: BTreeMap<SiteCallId, PassedCall>,
     pub(super) last_id: u64,
     pub(super) entries: BTreeMap<EntryLinkId, EntryLink>,
-    pub(super) entries_version: u64,
+    /// Links that were sent something in this round.
+    pub(super) busy_links: BTreeSet<EntryLinkId>,
     pub(super) route_history: RouteHistory,
-    /// Keys on their way, as entry VMs were told.
-    pub(super) moving: Vec<MovingRange>,
+    /// Keys on their way.
+    pub(super) moves: MovesHistory,
     pub(super) plan_at: MonoTime,
     pub(super) balance_at: MonoTime,
     pub(super) pass_on_at: MonoTime,
@@ -129,9 +130,9 @@
             passed_calls: BTreeMap::new(),
             last_id: 0,
             entries: BTreeMap::new(),
-            entries_version: 0,
+            busy_links: BTreeSet::new(),
             route_history: RouteHistory::default(),
-            moving: Vec::new(),
+            moves: MovesHistory::default(),
             plan_at: now,
             balance_at: now,
             pass_on_at: now,
@@ -159,9 +160,9 @@
         }
         self.check_deadlines(now);
         self.run_grant_events(now);
-        self.update_entries();
-        self.tell_moving(now);
+        self.note_moving(now);
         self.note_leader();
+        self.tell_entries();
         std::mem::take(&mut self.effects)
     }
 
@@ -221,6 +222,7 @@
                 zone,
             } => self.on_entry_joined(link, vm, zone, known),
             SiteEvent::EntrySent { link, message } => self.on_entry_sent(now, link, message),
+            SiteEvent::EntryReady { link } => self.on_entry_ready(link),
             SiteEvent::EntryLeft { link } => self.on_entry_left(link),
             SiteEvent::Stopping => self.on_stopping(now),
         }
@@ -284,7 +286,7 @@
         if leader != self.known_leader {
             self.known_leader.clone_from(&leader);
             self.note(SiteNote::LeaderChanged { leader });
-            self.send_statuses();
+            self.owe_statuses();
         }
     }
 
--- a/crates/chicory_site/src/core/site_effect.rs
+++ b/crates/chicory_site/src/core/site_effect.rs
@@ -55,7 +55,8 @@
         /// What to send.
         envelope: PeerEnvelope,
     },
-    /// Send something to entry VMs.
+    /// Send something to entry VMs, and tell by
+    /// [`SiteEvent::EntryReady`](crate::SiteEvent::EntryReady) when a link has taken all of it.
     SendToEntries {
         /// Their links.
         links: Vec<EntryLinkId>,
--- a/crates/chicory_site/src/core/site_event.rs
+++ b/crates/chicory_site/src/core/site_event.rs
@@ -73,6 +73,11 @@
         /// What it sent.
         message: EntryMessage,
     },
+    /// The link of an entry VM has taken all that was sent.
+    EntryReady {
+        /// The link.
+        link: EntryLinkId,
+    },
     /// A link of an entry VM ended.
     EntryLeft {
         /// The link.
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -12,9 +12,9 @@
 use super::site_input::SiteInput;
 use crate::SiteEvent;
 
-/// Messages that may wait for one entry VM; an entry VM that reads more slowly is disconnected
-/// and asks for everything anew.
-const OUTBOX_MESSAGES: usize = 256;
+/// Messages that may wait for one entry VM: a status, an update and the moving keys. The next ones
+/// are made once these are on their way.
+const OUTBOX_MESSAGES: usize = 3;
 /// Time without any byte after which an entry VM is given up: several reports.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -61,6 +61,10 @@
                 if writer.flush().await.is_err() {
                     return;
                 }
+                let ready = SiteEvent::EntryReady { link: server.id };
+                if server.inbox.send(SiteInput::Event(ready)).is_err() {
+                    return;
+                }
             }
             arrival = tokio::time::timeout(IDLE_TIMEOUT, reader.next_arrival()) => {
                 let frame = match arrival {
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -260,8 +260,7 @@
         }
     }
 
-    /// Encodes a message once for all entry VMs. One that reads too slowly is disconnected; it
-    /// comes back and is sent everything.
+    /// Encodes a message once for all entry VMs.
     fn send_to_entries(&mut self, links: &[EntryLinkId], message: ControlMessage) {
         let message = site::ControlMessage::from(message).encode_to_vec();
         let message = Bytes::from(message);
@@ -269,10 +268,9 @@
             let Some(outbox) = self.entries.get(link) else {
                 continue;
             };
-            if outbox.try_send(message.clone()).is_err() {
-                let waiting = outbox.max_capacity() - outbox.capacity();
-                warn!(self.logger, "entry VM reads too slowly"; "link" => link,
-                    "waiting_messages" => waiting, "next_bytes" => message.len());
+            if let Err(failure) = outbox.try_send(message.clone()) {
+                warn!(self.logger, "link of entry VM takes nothing"; "link" => link,
+                    "error" => %failure, "next_bytes" => message.len());
                 self.entries.remove(link);
             }
         }
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -325,6 +325,7 @@
         let message = EntryMessage::Report(report);
         world.feed(&leader, SiteEvent::EntrySent { link: 1, message });
     }
+    world.run(Duration::from_millis(20));
     let held_back = world.entry_messages.iter().any(|(_, _, message)| {
         matches!(message, ControlMessage::Status(status) if status.poison == [99])
     });
--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -8,9 +8,9 @@
     ControlMessage, DirectoryMark, EntryMessage, EntryReport, LinkHello, ServerRecord, ServerState,
     SiteAnswer,
 };
-use chicory_link::{Arrival, LinkStream, dial};
+use chicory_link::{Arrival, LinkStream, dial, split};
 use chicory_ranges::{CallOutcome, GrantDeskConfig, ServerLife};
-use chicory_routes::{RouteTable, RoutedService};
+use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
 use chicory_site::{
     GrantFuture, GrantOrder, GrantPort, SiteHandle, SiteProcess, SiteProcessConfig,
 };
@@ -20,6 +20,7 @@
 use googletest::prelude::*;
 use slog::{Logger, o};
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 
 /// Time after which the test is given up; no verdict depends on it otherwise.
 const DEADLINE: Duration = Duration::from_secs(30);
@@ -102,8 +103,15 @@
     }
 }
 
-async fn follow(address: SocketAddr) -> LinkStream {
-    let mut link = dial(address).await.expect("a link");
+/// Opens a link that takes few bytes before they are read.
+async fn dial_narrow(address: SocketAddr) -> LinkStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(16 * 1024).expect("a buffer");
+    let stream = socket.connect(address).await.expect("a connection");
+    split(stream).expect("a link")
+}
+
+async fn follow(mut link: LinkStream) -> LinkStream {
     let hello = LinkHello::Entry {
         vm: "entry-1".into(),
         zone: "north".into(),
@@ -149,7 +157,7 @@
     let (address, site) = start_site(&folder).await;
     let order = async {
         put_table(&site, 1).await;
-        let mut link = follow(address).await;
+        let mut link = follow(dial(address).await.expect("a link")).await;
         let mut calls = tokio::task::JoinSet::new();
         for index in 0..SERVER_COUNT {
             let site = site.clone();
@@ -165,3 +173,57 @@
     let told = tokio::time::timeout(DEADLINE, order).await;
     expect_that!(told, ok(some(eq(&usize::from(SERVER_COUNT)))));
 }
+
+/// A table whose routes are all other than those of the table before.
+fn replaced_table(version: u64) -> RouteTable {
+    let route = |index: usize| Route {
+        name: format!("route-{version}-{index}"),
+        host: format!("host-{index}"),
+        path_prefix: "/".into(),
+        kind: RequestKind::Idempotent,
+        timeout: None,
+        latency_target: None,
+        priority: None,
+        max_attempts: None,
+        target: RouteTarget::Service("archive".into()),
+    };
+    RouteTable {
+        routes: (0..4000).map(route).collect(),
+        ..table(version)
+    }
+}
+
+/// Versions of the route tables that the entry VM is sent, up to `newest`.
+async fn tables_told(link: &mut LinkStream, newest: u64) -> Option<Vec<u64>> {
+    let mut versions = Vec::new();
+    while versions.last() != Some(&newest) {
+        let frame = link.0.next().await.ok()??;
+        let message = frame.decode::<site::ControlMessage>().expect("a message");
+        let message = ControlMessage::try_from(message).expect("a whole message");
+        if let ControlMessage::Update(update) = message {
+            versions.extend(update.routes.map(|routes| routes.version));
+        }
+    }
+    Some(versions)
+}
+
+#[gtest]
+#[tokio::test]
+async fn entry_vm_that_reads_late_is_sent_the_newest_table_not_each() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (address, site) = start_site(&folder).await;
+    let newest = 40;
+    let order = async {
+        put_table(&site, 1).await;
+        let mut link = follow(dial_narrow(address).await).await;
+        for version in 2..=newest {
+            let table = replaced_table(version);
+            site.put_routes(table).await.expect("a valid table");
+        }
+        tables_told(&mut link, newest).await
+    };
+    let told = tokio::time::timeout(DEADLINE, order).await;
+    let versions = told.expect("in time").expect("an open link");
+    // One may be under way, and what a link takes before it is read is bounded.
+    expect_that!(versions.len(), le(4), "{versions:?}");
+}
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -53,6 +53,8 @@
     in_flight: Vec<(Duration, String, String, PeerEnvelope)>,
     pub answers: BTreeMap<u64, SiteAnswer>,
     pub entry_messages: Vec<(String, u64, ControlMessage)>,
+    /// Links that have taken what they were sent, which is told in the next step.
+    taken_links: BTreeSet<(String, u64)>,
     pub grants: Vec<(ServerLife, GrantCall)>,
     pub notes: Vec<(String, SiteNote)>,
     last_caller: u64,
@@ -70,6 +72,7 @@
             in_flight: Vec::new(),
             answers: BTreeMap::new(),
             entry_messages: Vec::new(),
+            taken_links: BTreeSet::new(),
             grants: Vec::new(),
             notes: Vec::new(),
             last_caller: 0,
@@ -205,6 +208,9 @@
 
     pub fn step(&mut self) {
         self.now += STEP;
+        for (vm, link) in std::mem::take(&mut self.taken_links) {
+            self.feed(&vm, SiteEvent::EntryReady { link });
+        }
         for vm in self.vms.keys().cloned().collect::<Vec<_>>() {
             self.finish_persists(&vm);
             let core = self.vms[&vm].core.as_ref();
@@ -302,10 +308,11 @@
                 self.in_flight.push((at, vm.to_owned(), to, envelope));
             }
             SiteEffect::SendToEntries { links, message } => {
-                let messages = links
-                    .into_iter()
-                    .map(|link| (vm.to_owned(), link, message.clone()));
-                self.entry_messages.extend(messages);
+                for link in links {
+                    let message = message.clone();
+                    self.entry_messages.push((vm.to_owned(), link, message));
+                    self.taken_links.insert((vm.to_owned(), link));
+                }
             }
             SiteEffect::Grant(order) => {
                 self.grants.push((order.life, order.content));
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -27,16 +27,17 @@
             version,
             control_vms,
             entry_count,
-            poison
+            poison,
+            routes_version
         ],
         nested: [],
-        list: [moving],
+        list: [],
     }
 );
 convert_record!(
     MovesChange,
     site::MovesChange {
-        plain: [],
+        plain: [is_full],
         nested: [],
         list: [begun, ended],
     }
