Leave a control VM only for one that answers

Cause: an entry VM dropped its link after 0.8 s of silence, and each time it was sent on to the leader, and dialled only then. Over a link full of bodies a dial takes longer than the 0.5 s that it was given: it was thrown away and begun anew, and what was under way on the old link was lost.

Now another control VM is looked for beside the one that is followed, for silence and for another leader as for a lost majority; what still comes from the old one counts. A silent one is given up after 4 s if nobody else answers. Dials of an entry VM without a link overlap for 2 s. A follower sends an entry VM that it has sent on to the leader no update before its second report: these bytes were thrown away.

Tests that fail before: follower_is_not_left_before_the_leader_that_it_names_answers, silent_control_vm_is_followed_until_another_one_answers, entry_vm_that_is_sent_on_to_the_leader_is_sent_no_update_meanwhile.

--- a/crates/chicory_gateway/src/process/control_vm_search.rs
+++ b/crates/chicory_gateway/src/process/control_vm_search.rs
@@ -7,6 +7,7 @@
 use tokio::task::JoinSet;
 
 use super::entry_identity::EntryIdentity;
+use super::search_cause::SearchCause;
 
 /// Longest pause before the next control VM is tried: a cut that ends is noticed within this time and
 /// that of a dial, while many entry VMs that search at once don't keep control VMs from an election.
@@ -15,32 +16,51 @@
 /// Looks for a control VM beside the one that is followed, for as long as it is wanted.
 #[derive(Default)]
 pub(super) struct ControlVmSearch {
+    cause: Option<SearchCause>,
     /// The one search that runs, if any; it ends with this.
     running: JoinSet<(VmId, LinkStream)>,
 }
 
 impl ControlVmSearch {
-    /// Begins to try `targets` in turn for one in contact with a majority, unless a search runs
-    /// already.
-    pub(super) fn begin(&mut self, entry: EntryIdentity, targets: Vec<VmId>) {
-        if !self.running.is_empty() || targets.is_empty() {
+    /// Begins to try `targets` in turn for one in contact with a majority, unless a search for the
+    /// same cause runs already.
+    pub(super) fn begin(&mut self, cause: SearchCause, entry: EntryIdentity, targets: Vec<VmId>) {
+        if self.cause == Some(cause) || targets.is_empty() {
             return;
         }
+        self.end();
+        self.cause = Some(cause);
         self.running.spawn(async move {
             let mut backoff = Backoff::default();
             let mut turns = targets.into_iter().cycle();
+            let mut pauses = !cause.is_urgent();
             loop {
-                tokio::time::sleep(backoff.next_pause().min(MAX_SEARCH_PAUSE)).await;
+                if pauses {
+                    tokio::time::sleep(backoff.next_pause().min(MAX_SEARCH_PAUSE)).await;
+                }
+                pauses = true;
                 let Some(vm) = turns.next() else { continue };
-                if let Ok(stream) = entry.open_in_contact(&vm).await {
+                if let Ok(stream) = entry.open_in_contact(&vm, cause.patience()).await {
                     return (vm, stream);
                 }
             }
         });
     }
 
-    /// Gives the search up.
-    pub(super) fn end(&mut self) {
+    /// Whether a search runs for this cause.
+    pub(super) fn runs_for(&self, cause: SearchCause) -> bool {
+        self.cause == Some(cause)
+    }
+
+    /// Gives up a search for this cause.
+    pub(super) fn end_for(&mut self, cause: SearchCause) {
+        if self.runs_for(cause) {
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        self.cause = None;
         self.running.abort_all();
         self.running.detach_all();
     }
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -15,13 +15,17 @@
 use super::control_vm_search::ControlVmSearch;
 use super::entry_identity::EntryIdentity;
 use super::loss_cause::LossCause;
+use super::search_cause::SearchCause;
 use super::shared::Shared;
 use crate::UpdateOutcome;
 
 /// Interval of reports; each is answered with the control VM's status.
 const REPORT_INTERVAL: Duration = Duration::from_millis(350);
-/// Time without any byte after which a control VM is given up: two reports and a margin.
+/// Time without any byte after which another control VM is looked for: two reports and a margin.
 const SILENCE: Duration = Duration::from_millis(800);
+/// Time without any byte after which a control VM is given up, though no other one was found: a full
+/// link may delay everything for a second or two.
+const GONE: Duration = Duration::from_secs(4);
 /// Time without contact to a majority after which another control VM is looked for; an election
 /// takes about as long.
 const NO_CONTACT: Duration = Duration::from_millis(500);
@@ -42,7 +46,6 @@
     seeds: Vec<VmId>,
     /// All control VMs that are known.
     candidates: Vec<VmId>,
-    leader: Option<VmId>,
     /// The control VM that was lost last; the others are tried first.
     lost: Option<VmId>,
     /// A log line has told that no control VM can be reached.
@@ -62,9 +65,7 @@
 enum Parting {
     /// It can't be followed any more.
     Lost(LossCause),
-    /// It names another leader.
-    Redirected(VmId),
-    /// It has no contact to a majority, and another one has.
+    /// Another one is the leader, or serves better.
     Replaced(VmId, LinkStream),
 }
 
@@ -86,7 +87,6 @@
             zone,
             candidates: seeds.clone(),
             seeds,
-            leader: None,
             lost: None,
             is_loss_told: false,
             noted: NotedChange {
@@ -117,10 +117,6 @@
                 backoff.reset();
             }
             match parting {
-                Parting::Redirected(leader) => {
-                    self.leader = Some(leader);
-                    self.lost = None;
-                }
                 Parting::Replaced(next, stream) => {
                     self.lost = None;
                     found = Some((next, stream));
@@ -154,15 +150,11 @@
         let contact_age = self.shared.gateway().contact_age(now);
         warn!(self.shared.logger, "link to control VM lost"; "control_vm" => control_vm,
             "cause" => %cause, "contact_age" => ?contact_age);
-        self.leader = None;
         self.lost = Some(control_vm.clone());
     }
 
-    /// The leader if it is known, else all control VMs but the one that was lost last.
-    fn targets(&mut self) -> Vec<VmId> {
-        if let Some(leader) = self.leader.take() {
-            return vec![leader];
-        }
+    /// All control VMs but the one that was lost last.
+    fn targets(&self) -> Vec<VmId> {
         let lost = self.lost.as_ref();
         let others = self.candidates.iter().filter(|vm| Some(*vm) != lost);
         let others: Vec<VmId> = others.cloned().collect();
@@ -178,13 +170,16 @@
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard_at = Instant::now();
         let mut in_contact_at = Instant::now();
-        // Beside a control VM without a majority another one is looked for. It is followed until
-        // then: it may be the first to hear of a new leader.
+        // It is followed until a better one is found: it may be the first to hear of a new leader, and
+        // what is under way from it goes on.
         let mut search = ControlVmSearch::default();
         loop {
+            let is_sought = search.runs_for(SearchCause::Silence);
+            let patience = if is_sought { GONE } else { SILENCE };
             tokio::select! {
                 arrival = reader.next_arrival() => {
                     heard_at = Instant::now();
+                    search.end_for(SearchCause::Silence);
                     let (frame, transfer) = match arrival {
                         Ok(Arrival::Part) => continue,
                         Ok(Arrival::Frame { frame, transfer }) => (frame, transfer),
@@ -198,13 +193,8 @@
                     self.note_control_vms(&status);
                     if status.is_in_contact {
                         in_contact_at = heard_at;
-                        search.end();
-                    } else if heard_at > in_contact_at + NO_CONTACT {
-                        search.begin(self.identity(), self.others(own));
-                    }
-                    if let Some(leader) = status.leader.filter(|leader| leader != own) {
-                        return Parting::Redirected(leader);
                     }
+                    self.search_beside(own, &status, heard_at - in_contact_at, &mut search);
                 }
                 (next, stream) = search.found() => return Parting::Replaced(next, stream),
                 _ = reports.tick() => {
@@ -215,14 +205,40 @@
                     }
                     self.prune();
                 }
-                () = tokio::time::sleep_until(heard_at + SILENCE) => {
-                    let unfinished_bytes = reader.unfinished_bytes();
-                    return Parting::Lost(LossCause::Silent { unfinished_bytes });
+                () = tokio::time::sleep_until(heard_at + patience) => {
+                    let others = self.others(own);
+                    if is_sought || others.is_empty() {
+                        let unfinished_bytes = reader.unfinished_bytes();
+                        return Parting::Lost(LossCause::Silent { unfinished_bytes });
+                    }
+                    search.begin(SearchCause::Silence, self.identity(), others);
                 }
             }
         }
     }
 
+    /// Looks for another control VM, or no longer, by what the followed one told.
+    fn search_beside(
+        &self,
+        own: &VmId,
+        status: &LinkStatus,
+        without_majority: Duration,
+        search: &mut ControlVmSearch,
+    ) {
+        match &status.leader {
+            Some(leader) if leader != own => {
+                let leader = vec![leader.clone()];
+                search.begin(SearchCause::OtherLeader, self.identity(), leader);
+            }
+            _ => search.end_for(SearchCause::OtherLeader),
+        }
+        if status.is_in_contact {
+            search.end_for(SearchCause::NoMajority);
+        } else if without_majority > NO_CONTACT {
+            search.begin(SearchCause::NoMajority, self.identity(), self.others(own));
+        }
+    }
+
     fn identity(&self) -> EntryIdentity {
         EntryIdentity {
             shared: self.shared.clone(),
--- a/crates/chicory_gateway/src/process/entry_identity.rs
+++ b/crates/chicory_gateway/src/process/entry_identity.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chicory_directory::{ControlMessage, LinkHello};
-use chicory_link::{LinkError, LinkStream, dial};
+use chicory_link::{DIAL_TIMEOUT, LinkError, LinkStream, dial_within};
 use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
 use slog::warn;
@@ -13,9 +13,9 @@
 
 use super::shared::Shared;
 
-/// Time for a control VM to tell its state on a new link; a few round trips between availability
-/// zones.
-const STATE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Rounds of dials that may be under way beside each other: a full link delays a connection by more
+/// than the time after which a new dial is worth while.
+const DIAL_ROUNDS: u32 = 4;
 
 /// Who an entry VM is, as it tells control VMs.
 #[derive(Clone)]
@@ -38,15 +38,20 @@
         writer.flush().await
     }
 
-    /// Opens a link to a control VM that is in contact with a majority.
+    /// Opens a link to a control VM that is in contact with a majority; `patience` holds for the dial
+    /// and again for the answer.
     ///
     /// # Errors
     ///
     /// [`LinkError`] when it can't be reached, or tells that it has no majority.
-    pub(super) async fn open_in_contact(&self, vm: &VmId) -> Result<LinkStream, LinkError> {
-        let mut stream = dial(address_of(vm)?).await?;
+    pub(super) async fn open_in_contact(
+        &self,
+        vm: &VmId,
+        patience: Duration,
+    ) -> Result<LinkStream, LinkError> {
+        let mut stream = dial_within(address_of(vm)?, patience).await?;
         self.greet(&mut stream).await?;
-        let Ok(frame) = tokio::time::timeout(STATE_TIMEOUT, stream.0.next()).await else {
+        let Ok(frame) = tokio::time::timeout(patience, stream.0.next()).await else {
             return Err(LinkError::DialTimeout);
         };
         let message: site::ControlMessage = frame?.ok_or(LinkError::Content)?.decode()?;
@@ -56,8 +61,8 @@
         }
     }
 
-    /// Dials all targets at once and opens a link to the first that answers: one that is cut off
-    /// costs no time then.
+    /// Dials all targets at once, again and again, and opens a link to the first that answers: one
+    /// that is cut off costs no time then, and a dial that takes long is not thrown away.
     ///
     /// # Errors
     ///
@@ -67,24 +72,36 @@
         targets: &[VmId],
     ) -> Result<(VmId, LinkStream), LinkError> {
         let mut dials = JoinSet::new();
-        for vm in targets {
-            let (address, vm) = (address_of(vm)?, vm.clone());
-            dials.spawn(async move { (vm, dial(address).await) });
-        }
-        let mut failure = LinkError::DialTimeout;
-        while let Some(dialled) = dials.join_next().await {
-            match dialled {
+        let mut rounds = tokio::time::interval(DIAL_TIMEOUT);
+        let mut rounds_left = DIAL_ROUNDS;
+        loop {
+            let dialled = tokio::select! {
+                _ = rounds.tick(), if rounds_left > 0 => {
+                    rounds_left -= 1;
+                    for vm in targets {
+                        let (address, vm) = (address_of(vm)?, vm.clone());
+                        let dial = dial_within(address, DIAL_TIMEOUT * DIAL_ROUNDS);
+                        dials.spawn(async move { (vm, dial.await) });
+                    }
+                    continue;
+                }
+                Some(dialled) = dials.join_next() => dialled,
+            };
+            let failure = match dialled {
                 Ok((vm, Ok(mut stream))) => {
                     self.greet(&mut stream).await?;
                     return Ok((vm, stream));
                 }
-                Ok((_, Err(error))) => failure = error,
-                Err(error) => {
-                    warn!(self.shared.logger, "dial ended early"; "error" => %error);
+                Ok((_, Err(failure))) => failure,
+                Err(ended) => {
+                    warn!(self.shared.logger, "dial ended early"; "error" => %ended);
+                    LinkError::DialTimeout
                 }
+            };
+            if dials.is_empty() {
+                return Err(failure);
             }
         }
-        Err(failure)
     }
 }
 
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod loss_cause;
 mod request_guard;
 mod request_log;
+mod search_cause;
 mod shared;
 
 pub use borders::{AnswerClass, CallerBorder, ServerBorder};
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -183,6 +183,22 @@
     expect_that!(in_time, ok(anything()));
 }
 
+/// Sends a first route table.
+async fn send_table(link: &mut LinkStream) {
+    let update = DirectoryUpdate {
+        version: 1,
+        is_full: true,
+        routes: Some(RouteTableDelta::whole(&RouteTable {
+            version: 1,
+            ..RouteTable::default()
+        })),
+        ..DirectoryUpdate::default()
+    };
+    let message = ControlMessage::Update(update);
+    link.1.put(&site::ControlMessage::from(message));
+    link.1.flush().await.expect("an open link");
+}
+
 /// Waits until the entry process tells the balancer this.
 async fn until_ready_is(entry: &Entry, is_ready: bool) {
     while entry.readiness.is_ready() != is_ready {
@@ -203,18 +219,7 @@
     };
     let order = async {
         let mut link = accept_and_tell(&control, &in_contact).await;
-        let update = DirectoryUpdate {
-            version: 1,
-            is_full: true,
-            routes: Some(RouteTableDelta::whole(&RouteTable {
-                version: 1,
-                ..RouteTable::default()
-            })),
-            ..DirectoryUpdate::default()
-        };
-        let message = ControlMessage::Update(update);
-        link.1.put(&site::ControlMessage::from(message));
-        link.1.flush().await.expect("an open link");
+        send_table(&mut link).await;
         for (status, is_ready) in [
             (&in_contact, true),
             (&LinkStatus::default(), false),
@@ -303,3 +308,86 @@
     let came = tokio::time::timeout(DEADLINE, order).await;
     expect_that!(came, ok(eq(&true)));
 }
+
+/// A port at which nobody listens yet.
+fn bind() -> tokio::net::TcpSocket {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(ANY_PORT.into()).expect("a port");
+    socket
+}
+
+#[gtest]
+#[tokio::test]
+async fn follower_is_not_left_before_the_leader_that_it_names_answers() {
+    let follower = listen().await;
+    let leader = bind();
+    let leader_address = leader.local_addr().expect("an address");
+    let entry = start_entry(vec![follower.local_addr().expect("an address")]).await;
+    let names_leader = LinkStatus {
+        is_in_contact: true,
+        leader: Some(leader_address.to_string()),
+        ..LinkStatus::default()
+    };
+    let order = async {
+        let mut link = accept_and_tell(&follower, &names_leader).await;
+        // Long enough for a dial of the leader to fail.
+        let stays = tokio::time::timeout(
+            Duration::from_secs(1),
+            report(&mut link, &names_leader, false),
+        );
+        expect_that!(
+            stays.await.is_err(),
+            eq(true),
+            "left before the leader answered"
+        );
+        send_table(&mut link).await;
+        tokio::select! {
+            () = report(&mut link, &names_leader, false) => panic!("the entry VM left"),
+            () = until_ready_is(&entry, true) => {}
+        }
+        let leader = leader.listen(8).expect("a listener");
+        let leads = LinkStatus {
+            is_in_contact: true,
+            leader: Some(leader_address.to_string()),
+            ..LinkStatus::default()
+        };
+        let mut next = accept_and_tell(&leader, &leads).await;
+        tokio::join!(
+            report(&mut link, &names_leader, false),
+            report(&mut next, &leads, true),
+        );
+    };
+    let in_time = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(in_time, ok(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn silent_control_vm_is_followed_until_another_one_answers() {
+    let silent = listen().await;
+    let other = bind();
+    let seeds = vec![
+        silent.local_addr().expect("an address"),
+        other.local_addr().expect("an address"),
+    ];
+    let entry = start_entry(seeds).await;
+    let in_contact = LinkStatus {
+        is_in_contact: true,
+        ..LinkStatus::default()
+    };
+    let order = async {
+        let mut link = accept_and_tell(&silent, &in_contact).await;
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        send_table(&mut link).await;
+        tokio::select! {
+            () = report(&mut link, &in_contact, false) => panic!("the entry VM left"),
+            () = until_ready_is(&entry, true) => {}
+        }
+        let other = other.listen(8).expect("a listener");
+        let mut next = accept_and_tell(&other, &in_contact).await;
+        report(&mut next, &in_contact, true).await;
+        while let Ok(Some(_)) = link.0.next().await {}
+    };
+    let in_time = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(in_time, ok(anything()));
+}
--- a/crates/chicory_link/src/dial.rs
+++ b/crates/chicory_link/src/dial.rs
@@ -29,7 +29,16 @@
 ///
 /// [`LinkError`] when no connection came about.
 pub async fn dial(address: SocketAddr) -> Result<LinkStream, LinkError> {
-    let dialled = tokio::time::timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await;
+    dial_within(address, DIAL_TIMEOUT).await
+}
+
+/// Connects to a process, with another patience than [`DIAL_TIMEOUT`].
+///
+/// # Errors
+///
+/// [`LinkError`] when no connection came about.
+pub async fn dial_within(address: SocketAddr, patience: Duration) -> Result<LinkStream, LinkError> {
+    let dialled = tokio::time::timeout(patience, TcpStream::connect(address)).await;
     let Ok(stream) = dialled else {
         return DialTimeoutSnafu.fail();
     };
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -12,6 +12,10 @@
 use super::entry_link::EntryLink;
 use super::{EntryLinkId, SiteCore, SiteEffect, SiteNote};
 
+/// Reports of an entry VM that stays though it was told of another leader; the first one comes with
+/// its greeting, the second after the interval of reports.
+const REPORTS_OF_FOLLOWERS: u32 = 2;
+
 impl SiteCore {
     pub(super) fn on_entry_joined(
         &mut self,
@@ -24,7 +28,15 @@
             vm: vm.clone(),
             known_version: known.version,
         });
-        self.entries.insert(link, EntryLink::new(vm, zone, known));
+        let leader = self.leader_vm();
+        let is_redirected = leader.is_some_and(|leader| leader != self.config.vm);
+        let reports = if is_redirected {
+            REPORTS_OF_FOLLOWERS
+        } else {
+            0
+        };
+        let entry = EntryLink::new(vm, zone, known, reports);
+        self.entries.insert(link, entry);
     }
 
     pub(super) fn on_entry_ready(&mut self, link: EntryLinkId) {
@@ -56,6 +68,7 @@
         }
         if let Some(entry) = self.entries.get_mut(&link) {
             entry.is_status_due = true;
+            entry.reports_before_update = entry.reports_before_update.saturating_sub(1);
         }
     }
 
@@ -151,11 +164,12 @@
 
     /// Links that are ready and owed a status; a new route table is announced by one.
     fn links_owed_a_status(&mut self) -> Vec<EntryLinkId> {
-        let routes_version = self.state.routes().version;
+        let mark = self.state.mark();
         let mut links = Vec::new();
         for (link, entry) in &mut self.entries {
-            let is_due = entry.is_status_due || entry.sent.routes_version < routes_version;
-            if entry.is_ready && is_due {
+            let has_new_routes =
+                entry.awaits_update(mark) && entry.sent.routes_version < mark.routes_version;
+            if entry.is_ready && (entry.is_status_due || has_new_routes) {
                 entry.is_status_due = false;
                 links.push(*link);
             }
@@ -168,7 +182,7 @@
         let mark = self.state.mark();
         let mut by_mark: BTreeMap<DirectoryMark, Vec<EntryLinkId>> = BTreeMap::new();
         for (link, entry) in &mut self.entries {
-            if entry.is_ready && entry.sent.version < mark.version {
+            if entry.awaits_update(mark) {
                 by_mark.entry(entry.sent).or_default().push(*link);
                 entry.sent = mark;
             }
--- a/crates/chicory_site/src/core/entry_link.rs
+++ b/crates/chicory_site/src/core/entry_link.rs
@@ -16,6 +16,9 @@
     pub(crate) sent: DirectoryMark,
     /// The moving keys that it was told.
     pub(crate) told_moves: MovesVersion,
+    /// Reports that are awaited before the first update: one that was told of another leader turns
+    /// to that before.
+    pub(crate) reports_before_update: u32,
     /// Whether it is owed the state of this member.
     pub(crate) is_status_due: bool,
     /// Whether the link has taken all that was sent; what changes meanwhile goes out as one.
@@ -23,14 +26,24 @@
 }
 
 impl EntryLink {
-    pub(crate) fn new(vm: VmId, zone: ZoneName, known: DirectoryMark) -> Self {
+    pub(crate) fn new(
+        vm: VmId,
+        zone: ZoneName,
+        known: DirectoryMark,
+        reports_before_update: u32,
+    ) -> Self {
         Self {
             vm,
             zone,
             sent: known,
             told_moves: 0,
+            reports_before_update,
             is_status_due: true,
             is_ready: true,
         }
     }
+    /// Whether the link can take an update to `newest` now, and lacks it.
+    pub(crate) fn awaits_update(&self, newest: DirectoryMark) -> bool {
+        self.is_ready && self.reports_before_update == 0 && self.sent.version < newest.version
+    }
 }
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -279,6 +279,10 @@
     };
     let follower = world.follower();
     world.feed(&follower, joined);
+    for _ in 0..2 {
+        let message = EntryMessage::Report(EntryReport::default());
+        world.feed(&follower, SiteEvent::EntrySent { link: 1, message });
+    }
     world.ask(&leader, SiteCall::PutRoutes(table(3)));
     world.run(Duration::from_millis(300));
     let routes = world
@@ -298,6 +302,29 @@
     expect_that!(leaderless, eq(true));
 }
 
+#[gtest]
+fn entry_vm_that_is_sent_on_to_the_leader_is_sent_no_update_meanwhile() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(3)));
+    world.run(Duration::from_millis(300));
+    let follower = world.follower();
+    for (vm, is_told) in [(&follower, false), (&leader, true)] {
+        let joined = SiteEvent::EntryJoined {
+            link: 1,
+            vm: "entry-1".into(),
+            zone: "north".into(),
+            known: DirectoryMark::default(),
+        };
+        world.entry_messages.clear();
+        world.feed(vm, joined);
+        world.run(Duration::from_millis(300));
+        let mut messages = world.entry_messages.iter();
+        let has_update = messages.any(|(_, _, m)| matches!(m, ControlMessage::Update(_)));
+        expect_that!(has_update, eq(is_told), "{vm}");
+    }
+}
+
 #[gtest]
 fn request_that_crashes_two_servers_is_held_back_everywhere() {
     let mut world = World::with_leader(3);
