Say that a newer route table is known of, and serve by an old one for a bounded time

An entry VM denied routes with 404 while the table that has them was on its way to it, and served by an older table for as long as the transfer took. Cause: its table counted as current for as long as some control VM was in contact, whatever that control VM had itself. Class: freshness judged by contact, not by what was committed.

Until that table comes, unknown routes are refused with 503 and when to come back, and after 1.5 s all requests are: operators are promised a table in force within 2 s. A control VM that has a leader but lacks entries which it was told to be committed no longer counts as in contact. The line of a refused request tells the newest version that was heard of.

Tests that fail before: table_that_is_known_to_be_old_denies_nothing_and_serves_for_a_bounded_time, control_vm_that_lacks_committed_tables_does_not_count_as_in_contact.

--- a/crates/chicory_consensus/src/replica/accessors.rs
+++ b/crates/chicory_consensus/src/replica/accessors.rs
@@ -83,6 +83,13 @@
         self.applied_index
     }
 
+    /// Whether everything is applied that a leader told to be committed. A member that comes back
+    /// knows its leader before it has the entries that it missed.
+    #[must_use]
+    pub fn has_caught_up(&self) -> bool {
+        self.applied_index >= self.told_commit_index
+    }
+
     /// Index of the last entry, committed or not.
     #[must_use]
     pub fn last_index(&self) -> LogIndex {
--- a/crates/chicory_consensus/src/replica/following.rs
+++ b/crates/chicory_consensus/src/replica/following.rs
@@ -37,6 +37,7 @@
             return;
         }
         let outcome = if self.follow(from, term) {
+            self.told_commit_index = self.told_commit_index.max(commit_index);
             self.take_entries(prev_index, prev_term, entries, commit_index)
         } else {
             AppendOutcome::Conflict {
--- a/crates/chicory_consensus/src/replica/mod.rs
+++ b/crates/chicory_consensus/src/replica/mod.rs
@@ -117,6 +117,8 @@
     log: MemoryLog,
     queue: PersistQueue,
     commit_index: LogIndex,
+    /// The greatest commit index that a leader told; this log may not reach that far yet.
+    told_commit_index: LogIndex,
     applied_index: LogIndex,
     applied_bytes_since_snapshot: u64,
     is_snapshot_requested: bool,
@@ -157,6 +159,7 @@
             queue: PersistQueue::new(log.last_index()),
             log,
             commit_index: snapshot_index,
+            told_commit_index: snapshot_index,
             applied_index: snapshot_index,
             applied_bytes_since_snapshot: 0,
             is_snapshot_requested: false,
--- a/crates/chicory_directory/src/link_status.rs
+++ b/crates/chicory_directory/src/link_status.rs
@@ -10,7 +10,8 @@
 pub struct LinkStatus {
     /// The leader as far as it knows.
     pub leader: Option<VmId>,
-    /// Whether a majority of the control VMs was in contact within the last moments.
+    /// Whether a majority of the control VMs was in contact within the last moments, and all is applied
+    /// that was heard to be committed.
     pub is_in_contact: bool,
     /// Version of its directory.
     pub version: DirectoryVersion,
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -9,6 +9,7 @@
 };
 use chicory_policy::Outages;
 use chicory_ranges::{Fence, Key, OwnedRange, ServerLife};
+use chicory_routes::RouteTableVersion;
 use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -17,6 +18,7 @@
 use super::entry_count::EntryCount;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
+use super::table_lag::TableLag;
 use super::zone_reach::ZoneReach;
 use super::{
     AttemptOutcome, CallerFacts, GatewayConfig, NextStep, Policy, Refusal, RefusalReason,
@@ -89,6 +91,7 @@
     poison: BTreeSet<RequestFingerprint>,
     moving: BTreeSet<MovingRange>,
     in_contact_at: Option<MonoTime>,
+    table_lag: TableLag,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashWatch,
     pub(super) zones: BTreeMap<ZoneName, ZoneReach>,
@@ -113,6 +116,7 @@
             poison: BTreeSet::new(),
             moving: BTreeSet::new(),
             in_contact_at: None,
+            table_lag: TableLag::default(),
             key_counts: BTreeMap::new(),
             crashes: CrashWatch::default(),
             zones: BTreeMap::new(),
@@ -148,10 +152,18 @@
         self.in_contact_at.map(|at| now.saturating_sub(at))
     }
 
+    /// The newest route table that is known to be in force; it may not have come yet.
+    #[must_use]
+    pub fn newest_routes_version(&self) -> RouteTableVersion {
+        self.table_lag.newest_version()
+    }
+
     /// Takes in a change of the directory.
     pub fn update(&mut self, now: MonoTime, update: DirectoryUpdate) -> UpdateOutcome {
         let outcome = self.directory.apply(now, update);
         let directory = &self.directory;
+        let own_version = directory.routes().version;
+        self.table_lag.note(now, own_version, own_version);
         self.health
             .retain(|life, health| health.in_flight > 0 || directory.server(life).is_some());
         self.unreachable
@@ -174,6 +186,8 @@
             self.entry_count.note(now, status.entry_count);
         }
         self.poison = status.poison.iter().copied().collect();
+        let own_version = self.directory.routes().version;
+        self.table_lag.note(now, status.routes_version, own_version);
     }
 
     /// Takes in that other keys move than before: requests for these wait.
@@ -192,10 +206,15 @@
         if !self.is_ready() {
             return self.refuse(facts, RefusalReason::NoDirectory);
         }
+        if self.table_lag.is_overdue(now) {
+            return self.refuse(facts, RefusalReason::RoutesBehind);
+        }
         let Some(route) = self.directory.matcher().find(host, path).cloned() else {
             let is_stale = self.contact_age(now).is_none_or(|age| age > STALE_AFTER);
             let reason = if is_stale {
                 RefusalReason::NoDirectory
+            } else if self.table_lag.is_behind() {
+                RefusalReason::RoutesBehind
             } else {
                 RefusalReason::NoRoute
             };
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -13,6 +13,7 @@
 mod request_ticket;
 mod retry_budget;
 mod server_health;
+mod table_lag;
 mod zone_reach;
 
 pub use caller_facts::CallerFacts;
--- a/crates/chicory_gateway/src/decide/refusal.rs
+++ b/crates/chicory_gateway/src/decide/refusal.rs
@@ -9,6 +9,8 @@
     NoRoute,
     /// This entry VM has no current route table.
     NoDirectory,
+    /// A newer route table is in force, and has not come yet.
+    RoutesBehind,
     /// The service has keys and the request names none.
     NoKey,
     /// The head is larger than allowed.
@@ -44,6 +46,7 @@
         match self {
             Self::NoRoute => "no-route",
             Self::NoDirectory => "no-directory",
+            Self::RoutesBehind => "routes-behind",
             Self::NoKey => "no-key",
             Self::HeaderTooLarge => "header-too-large",
             Self::BodyTooLarge => "body-too-large",
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -19,7 +19,9 @@
 /// When what blocks a request is expected to be over.
 fn expected_end(reason: RefusalReason) -> Duration {
     match reason {
-        RefusalReason::NoDirectory | RefusalReason::Overloaded => AFTER_A_CHANGE,
+        RefusalReason::NoDirectory | RefusalReason::RoutesBehind | RefusalReason::Overloaded => {
+            AFTER_A_CHANGE
+        }
         RefusalReason::NoOwner | RefusalReason::Unreachable | RefusalReason::NoServer => {
             AFTER_AN_OUTAGE
         }
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/table_lag.rs
@@ -0,0 +1,47 @@
+//! Whether a newer route table is in force than the one here.
+
+use std::time::Duration;
+
+use chicory_routes::RouteTableVersion;
+use chicory_types::MonoTime;
+
+/// Time for which requests are served by a route table though a newer one is known of. Operators are
+/// promised a table in force within two seconds; half a second is left for what was decided before.
+const MAX_TABLE_LAG: Duration = Duration::from_millis(1500);
+
+/// Whether a newer route table is in force than the one here: its version is told before it comes.
+#[derive(Debug, Default)]
+pub(super) struct TableLag {
+    newest_version: RouteTableVersion,
+    behind_since: Option<MonoTime>,
+}
+
+impl TableLag {
+    /// Takes in the version that a control VM tells, and that of the table here.
+    pub(super) fn note(
+        &mut self,
+        now: MonoTime,
+        told_version: RouteTableVersion,
+        own_version: RouteTableVersion,
+    ) {
+        self.newest_version = self.newest_version.max(told_version).max(own_version);
+        self.behind_since =
+            (own_version < self.newest_version).then(|| self.behind_since.unwrap_or(now));
+    }
+
+    /// The newest version that is known of.
+    pub(super) fn newest_version(&self) -> RouteTableVersion {
+        self.newest_version
+    }
+
+    /// Whether a newer table is in force.
+    pub(super) fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Whether it has been for so long that the table here should not be gone by any more.
+    pub(super) fn is_overdue(&self, now: MonoTime) -> bool {
+        self.behind_since
+            .is_some_and(|since| now >= since + MAX_TABLE_LAG)
+    }
+}
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -73,6 +73,7 @@
             "retry_after_ms" => refusal.retry_after.map(millis), "attempts" => attempts,
             "directory_version" => gateway.directory().version(),
             "routes_version" => gateway.directory().routes().version,
+            "newest_routes_version" => gateway.newest_routes_version(),
             "contact_age_ms" => gateway.contact_age(now).map(millis),
             "lines_suppressed" => suppressed);
     }
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -58,6 +58,33 @@
     expect_that!(reason, eq(RefusalReason::NoDirectory));
 }
 
+#[gtest]
+fn table_that_is_known_to_be_old_denies_nothing_and_serves_for_a_bounded_time() {
+    let mut gateway = gateway();
+    let own = gateway.directory().routes().version;
+    let newer = LinkStatus {
+        routes_version: own + 1,
+        ..in_contact()
+    };
+    gateway.note_status(START, &newer);
+    let reason = refusal_of(&mut gateway, START, "/nowhere/x", None);
+    expect_that!(reason, eq(RefusalReason::RoutesBehind));
+    arrive(&mut gateway, "/reads/x", Some(1));
+    // The bound of two seconds less the time of a request that is under way.
+    let late = START + Duration::from_millis(1600);
+    gateway.note_status(late, &newer);
+    let reason = refusal_of(&mut gateway, late, "/reads/x", Some(1));
+    expect_that!(reason, eq(RefusalReason::RoutesBehind));
+    let update = DirectoryUpdate {
+        version: 20,
+        routes: Some(RouteTableDelta::whole(&table(own + 1))),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(late, update);
+    let reason = refusal_of(&mut gateway, late, "/nowhere/x", None);
+    expect_that!(reason, eq(RefusalReason::NoRoute));
+}
+
 #[gtest]
 fn older_directory_changes_nothing() {
     let mut gateway = gateway();
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use chicory_consensus::Replica;
 use chicory_directory::{
     ControlMessage, DirectoryMark, DirectoryUpdate, EntryMessage, EntryReport, LinkStatus,
     MovesVersion, MovingRange, PeerEnvelope,
@@ -114,8 +115,9 @@
             let members = replica.membership().members();
             members.map(|member| member.vm.clone()).collect()
         });
+        let has_caught_up = self.replica.as_ref().is_some_and(Replica::has_caught_up);
         LinkStatus {
-            is_in_contact: leader.is_some(),
+            is_in_contact: leader.is_some() && has_caught_up,
             leader,
             version: self.state.version(),
             control_vms: members.unwrap_or_default(),
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -325,6 +325,40 @@
     }
 }
 
+#[gtest]
+fn control_vm_that_lacks_committed_tables_does_not_count_as_in_contact() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    let lagging = world.follower();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    world.run(Duration::from_millis(300));
+    world.kill(&lagging);
+    for version in 2..=5 {
+        world.ask(&leader, SiteCall::PutRoutes(table(version)));
+    }
+    world.entry_messages.clear();
+    world.start(&lagging);
+    let joined = SiteEvent::EntryJoined {
+        link: 1,
+        vm: "entry-1".into(),
+        zone: "north".into(),
+        known: DirectoryMark::default(),
+    };
+    world.feed(&lagging, joined);
+    for _ in 0..100 {
+        let message = EntryMessage::Report(EntryReport::default());
+        world.feed(&lagging, SiteEvent::EntrySent { link: 1, message });
+        world.step();
+    }
+    let statuses = world.entry_messages.iter().filter_map(|(_, _, m)| match m {
+        ControlMessage::Status(status) if status.is_in_contact => Some(status.routes_version),
+        _ => None,
+    });
+    let versions: Vec<u64> = statuses.collect();
+    expect_that!(versions, len(gt(0)));
+    expect_that!(versions, each(eq(&5)));
+}
+
 #[gtest]
 fn request_that_crashes_two_servers_is_held_back_everywhere() {
     let mut world = World::with_leader(3);
