Tell followers what changed in the route table, however many tables they lag

An entry VM that was five tables behind was sent the whole table: in a series of tables after a large one those with the thinnest links got the most bytes, 170 KB each time. Cause: the last four tables were kept, and differences made from these alone.

--- a/crates/chicory_wire/tests/directory_updates.rs
+++ b/crates/chicory_wire/tests/directory_updates.rs
@@ -95,3 +95,22 @@
     let bytes = site::DirectoryUpdate::from(update).encoded_len();
     expect_that!(bytes, le(MAX_CHANGE_BYTES));
 }
+
+#[gtest]
+fn follower_that_lags_by_many_tables_is_told_only_what_changed() {
+    let mut state = large_site();
+    let mut history = RouteHistory::default();
+    let mut put = |state: &mut SiteState, version| {
+        state.apply(state.version() + 1, SiteCommand::PutRoutes(table(version)));
+        history.note(state.routes().clone());
+    };
+    put(&mut state, 1);
+    let before = state.mark();
+    let change_count = 60;
+    for version in 2..=1 + change_count {
+        put(&mut state, version);
+    }
+    let update = state.update_since(before, &history).expect("an update");
+    let bytes = site::DirectoryUpdate::from(update).encoded_len();
+    expect_that!(bytes, le(MAX_CHANGE_BYTES * 60));
+}
