Turn to the leader that was named last

An entry VM that looked for the leader which its control VM named went on to look for that one when another leader was named: a search for the same cause was taken for the same search. It stayed with the follower, which serves it, but farther from the newest state.

Test that fails before: entry_vm_turns_to_the_leader_that_was_named_last.

--- a/crates/chicory_gateway/src/process/control_vm_search.rs
+++ b/crates/chicory_gateway/src/process/control_vm_search.rs
@@ -17,19 +17,22 @@
 #[derive(Default)]
 pub(super) struct ControlVmSearch {
     cause: Option<SearchCause>,
+    targets: Vec<VmId>,
     /// The one search that runs, if any; it ends with this.
     running: JoinSet<(VmId, LinkStream)>,
 }
 
 impl ControlVmSearch {
-    /// Begins to try `targets` in turn for one in contact with a majority, unless a search for the
-    /// same cause runs already.
+    /// Begins to try `targets` in turn for one in contact with a majority, unless the same search runs
+    /// already.
     pub(super) fn begin(&mut self, cause: SearchCause, entry: EntryIdentity, targets: Vec<VmId>) {
-        if self.cause == Some(cause) || targets.is_empty() {
+        let is_running = self.cause == Some(cause) && self.targets == targets;
+        if is_running || targets.is_empty() {
             return;
         }
         self.end();
         self.cause = Some(cause);
+        self.targets.clone_from(&targets);
         self.running.spawn(async move {
             let mut backoff = Backoff::default();
             let mut turns = targets.into_iter().cycle();
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -391,3 +391,30 @@
     let in_time = tokio::time::timeout(DEADLINE, order).await;
     expect_that!(in_time, ok(anything()));
 }
+
+#[gtest]
+#[tokio::test]
+async fn entry_vm_turns_to_the_leader_that_was_named_last() {
+    let follower = listen().await;
+    let lost_leader = bind();
+    let leader = listen().await;
+    let address_of = |bound: std::io::Result<SocketAddr>| bound.expect("an address").to_string();
+    let names = |address: String| LinkStatus {
+        is_in_contact: true,
+        leader: Some(address),
+        ..LinkStatus::default()
+    };
+    let names_lost = names(address_of(lost_leader.local_addr()));
+    let names_new = names(address_of(leader.local_addr()));
+    let _entry = start_entry(vec![follower.local_addr().expect("an address")]).await;
+    let order = async {
+        let mut link = accept_and_tell(&follower, &names_lost).await;
+        report(&mut link, &names_lost, true).await;
+        tokio::select! {
+            () = report(&mut link, &names_new, false) => panic!("the entry VM left"),
+            _ = accept_and_tell(&leader, &names_new) => {}
+        }
+    };
+    let in_time = tokio::time::timeout(DEADLINE, order).await;
+    expect_that!(in_time, ok(anything()));
+}
