Believe no held-up announcement at an address that a living server has

A leader now refuses an unknown server at an address at which another one announced itself within the last 1.8 s, unless it states a later start: addresses are free for 2 s before another server gets them.

Test that fails before: held_up_announcement_does_not_end_the_server_that_got_its_address.

--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -203,7 +203,8 @@
         others.find(|other| other.life.started_at_ms > record.life.started_at_ms)
     }
 
-    fn others_at(&self, record: &ServerRecord) -> impl Iterator<Item = &ServerRecord> {
+    /// Other servers at the address of an announcement; it would replace them.
+    pub fn others_at(&self, record: &ServerRecord) -> impl Iterator<Item = &ServerRecord> {
         let servers = self.servers();
         servers.filter(|other| {
             other.address == record.address && other.life.server != record.life.server
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -6,7 +6,7 @@
 use chicory_ranges::{GrantEvent, ServerLife};
 use chicory_types::{MonoTime, ServerId};
 
-use super::site_config::PASSED_CALL_TIMEOUT;
+use super::site_config::{ADDRESS_KEPT, PASSED_CALL_TIMEOUT};
 use super::site_core::{PassedCall, Proposal, ReplyTo};
 use super::{SiteCore, SiteEffect, SiteNote};
 
@@ -73,6 +73,12 @@
 
     fn on_leader_call(&mut self, now: MonoTime, reply_to: ReplyTo, call: SiteCall) {
         let command = match call {
+            SiteCall::Announce(record) if self.is_address_kept(now, &record) => {
+                let life = record.life;
+                self.note(SiteNote::AddressKept { life });
+                self.reply(reply_to, SiteAnswer::Unavailable);
+                return;
+            }
             SiteCall::Announce(record) => {
                 self.note_first_seen(now, &record);
                 SiteCommand::PutServer(record)
@@ -98,6 +104,18 @@
         self.propose(now, Proposal::Call(reply_to), command);
     }
 
+    /// Whether another server announced itself at the same address so lately that the announcement
+    /// must be of a process that ended before: it was held up on its way. One that states a later start
+    /// is believed.
+    fn is_address_kept(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        let mut others = self.state.others_at(record);
+        others.any(|other| {
+            let announced_at = self.announced_at.get(&other.life);
+            let is_recent = announced_at.is_some_and(|at| now < *at + ADDRESS_KEPT);
+            is_recent && record.life.started_at_ms <= other.life.started_at_ms
+        })
+    }
+
     fn note_first_seen(&mut self, now: MonoTime, record: &ServerRecord) {
         self.announced_at.insert(record.life.clone(), now);
         let is_new = self.state.server(&record.life.server).is_none();
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -24,6 +24,9 @@
 /// Time without an announcement after which a server gets no further keys, and loses those whose
 /// grants have run out.
 pub(crate) const OWNER_SILENCE: Duration = Duration::from_millis(3500);
+/// Time after an announcement for which nobody else can have its address: addresses are free for two
+/// seconds before another server gets them, and announcements are passed on within a quarter of one.
+pub(crate) const ADDRESS_KEPT: Duration = Duration::from_millis(1800);
 /// Interval at which keys are moved for balance alone.
 pub(crate) const BALANCING_INTERVAL: Duration = Duration::from_millis(400);
 
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -76,6 +76,11 @@
         /// The life.
         life: ServerLife,
     },
+    /// An announcement names an address at which another server announced itself just before.
+    AddressKept {
+        /// The life that is not believed.
+        life: ServerLife,
+    },
     /// Keys changed hands.
     RangeMoved {
         /// The move.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -47,6 +47,9 @@
         SiteNote::StaleAnnouncement { life } => {
             info!(logger, "announcement of a life that is over"; "server" => %life);
         }
+        SiteNote::AddressKept { life } => {
+            info!(logger, "announcement at an address that another server has"; "server" => %life);
+        }
         SiteNote::RangeMoved { change, fence } => {
             let from = change
                 .from
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -203,6 +203,29 @@
     expect_that!(late, some(eq(&SiteAnswer::Stale)));
 }
 
+#[gtest]
+fn held_up_announcement_does_not_end_the_server_that_got_its_address() {
+    let mut world = World::with_leader(3);
+    let leader = world.await_leader();
+    world.ask(&leader, SiteCall::PutRoutes(table(1)));
+    let living = announce("server-2", 8001, ServerState::Ready);
+    world.ask(&leader, living.clone());
+    world.run(Duration::from_secs(1));
+    // The process that had the address before ended; what it sent comes only now.
+    let held_up = announce("server-1", 8001, ServerState::Ready);
+    let answer = world.ask(&leader, held_up.clone());
+    expect_that!(answer, some(eq(&SiteAnswer::Unavailable)));
+    expect_that!(
+        world.core(&leader).state().server("server-2"),
+        some(anything())
+    );
+    // An address is free for two seconds before another server gets it.
+    world.run(Duration::from_secs(2));
+    let answer = world.ask(&leader, held_up);
+    expect_that!(answer, some(eq(&SiteAnswer::Done)));
+    expect_that!(world.core(&leader).state().server("server-2"), none());
+}
+
 #[gtest]
 fn announcement_for_an_unknown_service_is_refused_alone() {
     let mut world = World::with_leader(3);
