Bear a link of an entry VM that takes nothing for up to three seconds

A link ended after one second in which its reader took nothing: the system counts a closed window as unacknowledged. An entry VM with a tenth of a core, or one that was held up by a table, lost the table by that and asked anew. Found by a test of a link that reads late, once its messages were smaller and its reader came a little later.

Links of entry VMs bear three seconds, as long as their control VM waits for a report. Those between control VMs keep one second: their messages are small, and cuts have to show.

--- a/crates/chicory_gateway/src/process/entry_identity.rs
+++ b/crates/chicory_gateway/src/process/entry_identity.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chicory_directory::{ControlMessage, LinkHello};
-use chicory_link::{DIAL_TIMEOUT, LinkError, LinkStream, dial_within};
+use chicory_link::{DIAL_TIMEOUT, LinkError, LinkStream, bear_tables, dial_within};
 use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
 use slog::warn;
@@ -28,7 +28,9 @@
 impl EntryIdentity {
     /// Tells a control VM who follows it and what is known already. It answers with its state and all
     /// that is missing, so that only a control VM that may be followed is greeted.
-    async fn greet(&self, (_, writer): &mut LinkStream) -> Result<(), LinkError> {
+    async fn greet(&self, link: &mut LinkStream) -> Result<(), LinkError> {
+        bear_tables(link)?;
+        let (_, writer) = link;
         let hello = LinkHello::Entry {
             vm: self.vm.clone(),
             zone: self.zone.clone(),
--- a/crates/chicory_link/src/dial.rs
+++ b/crates/chicory_link/src/dial.rs
@@ -16,6 +16,9 @@
 /// Time after which sent bytes that nobody has acknowledged end a connection.
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same for a link over which a full table may be long under way: a queue of bodies before it, or
+/// a reader that has no processor time, may hold everything up for more than a second.
+const UNACKNOWLEDGED_TIMEOUT_OF_TABLES: Duration = Duration::from_secs(3);
 /// Bytes that wait in the kernel: what has gone there can't be replaced by what is newer. As much
 /// as the longest link between regions has under way at a few MB/s.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
@@ -62,3 +65,15 @@
     let (read, write) = stream.into_split();
     Ok((FrameReader::new(read), FrameWriter::new(write)))
 }
+
+/// Makes a link bear the delays of tables over thin links.
+///
+/// # Errors
+///
+/// [`LinkError`] when the option can't be set.
+pub fn bear_tables((_, writer): &LinkStream) -> Result<(), LinkError> {
+    let stream: &TcpStream = writer.get_ref().as_ref();
+    SockRef::from(stream)
+        .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT_OF_TABLES))
+        .context(IoSnafu)
+}
--- a/crates/chicory_link/src/frame_writer.rs
+++ b/crates/chicory_link/src/frame_writer.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// What is written to.
+    pub fn get_ref(&self) -> &W {
+        &self.write
+    }
+
     /// Puts a message into the buffer; [`flush`](Self::flush) sends it.
     pub fn put(&mut self, message: &impl Message) {
         let length = u32::try_from(message.encoded_len()).unwrap_or(u32::MAX);
--- a/crates/chicory_link/src/lib.rs
+++ b/crates/chicory_link/src/lib.rs
@@ -13,7 +13,9 @@
 
 pub use arrival::{Arrival, Transfer};
 pub use backoff::{Backoff, MAX_BACKOFF, MIN_BACKOFF};
-pub use dial::{DIAL_TIMEOUT, LinkStream, UNACKNOWLEDGED_TIMEOUT, dial, dial_within, split};
+pub use dial::{
+    DIAL_TIMEOUT, LinkStream, UNACKNOWLEDGED_TIMEOUT, bear_tables, dial, dial_within, split,
+};
 pub use frame::Frame;
 pub use frame_reader::{FrameReader, MAX_FRAME_BYTES};
 pub use frame_writer::FrameWriter;
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use chicory_directory::{EntryMessage, LinkHello};
-use chicory_link::{Arrival, Frame, LinkError, LinkStream};
+use chicory_link::{Arrival, Frame, LinkError, LinkStream, bear_tables};
 use chicory_wire::proto::site;
+use slog::warn;
 use tokio::sync::mpsc;
 
 use super::link_listener::LinkServer;
@@ -22,6 +23,10 @@
     let LinkHello::Entry { vm, zone, known } = hello else {
         return;
     };
+    if let Err(failure) = bear_tables(&link) {
+        warn!(server.logger, "link can't be prepared"; "error" => %failure);
+        return;
+    }
     let id = server.id;
     let (outbox, messages) = mpsc::channel(OUTBOX_MESSAGES);
     let joined = SiteEvent::EntryJoined {
