Deflate large messages to entry VMs

A table of 2,000 routes takes 170 KB, for each of 73 entry VMs over links of 4.3 Mbit/s beside bodies: 0.7 to 1.2 s of the 2 s in which it has to be in force, and 0.6 s of the leader's link. Route tables, servers and ranges repeat themselves.

Messages from 4 KB on are deflated, once for all links that need the same; inflation is bounded by the largest frame. A message that is spoilt, or holds another deflated one, is refused.

Tests: large_update_goes_deflated_and_comes_back_whole, spoilt_or_nested_deflated_message_is_refused.

--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -8,8 +8,7 @@
 use chicory_directory::{ControlMessage, SiteAnswer};
 use chicory_telemetry::Metrics;
 use chicory_types::{Clock, MonoTime};
-use chicory_wire::proto::site;
-use prost::Message;
+use chicory_wire::encode_control_message;
 use slog::{Logger, warn};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
@@ -262,8 +261,7 @@
 
     /// Encodes a message once for all entry VMs.
     fn send_to_entries(&mut self, links: &[EntryLinkId], message: ControlMessage) {
-        let message = site::ControlMessage::from(message).encode_to_vec();
-        let message = Bytes::from(message);
+        let message = Bytes::from(encode_control_message(message));
         for link in links {
             let Some(outbox) = self.entries.get(link) else {
                 continue;
--- /dev/null
+++ b/crates/chicory_wire/src/deflated_message.rs
@@ -0,0 +1,58 @@
+//! Large messages to entry VMs, deflated: route tables repeat themselves, and links may be thin.
+
+use std::io::{Read, Write};
+
+use chicory_directory::ControlMessage;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use prost::Message;
+use snafu::OptionExt;
+
+use crate::ConvertError;
+use crate::convert_error::OutOfRangeSnafu;
+use crate::proto::site::{self, control_message};
+
+/// Messages below this size are sent as they are: they fit into a few packets.
+const MIN_DEFLATED_BYTES: usize = 4 * 1024;
+/// Largest message after inflation; the same as the largest frame of a link.
+const MAX_INFLATED_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Encodes a message for a link, deflated if it is large.
+#[must_use]
+pub fn encode_control_message(message: ControlMessage) -> Vec<u8> {
+    let plain = site::ControlMessage::from(message).encode_to_vec();
+    if plain.len() < MIN_DEFLATED_BYTES {
+        return plain;
+    }
+    let Ok(deflated) = deflate(&plain) else {
+        return plain;
+    };
+    let message = site::ControlMessage {
+        message: Some(control_message::Message::Deflated(deflated)),
+    };
+    message.encode_to_vec()
+}
+
+fn deflate(plain: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(plain)?;
+    encoder.finish()
+}
+
+/// Takes a deflated message apart; one within another is refused.
+pub(crate) fn inflate(deflated: &[u8]) -> Result<ControlMessage, ConvertError> {
+    let field = "control_message.deflated";
+    let mut plain = Vec::new();
+    let read = DeflateDecoder::new(deflated)
+        .take(MAX_INFLATED_BYTES + 1)
+        .read_to_end(&mut plain);
+    let is_whole = read.is_ok_and(|size| size as u64 <= MAX_INFLATED_BYTES);
+    let plain = is_whole
+        .then_some(plain)
+        .context(OutOfRangeSnafu { field })?;
+    let message = site::ControlMessage::decode(&plain[..]).ok();
+    let message = message
+        .filter(|message| !matches!(message.message, Some(control_message::Message::Deflated(_))));
+    message.context(OutOfRangeSnafu { field })?.try_into()
+}
--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod consensus_convert;
 mod convert_error;
 mod custody_convert;
+mod deflated_message;
 mod directory_convert;
 #[expect(
     missing_docs,
@@ -28,4 +29,5 @@
 
 pub use consensus_convert::peer_message;
 pub use convert_error::ConvertError;
+pub use deflated_message::encode_control_message;
 pub use generated::chicory as proto;
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::convert_error::{each, each_into, narrowed, required};
+use crate::deflated_message::inflate;
 use crate::directory_convert::key_range;
 use crate::proto::common;
 use crate::proto::consensus::GroupName;
@@ -195,6 +196,7 @@
                 Message::Update(update) => Self::Update(update.try_into()?),
                 Message::Status(status) => Self::Status(status.try_into()?),
                 Message::Moves(change) => Self::Moves(change.try_into()?),
+                Message::Deflated(deflated) => inflate(&deflated)?,
             },
         )
     }
--- a/crates/chicory_wire/tests/directory_updates.rs
+++ b/crates/chicory_wire/tests/directory_updates.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chicory_directory::{RouteHistory, ServerRecord, ServerState, SiteCommand, SiteState};
+use chicory_directory::{
+    ControlMessage, DirectoryMark, RouteHistory, ServerRecord, ServerState, SiteCommand, SiteState,
+};
 use chicory_ranges::{KeyRange, RangeMove, ServerLife};
 use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget};
+use chicory_wire::encode_control_message;
 use chicory_wire::proto::site;
 use googletest::prelude::*;
 use prost::Message;
@@ -114,3 +117,31 @@
     let bytes = site::DirectoryUpdate::from(update).encoded_len();
     expect_that!(bytes, le(MAX_CHANGE_BYTES * 60));
 }
+
+#[gtest]
+fn large_update_goes_deflated_and_comes_back_whole() {
+    let update = large_site()
+        .update_since(DirectoryMark::default(), &RouteHistory::default())
+        .expect("an update");
+    let message = ControlMessage::Update(update);
+    let plain_bytes = site::ControlMessage::from(message.clone()).encoded_len();
+    let encoded = encode_control_message(message.clone());
+    expect_that!(encoded.len(), lt(plain_bytes / 2));
+    let decoded = site::ControlMessage::decode(&encoded[..]).expect("a message");
+    expect_that!(ControlMessage::try_from(decoded), ok(eq(&message)));
+}
+
+#[gtest]
+fn spoilt_or_nested_deflated_message_is_refused() {
+    let deflated = |bytes| site::ControlMessage {
+        message: Some(site::control_message::Message::Deflated(bytes)),
+    };
+    let spoilt = deflated(vec![7; 100]);
+    expect_that!(ControlMessage::try_from(spoilt), err(anything()));
+    let update = large_site()
+        .update_since(DirectoryMark::default(), &RouteHistory::default())
+        .expect("an update");
+    let mut cut = encode_control_message(ControlMessage::Update(update));
+    cut.truncate(cut.len() / 2);
+    expect_that!(site::ControlMessage::decode(&cut[..]), err(anything()));
+}
