Wait for no table that a new group never had, and keep to one search at a time

An entry VM that was told of a newer table refused requests for as long as that table did not come: for ever, if the group was set up anew without it. A control VM in contact with a majority is now believed also if it tells a lower version.

Beside a control VM that names a leader and has no contact itself, the searches for the leader and for a majority replaced each other with each status, so that neither tried more than its first control VM.

Test that fails before: table_that_a_group_set_up_anew_never_had_is_not_waited_for.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -163,7 +163,7 @@
         let outcome = self.directory.apply(now, update);
         let directory = &self.directory;
         let own_version = directory.routes().version;
-        self.table_lag.note(now, own_version, own_version);
+        self.table_lag.note_own(now, own_version);
         self.health
             .retain(|life, health| health.in_flight > 0 || directory.server(life).is_some());
         self.unreachable
@@ -187,7 +187,9 @@
         }
         self.poison = status.poison.iter().copied().collect();
         let own_version = self.directory.routes().version;
-        self.table_lag.note(now, status.routes_version, own_version);
+        let told_version = status.routes_version;
+        self.table_lag
+            .note_told(now, told_version, status.is_in_contact, own_version);
     }
 
     /// Takes in that other keys move than before: requests for these wait.
--- a/crates/chicory_gateway/src/decide/table_lag.rs
+++ b/crates/chicory_gateway/src/decide/table_lag.rs
@@ -17,16 +17,26 @@
 }
 
 impl TableLag {
-    /// Takes in the version that a control VM tells, and that of the table here.
-    pub(super) fn note(
+    /// Takes in the version that a control VM tells. One in contact with a majority is believed also
+    /// if the version is lower than one told before: the group may have been set up anew.
+    pub(super) fn note_told(
         &mut self,
         now: MonoTime,
         told_version: RouteTableVersion,
+        is_in_contact: bool,
         own_version: RouteTableVersion,
     ) {
-        self.newest_version = self.newest_version.max(told_version).max(own_version);
-        self.behind_since =
-            (own_version < self.newest_version).then(|| self.behind_since.unwrap_or(now));
+        if is_in_contact || told_version > self.newest_version {
+            self.newest_version = told_version;
+        }
+        self.note_own(now, own_version);
+    }
+
+    /// Takes in the version of the table here.
+    pub(super) fn note_own(&mut self, now: MonoTime, own_version: RouteTableVersion) {
+        self.newest_version = self.newest_version.max(own_version);
+        let is_behind = own_version < self.newest_version;
+        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
     }
 
     /// The newest version that is known of.
--- a/crates/chicory_gateway/src/process/control_vm_search.rs
+++ b/crates/chicory_gateway/src/process/control_vm_search.rs
@@ -62,7 +62,8 @@
         }
     }
 
-    fn end(&mut self) {
+    /// Gives up whatever is searched for.
+    pub(super) fn end(&mut self) {
         self.cause = None;
         self.running.abort_all();
         self.running.detach_all();
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -174,7 +174,8 @@
         // what is under way from it goes on.
         let mut search = ControlVmSearch::default();
         loop {
-            let is_sought = search.runs_for(SearchCause::Silence);
+            let is_alone = self.candidates.iter().all(|vm| vm == own);
+            let is_sought = is_alone || search.runs_for(SearchCause::Silence);
             let patience = if is_sought { GONE } else { SILENCE };
             tokio::select! {
                 arrival = reader.next_arrival() => {
@@ -206,12 +207,11 @@
                     self.prune();
                 }
                 () = tokio::time::sleep_until(heard_at + patience) => {
-                    let others = self.others(own);
-                    if is_sought || others.is_empty() {
+                    if is_sought {
                         let unfinished_bytes = reader.unfinished_bytes();
                         return Parting::Lost(LossCause::Silent { unfinished_bytes });
                     }
-                    search.begin(SearchCause::Silence, self.identity(), others);
+                    search.begin(SearchCause::Silence, self.identity(), self.others(own));
                 }
             }
         }
@@ -225,17 +225,14 @@
         without_majority: Duration,
         search: &mut ControlVmSearch,
     ) {
-        match &status.leader {
-            Some(leader) if leader != own => {
-                let leader = vec![leader.clone()];
-                search.begin(SearchCause::OtherLeader, self.identity(), leader);
-            }
-            _ => search.end_for(SearchCause::OtherLeader),
-        }
-        if status.is_in_contact {
-            search.end_for(SearchCause::NoMajority);
-        } else if without_majority > NO_CONTACT {
+        let other_leader = status.leader.as_ref().filter(|leader| *leader != own);
+        if !status.is_in_contact && without_majority > NO_CONTACT {
             search.begin(SearchCause::NoMajority, self.identity(), self.others(own));
+        } else if let Some(leader) = other_leader {
+            let leader = vec![leader.clone()];
+            search.begin(SearchCause::OtherLeader, self.identity(), leader);
+        } else if status.is_in_contact {
+            search.end();
         }
     }
 
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -85,6 +85,25 @@
     expect_that!(reason, eq(RefusalReason::NoRoute));
 }
 
+#[gtest]
+fn table_that_a_group_set_up_anew_never_had_is_not_waited_for() {
+    let mut gateway = gateway();
+    let own = gateway.directory().routes().version;
+    let told = |routes_version, is_in_contact| LinkStatus {
+        routes_version,
+        is_in_contact,
+        ..in_contact()
+    };
+    gateway.note_status(START, &told(own + 1, true));
+    // A member that lags has no say.
+    gateway.note_status(START, &told(own, false));
+    let reason = refusal_of(&mut gateway, START, "/nowhere/x", None);
+    expect_that!(reason, eq(RefusalReason::RoutesBehind));
+    gateway.note_status(START, &told(own, true));
+    let reason = refusal_of(&mut gateway, START, "/nowhere/x", None);
+    expect_that!(reason, eq(RefusalReason::NoRoute));
+}
+
 #[gtest]
 fn older_directory_changes_nothing() {
     let mut gateway = gateway();
