Time how long entry VMs lack the newest route table

The time from an acknowledgement to the table's use was on no page of metrics. gateway_table_lag_seconds counts from the first word of a newer table, which goes out before it, until the newest one is there.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -158,6 +158,12 @@
         self.table_lag.newest_version()
     }
 
+    /// Time from the first word of a newer route table until the newest one was here, if that ended
+    /// since the last call.
+    pub fn take_table_lag(&mut self) -> Option<Duration> {
+        self.table_lag.take_last_lag()
+    }
+
     /// Takes in a change of the directory.
     pub fn update(&mut self, now: MonoTime, update: DirectoryUpdate) -> UpdateOutcome {
         let outcome = self.directory.apply(now, update);
--- a/crates/chicory_gateway/src/decide/table_lag.rs
+++ b/crates/chicory_gateway/src/decide/table_lag.rs
@@ -14,6 +14,7 @@
 pub(super) struct TableLag {
     newest_version: RouteTableVersion,
     behind_since: Option<MonoTime>,
+    last_lag: Option<Duration>,
 }
 
 impl TableLag {
@@ -35,8 +36,17 @@
     /// Takes in the version of the table here.
     pub(super) fn note_own(&mut self, now: MonoTime, own_version: RouteTableVersion) {
         self.newest_version = self.newest_version.max(own_version);
-        let is_behind = own_version < self.newest_version;
-        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
+        if own_version < self.newest_version {
+            self.behind_since.get_or_insert(now);
+        } else if let Some(since) = self.behind_since.take() {
+            self.last_lag = Some(now.saturating_sub(since));
+        }
+    }
+
+    /// Time from the first word of a newer table until there was none, if that ended since the last
+    /// call.
+    pub(super) fn take_last_lag(&mut self) -> Option<Duration> {
+        self.last_lag.take()
     }
 
     /// The newest version that is known of.
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -296,6 +296,9 @@
         let metrics = &self.shared.metrics;
         metrics.record(GatewayMetric::UpdateTransfer, transfer.took);
         metrics.add(GatewayMetric::UpdateBytes, transfer.size_bytes as u64);
+        if let Some(lag) = self.shared.gateway().take_table_lag() {
+            metrics.record(GatewayMetric::TableLag, lag);
+        }
         if transfer.took >= SLOW_UPDATE {
             info!(self.shared.logger, "update was under way for long"; "took" => ?transfer.took,
                 "size_bytes" => transfer.size_bytes);
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -31,6 +31,8 @@
     UpdateTransfer,
     /// Bytes of updates of the directory.
     UpdateBytes,
+    /// Time from the first word of a newer route table until the newest one is here.
+    TableLag,
     /// Log lines about requests that were left out to bound their volume.
     LogLinesSuppressed,
     /// Time from a request's head to the head of its answer.
@@ -55,6 +57,7 @@
             Self::RoutesVersion => "gateway_routes_version",
             Self::UpdateTransfer => "gateway_update_transfer_seconds",
             Self::UpdateBytes => "gateway_update_bytes",
+            Self::TableLag => "gateway_table_lag_seconds",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
@@ -76,6 +79,7 @@
             Self::RoutesVersion => "Version of the route table.",
             Self::UpdateTransfer => "Time from an update's first byte to its last.",
             Self::UpdateBytes => "Bytes of updates of the directory.",
+            Self::TableLag => "Time from the first word of a newer route table to its arrival.",
             Self::LogLinesSuppressed => "Log lines left out to bound their volume.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -80,7 +80,10 @@
         routes: Some(RouteTableDelta::whole(&table(own + 1))),
         ..DirectoryUpdate::default()
     };
+    expect_that!(gateway.take_table_lag(), none());
     gateway.update(late, update);
+    let lag = gateway.take_table_lag();
+    expect_that!(lag, some(eq(Duration::from_millis(1600))));
     let reason = refusal_of(&mut gateway, late, "/nowhere/x", None);
     expect_that!(reason, eq(RefusalReason::NoRoute));
 }
