--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, EntryReport, KeyCount, LinkStatus, MovesChange, MovingRange,
-    RequestFingerprint, ServerLoad, ServerRecord,
+    DirectoryUpdate, EntryReport, KeyCount, MovesChange, MovingRange, RequestFingerprint,
+    ServerLoad, ServerRecord,
 };
 use chicory_policy::Outages;
 use chicory_ranges::{Fence, Key, OwnedRange, ServerLife};
-use chicory_routes::RouteTableVersion;
 use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -52,10 +51,6 @@
 const TYPICAL_LATENCY: Duration = Duration::from_millis(200);
 /// Time without contact to a majority of control VMs after which unknown routes are not denied.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
-/// Time without contact to a majority of control VMs after which callers are better served by other
-/// entry VMs: two reports and a margin. The balancer takes out a VM that is unready twice, a second
-/// apart, so that an election does not turn callers away.
-const FIT_CONTACT_AGE: Duration = Duration::from_millis(800);
 /// Cost of a large request or answer over the border of an availability zone, relative to one within:
 /// these are what fills the links between zones.
 const FAR_LARGE_COST: f64 = 1.8;
@@ -84,14 +79,14 @@
 #[derive(Debug)]
 pub struct Gateway {
     pub(super) config: GatewayConfig,
-    directory: Directory,
+    pub(super) directory: Directory,
     pub(super) health: BTreeMap<ServerLife, ServerHealth>,
     budgets: BTreeMap<ServiceName, RetryBudget>,
-    entry_count: EntryCount,
-    poison: BTreeSet<RequestFingerprint>,
+    pub(super) entry_count: EntryCount,
+    pub(super) poison: BTreeSet<RequestFingerprint>,
     moving: BTreeSet<MovingRange>,
-    in_contact_at: Option<MonoTime>,
-    table_lag: TableLag,
+    pub(super) in_contact_at: Option<MonoTime>,
+    pub(super) table_lag: TableLag,
     key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashWatch,
     pub(super) zones: BTreeMap<ZoneName, ZoneReach>,
@@ -131,39 +126,6 @@
         &self.directory
     }
 
-    /// Whether requests can be served: there is a route table.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.directory.routes().version > 0
-    }
-
-    /// Whether callers are best served by this entry VM: without contact to a majority of the control
-    /// VMs it misses the moves of keys, and may be cut off from most servers too.
-    #[must_use]
-    pub fn is_fit(&self, now: MonoTime) -> bool {
-        let contact_age = self.contact_age(now);
-        let has_contact = contact_age.is_some_and(|age| age <= FIT_CONTACT_AGE);
-        self.is_ready() && (has_contact || !self.config.uses(Policy::Readiness))
-    }
-
-    /// Age of the last contact to a majority of control VMs.
-    #[must_use]
-    pub fn contact_age(&self, now: MonoTime) -> Option<Duration> {
-        self.in_contact_at.map(|at| now.saturating_sub(at))
-    }
-
-    /// The newest route table that is known to be in force; it may not have come yet.
-    #[must_use]
-    pub fn newest_routes_version(&self) -> RouteTableVersion {
-        self.table_lag.newest_version()
-    }
-
-    /// Time from the first word of a newer route table until the newest one was here, if that ended
-    /// since the last call.
-    pub fn take_table_lag(&mut self) -> Option<Duration> {
-        self.table_lag.take_last_lag()
-    }
-
     /// Takes in a change of the directory.
     pub fn update(&mut self, now: MonoTime, update: DirectoryUpdate) -> UpdateOutcome {
         let outcome = self.directory.apply(now, update);
@@ -185,19 +147,6 @@
         self.directory.set_incomplete();
     }
 
-    /// Takes in the state of a control VM.
-    pub fn note_status(&mut self, now: MonoTime, status: &LinkStatus) {
-        if status.is_in_contact {
-            self.in_contact_at = Some(now);
-            self.entry_count.note(now, status.entry_count);
-        }
-        self.poison = status.poison.iter().copied().collect();
-        let own_version = self.directory.routes().version;
-        let told_version = status.routes_version;
-        self.table_lag
-            .note_told(now, told_version, status.is_in_contact, own_version);
-    }
-
     /// Takes in that other keys move than before: requests for these wait.
     pub fn note_moves(&mut self, change: MovesChange) {
         change.apply(&mut self.moving);
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -6,6 +6,7 @@
 mod gateway;
 mod gateway_attempts;
 mod gateway_config;
+mod gateway_freshness;
 mod next_step;
 mod policy;
 mod refusal;
--- a/crates/chicory_ranges/src/grant_desk.rs
+++ b/crates/chicory_ranges/src/grant_desk.rs
@@ -5,6 +5,7 @@
 use chicory_types::{MonoTime, ServiceName};
 
 use crate::grant_desk_config::{CALL_TIMEOUT, GrantDeskConfig};
+use crate::grant_step::GrantStep;
 use crate::tenure::{Departure, PendingCall, Tenure};
 use crate::{
     CallId, CallOutcome, Fence, GrantCall, GrantEffect, GrantEvent, Key, KeyRange, OwnedRange,
@@ -80,8 +81,7 @@
 
     /// Takes in events that came together and returns the effects to carry out, in order.
     ///
-    /// What concerns all ranges is done once: hundreds of events come together when many servers
-    /// leave.
+    /// What concerns all ranges is done once: hundreds come together when many servers leave.
     pub fn reduce_all(
         &mut self,
         now: MonoTime,
@@ -218,7 +218,8 @@
                 ..owned.clone()
             };
             let mut tenure = self.new_tenure(now, missing);
-            inherit(&mut tenure, service, past);
+            let of_service = past.iter().filter(|((of, _), _)| of == service);
+            tenure.inherit(of_service.map(|(_, former)| former));
             self.tenures.insert(place, tenure);
             at = u32::from(end) + 1;
         }
@@ -290,8 +291,7 @@
     }
 
     /// Where the tenure of the keys begins, if `from` owns them and nothing is under way there.
-    fn settled_place(&mut self, transfer: &Transfer, from: &ServerLife) -> Option<Place> {
-        self.visit_count += 1;
+    fn settled_place(&self, transfer: &Transfer, from: &ServerLife) -> Option<Place> {
         let first = (transfer.service.clone(), transfer.range.first);
         let (place, tenure) = self.tenures.range(..=first).next_back()?;
         let is_settled = place.0 == transfer.service
@@ -427,7 +427,7 @@
         self.visit_count += self.tenures.len() as u64;
         let due = self.tenures.iter().filter_map(|(place, tenure)| {
             let step = self.next_step(now, tenure);
-            (!matches!(step, Step::Wait)).then(|| (place.clone(), step))
+            (!matches!(step, GrantStep::Wait)).then(|| (place.clone(), step))
         });
         for (place, step) in due.collect::<Vec<_>>() {
             if let Some(mut tenure) = self.tenures.remove(&place) {
@@ -437,10 +437,10 @@
         }
     }
 
-    fn take_step(&mut self, place: &Place, tenure: &mut Tenure, step: &Step) {
+    fn take_step(&mut self, place: &Place, tenure: &mut Tenure, step: &GrantStep) {
         match step {
-            Step::Wait => {}
-            Step::Grant => {
+            GrantStep::Wait => {}
+            GrantStep::Grant => {
                 let content = GrantCall::Grant {
                     range: tenure.owned.range,
                     fence: tenure.owned.fence,
@@ -449,14 +449,14 @@
                 };
                 self.call(place, tenure, content, false);
             }
-            Step::Release => {
+            GrantStep::Release => {
                 let content = GrantCall::Release {
                     range: tenure.owned.range,
                     fence: tenure.owned.fence,
                 };
                 self.call(place, tenure, content, true);
             }
-            Step::Propose => {
+            GrantStep::Propose => {
                 let Some(departure) = &mut tenure.departure else {
                     return;
                 };
@@ -468,17 +468,19 @@
         }
     }
 
-    fn next_step(&self, now: MonoTime, tenure: &Tenure) -> Step {
+    fn next_step(&self, now: MonoTime, tenure: &Tenure) -> GrantStep {
         let is_verified = self.verified.contains(&tenure.owned.owner);
         match &tenure.departure {
-            Some(departure) if departure.is_proposed => Step::Wait,
-            Some(departure) if departure.is_released && now >= tenure.free_at() => Step::Propose,
-            Some(departure) if departure.is_released => Step::Wait,
-            Some(_) if tenure.call.is_none() && now >= tenure.free_at() => Step::Propose,
-            Some(_) if tenure.call.is_none() && now >= tenure.due_at => Step::Release,
-            Some(_) => Step::Wait,
-            None if !tenure.is_settled() || !is_verified || now < tenure.due_at => Step::Wait,
-            None => Step::Grant,
+            Some(departure) if departure.is_proposed => GrantStep::Wait,
+            Some(departure) if departure.is_released && now >= tenure.free_at() => {
+                GrantStep::Propose
+            }
+            Some(departure) if departure.is_released => GrantStep::Wait,
+            Some(_) if tenure.call.is_none() && now >= tenure.free_at() => GrantStep::Propose,
+            Some(_) if tenure.call.is_none() && now >= tenure.due_at => GrantStep::Release,
+            Some(_) => GrantStep::Wait,
+            None if !tenure.is_settled() || !is_verified || now < tenure.due_at => GrantStep::Wait,
+            None => GrantStep::Grant,
         }
     }
 
@@ -495,25 +497,3 @@
         });
     }
 }
-
-/// The same owner goes on holding what it was granted under a smaller fence.
-fn inherit(tenure: &mut Tenure, service: &ServiceName, past: &BTreeMap<Place, Tenure>) {
-    let own = past.iter().filter(|((of, _), former)| {
-        of == service
-            && former.owned.owner == tenure.owned.owner
-            && former.owned.range.overlaps(tenure.owned.range)
-    });
-    for (_, former) in own {
-        let former_until = former.answered_until.max(former.uncertain_until());
-        tenure.older_until = tenure.older_until.max(former_until);
-        tenure.is_granted |= former.is_granted;
-    }
-}
-
-/// What is to be done for a tenure.
-enum Step {
-    Wait,
-    Grant,
-    Release,
-    Propose,
-}
--- a/crates/chicory_ranges/src/lib.rs
+++ b/crates/chicory_ranges/src/lib.rs
@@ -13,6 +13,7 @@
 mod grant_desk_config;
 mod grant_effect;
 mod grant_event;
+mod grant_step;
 mod key_load;
 mod key_range;
 mod key_weights;
--- a/crates/chicory_ranges/src/tenure.rs
+++ b/crates/chicory_ranges/src/tenure.rs
@@ -95,4 +95,16 @@
             handover: departure.handover.clone(),
         }
     }
+
+    /// The same owner goes on holding what it was granted under a smaller fence.
+    pub(crate) fn inherit<'a>(&mut self, past: impl Iterator<Item = &'a Tenure>) {
+        let range = self.owned.range;
+        let owner = self.owned.owner.clone();
+        let own = past.filter(|f| f.owned.owner == owner && f.owned.range.overlaps(range));
+        for former in own {
+            let former_until = former.answered_until.max(former.uncertain_until());
+            self.older_until = self.older_until.max(former_until);
+            self.is_granted |= former.is_granted;
+        }
+    }
 }
