Log and count the rate limits that backend servers name

So three hypotheses could not be told apart: that no entry VM reads the limit, that each keeps it by itself, or that attempts get past it.

Entry VMs now decode the limit once, keep the newest by the times of request and answer, and log when it changes, what they sent to limited servers each second, and the limit with its age in the line of a refused request. Nothing is decided by it yet.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -15,6 +15,7 @@
 
 use super::crash_detector::CrashDetector;
 use super::entry_count::EntryCount;
+use super::limited_servers::LimitedServers;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::table_lag::TableLag;
@@ -104,6 +105,8 @@
     owner_outages: Outages<(ServiceName, Fence)>,
     /// Outages of servers to which no connection can be opened.
     pub(super) unreachable: Outages<ServerIncarnation>,
+    /// Servers that have named a rate limit.
+    pub(super) limited: LimitedServers,
     pub(super) rng: StdRng,
 }
 
@@ -127,6 +130,7 @@
             zones: BTreeMap::new(),
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
+            limited: LimitedServers::default(),
         }
     }
 
@@ -147,6 +151,8 @@
         });
         self.unreachable
             .retain(|incarnation| directory.server(incarnation).is_some());
+        self.limited
+            .remove_expired(now, |incarnation| directory.server(incarnation).is_some());
         self.owner_outages.remove_expired(now);
         self.crashes
             .record_ended_incarnations(|incarnation| directory.server(incarnation).is_some());
@@ -412,6 +418,7 @@
             let reason = RefusalReason::NoRetryLeft;
             return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
+        self.limited.record_sent(&record.incarnation);
         let is_order = !ticket.route.route.kind.is_repeatable();
         let health = self.health.entry(record.incarnation.clone()).or_default();
         health.in_flight += 1;
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/server_notices.rs
@@ -0,0 +1,21 @@
+//! What a backend server states about itself in an answer.
+
+/// What an answer says about the rate limit of its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitNotice {
+    /// The answer names no limit, so the server has none.
+    #[default]
+    Unlimited,
+    /// Requests per second that the server takes from all entry VMs together. The value is positive
+    /// and finite.
+    PerSecond(f64),
+    /// The answer names a limit that can't be read. It leaves the known state as it is.
+    Unreadable,
+}
+
+/// What a backend server states about itself in an answer, besides what concerns the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotices {
+    /// The rate limit of the server.
+    pub limit: LimitNotice,
+}
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,8 +10,9 @@
 mod view;
 
 pub use decide::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, NextStep, Policy, Refusal, RefusalReason,
-    RequestMetadata, RequestTicket, RetryBudget, Target,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, LimitNotice, LimitedServerLoad, NextStep,
+    Policy, Refusal, RefusalReason, RequestMetadata, RequestTicket, RetryBudget, ServerNotices,
+    Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -79,10 +79,14 @@
     shared.metrics.record(GatewayMetric::AttemptLatency, took);
     let (head, body) = response.into_parts();
     let keep_alive = shared.servers.keep_alive(&head);
-    let is_failure = match shared
+    let class = shared
         .servers
-        .classify(&request.metadata, &target.incarnation, &head)
-    {
+        .classify(&request.metadata, &target.incarnation, &head);
+    if !matches!(class, AnswerClass::OtherServer | AnswerClass::Foreign) {
+        let notices = shared.servers.notices(&target.incarnation, &head);
+        shared.record_notices(&target.incarnation, started_at, &notices);
+    }
+    let is_failure = match class {
         AnswerClass::Answer => false,
         AnswerClass::Failure => true,
         AnswerClass::Shed => {
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -39,6 +39,11 @@
 /// when a VM fell behind.
 const CHANGE_LOG_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Least time between two log lines about a backend server with a rate limit.
+const LIMITED_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Most lines about backend servers with a rate limit at a time.
+const MAX_LIMITED_LINES: usize = 8;
+
 /// Follows the directory of the leader if possible, and of any other control VM otherwise.
 pub(super) struct DirectoryLink {
     shared: Arc<SharedState>,
@@ -52,6 +57,7 @@
     /// Whether the log already states that no control VM can be reached.
     is_loss_logged: bool,
     logged: LoggedChange,
+    limited_logged_at: Instant,
 }
 
 /// The last change of the directory that was logged.
@@ -100,6 +106,7 @@
                 routes_version: 0,
                 suppressed: 0,
             },
+            limited_logged_at: Instant::now(),
         }
     }
 
@@ -222,6 +229,7 @@
                         return FollowEnd::Lost(LossCause::Ended);
                     }
                     self.prune();
+                    self.log_limited_servers();
                 }
                 () = tokio::time::sleep_until(last_contact_at + receive_timeout) => {
                     if is_final_wait {
@@ -372,6 +380,24 @@
         }
     }
 
+    /// Logs what was sent to backend servers with a rate limit, once a second for as many servers as
+    /// a few lines can hold.
+    fn log_limited_servers(&mut self) {
+        if self.limited_logged_at.elapsed() < LIMITED_LOG_INTERVAL {
+            return;
+        }
+        self.limited_logged_at = Instant::now();
+        let now = self.shared.now();
+        let loads = self.shared.gateway().take_limited_server_loads(now);
+        let suppressed = loads.len().saturating_sub(MAX_LIMITED_LINES);
+        for load in loads.iter().take(MAX_LIMITED_LINES) {
+            info!(self.shared.logger, "requests to backend server with a rate limit";
+                "server" => %load.incarnation, "rate_per_s" => load.rate_per_s,
+                "limit_age" => ?load.limit_age, "sent" => load.sent,
+                "lines_suppressed" => suppressed);
+        }
+    }
+
     fn prune(&self) {
         let gateway = self.shared.gateway();
         let directory = gateway.directory();
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -21,6 +21,10 @@
     Connections,
     /// Answers that were malformed or belonged to other requests.
     ForeignAnswers,
+    /// Answers in which a backend server named a rate limit.
+    AnswersWithLimit,
+    /// Answers with a rate limit that can't be read.
+    UnreadableLimits,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -52,6 +56,8 @@
             Self::Retries => "gateway_retries",
             Self::Connections => "gateway_connections",
             Self::ForeignAnswers => "gateway_foreign_answers",
+            Self::AnswersWithLimit => "gateway_answers_with_limit",
+            Self::UnreadableLimits => "gateway_unreadable_limits",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -76,6 +82,8 @@
             Self::Retries => "Requests sent to a further backend server.",
             Self::Connections => "Connections opened to backend servers.",
             Self::ForeignAnswers => "Answers that were malformed or belonged to other requests.",
+            Self::AnswersWithLimit => "Answers in which a backend server named a rate limit.",
+            Self::UnreadableLimits => "Answers with a rate limit that can't be read.",
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
--- a/crates/chicory_gateway/src/process/interfaces.rs
+++ b/crates/chicory_gateway/src/process/interfaces.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use hyper::http::{HeaderMap, request, response};
 
-use crate::{Refusal, RequestMetadata};
+use crate::{Refusal, RequestMetadata, ServerNotices};
 
 /// Reads and writes what callers use besides plain HTTP.
 pub trait CallerInterface: Send + Sync {
@@ -54,6 +54,9 @@
         head: &response::Parts,
     ) -> AnswerClass;
 
+    /// Returns what the server states about itself in an answer.
+    fn notices(&self, target: &ServerIncarnation, head: &response::Parts) -> ServerNotices;
+
     /// Returns the time for which the server keeps the connection of this answer open while it is
     /// idle, if the answer states one.
     fn keep_alive(&self, head: &response::Parts) -> Option<Duration>;
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -64,6 +64,9 @@
         };
         let took = now.saturating_sub(summary.started_at);
         let attempts = summary.ticket.map(RequestTicket::attempts_summary);
+        let limit = summary
+            .ticket
+            .and_then(|ticket| gateway.limit_of_last_server(now, ticket));
         warn!(self.logger, "request refused"; "request" => summary.metadata.attempt_id.as_deref(),
             "reason" => refusal.reason.as_str(), "may_have_run" => refusal.may_have_run,
             "service" => summary.ticket.map(|ticket| ticket.service().clone()),
@@ -75,6 +78,8 @@
             "routes_version" => gateway.directory().routes().version,
             "newest_routes_version" => gateway.newest_routes_version(),
             "contact_age_ms" => gateway.contact_age(now).map(millis),
+            "limit_per_s" => limit.map(|(rate_per_s, _)| rate_per_s),
+            "limit_age_ms" => limit.map(|(_, age)| millis(age)),
             "lines_suppressed" => suppressed);
     }
 
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -3,15 +3,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use chicory_net::admin::Readiness;
+use chicory_policy::LimitChange;
+use chicory_ranges::ServerIncarnation;
 use chicory_telemetry::Metrics;
 use chicory_types::{Clock, MonoTime};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
 use super::connection_pool::ConnectionPool;
 use super::request_log::RequestLog;
-use super::{CallerInterface, ServerInterface};
-use crate::Gateway;
+use super::{CallerInterface, GatewayMetric, ServerInterface};
+use crate::{Gateway, LimitNotice, ServerNotices};
 
 /// State that all tasks of an entry process share. The tasks run on one thread, so the locks are
 /// never contended.
@@ -69,6 +71,36 @@
             "contact_age" => ?contact_age);
     }
 
+    /// Records what a server states about itself in an answer to a request that was sent at
+    /// `sent_at`.
+    pub(super) fn record_notices(
+        &self,
+        incarnation: &ServerIncarnation,
+        sent_at: MonoTime,
+        notices: &ServerNotices,
+    ) {
+        match notices.limit {
+            LimitNotice::Unlimited => {}
+            LimitNotice::PerSecond(_) => self.metrics.increment(GatewayMetric::AnswersWithLimit),
+            LimitNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableLimits),
+        }
+        let now = self.now();
+        let change = self
+            .gateway()
+            .record_notices(now, incarnation, sent_at, notices);
+        match change {
+            LimitChange::Unchanged => {}
+            LimitChange::Named(rate_per_s) => {
+                warn!(self.logger, "backend server names a rate limit";
+                    "server" => %incarnation, "rate_per_s" => rate_per_s);
+            }
+            LimitChange::Lifted => {
+                info!(self.logger, "backend server names no rate limit any more";
+                    "server" => %incarnation);
+            }
+        }
+    }
+
     pub(super) fn now(&self) -> MonoTime {
         self.clock.now()
     }
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -8,7 +8,7 @@
 use chicory_directory::{ControlMessage, DirectoryUpdate, LinkStatus};
 use chicory_gateway::{
     AnswerClass, CallerInterface, GatewayConfig, GatewayProcess, GatewayProcessConfig, Refusal,
-    RequestMetadata, ServerInterface,
+    RequestMetadata, ServerInterface, ServerNotices,
 };
 use chicory_link::{FrameReader, LinkStream, split};
 use chicory_net::admin::Readiness;
@@ -55,6 +55,10 @@
         AnswerClass::Answer
     }
 
+    fn notices(&self, _: &ServerIncarnation, _: &response::Parts) -> ServerNotices {
+        ServerNotices::default()
+    }
+
     fn keep_alive(&self, _head: &response::Parts) -> Option<Duration> {
         None
     }
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -5,11 +5,14 @@
 //!
 //! | type | load or fault | decision |
 //! |---|---|---|
+//! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
 //! | [`Outages`] | keys without an owner, or unreachable servers, for seconds | wait, probe now and then, or refuse at once |
 //! | [`RetryAfter`] | refused callers | when they should retry |
 
+mod named_limits;
 mod outages;
 mod retry_after;
 
+pub use named_limits::{LimitChange, LimitObservation, NamedLimits};
 pub use outages::Outages;
 pub use retry_after::RetryAfter;
