Add a failing test of the limits that backend servers name

The test plays 10 and 77 entry VMs with even and uneven callers, 40 requests a second for a key whose owner names 3.5, 6.2 or 12 requests a second, in virtual time. It counts like the operators: in any 4 s, from 3 s after the first answer with the limit, one and a half times the limit and 5 more, over the entry VMs that were told half a second before; and at least 0.8 of the limit has to be used.

--- /dev/null
+++ b/crates/chicory_gateway/tests/server_limits/limited_server.rs
@@ -0,0 +1,110 @@
+//! A backend server that names a rate limit and counts its requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Length of the span in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time from an answer with the limit until it binds the entry VM that passed it on.
+const REACTION_TIME: Duration = Duration::from_millis(500);
+/// Factor on the requests that a limit allows, and requests in addition to them.
+const ALLOWED: (f64, f64) = (1.5, 5.0);
+
+/// A request that reached the server.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: Duration,
+    entry_vm: usize,
+}
+
+/// More requests than a limit allows in one span.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Excess {
+    pub at: Duration,
+    pub requests: usize,
+    pub allowed: f64,
+}
+
+#[derive(Default)]
+pub struct LimitedServer {
+    /// Limits in requests per second, by the time from which the server names them.
+    limits: BTreeMap<Duration, Option<f64>>,
+    arrivals: Vec<Arrival>,
+    /// Time at which each entry VM first passed on an answer with a limit.
+    told_at: BTreeMap<usize, Duration>,
+}
+
+impl LimitedServer {
+    pub fn set_limit(&mut self, at: Duration, limit_per_s: Option<f64>) {
+        self.limits.insert(at, limit_per_s);
+    }
+
+    /// Returns the limit that the server names in an answer.
+    pub fn limit_at(&self, at: Duration) -> Option<f64> {
+        *self.limits.range(..=at).next_back()?.1
+    }
+
+    pub fn record_arrival(&mut self, at: Duration, entry_vm: usize) {
+        self.arrivals.push(Arrival { at, entry_vm });
+    }
+
+    pub fn record_answer(&mut self, at: Duration, entry_vm: usize, limit_per_s: Option<f64>) {
+        if limit_per_s.is_some() {
+            self.told_at.entry(entry_vm).or_insert(at);
+        }
+    }
+
+    /// Returns the first span after `from` with more requests from entry VMs that know of a limit
+    /// than the greatest limit of the span allows.
+    pub fn excess(&self, from: Duration) -> Option<Excess> {
+        let counted: Vec<Duration> = self
+            .arrivals
+            .iter()
+            .filter(|arrival| {
+                let told_at = self.told_at.get(&arrival.entry_vm);
+                told_at.is_some_and(|told_at| arrival.at >= *told_at + REACTION_TIME)
+            })
+            .map(|arrival| arrival.at)
+            .collect();
+        let ends = counted.iter().enumerate().filter(|(_, at)| **at >= from);
+        let mut excesses = ends.filter_map(|(last, end)| {
+            let begin = end.saturating_sub(WINDOW);
+            let requests = counted[..=last].iter().filter(|at| **at > begin).count();
+            let limit = self.greatest_limit(begin, *end)?;
+            let (factor, extra) = ALLOWED;
+            let allowed = factor * limit * WINDOW.as_secs_f64() + extra;
+            let excess = Excess {
+                at: *end,
+                requests,
+                allowed,
+            };
+            (count(requests) > allowed).then_some(excess)
+        });
+        excesses.next()
+    }
+
+    /// Returns the greatest limit in a span; `None` if a limit was lifted for a part of it.
+    fn greatest_limit(&self, begin: Duration, end: Duration) -> Option<f64> {
+        let within = self.limits.range(begin..=end);
+        let all = self
+            .limits
+            .range(..begin)
+            .next_back()
+            .into_iter()
+            .chain(within);
+        let mut all = all.map(|(_, limit)| *limit);
+        let first = all.next()?;
+        all.fold(first, |one, other| Some(one?.max(other?)))
+    }
+
+    /// Returns the requests per second in a span.
+    pub fn rate_between(&self, begin: Duration, end: Duration) -> f64 {
+        let within = |arrival: &&Arrival| arrival.at >= begin && arrival.at < end;
+        let requests = self.arrivals.iter().filter(within).count();
+        count(requests) / end.saturating_sub(begin).as_secs_f64()
+    }
+}
+
+fn count(items: usize) -> f64 {
+    f64::from(u32::try_from(items).expect("few items"))
+}
