Move the token bucket to the shared policies

chicory_dispatch kept a token bucket for its own use, and the platform's path has none. The code is unchanged but for its visibility and an example. cargo test -p chicory_dispatch -p chicory_policy: all pass.

--- a/crates/chicory_dispatch/src/limits/mod.rs
+++ b/crates/chicory_dispatch/src/limits/mod.rs
@@ -4,11 +4,9 @@
 mod crash_suspicion;
 mod retry_budget;
 mod service_limits;
-mod token_bucket;
 
 pub(crate) use crash_suspects::CrashSuspects;
 pub(crate) use crash_suspects::MAX_CRASHES;
 pub(crate) use crash_suspicion::CrashSuspicion;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use service_limits::ServiceLimits;
-pub(crate) use token_bucket::TokenBucket;
--- a/crates/chicory_dispatch/src/limits/retry_budget.rs
+++ b/crates/chicory_dispatch/src/limits/retry_budget.rs
@@ -1,9 +1,8 @@
 //! The retry budget of a service.
 
+use chicory_policy::TokenBucket;
 use chicory_types::MonoTime;
 
-use crate::limits::TokenBucket;
-
 /// Retries per second that are allowed regardless of the rate of new requests.
 const FLOOR_PER_S: f64 = 1.0;
 /// Maximum number of unused retries that accumulate.
--- a/crates/chicory_dispatch/src/limits/service_limits.rs
+++ b/crates/chicory_dispatch/src/limits/service_limits.rs
@@ -1,8 +1,9 @@
 //! Retry budget and rate limit of one service in this process.
 
+use chicory_policy::TokenBucket;
 use chicory_types::MonoTime;
 
-use crate::limits::{RetryBudget, TokenBucket};
+use crate::limits::RetryBudget;
 
 /// Retry budget and rate limit of one service in this process.
 #[derive(Clone, Debug)]
--- a/crates/chicory_dispatch/src/path_state.rs
+++ b/crates/chicory_dispatch/src/path_state.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use chicory_ownership::{ClaimResolution, Claimant, ServerRecord};
+use chicory_policy::TokenBucket;
 use chicory_types::{MonoTime, OrderKey, RequestId, ServerId, ServiceName, VmId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::lease::Lease;
-use crate::limits::{CrashSuspects, ServiceLimits, TokenBucket};
+use crate::limits::{CrashSuspects, ServiceLimits};
 use crate::request::{ClaimState, RequestState};
 use crate::resignation::Resignation;
 use crate::run_state::RunState;
--- a/crates/chicory_dispatch/src/server/server_state.rs
+++ b/crates/chicory_dispatch/src/server/server_state.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use chicory_ownership::ServerRecord;
+use chicory_policy::TokenBucket;
 use chicory_types::{Incarnation, MonoTime, RequestId, ServerId, Slot, SlotRun};
 
-use crate::limits::TokenBucket;
 use crate::server::{
     Admission, ConnectionBreak, ConnectionPool, FairQueue, FlowId, GrantRegistry, NextStep,
     QueueEntry, ReportSchedule, ServerHealth, ServerLimits, ServiceTime,
--- a/crates/chicory_dispatch/src/limits/token_bucket.rs
+++ b/crates/chicory_policy/src/token_bucket.rs
@@ -5,8 +5,19 @@
 use chicory_types::MonoTime;
 
 /// A token bucket that fills at a steady rate up to its burst.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_policy::TokenBucket;
+/// use std::time::Duration;
+///
+/// let mut bucket = TokenBucket::new(2.0, 1.0, Duration::ZERO);
+/// assert_eq!(bucket.try_take(Duration::ZERO), Ok(()));
+/// assert_eq!(bucket.try_take(Duration::ZERO), Err(Duration::from_millis(500)));
+/// ```
 #[derive(Clone, Debug)]
-pub(crate) struct TokenBucket {
+pub struct TokenBucket {
     rate_per_s: f64,
     burst: f64,
     tokens: f64,
@@ -15,13 +26,15 @@
 
 impl TokenBucket {
     /// Creates a full bucket whose burst is the tokens of a tenth of a second, but at least one.
-    pub(crate) fn per_second(rate_per_s: u32, now: MonoTime) -> Self {
+    #[must_use]
+    pub fn per_second(rate_per_s: u32, now: MonoTime) -> Self {
         let rate = f64::from(rate_per_s);
         Self::new(rate, (rate / 10.0).max(1.0), now)
     }
 
     /// Creates a full bucket.
-    pub(crate) fn new(rate_per_s: f64, burst: f64, now: MonoTime) -> Self {
+    #[must_use]
+    pub fn new(rate_per_s: f64, burst: f64, now: MonoTime) -> Self {
         Self {
             rate_per_s,
             burst,
@@ -31,12 +44,17 @@
     }
 
     /// Returns whether the bucket was created for this rate.
-    pub(crate) fn has_rate(&self, rate_per_s: u32) -> bool {
+    #[must_use]
+    pub fn has_rate(&self, rate_per_s: u32) -> bool {
         (self.rate_per_s - f64::from(rate_per_s)).abs() < f64::EPSILON
     }
 
-    /// Takes one token, or returns the time until one is available.
-    pub(crate) fn try_take(&mut self, now: MonoTime) -> Result<(), Duration> {
+    /// Takes one token.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until a token is available.
+    pub fn try_take(&mut self, now: MonoTime) -> Result<(), Duration> {
         self.fill(now);
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
@@ -49,7 +67,7 @@
     }
 
     /// Adds `tokens`, up to the burst.
-    pub(crate) fn add(&mut self, tokens: f64) {
+    pub fn add(&mut self, tokens: f64) {
         self.tokens = (self.tokens + tokens).min(self.burst);
     }
 
