--- a/crates/chicory_ctl/src/explain/explanation.rs
+++ b/crates/chicory_ctl/src/explain/explanation.rs
@@ -147,6 +147,9 @@
              reach the server: the entry VM was cut off"
         );
     }
+    if reason == "server-limited" {
+        return limit_cause(&summary.line);
+    }
     let known_cause = match reason {
         "no-directory" => Some("the entry VM had no route table, or an outdated one"),
         "no-route" => Some("no route in the table matches the host and path"),
@@ -162,6 +165,20 @@
     cause_from_control_lines(summary, related).unwrap_or_else(|| cause_from_outcomes(summary))
 }
 
+/// Returns the cause of the refusal of a request that a server's rate limit left no room for.
+fn limit_cause(line: &LogLine) -> String {
+    let server = line.text_field("limited_server").unwrap_or("of the key");
+    let rate = line
+        .fields
+        .get("limit_per_s")
+        .map_or_else(|| "fewer".to_owned(), format_value);
+    let age_ms = line.number_field("limit_age_ms").unwrap_or(0);
+    format!(
+        "server {server} takes {rate} requests a second from all entry VMs together, as an answer \
+         {age_ms} ms before showed, and others used them"
+    )
+}
+
 /// Returns whether the key of the request moved before the request ended. An entry VM that was cut
 /// off from the control VMs then did not know the new owner.
 fn has_key_moved(summary: &RequestSummary, related: &[LogLine]) -> bool {
--- a/crates/chicory_ctl/src/explain/related_lines.rs
+++ b/crates/chicory_ctl/src/explain/related_lines.rs
@@ -49,7 +49,9 @@
 fn names_attempted_server(line: &LogLine, summary: &RequestSummary) -> bool {
     let server = line.text_field("server");
     let mut attempts = summary.attempts.iter();
-    server.is_some() && attempts.any(|attempt| Some(&*attempt.server) == server)
+    let limited_server = summary.line.text_field("limited_server");
+    server.is_some()
+        && (limited_server == server || attempts.any(|attempt| Some(&*attempt.server) == server))
 }
 
 /// Returns whether a line is about a key range that contains the key of the request. A line that
--- a/crates/chicory_ctl/tests/explain.rs
+++ b/crates/chicory_ctl/tests/explain.rs
@@ -129,3 +129,21 @@
     let missing = [PathBuf::from("/nowhere/at/all")];
     expect_that!(explain("a1", &missing), err(anything()));
 }
+
+#[gtest]
+fn request_beyond_the_rate_limit_of_its_server() {
+    let fields = json!({"request": "a1", "reason": "server-limited", "attempts": "", "key": 70,
+        "service": "archive", "contact_age_ms": 200, "may_have_run": false,
+        "limited_server": "s1@7", "limit_per_s": 6.2, "limit_age_ms": 340});
+    let load = json!({"server": "s1@7", "rate_per_s": 6.2, "sent": 1, "denied": 9});
+    let message = "requests to backend server with a rate limit";
+    let lines = [
+        log_line(30, "entry-1", "request refused", fields),
+        log_line(30, "entry-2", message, load),
+    ];
+    let text = explanation_of(&lines).expect("an explanation");
+    let cause = "server s1@7 takes 6.2 requests a second from all entry VMs together, as an answer \
+        340 ms before showed";
+    expect_that!(text, contains_substring(cause));
+    expect_that!(text, contains_substring("entry-2"));
+}
--- a/crates/chicory_directory/src/control_message.rs
+++ b/crates/chicory_directory/src/control_message.rs
@@ -1,9 +1,9 @@
 //! Messages from control VMs to entry VMs.
 
-use crate::{DirectoryUpdate, LinkStatus, MovesChange};
+use crate::{DirectoryUpdate, LinkStatus, MovesChange, ServerLimitUpdate};
 
 /// A message from a control VM to an entry VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ControlMessage {
     /// The directory changed.
     Update(DirectoryUpdate),
@@ -12,4 +12,6 @@
     /// The set of keys in transfer between owners changed. The first such message on a link is full
     /// and names all of them.
     Moves(MovesChange),
+    /// Rate limits of backend servers, and permits to send requests to them.
+    ServerLimits(ServerLimitUpdate),
 }
--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -5,6 +5,8 @@
 use chicory_ranges::{Key, ServerIncarnation};
 use chicory_types::ServiceName;
 
+use crate::{PermitRequest, ReportedLimit};
+
 /// Hash of everything that makes two requests equal for a backend server.
 pub type RequestFingerprint = u64;
 
@@ -44,8 +46,9 @@
     pub life: ServerIncarnation,
 }
 
-/// A periodic report of an entry VM to the leader.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// A report of an entry VM to the leader, sent periodically and when limits or permits are to be
+/// reported at once.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EntryReport {
     /// Number of requests for each key.
     pub keys: Vec<KeyCount>,
@@ -53,4 +56,20 @@
     pub servers: Vec<ServerLoad>,
     /// Requests that may crash backend servers.
     pub poison: Vec<PoisonReport>,
+    /// Rate limits that servers named or lifted since the previous report.
+    pub limits: Vec<ReportedLimit>,
+    /// Permits that requests of callers wait for.
+    pub permits: Vec<PermitRequest>,
+    /// Whether the entry VM understands [`ServerLimitUpdate`](crate::ServerLimitUpdate). Entry VMs
+    /// of earlier releases don't.
+    pub accepts_server_limits: bool,
+}
+
+impl EntryReport {
+    /// Whether the report has only limits and permits, so that it was not sent periodically.
+    #[must_use]
+    pub fn is_about_limits_only(&self) -> bool {
+        let has_limits = !self.limits.is_empty() || !self.permits.is_empty();
+        has_limits && self.keys.is_empty() && self.servers.is_empty() && self.poison.is_empty()
+    }
 }
--- a/crates/chicory_directory/src/peer_envelope.rs
+++ b/crates/chicory_directory/src/peer_envelope.rs
@@ -10,7 +10,7 @@
 pub type SiteCallId = u64;
 
 /// A message from one control VM to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum PeerEnvelope {
     /// A message of the replicated log.
     Log(PeerMessage),
--- a/crates/chicory_gateway/src/decide/crash_detector.rs
+++ b/crates/chicory_gateway/src/decide/crash_detector.rs
@@ -64,6 +64,7 @@
             }
             AttemptOutcome::Unreachable
             | AttemptOutcome::ConnectionRejected
+            | AttemptOutcome::Withheld
             | AttemptOutcome::Garbled
             | AttemptOutcome::Silent
             | AttemptOutcome::Cancelled => {}
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -15,14 +15,15 @@
 
 use super::crash_detector::CrashDetector;
 use super::entry_count::EntryCount;
+use super::gateway_notices::LimitStep;
 use super::limited_servers::LimitedServers;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::table_lag::TableLag;
 use super::zone_reachability::ZoneReachability;
 use super::{
-    AttemptOutcome, GatewayConfig, NextStep, Policy, Refusal, RefusalReason, RequestMetadata,
-    RequestTicket, RetryBudget, Target,
+    AttemptOutcome, GatewayConfig, NextStep, Policy, Recheck, Refusal, RefusalReason,
+    RequestMetadata, RequestTicket, RetryBudget, Target,
 };
 use crate::{Directory, UpdateOutcome};
 
@@ -107,6 +108,8 @@
     pub(super) unreachable: Outages<ServerIncarnation>,
     /// Servers that have named a rate limit.
     pub(super) limited: LimitedServers,
+    /// When the leader last showed that it issues permits for them.
+    pub(super) issuer_contact_at: Option<MonoTime>,
     pub(super) rng: StdRng,
 }
 
@@ -131,6 +134,7 @@
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
             limited: LimitedServers::default(),
+            issuer_contact_at: None,
         }
     }
 
@@ -221,6 +225,7 @@
             may_have_run: false,
             waiting_since: None,
             not_before: now,
+            permit: None,
         })
     }
 
@@ -265,7 +270,14 @@
         if let Some(reason) = self.reason_to_refuse(now, ticket, &record) {
             return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
-        self.send(now, ticket, &record)
+        match self.limit_step(now, ticket, &record) {
+            LimitStep::Unlimited => self.send(now, ticket, &record, false),
+            LimitStep::WithinLimit => self.send(now, ticket, &record, true),
+            LimitStep::Wait(until) => NextStep::Wait(until.min(ticket.deadline)),
+            LimitStep::Deny(retry_after) => {
+                NextStep::Refuse(self.limit_refusal(now, ticket, retry_after))
+            }
+        }
     }
 
     /// Returns why a request is not sent to the owner of its key, or `None` if it may be sent.
@@ -305,11 +317,18 @@
     }
 
     /// Whether a request may still be sent to the server that was chosen for it. Opening a
-    /// connection takes time, and the server may have begun to drain or may have left meanwhile.
+    /// connection takes time, and meanwhile the server may have begun to drain, may have left, or
+    /// may have named a rate limit.
     #[must_use]
-    pub fn may_still_send(&self, now: MonoTime, incarnation: &ServerIncarnation) -> bool {
-        let record = self.directory.server(incarnation);
-        record.is_some_and(|record| self.may_receive(now, record))
+    pub fn recheck(&self, now: MonoTime, target: &Target) -> Recheck {
+        let record = self.directory.server(&target.incarnation);
+        if !record.is_some_and(|record| self.may_receive(now, record)) {
+            return Recheck::ServerLeft;
+        }
+        if !target.has_permit && self.limited.limit(now, &target.incarnation).is_some() {
+            return Recheck::NeedsPermit;
+        }
+        Recheck::Send
     }
 
     fn may_receive(&self, now: MonoTime, record: &ServerRecord) -> bool {
@@ -347,16 +366,35 @@
     }
 
     fn route_to_any_server(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
-        let Some(record) = self.choose_server(now, ticket) else {
-            let reason = ticket.reason_after_attempts();
-            return NextStep::Refuse(self.refusal(now, ticket, reason));
+        let mut denials: BTreeMap<ServerIncarnation, Duration> = BTreeMap::new();
+        while let Some(record) = self.choose_server(now, ticket, &denials) {
+            match self.limit_step(now, ticket, &record) {
+                LimitStep::Unlimited => return self.send(now, ticket, &record, false),
+                LimitStep::WithinLimit => return self.send(now, ticket, &record, true),
+                LimitStep::Wait(until) => return NextStep::Wait(until.min(ticket.deadline)),
+                LimitStep::Deny(retry_after) => {
+                    denials.insert(record.incarnation, retry_after);
+                }
+            }
+        }
+        let refusal = match denials.values().min() {
+            Some(retry_after) => self.limit_refusal(now, ticket, *retry_after),
+            None => self.refusal(now, ticket, ticket.reason_after_attempts()),
         };
-        self.send(now, ticket, &record)
+        NextStep::Refuse(refusal)
     }
 
-    /// Returns the server with the least expected cost. A paused server is chosen only if there is
-    /// no other.
-    fn choose_server(&mut self, now: MonoTime, ticket: &RequestTicket) -> Option<ServerRecord> {
+    /// Returns the server with the least expected cost, other than those that were tried or have
+    /// denied the request. A server that is paused or denies requests is chosen only if there is no
+    /// other.
+    fn choose_server(
+        &mut self,
+        now: MonoTime,
+        ticket: &RequestTicket,
+        denials: &BTreeMap<ServerIncarnation, Duration>,
+    ) -> Option<ServerRecord> {
+        let awaited = ticket.awaited_server();
+        let rank = ticket.route.route.rank();
         let tried: BTreeSet<&ServerIncarnation> = ticket
             .attempts
             .iter()
@@ -366,11 +404,18 @@
         let mut best: Option<(bool, f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
             let health = self.health.get(&record.incarnation);
-            if tried.contains(&record.incarnation) || health.is_some_and(|health| health.is_gone) {
+            let is_excluded = tried.contains(&record.incarnation)
+                || denials.contains_key(&record.incarnation)
+                || health.is_some_and(|health| health.is_gone);
+            if is_excluded {
                 continue;
             }
+            if awaited == Some(&record.incarnation) {
+                return Some(record.clone());
+            }
             let is_paused = health.is_some_and(|health| health.is_paused(now))
-                || self.is_zone_cut_off(now, record);
+                || self.is_zone_cut_off(now, record)
+                || self.limited.is_denied(now, &record.incarnation, rank);
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
@@ -413,12 +458,12 @@
         now: MonoTime,
         ticket: &mut RequestTicket,
         record: &ServerRecord,
+        has_permit: bool,
     ) -> NextStep {
         if !ticket.attempts.is_empty() && !self.try_take_retry(now, ticket) {
             let reason = RefusalReason::NoRetryLeft;
             return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
-        self.limited.record_sent(&record.incarnation);
         let is_order = !ticket.route.route.kind.is_repeatable();
         let health = self.health.entry(record.incarnation.clone()).or_default();
         health.in_flight += 1;
@@ -449,6 +494,7 @@
             max_idle: if is_order { MAX_ORDER_IDLE } else { MAX_IDLE },
             connect_timeout: CONNECT_TIMEOUT.min(left),
             settle_time,
+            has_permit,
         })
     }
 
@@ -472,7 +518,8 @@
     }
 
     /// Returns what happened since the previous report.
-    pub fn take_report(&mut self) -> EntryReport {
+    pub fn take_report(&mut self, now: MonoTime) -> EntryReport {
+        let (limits, permits) = self.limited.take_reports(now);
         let keys = std::mem::take(&mut self.key_counts).into_iter();
         let servers = self
             .health
@@ -496,6 +543,9 @@
                 })
                 .collect(),
             poison: self.crashes.take_reports(),
+            limits,
+            permits,
+            accepts_server_limits: true,
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -61,7 +61,10 @@
                 reachability.record_contact();
                 self.unreachable.record_usable(incarnation);
             }
-            AttemptOutcome::Broken | AttemptOutcome::Silent | AttemptOutcome::Cancelled => {}
+            AttemptOutcome::Withheld
+            | AttemptOutcome::Broken
+            | AttemptOutcome::Silent
+            | AttemptOutcome::Cancelled => {}
         }
     }
 
@@ -90,7 +93,8 @@
         let max_tries = match outcome {
             AttemptOutcome::WrongServer
             | AttemptOutcome::OtherServer
-            | AttemptOutcome::Unreachable => MAX_OWNER_TRIES,
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Withheld => MAX_OWNER_TRIES,
             AttemptOutcome::Shed if !is_congested => MAX_OWNER_TRIES,
             AttemptOutcome::Garbled | AttemptOutcome::Broken => 2,
             _ => 0,
--- a/crates/chicory_gateway/src/decide/gateway_freshness.rs
+++ b/crates/chicory_gateway/src/decide/gateway_freshness.rs
@@ -55,6 +55,12 @@
             self.majority_contact_at = Some(now);
             self.entry_count.record(now, status.entry_count);
         }
+        // Only a leader reports how many entry VMs follow it.
+        if status.entry_count > 0 {
+            self.issuer_contact_at = Some(now);
+        } else {
+            self.issuer_contact_at = None;
+        }
         self.poison = status.poison.iter().copied().collect();
         let own_version = self.directory.routes().version;
         let reported_version = status.routes_version;
--- a/crates/chicory_gateway/src/decide/limited_servers.rs
+++ b/crates/chicory_gateway/src/decide/limited_servers.rs
@@ -1,33 +1,71 @@
 //! Backend servers that have named a rate limit.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use chicory_policy::{LimitChange, LimitObservation, NamedLimits};
+use chicory_directory::{PermitRequest, ReportedLimit, ServerLimitUpdate};
+use chicory_policy::{
+    LimitChange, LimitObservation, NamedLimits, PermitHolder, PermitStep, Rank, SenderState,
+};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
 use super::{LimitNotice, ServerNotices};
 
-/// What this entry VM sent to one backend server that has a rate limit.
+/// A rate limit of a backend server that concerns a request.
 #[derive(Clone, Debug, PartialEq)]
-pub struct LimitedServerLoad {
+pub struct LimitInForce {
     /// The server.
     pub incarnation: ServerIncarnation,
     /// Limit of the server for all entry VMs together, in requests per second.
     pub rate_per_s: f64,
     /// Time since the latest answer that showed the limit.
-    pub limit_age: Duration,
+    pub age: Duration,
+}
+
+/// What this entry VM sent to one backend server that has a rate limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitedServerLoad {
+    /// Limit of the server.
+    pub limit: LimitInForce,
     /// Requests that were sent to the server since the previous call.
     pub sent: u32,
+    /// Requests that were not sent to the server because of its limit since the previous call.
+    pub denied: u32,
+}
+
+/// A request that may be sent to a server with a rate limit.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LimitedRequest {
+    pub(super) rank: Rank,
+    /// Time at which the request began to wait for a permit of this server.
+    pub(super) waiting_since: Option<MonoTime>,
+}
+
+/// What an entry VM has in common with all its requests to servers with a rate limit.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EntryState {
+    pub(super) entry_count: u32,
+    /// Whether the control VM that is followed issues permits.
+    pub(super) has_issuer: bool,
+    pub(super) random_fraction: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    sent: u32,
+    denied: u32,
 }
 
-/// Backend servers that have named a rate limit, and what was sent to them.
+/// Backend servers that have named a rate limit, the permits to send requests to them, and what was
+/// sent.
 #[derive(Debug, Default)]
 pub(super) struct LimitedServers {
     limits: NamedLimits<ServerIncarnation>,
-    /// Requests sent to each limited server since the loads were last taken.
-    sent: BTreeMap<ServerIncarnation, u32>,
+    /// Servers whose limit changed since the previous report.
+    unreported: BTreeSet<ServerIncarnation>,
+    permits: BTreeMap<ServerIncarnation, PermitHolder>,
+    counts: BTreeMap<ServerIncarnation, Counts>,
 }
 
 impl LimitedServers {
@@ -49,36 +87,152 @@
             sent_at,
             received_at: now,
         };
-        self.limits.record(incarnation, observation)
+        let change = self.record(incarnation, observation);
+        if change != LimitChange::Unchanged {
+            self.unreported.insert(incarnation.clone());
+        }
+        change
+    }
+
+    /// Records limits that other entry VMs reported and permits that were requested. Returns the
+    /// limits that changed.
+    pub(super) fn record_update(
+        &mut self,
+        now: MonoTime,
+        update: ServerLimitUpdate,
+    ) -> Vec<(ServerIncarnation, LimitChange)> {
+        let mut changes = Vec::new();
+        for reported in update.limits {
+            let observation = LimitObservation {
+                rate_per_s: reported.rate_per_s,
+                sent_at: now.saturating_sub(reported.sent_age),
+                received_at: now.saturating_sub(reported.received_age),
+            };
+            let change = self.record(&reported.incarnation, observation);
+            if change != LimitChange::Unchanged {
+                changes.push((reported.incarnation, change));
+            }
+        }
+        for answer in update.permits {
+            if let Some(holder) = self.permits.get_mut(&answer.incarnation) {
+                let (granted, denied) = (answer.granted, answer.denied);
+                holder.record_answer(now, answer.rank, granted, denied, answer.retry_after);
+            }
+        }
+        changes
     }
 
-    pub(super) fn record_sent(&mut self, incarnation: &ServerIncarnation) {
-        if self.limits.rate_per_s(incarnation).is_some() {
-            *self.sent.entry(incarnation.clone()).or_default() += 1;
+    fn record(
+        &mut self,
+        incarnation: &ServerIncarnation,
+        observation: LimitObservation,
+    ) -> LimitChange {
+        let change = self.limits.record(incarnation, observation);
+        if change == LimitChange::Lifted {
+            self.permits.remove(incarnation);
+            self.counts.remove(incarnation);
         }
+        change
     }
 
-    /// Returns the limit of a server and the time since the latest answer that showed it.
+    /// Decides whether a request may be sent to a server; `None` if the server has no limit.
+    pub(super) fn next_step(
+        &mut self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        request: LimitedRequest,
+        entry: EntryState,
+    ) -> Option<PermitStep> {
+        let sender = SenderState {
+            rate_per_s: self.limits.rate_per_s(incarnation)?,
+            sender_count: entry.entry_count,
+            has_issuer: entry.has_issuer,
+            random_fraction: entry.random_fraction,
+        };
+        let holder = self.permits.entry(incarnation.clone()).or_default();
+        let step = holder.next_step(now, request.rank, request.waiting_since, sender);
+        let counts = self.counts.entry(incarnation.clone()).or_default();
+        match step {
+            PermitStep::Send => counts.sent += 1,
+            PermitStep::Deny(_) => counts.denied += 1,
+            PermitStep::Wait(_) => {}
+        }
+        Some(step)
+    }
+
+    /// Whether requests to a server are denied until later.
+    pub(super) fn is_denied(
+        &self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        rank: Rank,
+    ) -> bool {
+        let holder = self.permits.get(incarnation);
+        holder.is_some_and(|holder| holder.is_denied(now, rank))
+    }
+
+    /// Returns the limit of a server, if it has one.
     pub(super) fn limit(
         &self,
         now: MonoTime,
         incarnation: &ServerIncarnation,
-    ) -> Option<(f64, Duration)> {
+    ) -> Option<LimitInForce> {
         let observation = self.limits.observation(incarnation)?;
-        let age = now.saturating_sub(observation.received_at);
-        Some((observation.rate_per_s?, age))
+        Some(LimitInForce {
+            incarnation: incarnation.clone(),
+            rate_per_s: observation.rate_per_s?,
+            age: now.saturating_sub(observation.received_at),
+        })
+    }
+
+    /// Returns the limits and requests for permits that have to be reported, and records that they
+    /// are.
+    pub(super) fn take_reports(
+        &mut self,
+        now: MonoTime,
+    ) -> (Vec<ReportedLimit>, Vec<PermitRequest>) {
+        let unreported = std::mem::take(&mut self.unreported).into_iter();
+        let limits = unreported.filter_map(|incarnation| {
+            let observation = self.limits.observation(&incarnation)?;
+            Some(ReportedLimit {
+                incarnation,
+                rate_per_s: observation.rate_per_s,
+                sent_age: now.saturating_sub(observation.sent_at),
+                received_age: now.saturating_sub(observation.received_at),
+            })
+        });
+        let limits = limits.collect();
+        let mut requests = Vec::new();
+        for (incarnation, holder) in &mut self.permits {
+            for (rank, count) in holder.take_requests(now) {
+                requests.push(PermitRequest {
+                    incarnation: incarnation.clone(),
+                    rank,
+                    count,
+                });
+            }
+        }
+        (limits, requests)
+    }
+
+    /// Records that another control VM is followed. It may know none of the limits and has received
+    /// none of the requests for permits.
+    pub(super) fn record_new_issuer(&mut self) {
+        let known = self.limits.observations();
+        self.unreported = known.map(|(incarnation, _)| incarnation.clone()).collect();
+        for holder in self.permits.values_mut() {
+            holder.record_new_issuer();
+        }
     }
 
     /// Returns what was sent to each limited server since the previous call.
     pub(super) fn take_loads(&mut self, now: MonoTime) -> Vec<LimitedServerLoad> {
-        let sent = std::mem::take(&mut self.sent).into_iter();
-        let loads = sent.filter_map(|(incarnation, sent)| {
-            let (rate_per_s, limit_age) = self.limit(now, &incarnation)?;
+        let counts = std::mem::take(&mut self.counts).into_iter();
+        let loads = counts.filter_map(|(incarnation, counts)| {
             Some(LimitedServerLoad {
-                incarnation,
-                rate_per_s,
-                limit_age,
-                sent,
+                limit: self.limit(now, &incarnation)?,
+                sent: counts.sent,
+                denied: counts.denied,
             })
         });
         loads.collect()
@@ -91,6 +245,8 @@
     ) {
         self.limits.remove_expired(now);
         self.limits.retain(&is_known);
-        self.sent.retain(|incarnation, _| is_known(incarnation));
+        self.permits.retain(|incarnation, _| is_known(incarnation));
+        self.counts.retain(|incarnation, _| is_known(incarnation));
+        self.unreported.retain(|incarnation| is_known(incarnation));
     }
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod gateway_notices;
 mod limited_servers;
 mod next_step;
+mod permit_state;
 mod policy;
 mod refusal;
 mod refusals;
@@ -22,8 +23,8 @@
 
 pub use gateway::{Admission, Gateway};
 pub use gateway_config::GatewayConfig;
-pub use limited_servers::LimitedServerLoad;
-pub use next_step::{AttemptOutcome, NextStep, Target};
+pub use limited_servers::{LimitInForce, LimitedServerLoad};
+pub use next_step::{AttemptOutcome, NextStep, Recheck, Target};
 pub use policy::Policy;
 pub use refusal::{Refusal, RefusalReason};
 pub use request_metadata::RequestMetadata;
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -24,6 +24,19 @@
     /// Time to wait on a new connection before anything is sent on it. If the server closes the
     /// connection within this time, it has rejected it.
     pub settle_time: Duration,
+    /// Whether the server has a rate limit that this request is within.
+    pub has_permit: bool,
+}
+
+/// Whether a request may still be sent to its [`Target`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recheck {
+    /// It may be sent.
+    Send,
+    /// The server accepts no more requests.
+    ServerLeft,
+    /// The server has named a rate limit since it was chosen.
+    NeedsPermit,
 }
 
 /// What to do for a request.
@@ -57,6 +70,8 @@
     Unreachable,
     /// The server has too many connections and closed a new one before anything was sent on it.
     ConnectionRejected,
+    /// The server named a rate limit before anything was sent.
+    Withheld,
     /// The connection broke after something was sent.
     Broken,
     /// The answer is malformed or belongs to another request.
@@ -79,6 +94,7 @@
                 | Self::Refused
                 | Self::Unreachable
                 | Self::ConnectionRejected
+                | Self::Withheld
         )
     }
 
@@ -94,6 +110,7 @@
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
             Self::ConnectionRejected => "turned-away",
+            Self::Withheld => "withheld",
             Self::Broken => "broken",
             Self::Garbled => "garbled",
             Self::Silent => "silent",
--- a/crates/chicory_gateway/src/decide/refusal.rs
+++ b/crates/chicory_gateway/src/decide/refusal.rs
@@ -25,6 +25,9 @@
     NoOwner,
     /// All servers that may serve the request are overloaded.
     Overloaded,
+    /// The servers that may serve the request take no more requests for now, by rate limits of
+    /// their own.
+    ServerLimited,
     /// The deadline passed before any server could have run the request.
     TooLate,
     /// The request crashes servers that run it.
@@ -54,6 +57,7 @@
             Self::NoServer => "no-server",
             Self::NoOwner => "no-owner",
             Self::Overloaded => "overloaded",
+            Self::ServerLimited => "server-limited",
             Self::TooLate => "too-late",
             Self::Poisoned => "poisoned",
             Self::Unreachable => "unreachable",
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -45,6 +45,7 @@
             AttemptOutcome::Shed | AttemptOutcome::ConnectionRejected => RefusalReason::Overloaded,
             AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
             AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
+            AttemptOutcome::Withheld => RefusalReason::ServerLimited,
             AttemptOutcome::Silent => RefusalReason::TimedOut,
             _ => RefusalReason::BrokenAnswer,
         };
@@ -77,6 +78,24 @@
         Refusal::not_run(reason).with_retry_after(self.retry_after_for(reason, time_left))
     }
 
+    /// Returns the refusal of a request whose servers may be sent no more requests for
+    /// `retry_after`.
+    pub(super) fn limit_refusal(
+        &mut self,
+        now: MonoTime,
+        ticket: &RequestTicket,
+        retry_after: Duration,
+    ) -> Refusal {
+        let mut refusal = self.refusal(now, ticket, RefusalReason::ServerLimited);
+        if refusal.retry_after.is_some() {
+            let random_fraction = self.rng.random_range(0.0..1.0);
+            let after = RetryAfter::new(retry_after).spread(random_fraction);
+            let time_left = ticket.caller_deadline.saturating_sub(now);
+            refusal = refusal.with_retry_after(after.within(time_left));
+        }
+        refusal
+    }
+
     /// Returns the refusal of a request that has no ticket yet.
     pub(super) fn refusal_at_arrival(
         &mut self,
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -8,6 +8,7 @@
 use chicory_routes::{MatchedRoute, RouteTableVersion};
 use chicory_types::{MonoTime, ServiceName};
 
+use super::permit_state::PermitState;
 use super::{AttemptOutcome, RefusalReason};
 
 /// One attempt to have a request served.
@@ -40,6 +41,8 @@
     pub(crate) waiting_since: Option<MonoTime>,
     /// Earliest time of the next attempt.
     pub(crate) not_before: MonoTime,
+    /// Present while or after the rate limit of a server has held the request back.
+    pub(crate) permit: Option<Box<PermitState>>,
 }
 
 impl RequestTicket {
@@ -80,12 +83,24 @@
         self.fingerprint = Some(fingerprint);
     }
 
+    /// Whether the request waits for a permit of a server with a rate limit.
+    #[must_use]
+    pub fn waits_for_permit(&self) -> bool {
+        self.awaited_server().is_some()
+    }
+
+    /// Returns the server whose permit the request waits for.
+    pub(crate) fn awaited_server(&self) -> Option<&ServerIncarnation> {
+        self.permit.as_ref()?.awaited_server()
+    }
+
     /// Returns why there is no server left that the request could be sent to.
     pub(crate) fn reason_after_attempts(&self) -> RefusalReason {
         match self.attempts.last().and_then(|attempt| attempt.ended) {
             Some((AttemptOutcome::Shed | AttemptOutcome::ConnectionRejected, _)) => {
                 RefusalReason::Overloaded
             }
+            Some((AttemptOutcome::Withheld, _)) => RefusalReason::ServerLimited,
             Some(_) => RefusalReason::Unreachable,
             None => RefusalReason::NoServer,
         }
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -139,7 +139,7 @@
             }
             AttemptOutcome::Broken | AttemptOutcome::Garbled => self.record_break(now),
             AttemptOutcome::OtherServer => self.is_gone = true,
-            AttemptOutcome::WrongServer | AttemptOutcome::Cancelled => {}
+            AttemptOutcome::WrongServer | AttemptOutcome::Withheld | AttemptOutcome::Cancelled => {}
         }
     }
 
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,9 +10,9 @@
 mod view;
 
 pub use decide::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, LimitNotice, LimitedServerLoad, NextStep,
-    Policy, Refusal, RefusalReason, RequestMetadata, RequestTicket, RetryBudget, ServerNotices,
-    Target,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, LimitInForce, LimitNotice,
+    LimitedServerLoad, NextStep, Policy, Recheck, Refusal, RefusalReason, RequestMetadata,
+    RequestTicket, RetryBudget, ServerNotices, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -15,7 +15,7 @@
 use super::answer::{Answer, BUFFERED_BYTES};
 use super::interfaces::AnswerClass;
 use super::shared_state::SharedState;
-use crate::{AttemptOutcome, RequestMetadata, Target};
+use crate::{AttemptOutcome, Recheck, RequestMetadata, Target};
 
 /// Headers that apply to one connection only.
 const HOP_BY_HOP: [header::HeaderName; 6] = [
@@ -132,6 +132,7 @@
         .pool
         .take(shared.now(), &target.incarnation, target.max_idle)
     {
+        recheck(shared, target)?;
         let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
         match link.send(outgoing(shared, request, target, left)).await {
             Ok(response) => return Ok((link, response)),
@@ -157,9 +158,7 @@
         }
     }
     let now = shared.now();
-    if !shared.gateway().may_still_send(now, &target.incarnation) {
-        return Err(AttemptOutcome::Unreachable);
-    }
+    recheck(shared, target)?;
     let left = time_left.saturating_sub(now.saturating_sub(started_at));
     let sent = link.send(outgoing(shared, request, target, left)).await;
     let response = sent.map_err(|failure| match failure {
@@ -170,6 +169,16 @@
     Ok((link, response))
 }
 
+/// Checks that the request may still be sent to its target.
+fn recheck(shared: &SharedState, target: &Target) -> Result<(), AttemptOutcome> {
+    let recheck = shared.gateway().recheck(shared.now(), target);
+    match recheck {
+        Recheck::Send => Ok(()),
+        Recheck::ServerLeft => Err(AttemptOutcome::Unreachable),
+        Recheck::NeedsPermit => Err(AttemptOutcome::Withheld),
+    }
+}
+
 /// Builds the request that is sent to the server.
 fn outgoing(
     shared: &SharedState,
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -158,6 +158,9 @@
             changes.mark_unchanged();
             match guard.next_step() {
                 NextStep::Wait(until) => {
+                    if guard.ticket.waits_for_permit() {
+                        self.shared.limit_reports.notify_one();
+                    }
                     let pause = until.saturating_sub(self.shared.now());
                     // Request the next step again after either a change of the directory or the end
                     // of the wait.
@@ -218,7 +221,8 @@
         self.shared.metrics.increment(GatewayMetric::Answered);
         let summary = self.summary(Some(&guard.ticket));
         let status = answer.head.status.as_u16();
-        self.shared.requests.answered(now, &summary, status);
+        let requests = &self.shared.requests;
+        requests.answered(now, &summary, status, &self.shared.gateway());
         let mut headers = answer.head.headers;
         remove_hop_by_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -179,6 +179,8 @@
 
     async fn follow(&mut self, followed: &VmId, (mut reader, mut writer): LinkStream) -> FollowEnd {
         info!(self.shared.logger, "follows control VM"; "control_vm" => followed);
+        self.shared.gateway().record_new_control_vm();
+        self.shared.limit_reports.notify_one();
         let mut reports = tokio::time::interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last_contact_at = Instant::now();
@@ -221,9 +223,19 @@
                         &mut search,
                     );
                 }
+                () = self.shared.limit_reports.notified() => {
+                    let now = self.shared.now();
+                    let report = self.shared.gateway().take_limit_report(now);
+                    let Some(report) = report else { continue };
+                    writer.put(&site::EntryMessage::from(EntryMessage::Report(report)));
+                    if writer.flush().await.is_err() {
+                        return FollowEnd::Lost(LossCause::Ended);
+                    }
+                }
                 (next, stream) = search.found() => return FollowEnd::Replaced(next, stream),
                 _ = reports.tick() => {
-                    let report = self.shared.gateway().take_report();
+                    let now = self.shared.now();
+                    let report = self.shared.gateway().take_report(now);
                     writer.put(&site::EntryMessage::from(EntryMessage::Report(report)));
                     if writer.flush().await.is_err() {
                         return FollowEnd::Lost(LossCause::Ended);
@@ -314,6 +326,14 @@
                 self.shared.changes.send_modify(|changes| *changes += 1);
                 FrameEffect::Applied
             }
+            Some(ControlMessage::ServerLimits(update)) => {
+                let changes = self.shared.gateway().record_server_limits(now, update);
+                for (incarnation, change) in changes {
+                    self.shared.log_limit_change(&incarnation, change);
+                }
+                self.shared.changes.send_modify(|changes| *changes += 1);
+                FrameEffect::Applied
+            }
             None => {
                 warn!(
                     self.shared.logger,
@@ -392,8 +412,8 @@
         let suppressed = loads.len().saturating_sub(MAX_LIMITED_LINES);
         for load in loads.iter().take(MAX_LIMITED_LINES) {
             info!(self.shared.logger, "requests to backend server with a rate limit";
-                "server" => %load.incarnation, "rate_per_s" => load.rate_per_s,
-                "limit_age" => ?load.limit_age, "sent" => load.sent,
+                "server" => %load.limit.incarnation, "rate_per_s" => load.limit.rate_per_s,
+                "limit_age" => ?load.limit.age, "sent" => load.sent, "denied" => load.denied,
                 "lines_suppressed" => suppressed);
         }
     }
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -66,7 +66,7 @@
         let attempts = summary.ticket.map(RequestTicket::attempts_summary);
         let limit = summary
             .ticket
-            .and_then(|ticket| gateway.limit_of_last_server(now, ticket));
+            .and_then(|ticket| gateway.limit_for(now, ticket));
         warn!(self.logger, "request refused"; "request" => summary.metadata.attempt_id.as_deref(),
             "reason" => refusal.reason.as_str(), "may_have_run" => refusal.may_have_run,
             "service" => summary.ticket.map(|ticket| ticket.service().clone()),
@@ -78,12 +78,19 @@
             "routes_version" => gateway.directory().routes().version,
             "newest_routes_version" => gateway.newest_routes_version(),
             "contact_age_ms" => gateway.contact_age(now).map(millis),
-            "limit_per_s" => limit.map(|(rate_per_s, _)| rate_per_s),
-            "limit_age_ms" => limit.map(|(_, age)| millis(age)),
+            "limited_server" => limit.as_ref().map(|limit| limit.incarnation.to_string()),
+            "limit_per_s" => limit.as_ref().map(|limit| limit.rate_per_s),
+            "limit_age_ms" => limit.as_ref().map(|limit| millis(limit.age)),
             "lines_suppressed" => suppressed);
     }
 
-    pub(super) fn answered(&self, now: MonoTime, summary: &RequestSummary<'_>, status: u16) {
+    pub(super) fn answered(
+        &self,
+        now: MonoTime,
+        summary: &RequestSummary<'_>,
+        status: u16,
+        gateway: &Gateway,
+    ) {
         let has_failed = status >= 500;
         if has_failed {
             if self.take_line(now).is_none() {
@@ -93,10 +100,16 @@
             return;
         }
         let took = now.saturating_sub(summary.started_at);
+        let limit = summary
+            .ticket
+            .and_then(|ticket| gateway.limit_for(now, ticket));
         info!(self.logger, "request answered"; "request" => summary.metadata.attempt_id.as_deref(),
             "status" => status, "took_ms" => millis(took),
             "service" => summary.ticket.map(|ticket| ticket.service().clone()),
             "attempts" => summary.ticket.map(RequestTicket::attempts_summary),
+            "limited_server" => limit.as_ref().map(|limit| limit.incarnation.to_string()),
+            "limit_per_s" => limit.as_ref().map(|limit| limit.rate_per_s),
+            "limit_age_ms" => limit.as_ref().map(|limit| millis(limit.age)),
             "routes_version" => summary.ticket.map(RequestTicket::routes_version));
     }
 
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -8,7 +8,7 @@
 use chicory_telemetry::Metrics;
 use chicory_types::{Clock, MonoTime};
 use slog::{Logger, info, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::connection_pool::ConnectionPool;
 use super::request_log::RequestLog;
@@ -26,6 +26,8 @@
     pub(super) readiness: Readiness,
     /// Number of changes of the directory.
     pub(super) changes: watch::Sender<u64>,
+    /// Notified when limits or requests for permits have to be reported.
+    pub(super) limit_reports: Notify,
     pub(super) requests: RequestLog,
     pub(super) logger: Logger,
     pub(super) metrics: Arc<Metrics>,
@@ -48,6 +50,7 @@
             servers: interfaces.1,
             readiness,
             changes: watch::Sender::new(0),
+            limit_reports: Notify::new(),
             requests: RequestLog::new(logger.clone(), metrics.clone()),
             logger,
             metrics,
@@ -88,6 +91,14 @@
         let change = self
             .gateway()
             .record_notices(now, incarnation, sent_at, notices);
+        if change != LimitChange::Unchanged {
+            self.limit_reports.notify_one();
+        }
+        self.log_limit_change(incarnation, change);
+    }
+
+    /// Logs how the limit of a server changed.
+    pub(super) fn log_limit_change(&self, incarnation: &ServerIncarnation, change: LimitChange) {
         match change {
             LimitChange::Unchanged => {}
             LimitChange::Named(rate_per_s) => {
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -9,7 +9,9 @@
 use chicory_directory::{
     DirectoryPosition, DirectoryUpdate, LinkStatus, MovesChange, MovingRange, ServerState,
 };
-use chicory_gateway::{Admission, Gateway, GatewayConfig, NextStep, RefusalReason, UpdateOutcome};
+use chicory_gateway::{
+    Admission, Gateway, GatewayConfig, NextStep, Recheck, RefusalReason, Target, UpdateOutcome,
+};
 use chicory_ranges::{KeyRange, ServerIncarnation};
 use chicory_routes::{RouteTableDelta, RouteTarget, WeightedService};
 use googletest::prelude::*;
@@ -254,8 +256,18 @@
         ServerIncarnation::new("l1", 1),
         ServerIncarnation::new("l2", 1),
     );
+    let target = |incarnation: &ServerIncarnation| Target {
+        incarnation: incarnation.clone(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        attempt_deadline: START + Duration::from_secs(1),
+        max_idle: Duration::from_secs(1),
+        connect_timeout: Duration::from_secs(1),
+        settle_time: Duration::ZERO,
+        has_permit: false,
+    };
     for incarnation in [&drains, &leaves] {
-        expect_that!(gateway.may_still_send(START, incarnation), eq(true));
+        let recheck = gateway.recheck(START, &target(incarnation));
+        expect_that!(recheck, eq(Recheck::Send));
     }
     let update = DirectoryUpdate {
         version: 6,
@@ -264,9 +276,11 @@
         ..DirectoryUpdate::default()
     };
     gateway.update(START, update);
-    expect_that!(gateway.may_still_send(START, &leaves), eq(false));
+    let recheck = gateway.recheck(START, &target(&leaves));
+    expect_that!(recheck, eq(Recheck::ServerLeft));
     let later = START + Duration::from_millis(1300);
-    expect_that!(gateway.may_still_send(later, &drains), eq(false));
+    let recheck = gateway.recheck(later, &target(&drains));
+    expect_that!(recheck, eq(Recheck::ServerLeft));
 }
 
 #[gtest]
--- a/crates/chicory_gateway/tests/decisions/retries.rs
+++ b/crates/chicory_gateway/tests/decisions/retries.rs
@@ -145,11 +145,11 @@
     ticket.set_fingerprint(42);
     expect_sent(gateway.next_step(START, &mut ticket));
     gateway.record_attempt_end(START, &mut ticket, AttemptOutcome::Broken);
-    expect_that!(gateway.take_report().poison.len(), eq(0));
+    expect_that!(gateway.take_report(START).poison.len(), eq(0));
     let mut other = admit(&mut gateway, "/reads/y", Some(8));
     expect_sent(gateway.next_step(START, &mut other));
     gateway.record_attempt_end(START, &mut other, next);
-    gateway.take_report().poison.len()
+    gateway.take_report(START).poison.len()
 }
 
 #[gtest]
@@ -176,7 +176,7 @@
         ..DirectoryUpdate::default()
     };
     gateway.update(START, update);
-    expect_that!(gateway.take_report().poison.len(), eq(1));
+    expect_that!(gateway.take_report(START).poison.len(), eq(1));
 }
 
 #[gtest]
--- a/crates/chicory_gateway/tests/server_limits/callers.rs
+++ b/crates/chicory_gateway/tests/server_limits/callers.rs
@@ -37,26 +37,27 @@
 }
 
 impl Arrivals {
-    pub fn new(callers: Callers, from: Duration) -> Self {
+    pub fn new(callers: Callers, from: Duration, seed: u64) -> Self {
         Self {
             callers,
-            rng: StdRng::seed_from_u64(7),
+            rng: StdRng::seed_from_u64(seed),
             next_at: from,
         }
     }
 
-    /// Returns the index of the entry VM at which the next request that is due arrives.
-    pub fn next(&mut self, now: Duration, entry_count: usize) -> Option<usize> {
+    /// Returns the index of the entry VM at which the next request that is due arrives, and its key.
+    pub fn next(&mut self, now: Duration, entry_count: usize) -> Option<(usize, u16)> {
         if self.next_at > now {
             return None;
         }
         let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.callers.requests_per_s;
         self.next_at += Duration::from_secs_f64(gap);
         let is_at_first = self.rng.random_bool(self.callers.first_vm_fraction);
-        Some(if is_at_first {
+        let entry_vm = if is_at_first {
             0
         } else {
             self.rng.random_range(0..entry_count)
-        })
+        };
+        Some((entry_vm, self.rng.random()))
     }
 }
--- /dev/null
+++ b/crates/chicory_gateway/tests/server_limits/control_vm.rs
@@ -0,0 +1,150 @@
+//! A control VM that leads a group of its own, without a network or a disk.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chicory_consensus::RestoredState;
+use chicory_directory::{
+    ControlMessage, DirectoryPosition, EntryMessage, ServerRecord, ServerState, SiteCall,
+};
+use chicory_ranges::{CallOutcome, GrantCoordinatorConfig, ServerIncarnation};
+use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
+use chicory_site::{SiteConfig, SiteCore, SiteEffect, SiteEvent};
+
+const VM: &str = "10.0.0.1:7540";
+
+pub struct ControlVm {
+    core: SiteCore,
+    /// Messages to entry VMs, by the index of the VM.
+    pub outbox: Vec<(usize, ControlMessage)>,
+    last_caller: u64,
+}
+
+impl ControlVm {
+    pub fn start(now: Duration, seed: u64) -> Self {
+        let config = SiteConfig {
+            vm: VM.into(),
+            seeds: vec![VM.into()],
+            random_seed: seed,
+            grants: GrantCoordinatorConfig::default(),
+        };
+        let mut control_vm = Self {
+            core: SiteCore::new(config, now),
+            outbox: Vec::new(),
+            last_caller: 0,
+        };
+        let opened = SiteEvent::StorageOpened {
+            incarnation: seed,
+            restored: RestoredState::fresh(),
+            is_founder: true,
+        };
+        control_vm.handle(now, opened);
+        control_vm
+    }
+
+    pub fn is_leading(&self, now: Duration) -> bool {
+        self.core.is_leading(now)
+    }
+
+    pub fn tick(&mut self, now: Duration) {
+        if self.core.next_wakeup() <= now {
+            self.handle(now, SiteEvent::Tick);
+        }
+    }
+
+    pub fn put_routes(&mut self, now: Duration) {
+        self.call(now, SiteCall::PutRoutes(routes()));
+    }
+
+    pub fn announce_servers(&mut self, now: Duration, servers: &[ServerIncarnation]) {
+        for (server, port) in servers.iter().zip(8000..) {
+            let record = ServerRecord {
+                incarnation: server.clone(),
+                service: "archive".into(),
+                address: SocketAddr::from(([10, 0, 0, 1], port)),
+                zone: "north".into(),
+                software_version: String::new(),
+                slots: 4,
+                state: ServerState::Ready,
+                cold_for: Duration::ZERO,
+            };
+            self.call(now, SiteCall::Announce(record));
+        }
+    }
+
+    pub fn connect(&mut self, now: Duration, entry_vm: usize) {
+        let connected = SiteEvent::EntryConnected {
+            link: entry_vm as u64,
+            vm: format!("entry-{entry_vm}"),
+            zone: "north".into(),
+            known: DirectoryPosition::default(),
+        };
+        self.handle(now, connected);
+    }
+
+    pub fn receive(&mut self, now: Duration, entry_vm: usize, message: EntryMessage) {
+        let link = entry_vm as u64;
+        self.handle(now, SiteEvent::EntrySent { link, message });
+    }
+
+    fn call(&mut self, now: Duration, call: SiteCall) {
+        self.last_caller += 1;
+        let caller = self.last_caller;
+        self.handle(now, SiteEvent::CallReceived { caller, call });
+    }
+
+    fn handle(&mut self, now: Duration, event: SiteEvent) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for effect in self.core.reduce(now, event) {
+                match effect {
+                    SiteEffect::Persist { ticket, .. } => {
+                        events.push_back(SiteEvent::Persisted { ticket });
+                    }
+                    SiteEffect::SendToEntries { links, message } => {
+                        for link in links {
+                            let entry_vm = usize::try_from(link).expect("an index");
+                            self.outbox.push((entry_vm, message.clone()));
+                            events.push_back(SiteEvent::EntryLinkReady { link });
+                        }
+                    }
+                    SiteEffect::Grant(request) => events.push_back(SiteEvent::GrantCallEnded {
+                        call: request.call,
+                        outcome: CallOutcome::Done { handover: None },
+                    }),
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+fn routes() -> RouteTable {
+    let route = |name: &str, priority| Route {
+        name: name.into(),
+        host: "host".into(),
+        path_prefix: format!("/{name}/"),
+        kind: RequestKind::Idempotent,
+        timeout: Some(Duration::from_secs(1)),
+        latency_target: None,
+        priority: Some(priority),
+        max_attempts: Some(2),
+        target: RouteTarget::Service("archive".into()),
+    };
+    RouteTable {
+        version: 1,
+        routes: vec![route("urgent", 0), route("reads", 1)],
+        services: vec![RoutedService {
+            name: "archive".into(),
+            health_path: None,
+            max_connections: None,
+            protocol: None,
+            has_tls: None,
+            is_keyed: Some(true),
+            warmup: None,
+            grant_mode: None,
+        }],
+        limits: None,
+    }
+}
--- a/crates/chicory_gateway/tests/server_limits/world.rs
+++ b/crates/chicory_gateway/tests/server_limits/world.rs
@@ -1,14 +1,21 @@
-//! Entry VMs, their callers and one backend server in virtual time.
+//! Entry VMs, their callers, a control VM and backend servers in virtual time.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use chicory_directory::{ControlMessage, EntryMessage};
 use chicory_gateway::RequestTicket;
+use chicory_ranges::ServerIncarnation;
 
 use crate::callers::{Arrivals, Callers};
+use crate::control_vm::ControlVm;
 use crate::entry_vm::{EntryVm, Progress};
 use crate::limited_server::LimitedServer;
 
-const START: Duration = Duration::from_secs(10);
+const START: Duration = Duration::from_secs(5);
+/// Time at which callers begin to send requests.
+pub const TRAFFIC_AT: Duration = Duration::from_secs(10);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
 const STEP: Duration = Duration::from_millis(1);
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
 const WORK_TIME: Duration = Duration::from_millis(80);
@@ -17,56 +24,184 @@
 struct Exchange {
     entry_vm: usize,
     ticket: RequestTicket,
+    server: ServerIncarnation,
     sent_at: Duration,
 }
 
+/// Numbers of requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub sent: u32,
+    pub refused: u32,
+}
+
+enum Message {
+    ToControl(EntryMessage),
+    ToEntry(ControlMessage),
+}
+
 pub struct World {
     pub now: Duration,
-    pub server: LimitedServer,
+    pub servers: BTreeMap<ServerIncarnation, LimitedServer>,
     pub entry_vms: Vec<EntryVm>,
-    arrivals: Arrivals,
+    pub control_vm: Option<ControlVm>,
+    /// What became of requests, by path.
+    counts: BTreeMap<&'static str, Counts>,
+    arrivals: Vec<(&'static str, Arrivals)>,
     exchanges: Vec<Exchange>,
+    messages: Vec<(Duration, usize, Message)>,
+    announce_at: Duration,
 }
 
 impl World {
-    pub fn new(entry_count: usize, callers: Callers) -> Self {
-        let entry_vms = (0..entry_count).map(|index| EntryVm::new(START, index, entry_count));
-        Self {
+    /// Starts a site whose backend servers have these names, until callers begin.
+    pub fn start(entry_count: usize, server_names: &[&str]) -> Self {
+        let servers = server_names
+            .iter()
+            .map(|name| (ServerIncarnation::new(*name, 1), LimitedServer::default()));
+        let mut world = Self {
             now: START,
-            server: LimitedServer::default(),
-            entry_vms: entry_vms.collect(),
-            arrivals: Arrivals::new(callers, START),
+            servers: servers.collect(),
+            entry_vms: (0..entry_count)
+                .map(|index| EntryVm::new(START, index))
+                .collect(),
+            control_vm: Some(ControlVm::start(START, 1)),
+            counts: BTreeMap::new(),
+            arrivals: Vec::new(),
             exchanges: Vec::new(),
+            messages: Vec::new(),
+            announce_at: START,
+        };
+        world.await_leader();
+        world.run_until(TRAFFIC_AT);
+        world
+    }
+
+    /// Adds callers who send requests to a path from now on.
+    pub fn add_callers(&mut self, path: &'static str, callers: Callers) {
+        let seed = self.arrivals.len() as u64;
+        let arrivals = Arrivals::new(callers, self.now, seed);
+        self.arrivals.push((path, arrivals));
+    }
+
+    /// Returns a server by its name.
+    pub fn server(&mut self, name: &str) -> &mut LimitedServer {
+        let incarnation = ServerIncarnation::new(name, 1);
+        self.servers.get_mut(&incarnation).expect("a server")
+    }
+
+    /// Returns what became of the requests to a path so far.
+    pub fn counts(&self, path: &str) -> Counts {
+        self.counts.get(path).copied().unwrap_or_default()
+    }
+
+    fn await_leader(&mut self) {
+        while !self
+            .control_vm
+            .as_ref()
+            .is_some_and(|vm| vm.is_leading(self.now))
+        {
+            self.run_until(self.now + STEP);
+        }
+        let servers: Vec<ServerIncarnation> = self.servers.keys().cloned().collect();
+        let control_vm = self.control_vm.as_mut().expect("a control VM");
+        control_vm.put_routes(self.now);
+        control_vm.announce_servers(self.now, &servers);
+        self.announce_at = self.now + ANNOUNCE_INTERVAL;
+        for index in 0..self.entry_vms.len() {
+            control_vm.connect(self.now, index);
         }
     }
 
+    /// Replaces the control VM by one that knows nothing, as a new leader does.
+    pub fn restart_control_vm(&mut self) {
+        self.control_vm = Some(ControlVm::start(self.now, 2));
+        self.messages.clear();
+        for entry_vm in &mut self.entry_vms {
+            entry_vm.gateway.record_new_control_vm();
+        }
+        self.await_leader();
+    }
+
     pub fn run_until(&mut self, end: Duration) {
         while self.now < end {
             self.now += STEP;
+            self.run_control();
             self.run_exchanges();
             self.wake_waiting();
-            while let Some(index) = self.arrivals.next(self.now, self.entry_vms.len()) {
-                let progress = self.entry_vms[index].accept(self.now);
-                self.record_progress(index, progress);
+            self.run_callers();
+        }
+    }
+
+    fn run_control(&mut self) {
+        let now = self.now;
+        let due = |message: &mut (Duration, usize, Message)| message.0 <= now;
+        for (_, index, message) in self.messages.extract_if(.., due).collect::<Vec<_>>() {
+            if !self.entry_vms[index].is_linked {
+                continue;
+            }
+            match message {
+                Message::ToEntry(message) => self.entry_vms[index].receive(now, message),
+                Message::ToControl(message) => {
+                    if let Some(control_vm) = &mut self.control_vm {
+                        control_vm.receive(now, index, message);
+                    }
+                }
+            }
+        }
+        let arrives_at = now + NETWORK_DELAY;
+        if let Some(control_vm) = &mut self.control_vm {
+            control_vm.tick(now);
+            if now >= self.announce_at && control_vm.is_leading(now) {
+                self.announce_at = now + ANNOUNCE_INTERVAL;
+                let servers: Vec<ServerIncarnation> = self.servers.keys().cloned().collect();
+                control_vm.announce_servers(now, &servers);
+            }
+            for (index, message) in control_vm.outbox.drain(..) {
+                self.messages
+                    .push((arrives_at, index, Message::ToEntry(message)));
+            }
+        }
+        for (index, entry_vm) in self.entry_vms.iter_mut().enumerate() {
+            if let Some(message) = entry_vm.take_message(now) {
+                self.messages
+                    .push((arrives_at, index, Message::ToControl(message)));
             }
         }
     }
 
-    fn record_progress(&mut self, entry_vm: usize, progress: Progress) {
+    fn run_callers(&mut self) {
+        for index in 0..self.arrivals.len() {
+            loop {
+                let (path, arrivals) = &mut self.arrivals[index];
+                let path = *path;
+                let Some((entry_vm, key)) = arrivals.next(self.now, self.entry_vms.len()) else {
+                    break;
+                };
+                let progress = self.entry_vms[entry_vm].accept(self.now, path, key);
+                self.record_progress(entry_vm, path, progress);
+            }
+        }
+    }
+
+    fn record_progress(&mut self, entry_vm: usize, path: &'static str, progress: Progress) {
         match progress {
-            Progress::Sent(ticket) => {
-                self.server
-                    .record_arrival(self.now + NETWORK_DELAY, entry_vm);
+            Progress::Sent(ticket, server) => {
+                self.counts.entry(path).or_default().sent += 1;
+                let arrives_at = self.now + NETWORK_DELAY;
+                let limited = self.servers.get_mut(&server).expect("a server");
+                limited.record_arrival(arrives_at, entry_vm);
                 self.exchanges.push(Exchange {
                     entry_vm,
                     ticket,
+                    server,
                     sent_at: self.now,
                 });
             }
             Progress::Waiting(ticket, until) => {
                 self.entry_vms[entry_vm].waiting.push((ticket, until));
             }
-            Progress::Refused => {}
+            Progress::Refused => self.counts.entry(path).or_default().refused += 1,
         }
     }
 
@@ -77,10 +212,12 @@
         let answered: Vec<Exchange> = self.exchanges.extract_if(.., is_due).collect();
         for exchange in answered {
             let answered_at = exchange.sent_at + NETWORK_DELAY + WORK_TIME;
-            let limit = self.server.limit_at(answered_at);
-            self.server.record_answer(now, exchange.entry_vm, limit);
+            let server = self.servers.get_mut(&exchange.server).expect("a server");
+            let limit = server.limit_at(answered_at);
+            server.record_answer(now, exchange.entry_vm, limit);
             let entry_vm = &mut self.entry_vms[exchange.entry_vm];
-            entry_vm.receive_answer(now, exchange.ticket, exchange.sent_at, limit);
+            let request = (exchange.ticket, exchange.server);
+            entry_vm.receive_answer(now, request, exchange.sent_at, limit);
         }
     }
 
@@ -91,9 +228,23 @@
                 .waiting
                 .extract_if(.., |(_, until)| *until <= now);
             for (ticket, _) in due.collect::<Vec<_>>() {
+                let path = path_of(&ticket);
                 let progress = self.entry_vms[index].advance(now, ticket);
-                self.record_progress(index, progress);
+                self.record_progress(index, path, progress);
             }
         }
     }
 }
+
+fn path_of(ticket: &RequestTicket) -> &'static str {
+    if ticket.route().route.name == "urgent" {
+        URGENT
+    } else {
+        READS
+    }
+}
+
+/// Path of requests that are served first.
+pub const URGENT: &str = "/urgent/x";
+/// Path of all other requests.
+pub const READS: &str = "/reads/x";
--- /dev/null
+++ b/crates/chicory_policy/src/permit_issuer.rs
@@ -0,0 +1,121 @@
+//! Divides the rate limits of servers among all that send to them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+use crate::TokenBucket;
+use crate::decaying_rate::DecayingRate;
+
+/// Rank of a request; 0 is the most urgent.
+pub type Rank = u32;
+
+/// Time for which permits accumulate while nobody requests any.
+const BURST_TIME: Duration = Duration::from_millis(500);
+/// Permits that accumulate in addition, so that a low limit is used although requests come at
+/// irregular times.
+const EXTRA_BURST: f64 = 2.0;
+/// Time for whose more urgent requests permits are kept back from less urgent ones.
+const RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Bounds of the time after which a permit may be requested again. The limit or the demand may
+/// change, so it is short even if many wait.
+const RETRY_AFTER_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_secs(1));
+
+/// Answer to the request for one permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitDecision {
+    /// One request may be sent to the server.
+    Granted,
+    /// None may be sent, and this is the time after which one probably may.
+    Denied(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct IssuedPermits {
+    bucket: TokenBucket,
+    /// Requests for permits, by rank.
+    demand: BTreeMap<Rank, DecayingRate>,
+    denials: DecayingRate,
+}
+
+/// Divides the rate limits of servers among all that send to them.
+///
+/// The senders request a permit for each request to a server with a limit. All permits of a server
+/// come from one token bucket, so their sum keeps the limit, however many senders there are and
+/// however the demand is divided among them. Some permits are kept back for more urgent requests, so
+/// less urgent ones get only what those leave.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_policy::{PermitDecision, PermitIssuer};
+/// use std::time::Duration;
+///
+/// let mut issuer = PermitIssuer::default();
+/// let now = Duration::from_secs(5);
+/// let mut decide = || issuer.decide(now, &"server", 2.0, 0);
+/// assert_eq!([decide(), decide(), decide()], [PermitDecision::Granted; 3]);
+/// assert!(matches!(decide(), PermitDecision::Denied(_)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct PermitIssuer<Server> {
+    servers: BTreeMap<Server, IssuedPermits>,
+}
+
+impl<Server> Default for PermitIssuer<Server> {
+    fn default() -> Self {
+        Self {
+            servers: BTreeMap::new(),
+        }
+    }
+}
+
+impl<Server: Ord + Clone> PermitIssuer<Server> {
+    /// Decides about one permit for a server whose limit is `rate_per_s`.
+    pub fn decide(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        rate_per_s: f64,
+        rank: Rank,
+    ) -> PermitDecision {
+        let burst = rate_per_s * BURST_TIME.as_secs_f64() + EXTRA_BURST;
+        let issued = self
+            .servers
+            .entry(server.clone())
+            .or_insert_with(|| IssuedPermits {
+                bucket: TokenBucket::new(rate_per_s, burst, now),
+                demand: BTreeMap::new(),
+                denials: DecayingRate::default(),
+            });
+        issued.bucket.set_rate(rate_per_s, burst, now);
+        issued.decide(now, rate_per_s, burst, rank)
+    }
+
+    /// Keeps only servers that still have a limit.
+    pub fn retain(&mut self, has_limit: impl Fn(&Server) -> bool) {
+        self.servers.retain(|server, _| has_limit(server));
+    }
+}
+
+impl IssuedPermits {
+    fn decide(&mut self, now: MonoTime, rate_per_s: f64, burst: f64, rank: Rank) -> PermitDecision {
+        let more_urgent = self.demand.range(..rank);
+        let urgent_rate: f64 = more_urgent
+            .map(|(_, requests)| requests.per_second(now))
+            .sum();
+        let reserve = (urgent_rate * RESERVE_TIME.as_secs_f64()).min(burst - 1.0);
+        self.demand.entry(rank).or_default().record(now);
+        let missing = match self.bucket.try_take_above(now, reserve) {
+            Ok(()) => return PermitDecision::Granted,
+            Err(missing) => missing,
+        };
+        // Others that were denied a permit come back as well.
+        let backlog = Duration::from_secs_f64(self.denials.per_second(now) / rate_per_s);
+        self.denials.record(now);
+        let (least, most) = RETRY_AFTER_BOUNDS;
+        PermitDecision::Denied(missing.saturating_add(backlog).clamp(least, most))
+    }
+}
--- a/crates/chicory_policy/src/token_bucket.rs
+++ b/crates/chicory_policy/src/token_bucket.rs
@@ -49,18 +49,36 @@
         (self.rate_per_s - f64::from(rate_per_s)).abs() < f64::EPSILON
     }
 
+    /// Changes the rate and the burst; tokens beyond the burst are lost.
+    pub fn set_rate(&mut self, rate_per_s: f64, burst: f64, now: MonoTime) {
+        self.fill(now);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Takes one token.
     ///
     /// # Errors
     ///
     /// Returns the time until a token is available.
     pub fn try_take(&mut self, now: MonoTime) -> Result<(), Duration> {
+        self.try_take_above(now, 0.0)
+    }
+
+    /// Takes one token if at least `reserve` tokens are left afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until that is so.
+    pub fn try_take_above(&mut self, now: MonoTime, reserve: f64) -> Result<(), Duration> {
         self.fill(now);
-        if self.tokens >= 1.0 {
+        if self.tokens >= 1.0 + reserve {
             self.tokens -= 1.0;
             return Ok(());
         }
-        let missing = 1.0 - self.tokens;
+        let missing = 1.0 + reserve - self.tokens;
+        // The least rate keeps the time finite.
         Err(Duration::from_secs_f64(
             missing / self.rate_per_s.max(0.001),
         ))
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -7,16 +7,22 @@
     ControlMessage, DirectoryPosition, DirectoryUpdate, EntryMessage, EntryReport, LinkStatus,
     MovesVersion, MovingRange, PeerEnvelope,
 };
+use chicory_policy::LimitChange;
 use chicory_ranges::KeyLoad;
 use chicory_types::{MonoTime, VmId, ZoneName};
 
 use super::entry_link::EntryLink;
+use super::server_limits::LimitsVersion;
 use super::{EntryLinkId, SiteCore, SiteEffect, SiteNote};
 
 /// Number of reports after which an entry VM that was redirected to another leader is assumed to
 /// stay. It sends the first one with its handshake and the second one after the report interval.
 const REPORTS_BEFORE_UPDATE: u32 = 2;
 
+/// Greatest number of requests for permits of one entry VM that wait for an answer. An entry VM
+/// whose requests get no answer soon uses a share of its own.
+const MAX_PERMIT_REQUESTS: usize = 1024;
+
 impl SiteCore {
     pub(super) fn on_entry_connected(
         &mut self,
@@ -58,7 +64,10 @@
         link: EntryLinkId,
         message: EntryMessage,
     ) {
-        let EntryMessage::Report(report) = message;
+        let EntryMessage::Report(mut report) = message;
+        let permit_requests = std::mem::take(&mut report.permits);
+        let accepts_server_limits = report.accepts_server_limits;
+        let is_periodic = permit_requests.is_empty() && !report.is_about_limits_only();
         if self.mover.is_some() {
             self.on_report(now, report);
         } else if let Some(leader) = self.leader_vm() {
@@ -68,7 +77,11 @@
             });
         }
         if let Some(entry) = self.entries.get_mut(&link) {
-            entry.is_status_due = true;
+            entry.accepts_server_limits |= accepts_server_limits;
+            entry.permit_requests.extend(permit_requests);
+            entry.permit_requests.truncate(MAX_PERMIT_REQUESTS);
+            // Other reports come as often as requests of callers, and need no status.
+            entry.is_status_due |= is_periodic;
             entry.reports_before_update = entry.reports_before_update.saturating_sub(1);
         }
     }
@@ -82,6 +95,15 @@
         for load in &report.servers {
             self.speeds.record(load);
         }
+        for limit in &report.limits {
+            let change = self.limits.record(now, limit);
+            if change != LimitChange::Unchanged {
+                self.push_note(SiteNote::ServerLimitChanged {
+                    server_incarnation: limit.incarnation.clone(),
+                    rate_per_s: self.limits.rate_per_s(&limit.incarnation),
+                });
+            }
+        }
         for poison in report.poison {
             let fingerprint = poison.fingerprint;
             if self.poison.record_crash(now, poison) {
@@ -139,7 +161,7 @@
     /// The status of this member goes first, because the transfer of an update may take long.
     /// The moving ranges go last, so that a range stops moving after the update that names
     /// its next owner.
-    pub(super) fn notify_entries(&mut self) {
+    pub(super) fn notify_entries(&mut self, now: MonoTime) {
         let status_links = self.take_links_due_a_status();
         if !status_links.is_empty() {
             let message = ControlMessage::Status(self.status());
@@ -155,6 +177,7 @@
             let message = ControlMessage::Moves(self.moves.change_since(sent));
             self.send_to_entries(links, message);
         }
+        self.send_server_limits(now);
         for link in std::mem::take(&mut self.busy_links) {
             if let Some(entry) = self.entries.get_mut(&link) {
                 entry.is_ready = false;
@@ -162,6 +185,38 @@
         }
     }
 
+    /// Sends changed rate limits of servers, and answers requests for permits. Only a leader issues
+    /// permits, so that all of them come from one place.
+    fn send_server_limits(&mut self, now: MonoTime) {
+        if !self.is_leading(now) {
+            return;
+        }
+        let version = self.limits.version();
+        let mut requests = Vec::new();
+        let mut outdated: BTreeMap<EntryLinkId, LimitsVersion> = BTreeMap::new();
+        for (link, entry) in &mut self.entries {
+            if !entry.is_ready || !entry.accepts_server_limits {
+                continue;
+            }
+            let permit_requests = std::mem::take(&mut entry.permit_requests).into_iter();
+            requests.extend(permit_requests.map(|request| (*link, request)));
+            if entry.sent_limits != version {
+                outdated.insert(*link, entry.sent_limits);
+                entry.sent_limits = version;
+            }
+        }
+        let mut updates = self.limits.answer(now, requests);
+        for (link, sent) in outdated {
+            let changes = self.limits.changes_since(now, sent);
+            if !changes.is_empty() {
+                updates.entry(link).or_default().limits = changes;
+            }
+        }
+        for (link, update) in updates {
+            self.send_to_entries(vec![link], ControlMessage::ServerLimits(update));
+        }
+    }
+
     fn send_to_entries(&mut self, links: Vec<EntryLinkId>, message: ControlMessage) {
         self.busy_links.extend(&links);
         self.effects
--- a/crates/chicory_site/src/core/entry_link.rs
+++ b/crates/chicory_site/src/core/entry_link.rs
@@ -1,8 +1,10 @@
 //! The state of a link to an entry VM.
 
-use chicory_directory::{DirectoryPosition, MovesVersion};
+use chicory_directory::{DirectoryPosition, MovesVersion, PermitRequest};
 use chicory_types::{VmId, ZoneName};
 
+use super::server_limits::LimitsVersion;
+
 /// Identifier of a link to an entry VM, unique while the process runs.
 pub type EntryLinkId = u64;
 
@@ -24,6 +26,12 @@
     /// Whether the link has written all that was sent. Changes in the meantime are sent
     /// as one update.
     pub(crate) is_ready: bool,
+    /// Whether the entry VM understands messages about rate limits of servers.
+    pub(crate) accepts_server_limits: bool,
+    /// Version of the rate limits that was sent to it.
+    pub(crate) sent_limits: LimitsVersion,
+    /// Requests for permits that were not answered yet.
+    pub(crate) permit_requests: Vec<PermitRequest>,
 }
 
 impl EntryLink {
@@ -41,6 +49,9 @@
             reports_before_update,
             is_status_due: true,
             is_ready: true,
+            accepts_server_limits: false,
+            sent_limits: 0,
+            permit_requests: Vec::new(),
         }
     }
 
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -52,6 +52,7 @@
         self.running_grant_calls.clear();
         self.new_server_times.clear();
         self.loads.clear();
+        self.limits.clear();
         self.grant_events.clear();
     }
 
@@ -121,6 +122,10 @@
         let state = &self.state;
         self.speeds
             .retain(|incarnation| state.server(&incarnation.server).is_some());
+        self.limits.remove_expired(now, |incarnation| {
+            let record = state.server(&incarnation.server);
+            record.is_some_and(|record| record.incarnation == *incarnation)
+        });
         for load in self.loads.values_mut() {
             load.decay(now);
         }
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod leader;
 mod poison_registry;
 mod replicated_log;
+mod server_limits;
 mod server_speeds;
 mod site_config;
 mod site_core;
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -10,6 +10,7 @@
 
 use super::entry_link::EntryLink;
 use super::poison_registry::PoisonRegistry;
+use super::server_limits::ServerLimits;
 use super::server_speeds::ServerSpeeds;
 use super::site_config::{FORWARDING_INTERVAL, PLANNING_INTERVAL};
 use super::{CallerId, EntryLinkId, SiteConfig, SiteEffect, SiteEvent, SiteNote};
@@ -94,6 +95,8 @@
     pub(super) new_server_times: BTreeMap<ServiceName, (MonoTime, MonoTime)>,
     pub(super) loads: BTreeMap<ServiceName, KeyLoad>,
     pub(super) speeds: ServerSpeeds,
+    /// Rate limits of backend servers, as far as entry VMs report them to this leader.
+    pub(super) limits: ServerLimits,
     pub(super) poison: PoisonRegistry,
     pub(super) proposals: BTreeMap<u64, Proposal>,
     pub(super) forwarded_calls: BTreeMap<SiteCallId, ForwardedCall>,
@@ -130,6 +133,7 @@
             new_server_times: BTreeMap::new(),
             loads: BTreeMap::new(),
             speeds: ServerSpeeds::default(),
+            limits: ServerLimits::default(),
             poison: PoisonRegistry::default(),
             proposals: BTreeMap::new(),
             forwarded_calls: BTreeMap::new(),
@@ -167,7 +171,7 @@
         self.run_grant_events(now);
         self.record_moving_ranges(now);
         self.check_leader_change();
-        self.notify_entries();
+        self.notify_entries(now);
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -6,7 +6,7 @@
 use chicory_types::{Incarnation, LogIndex, ServiceName, Term, VmId};
 
 /// A decision, or a change of the state of the process, with the inputs that led to it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum SiteNote {
     /// The storage was opened.
     StorageOpened {
@@ -19,6 +19,14 @@
     },
     /// The storage failed; this member takes no part in the group until it works again.
     StorageFailed,
+    /// An entry VM reported that a backend server named, changed or lifted its rate limit.
+    ServerLimitChanged {
+        /// The server.
+        server_incarnation: ServerIncarnation,
+        /// Requests per second for all entry VMs together; `None` if the server has no limit any
+        /// more.
+        rate_per_s: Option<f64>,
+    },
     /// This member was elected leader.
     BecameLeader {
         /// Term of the leadership.
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -13,9 +13,9 @@
 use super::site_input::SiteInput;
 use crate::SiteEvent;
 
-/// Messages that may be queued for one entry VM: a status, an update and the moving ranges. The
-/// reducer creates the next ones after these have been written.
-const OUTBOX_MESSAGES: usize = 3;
+/// Messages that may be queued for one entry VM: a status, an update, the moving
+/// ranges and the rate limits of servers. The reducer creates the next ones after these have been written.
+const OUTBOX_MESSAGES: usize = 4;
 /// Time without any received byte after which the link is closed: several report intervals.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -15,6 +15,11 @@
         } => info!(logger, "member starts"; "incarnation" => incarnation,
             "last_index" => last_index, "may_vote" => may_vote),
         SiteNote::StorageFailed => warn!(logger, "member takes no part until its storage works"),
+        SiteNote::ServerLimitChanged {
+            server_incarnation,
+            rate_per_s,
+        } => info!(logger, "server limit changed"; "server" => %server_incarnation,
+            "rate_per_s" => rate_per_s),
         SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
         SiteNote::ActingAsLeader { version } => {
             info!(logger, "acts as leader"; "version" => version);
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -412,6 +412,7 @@
                 fingerprint: 99,
                 life: ServerIncarnation::new(server, 1),
             }],
+            ..EntryReport::default()
         };
         let message = EntryMessage::Report(report);
         simulation.handle_event(&leader, SiteEvent::EntrySent { link: 1, message });
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -4,10 +4,11 @@
 
 use chicory_directory::{
     ControlMessage, DirectoryPosition, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus,
-    MovesChange, MovingRange, PeerEnvelope, PoisonReport, ServerLoad, SiteAnswer, SiteCall,
+    MovesChange, MovingRange, PeerEnvelope, PermitAnswer, PermitRequest, PoisonReport,
+    ReportedLimit, ServerLimitUpdate, ServerLoad, SiteAnswer, SiteCall,
 };
 
-use crate::convert_error::{from_messages, into_messages, narrowed, required};
+use crate::convert_error::{OutOfRangeSnafu, from_messages, into_messages, narrowed, required};
 use crate::deflated_message::inflate;
 use crate::directory_convert::key_range;
 use crate::proto::common;
@@ -18,6 +19,7 @@
 use crate::record_macro::convert_record;
 use crate::routes_convert::micros;
 use crate::{ConvertError, peer_message};
+use snafu::OptionExt;
 
 convert_record!(
     LinkStatus,
@@ -54,12 +56,98 @@
 convert_record!(
     EntryReport,
     site::EntryReport {
+        plain: [accepts_server_limits],
+        nested: [],
+        list: [keys, servers, poison, limits, permits],
+    }
+);
+
+convert_record!(
+    ServerLimitUpdate,
+    site::ServerLimitUpdate {
         plain: [],
         nested: [],
-        list: [keys, servers, poison],
+        list: [limits, permits],
     }
 );
 
+impl From<ReportedLimit> for site::ReportedLimit {
+    fn from(limit: ReportedLimit) -> Self {
+        Self {
+            life: Some(limit.incarnation.into()),
+            rate_per_s: limit.rate_per_s,
+            sent_age_us: micros(limit.sent_age),
+            received_age_us: micros(limit.received_age),
+        }
+    }
+}
+
+impl TryFrom<site::ReportedLimit> for ReportedLimit {
+    type Error = ConvertError;
+
+    fn try_from(message: site::ReportedLimit) -> Result<Self, ConvertError> {
+        let field = "reported_limit.rate_per_s";
+        let rate_per_s = message.rate_per_s;
+        let is_valid = rate_per_s.is_none_or(|rate| rate.is_finite() && rate > 0.0);
+        Ok(Self {
+            incarnation: required(message.life, "reported_limit.life")?.try_into()?,
+            rate_per_s: is_valid
+                .then_some(rate_per_s)
+                .context(OutOfRangeSnafu { field })?,
+            sent_age: Duration::from_micros(message.sent_age_us),
+            received_age: Duration::from_micros(message.received_age_us),
+        })
+    }
+}
+
+impl From<PermitRequest> for site::PermitRequest {
+    fn from(request: PermitRequest) -> Self {
+        Self {
+            life: Some(request.incarnation.into()),
+            rank: request.rank,
+            count: request.count,
+        }
+    }
+}
+
+impl TryFrom<site::PermitRequest> for PermitRequest {
+    type Error = ConvertError;
+
+    fn try_from(message: site::PermitRequest) -> Result<Self, ConvertError> {
+        Ok(Self {
+            incarnation: required(message.life, "permit_request.life")?.try_into()?,
+            rank: message.rank,
+            count: message.count,
+        })
+    }
+}
+
+impl From<PermitAnswer> for site::PermitAnswer {
+    fn from(answer: PermitAnswer) -> Self {
+        Self {
+            life: Some(answer.incarnation.into()),
+            rank: answer.rank,
+            granted: answer.granted,
+            denied: answer.denied,
+            retry_after_us: micros(answer.retry_after),
+        }
+    }
+}
+
+impl TryFrom<site::PermitAnswer> for PermitAnswer {
+    type Error = ConvertError;
+
+    fn try_from(message: site::PermitAnswer) -> Result<Self, ConvertError> {
+        Ok(Self {
+            incarnation: required(message.life, "permit_answer.life")?.try_into()?,
+            rank: message.rank,
+            granted: message.granted,
+            denied: message.denied,
+            retry_after: Duration::from_micros(message.retry_after_us),
+        })
+    }
+}
+
 impl From<MovingRange> for site::MovingRange {
     fn from(moving: MovingRange) -> Self {
         Self {
@@ -179,6 +267,7 @@
             ControlMessage::Update(update) => Message::Update(update.into()),
             ControlMessage::Status(status) => Message::Status(status.into()),
             ControlMessage::Moves(change) => Message::Moves(change.into()),
+            ControlMessage::ServerLimits(update) => Message::ServerLimits(update.into()),
         };
         Self {
             message: Some(message),
@@ -196,6 +285,7 @@
                 Message::Update(update) => Self::Update(update.try_into()?),
                 Message::Status(status) => Self::Status(status.try_into()?),
                 Message::Moves(change) => Self::Moves(change.try_into()?),
+                Message::ServerLimits(update) => Self::ServerLimits(update.try_into()?),
                 Message::Deflated(deflated) => inflate(&deflated)?,
             },
         )
