--- a/crates/chicory_gateway/tests/server_limits/main.rs
+++ b/crates/chicory_gateway/tests/server_limits/main.rs
@@ -176,3 +176,26 @@
     let (first, last) = (moves[1], moves[9]);
     expect_that!(last - first, le(first));
 }
+
+#[gtest]
+fn permits_for_two_hundred_servers_fit_into_the_traffic_of_thin_links() {
+    let names: Vec<String> = (0..200).map(|index| format!("server-{index:08}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::start(77, &names);
+    world.add_callers(READS, Callers::even(1500.0));
+    for name in &names {
+        world.server(name).set_limit(world::TRAFFIC_AT, Some(3.5));
+    }
+    world.run_until(world.now + Duration::from_secs(2));
+    let before = world.limit_traffic;
+    world.run_until(world.now + Duration::from_secs(2));
+    let after = world.limit_traffic;
+    println!(
+        "{} msgs/s {} bytes/s",
+        (after.messages - before.messages) / 2,
+        (after.bytes - before.bytes) / 2
+    );
+    // The aim is 8 KB a second for all control traffic of an entry VM.
+    let bytes_per_s = (after.bytes - before.bytes) / 2 / 77;
+    expect_that!(bytes_per_s, le(8 * 1024));
+}
--- a/crates/chicory_gateway/tests/server_limits/world.rs
+++ b/crates/chicory_gateway/tests/server_limits/world.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chicory_directory::{ControlMessage, EntryMessage};
+use chicory_directory::{ControlMessage, EntryMessage, EntryReport};
 use chicory_gateway::RequestTicket;
 use chicory_ranges::ServerIncarnation;
+use chicory_wire::proto::site;
+use prost::Message as _;
 
 use crate::callers::{Arrivals, Callers};
 use crate::control_vm::ControlVm;
@@ -35,6 +37,20 @@
     pub refused: u32,
 }
 
+/// Numbers of messages and of their bytes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub messages: usize,
+    pub bytes: usize,
+}
+
+impl Traffic {
+    fn record(&mut self, bytes: usize) {
+        self.messages += 1;
+        self.bytes += bytes;
+    }
+}
+
 enum Message {
     ToControl(EntryMessage),
     ToEntry(ControlMessage),
@@ -51,6 +67,8 @@
     exchanges: Vec<Exchange>,
     messages: Vec<(Duration, usize, Message)>,
     announce_at: Duration,
+    /// Messages about limits and permits, in both directions.
+    pub limit_traffic: Traffic,
 }
 
 impl World {
@@ -71,6 +89,7 @@
             exchanges: Vec::new(),
             messages: Vec::new(),
             announce_at: START,
+            limit_traffic: Traffic::default(),
         };
         world.await_leader();
         world.run_until(TRAFFIC_AT);
@@ -163,12 +182,26 @@
                 control_vm.announce_servers(now, &servers);
             }
             for (index, message) in control_vm.outbox.drain(..) {
+                if matches!(message, ControlMessage::ServerLimits(_)) {
+                    let message = site::ControlMessage::from(message.clone());
+                    self.limit_traffic.record(message.encoded_len());
+                }
                 self.messages
                     .push((arrives_at, index, Message::ToEntry(message)));
             }
         }
         for (index, entry_vm) in self.entry_vms.iter_mut().enumerate() {
             if let Some(message) = entry_vm.take_message(now) {
+                let EntryMessage::Report(report) = &message;
+                if !report.limits.is_empty() || !report.permits.is_empty() {
+                    let report = EntryReport {
+                        keys: Vec::new(),
+                        servers: Vec::new(),
+                        ..report.clone()
+                    };
+                    let message = site::EntryMessage::from(EntryMessage::Report(report));
+                    self.limit_traffic.record(message.encoded_len());
+                }
                 self.messages
                     .push((arrives_at, index, Message::ToControl(message)));
             }
