--- a/crates/chicory_gateway/tests/server_limits/main.rs
+++ b/crates/chicory_gateway/tests/server_limits/main.rs
@@ -190,11 +190,6 @@
     let before = world.limit_traffic;
     world.run_until(world.now + Duration::from_secs(2));
     let after = world.limit_traffic;
-    println!(
-        "{} msgs/s {} bytes/s",
-        (after.messages - before.messages) / 2,
-        (after.bytes - before.bytes) / 2
-    );
     // The aim is 8 KB a second for all control traffic of an entry VM.
     let bytes_per_s = (after.bytes - before.bytes) / 2 / 77;
     expect_that!(bytes_per_s, le(8 * 1024));
