Log and count the pauses that backend servers ask for

No line mentioned the time that a server asked for, so it could not be told whether an entry VM knows of a rest and keys overrule it, or whether none does.

Entry VMs now decode the pause once, keep until when it lasts, write a line when one begins, and put its age and what is left into the line of a refused request. Nothing is decided by it yet.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -7,7 +7,7 @@
     DirectoryUpdate, EntryReport, KeyCount, MovesChange, MovingRange, RequestFingerprint,
     ServerLoad, ServerRecord,
 };
-use chicory_policy::Outages;
+use chicory_policy::{Outages, Rests};
 use chicory_ranges::{Fence, Key, OwnedRange, ServerIncarnation};
 use chicory_types::{MonoTime, ServiceName, ZoneName};
 use rand::rngs::StdRng;
@@ -108,6 +108,8 @@
     pub(super) unreachable: Outages<ServerIncarnation>,
     /// Servers that have named a rate limit.
     pub(super) limited: LimitedServers,
+    /// Servers that have asked this entry VM for a pause.
+    pub(super) rests: Rests<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
     pub(super) rng: StdRng,
@@ -134,6 +136,7 @@
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
             limited: LimitedServers::default(),
+            rests: Rests::default(),
             issuer_contact_at: None,
         }
     }
@@ -157,6 +160,8 @@
             .retain(|incarnation| directory.server(incarnation).is_some());
         self.limited
             .remove_expired(now, |incarnation| directory.server(incarnation).is_some());
+        self.rests
+            .retain(now, |incarnation| directory.server(incarnation).is_some());
         self.owner_outages.remove_expired(now);
         self.crashes
             .record_ended_incarnations(|incarnation| directory.server(incarnation).is_some());
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use chicory_directory::{EntryReport, ServerLimitUpdate, ServerRecord};
-use chicory_policy::{LimitChange, PermitStep};
+use chicory_policy::{LimitChange, PermitStep, Rest};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 use rand::RngExt;
 
 use super::limited_servers::{EntryState, LimitedRequest};
 use super::permit_state::PermitState;
-use super::{Gateway, LimitInForce, LimitedServerLoad, RequestTicket, ServerNotices};
+use super::{Gateway, LimitInForce, LimitedServerLoad, RequestTicket, RestNotice, ServerNotices};
 
 /// Time without a message from a leader after which it is considered unable to issue permits.
 const ISSUER_CONTACT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -120,6 +120,26 @@
         }
     }
 
+    /// Records that a server asks for a pause in an answer. Returns whether the pause begins.
+    pub fn record_rest(
+        &mut self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        notices: &ServerNotices,
+    ) -> bool {
+        let RestNotice::For(duration) = notices.rest else {
+            return false;
+        };
+        self.directory().server(incarnation).is_some()
+            && self.rests.record(now, incarnation, duration)
+    }
+
+    /// Returns the rest of the server that a request was sent to last, if it rests.
+    #[must_use]
+    pub fn rest_for(&self, now: MonoTime, ticket: &RequestTicket) -> Option<Rest> {
+        self.rests.rest(now, &ticket.attempts.last()?.incarnation)
+    }
+
     /// Returns the limit of the server that denied a request or that it was sent to last.
     #[must_use]
     pub fn limit_for(&self, now: MonoTime, ticket: &RequestTicket) -> Option<LimitInForce> {
--- a/crates/chicory_gateway/src/decide/server_notices.rs
+++ b/crates/chicory_gateway/src/decide/server_notices.rs
@@ -1,5 +1,7 @@
 //! What a backend server states about itself in an answer.
 
+use std::time::Duration;
+
 /// What an answer says about the rate limit of its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitNotice {
@@ -13,9 +15,23 @@
     Unreadable,
 }
 
+/// Whether an answer asks for a pause in which nothing is sent to its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RestNotice {
+    /// The answer asks for no pause.
+    #[default]
+    None,
+    /// The entry VM that gets the answer is to send nothing for this time.
+    For(Duration),
+    /// The answer asks for a pause that can't be read.
+    Unreadable,
+}
+
 /// What a backend server states about itself in an answer, besides what concerns the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerNotices {
     /// The rate limit of the server.
     pub limit: LimitNotice,
+    /// The pause that the server asks for.
+    pub rest: RestNotice,
 }
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -12,7 +12,7 @@
 pub use decide::{
     Admission, AttemptOutcome, Gateway, GatewayConfig, LimitInForce, LimitNotice,
     LimitedServerLoad, NextStep, Policy, Recheck, Refusal, RefusalReason, RequestMetadata,
-    RequestTicket, RetryBudget, ServerNotices, Target,
+    RequestTicket, RestNotice, RetryBudget, ServerNotices, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -25,6 +25,10 @@
     AnswersWithLimit,
     /// Answers with a rate limit that can't be read.
     UnreadableLimits,
+    /// Answers in which a backend server asked for a pause.
+    AnswersWithRest,
+    /// Answers with a pause that can't be read.
+    UnreadableRests,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -58,6 +62,8 @@
             Self::ForeignAnswers => "gateway_foreign_answers",
             Self::AnswersWithLimit => "gateway_answers_with_limit",
             Self::UnreadableLimits => "gateway_unreadable_limits",
+            Self::AnswersWithRest => "gateway_answers_with_rest",
+            Self::UnreadableRests => "gateway_unreadable_rests",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -84,6 +90,8 @@
             Self::ForeignAnswers => "Answers that were malformed or belonged to other requests.",
             Self::AnswersWithLimit => "Answers in which a backend server named a rate limit.",
             Self::UnreadableLimits => "Answers with a rate limit that can't be read.",
+            Self::AnswersWithRest => "Answers in which a backend server asked for a pause.",
+            Self::UnreadableRests => "Answers with a pause that can't be read.",
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -67,6 +67,9 @@
         let limit = summary
             .ticket
             .and_then(|ticket| gateway.limit_for(now, ticket));
+        let rest = summary
+            .ticket
+            .and_then(|ticket| gateway.rest_for(now, ticket));
         warn!(self.logger, "request refused"; "request" => summary.metadata.attempt_id.as_deref(),
             "reason" => refusal.reason.as_str(), "may_have_run" => refusal.may_have_run,
             "service" => summary.ticket.map(|ticket| ticket.service().clone()),
@@ -81,6 +84,8 @@
             "limited_server" => limit.as_ref().map(|limit| limit.incarnation.to_string()),
             "limit_per_s" => limit.as_ref().map(|limit| limit.rate_per_s),
             "limit_age_ms" => limit.as_ref().map(|limit| millis(limit.age)),
+            "rest_age_ms" => rest.map(|rest| millis(now.saturating_sub(rest.since))),
+            "rest_left_ms" => rest.map(|rest| millis(rest.until.saturating_sub(now))),
             "lines_suppressed" => suppressed);
     }
 
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -13,7 +13,7 @@
 use super::connection_pool::ConnectionPool;
 use super::request_log::RequestLog;
 use super::{CallerInterface, GatewayMetric, ServerInterface};
-use crate::{Gateway, LimitNotice, ServerNotices};
+use crate::{Gateway, LimitNotice, RestNotice, ServerNotices};
 
 /// State that all tasks of an entry process share. The tasks run on one thread, so the locks are
 /// never contended.
@@ -87,7 +87,16 @@
             LimitNotice::PerSecond(_) => self.metrics.increment(GatewayMetric::AnswersWithLimit),
             LimitNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableLimits),
         }
+        match notices.rest {
+            RestNotice::None => {}
+            RestNotice::For(_) => self.metrics.increment(GatewayMetric::AnswersWithRest),
+            RestNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableRests),
+        }
         let now = self.now();
+        if self.gateway().record_rest(now, incarnation, notices) {
+            warn!(self.logger, "backend server asks for rest"; "server" => %incarnation,
+                "rest" => ?notices.rest);
+        }
         let change = self
             .gateway()
             .record_notices(now, incarnation, sent_at, notices);
--- a/crates/chicory_gateway/tests/server_limits/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_limits/entry_vm.rs
@@ -73,7 +73,10 @@
         limit_per_s: Option<f64>,
     ) {
         let limit = limit_per_s.map_or(LimitNotice::Unlimited, LimitNotice::PerSecond);
-        let notices = ServerNotices { limit };
+        let notices = ServerNotices {
+            limit,
+            ..ServerNotices::default()
+        };
         self.gateway.record_notices(now, &server, sent_at, &notices);
         let outcome = AttemptOutcome::Answered;
         self.gateway.record_attempt_end(now, &mut ticket, outcome);
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`PermitIssuer`] | more requests to a server than its limit, from many senders | which sender may send the next one |
 //! | [`PermitHolder`] | the same, at one sender | send, wait for a permit, or refuse at once |
 //! | [`SpacedShare`] | the same, without anybody who issues permits | when a sender may send the next one by itself |
+//! | [`Rests`] | servers that ask for a pause | until when nothing is sent to them |
 //! | [`RetryAfter`] | refused callers | when they should retry |
 //! | [`TokenBucket`] | more requests than a rate allows | when the next one may go |
 
@@ -18,6 +19,7 @@
 mod outages;
 mod permit_holder;
 mod permit_issuer;
+mod rests;
 mod retry_after;
 mod spaced_share;
 mod token_bucket;
@@ -26,6 +28,7 @@
 pub use outages::Outages;
 pub use permit_holder::{PermitHolder, PermitStep, SenderState};
 pub use permit_issuer::{PermitDecision, PermitIssuer, Rank};
+pub use rests::{Rest, Rests};
 pub use retry_after::RetryAfter;
 pub use spaced_share::SpacedShare;
 pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/chicory_policy/src/rests.rs
@@ -0,0 +1,75 @@
+//! Times for which servers asked not to be sent anything.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_types::MonoTime;
+
+/// A time for which a server asked not to be sent anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest {
+    /// When the server first asked for it.
+    pub since: MonoTime,
+    /// When it ends.
+    pub until: MonoTime,
+}
+
+/// Times for which servers asked not to be sent anything.
+///
+/// Each sender has its own: a server asks the senders one by one. A rest is extended by a later
+/// answer that asks for more, and not shortened by one that asks for less, as the earlier answer
+/// still binds.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_policy::Rests;
+/// use std::time::Duration;
+///
+/// let mut rests = Rests::default();
+/// let now = Duration::from_secs(5);
+/// assert!(rests.record(now, &"server", Duration::from_secs(3)));
+/// assert!(rests.rest(Duration::from_secs(7), &"server").is_some());
+/// assert!(rests.rest(Duration::from_secs(8), &"server").is_none());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Rests<Server> {
+    rests: BTreeMap<Server, Rest>,
+}
+
+impl<Server> Default for Rests<Server> {
+    fn default() -> Self {
+        Self {
+            rests: BTreeMap::new(),
+        }
+    }
+}
+
+impl<Server: Ord + Clone> Rests<Server> {
+    /// Records that a server asked for rest. Returns whether it was not resting before.
+    pub fn record(&mut self, now: MonoTime, server: &Server, duration: Duration) -> bool {
+        let until = now + duration;
+        if let Some(rest) = self.rests.get_mut(server)
+            && now < rest.until
+        {
+            rest.until = rest.until.max(until);
+            return false;
+        }
+        self.rests
+            .insert(server.clone(), Rest { since: now, until });
+        true
+    }
+
+    /// Returns the rest of a server, if it rests now.
+    #[must_use]
+    pub fn rest(&self, now: MonoTime, server: &Server) -> Option<Rest> {
+        let rest = self.rests.get(server)?;
+        (now < rest.until).then_some(*rest)
+    }
+
+    /// Keeps only rests that have not ended, of servers that are still known.
+    pub fn retain(&mut self, now: MonoTime, is_known: impl Fn(&Server) -> bool) {
+        self.rests
+            .retain(|server, rest| now < rest.until && is_known(server));
+    }
+}
