Add a failing test of the pauses that backend servers ask for

The owner of all keys turns requests away for 9 s and asks for 3 s of rest each time, with 10 and 77 entry VMs, 200 even and 40 uneven requests a second, in virtual time. Like the operators' rule, no entry VM may send more than two requests between half a second after it was asked and the end of the rest; and callers have to be served once the last rest has ended.

--- a/crates/chicory_gateway/tests/server_limits/limited_server.rs
+++ b/crates/chicory_gateway/tests/server_notices/backend_server.rs
@@ -1,4 +1,4 @@
-//! A backend server that names a rate limit and counts its requests.
+//! A backend server that names a rate limit or asks for rest, and counts its requests.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,6 +10,19 @@
 /// Factor on the requests that a limit allows, and requests in addition to them.
 const ALLOWED: (f64, f64) = (1.5, 5.0);
 
+/// Time from an answer that asks for rest until it binds the entry VM that got it.
+const REST_REACTION_TIME: Duration = Duration::from_millis(500);
+/// Requests that may arrive in a rest all the same.
+const ALLOWED_IN_REST: usize = 2;
+
+/// Requests of one entry VM in a rest that it was asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RestBroken {
+    pub asked_at: Duration,
+    pub entry_vm: usize,
+    pub requests: usize,
+}
+
 /// A request that reached the server.
 #[derive(Clone, Copy, Debug)]
 struct Arrival {
@@ -26,15 +39,21 @@
 }
 
 #[derive(Default)]
-pub struct LimitedServer {
+pub struct BackendServer {
     /// Limits in requests per second, by the time from which the server names them.
     limits: BTreeMap<Duration, Option<f64>>,
     arrivals: Vec<Arrival>,
+    /// Spans in which the server turns all requests away and asks for rest.
+    overloads: Vec<(Duration, Duration)>,
+    /// Time that the server asks for.
+    rest: Duration,
+    /// Times at which entry VMs were asked for rest.
+    rests: Vec<(Duration, usize)>,
     /// Time at which each entry VM first passed on an answer with a limit.
     told_at: BTreeMap<usize, Duration>,
 }
 
-impl LimitedServer {
+impl BackendServer {
     pub fn set_limit(&mut self, at: Duration, limit_per_s: Option<f64>) {
         self.limits.insert(at, limit_per_s);
     }
@@ -44,6 +63,41 @@
         *self.limits.range(..=at).next_back()?.1
     }
 
+    /// Lets the server turn away all requests in a span, and ask for rest each time.
+    pub fn set_overload(&mut self, from: Duration, until: Duration, rest: Duration) {
+        self.overloads.push((from, until));
+        self.rest = rest;
+    }
+
+    /// Returns the rest that the server asks for if it turns requests away.
+    pub fn rest_at(&self, at: Duration) -> Option<Duration> {
+        let mut overloads = self.overloads.iter();
+        let is_overloaded = overloads.any(|(from, until)| (*from..*until).contains(&at));
+        is_overloaded.then_some(self.rest)
+    }
+
+    pub fn record_rest(&mut self, at: Duration, entry_vm: usize) {
+        self.rests.push((at, entry_vm));
+    }
+
+    /// Returns the first rest in which an entry VM sent more than a few requests.
+    pub fn broken_rest(&self) -> Option<RestBroken> {
+        let mut rests = self.rests.iter();
+        rests.find_map(|(asked_at, entry_vm)| {
+            let span = *asked_at + REST_REACTION_TIME..*asked_at + self.rest;
+            let arrivals = self.arrivals.iter();
+            let requests = arrivals
+                .filter(|arrival| arrival.entry_vm == *entry_vm && span.contains(&arrival.at))
+                .count();
+            let rest = RestBroken {
+                asked_at: *asked_at,
+                entry_vm: *entry_vm,
+                requests,
+            };
+            (requests > ALLOWED_IN_REST).then_some(rest)
+        })
+    }
+
     pub fn record_arrival(&mut self, at: Duration, entry_vm: usize) {
         self.arrivals.push(Arrival { at, entry_vm });
     }
--- a/crates/chicory_gateway/tests/server_limits/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/entry_vm.rs
@@ -5,7 +5,7 @@
 use chicory_directory::{ControlMessage, EntryMessage, EntryReport};
 use chicory_gateway::{
     Admission, AttemptOutcome, Gateway, GatewayConfig, LimitNotice, NextStep, RequestMetadata,
-    RequestTicket, ServerNotices,
+    RequestTicket, RestNotice, ServerNotices,
 };
 use chicory_ranges::ServerIncarnation;
 
@@ -82,6 +82,26 @@
         self.gateway.record_attempt_end(now, &mut ticket, outcome);
     }
 
+    /// Handles an answer that turns a request away and asks for rest.
+    pub fn receive_rest(
+        &mut self,
+        now: Duration,
+        (mut ticket, server): (RequestTicket, ServerIncarnation),
+        rest: Duration,
+    ) -> Progress {
+        let notices = ServerNotices {
+            rest: RestNotice::For(rest),
+            ..ServerNotices::default()
+        };
+        self.gateway.record_rest(now, &server, &notices);
+        let outcome = AttemptOutcome::Shed;
+        if self.gateway.record_attempt_end(now, &mut ticket, outcome) {
+            self.advance(now, ticket)
+        } else {
+            Progress::Refused
+        }
+    }
+
     pub fn receive(&mut self, now: Duration, message: ControlMessage) {
         match message {
             ControlMessage::Update(update) => {
--- a/crates/chicory_gateway/tests/server_limits/main.rs
+++ b/crates/chicory_gateway/tests/server_notices/limits.rs
@@ -1,17 +1,11 @@
-//! Checks in virtual time that all entry VMs together keep the rate limits that backend servers
-//! name.
-
-mod callers;
-mod control_vm;
-mod entry_vm;
-mod limited_server;
-mod world;
+//! Tests that all entry VMs together keep the rate limits that servers name.
 
 use std::time::Duration;
 
-use callers::Callers;
 use googletest::prelude::*;
-use world::{READS, URGENT, World};
+
+use crate::callers::Callers;
+use crate::world::{READS, TRAFFIC_AT, URGENT, World};
 
 /// Least part of a limit that is used where callers request more.
 const LEAST_USED_PART: f64 = 0.8;
@@ -184,7 +178,7 @@
     let mut world = World::start(77, &names);
     world.add_callers(READS, Callers::even(1500.0));
     for name in &names {
-        world.server(name).set_limit(world::TRAFFIC_AT, Some(3.5));
+        world.server(name).set_limit(TRAFFIC_AT, Some(3.5));
     }
     world.run_until(world.now + Duration::from_secs(2));
     let before = world.limit_traffic;
--- /dev/null
+++ b/crates/chicory_gateway/tests/server_notices/main.rs
@@ -0,0 +1,10 @@
+//! Tests in virtual time how entry VMs react together to what backend servers state about themselves
+//! in answers.
+
+mod backend_server;
+mod callers;
+mod control_vm;
+mod entry_vm;
+mod limits;
+mod rests;
+mod world;
--- a/crates/chicory_gateway/tests/server_limits/world.rs
+++ b/crates/chicory_gateway/tests/server_notices/world.rs
@@ -9,10 +9,10 @@
 use chicory_wire::proto::site;
 use prost::Message as _;
 
+use crate::backend_server::BackendServer;
 use crate::callers::{Arrivals, Callers};
 use crate::control_vm::ControlVm;
 use crate::entry_vm::{EntryVm, Progress};
-use crate::limited_server::LimitedServer;
 
 const START: Duration = Duration::from_secs(5);
 /// Time at which callers begin to send requests.
@@ -28,6 +28,9 @@
     ticket: RequestTicket,
     server: ServerIncarnation,
     sent_at: Duration,
+    answered_at: Duration,
+    /// Rest that the server asks for as it turns the request away.
+    rest: Option<Duration>,
 }
 
 /// Numbers of requests.
@@ -58,7 +61,7 @@
 
 pub struct World {
     pub now: Duration,
-    pub servers: BTreeMap<ServerIncarnation, LimitedServer>,
+    pub servers: BTreeMap<ServerIncarnation, BackendServer>,
     pub entry_vms: Vec<EntryVm>,
     pub control_vm: Option<ControlVm>,
     /// What became of requests, by path.
@@ -76,7 +79,7 @@
     pub fn start(entry_count: usize, server_names: &[&str]) -> Self {
         let servers = server_names
             .iter()
-            .map(|name| (ServerIncarnation::new(*name, 1), LimitedServer::default()));
+            .map(|name| (ServerIncarnation::new(*name, 1), BackendServer::default()));
         let mut world = Self {
             now: START,
             servers: servers.collect(),
@@ -104,7 +107,7 @@
     }
 
     /// Returns a server by its name.
-    pub fn server(&mut self, name: &str) -> &mut LimitedServer {
+    pub fn server(&mut self, name: &str) -> &mut BackendServer {
         let incarnation = ServerIncarnation::new(name, 1);
         self.servers.get_mut(&incarnation).expect("a server")
     }
@@ -227,13 +230,17 @@
             Progress::Sent(ticket, server) => {
                 self.counts.entry(path).or_default().sent += 1;
                 let arrives_at = self.now + NETWORK_DELAY;
-                let limited = self.servers.get_mut(&server).expect("a server");
-                limited.record_arrival(arrives_at, entry_vm);
+                let backend_server = self.servers.get_mut(&server).expect("a server");
+                backend_server.record_arrival(arrives_at, entry_vm);
+                let rest = backend_server.rest_at(arrives_at);
+                let work_time = rest.map_or(WORK_TIME, |_| Duration::ZERO);
                 self.exchanges.push(Exchange {
                     entry_vm,
                     ticket,
                     server,
                     sent_at: self.now,
+                    answered_at: arrives_at + work_time,
+                    rest,
                 });
             }
             Progress::Waiting(ticket, until) => {
@@ -245,15 +252,21 @@
 
     fn run_exchanges(&mut self) {
         let now = self.now;
-        let is_due =
-            |exchange: &mut Exchange| exchange.sent_at + NETWORK_DELAY * 2 + WORK_TIME <= now;
+        let is_due = |exchange: &mut Exchange| exchange.answered_at + NETWORK_DELAY <= now;
         let answered: Vec<Exchange> = self.exchanges.extract_if(.., is_due).collect();
         for exchange in answered {
-            let answered_at = exchange.sent_at + NETWORK_DELAY + WORK_TIME;
             let server = self.servers.get_mut(&exchange.server).expect("a server");
-            let limit = server.limit_at(answered_at);
-            server.record_answer(now, exchange.entry_vm, limit);
             let entry_vm = &mut self.entry_vms[exchange.entry_vm];
+            if let Some(rest) = exchange.rest {
+                server.record_rest(exchange.answered_at, exchange.entry_vm);
+                let path = path_of(&exchange.ticket);
+                let request = (exchange.ticket, exchange.server);
+                let progress = entry_vm.receive_rest(now, request, rest);
+                self.record_progress(exchange.entry_vm, path, progress);
+                continue;
+            }
+            let limit = server.limit_at(exchange.answered_at);
+            server.record_answer(now, exchange.entry_vm, limit);
             let request = (exchange.ticket, exchange.server);
             entry_vm.receive_answer(now, request, exchange.sent_at, limit);
         }
