Send nothing to backend servers for as long as they ask for rest

Cause: no process read the time that a 503 asked for. The 0.12 s pause after a shed request binds only requests that have other servers: nothing held back the first attempt for a key. Class: as with the limits, a statement of a server in its answer that reaches no decision.

The place that chooses a server now asks first whether it rests, then whether its limit leaves room. A request for a key of a resting server is refused at once as server-resting, with what is left of the rest, spread to later times only; one without a key goes to another server. What was turned away is not sent again to the same owner, and what waits for a connection is checked again before it is sent. A rest wins over a limit, as it is the stricter one while it lasts. It belongs to one incarnation, it does not count as a failure, and moves no keys.

Why it works: from the answer on nothing is sent to the server but what was already sent, which arrives within the half second that is allowed.

--- a/crates/chicory_ctl/src/explain/explanation.rs
+++ b/crates/chicory_ctl/src/explain/explanation.rs
@@ -150,6 +150,14 @@
     if reason == "server-limited" {
         return limit_cause(&summary.line);
     }
+    if reason == "server-resting" {
+        let age_ms = summary.line.number_field("rest_age_ms").unwrap_or(0);
+        let left_ms = summary.line.number_field("rest_left_ms").unwrap_or(0);
+        return format!(
+            "the server had asked this entry VM for a pause {age_ms} ms before, which went on for \
+             {left_ms} ms"
+        );
+    }
     let known_cause = match reason {
         "no-directory" => Some("the entry VM had no route table, or an outdated one"),
         "no-route" => Some("no route in the table matches the host and path"),
--- a/crates/chicory_ctl/tests/explain.rs
+++ b/crates/chicory_ctl/tests/explain.rs
@@ -147,3 +147,15 @@
     expect_that!(text, contains_substring(cause));
     expect_that!(text, contains_substring("entry-2"));
 }
+
+#[gtest]
+fn request_to_a_server_that_rests() {
+    let fields = json!({"request": "a1", "reason": "server-resting", "attempts": "", "key": 70,
+        "service": "archive", "contact_age_ms": 200, "may_have_run": false,
+        "rest_age_ms": 1200, "rest_left_ms": 1800});
+    let line = log_line(30, "entry-1", "request refused", fields);
+    let text = explanation_of(&[line]).expect("an explanation");
+    let cause = "the server had asked this entry VM for a pause 1200 ms before, which went on for \
+        1800 ms";
+    expect_that!(text, contains_substring(cause));
+}
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -15,7 +15,7 @@
 
 use super::crash_detector::CrashDetector;
 use super::entry_count::EntryCount;
-use super::gateway_notices::LimitStep;
+use super::gateway_notices::{Denial, ServerStep};
 use super::limited_servers::LimitedServers;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
@@ -275,13 +275,10 @@
         if let Some(reason) = self.reason_to_refuse(now, ticket, &record) {
             return NextStep::Refuse(self.refusal(now, ticket, reason));
         }
-        match self.limit_step(now, ticket, &record) {
-            LimitStep::Unlimited => self.send(now, ticket, &record, false),
-            LimitStep::WithinLimit => self.send(now, ticket, &record, true),
-            LimitStep::Wait(until) => NextStep::Wait(until.min(ticket.deadline)),
-            LimitStep::Deny(retry_after) => {
-                NextStep::Refuse(self.limit_refusal(now, ticket, retry_after))
-            }
+        match self.server_step(now, ticket, &record) {
+            ServerStep::Send { has_permit } => self.send(now, ticket, &record, has_permit),
+            ServerStep::Wait(until) => NextStep::Wait(until.min(ticket.deadline)),
+            ServerStep::Deny(denial) => NextStep::Refuse(self.denial_refusal(now, ticket, denial)),
         }
     }
 
@@ -323,15 +320,17 @@
 
     /// Whether a request may still be sent to the server that was chosen for it. Opening a
     /// connection takes time, and meanwhile the server may have begun to drain, may have left, or
-    /// may have named a rate limit.
+    /// may have named a rate limit or asked for a pause.
     #[must_use]
     pub fn recheck(&self, now: MonoTime, target: &Target) -> Recheck {
         let record = self.directory.server(&target.incarnation);
         if !record.is_some_and(|record| self.may_receive(now, record)) {
             return Recheck::ServerLeft;
         }
-        if !target.has_permit && self.limited.limit(now, &target.incarnation).is_some() {
-            return Recheck::NeedsPermit;
+        let has_limit = self.limited.limit(now, &target.incarnation).is_some();
+        let is_resting = self.rests.rest(now, &target.incarnation).is_some();
+        if is_resting || (has_limit && !target.has_permit) {
+            return Recheck::Withhold;
         }
         Recheck::Send
     }
@@ -371,19 +370,21 @@
     }
 
     fn route_to_any_server(&mut self, now: MonoTime, ticket: &mut RequestTicket) -> NextStep {
-        let mut denials: BTreeMap<ServerIncarnation, Duration> = BTreeMap::new();
+        let mut denials: BTreeMap<ServerIncarnation, Denial> = BTreeMap::new();
         while let Some(record) = self.choose_server(now, ticket, &denials) {
-            match self.limit_step(now, ticket, &record) {
-                LimitStep::Unlimited => return self.send(now, ticket, &record, false),
-                LimitStep::WithinLimit => return self.send(now, ticket, &record, true),
-                LimitStep::Wait(until) => return NextStep::Wait(until.min(ticket.deadline)),
-                LimitStep::Deny(retry_after) => {
-                    denials.insert(record.incarnation, retry_after);
+            match self.server_step(now, ticket, &record) {
+                ServerStep::Send { has_permit } => {
+                    return self.send(now, ticket, &record, has_permit);
+                }
+                ServerStep::Wait(until) => return NextStep::Wait(until.min(ticket.deadline)),
+                ServerStep::Deny(denial) => {
+                    denials.insert(record.incarnation, denial);
                 }
             }
         }
-        let refusal = match denials.values().min() {
-            Some(retry_after) => self.limit_refusal(now, ticket, *retry_after),
+        let earliest = denials.values().min_by_key(|denial| denial.retry_after());
+        let refusal = match earliest {
+            Some(denial) => self.denial_refusal(now, ticket, *denial),
             None => self.refusal(now, ticket, ticket.reason_after_attempts()),
         };
         NextStep::Refuse(refusal)
@@ -396,7 +397,7 @@
         &mut self,
         now: MonoTime,
         ticket: &RequestTicket,
-        denials: &BTreeMap<ServerIncarnation, Duration>,
+        denials: &BTreeMap<ServerIncarnation, Denial>,
     ) -> Option<ServerRecord> {
         let awaited = ticket.awaited_server();
         let rank = ticket.route.route.rank();
@@ -420,7 +421,8 @@
             }
             let is_paused = health.is_some_and(|health| health.is_paused(now))
                 || self.is_zone_cut_off(now, record)
-                || self.limited.is_denied(now, &record.incarnation, rank);
+                || self.limited.is_denied(now, &record.incarnation, rank)
+                || self.rests.rest(now, &record.incarnation).is_some();
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -31,6 +31,10 @@
         ticket.may_have_run |= outcome.may_have_run();
         self.crashes
             .record_outcome(now, ticket.fingerprint, &incarnation, outcome);
+        // The owner of a key is the only server that can serve the request.
+        if ticket.key.is_some() && self.rests.rest(now, &incarnation).is_some() {
+            return false;
+        }
         Self::is_retry_allowed(now, ticket, outcome, is_congested)
     }
 
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -10,22 +10,50 @@
 
 use super::limited_servers::{EntryState, LimitedRequest};
 use super::permit_state::PermitState;
-use super::{Gateway, LimitInForce, LimitedServerLoad, RequestTicket, RestNotice, ServerNotices};
+use super::{
+    Gateway, LimitInForce, LimitedServerLoad, RefusalReason, RequestTicket, RestNotice,
+    ServerNotices,
+};
 
 /// Time without a message from a leader after which it is considered unable to issue permits.
 const ISSUER_CONTACT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Whether a request may be sent to a server, as far as its rate limit is concerned.
+/// Whether a request may be sent to a server, as far as the server's own notices are concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LimitStep {
-    /// The server has no limit.
-    Unlimited,
-    /// The server has a limit, and this request is within it.
-    WithinLimit,
+pub(super) enum ServerStep {
+    /// It may be sent.
+    Send {
+        /// Whether the server has a rate limit, which this request is within.
+        has_permit: bool,
+    },
     /// The request waits for a permit until this time at most.
     Wait(MonoTime),
-    /// The request is not sent, and this is the time after which it probably may be.
-    Deny(Duration),
+    /// The request is not sent.
+    Deny(Denial),
+}
+
+/// Why a request is not sent to a server, and for how long that is expected to be so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Denial {
+    /// The rate limit of the server is used up.
+    Limited(Duration),
+    /// The server has asked for a pause, which lasts for this time.
+    Resting(Duration),
+}
+
+impl Denial {
+    pub(super) fn retry_after(self) -> Duration {
+        match self {
+            Self::Limited(retry_after) | Self::Resting(retry_after) => retry_after,
+        }
+    }
+
+    pub(super) fn reason(self) -> RefusalReason {
+        match self {
+            Self::Limited(_) => RefusalReason::ServerLimited,
+            Self::Resting(_) => RefusalReason::ServerResting,
+        }
+    }
 }
 
 impl Gateway {
@@ -78,14 +106,37 @@
         report.is_about_limits_only().then_some(report)
     }
 
-    /// Decides whether the limit of a server lets a request be sent, and uses a permit if so.
-    pub(super) fn limit_step(
+    /// Decides whether the pause and the limit of a server let a request be sent, and uses a permit
+    /// if so. A server that rests gets nothing, whatever its limit.
+    pub(super) fn server_step(
         &mut self,
         now: MonoTime,
         ticket: &mut RequestTicket,
         record: &ServerRecord,
-    ) -> LimitStep {
-        let incarnation = &record.incarnation;
+    ) -> ServerStep {
+        if let Some(denial) = self.resting_denial(now, &record.incarnation) {
+            ticket.permit = None;
+            return ServerStep::Deny(denial);
+        }
+        self.limit_step(now, ticket, &record.incarnation)
+    }
+
+    /// Returns the denial of all requests to a server that rests.
+    pub(super) fn resting_denial(
+        &self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+    ) -> Option<Denial> {
+        let rest = self.rests.rest(now, incarnation)?;
+        Some(Denial::Resting(rest.until.saturating_sub(now)))
+    }
+
+    fn limit_step(
+        &mut self,
+        now: MonoTime,
+        ticket: &mut RequestTicket,
+        incarnation: &ServerIncarnation,
+    ) -> ServerStep {
         let waiting_since = match ticket.permit.as_deref() {
             Some(PermitState::Waiting { server, since }) if server == incarnation => Some(*since),
             _ => None,
@@ -101,21 +152,21 @@
             random_fraction: self.rng.random_range(0.0..1.0),
         };
         match self.limited.next_step(now, incarnation, request, entry) {
-            None => LimitStep::Unlimited,
+            None => ServerStep::Send { has_permit: false },
             Some(PermitStep::Send) => {
                 ticket.permit = None;
-                LimitStep::WithinLimit
+                ServerStep::Send { has_permit: true }
             }
             Some(PermitStep::Wait(until)) => {
                 ticket.permit = Some(Box::new(PermitState::Waiting {
                     server: incarnation.clone(),
                     since: waiting_since.unwrap_or(now),
                 }));
-                LimitStep::Wait(until)
+                ServerStep::Wait(until)
             }
             Some(PermitStep::Deny(retry_after)) => {
                 ticket.permit = Some(Box::new(PermitState::Denied(incarnation.clone())));
-                LimitStep::Deny(retry_after)
+                ServerStep::Deny(Denial::Limited(retry_after))
             }
         }
     }
@@ -134,10 +185,16 @@
             && self.rests.record(now, incarnation, duration)
     }
 
-    /// Returns the rest of the server that a request was sent to last, if it rests.
+    /// Returns the rest of the server that owns the key of a request or that it was sent to last, if
+    /// it rests.
     #[must_use]
     pub fn rest_for(&self, now: MonoTime, ticket: &RequestTicket) -> Option<Rest> {
-        self.rests.rest(now, &ticket.attempts.last()?.incarnation)
+        let owner = ticket.key.and_then(|key| {
+            let owned = self.directory().owner(&ticket.service, key)?;
+            Some(&owned.owner)
+        });
+        let last = ticket.attempts.last().map(|attempt| &attempt.incarnation);
+        self.rests.rest(now, owner.or(last)?)
     }
 
     /// Returns the limit of the server that denied a request or that it was sent to last.
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -35,8 +35,8 @@
     Send,
     /// The server accepts no more requests.
     ServerLeft,
-    /// The server has named a rate limit since it was chosen.
-    NeedsPermit,
+    /// The server has named a rate limit or asked for a pause since it was chosen.
+    Withhold,
 }
 
 /// What to do for a request.
@@ -70,7 +70,7 @@
     Unreachable,
     /// The server has too many connections and closed a new one before anything was sent on it.
     ConnectionRejected,
-    /// The server named a rate limit before anything was sent.
+    /// The server named a rate limit or asked for a pause before anything was sent.
     Withheld,
     /// The connection broke after something was sent.
     Broken,
--- a/crates/chicory_gateway/src/decide/refusal.rs
+++ b/crates/chicory_gateway/src/decide/refusal.rs
@@ -28,6 +28,8 @@
     /// The servers that may serve the request take no more requests for now, by rate limits of
     /// their own.
     ServerLimited,
+    /// The servers that may serve the request have asked for a pause.
+    ServerResting,
     /// The deadline passed before any server could have run the request.
     TooLate,
     /// The request crashes servers that run it.
@@ -58,6 +60,7 @@
             Self::NoOwner => "no-owner",
             Self::Overloaded => "overloaded",
             Self::ServerLimited => "server-limited",
+            Self::ServerResting => "server-resting",
             Self::TooLate => "too-late",
             Self::Poisoned => "poisoned",
             Self::Unreachable => "unreachable",
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -6,6 +6,7 @@
 use chicory_types::MonoTime;
 use rand::RngExt;
 
+use super::gateway_notices::Denial;
 use super::{
     AttemptOutcome, Gateway, Policy, Refusal, RefusalReason, RequestMetadata, RequestTicket,
 };
@@ -41,6 +42,13 @@
         ticket: &RequestTicket,
         outcome: AttemptOutcome,
     ) -> Refusal {
+        let last = ticket.attempts.last();
+        let denial = last.and_then(|attempt| self.resting_denial(now, &attempt.incarnation));
+        if let Some(denial) = denial
+            && matches!(outcome, AttemptOutcome::Shed | AttemptOutcome::Withheld)
+        {
+            return self.denial_refusal(now, ticket, denial);
+        }
         let reason = match outcome {
             AttemptOutcome::Shed | AttemptOutcome::ConnectionRejected => RefusalReason::Overloaded,
             AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
@@ -78,18 +86,22 @@
         Refusal::not_run(reason).with_retry_after(self.retry_after_for(reason, time_left))
     }
 
-    /// Returns the refusal of a request whose servers may be sent no more requests for
-    /// `retry_after`.
-    pub(super) fn limit_refusal(
+    /// Returns the refusal of a request that was not sent to its server because of the server's own
+    /// notices.
+    pub(super) fn denial_refusal(
         &mut self,
         now: MonoTime,
         ticket: &RequestTicket,
-        retry_after: Duration,
+        denial: Denial,
     ) -> Refusal {
-        let mut refusal = self.refusal(now, ticket, RefusalReason::ServerLimited);
+        let mut refusal = self.refusal(now, ticket, denial.reason());
         if refusal.retry_after.is_some() {
             let random_fraction = self.rng.random_range(0.0..1.0);
-            let after = RetryAfter::new(retry_after).spread(random_fraction);
+            let after = RetryAfter::new(denial.retry_after());
+            let after = match denial {
+                Denial::Limited(_) => after.spread(random_fraction),
+                Denial::Resting(_) => after.spread_later(random_fraction),
+            };
             let time_left = ticket.caller_deadline.saturating_sub(now);
             refusal = refusal.with_retry_after(after.within(time_left));
         }
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -175,7 +175,7 @@
     match recheck {
         Recheck::Send => Ok(()),
         Recheck::ServerLeft => Err(AttemptOutcome::Unreachable),
-        Recheck::NeedsPermit => Err(AttemptOutcome::Withheld),
+        Recheck::Withhold => Err(AttemptOutcome::Withheld),
     }
 }
 
--- /dev/null
+++ b/crates/chicory_gateway/tests/decisions/notices.rs
@@ -0,0 +1,131 @@
+//! Tests what follows from what servers state about themselves, without a network.
+
+use std::time::Duration;
+
+use crate::support::{START, admit, expect_sent, gateway, owned, ranges, server};
+use chicory_directory::{DirectoryUpdate, ServerState};
+use chicory_gateway::{
+    AttemptOutcome, Gateway, LimitNotice, NextStep, Recheck, RefusalReason, RestNotice,
+    ServerNotices,
+};
+use chicory_ranges::ServerIncarnation;
+use googletest::prelude::*;
+
+const REST: Duration = Duration::from_secs(3);
+
+fn rest(gateway: &mut Gateway, now: Duration, name: &str) {
+    let notices = ServerNotices {
+        rest: RestNotice::For(REST),
+        ..ServerNotices::default()
+    };
+    gateway.record_rest(now, &ServerIncarnation::new(name, 1), &notices);
+}
+
+fn name_limit(gateway: &mut Gateway, name: &str) {
+    let notices = ServerNotices {
+        limit: LimitNotice::PerSecond(0.1),
+        ..ServerNotices::default()
+    };
+    gateway.record_notices(START, &ServerIncarnation::new(name, 1), START, &notices);
+}
+
+#[gtest]
+fn request_for_a_key_of_a_resting_server_is_refused_at_once() {
+    let mut gateway = gateway();
+    rest(&mut gateway, START, "a1");
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    let NextStep::Refuse(refusal) = gateway.next_step(START, &mut ticket) else {
+        panic!("not refused");
+    };
+    expect_that!(refusal.reason, eq(RefusalReason::ServerResting));
+    expect_that!(refusal.may_have_run, eq(false));
+    // The caller has a second, of which a third may pass before it comes back.
+    expect_that!(refusal.retry_after, some(eq(Duration::from_millis(330))));
+    let mut other_key = admit(&mut gateway, "/reads/x", Some(2000));
+    expect_sent(gateway.next_step(START, &mut other_key));
+}
+
+#[gtest]
+fn request_that_a_resting_server_turned_away_is_not_sent_again_to_it() {
+    let mut gateway = gateway();
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    expect_sent(gateway.next_step(START, &mut ticket));
+    rest(&mut gateway, START, "a1");
+    let may_retry = gateway.record_attempt_end(START, &mut ticket, AttemptOutcome::Shed);
+    expect_that!(may_retry, eq(false));
+    let refusal = gateway.final_refusal(START, &ticket, AttemptOutcome::Shed);
+    expect_that!(refusal.reason, eq(RefusalReason::ServerResting));
+}
+
+#[gtest]
+fn request_without_a_key_goes_to_a_server_that_does_not_rest() {
+    let mut gateway = gateway();
+    rest(&mut gateway, START, "l1");
+    for _ in 0..10 {
+        let mut ticket = admit(&mut gateway, "/plans/x", None);
+        let target = expect_sent(gateway.next_step(START, &mut ticket));
+        expect_that!(target.incarnation.server, eq("l2"));
+    }
+    rest(&mut gateway, START, "l2");
+    let mut ticket = admit(&mut gateway, "/plans/x", None);
+    let step = gateway.next_step(START, &mut ticket);
+    expect_that!(step, matches_pattern!(NextStep::Refuse(_)));
+}
+
+#[gtest]
+fn request_that_waits_for_a_connection_is_withheld_when_the_server_asks_for_rest_or_names_a_limit()
+{
+    let notices: [fn(&mut Gateway); 2] = [
+        |gateway| rest(gateway, START, "o1"),
+        |gateway| name_limit(gateway, "o1"),
+    ];
+    for notice in notices {
+        let mut gateway = gateway();
+        rest(&mut gateway, START, "o2");
+        let mut ticket = admit(&mut gateway, "/orders/x", None);
+        let target = expect_sent(gateway.next_step(START, &mut ticket));
+        expect_that!(gateway.recheck(START, &target), eq(Recheck::Send));
+        notice(&mut gateway);
+        expect_that!(gateway.recheck(START, &target), eq(Recheck::Withhold));
+        expect_that!(AttemptOutcome::Withheld.may_have_run(), eq(false));
+    }
+}
+
+#[gtest]
+fn rest_wins_over_a_limit() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "a1");
+    rest(&mut gateway, START, "a1");
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    let NextStep::Refuse(refusal) = gateway.next_step(START, &mut ticket) else {
+        panic!("not refused");
+    };
+    expect_that!(refusal.reason, eq(RefusalReason::ServerResting));
+}
+
+#[gtest]
+fn next_incarnation_has_neither_the_rest_nor_the_limit_of_the_former_one() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "a1");
+    rest(&mut gateway, START, "a1");
+    let mut restarted = server("a1", "archive", ServerState::Ready);
+    restarted.incarnation = ServerIncarnation::new("a1", 2);
+    let mut owned_again = owned(0, 999, "a1", 3);
+    owned_again.owner = restarted.incarnation.clone();
+    let update = DirectoryUpdate {
+        version: 6,
+        last_fence: 3,
+        servers: vec![restarted],
+        ranges: ranges(vec![owned_again]),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    let target = expect_sent(gateway.next_step(START, &mut ticket));
+    expect_that!(target.has_permit, eq(false));
+    // A late answer of the former incarnation changes nothing.
+    rest(&mut gateway, START, "a1");
+    name_limit(&mut gateway, "a1");
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    expect_sent(gateway.next_step(START, &mut ticket));
+}
--- a/crates/chicory_policy/src/retry_after.rs
+++ b/crates/chicory_policy/src/retry_after.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Spreads the time by `chance` to later times only, for a cause that certainly lasts until then.
+    #[must_use]
+    pub fn spread_later(self, chance: f64) -> Self {
+        let (_, most) = JITTER_FACTORS;
+        Self {
+            after: self.after.mul_f64(1.0 + (most - 1.0) * chance),
+        }
+    }
+
     /// Returns the time to send to a caller that waits for `time_left` in all.
     #[must_use]
     pub fn within(self, time_left: Duration) -> Duration {
