Log and count the answers of backend servers that leave

A server that leaves may say so in its answers, and requests that reach it later than 2 s after that are lost with it (DRAIN), whether or not the entry VM is in contact with the control VMs. No process read that.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -108,6 +108,8 @@
     pub(super) unreachable: Outages<ServerIncarnation>,
     /// Servers that have named a rate limit.
     pub(super) limited: LimitedServers,
+    /// Servers that have said that they are about to end, and since when.
+    pub(super) leaving_since: BTreeMap<ServerIncarnation, MonoTime>,
     /// Servers that have asked this entry VM for a pause.
     pub(super) rests: Rests<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
@@ -136,6 +138,7 @@
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
             limited: LimitedServers::default(),
+            leaving_since: BTreeMap::new(),
             rests: Rests::default(),
             issuer_contact_at: None,
         }
@@ -160,6 +163,8 @@
             .retain(|incarnation| directory.server(incarnation).is_some());
         self.limited
             .remove_expired(now, |incarnation| directory.server(incarnation).is_some());
+        self.leaving_since
+            .retain(|incarnation, _| directory.server(incarnation).is_some());
         self.rests
             .retain(now, |incarnation| directory.server(incarnation).is_some());
         self.owner_outages.remove_expired(now);
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -11,8 +11,8 @@
 use super::limited_servers::{EntryState, LimitedRequest};
 use super::permit_state::PermitState;
 use super::{
-    Gateway, LimitInForce, LimitedServerLoad, RefusalReason, RequestTicket, RestNotice,
-    ServerNotices,
+    Gateway, LeavingNotice, LimitInForce, LimitedServerLoad, RefusalReason, RequestTicket,
+    RestNotice, ServerNotices,
 };
 
 /// Time without a message from a leader after which it is considered unable to issue permits.
@@ -185,6 +185,22 @@
             && self.rests.record(now, incarnation, duration)
     }
 
+    /// Records that a server says that it is about to end. Returns whether that is news.
+    pub fn record_leaving(
+        &mut self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        notices: &ServerNotices,
+    ) -> bool {
+        let is_leaving = notices.leaving == LeavingNotice::Leaving;
+        if !is_leaving || self.directory().server(incarnation).is_none() {
+            return false;
+        }
+        let is_known = self.leaving_since.contains_key(incarnation);
+        self.leaving_since.entry(incarnation.clone()).or_insert(now);
+        !is_known
+    }
+
     /// Returns the rest of the server that owns the key of a request or that it was sent to last, if
     /// it rests.
     #[must_use]
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -30,4 +30,4 @@
 pub use request_metadata::RequestMetadata;
 pub use request_ticket::RequestTicket;
 pub use retry_budget::RetryBudget;
-pub use server_notices::{LimitNotice, RestNotice, ServerNotices};
+pub use server_notices::{LeavingNotice, LimitNotice, RestNotice, ServerNotices};
--- a/crates/chicory_gateway/src/decide/server_notices.rs
+++ b/crates/chicory_gateway/src/decide/server_notices.rs
@@ -27,6 +27,18 @@
     Unreadable,
 }
 
+/// Whether an answer says that its server is about to end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LeavingNotice {
+    /// The answer does not say so.
+    #[default]
+    Staying,
+    /// The server is about to end.
+    Leaving,
+    /// The answer has a value that can't be read. It says nothing.
+    Unreadable,
+}
+
 /// What a backend server states about itself in an answer, besides what concerns the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerNotices {
@@ -34,4 +46,6 @@
     pub limit: LimitNotice,
     /// The pause that the server asks for.
     pub rest: RestNotice,
+    /// Whether the server is about to end.
+    pub leaving: LeavingNotice,
 }
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 mod view;
 
 pub use decide::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, LimitInForce, LimitNotice,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, LeavingNotice, LimitInForce, LimitNotice,
     LimitedServerLoad, NextStep, Policy, Recheck, Refusal, RefusalReason, RequestMetadata,
     RequestTicket, RestNotice, RetryBudget, ServerNotices, Target,
 };
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -29,6 +29,10 @@
     AnswersWithRest,
     /// Answers with a pause that can't be read.
     UnreadableRests,
+    /// Answers in which a backend server said that it is about to end.
+    AnswersOfLeaving,
+    /// Answers whose statement about that can't be read.
+    UnreadableLeaving,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -64,6 +68,8 @@
             Self::UnreadableLimits => "gateway_unreadable_limits",
             Self::AnswersWithRest => "gateway_answers_with_rest",
             Self::UnreadableRests => "gateway_unreadable_rests",
+            Self::AnswersOfLeaving => "gateway_answers_of_leaving",
+            Self::UnreadableLeaving => "gateway_unreadable_leaving",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -92,6 +98,12 @@
             Self::UnreadableLimits => "Answers with a rate limit that can't be read.",
             Self::AnswersWithRest => "Answers in which a backend server asked for a pause.",
             Self::UnreadableRests => "Answers with a pause that can't be read.",
+            Self::AnswersOfLeaving => {
+                "Answers in which a backend server said that it is about to end."
+            }
+            Self::UnreadableLeaving => {
+                "Answers that can't be read as to whether their server is about to end."
+            }
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -13,7 +13,7 @@
 use super::connection_pool::ConnectionPool;
 use super::request_log::RequestLog;
 use super::{CallerInterface, GatewayMetric, ServerInterface};
-use crate::{Gateway, LimitNotice, RestNotice, ServerNotices};
+use crate::{Gateway, LeavingNotice, LimitNotice, RestNotice, ServerNotices};
 
 /// State that all tasks of an entry process share. The tasks run on one thread, so the locks are
 /// never contended.
@@ -92,7 +92,15 @@
             RestNotice::For(_) => self.metrics.increment(GatewayMetric::AnswersWithRest),
             RestNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableRests),
         }
+        match notices.leaving {
+            LeavingNotice::Staying => {}
+            LeavingNotice::Leaving => self.metrics.increment(GatewayMetric::AnswersOfLeaving),
+            LeavingNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableLeaving),
+        }
         let now = self.now();
+        if self.gateway().record_leaving(now, incarnation, notices) {
+            info!(self.logger, "backend server says that it leaves"; "server" => %incarnation);
+        }
         if self.gateway().record_rest(now, incarnation, notices) {
             warn!(self.logger, "backend server asks for rest"; "server" => %incarnation,
                 "rest" => ?notices.rest);
