Add a failing test of servers that say that they leave

Requests that reach a server later than 2 s after its answer said that it leaves are lost with it (DRAIN). In virtual time, 10 and 77 entry VMs send 400 requests a second to a server that says so in its answers and not to the control VMs; with and without links to the control VM.

--- a/crates/chicory_gateway/tests/server_notices/backend_server.rs
+++ b/crates/chicory_gateway/tests/server_notices/backend_server.rs
@@ -1,4 +1,4 @@
-//! A backend server that names a rate limit or asks for rest, and counts its requests.
+//! A backend server that names a rate limit, asks for rest or leaves, and counts its requests.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,6 +10,9 @@
 /// Factor on the requests that a limit allows, and requests in addition to them.
 const ALLOWED: (f64, f64) = (1.5, 5.0);
 
+/// Time from an answer that says that the server leaves until no request of the entry VM that passed
+/// it on may arrive.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time from an answer that asks for rest until it binds the entry VM that got it.
 const REST_REACTION_TIME: Duration = Duration::from_millis(500);
 /// Requests that may arrive in a rest all the same.
@@ -45,6 +48,9 @@
     arrivals: Vec<Arrival>,
     /// Spans in which the server turns all requests away and asks for rest.
     overloads: Vec<(Duration, Duration)>,
+    leaves_at: Option<Duration>,
+    /// Time at which each entry VM first passed on an answer that says that the server leaves.
+    leaving_told_at: BTreeMap<usize, Duration>,
     /// Time that the server asks for.
     rest: Duration,
     /// Times at which entry VMs were asked for rest.
@@ -69,6 +75,29 @@
         self.rest = rest;
     }
 
+    /// Lets the server say in its answers from now on that it leaves.
+    pub fn set_leaving(&mut self, at: Duration) {
+        self.leaves_at = Some(at);
+    }
+
+    pub fn is_leaving_at(&self, at: Duration) -> bool {
+        self.leaves_at.is_some_and(|leaves_at| at >= leaves_at)
+    }
+
+    pub fn record_leaving_answer(&mut self, at: Duration, entry_vm: usize) {
+        self.leaving_told_at.entry(entry_vm).or_insert(at);
+    }
+
+    /// Returns the first request of an entry VM that knew too long that the server leaves.
+    pub fn late_arrival(&self) -> Option<(Duration, usize)> {
+        let mut arrivals = self.arrivals.iter();
+        let late = arrivals.find(|arrival| {
+            let told_at = self.leaving_told_at.get(&arrival.entry_vm);
+            told_at.is_some_and(|told_at| arrival.at > *told_at + DRAIN_TIME)
+        });
+        late.map(|arrival| (arrival.at, arrival.entry_vm))
+    }
+
     /// Returns the rest that the server asks for if it turns requests away.
     pub fn rest_at(&self, at: Duration) -> Option<Duration> {
         let mut overloads = self.overloads.iter();
--- a/crates/chicory_gateway/tests/server_notices/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/entry_vm.rs
@@ -4,8 +4,8 @@
 
 use chicory_directory::{ControlMessage, EntryMessage, EntryReport};
 use chicory_gateway::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, LimitNotice, NextStep, RequestMetadata,
-    RequestTicket, RestNotice, ServerNotices,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, LeavingNotice, LimitNotice, NextStep,
+    RequestMetadata, RequestTicket, RestNotice, ServerNotices,
 };
 use chicory_ranges::ServerIncarnation;
 
@@ -70,14 +70,21 @@
         now: Duration,
         (mut ticket, server): (RequestTicket, ServerIncarnation),
         sent_at: Duration,
-        limit_per_s: Option<f64>,
+        (limit_per_s, is_leaving): (Option<f64>, bool),
     ) {
         let limit = limit_per_s.map_or(LimitNotice::Unlimited, LimitNotice::PerSecond);
+        let leaving = if is_leaving {
+            LeavingNotice::Leaving
+        } else {
+            LeavingNotice::Staying
+        };
         let notices = ServerNotices {
             limit,
+            leaving,
             ..ServerNotices::default()
         };
         self.gateway.record_notices(now, &server, sent_at, &notices);
+        self.gateway.record_leaving(now, &server, &notices);
         let outcome = AttemptOutcome::Answered;
         self.gateway.record_attempt_end(now, &mut ticket, outcome);
     }
--- a/crates/chicory_gateway/tests/server_notices/main.rs
+++ b/crates/chicory_gateway/tests/server_notices/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod control_vm;
 mod entry_vm;
+mod leaving;
 mod limits;
 mod rests;
 mod world;
--- a/crates/chicory_gateway/tests/server_notices/world.rs
+++ b/crates/chicory_gateway/tests/server_notices/world.rs
@@ -267,8 +267,12 @@
             }
             let limit = server.limit_at(exchange.answered_at);
             server.record_answer(now, exchange.entry_vm, limit);
+            let is_leaving = server.is_leaving_at(exchange.answered_at);
+            if is_leaving {
+                server.record_leaving_answer(now, exchange.entry_vm);
+            }
             let request = (exchange.ticket, exchange.server);
-            entry_vm.receive_answer(now, request, exchange.sent_at, limit);
+            entry_vm.receive_answer(now, request, exchange.sent_at, (limit, is_leaving));
         }
     }
 
