Send no requests to backend servers that say in answers that they leave

A server that leaves may say so in its answers before, or without, telling the control VMs; requests that reached it later were lost with it (DRAIN).

Cause: only the directory decided whether a server drains, so an entry VM that had the server's own word went on until a control VM said the same. Class: as with limits and rests, a statement of a server in its answer that reaches no decision.

The earlier of both now counts, by the entry VM's own clock: requests without keys go elsewhere at once, and the owner of a key gets requests for 1.2 s more, as with a server that drains. Nothing that control VMs say undoes it, and it belongs to one incarnation. Entry VMs report it, and the leader moves the keys of such a server, so that callers are served on by another one.

--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -60,6 +60,8 @@
     pub limits: Vec<ReportedLimit>,
     /// Permits that requests of callers wait for.
     pub permits: Vec<PermitRequest>,
+    /// Servers that said in answers that they are about to end.
+    pub leaving: Vec<ServerIncarnation>,
     /// Whether the entry VM understands [`ServerLimitUpdate`](crate::ServerLimitUpdate). Entry VMs
     /// of earlier releases don't.
     pub accepts_server_limits: bool,
@@ -70,6 +72,10 @@
     #[must_use]
     pub fn is_about_limits_only(&self) -> bool {
         let has_limits = !self.limits.is_empty() || !self.permits.is_empty();
-        has_limits && self.keys.is_empty() && self.servers.is_empty() && self.poison.is_empty()
+        has_limits
+            && self.keys.is_empty()
+            && self.servers.is_empty()
+            && self.poison.is_empty()
+            && self.leaving.is_empty()
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -110,6 +110,8 @@
     pub(super) limited: LimitedServers,
     /// Servers that have said that they are about to end, and since when.
     pub(super) leaving_since: BTreeMap<ServerIncarnation, MonoTime>,
+    /// Those among them that have to be reported.
+    pub(super) unreported_leaving: BTreeSet<ServerIncarnation>,
     /// Servers that have asked this entry VM for a pause.
     pub(super) rests: Rests<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
@@ -139,6 +141,7 @@
             unreachable: Outages::default(),
             limited: LimitedServers::default(),
             leaving_since: BTreeMap::new(),
+            unreported_leaving: BTreeSet::new(),
             rests: Rests::default(),
             issuer_contact_at: None,
         }
@@ -165,6 +168,8 @@
             .remove_expired(now, |incarnation| directory.server(incarnation).is_some());
         self.leaving_since
             .retain(|incarnation, _| directory.server(incarnation).is_some());
+        self.unreported_leaving
+            .retain(|incarnation| directory.server(incarnation).is_some());
         self.rests
             .retain(now, |incarnation| directory.server(incarnation).is_some());
         self.owner_outages.remove_expired(now);
@@ -349,7 +354,9 @@
             return false;
         }
         let draining_since = self.directory.draining_since(&record.incarnation);
-        draining_since.is_none_or(|since| now < since + DRAINING_GRACE)
+        let leaving_since = self.leaving_since.get(&record.incarnation).copied();
+        let earliest = draining_since.into_iter().chain(leaving_since).min();
+        earliest.is_none_or(|since| now < since + DRAINING_GRACE)
     }
 
     /// Waits for an owner, as a key without a usable owner usually gets one soon. Refuses the
@@ -416,6 +423,7 @@
         for record in self.directory.ready_servers(&ticket.service) {
             let health = self.health.get(&record.incarnation);
             let is_excluded = tried.contains(&record.incarnation)
+                || self.leaving_since.contains_key(&record.incarnation)
                 || denials.contains_key(&record.incarnation)
                 || health.is_some_and(|health| health.is_gone);
             if is_excluded {
@@ -557,6 +565,9 @@
             poison: self.crashes.take_reports(),
             limits,
             permits,
+            leaving: std::mem::take(&mut self.unreported_leaving)
+                .into_iter()
+                .collect(),
             accepts_server_limits: true,
         }
     }
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -91,6 +91,7 @@
     pub fn record_new_control_vm(&mut self) {
         self.issuer_contact_at = None;
         self.limited.record_new_issuer();
+        self.unreported_leaving = self.leaving_since.keys().cloned().collect();
     }
 
     /// Returns the limits and requests for permits that have to be reported at once, if there are
@@ -196,9 +197,12 @@
         if !is_leaving || self.directory().server(incarnation).is_none() {
             return false;
         }
-        let is_known = self.leaving_since.contains_key(incarnation);
-        self.leaving_since.entry(incarnation.clone()).or_insert(now);
-        !is_known
+        if self.leaving_since.contains_key(incarnation) {
+            return false;
+        }
+        self.leaving_since.insert(incarnation.clone(), now);
+        self.unreported_leaving.insert(incarnation.clone());
+        true
     }
 
     /// Returns the rest of the server that owns the key of a request or that it was sent to last, if
--- a/crates/chicory_gateway/tests/decisions/notices.rs
+++ b/crates/chicory_gateway/tests/decisions/notices.rs
@@ -5,8 +5,8 @@
 use crate::support::{START, admit, expect_sent, gateway, owned, ranges, server};
 use chicory_directory::{DirectoryUpdate, ServerState};
 use chicory_gateway::{
-    AttemptOutcome, Gateway, LimitNotice, NextStep, Recheck, RefusalReason, RestNotice,
-    ServerNotices,
+    AttemptOutcome, Gateway, LeavingNotice, LimitNotice, NextStep, Recheck, RefusalReason,
+    RestNotice, ServerNotices,
 };
 use chicory_ranges::ServerIncarnation;
 use googletest::prelude::*;
@@ -129,3 +129,51 @@
     let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
     expect_sent(gateway.next_step(START, &mut ticket));
 }
+
+fn leave(gateway: &mut Gateway, name: &str) {
+    let notices = ServerNotices {
+        leaving: LeavingNotice::Leaving,
+        ..ServerNotices::default()
+    };
+    gateway.record_leaving(START, &ServerIncarnation::new(name, 1), &notices);
+}
+
+#[gtest]
+fn server_that_said_that_it_leaves_is_not_ready_again_by_what_control_vms_say() {
+    let mut gateway = gateway();
+    leave(&mut gateway, "l1");
+    leave(&mut gateway, "a1");
+    let update = DirectoryUpdate {
+        version: 6,
+        servers: vec![
+            server("l1", "library", ServerState::Ready),
+            server("a1", "archive", ServerState::Ready),
+        ],
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    for _ in 0..10 {
+        let mut ticket = admit(&mut gateway, "/plans/x", None);
+        let target = expect_sent(gateway.next_step(START, &mut ticket));
+        expect_that!(target.incarnation.server, eq("l2"));
+    }
+    // The owner of a key gets requests until other servers may have its keys.
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    expect_sent(gateway.next_step(START, &mut ticket));
+    let later = START + Duration::from_millis(1_300);
+    let mut ticket = admit(&mut gateway, "/reads/x", Some(1));
+    let step = gateway.next_step(later, &mut ticket);
+    expect_that!(step, not(matches_pattern!(NextStep::Send(_))));
+}
+
+#[gtest]
+fn servers_that_leave_are_reported_once_to_each_control_vm() {
+    let mut gateway = gateway();
+    leave(&mut gateway, "a1");
+    leave(&mut gateway, "a1");
+    let expected = vec![ServerIncarnation::new("a1", 1)];
+    expect_that!(gateway.take_report(START).leaving, eq(&expected));
+    expect_that!(gateway.take_report(START).leaving.len(), eq(0));
+    gateway.record_new_control_vm();
+    expect_that!(gateway.take_report(START).leaving, eq(&expected));
+}
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -95,6 +95,11 @@
         for load in &report.servers {
             self.speeds.record(load);
         }
+        for server_incarnation in report.leaving {
+            if self.leaving.insert(server_incarnation.clone()) {
+                self.push_note(SiteNote::ServerSaysItLeaves { server_incarnation });
+            }
+        }
         for limit in &report.limits {
             let change = self.limits.record(now, limit);
             if change != LimitChange::Unchanged {
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -52,6 +52,7 @@
         self.running_grant_calls.clear();
         self.new_server_times.clear();
         self.loads.clear();
+        self.leaving.clear();
         self.limits.clear();
         self.planned_rates.clear();
         self.grant_events.clear();
@@ -123,10 +124,12 @@
         let state = &self.state;
         self.speeds
             .retain(|incarnation| state.server(&incarnation.server).is_some());
-        self.limits.remove_expired(now, |incarnation| {
+        let is_known = |incarnation: &ServerIncarnation| {
             let record = state.server(&incarnation.server);
             record.is_some_and(|record| record.incarnation == *incarnation)
-        });
+        };
+        self.leaving.retain(|incarnation| is_known(incarnation));
+        self.limits.remove_expired(now, is_known);
         self.planned_rates.update(now, self.limits.in_force());
         for load in self.loads.values_mut() {
             load.decay(now);
@@ -217,7 +220,9 @@
     }
 
     fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
-        record.state == ServerState::Ready && !self.is_unresponsive(now, &record.incarnation)
+        record.state == ServerState::Ready
+            && !self.leaving.contains(&record.incarnation)
+            && !self.is_unresponsive(now, &record.incarnation)
     }
 
     /// Whether a server does not announce itself, and all grants that it had have expired.
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -96,6 +96,8 @@
     pub(super) new_server_times: BTreeMap<ServiceName, (MonoTime, MonoTime)>,
     pub(super) loads: BTreeMap<ServiceName, KeyLoad>,
     pub(super) speeds: ServerSpeeds,
+    /// Servers that said in answers to entry VMs that they are about to end.
+    pub(super) leaving: BTreeSet<ServerIncarnation>,
     /// Rate limits of backend servers, as far as entry VMs report them to this leader.
     pub(super) limits: ServerLimits,
     pub(super) planned_rates: PlannedRates,
@@ -135,6 +137,7 @@
             new_server_times: BTreeMap::new(),
             loads: BTreeMap::new(),
             speeds: ServerSpeeds::default(),
+            leaving: BTreeSet::new(),
             limits: ServerLimits::default(),
             planned_rates: PlannedRates::default(),
             poison: PoisonRegistry::default(),
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -19,6 +19,11 @@
     },
     /// The storage failed; this member takes no part in the group until it works again.
     StorageFailed,
+    /// An entry VM reported that a backend server says that it is about to end.
+    ServerSaysItLeaves {
+        /// The server.
+        server_incarnation: ServerIncarnation,
+    },
     /// An entry VM reported that a backend server named, changed or lifted its rate limit.
     ServerLimitChanged {
         /// The server.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -15,6 +15,9 @@
         } => info!(logger, "member starts"; "incarnation" => incarnation,
             "last_index" => last_index, "may_vote" => may_vote),
         SiteNote::StorageFailed => warn!(logger, "member takes no part until its storage works"),
+        SiteNote::ServerSaysItLeaves { server_incarnation } => {
+            info!(logger, "server says that it leaves"; "server" => %server_incarnation);
+        }
         SiteNote::ServerLimitChanged {
             server_incarnation,
             rate_per_s,
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -58,7 +58,7 @@
     site::EntryReport {
         plain: [accepts_server_limits],
         nested: [],
-        list: [keys, servers, poison, limits, permits],
+        list: [keys, servers, poison, limits, permits, leaving],
     }
 );
 
