Let other servers serve the keys of a server that asks for a longer rest

Callers of the keys of a resting server were refused for as long as it rested: a key has one owner. Each entry VM keeps its own rest; shared with the leader, it helps the callers. The planner treats a server with 2 s or more of rest left as one that takes next to no requests, from half a second after its first report on, unless more than a third of the service's servers rest: then the cause lies elsewhere, and the keys would overload the others.

--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -46,6 +46,15 @@
     pub life: ServerIncarnation,
 }
 
+/// A pause that a backend server asked the entry VM for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRest {
+    /// The server.
+    pub incarnation: ServerIncarnation,
+    /// What was left of the pause when the report was created.
+    pub left: Duration,
+}
+
 /// A report of an entry VM to the leader, sent periodically and when limits or permits are to be
 /// reported at once.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -60,6 +69,8 @@
     pub limits: Vec<ReportedLimit>,
     /// Permits that requests of callers wait for.
     pub permits: Vec<PermitRequest>,
+    /// Pauses that servers asked for since the previous report.
+    pub rests: Vec<ServerRest>,
     /// Servers that said in answers that they are about to end.
     pub leaving: Vec<ServerIncarnation>,
     /// Whether the entry VM understands [`ServerLimitUpdate`](crate::ServerLimitUpdate). Entry VMs
@@ -77,5 +88,6 @@
             && self.servers.is_empty()
             && self.poison.is_empty()
             && self.leaving.is_empty()
+            && self.rests.is_empty()
     }
 }
--- a/crates/chicory_directory/src/lib.rs
+++ b/crates/chicory_directory/src/lib.rs
@@ -33,7 +33,9 @@
 pub use directory_position::DirectoryPosition;
 pub use directory_update::{DirectoryUpdate, DirectoryVersion};
 pub use entry_message::EntryMessage;
-pub use entry_report::{EntryReport, KeyCount, PoisonReport, RequestFingerprint, ServerLoad};
+pub use entry_report::{
+    EntryReport, KeyCount, PoisonReport, RequestFingerprint, ServerLoad, ServerRest,
+};
 pub use link_hello::LinkHello;
 pub use link_status::LinkStatus;
 pub use moves_change::MovesChange;
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -114,6 +114,8 @@
     pub(super) unreported_leaving: BTreeSet<ServerIncarnation>,
     /// Servers that have asked this entry VM for a pause.
     pub(super) rests: Rests<ServerIncarnation>,
+    /// Those among them that have asked since the previous report.
+    pub(super) unreported_rests: BTreeSet<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
     pub(super) rng: StdRng,
@@ -143,6 +145,7 @@
             leaving_since: BTreeMap::new(),
             unreported_leaving: BTreeSet::new(),
             rests: Rests::default(),
+            unreported_rests: BTreeSet::new(),
             issuer_contact_at: None,
         }
     }
@@ -539,6 +542,7 @@
 
     /// Returns what happened since the previous report.
     pub fn take_report(&mut self, now: MonoTime) -> EntryReport {
+        let rests = self.take_rests(now);
         let (limits, permits) = self.limited.take_reports(now);
         let keys = std::mem::take(&mut self.key_counts).into_iter();
         let servers = self
@@ -565,6 +569,7 @@
             poison: self.crashes.take_reports(),
             limits,
             permits,
+            rests,
             leaving: std::mem::take(&mut self.unreported_leaving)
                 .into_iter()
                 .collect(),
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_directory::{EntryReport, ServerLimitUpdate, ServerRecord};
+use chicory_directory::{EntryReport, ServerLimitUpdate, ServerRecord, ServerRest};
 use chicory_policy::{LimitChange, PermitStep, Rest};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
@@ -182,8 +182,24 @@
         let RestNotice::For(duration) = notices.rest else {
             return false;
         };
-        self.directory().server(incarnation).is_some()
-            && self.rests.record(now, incarnation, duration)
+        if self.directory().server(incarnation).is_none() {
+            return false;
+        }
+        self.unreported_rests.insert(incarnation.clone());
+        self.rests.record(now, incarnation, duration)
+    }
+
+    /// Returns the rests that servers have asked for since the previous call.
+    pub(super) fn take_rests(&mut self, now: MonoTime) -> Vec<ServerRest> {
+        let servers = std::mem::take(&mut self.unreported_rests).into_iter();
+        let rests = servers.filter_map(|incarnation| {
+            let rest = self.rests.rest(now, &incarnation)?;
+            Some(ServerRest {
+                incarnation,
+                left: rest.until.saturating_sub(now),
+            })
+        });
+        rests.collect()
     }
 
     /// Records that a server says that it is about to end. Returns whether that is news.
--- a/crates/chicory_gateway/tests/server_notices/rests.rs
+++ b/crates/chicory_gateway/tests/server_notices/rests.rs
@@ -32,3 +32,39 @@
         }
     }
 }
+
+/// The aim is that a key is served again within 4 s of a loss.
+#[gtest]
+fn keys_of_a_server_that_goes_on_resting_are_served_by_others() {
+    let mut world = World::start(10, &["a1", "a2", "a3", "a4"]);
+    world.add_callers(READS, Callers::even(100.0));
+    let overloaded_at = world.now + Duration::from_secs(5);
+    let recovered_at = overloaded_at + Duration::from_secs(20);
+    world
+        .server("a1")
+        .set_overload(overloaded_at, recovered_at, REST);
+    world.run_until(overloaded_at + Duration::from_secs(4));
+    let before = world.counts(READS);
+    world.run_until(recovered_at);
+    let after = world.counts(READS);
+    let refused = f64::from(after.refused - before.refused);
+    let sent = f64::from(after.sent - before.sent);
+    expect_that!(refused / (sent + refused), le(0.01));
+}
+
+#[gtest]
+fn keys_stay_where_most_servers_rest() {
+    let names = ["a1", "a2", "a3", "a4"];
+    let mut world = World::start(10, &names);
+    world.add_callers(READS, Callers::even(100.0));
+    let overloaded_at = world.now + Duration::from_secs(5);
+    world.run_until(overloaded_at);
+    let moves = world.moves();
+    let recovered_at = overloaded_at + REST;
+    for name in &names[..3] {
+        let server = world.server(name);
+        server.set_overload(overloaded_at, recovered_at, REST);
+    }
+    world.run_until(overloaded_at + Duration::from_secs(10));
+    expect_that!(world.moves(), eq(moves));
+}
--- a/crates/chicory_policy/src/rests.rs
+++ b/crates/chicory_policy/src/rests.rs
@@ -67,6 +67,11 @@
         (now < rest.until).then_some(*rest)
     }
 
+    /// Returns all servers that rest now, with their rests.
+    pub fn in_force(&self, now: MonoTime) -> impl Iterator<Item = (&Server, &Rest)> {
+        self.rests.iter().filter(move |(_, rest)| now < rest.until)
+    }
+
     /// Keeps only rests that have not ended, of servers that are still known.
     pub fn retain(&mut self, now: MonoTime, is_known: impl Fn(&Server) -> bool) {
         self.rests
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -95,6 +95,9 @@
         for load in &report.servers {
             self.speeds.record(load);
         }
+        for rest in &report.rests {
+            self.rests.record(now, &rest.incarnation, rest.left);
+        }
         for server_incarnation in report.leaving {
             if self.leaving.insert(server_incarnation.clone()) {
                 self.push_note(SiteNote::ServerSaysItLeaves { server_incarnation });
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -1,8 +1,11 @@
 //! Work that only a leader does: granting keys, planning their owners, and
 //! removing unresponsive servers.
 
+use std::collections::BTreeMap;
+
 use chicory_consensus::Replica;
 use chicory_directory::{RemovalCause, ServerRecord, ServerRemoval, ServerState, SiteCommand};
+use chicory_policy::Rests;
 use chicory_ranges::{
     CallId, CallOutcome, GrantCoordinator, GrantEffect, GrantEvent, KeyRange, KeyWeights,
     PlannedServer, RangePlanner, ServerIncarnation, Transfer,
@@ -10,12 +13,22 @@
 use chicory_types::{MonoTime, ServiceName};
 
 use super::site_config::{
-    BALANCING_INTERVAL, MAX_PENDING_TRANSFERS, MAX_SETTLING_TIME, OWNER_TIMEOUT,
+    BALANCING_INTERVAL, MAX_PENDING_TRANSFERS, MAX_SETTLING_TIME, MIN_REST_TO_RELIEVE,
+    MIN_SERVERS_PER_RELIEVED, OWNER_TIMEOUT, RATE_OF_RESTING_PER_S, RELIEF_DELAY,
     SERVER_REMOVAL_TIMEOUT, SETTLING_TIME,
 };
 use super::site_core::{Proposal, RunningGrantCall};
 use super::{GrantRequest, SiteCore, SiteEffect, SiteNote};
 
+/// The servers of a service that may own keys, and those among them that rest.
+#[derive(Default)]
+struct ServiceRests {
+    ready_count: usize,
+    resting_count: usize,
+    /// Servers that rest for longer than a move of their keys takes.
+    to_relieve: Vec<ServerIncarnation>,
+}
+
 impl SiteCore {
     /// Creates the leader's state once this member acts as leader, and clears it once this member
     /// no longer leads. A leader whose lease has expired keeps the state.
@@ -53,6 +66,7 @@
         self.new_server_times.clear();
         self.loads.clear();
         self.leaving.clear();
+        self.rests = Rests::default();
         self.limits.clear();
         self.planned_rates.clear();
         self.grant_events.clear();
@@ -130,7 +144,13 @@
         };
         self.leaving.retain(|incarnation| is_known(incarnation));
         self.limits.remove_expired(now, is_known);
-        self.planned_rates.update(now, self.limits.in_force());
+        self.rests.retain(now, is_known);
+        let resting = self.resting_servers_to_relieve(now);
+        let resting = resting
+            .into_iter()
+            .map(|incarnation| (incarnation, RATE_OF_RESTING_PER_S));
+        let rates = self.limits.in_force().chain(resting);
+        self.planned_rates.update(now, rates);
         for load in self.loads.values_mut() {
             load.decay(now);
         }
@@ -152,6 +172,30 @@
         }
     }
 
+    /// Returns the resting servers whose keys other servers should serve meanwhile: those that rest
+    /// for longer than a move takes, of services whose other servers can bear that.
+    fn resting_servers_to_relieve(&self, now: MonoTime) -> Vec<ServerIncarnation> {
+        let mut services: BTreeMap<&ServiceName, ServiceRests> = BTreeMap::new();
+        for record in self.state.servers() {
+            if !self.may_own(now, record) {
+                continue;
+            }
+            let service = services.entry(&record.service).or_default();
+            service.ready_count += 1;
+            let Some(rest) = self.rests.rest(now, &record.incarnation) else {
+                continue;
+            };
+            service.resting_count += 1;
+            if now >= rest.since + RELIEF_DELAY && rest.until >= now + MIN_REST_TO_RELIEVE {
+                service.to_relieve.push(record.incarnation.clone());
+            }
+        }
+        let bearable = services.into_values().filter(|service| {
+            service.resting_count * MIN_SERVERS_PER_RELIEVED <= service.ready_count
+        });
+        bearable.flat_map(|service| service.to_relieve).collect()
+    }
+
     fn plan_service(&mut self, now: MonoTime, service: &ServiceName, may_balance: bool) {
         let Some(mover) = &self.mover else { return };
         let is_new = self.state.registry().ranges(service).next().is_none();
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -36,6 +36,17 @@
 /// only if their keys need another owner.
 pub(crate) const MAX_PENDING_TRANSFERS: usize = 8;
 
+/// Shortest rest of a server for whose keys others are asked: moving them takes up to a second.
+pub(crate) const MIN_REST_TO_RELIEVE: Duration = Duration::from_secs(2);
+/// Time from the first report that a server rests until its keys move. The entry VMs' next reports
+/// show by then whether other servers rest as well.
+pub(crate) const RELIEF_DELAY: Duration = Duration::from_millis(500);
+/// Number of servers of a service for each one whose keys move because it rests. If more of them
+/// rest, the cause lies elsewhere, and the keys would overload the others.
+pub(crate) const MIN_SERVERS_PER_RELIEVED: usize = 3;
+/// Rate by which the keys of a resting server are planned, in requests per second: close to none.
+pub(crate) const RATE_OF_RESTING_PER_S: f64 = 0.1;
+
 /// Settings of the reducer.
 #[derive(Clone, Debug)]
 pub struct SiteConfig {
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -5,6 +5,7 @@
 
 use chicory_consensus::Replica;
 use chicory_directory::{MovesHistory, PeerEnvelope, RouteHistory, SiteCallId, SiteState};
+use chicory_policy::Rests;
 use chicory_ranges::{CallId, GrantCall, GrantCoordinator, GrantEvent, KeyLoad, ServerIncarnation};
 use chicory_types::{MonoTime, ServiceName, VmId};
 
@@ -96,6 +97,8 @@
     pub(super) new_server_times: BTreeMap<ServiceName, (MonoTime, MonoTime)>,
     pub(super) loads: BTreeMap<ServiceName, KeyLoad>,
     pub(super) speeds: ServerSpeeds,
+    /// Servers that asked entry VMs for a pause.
+    pub(super) rests: Rests<ServerIncarnation>,
     /// Servers that said in answers to entry VMs that they are about to end.
     pub(super) leaving: BTreeSet<ServerIncarnation>,
     /// Rate limits of backend servers, as far as entry VMs report them to this leader.
@@ -137,6 +140,7 @@
             new_server_times: BTreeMap::new(),
             loads: BTreeMap::new(),
             speeds: ServerSpeeds::default(),
+            rests: Rests::default(),
             leaving: BTreeSet::new(),
             limits: ServerLimits::default(),
             planned_rates: PlannedRates::default(),
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -5,7 +5,7 @@
 use chicory_directory::{
     ControlMessage, DirectoryPosition, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus,
     MovesChange, MovingRange, PeerEnvelope, PermitAnswer, PermitRequest, PoisonReport,
-    ReportedLimit, ServerLimitUpdate, ServerLoad, SiteAnswer, SiteCall,
+    ReportedLimit, ServerLimitUpdate, ServerLoad, ServerRest, SiteAnswer, SiteCall,
 };
 
 use crate::convert_error::{OutOfRangeSnafu, from_messages, into_messages, narrowed, required};
@@ -58,7 +58,7 @@
     site::EntryReport {
         plain: [accepts_server_limits],
         nested: [],
-        list: [keys, servers, poison, limits, permits, leaving],
+        list: [keys, servers, poison, limits, permits, leaving, rests],
     }
 );
 
@@ -100,6 +100,26 @@
     }
 }
 
+impl From<ServerRest> for site::ServerRest {
+    fn from(rest: ServerRest) -> Self {
+        Self {
+            life: Some(rest.incarnation.into()),
+            left_us: micros(rest.left),
+        }
+    }
+}
+
+impl TryFrom<site::ServerRest> for ServerRest {
+    type Error = ConvertError;
+
+    fn try_from(message: site::ServerRest) -> Result<Self, ConvertError> {
+        Ok(Self {
+            incarnation: required(message.life, "server_rest.life")?.try_into()?,
+            left: Duration::from_micros(message.left_us),
+        })
+    }
+}
+
 impl From<PermitRequest> for site::PermitRequest {
     fn from(request: PermitRequest) -> Self {
         Self {
