Break off answers of backend servers that have no end

A caller that reads on got a body without an end for as long as it read, and the server's connection stayed open: a body was bounded neither in bytes nor in time.

Cause: the time limit of an attempt ends with the first 16 KB of the body, and nothing bounds the rest. Class: a relay that trusts its source to end.

A connection to a backend server now accepts 128 KB before an answer's body begins, interim answers included, and 256 MB of body with all that encodes it; the meter sits below HTTP, so that it does not matter where the bytes are. It is closed 10 s after the caller's own time. The abort signal goes first, as a body that ends with its connection would look complete otherwise. The caller's connection is broken off, and a line tells why.

--- a/crates/chicory_gateway/src/process/answer_observer.rs
+++ b/crates/chicory_gateway/src/process/answer_observer.rs
@@ -31,6 +31,7 @@
             keep_alive,
         } = *self;
         guard.end_attempt(AttemptOutcome::Answered);
+        link.clear_expiry();
         let shared = guard.shared.clone();
         if link.is_ready() {
             shared
@@ -48,8 +49,11 @@
         });
     }
 
-    fn failed(mut self: Box<Self>, _error: &BodyError) {
+    fn failed(mut self: Box<Self>, error: &BodyError) {
         self.guard.end_attempt(AttemptOutcome::Broken);
+        let shared = &self.guard.shared;
+        let ticket = &self.guard.ticket;
+        shared.requests.broken_off(shared.now(), ticket, error);
     }
 
     fn abandoned(mut self: Box<Self>, _rest: BodySource) {
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, HeaderValue, header, request};
 use hyper::{Request, Response};
+use tokio::time::Instant;
 
 use super::GatewayMetric;
 use super::answer::Answer;
@@ -23,6 +24,9 @@
     Target,
 };
 
+/// Time after the caller's own time for which an answer is passed on. A caller that still reads then
+/// can use it, but an answer without an end would be passed on forever.
+const MAX_BODY_OVERTIME: Duration = Duration::from_secs(10);
 /// Largest body that is buffered for sending.
 const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -226,12 +230,17 @@
         let mut headers = answer.head.headers;
         remove_hop_by_hop(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
-        let source = match answer.rest {
-            Some(rest) => BodySource::Resumed {
-                parts: answer.parts,
-                rest,
-            },
-            None => BodySource::Full(concatenated(answer.parts)),
+        let (source, expiry) = match answer.rest {
+            Some(rest) => {
+                let source = BodySource::Resumed {
+                    parts: answer.parts,
+                    rest,
+                };
+                let until_expiry = self.caller_time_left() + MAX_BODY_OVERTIME;
+                let expiry = answer.link.set_expiry(Instant::now() + until_expiry);
+                (source, Some(expiry))
+            }
+            None => (BodySource::Full(concatenated(answer.parts)), None),
         };
         let observer = AnswerObserver {
             guard,
@@ -239,7 +248,10 @@
             link: answer.link,
             keep_alive: answer.keep_alive,
         };
-        let body = HttpBody::observed(source, Box::new(observer));
+        let mut body = HttpBody::observed(source, Box::new(observer));
+        if let Some(expiry) = expiry {
+            body = body.with_abort_signal(expiry);
+        }
         response(answer.head.status, headers, body)
     }
 
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use chicory_net::http::BodyError;
 use chicory_telemetry::Metrics;
 use chicory_types::MonoTime;
 use slog::{Logger, info, warn};
@@ -118,6 +119,17 @@
             "routes_version" => summary.ticket.map(RequestTicket::routes_version));
     }
 
+    /// Logs that the body of an answer broke off after its head was passed on.
+    pub(super) fn broken_off(&self, now: MonoTime, ticket: &RequestTicket, error: &BodyError) {
+        let Some(suppressed) = self.take_line(now) else {
+            return;
+        };
+        let took = now.saturating_sub(ticket.arrived_at());
+        warn!(self.logger, "answer broken off"; "error" => %error, "took_ms" => millis(took),
+            "service" => ticket.service(), "route" => &ticket.route().route.name,
+            "attempts" => ticket.attempts_summary(), "lines_suppressed" => suppressed);
+    }
+
     fn is_sampled(&self) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         budget.answered += 1;
--- a/crates/chicory_net/src/http/mod.rs
+++ b/crates/chicory_net/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod http_limits;
 mod http_listener;
 mod link_error;
+mod metered_stream;
 mod server_link;
 
 pub use body_error::BodyError;
--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server.
 
 use std::io::ErrorKind;
+use std::pin::pin;
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -9,19 +10,38 @@
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
 use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use crate::http::HttpBody;
 use crate::http::link_error::{HandshakeSnafu, LinkError, SendError};
+use crate::http::metered_stream::{ByteAllowance, MeteredStream};
+
+/// Most bytes of an answer before its body begins, including interim answers.
+const MAX_HEAD_BYTES: u64 = 128 * 1024;
+/// Most bytes of an answer's body, including what encodes it.
+const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
+
+/// A time at which a connection is closed, and the signal that is sent then.
+struct Expiry {
+    at: Instant,
+    signal: oneshot::Sender<()>,
+}
 
 /// One connection to a backend server, for one request at a time.
 ///
+/// It is closed if an answer is longer than any answer should be, wherever the bytes are.
+///
 /// Dropping it closes the connection at once, which signals the server to cancel the request that
 /// is in progress on it.
 #[derive(Debug)]
 pub struct ServerLink {
     sender: SendRequest<HttpBody>,
     connection_task: AbortHandle,
+    allowance: ByteAllowance,
+    max_body_bytes: u64,
+    expiries: mpsc::UnboundedSender<Option<Expiry>>,
 }
 
 impl ServerLink {
@@ -53,6 +73,8 @@
         on_close: impl FnOnce() + Send + 'static,
     ) -> Result<Self, LinkError> {
         let _ = stream.set_nodelay(true);
+        let allowance = ByteAllowance::new(MAX_HEAD_BYTES);
+        let stream = MeteredStream::new(stream, allowance.clone());
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -60,16 +82,45 @@
         let guard = CloseGuard {
             on_close: Some(on_close),
         };
+        let (expiries, changed_expiries) = mpsc::unbounded_channel();
         let connection_task = tokio::spawn(async move {
             let _guard = guard;
-            let _ = connection.await;
+            run_until_expiry(connection, changed_expiries).await;
         });
         Ok(Self {
             sender,
             connection_task: connection_task.abort_handle(),
+            allowance,
+            max_body_bytes: MAX_BODY_BYTES,
+            expiries,
         })
     }
 
+    /// Sets the most bytes that the body of an answer may have.
+    #[must_use]
+    pub fn with_max_body_bytes(mut self, max_body_bytes: u64) -> Self {
+        self.max_body_bytes = max_body_bytes;
+        self
+    }
+
+    /// Closes the connection at `at` unless the expiry is cleared before. Returns a receiver of the
+    /// signal that is sent then.
+    ///
+    /// The signal has to abort the body that the connection delivers: a body whose end is that of
+    /// its connection would look complete otherwise.
+    #[must_use]
+    pub fn set_expiry(&self, at: Instant) -> oneshot::Receiver<()> {
+        let (signal, receiver) = oneshot::channel();
+        // If the connection is closed already, there is nothing left to close.
+        let _ = self.expiries.send(Some(Expiry { at, signal }));
+        receiver
+    }
+
+    /// Keeps the connection open without a time limit again.
+    pub fn clear_expiry(&self) {
+        let _ = self.expiries.send(None);
+    }
+
     /// Sends a request and returns a future that waits for the answer.
     ///
     /// The request is passed to the connection within this call, before the future is polled.
@@ -82,9 +133,13 @@
         &mut self,
         request: Request<HttpBody>,
     ) -> impl Future<Output = Result<Response<Incoming>, SendError>> + Send + use<> {
+        self.allowance.set(MAX_HEAD_BYTES);
         let sent = self.sender.try_send_request(request);
+        let (allowance, max_body_bytes) = (self.allowance.clone(), self.max_body_bytes);
         async move {
-            sent.await.map_err(|mut error| {
+            let response = sent.await;
+            allowance.set(max_body_bytes);
+            response.map_err(|mut error| {
                 if error.take_message().is_some() {
                     SendError::NothingSent
                 } else if error.error().is_parse() {
@@ -114,6 +169,35 @@
     }
 }
 
+/// Runs a connection until it ends or expires.
+async fn run_until_expiry(
+    connection: impl Future,
+    mut changed_expiries: mpsc::UnboundedReceiver<Option<Expiry>>,
+) {
+    let mut connection = pin!(connection);
+    let mut expiry: Option<Expiry> = None;
+    loop {
+        let expires_at = expiry.as_ref().map(|expiry| expiry.at);
+        let expired = async {
+            match expires_at {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            Some(changed) = changed_expiries.recv() => expiry = changed,
+            () = expired => {
+                if let Some(expiry) = expiry {
+                    // The body may have been dropped already.
+                    let _ = expiry.signal.send(());
+                }
+                return;
+            }
+        }
+    }
+}
+
 /// Calls `on_close` at the end of a connection, also if its task is aborted.
 struct CloseGuard<F: FnOnce()> {
     on_close: Option<F>,
