Bound what is buffered of a head that never ends

A server whose head never ends made the entry process buffer up to 400 KB, HTTP's default, before the connection was given up: 200 such connections at once took it to 97 MB in the test, where the smallest entry VMs have 160 MB for everything. A process over its limit is killed, and with it every caller's connection.

64 KB are buffered now.

--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -20,6 +20,9 @@
 
 /// Most bytes of an answer before its body begins, including interim answers.
 const MAX_HEAD_BYTES: u64 = 128 * 1024;
+/// Most bytes of an answer that are received before they are parsed. It bounds the memory of a head
+/// that never ends.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Most bytes of an answer's body, including what encodes it.
 const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
 
@@ -76,6 +79,7 @@
         let allowance = ByteAllowance::new(MAX_HEAD_BYTES);
         let stream = MeteredStream::new(stream, allowance.clone());
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .context(HandshakeSnafu)?;
