Report rests and leaving servers to a new leader

Keys of servers that rest or leave stayed with them after an election, as the new leader did not learn of it unless the entry VM also followed another control VM: a report that reaches a control VM before it leads is lost for this. Found by reading, beside the same fault of limits.

Entry VMs report both again when the control VM that they follow begins to lead.

--- a/crates/chicory_gateway/src/decide/gateway_freshness.rs
+++ b/crates/chicory_gateway/src/decide/gateway_freshness.rs
@@ -60,8 +60,7 @@
             self.issuer_contact_at = None;
         } else {
             if self.issuer_contact_at.is_none() {
-                // The leader that gets the next report may have been elected since the last one.
-                self.limited.record_new_issuer();
+                self.report_all_notices();
             }
             self.issuer_contact_at = Some(now);
         }
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -90,8 +90,15 @@
     /// Records that another control VM is followed.
     pub fn record_new_control_vm(&mut self) {
         self.issuer_contact_at = None;
+        self.report_all_notices();
+    }
+
+    /// Has the next report contain everything that servers have stated: the leader that gets it may
+    /// have been elected since the previous one.
+    pub(super) fn report_all_notices(&mut self) {
         self.limited.record_new_issuer();
         self.unreported_leaving = self.leaving_since.keys().cloned().collect();
+        self.unreported_rests = self.rests.servers().cloned().collect();
     }
 
     /// Returns the limits and requests for permits that have to be reported at once, if there are
--- a/crates/chicory_gateway/tests/decisions/notices.rs
+++ b/crates/chicory_gateway/tests/decisions/notices.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::support::{START, admit, expect_sent, gateway, owned, ranges, server};
-use chicory_directory::{DirectoryUpdate, ServerState};
+use crate::support::{START, admit, expect_sent, gateway, in_contact, owned, ranges, server};
+use chicory_directory::{DirectoryUpdate, EntryReport, LinkStatus, ServerState};
 use chicory_gateway::{
     AttemptOutcome, Gateway, LeavingNotice, LimitNotice, NextStep, Recheck, RefusalReason,
     RestNotice, ServerNotices,
@@ -177,3 +177,26 @@
     gateway.record_new_control_vm();
     expect_that!(gateway.take_report(START).leaving, eq(&expected));
 }
+
+#[gtest]
+fn notices_are_reported_again_once_the_control_vm_that_is_followed_leads() {
+    let mut gateway = gateway();
+    name_limit(&mut gateway, "a1");
+    rest(&mut gateway, START, "a2");
+    leave(&mut gateway, "l1");
+    let is_complete = |report: EntryReport| {
+        (
+            report.limits.len(),
+            report.rests.len(),
+            report.leaving.len(),
+        ) == (1, 1, 1)
+    };
+    expect_that!(is_complete(gateway.take_report(START)), eq(true));
+    gateway.record_status(START, &in_contact());
+    expect_that!(is_complete(gateway.take_report(START)), eq(false));
+    // While there is no leader, a control VM states that nobody follows a leader.
+    gateway.record_status(START, &LinkStatus::default());
+    expect_that!(is_complete(gateway.take_report(START)), eq(false));
+    gateway.record_status(START, &in_contact());
+    expect_that!(is_complete(gateway.take_report(START)), eq(true));
+}
--- a/crates/chicory_policy/src/rests.rs
+++ b/crates/chicory_policy/src/rests.rs
@@ -67,9 +67,9 @@
         (now < rest.until).then_some(*rest)
     }
 
-    /// Returns all servers that rest now, with their rests.
-    pub fn in_force(&self, now: MonoTime) -> impl Iterator<Item = (&Server, &Rest)> {
-        self.rests.iter().filter(move |(_, rest)| now < rest.until)
+    /// Returns all servers that rest or have rested recently.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.rests.keys()
     }
 
     /// Keeps only rests that have not ended, of servers that are still known.
