Let the soak's servers name rate limits

By what servers and callers see, the limit is checked over the entry VMs that were told; only what happens to an entry VM itself excuses it, killed or cut control VMs excuse nobody. A server whose connections are hindered is left out, as requests to it arrive late.

--- a/tools/soak/src/disturbances.rs
+++ b/tools/soak/src/disturbances.rs
@@ -41,6 +41,14 @@
         !touches(&all, from, to)
     }
 
+    /// Returns whether this entry VM was not disturbed itself from `from` to `to`, whatever happened
+    /// to others.
+    pub fn none_of_entry_between(&self, entry: SocketAddr, from: Instant, to: Instant) -> bool {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let spans = entries.get(&entry);
+        spans.is_none_or(|spans| !touches(spans, from, to))
+    }
+
     /// Returns whether neither the deployment nor this entry VM was disturbed from `from` to `to`.
     pub fn none_for_entry_between(&self, entry: SocketAddr, from: Instant, to: Instant) -> bool {
         let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
--- a/tools/soak/src/fault.rs
+++ b/tools/soak/src/fault.rs
@@ -49,6 +49,12 @@
         conduct: ServerBehaviour,
         length: Duration,
     },
+    /// A backend server names a limit.
+    Notice {
+        server: usize,
+        conduct: ServerBehaviour,
+        length: Duration,
+    },
     /// Connections to a backend server are slow, or its answers are blocked.
     HinderServer {
         server: usize,
@@ -95,6 +101,7 @@
             Self::Reload
             | Self::HotKey { .. }
             | Self::Stop { vm: Vm::Entry(_) }
+            | Self::Notice { .. }
             | Self::Replace { .. } => None,
         }
     }
--- a/tools/soak/src/fault_injection.rs
+++ b/tools/soak/src/fault_injection.rs
@@ -89,6 +89,11 @@
                 conduct,
                 length,
             } => self.misbehave(server, conduct, length).await,
+            Fault::Notice {
+                server,
+                conduct,
+                length,
+            } => self.misbehave(server, conduct, length).await,
             Fault::HinderServer {
                 server,
                 delay,
@@ -104,6 +109,9 @@
     }
 
     async fn kill(&self, vms: &[Vm], down: Duration) -> Result<(), SoakError> {
+        for vm in vms {
+            self.record_entry_fault(*vm, down);
+        }
         {
             let mut cluster = self.cluster.lock().await;
             for vm in vms {
@@ -151,6 +159,7 @@
     }
 
     async fn pause(&self, vm: Vm, length: Duration) -> Result<(), SoakError> {
+        self.record_entry_fault(vm, length);
         self.cluster.lock().await.signal(vm, Signal::STOP)?;
         tokio::time::sleep(length).await;
         self.guarantees.record_resume();
@@ -242,10 +251,20 @@
         server.set_behaviour(ServerBehaviour::Normal);
     }
 
+    /// Excuses an entry VM that a fault affects for `length`, and all servers' notices to it.
+    fn record_entry_fault(&self, vm: Vm, length: Duration) {
+        if let Vm::Entry(index) = vm {
+            let entry = self.addresses.callers(index);
+            let disturbances = &self.guarantees.disturbances;
+            disturbances.record_for_entry(entry, length + RESTART_PAUSE);
+        }
+    }
+
     async fn hinder_server(&self, server: usize, delay: Option<Duration>, length: Duration) {
         let Some(server) = self.fleet.lock().await.server(server) else {
             return;
         };
+        self.guarantees.record_hindrance(server.name(), length);
         let selection = Selection::to(server.config().announced_address);
         let rule = match delay {
             Some(delay) => self.rules.add(selection, None, Treatment::Delay(delay)),
@@ -274,6 +293,8 @@
 
     async fn act_on(&self, server: usize, action: impl Fn(Selection) -> ProxyAction) {
         if let Some(server) = self.fleet.lock().await.server(server) {
+            self.guarantees
+                .record_hindrance(server.name(), Duration::ZERO);
             let selection = Selection::to(server.config().announced_address);
             self.rules.apply_once(action(selection));
         }
--- a/tools/soak/src/guarantees.rs
+++ b/tools/soak/src/guarantees.rs
@@ -3,15 +3,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use platform_stand_ins::{
-    CallerAnswer, CallerRequest, HeldGrant, ReadTable, SeenRequest, ServerObserver,
+    CallerAnswer, CallerRequest, HeldGrant, ReadTable, SeenRequest, ServerBehaviour, ServerObserver,
 };
 use serde_json::Value;
 
 use crate::disturbances::Disturbances;
 use crate::key_guarantees::KeyGuarantees;
+use crate::notice_guarantees::NoticeGuarantees;
 use crate::request_guarantees::RequestGuarantees;
 use crate::table_guarantees::TableGuarantees;
 
@@ -27,6 +28,7 @@
     keys: Mutex<KeyGuarantees>,
     requests: Mutex<RequestGuarantees>,
     tables: Mutex<TableGuarantees>,
+    notices: Mutex<NoticeGuarantees>,
     /// Service of each incarnation of a server, by its name.
     services: Mutex<BTreeMap<String, String>>,
     violations: Mutex<Vec<String>>,
@@ -40,6 +42,7 @@
             keys: Mutex::default(),
             requests: Mutex::default(),
             tables: Mutex::default(),
+            notices: Mutex::default(),
             services: Mutex::default(),
             violations: Mutex::default(),
         }
@@ -72,7 +75,13 @@
     }
 
     /// Records that a caller is about to send a request, which may be routed to these services.
-    pub(crate) fn record_request(&self, request: &CallerRequest, services: &[&'static str]) {
+    pub(crate) fn record_request(
+        &self,
+        request: &CallerRequest,
+        entry: SocketAddr,
+        services: &[&'static str],
+    ) {
+        lock(&self.notices).record_request(&request.attempt_id, entry);
         lock(&self.requests).record_request(request, services);
     }
 
@@ -84,6 +93,7 @@
         is_planned_stop: bool,
         answer: &CallerAnswer,
     ) {
+        lock(&self.notices).record_answer(&request.attempt_id);
         let mut requests = lock(&self.requests);
         let new_violations =
             requests.record_answer(request, entry, is_planned_stop, answer, &self.disturbances);
@@ -91,6 +101,11 @@
         self.record_violations(new_violations);
     }
 
+    /// Records that connections to a server are hindered for a time.
+    pub(crate) fn record_hindrance(&self, server: &str, length: Duration) {
+        lock(&self.notices).record_hindrance(server, length);
+    }
+
     /// Records that an operator is about to send a table.
     pub(crate) fn record_table(&self, version: u64, table: &Value, is_valid: bool) {
         lock(&self.tables).record_table(version, table, is_valid);
@@ -144,6 +159,17 @@
         lock(&self.keys).record_release(server, first, last);
     }
 
+    fn request_arrived(&self, server: &str, attempt_id: &str) {
+        let mut notices = lock(&self.notices);
+        let new_violations = notices.record_arrival(server, attempt_id, &self.disturbances);
+        drop(notices);
+        self.record_violations(new_violations);
+    }
+
+    fn request_answered(&self, server: &str, attempt_id: &str, behaviour: ServerBehaviour) {
+        lock(&self.notices).record_server_answer(server, attempt_id, behaviour);
+    }
+
     fn request_started(&self, server: &str, request: SeenRequest) {
         let service = lock(&self.services).get(server).cloned();
         let service = service.unwrap_or_default();
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_guarantees;
 mod link_source;
 mod load;
+mod notice_guarantees;
 mod operators;
 mod options;
 mod plan;
@@ -28,6 +29,7 @@
 
 pub use disturbances::Disturbances;
 pub use key_guarantees::KeyGuarantees;
+pub use notice_guarantees::NoticeGuarantees;
 pub use options::Options;
 pub use plan::Plan;
 pub use request_guarantees::RequestGuarantees;
--- a/tools/soak/src/load.rs
+++ b/tools/soak/src/load.rs
@@ -151,7 +151,8 @@
         services: &[&'static str],
     ) {
         let entry = &self.entries[index];
-        self.guarantees.record_request(request, services);
+        self.guarantees
+            .record_request(request, entry.address, services);
         self.sent.fetch_add(1, Ordering::Relaxed);
         let sent_at = Instant::now();
         let answer = caller.send(entry.address, request).await;
--- a/tools/soak/src/operators.rs
+++ b/tools/soak/src/operators.rs
@@ -182,7 +182,7 @@
                 key: None,
                 time_left: Duration::from_millis(800),
             };
-            self.guarantees.record_request(&request, &[LIBRARY]);
+            self.guarantees.record_request(&request, entry, &[LIBRARY]);
             let requested_at = Instant::now();
             let answer = caller.send(entry, &request).await;
             let CallerAnswer::Complete { status, .. } = answer else {
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -17,6 +17,9 @@
 /// Length of the planned work of a round.
 const PLANNED_WORK_PHASE: Duration = Duration::from_secs(6);
 
+/// Number of notices of servers that begin beside the faults of a round.
+const NOTICES: usize = 4;
+
 /// The faults and planned work of a run, each with its time.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -44,6 +47,12 @@
             planner.add_planned_work(at);
             at += PLANNED_WORK_PHASE;
         }
+        // Notices are drawn after all else, so that a seed has the same faults as before there were
+        // notices.
+        for round in 0..rounds {
+            let begin = (FAULT_PHASE + RECOVERY_PHASE + PLANNED_WORK_PHASE) * round;
+            planner.add_notices(begin);
+        }
         let mut steps = planner.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, end: at }
@@ -79,6 +88,29 @@
         }
     }
 
+    /// Adds notices of servers beside faults, and one beside planned work.
+    fn add_notices(&mut self, begin: Duration) {
+        for _ in 0..NOTICES {
+            let at = begin + self.millis(0..6000);
+            let step = self.notice();
+            self.steps.push((at, step));
+        }
+        let at = begin + FAULT_PHASE + RECOVERY_PHASE;
+        let step = self.notice();
+        self.steps.push((at, step));
+    }
+
+    fn notice(&mut self) -> Fault {
+        let server = self.server();
+        let length = self.millis(4000..8000);
+        let conduct = ServerBehaviour::Limited(self.rng.random_range(0.5..12.0));
+        Fault::Notice {
+            server,
+            conduct,
+            length,
+        }
+    }
+
     fn add_planned_work(&mut self, begin: Duration) {
         let entry = self.rng.random_range(0..self.entry_count);
         let server = self.server();
--- a/tools/soak/tests/guarantees.rs
+++ b/tools/soak/tests/guarantees.rs
@@ -6,9 +6,11 @@
 use googletest::prelude::*;
 use platform_stand_ins::{
     CallerAnswer, CallerRequest, CallerRequestKind, HeldGrant, Operator, ReadTable, SeenRequest,
-    answer_body,
+    ServerBehaviour, answer_body,
+};
+use soak::{
+    Disturbances, KeyGuarantees, NoticeGuarantees, Plan, RequestGuarantees, TableGuarantees,
 };
-use soak::{Disturbances, KeyGuarantees, Plan, RequestGuarantees, TableGuarantees};
 
 fn grant(first: u16, last: u16, fence: u64, hold_s: u64) -> HeldGrant {
     HeldGrant {
@@ -234,3 +236,38 @@
     expect_that!(plan(1), eq(&plan(1)));
     expect_that!(plan(1), not(eq(&plan(2))));
 }
+
+/// Plays one request from its caller to a server and back. Returns the violations.
+fn exchange(
+    notices: &mut NoticeGuarantees,
+    id: &str,
+    behaviour: ServerBehaviour,
+    disturbances: &Disturbances,
+) -> Vec<String> {
+    let entry = SocketAddr::from(([127, 0, 0, 1], 1));
+    notices.record_request(id, entry);
+    let violations = notices.record_arrival("s", id, disturbances);
+    notices.record_server_answer("s", id, behaviour);
+    notices.record_answer(id);
+    violations
+}
+
+#[gtest]
+fn requests_beyond_a_limit_are_detected_once_it_binds() {
+    let disturbances = Disturbances::default();
+    let mut notices = NoticeGuarantees::default();
+    let limited = ServerBehaviour::Limited(1.0);
+    let mut send = |index: usize| {
+        let id = format!("r{index}");
+        exchange(&mut notices, &id, limited, &disturbances)
+    };
+    for index in 0..30 {
+        expect_that!(send(index), is_empty());
+    }
+    std::thread::sleep(Duration::from_millis(3050));
+    // Eleven requests are allowed.
+    for index in 30..41 {
+        expect_that!(send(index), is_empty(), "{index}");
+    }
+    expect_that!(send(41), not(is_empty()));
+}
