Let the soak's servers ask for rest and leave by header

Servers that turn requests away and ask for a pause, and servers that say in their answers that they leave, now come beside the other faults and planned work. Checked are the rest of each entry VM that was asked, and that no request reaches a server that was sent 2 s after its entry VM had passed on that it leaves; only what happens to an entry VM itself excuses it.

--- a/tools/soak/src/fault.rs
+++ b/tools/soak/src/fault.rs
@@ -49,7 +49,8 @@
         conduct: ServerBehaviour,
         length: Duration,
     },
-    /// A backend server names a limit.
+    /// A backend server names a limit, asks for rest or says that it leaves. One that leaves is
+    /// replaced in the end.
     Notice {
         server: usize,
         conduct: ServerBehaviour,
--- a/tools/soak/src/fault_injection.rs
+++ b/tools/soak/src/fault_injection.rs
@@ -93,7 +93,7 @@
                 server,
                 conduct,
                 length,
-            } => self.misbehave(server, conduct, length).await,
+            } => self.show_notice(server, conduct, length).await?,
             Fault::HinderServer {
                 server,
                 delay,
@@ -251,6 +251,21 @@
         server.set_behaviour(ServerBehaviour::Normal);
     }
 
+    async fn show_notice(
+        &self,
+        member: usize,
+        conduct: ServerBehaviour,
+        length: Duration,
+    ) -> Result<(), SoakError> {
+        self.misbehave(member, conduct, length).await;
+        if conduct != ServerBehaviour::Leaving {
+            return Ok(());
+        }
+        let mut fleet = self.fleet.lock().await;
+        fleet.crash(member);
+        fleet.start_incarnation(member).await
+    }
+
     /// Excuses an entry VM that a fault affects for `length`, and all servers' notices to it.
     fn record_entry_fault(&self, vm: Vm, length: Duration) {
         if let Vm::Entry(index) = vm {
--- a/tools/soak/src/notice_guarantees.rs
+++ b/tools/soak/src/notice_guarantees.rs
@@ -16,6 +16,10 @@
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Time after which a notice binds the entry VM that passed it on or got it.
 const REACTION_TIME: Duration = Duration::from_millis(500);
+/// Requests that may arrive in a rest all the same.
+const ALLOWED_IN_REST: usize = 2;
+/// Time after which a server that says that it leaves gets no more requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time for which requests are remembered.
 const RETENTION: Duration = Duration::from_secs(10);
 
@@ -35,11 +39,14 @@
     limits: Vec<(Instant, f64)>,
     /// When each entry VM first passed on an answer with a limit.
     told_limit_at: BTreeMap<SocketAddr, Instant>,
+    told_leaving_at: BTreeMap<SocketAddr, Instant>,
+    /// The last rest that each entry VM was asked for, and its end.
+    rests: BTreeMap<SocketAddr, (Instant, Instant)>,
     arrivals: VecDeque<(Instant, SocketAddr)>,
     hindered_until: Option<Instant>,
 }
 
-/// Checks the guarantees about limits.
+/// Checks the guarantees about limits, rests and leaving servers.
 #[derive(Debug, Default)]
 pub struct NoticeGuarantees {
     requests: BTreeMap<String, SentRequest>,
@@ -85,11 +92,15 @@
                 notices.limited_since.get_or_insert(now);
                 notices.limits.push((now, rate_per_s));
             }
-            _ => {
-                notices.limited_since = None;
-                notices.limits.clear();
-                notices.told_limit_at.clear();
+            ServerBehaviour::Resting(rest) => {
+                notices.rests.insert(request.entry, (now, now + rest));
             }
+            _ => {}
+        }
+        if !matches!(behaviour, ServerBehaviour::Limited(_)) {
+            notices.limited_since = None;
+            notices.limits.clear();
+            notices.told_limit_at.clear();
         }
         request.notices.push((server.to_owned(), behaviour));
     }
@@ -106,6 +117,7 @@
                 ServerBehaviour::Limited(_) if notices.limited_since.is_some() => {
                     &mut notices.told_limit_at
                 }
+                ServerBehaviour::Leaving => &mut notices.told_leaving_at,
                 _ => continue,
             };
             told_at.entry(request.entry).or_insert(now);
@@ -135,7 +147,11 @@
         }
         let is_undisturbed =
             |entry: SocketAddr, from: Instant| disturbances.none_of_entry_between(entry, from, now);
-        let found = [notices.excess(now, &is_undisturbed)];
+        let found = [
+            notices.excess(now, &is_undisturbed),
+            notices.broken_rest(now, request.entry, &is_undisturbed),
+            notices.late_arrival(request, &is_undisturbed),
+        ];
         let found = found.into_iter().flatten();
         found
             .map(|violation| format!("{server} {violation} ({attempt_id})"))
@@ -166,4 +182,36 @@
         (f64::from(requests) > allowed)
             .then(|| format!("has a limit of {greatest:.1} and got {requests} requests in 4 s"))
     }
+
+    fn broken_rest(
+        &self,
+        now: Instant,
+        entry: SocketAddr,
+        is_undisturbed: &impl Fn(SocketAddr, Instant) -> bool,
+    ) -> Option<String> {
+        let (asked_at, until) = self.rests.get(&entry)?;
+        let binds_from = *asked_at + REACTION_TIME;
+        let arrivals = self.arrivals.iter();
+        let requests = arrivals
+            .filter(|(at, from)| *from == entry && *at >= binds_from && at < until)
+            .count();
+        let is_broken =
+            now < *until && requests > ALLOWED_IN_REST && is_undisturbed(entry, *asked_at);
+        is_broken.then(|| format!("asked {entry} for rest and got {requests} requests"))
+    }
+
+    fn late_arrival(
+        &self,
+        request: &SentRequest,
+        is_undisturbed: &impl Fn(SocketAddr, Instant) -> bool,
+    ) -> Option<String> {
+        let told_at = self.told_leaving_at.get(&request.entry)?;
+        let is_late = request.sent_at > *told_at + DRAIN_TIME;
+        (is_late && is_undisturbed(request.entry, *told_at)).then(|| {
+            format!(
+                "said that it leaves and gets a request of {}",
+                request.entry
+            )
+        })
+    }
 }
--- a/tools/soak/tests/guarantees.rs
+++ b/tools/soak/tests/guarantees.rs
@@ -252,6 +252,22 @@
     violations
 }
 
+#[gtest]
+fn requests_in_a_rest_are_detected() {
+    let disturbances = Disturbances::default();
+    let mut notices = NoticeGuarantees::default();
+    let resting = ServerBehaviour::Resting(Duration::from_secs(5));
+    let found = exchange(&mut notices, "r0", resting, &disturbances);
+    expect_that!(found, is_empty());
+    std::thread::sleep(Duration::from_millis(550));
+    let mut found = Vec::new();
+    for id in ["r1", "r2", "r3"] {
+        expect_that!(found, is_empty(), "{id}");
+        found = exchange(&mut notices, id, ServerBehaviour::Normal, &disturbances);
+    }
+    expect_that!(found, not(is_empty()));
+}
+
 #[gtest]
 fn requests_beyond_a_limit_are_detected_once_it_binds() {
     let disturbances = Disturbances::default();
@@ -271,3 +287,21 @@
     }
     expect_that!(send(41), not(is_empty()));
 }
+
+#[gtest]
+fn requests_to_a_server_that_says_that_it_leaves_are_detected() {
+    let disturbances = Disturbances::default();
+    let mut notices = NoticeGuarantees::default();
+    let leaving = ServerBehaviour::Leaving;
+    expect_that!(
+        exchange(&mut notices, "r1", leaving, &disturbances),
+        is_empty()
+    );
+    expect_that!(
+        exchange(&mut notices, "r2", leaving, &disturbances),
+        is_empty()
+    );
+    std::thread::sleep(Duration::from_millis(2050));
+    let found = exchange(&mut notices, "r3", leaving, &disturbances);
+    expect_that!(found, not(is_empty()));
+}
