Let the soak's servers send bodies without end

Servers whose answers have no end now come beside the other faults; their requests may break, and everything else has to hold, processes included.

--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -103,10 +103,17 @@
     fn notice(&mut self) -> Fault {
         let server = self.server();
         let length = self.millis(4000..8000);
-        let conduct = match self.rng.random_range(0..6) {
+        let conduct = match self.rng.random_range(0..7) {
             0..=2 => ServerBehaviour::Limited(self.rng.random_range(0.5..12.0)),
             3 | 4 => ServerBehaviour::Resting(self.millis(1000..4000)),
-            _ => ServerBehaviour::Leaving,
+            5 => ServerBehaviour::Leaving,
+            _ => {
+                return Fault::Misbehave {
+                    server,
+                    conduct: ServerBehaviour::Endless,
+                    length,
+                };
+            }
         };
         Fault::Notice {
             server,
