Reject rates that no limit can have between processes, and count denials by limits

No server can bring that about, as its header is bounded where it is decoded; a fault of a peer could. Found by reading. Rates from 0.001 to 1e9 are taken now, sums of counts saturate, and a message with another rate is refused like any other that can't be read. Requests refused by a limit have a counter of their own.

--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -262,6 +262,9 @@
             GatewayMetric::RefusedNotRun
         };
         self.shared.metrics.increment(metric);
+        if refusal.reason == RefusalReason::ServerLimited {
+            self.shared.metrics.increment(GatewayMetric::DeniedByLimit);
+        }
         let summary = self.summary(ticket);
         let now = self.shared.now();
         let gateway = self.shared.gateway();
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -33,6 +33,8 @@
     AnswersOfLeaving,
     /// Answers whose statement about that can't be read.
     UnreadableLeaving,
+    /// Requests refused because the rate limits of their servers were used up.
+    DeniedByLimit,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -70,6 +72,7 @@
             Self::UnreadableRests => "gateway_unreadable_rests",
             Self::AnswersOfLeaving => "gateway_answers_of_leaving",
             Self::UnreadableLeaving => "gateway_unreadable_leaving",
+            Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -104,6 +107,9 @@
             Self::UnreadableLeaving => {
                 "Answers that can't be read as to whether their server is about to end."
             }
+            Self::DeniedByLimit => {
+                "Requests refused because the rate limits of their servers were used up."
+            }
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
--- a/crates/chicory_policy/src/permit_holder.rs
+++ b/crates/chicory_policy/src/permit_holder.rs
@@ -158,7 +158,9 @@
     ) {
         self.unanswered_since = None;
         let ranked = self.ranks.entry(rank).or_default();
-        ranked.requested = ranked.requested.saturating_sub(granted + denied);
+        ranked.requested = ranked
+            .requested
+            .saturating_sub(granted.saturating_add(denied));
         for _ in 0..granted.min(MAX_PENDING) {
             ranked.valid_until.push_back(now + PERMIT_VALIDITY);
         }
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -1,5 +1,6 @@
 //! Conversions of the messages on links between control and entry VMs.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use chicory_directory::{
@@ -7,6 +8,7 @@
     MovesChange, MovingRange, PeerEnvelope, PermitAnswer, PermitRequest, PoisonReport,
     ReportedLimit, ServerLimitUpdate, ServerLoad, ServerRest, SiteAnswer, SiteCall,
 };
+use snafu::OptionExt;
 
 use crate::convert_error::{OutOfRangeSnafu, from_messages, into_messages, narrowed, required};
 use crate::deflated_message::inflate;
@@ -19,7 +21,9 @@
 use crate::record_macro::convert_record;
 use crate::routes_convert::micros;
 use crate::{ConvertError, peer_message};
-use snafu::OptionExt;
+
+/// Bounds of the rate of a limit, in requests per second; they keep times that follow from it finite.
+const RATE_BOUNDS_PER_S: RangeInclusive<f64> = 0.001..=1e9;
 
 convert_record!(
     LinkStatus,
@@ -122,7 +126,7 @@
 
 /// Whether a number is the rate of a limit, in requests per second.
 fn is_rate(number: f64) -> bool {
-    number.is_finite() && number > 0.0
+    RATE_BOUNDS_PER_S.contains(&number)
 }
 
 impl From<PermitRequest> for site::PermitRequest {
