Count requests that are refused while their servers rest

On-call could not tell from the metrics how many callers a rest costs; the lines of refused requests are limited in number.

--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -262,8 +262,14 @@
             GatewayMetric::RefusedNotRun
         };
         self.shared.metrics.increment(metric);
-        if refusal.reason == RefusalReason::ServerLimited {
-            self.shared.metrics.increment(GatewayMetric::DeniedByLimit);
+        match refusal.reason {
+            RefusalReason::ServerLimited => {
+                self.shared.metrics.increment(GatewayMetric::DeniedByLimit);
+            }
+            RefusalReason::ServerResting => {
+                self.shared.metrics.increment(GatewayMetric::DeniedByRest);
+            }
+            _ => {}
         }
         let summary = self.summary(ticket);
         let now = self.shared.now();
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -35,6 +35,8 @@
     UnreadableLeaving,
     /// Requests refused because the rate limits of their servers were used up.
     DeniedByLimit,
+    /// Requests refused because their servers had asked for a pause.
+    DeniedByRest,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -73,6 +75,7 @@
             Self::AnswersOfLeaving => "gateway_answers_of_leaving",
             Self::UnreadableLeaving => "gateway_unreadable_leaving",
             Self::DeniedByLimit => "gateway_denied_by_limit",
+            Self::DeniedByRest => "gateway_denied_by_rest",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -110,6 +113,7 @@
             Self::DeniedByLimit => {
                 "Requests refused because the rate limits of their servers were used up."
             }
+            Self::DeniedByRest => "Requests refused because their servers had asked for a pause.",
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
