--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -4,6 +4,7 @@
 mod entry_count;
 mod gateway;
 mod gateway_attempts;
+mod gateway_choice;
 mod gateway_config;
 mod gateway_freshness;
 mod gateway_notices;
