--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Ends all servers, so that none of them goes on beside later runs.
+    pub(crate) fn crash_all(&mut self) {
+        for member in 0..self.members.len() {
+            self.crash(member);
+        }
+    }
+
     /// Starts a new incarnation of a member, unless one runs.
     pub(crate) async fn start_incarnation(&mut self, member: usize) -> Result<(), SoakError> {
         if self.members[member].server.is_some() {
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -81,7 +81,9 @@
             entry_count: options.entry_count,
         });
         let plan = Plan::from_seed(seed, options.rounds, options.entry_count, Fleet::count());
-        run.clone().execute_plan(&plan, seed).await?;
+        let executed = run.clone().execute_plan(&plan, seed).await;
+        run.fleet.lock().await.crash_all();
+        executed?;
         let (sent, served, refused) = run.load.counts();
         let result = RunResult {
             seed,
