Log notices of servers that can't be read, and take none from other servers' answers

On-call saw a count of unreadable limits, rests and leaving notices, and not whose they were. A line names the server and what was read, within the 40 lines a second that requests have.

--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -1,4 +1,4 @@
-//! Handles what backend servers state about themselves, and the limits that follow from it.
+//! Handles what backend servers state about themselves: rate limits, rests, and that they leave.
 
 use std::time::Duration;
 
@@ -57,9 +57,9 @@
 }
 
 impl Gateway {
-    /// Records what a server states about itself in an answer to a request that was sent at
-    /// `sent_at`. Returns how the limit of the server changed.
-    pub fn record_notices(
+    /// Records what a server states about its rate limit in an answer to a request that was sent at
+    /// `sent_at`. Returns how the limit changed.
+    pub fn record_limit(
         &mut self,
         now: MonoTime,
         incarnation: &ServerIncarnation,
@@ -70,7 +70,7 @@
             return LimitChange::Unchanged;
         }
         self.limited
-            .record_notices(now, incarnation, sent_at, notices)
+            .record_limit(now, incarnation, sent_at, notices)
     }
 
     /// Records limits that the leader reports, and permits that it issues. Returns the limits that
--- a/crates/chicory_gateway/src/decide/limited_servers.rs
+++ b/crates/chicory_gateway/src/decide/limited_servers.rs
@@ -70,7 +70,7 @@
 
 impl LimitedServers {
     /// Records what an answer says.
-    pub(super) fn record_notices(
+    pub(super) fn record_limit(
         &mut self,
         now: MonoTime,
         incarnation: &ServerIncarnation,
--- a/crates/chicory_gateway/src/decide/server_notices.rs
+++ b/crates/chicory_gateway/src/decide/server_notices.rs
@@ -49,3 +49,13 @@
     /// Whether the server is about to end.
     pub leaving: LeavingNotice,
 }
+
+impl ServerNotices {
+    /// Whether the server states something that can't be read.
+    #[must_use]
+    pub fn is_unreadable(&self) -> bool {
+        self.limit == LimitNotice::Unreadable
+            || self.rest == RestNotice::Unreadable
+            || self.leaving == LeavingNotice::Unreadable
+    }
+}
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -84,7 +84,9 @@
         .classify(&request.metadata, &target.incarnation, &head);
     if !matches!(class, AnswerClass::OtherServer | AnswerClass::Foreign) {
         let notices = shared.servers.notices(&target.incarnation, &head);
-        shared.record_notices(&target.incarnation, started_at, &notices);
+        if let Some(notices) = notices {
+            shared.record_notices(&target.incarnation, started_at, &notices);
+        }
     }
     let is_failure = match class {
         AnswerClass::Answer => false,
--- a/crates/chicory_gateway/src/process/interfaces.rs
+++ b/crates/chicory_gateway/src/process/interfaces.rs
@@ -54,8 +54,9 @@
         head: &response::Parts,
     ) -> AnswerClass;
 
-    /// Returns what the server states about itself in an answer.
-    fn notices(&self, target: &ServerIncarnation, head: &response::Parts) -> ServerNotices;
+    /// Returns what the server states about itself in an answer; `None` if the answer is from another
+    /// server.
+    fn notices(&self, target: &ServerIncarnation, head: &response::Parts) -> Option<ServerNotices>;
 
     /// Returns the time for which the server keeps the connection of this answer open while it is
     /// idle, if the answer states one.
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use chicory_net::http::BodyError;
+use chicory_ranges::ServerIncarnation;
 use chicory_telemetry::Metrics;
 use chicory_types::MonoTime;
 use slog::{Logger, info, warn};
 
 use super::GatewayMetric;
-use crate::{Gateway, Refusal, RequestMetadata, RequestTicket};
+use crate::{Gateway, Refusal, RequestMetadata, RequestTicket, ServerNotices};
 
 /// Lines about failures per second. Under overload most of them have the same content.
 const FAILURE_LINES_PER_S: f64 = 40.0;
@@ -130,6 +131,21 @@
             "attempts" => ticket.attempts_summary(), "lines_suppressed" => suppressed);
     }
 
+    /// Logs that a backend server states something about itself that can't be read.
+    pub(super) fn unreadable_notice(
+        &self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        notices: &ServerNotices,
+    ) {
+        let Some(suppressed) = self.take_line(now) else {
+            return;
+        };
+        warn!(self.logger, "backend server sends a notice that can't be read";
+            "server" => %incarnation, "limit" => ?notices.limit, "rest" => ?notices.rest,
+            "leaving" => ?notices.leaving, "lines_suppressed" => suppressed);
+    }
+
     fn is_sampled(&self) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         budget.answered += 1;
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -98,6 +98,9 @@
             LeavingNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableLeaving),
         }
         let now = self.now();
+        if notices.is_unreadable() {
+            self.requests.unreadable_notice(now, incarnation, notices);
+        }
         if self.gateway().record_leaving(now, incarnation, notices) {
             info!(self.logger, "backend server says that it leaves"; "server" => %incarnation);
         }
@@ -107,7 +110,7 @@
         }
         let change = self
             .gateway()
-            .record_notices(now, incarnation, sent_at, notices);
+            .record_limit(now, incarnation, sent_at, notices);
         if change != LimitChange::Unchanged {
             self.limit_reports.notify_one();
         }
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -55,8 +55,8 @@
         AnswerClass::Answer
     }
 
-    fn notices(&self, _: &ServerIncarnation, _: &response::Parts) -> ServerNotices {
-        ServerNotices::default()
+    fn notices(&self, _: &ServerIncarnation, _: &response::Parts) -> Option<ServerNotices> {
+        None
     }
 
     fn keep_alive(&self, _head: &response::Parts) -> Option<Duration> {
--- a/crates/chicory_gateway/tests/decisions/notices.rs
+++ b/crates/chicory_gateway/tests/decisions/notices.rs
@@ -26,7 +26,7 @@
         limit: LimitNotice::PerSecond(0.1),
         ..ServerNotices::default()
     };
-    gateway.record_notices(START, &ServerIncarnation::new(name, 1), START, &notices);
+    gateway.record_limit(START, &ServerIncarnation::new(name, 1), START, &notices);
 }
 
 #[gtest]
--- a/crates/chicory_gateway/tests/server_notices/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/entry_vm.rs
@@ -83,7 +83,7 @@
             leaving,
             ..ServerNotices::default()
         };
-        self.gateway.record_notices(now, &server, sent_at, &notices);
+        self.gateway.record_limit(now, &server, sent_at, &notices);
         self.gateway.record_leaving(now, &server, &notices);
         let outcome = AttemptOutcome::Answered;
         self.gateway.record_attempt_end(now, &mut ticket, outcome);
