--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -9,6 +9,7 @@
 use snafu::ResultExt;
 
 use crate::addresses::{Addresses, LINK_PORT};
+use crate::process_usage::ProcessUsage;
 use crate::soak_error::{FileSnafu, SoakError};
 use crate::vm_process::VmProcess;
 
@@ -150,6 +151,15 @@
         self.processes.contains_key(&vm)
     }
 
+    /// Returns what each process has used of the machine, and under `soak` what this one has.
+    pub(crate) fn usage(&self) -> BTreeMap<String, ProcessUsage> {
+        let processes = self.processes.iter();
+        let usage = processes.filter_map(|(vm, process)| Some((vm.name(), process.usage()?)));
+        let own = ProcessUsage::of_process(std::process::id());
+        let own = own.map(|usage| ("soak".to_owned(), usage));
+        usage.chain(own).collect()
+    }
+
     /// Removes the processes that exited without a fault or a planned stop, and returns their VMs.
     pub(crate) fn remove_unexpectedly_ended(&mut self) -> Vec<Vm> {
         let processes = self.processes.iter_mut();
--- a/tools/soak/src/load.rs
+++ b/tools/soak/src/load.rs
@@ -2,15 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use platform_stand_ins::{Caller, CallerAnswer, CallerRequest, CallerRequestKind, is_ready};
 use rand::RngExt;
+use slog::{Logger, info};
 use tokio::task::JoinSet;
 
 use crate::fleet::{ARCHIVE, LEDGER, LIBRARY};
 use crate::guarantees::Guarantees;
+use crate::unserved_requests::UnservedRequests;
 
 /// Host of all routes.
 pub(crate) const HOST: &str = "soak.example";
@@ -41,18 +43,21 @@
 #[derive(Debug)]
 pub(crate) struct Load {
     guarantees: Arc<Guarantees>,
+    log: Logger,
     entries: Vec<Entry>,
     hot_key: Mutex<Option<u16>>,
     last_id: AtomicU64,
     sent: AtomicU64,
     served: AtomicU64,
     refused: AtomicU64,
+    unserved: Mutex<UnservedRequests>,
 }
 
 impl Load {
     pub(crate) fn new(
         guarantees: Arc<Guarantees>,
         entries: Vec<(SocketAddr, SocketAddr)>,
+        log: Logger,
     ) -> Arc<Self> {
         let entries = entries.into_iter().map(|(address, readiness)| Entry {
             address,
@@ -62,12 +67,14 @@
         });
         Arc::new(Self {
             guarantees,
+            log,
             entries: entries.collect(),
             hot_key: Mutex::new(None),
             last_id: AtomicU64::new(0),
             sent: AtomicU64::new(0),
             served: AtomicU64::new(0),
             refused: AtomicU64::new(0),
+            unserved: Mutex::default(),
         })
     }
 
@@ -89,6 +96,15 @@
         (load(&self.sent), load(&self.served), load(&self.refused))
     }
 
+    /// Returns the requests that were not served since the last call.
+    pub(crate) fn take_unserved(&self) -> UnservedRequests {
+        std::mem::take(&mut *self.lock_unserved())
+    }
+
+    fn lock_unserved(&self) -> MutexGuard<'_, UnservedRequests> {
+        self.unserved.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets the key that half of the keyed requests are for, or ends the hot key with `None`.
     pub(crate) fn set_hot_key(&self, key: Option<u16>) {
         *self.hot_key.lock().unwrap_or_else(PoisonError::into_inner) = key;
@@ -159,6 +175,7 @@
         let is_stopping = entry.is_stopping.load(Ordering::SeqCst);
         let guarantees = &self.guarantees;
         guarantees.record_answer(request, entry.address, is_stopping, &answer);
+        self.record_unserved(entry.address, request, sent_at.elapsed(), &answer);
         let CallerAnswer::Complete { status, .. } = answer else {
             return;
         };
@@ -180,6 +197,29 @@
         }
     }
 
+    fn record_unserved(
+        &self,
+        entry: SocketAddr,
+        request: &CallerRequest,
+        elapsed: Duration,
+        answer: &CallerAnswer,
+    ) {
+        let outcome = match answer {
+            CallerAnswer::Complete { status: 200, .. } => return,
+            CallerAnswer::Complete { status, .. } => status.to_string(),
+            ended => format!("{ended:?}"),
+        };
+        self.lock_unserved()
+            .record(entry, &request.path, &outcome, elapsed);
+        info!(self.log, "request not served";
+            "entry" => %entry,
+            "id" => &request.attempt_id,
+            "path" => &request.path,
+            "key" => request.key,
+            "outcome" => outcome,
+            "elapsed_ms" => u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX));
+    }
+
     fn request(&self) -> (CallerRequest, &'static [&'static str]) {
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let mut rng = rand::rng();
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -57,12 +57,15 @@
     let permits = Arc::new(Semaphore::new(options.jobs));
     let options = Arc::new(options);
     let mut runs = JoinSet::new();
-    for (index, seed) in options.seeds.clone().into_iter().enumerate() {
+    let seeds = options.seeds.clone().into_iter();
+    let plays = seeds.flat_map(|seed| (0..options.repetitions).map(move |number| (seed, number)));
+    let plays: Vec<(u64, usize)> = plays.collect();
+    for (index, (seed, repetition)) in plays.into_iter().enumerate() {
         let permits = permits.clone();
         let options = options.clone();
         runs.spawn(async move {
             let permit = permits.acquire_owned().await;
-            let outcome = Run::execute(&options, index, seed).await;
+            let outcome = Run::execute(&options, index, seed, repetition).await;
             drop(permit);
             match outcome {
                 Ok(run_result) => {
--- a/tools/soak/src/options.rs
+++ b/tools/soak/src/options.rs
@@ -11,6 +11,8 @@
     pub binaries: PathBuf,
     /// Seeds to run, one run each.
     pub seeds: Vec<u64>,
+    /// Number of times that each seed is run.
+    pub repetitions: usize,
     /// Number of runs at the same time.
     pub jobs: usize,
     /// Rounds of each run: faults, time to recover, and planned work without faults.
@@ -33,6 +35,7 @@
         Self {
             binaries: matches.remove_one("binaries").unwrap_or_default(),
             seeds: (first..first + count).collect(),
+            repetitions: matches.remove_one("repetitions").unwrap_or(1),
             jobs: matches.remove_one("jobs").unwrap_or(1),
             rounds: matches.remove_one("rounds").unwrap_or(1),
             entry_count: matches.remove_one("entries").unwrap_or(4),
@@ -73,6 +76,11 @@
                 .value_parser(value_parser!(u64))
                 .help("Number of seeds"),
         )
+        .arg(
+            number("repetitions", "1")
+                .value_parser(value_parser!(usize))
+                .help("Number of times that each seed is run"),
+        )
         .arg(
             number("jobs", "1")
                 .value_parser(value_parser!(usize))
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use slog::{Logger, info};
 use snafu::ResultExt;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
@@ -13,13 +14,16 @@
 use crate::fleet::Fleet;
 use crate::guarantees::Guarantees;
 use crate::load::Load;
+use crate::not_serving::NotServing;
 use crate::operators::Operators;
 use crate::options::Options;
 use crate::plan::Plan;
 use crate::proxy::Proxy;
 use crate::proxy_rules::ProxyRules;
+use crate::run_log::new_run_log;
 use crate::run_result::RunResult;
 use crate::soak_error::{FileSnafu, SoakError};
+use crate::stall_watch::StallWatch;
 
 /// Time limit for a new deployment to serve requests.
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -35,6 +39,8 @@
 /// One run: a deployment with its servers, callers and operators.
 pub struct Run {
     pub(crate) addresses: Addresses,
+    log: Logger,
+    stall_watch: StallWatch,
     pub(crate) guarantees: Arc<Guarantees>,
     pub(crate) rules: Arc<ProxyRules>,
     pub(crate) cluster: Mutex<Cluster>,
@@ -46,7 +52,7 @@
 
 impl Run {
     /// Runs the plan of a seed. `index` selects the addresses, so that runs at the same time use
-    /// different ones.
+    /// different ones. `repetition` tells the runs of one seed apart.
     ///
     /// # Errors
     ///
@@ -55,8 +61,10 @@
         options: &Options,
         index: usize,
         seed: u64,
+        repetition: usize,
     ) -> Result<RunResult, SoakError> {
         let folder = tempfile::tempdir().context(FileSnafu { path: "a folder" })?;
+        let log = new_run_log(folder.path())?;
         let addresses = Addresses::new(index);
         let guarantees = Arc::new(Guarantees::new());
         let rules = Arc::new(ProxyRules::default());
@@ -72,7 +80,9 @@
         let cluster = Cluster::new(binaries, folder.path().to_owned(), addresses);
         let run = Arc::new(Self {
             addresses,
-            load: Load::new(guarantees.clone(), entries),
+            load: Load::new(guarantees.clone(), entries, log.clone()),
+            stall_watch: StallWatch::start(&log),
+            log,
             guarantees,
             rules,
             cluster: Mutex::new(cluster),
@@ -94,7 +104,11 @@
             violations: run.guarantees.violations(),
         };
         if options.keeps_logs || !result.violations.is_empty() {
-            copy_logs(folder.path(), &options.logs.join(seed.to_string()), &plan)?;
+            let name = match repetition {
+                0 => seed.to_string(),
+                _ => format!("{seed}-{repetition}"),
+            };
+            copy_logs(folder.path(), &options.logs.join(name), &plan)?;
         }
         Ok(result)
     }
@@ -103,10 +117,10 @@
         let _proxies = self.start_all().await?;
         let _operators = self.operators.start(seed);
         let _callers = self.load.start();
-        if !self.wait_until_serving(START_LIMIT).await {
-            self.guarantees.record_violations([
-                "deployment does not serve requests after its start".to_owned(),
-            ]);
+        if let Err(seen) = self.wait_until_serving(START_LIMIT).await {
+            self.guarantees.record_violations([format!(
+                "deployment does not serve requests after its start: {seen}"
+            )]);
             return Ok(());
         }
         let begin = Instant::now();
@@ -123,9 +137,9 @@
             }
         }
         tokio::time::sleep_until((begin + plan.end).into()).await;
-        if !self.wait_until_serving(RECOVERY_LIMIT).await {
+        if let Err(seen) = self.wait_until_serving(RECOVERY_LIMIT).await {
             self.guarantees
-                .record_violations(["deployment does not recover".to_owned()]);
+                .record_violations([format!("deployment does not recover: {seen}")]);
         }
         self.check_final_tables().await;
         self.restart_unexpectedly_ended().await?;
@@ -165,10 +179,15 @@
         Ok(proxies)
     }
 
-    /// Waits until nearly all requests of an interval are served. Returns `false` if that takes
-    /// longer than `limit`.
-    async fn wait_until_serving(&self, limit: Duration) -> bool {
+    /// Waits until nearly all requests of an interval are served.
+    ///
+    /// # Errors
+    ///
+    /// [`NotServing`] if that takes longer than `limit`.
+    async fn wait_until_serving(&self, limit: Duration) -> Result<(), NotServing> {
         let deadline = Instant::now() + limit;
+        let begin = self.cluster.lock().await.usage();
+        drop((self.load.take_unserved(), self.stall_watch.take_longest()));
         while Instant::now() < deadline {
             let (sent, served, _) = self.load.counts();
             tokio::time::sleep(RECOVERY_SPAN).await;
@@ -178,10 +197,16 @@
             #[expect(clippy::cast_precision_loss, reason = "counts are small")]
             let share = served as f64 / sent.max(1) as f64;
             if sent > 0 && share >= RECOVERED_SHARE {
-                return true;
+                return Ok(());
             }
+            info!(self.log, "not serving yet"; "sent" => sent, "served" => served);
         }
-        false
+        let end = self.cluster.lock().await.usage();
+        Err(NotServing {
+            unserved: self.load.take_unserved(),
+            delays: self.stall_watch.take_longest(),
+            usage: [begin, end],
+        })
     }
 
     /// Reads the table of every control VM at the end of the run and checks it against the
--- a/tools/soak/src/vm_process.rs
+++ b/tools/soak/src/vm_process.rs
@@ -10,6 +10,7 @@
 use snafu::ResultExt;
 use tokio::process::{Child, Command};
 
+use crate::process_usage::ProcessUsage;
 use crate::soak_error::{FileSnafu, ProcessSnafu, SoakError};
 
 /// Time limit for a process to end after the signal to stop; slightly longer than the grace period
@@ -91,6 +92,11 @@
         matches!(ended, Ok(Ok(_)))
     }
 
+    /// Returns what the process has used of the machine. `None` once it has ended.
+    pub(crate) fn usage(&self) -> Option<ProcessUsage> {
+        ProcessUsage::of_process(self.child.id()?)
+    }
+
     /// Returns whether the process has exited.
     pub(crate) fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
