Report how long the machine made processes wait while a deployment didn't recover

The report of a deployment that doesn't serve in time now has the time that the host took, and the times in which some process waited for a processor, a disk or memory.

--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_guarantees;
 mod link_source;
 mod load;
+mod machine_usage;
 mod not_serving;
 mod notice_guarantees;
 mod operators;
@@ -34,6 +35,7 @@
 
 pub use disturbances::Disturbances;
 pub use key_guarantees::KeyGuarantees;
+pub use machine_usage::MachineUsage;
 pub use notice_guarantees::NoticeGuarantees;
 pub use options::Options;
 pub use plan::Plan;
--- a/tools/soak/src/not_serving.rs
+++ b/tools/soak/src/not_serving.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::machine_usage::MachineUsage;
 use crate::process_usage::ProcessUsage;
 use crate::stall_watch::Delays;
 use crate::unserved_requests::UnservedRequests;
@@ -14,6 +15,8 @@
     pub(crate) unserved: UnservedRequests,
     /// What the soak's own process was late by.
     pub(crate) delays: Delays,
+    /// How long the machine had processes wait.
+    pub(crate) machine: MachineUsage,
     /// What each process used of the machine, by its name, at the begin and at the end.
     pub(crate) usage: [BTreeMap<String, ProcessUsage>; 2],
 }
@@ -22,8 +25,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{}; {}; state and processor time:",
-            self.unserved, self.delays
+            "{}; {}; {}; state and processor time:",
+            self.unserved, self.delays, self.machine
         )?;
         let [begin, end] = &self.usage;
         for (name, usage) in end {
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Fleet;
 use crate::guarantees::Guarantees;
 use crate::load::Load;
+use crate::machine_usage::MachineUsage;
 use crate::not_serving::NotServing;
 use crate::operators::Operators;
 use crate::options::Options;
@@ -186,6 +187,7 @@
     /// [`NotServing`] if that takes longer than `limit`.
     async fn wait_until_serving(&self, limit: Duration) -> Result<(), NotServing> {
         let deadline = Instant::now() + limit;
+        let machine = MachineUsage::read();
         let begin = self.cluster.lock().await.usage();
         drop((self.load.take_unserved(), self.stall_watch.take_longest()));
         while Instant::now() < deadline {
@@ -205,6 +207,7 @@
         Err(NotServing {
             unserved: self.load.take_unserved(),
             delays: self.stall_watch.take_longest(),
+            machine: MachineUsage::read().since(machine),
             usage: [begin, end],
         })
     }
--- a/tools/soak/tests/observations.rs
+++ b/tools/soak/tests/observations.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use soak::{ProcessUsage, UnservedRequests};
+use soak::{MachineUsage, ProcessUsage, UnservedRequests};
 
 #[gtest]
 fn usage_is_read_from_the_line_of_a_program_with_spaces_in_its_name() {
@@ -53,3 +53,39 @@
         )
     );
 }
+
+#[gtest]
+fn times_of_the_machine_are_read_from_the_first_lines() {
+    let stat = "cpu  1 2 3 4 5 6 7 250 0 0\ncpu0 1 2 3 4 5 6 7 99 0 0\n";
+    let stolen = MachineUsage::stolen_from_stat(stat, 100);
+    expect_that!(stolen, some(eq(Duration::from_millis(2500))));
+    let pressure = "some avg10=0.00 avg60=1.50 avg300=0.10 total=87363501\n\
+                    full avg10=0.00 avg60=0.00 avg300=0.00 total=34274608\n";
+    let waited = MachineUsage::waited_from_pressure(pressure);
+    expect_that!(waited, some(eq(Duration::from_micros(87_363_501))));
+}
+
+#[gtest]
+fn malformed_times_of_the_machine_are_not_read() {
+    for stat in [
+        "",
+        "cpu0 1 2 3 4 5 6 7 8",
+        "cpu  1 2 3",
+        "cpu  1 2 3 4 5 6 7 x",
+    ] {
+        expect_that!(MachineUsage::stolen_from_stat(stat, 100), none());
+    }
+    for pressure in ["", "full total=7", "some avg10=0.00", "some total=x"] {
+        expect_that!(MachineUsage::waited_from_pressure(pressure), none());
+    }
+}
+
+#[gtest]
+fn machine_usage_is_the_difference_of_two_readings() {
+    let usage = |stolen_ms, disk_ms| MachineUsage {
+        stolen: Duration::from_millis(stolen_ms),
+        waited_for_disk: Duration::from_millis(disk_ms),
+        ..MachineUsage::default()
+    };
+    expect_that!(usage(70, 900).since(usage(50, 400)), eq(usage(20, 500)));
+}
