Write the soak's log from a thread of its own

The log of a run was written by the tasks of callers: a disk that makes one of them wait would hold all others up that log, and look like the stall that it is to explain.

The longest delays have a type of their own.

--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod addresses;
 mod cluster;
+mod delays;
 mod disturbances;
 mod fault;
 mod fault_injection;
--- a/tools/soak/src/not_serving.rs
+++ b/tools/soak/src/not_serving.rs
@@ -4,9 +4,9 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::delays::Delays;
 use crate::machine_usage::MachineUsage;
 use crate::process_usage::ProcessUsage;
-use crate::stall_watch::Delays;
 use crate::unserved_requests::UnservedRequests;
 
 /// What was seen while a deployment did not serve nearly all requests within a time limit.
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -65,7 +65,7 @@
         repetition: usize,
     ) -> Result<RunResult, SoakError> {
         let folder = tempfile::tempdir().context(FileSnafu { path: "a folder" })?;
-        let log = new_run_log(folder.path())?;
+        let (log, log_guard) = new_run_log(folder.path())?;
         let addresses = Addresses::new(index);
         let guarantees = Arc::new(Guarantees::new());
         let rules = Arc::new(ProxyRules::default());
@@ -104,6 +104,7 @@
             steps: plan.steps.len(),
             violations: run.guarantees.violations(),
         };
+        drop(log_guard);
         if options.keeps_logs || !result.violations.is_empty() {
             let name = match repetition {
                 0 => seed.to_string(),
--- a/tools/soak/src/stall_watch.rs
+++ b/tools/soak/src/stall_watch.rs
@@ -1,6 +1,5 @@
 //! Observes stalls of the soak's own process.
 
-use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -8,28 +7,13 @@
 use slog::{Logger, warn};
 use tokio::task::AbortHandle;
 
+use crate::delays::Delays;
+
 /// Interval between two observations.
 const INTERVAL: Duration = Duration::from_millis(50);
 /// Shortest delay of an observation that is logged.
 const MIN_LOGGED_MS: u64 = 200;
 
-/// The longest delays of a thread and of the async runtime of this process.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Delays {
-    thread_ms: u64,
-    runtime_ms: u64,
-}
-
-impl fmt::Display for Delays {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (thread_ms, runtime_ms) = (self.thread_ms, self.runtime_ms);
-        write!(
-            f,
-            "the soak resumed late by up to {thread_ms} ms in a thread, {runtime_ms} ms in its runtime"
-        )
-    }
-}
-
 /// Logs when a thread or the async runtime of this process resumes late. It stops when this value
 /// is dropped.
 ///
@@ -90,6 +74,7 @@
     }
 }
 
+/// The longest delay of a part of this process, each long one of which is logged.
 #[derive(Debug)]
 struct LongestDelay {
     part: &'static str,
