Simplify the report of a deployment that isn't serving

It kept two readings of the processes where it needed their difference, and the conversion of clock ticks was written twice. A process that was started again between the readings counts with its whole processor time now, not with zero; a test says so. What the report states is the same otherwise.

--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! seed again.
 
 mod addresses;
+mod clock_ticks;
 mod cluster;
 mod delays;
 mod disturbances;
--- a/tools/soak/src/machine_usage.rs
+++ b/tools/soak/src/machine_usage.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::clock_ticks::duration_of_ticks;
+
 /// Times since the start of the machine in which processes had to wait.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct MachineUsage {
@@ -42,7 +44,7 @@
             .nth(7)?
             .parse()
             .ok()?;
-        Some(Duration::from_millis(ticks * 1000 / ticks_per_s.max(1)))
+        Some(duration_of_ticks(ticks, ticks_per_s))
     }
 
     /// Parses the time in which some process waited in the content of a file of `/proc/pressure`.
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -59,8 +59,7 @@
     let mut runs = JoinSet::new();
     let seeds = options.seeds.clone().into_iter();
     let plays = seeds.flat_map(|seed| (0..options.repetitions).map(move |number| (seed, number)));
-    let plays: Vec<(u64, usize)> = plays.collect();
-    for (index, (seed, repetition)) in plays.into_iter().enumerate() {
+    for (index, (seed, repetition)) in plays.enumerate() {
         let permits = permits.clone();
         let options = options.clone();
         runs.spawn(async move {
--- a/tools/soak/src/not_serving.rs
+++ b/tools/soak/src/not_serving.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::time::Duration;
 
 use crate::delays::Delays;
 use crate::machine_usage::MachineUsage;
@@ -17,8 +16,8 @@
     pub(crate) delays: Delays,
     /// How long the machine had processes wait.
     pub(crate) machine: MachineUsage,
-    /// What each process used of the machine, by its name, at the begin and at the end.
-    pub(crate) usage: [BTreeMap<String, ProcessUsage>; 2],
+    /// What each process used of the machine meanwhile, by its name.
+    pub(crate) processes: BTreeMap<String, ProcessUsage>,
 }
 
 impl fmt::Display for NotServing {
@@ -28,13 +27,9 @@
             "{}; {}; {}; state and processor time:",
             self.unserved, self.delays, self.machine
         )?;
-        let [begin, end] = &self.usage;
-        for (name, usage) in end {
-            let cpu_time_before = begin
-                .get(name)
-                .map_or(Duration::ZERO, |usage| usage.cpu_time);
-            let cpu_time = usage.cpu_time.saturating_sub(cpu_time_before);
-            write!(f, " {name} {} {} ms", usage.state, cpu_time.as_millis())?;
+        for (name, usage) in &self.processes {
+            let (state, cpu_time) = (usage.state, usage.cpu_time);
+            write!(f, " {name} {state} {} ms", cpu_time.as_millis())?;
         }
         Ok(())
     }
--- a/tools/soak/src/process_usage.rs
+++ b/tools/soak/src/process_usage.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::clock_ticks::duration_of_ticks;
+
 /// The state of a process and the processor time that it has used.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ProcessUsage {
@@ -28,7 +30,19 @@
         let cpu_ticks = ticks(11)? + ticks(12)?;
         Some(Self {
             state: fields.first()?.chars().next()?,
-            cpu_time: Duration::from_millis(cpu_ticks * 1000 / ticks_per_s.max(1)),
+            cpu_time: duration_of_ticks(cpu_ticks, ticks_per_s),
         })
     }
+
+    /// Returns the present state, and the processor time since an earlier reading. An earlier
+    /// reading of another process with the same name counts as none.
+    #[must_use]
+    pub fn since(self, earlier: Option<Self>) -> Self {
+        let cpu_time_before = earlier.map_or(Duration::ZERO, |usage| usage.cpu_time);
+        let cpu_time = self.cpu_time.checked_sub(cpu_time_before);
+        Self {
+            cpu_time: cpu_time.unwrap_or(self.cpu_time),
+            ..self
+        }
+    }
 }
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -189,7 +189,7 @@
     async fn wait_until_serving(&self, limit: Duration) -> Result<(), NotServing> {
         let deadline = Instant::now() + limit;
         let machine = MachineUsage::read();
-        let begin = self.cluster.lock().await.usage();
+        let usage_before = self.cluster.lock().await.usage();
         drop((self.load.take_unserved(), self.stall_watch.take_longest()));
         while Instant::now() < deadline {
             let (sent, served, _) = self.load.counts();
@@ -204,12 +204,16 @@
             }
             info!(self.log, "not serving yet"; "sent" => sent, "served" => served);
         }
-        let end = self.cluster.lock().await.usage();
+        let usage = self.cluster.lock().await.usage().into_iter();
+        let processes = usage.map(|(name, usage)| {
+            let before = usage_before.get(&name).copied();
+            (name, usage.since(before))
+        });
         Err(NotServing {
             unserved: self.load.take_unserved(),
             delays: self.stall_watch.take_longest(),
             machine: MachineUsage::read().since(machine),
-            usage: [begin, end],
+            processes: processes.collect(),
         })
     }
 
--- a/tools/soak/src/stall_watch.rs
+++ b/tools/soak/src/stall_watch.rs
@@ -19,7 +19,8 @@
 ///
 /// All connections of a run pass through this process. Its stalls look like a failure of the
 /// deployment; the delays that this watch measures tell them apart. A thread is late when the
-/// machine is overloaded; the runtime alone is late when its tasks take all of its workers.
+/// machine is overloaded or this process was stopped; the runtime alone is late when its tasks take
+/// all of its workers.
 #[derive(Debug)]
 pub(crate) struct StallWatch {
     thread_delay: Arc<LongestDelay>,
--- a/tools/soak/tests/observations.rs
+++ b/tools/soak/tests/observations.rs
@@ -24,6 +24,19 @@
     expect_that!(ProcessUsage::from_stat(stat, 100), none());
 }
 
+#[gtest]
+fn processor_time_counts_from_an_earlier_reading_of_the_same_process() {
+    let usage = |state, cpu_ms| ProcessUsage {
+        state,
+        cpu_time: Duration::from_millis(cpu_ms),
+    };
+    let later = usage('R', 700);
+    expect_that!(later.since(Some(usage('S', 200))), eq(usage('R', 500)));
+    expect_that!(later.since(None), eq(later));
+    // The process was started again since then.
+    expect_that!(later.since(Some(usage('S', 900))), eq(later));
+}
+
 #[gtest]
 fn unserved_requests_are_counted_by_entry_route_outcome_and_duration() {
     let [one, other] = [[127, 0, 0, 1], [127, 0, 0, 2]].map(|ip| SocketAddr::from((ip, 7600)));
