Log when a server counts as ended, with the age of its last grant

Control VMs log moves and failed calls; whether a grant was answered after its server had ended couldn't be told from their lines. The leader now logs the process that took a server's place, the number of its ranges and the age of the last answer to a grant.

--- a/crates/chicory_ranges/src/grant_coordinator.rs
+++ b/crates/chicory_ranges/src/grant_coordinator.rs
@@ -161,6 +161,24 @@
         grants.any(|grant| grant.owned.owner == *incarnation && now < grant.free_at())
     }
 
+    /// Returns the ranges that a server owns.
+    pub fn ranges_of(&self, incarnation: &ServerIncarnation) -> impl Iterator<Item = KeyRange> {
+        let grants = self.grants.values();
+        grants
+            .filter(move |grant| grant.owned.owner == *incarnation)
+            .map(|grant| grant.owned.range)
+    }
+
+    /// Returns when a server last answered a grant of this coordinator.
+    #[must_use]
+    pub fn last_answer_at(&self, incarnation: &ServerIncarnation) -> Option<MonoTime> {
+        let grants = self.grants.values();
+        grants
+            .filter(|grant| grant.owned.owner == *incarnation)
+            .filter_map(|grant| grant.answered_at)
+            .max()
+    }
+
     fn wakeup(&self, grant: &RangeGrant) -> Option<MonoTime> {
         match &grant.pending_transfer {
             Some(pending) if pending.is_proposed => None,
@@ -240,6 +258,7 @@
             is_granted: !is_own_fence,
             is_own_fence,
             owned,
+            answered_at: None,
             confirmed_until: if is_ended { now } else { held_until },
             unconfirmed_until: now,
             older_grants_until: if is_ended { now } else { held_until },
@@ -388,6 +407,7 @@
         match outcome {
             CallOutcome::Done { .. } => {
                 grant.is_granted = true;
+                grant.answered_at = Some(now);
                 grant.confirmed_until = grant_expiry;
                 // The server has seen this fence and ignores calls under a smaller one from now on.
                 if grant.is_own_fence {
--- a/crates/chicory_ranges/src/range_grant.rs
+++ b/crates/chicory_ranges/src/range_grant.rs
@@ -12,6 +12,8 @@
     pub(crate) is_own_fence: bool,
     /// Whether the owner is known, or must be assumed, to have been granted the keys.
     pub(crate) is_granted: bool,
+    /// When the owner last answered a grant of the range.
+    pub(crate) answered_at: Option<MonoTime>,
     /// Until then the owner may hold the keys because of grants that it answered.
     pub(crate) confirmed_until: MonoTime,
     /// Until then a grant under this fence that got no answer may take effect and hold.
--- a/crates/chicory_site/src/core/replicated_log.rs
+++ b/crates/chicory_site/src/core/replicated_log.rs
@@ -2,7 +2,7 @@
 
 use chicory_consensus::{ProposalRejection, Replica, ReplicaEffect, ReplicaEvent, RestoredState};
 use chicory_directory::{CommandOutcome, PeerEnvelope, SiteAnswer, SiteCommand, SiteState};
-use chicory_ranges::GrantEvent;
+use chicory_ranges::{GrantEvent, ServerIncarnation};
 use chicory_types::{Incarnation, LogIndex, MonoTime};
 use chicory_wire::proto::site;
 use prost::Message;
@@ -83,7 +83,7 @@
                 command,
                 proposal_id,
                 ..
-            } => self.apply(index, &command, proposal_id),
+            } => self.apply(now, index, &command, proposal_id),
             ReplicaEffect::InstallSnapshot { index, data } => self.install(index, &data),
             ReplicaEffect::Rejected {
                 proposal_id,
@@ -121,13 +121,18 @@
         self.clear_leader_state();
     }
 
-    fn apply(&mut self, index: LogIndex, command: &[u8], proposal_id: Option<u64>) {
+    fn apply(&mut self, now: MonoTime, index: LogIndex, command: &[u8], proposal_id: Option<u64>) {
         let decoded = site::SiteCommand::decode(command).ok();
         let Some(command) = decoded.and_then(|command| SiteCommand::try_from(command).ok()) else {
             self.on_unreadable(index);
             return;
         };
         let outcome = self.state.apply(index, command.clone());
+        if let (SiteCommand::PutServer(record), CommandOutcome::ServerChanged { ended }) =
+            (&command, &outcome)
+        {
+            self.note_ended_owners(now, &record.incarnation, ended);
+        }
         self.handle_outcome(index, command, &outcome);
         let proposal = proposal_id.and_then(|id| self.proposals.remove(&id));
         match proposal {
@@ -148,6 +153,31 @@
         }
     }
 
+    /// Notes servers whose processes have ended, with the age of the last answer to a grant. An
+    /// answer that is younger than the next process at the address came from that process.
+    fn note_ended_owners(
+        &mut self,
+        now: MonoTime,
+        next: &ServerIncarnation,
+        ended: &[ServerIncarnation],
+    ) {
+        let Some(mover) = &self.mover else { return };
+        let notes: Vec<SiteNote> = ended
+            .iter()
+            .map(|incarnation| SiteNote::ServerEnded {
+                server_incarnation: incarnation.clone(),
+                next: next.clone(),
+                range_count: mover.ranges_of(incarnation).count(),
+                last_answer_age: mover
+                    .last_answer_at(incarnation)
+                    .map(|at| now.saturating_sub(at)),
+            })
+            .collect();
+        for note in notes {
+            self.push_note(note);
+        }
+    }
+
     fn handle_outcome(&mut self, index: LogIndex, command: SiteCommand, outcome: &CommandOutcome) {
         match (command, outcome) {
             (SiteCommand::PutRoutes(table), CommandOutcome::RoutesChanged) => {
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -1,5 +1,7 @@
 //! Decisions that are written to the log.
 
+use std::time::Duration;
+
 use chicory_directory::{RequestFingerprint, SiteAnswer};
 use chicory_ranges::{CallOutcome, Fence, GrantCall, MoveRejection, RangeMove, ServerIncarnation};
 use chicory_routes::RouteTableVersion;
@@ -95,6 +97,17 @@
         /// The incarnation whose announcement is not accepted.
         server_incarnation: ServerIncarnation,
     },
+    /// A server's process has ended: a later one has its id or its address.
+    ServerEnded {
+        /// The server.
+        server_incarnation: ServerIncarnation,
+        /// The process whose announcement shows it.
+        next: ServerIncarnation,
+        /// Number of ranges that the server owned.
+        range_count: usize,
+        /// Time since a grant to the server was last answered.
+        last_answer_age: Option<Duration>,
+    },
     /// Keys moved to another owner.
     RangeMoved {
         /// The move.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -63,6 +63,13 @@
             info!(logger, "announcement refused: another server has its address";
                 "server" => %server_incarnation);
         }
+        SiteNote::ServerEnded {
+            server_incarnation,
+            next,
+            range_count,
+            last_answer_age,
+        } => info!(logger, "server has ended"; "server" => %server_incarnation, "next" => %next,
+            "ranges" => range_count, "last_answer_age" => ?last_answer_age),
         SiteNote::RangeMoved { change, fence } => {
             let from = change
                 .from
