--- a/crates/chicory_ranges/tests/support/mod.rs
+++ b/crates/chicory_ranges/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Backend servers and a leader in virtual time, with calls that are lost or take effect late.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use chicory_ranges::{
@@ -47,8 +47,7 @@
                 }
                 self.seen_fences.push((*range, *fence));
                 self.remove_keys(*range);
-                // The clock that measures the hold runs 2 % slow.
-                let ends_at = arrived_at + *hold + *hold / 50;
+                let ends_at = arrived_at + server_hold(*hold);
                 self.holds.insert(range.first, (*range, *fence, ends_at));
                 CallOutcome::Done { handover: None }
             }
@@ -79,6 +78,11 @@
     }
 }
 
+/// Returns how long a server holds keys: the clock that measures the hold runs 2 % slow.
+fn server_hold(hold: Duration) -> Duration {
+    hold + hold / 50
+}
+
 /// A leader with its registry, and the servers of one service.
 pub struct Cluster {
     pub now: Duration,
@@ -93,6 +97,12 @@
     pub rng: StdRng,
     /// Number of moves that were proposed.
     pub move_count: u32,
+    /// Servers that have started, and whose announcements have not arrived yet.
+    pub unannounced: BTreeSet<ServerIncarnation>,
+    /// The processes that listen at the addresses of those that have ended.
+    pub listeners: BTreeMap<ServerIncarnation, ServerIncarnation>,
+    /// Every grant that a process accepted, also one that has ended.
+    accepted_grants: Vec<(KeyRange, u64, ServerIncarnation)>,
 }
 
 impl Cluster {
@@ -117,7 +127,59 @@
             late_calls: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
             move_count: 0,
+            unannounced: BTreeSet::new(),
+            listeners: BTreeMap::new(),
+            accepted_grants: Vec::new(),
+        }
+    }
+
+    /// Returns the process that listens at the address of a server.
+    fn listener(&self, server: &ServerIncarnation) -> ServerIncarnation {
+        let mut listener = server;
+        while let Some(next) = self.listeners.get(listener) {
+            listener = next;
+        }
+        listener.clone()
+    }
+
+    fn deliver(
+        &mut self,
+        to: &ServerIncarnation,
+        arrived_at: Duration,
+        content: &GrantCall,
+    ) -> CallOutcome {
+        let Some(server) = self.servers.get_mut(to) else {
+            return CallOutcome::ConnectionRefused;
+        };
+        let outcome = server.apply(arrived_at, content);
+        if let (
+            GrantCall::Grant {
+                range, fence, hold, ..
+            },
+            CallOutcome::Done { .. },
+        ) = (content, &outcome)
+        {
+            // A grant that takes effect after its hold has ended grants nothing.
+            let has_effect = self.now < arrived_at + server_hold(*hold);
+            if has_effect {
+                self.record_accepted(*range, *fence, to);
+            }
         }
+        outcome
+    }
+
+    /// Asserts that no other process has had the keys under this fence or a greater one.
+    fn record_accepted(&mut self, range: KeyRange, fence: u64, by: &ServerIncarnation) {
+        let mut accepted = self.accepted_grants.iter();
+        let earlier = accepted.find(|(other_range, other_fence, other)| {
+            other_range.overlaps(range) && *other_fence >= fence && other != by
+        });
+        assert!(
+            earlier.is_none(),
+            "{by} takes {range} under fence {fence} after {earlier:?} at {:?}",
+            self.now
+        );
+        self.accepted_grants.push((range, fence, by.clone()));
     }
 
     /// Replaces the leader by another one, which knows only the registry.
@@ -156,7 +218,8 @@
         let now = self.now;
         let percent_drawn = self.rng.random_range(0..100);
         let delay = Duration::from_millis(self.rng.random_range(2000..12_000));
-        let outcome = match self.servers.get_mut(to) {
+        let to = &self.listener(to);
+        let outcome = match self.servers.get(to) {
             None => CallOutcome::Unreachable,
             Some(server) if server.is_partitioned && server.refuses_connections => {
                 CallOutcome::ConnectionRefused
@@ -168,7 +231,7 @@
                     .push((now + delay, now, to.clone(), content));
                 CallOutcome::Unanswered
             }
-            Some(server) => server.apply(now, &content),
+            Some(_) => self.deliver(to, now, &content),
         };
         GrantEvent::CallEnded { call, outcome }
     }
@@ -181,18 +244,17 @@
             .extract_if(.., |(at, ..)| *at <= self.now)
             .collect();
         for (_, arrived_at, incarnation, content) in due {
-            if let Some(server) = self
-                .servers
-                .get_mut(&incarnation)
-                .filter(|server| server.is_up)
-            {
-                server.apply(arrived_at, &content);
+            let server = self.servers.get(&incarnation);
+            if server.is_some_and(|server| server.is_up) {
+                self.deliver(&incarnation, arrived_at, &content);
             }
         }
         let announcing: Vec<_> = self
             .servers
             .iter()
-            .filter(|(_, server)| server.is_up && !server.is_partitioned)
+            .filter(|(incarnation, server)| {
+                server.is_up && !server.is_partitioned && !self.unannounced.contains(*incarnation)
+            })
             .map(|(incarnation, _)| incarnation.clone())
             .collect();
         if self.now.as_millis().is_multiple_of(800) {
@@ -217,7 +279,8 @@
     fn plan(&mut self) {
         let eligible = self.servers.iter().filter(|(incarnation, server)| {
             let is_reachable = server.is_up && !server.is_partitioned;
-            (is_reachable || self.coordinator.may_hold(self.now, incarnation))
+            !self.unannounced.contains(*incarnation)
+                && (is_reachable || self.coordinator.may_hold(self.now, incarnation))
                 && !self.leaving.contains(incarnation)
         });
         let servers = eligible
