--- a/crates/chicory_ranges/src/grant_coordinator.rs
+++ b/crates/chicory_ranges/src/grant_coordinator.rs
@@ -1,5 +1,8 @@
 //! Sends grants to backend servers and has keys released.
 
+mod call_results;
+mod registry_sync;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use chicory_types::{MonoTime, ServiceName};
@@ -8,8 +11,8 @@
 use crate::grant_step::GrantStep;
 use crate::range_grant::{PendingCall, PendingTransfer, RangeGrant};
 use crate::{
-    CallId, CallOutcome, Fence, GrantCall, GrantEffect, GrantEvent, Key, KeyRange, OwnedRange,
-    RangeMove, RangeRegistry, ServerIncarnation, Transfer,
+    CallId, Fence, GrantCall, GrantEffect, GrantEvent, Key, KeyRange, RangeMove, RangeRegistry,
+    ServerIncarnation, Transfer,
 };
 
 /// Service and first key of a range.
@@ -191,84 +194,6 @@
         }
     }
 
-    /// Matches the grants to the registry; parts of a range that are in transfer stay separate.
-    fn sync_with_registry(&mut self, now: MonoTime, registry: &RangeRegistry) {
-        self.visited_range_count += self.grants.len() as u64;
-        let is_current = |(service, _): &RangeStart, grant: &mut RangeGrant| {
-            let range = grant.owned.range;
-            let current = registry.owner(service, range.first);
-            current.is_some_and(|c| c.fence == grant.owned.fence && c.range.covers(range))
-        };
-        let former_grants: BTreeMap<RangeStart, RangeGrant> = self
-            .grants
-            .extract_if(.., |start, grant| !is_current(start, grant))
-            .collect();
-        for (service, owned) in registry.all_ranges() {
-            self.add_missing(now, service, owned, &former_grants);
-        }
-        let grants = &self.grants;
-        self.calls.retain(|_, start| grants.contains_key(start));
-    }
-
-    fn add_missing(
-        &mut self,
-        now: MonoTime,
-        service: &ServiceName,
-        owned: &OwnedRange,
-        former_grants: &BTreeMap<RangeStart, RangeGrant>,
-    ) {
-        let mut at = u32::from(owned.range.first);
-        while let Ok(first) = Key::try_from(at) {
-            if first > owned.range.last {
-                return;
-            }
-            let start = (service.clone(), first);
-            let known = self.grants.get(&start).map(|grant| grant.owned.range.last);
-            if let Some(last) = known {
-                at = u32::from(last) + 1;
-                continue;
-            }
-            let next = self.grants.range((service.clone(), first)..).next();
-            let end = match next {
-                Some(((of, above), _)) if of == service && *above <= owned.range.last => above - 1,
-                _ => owned.range.last,
-            };
-            let missing = OwnedRange {
-                range: KeyRange::new(first, end),
-                ..owned.clone()
-            };
-            let mut grant = self.new_range_grant(now, missing);
-            let of_service = former_grants.iter().filter(|((of, _), _)| of == service);
-            grant.inherit(of_service.map(|(_, former)| former));
-            self.grants.insert(start, grant);
-            at = u32::from(end) + 1;
-        }
-    }
-
-    /// Creates the state of a range under a fence that this coordinator has made no call for.
-    fn new_range_grant(&self, now: MonoTime, owned: OwnedRange) -> RangeGrant {
-        let is_own_fence = owned.fence > self.inherited_fence;
-        let held_until = if is_own_fence {
-            now
-        } else {
-            self.former_leader_grants_until
-        };
-        let is_ended = self.ended.contains(&owned.owner);
-        RangeGrant {
-            is_granted: !is_own_fence,
-            is_own_fence,
-            owned,
-            answered_at: None,
-            confirmed_until: if is_ended { now } else { held_until },
-            unconfirmed_until: now,
-            older_grants_until: if is_ended { now } else { held_until },
-            call: None,
-            due_at: now,
-            is_refencing: false,
-            pending_transfer: None,
-        }
-    }
-
     fn on_announced(&mut self, now: MonoTime, incarnation: &ServerIncarnation) {
         self.ended.remove(incarnation);
         if !self.known_running.insert(incarnation.clone()) {
@@ -367,78 +292,6 @@
         }
     }
 
-    fn on_call_ended(&mut self, now: MonoTime, call: CallId, outcome: CallOutcome) {
-        let Some(start) = self.calls.remove(&call) else {
-            return;
-        };
-        let Some(mut grant) = self.grants.remove(&start) else {
-            return;
-        };
-        let Some(pending_call) = grant.call.take_if(|pending_call| pending_call.id == call) else {
-            // The call was about an earlier grant of the keys and says nothing about this one.
-            self.grants.insert(start, grant);
-            return;
-        };
-        let owner = grant.owned.owner.clone();
-        let is_broken = matches!(
-            outcome,
-            CallOutcome::Unanswered | CallOutcome::Unreachable | CallOutcome::ConnectionRefused
-        );
-        if is_broken {
-            self.known_running.remove(&owner);
-        }
-        if pending_call.is_release {
-            self.on_release_ended(now, &mut grant, outcome);
-        } else {
-            self.on_grant_ended(now, &start, &mut grant, &outcome);
-        }
-        self.grants.insert(start, grant);
-    }
-
-    fn on_grant_ended(
-        &mut self,
-        now: MonoTime,
-        start: &RangeStart,
-        grant: &mut RangeGrant,
-        outcome: &CallOutcome,
-    ) {
-        let grant_expiry = now + self.config.grant_expiry();
-        grant.due_at = now + self.config.retry_interval;
-        match outcome {
-            CallOutcome::Done { .. } => {
-                grant.is_granted = true;
-                grant.answered_at = Some(now);
-                grant.confirmed_until = grant_expiry;
-                // The server has seen this fence and ignores calls under a smaller one from now on.
-                if grant.is_own_fence {
-                    grant.older_grants_until = now;
-                }
-                grant.due_at = now + self.config.renewal_interval;
-            }
-            CallOutcome::Unanswered => {
-                grant.unconfirmed_until = grant.unconfirmed_until.max(grant_expiry);
-            }
-            // The server has seen a fence above the registry's and accepts only greater ones.
-            CallOutcome::Fenced => {
-                grant.is_refencing = true;
-                self.effects
-                    .push(GrantEffect::Propose(grant.refencing_move(&start.0)));
-            }
-            CallOutcome::Rejected | CallOutcome::Unreachable | CallOutcome::ConnectionRefused => {}
-        }
-    }
-
-    fn on_release_ended(&mut self, now: MonoTime, grant: &mut RangeGrant, outcome: CallOutcome) {
-        grant.due_at = now + self.config.retry_interval;
-        let Some(pending) = &mut grant.pending_transfer else {
-            return;
-        };
-        if let CallOutcome::Done { handover } = outcome {
-            pending.is_released = true;
-            pending.handover = handover;
-        }
-    }
-
     fn run_due_steps(&mut self, now: MonoTime) {
         self.visited_range_count += self.grants.len() as u64;
         let due = self.grants.iter().filter_map(|(start, grant)| {
