Send a grant again only to the process that has it

Callers met two owners of a key (OWNER), and a server took keys under the fence with which its predecessor had had them. Control VMs call an address. A server that ends and starts again between two renewals got the renewal of its predecessor on a new connection, as the closed one was replaced silently, and its announcements were refused for up to 1.8 s meanwhile.

A connection belongs to one process. All grants to a server now use one connection. A grant that may have taken effect is sent again on that connection only; if it is closed, the owner gets the keys under a greater fence once it has announced itself since. Grants name their server, so that one with another id refuses them. Renewals of an inherited fence by a new leader may use a new connection, after an announcement that followed its election.

A fence that is replaced leaves the owner as it is, so such proposals don't hold planning back, and a proposal that fails is repeated after the retry interval.

--- a/crates/chicory_ranges/src/grant_call.rs
+++ b/crates/chicory_ranges/src/grant_call.rs
@@ -7,6 +7,10 @@
 /// Identifier of one call, unique within one [`GrantCoordinator`](crate::GrantCoordinator).
 pub type CallId = u64;
 
+/// Identifier of a connection to a backend server, unique within a process. A connection belongs to
+/// one process of the server; the next process at its address has other connections.
+pub type LinkId = u64;
+
 /// A request to a backend server about the keys that it owns.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GrantCall {
@@ -37,7 +41,13 @@
     Done {
         /// State for the next owner.
         handover: Option<String>,
+        /// The connection on which the server answered a grant, if it is kept open.
+        link: Option<LinkId>,
     },
+    /// The connection that the call had to use is closed; the call was never sent.
+    LinkLost,
+    /// Another server has the address; it changed nothing.
+    OtherServer,
     /// The server has seen a greater fence for some of the keys; it changed nothing.
     Fenced,
     /// The server refused for another reason; it changed nothing.
--- a/crates/chicory_ranges/src/grant_coordinator.rs
+++ b/crates/chicory_ranges/src/grant_coordinator.rs
@@ -7,6 +7,7 @@
 
 use chicory_types::{MonoTime, ServiceName};
 
+use crate::fence_link::FenceLink;
 use crate::grant_coordinator_config::{CALL_TIMEOUT, GrantCoordinatorConfig};
 use crate::grant_step::GrantStep;
 use crate::range_grant::{PendingCall, PendingTransfer, RangeGrant};
@@ -286,9 +287,9 @@
             return;
         };
         grant.is_refencing = false;
+        grant.due_at = now + self.config.retry_interval;
         if let Some(pending) = &mut grant.pending_transfer {
             pending.is_proposed = false;
-            grant.due_at = now + self.config.retry_interval;
         }
     }
 
@@ -318,6 +319,11 @@
                 };
                 self.call(start, grant, content, false);
             }
+            GrantStep::Refence => {
+                grant.is_refencing = true;
+                self.effects
+                    .push(GrantEffect::Propose(grant.refencing_move(&start.0)));
+            }
             GrantStep::Release => {
                 let content = GrantCall::Release {
                     range: grant.owned.range,
@@ -347,6 +353,7 @@
             Some(_) if grant.call.is_none() && now >= grant.due_at => GrantStep::Release,
             Some(_) => GrantStep::Wait,
             None if !grant.is_idle() || !is_known_running || now < grant.due_at => GrantStep::Wait,
+            None if grant.link == FenceLink::Lost => GrantStep::Refence,
             None => GrantStep::Grant,
         }
     }
@@ -367,6 +374,7 @@
             service: start.0.clone(),
             to: grant.owned.owner.clone(),
             content,
+            link: grant.link.required().filter(|_| !is_release),
         });
     }
 }
--- a/crates/chicory_ranges/src/grant_coordinator/call_results.rs
+++ b/crates/chicory_ranges/src/grant_coordinator/call_results.rs
@@ -3,6 +3,7 @@
 use chicory_types::MonoTime;
 
 use super::{GrantCoordinator, RangeStart};
+use crate::fence_link::FenceLink;
 use crate::range_grant::RangeGrant;
 use crate::{CallId, CallOutcome, GrantEffect};
 
@@ -22,7 +23,11 @@
         let owner = grant.owned.owner.clone();
         let is_broken = matches!(
             outcome,
-            CallOutcome::Unanswered | CallOutcome::Unreachable | CallOutcome::ConnectionRefused
+            CallOutcome::Unanswered
+                | CallOutcome::Unreachable
+                | CallOutcome::ConnectionRefused
+                | CallOutcome::LinkLost
+                | CallOutcome::OtherServer
         );
         if is_broken {
             self.known_running.remove(&owner);
@@ -45,8 +50,9 @@
         let grant_expiry = now + self.config.grant_expiry();
         grant.due_at = now + self.config.retry_interval;
         match outcome {
-            CallOutcome::Done { .. } => {
+            CallOutcome::Done { link, .. } => {
                 grant.is_granted = true;
+                grant.link = link.map_or(FenceLink::Lost, FenceLink::Only);
                 grant.answered_at = Some(now);
                 grant.confirmed_until = grant_expiry;
                 // The server has seen this fence and ignores calls under a smaller one from now on.
@@ -57,14 +63,19 @@
             }
             CallOutcome::Unanswered => {
                 grant.unconfirmed_until = grant.unconfirmed_until.max(grant_expiry);
+                grant.link = FenceLink::Lost;
             }
+            CallOutcome::LinkLost => grant.link = FenceLink::Lost,
             // The server has seen a fence above the registry's and accepts only greater ones.
             CallOutcome::Fenced => {
                 grant.is_refencing = true;
                 self.effects
                     .push(GrantEffect::Propose(grant.refencing_move(&start.0)));
             }
-            CallOutcome::Rejected | CallOutcome::Unreachable | CallOutcome::ConnectionRefused => {}
+            CallOutcome::Rejected
+            | CallOutcome::Unreachable
+            | CallOutcome::ConnectionRefused
+            | CallOutcome::OtherServer => {}
         }
     }
 
@@ -73,7 +84,7 @@
         let Some(pending) = &mut grant.pending_transfer else {
             return;
         };
-        if let CallOutcome::Done { handover } = outcome {
+        if let CallOutcome::Done { handover, .. } = outcome {
             pending.is_released = true;
             pending.handover = handover;
         }
--- a/crates/chicory_ranges/src/grant_coordinator/registry_sync.rs
+++ b/crates/chicory_ranges/src/grant_coordinator/registry_sync.rs
@@ -5,6 +5,7 @@
 use chicory_types::{MonoTime, ServiceName};
 
 use super::{GrantCoordinator, RangeStart};
+use crate::fence_link::FenceLink;
 use crate::range_grant::RangeGrant;
 use crate::{Key, KeyRange, OwnedRange, RangeRegistry};
 
@@ -81,6 +82,7 @@
             unconfirmed_until: now,
             older_grants_until: if is_ended { now } else { held_until },
             call: None,
+            link: FenceLink::Any,
             due_at: now,
             is_refencing: false,
             pending_transfer: None,
--- a/crates/chicory_ranges/src/grant_effect.rs
+++ b/crates/chicory_ranges/src/grant_effect.rs
@@ -2,7 +2,7 @@
 
 use chicory_types::ServiceName;
 
-use crate::{CallId, GrantCall, RangeMove, ServerIncarnation};
+use crate::{CallId, GrantCall, LinkId, RangeMove, ServerIncarnation};
 
 /// An effect returned by [`GrantCoordinator::reduce`](crate::GrantCoordinator::reduce).
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +17,9 @@
         to: ServerIncarnation,
         /// The request.
         content: GrantCall,
+        /// The connection to use. A grant that may have taken effect is sent again only on its
+        /// connection, since on another one the next process at the address could answer.
+        link: Option<LinkId>,
     },
     /// Commit a move and then report [`RegistryChanged`](crate::GrantEvent::RegistryChanged) or
     /// [`MoveFailed`](crate::GrantEvent::MoveFailed).
--- a/crates/chicory_ranges/src/grant_step.rs
+++ b/crates/chicory_ranges/src/grant_step.rs
@@ -6,6 +6,8 @@
     Wait,
     /// Grant the keys, or renew the grant.
     Grant,
+    /// Propose a greater fence for the same owner.
+    Refence,
     /// Have the owner release the keys.
     Release,
     /// Propose the move to the next owner.
--- a/crates/chicory_ranges/src/lib.rs
+++ b/crates/chicory_ranges/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Nothing here does I/O or reads a clock.
 
+mod fence_link;
 mod grant_call;
 mod grant_coordinator;
 mod grant_coordinator_config;
@@ -28,7 +29,7 @@
 mod server_share;
 mod transfer;
 
-pub use grant_call::{CallId, CallOutcome, GrantCall};
+pub use grant_call::{CallId, CallOutcome, GrantCall, LinkId};
 pub use grant_coordinator::GrantCoordinator;
 pub use grant_coordinator_config::{
     CALL_TIMEOUT, GRANT_EXPIRY_SLACK, GRANT_HOLD, GrantCoordinatorConfig, RELEASE_TIMEOUT,
--- a/crates/chicory_ranges/src/range_grant.rs
+++ b/crates/chicory_ranges/src/range_grant.rs
@@ -2,6 +2,7 @@
 
 use chicory_types::{MonoTime, ServiceName};
 
+use crate::fence_link::FenceLink;
 use crate::{CallId, OwnedRange, RangeMove, ServerIncarnation};
 
 /// What a leader tracks of the grant of an owned range, or of a part of one that is in transfer.
@@ -23,6 +24,7 @@
     /// effect any more.
     pub(crate) older_grants_until: MonoTime,
     pub(crate) call: Option<PendingCall>,
+    pub(crate) link: FenceLink,
     /// When the next call is due.
     pub(crate) due_at: MonoTime,
     /// Whether a move to the same owner under a greater fence is proposed.
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -103,11 +103,16 @@
                 let proposal = Proposal::Move {
                     service: change.service.clone(),
                     first: change.range.first,
+                    is_to_same_owner: change.from.as_ref() == Some(&change.to),
                 };
                 self.propose(now, proposal, SiteCommand::MoveRange(change));
             }
             GrantEffect::Call {
-                call, to, content, ..
+                call,
+                to,
+                content,
+                link,
+                ..
             } => {
                 let address = self.addresses.get(&to).copied();
                 let is_leading = self.is_leading(now);
@@ -127,6 +132,7 @@
                     incarnation: to,
                     address,
                     content,
+                    link,
                 }));
             }
         }
@@ -154,10 +160,15 @@
         for load in self.loads.values_mut() {
             load.decay(now);
         }
-        let has_open_moves = self
-            .proposals
-            .values()
-            .any(|proposal| matches!(proposal, Proposal::Move { .. }));
+        let has_open_moves = self.proposals.values().any(|proposal| {
+            matches!(
+                proposal,
+                Proposal::Move {
+                    is_to_same_owner: false,
+                    ..
+                }
+            )
+        });
         if has_open_moves {
             return;
         }
--- a/crates/chicory_site/src/core/replicated_log.rs
+++ b/crates/chicory_site/src/core/replicated_log.rs
@@ -143,7 +143,7 @@
                 };
                 self.reply(reply_to, answer);
             }
-            Some(Proposal::Move { service, first }) => {
+            Some(Proposal::Move { service, first, .. }) => {
                 if matches!(outcome, CommandOutcome::MoveRejected(_)) {
                     let event = GrantEvent::MoveFailed { service, first };
                     self.grant_events.push_back(event);
@@ -256,7 +256,7 @@
     fn fail_proposal(&mut self, proposal: Proposal) {
         match proposal {
             Proposal::Call(reply_to) => self.reply(reply_to, SiteAnswer::Unavailable),
-            Proposal::Move { service, first } => {
+            Proposal::Move { service, first, .. } => {
                 let event = GrantEvent::MoveFailed { service, first };
                 self.grant_events.push_back(event);
             }
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -35,6 +35,8 @@
     Move {
         service: ServiceName,
         first: chicory_ranges::Key,
+        /// Whether the owner stays and gets a greater fence.
+        is_to_same_owner: bool,
     },
     /// Maintenance whose result no call waits for.
     Maintenance,
--- a/crates/chicory_site/src/core/site_effect.rs
+++ b/crates/chicory_site/src/core/site_effect.rs
@@ -4,7 +4,7 @@
 
 use chicory_consensus::{Entry, HardState, Snapshot};
 use chicory_directory::{ControlMessage, PeerEnvelope, SiteAnswer};
-use chicory_ranges::{CallId, GrantCall, ServerIncarnation};
+use chicory_ranges::{CallId, GrantCall, LinkId, ServerIncarnation};
 use chicory_types::{LogIndex, VmId};
 
 use super::{CallerId, EntryLinkId, SiteNote};
@@ -20,6 +20,9 @@
     pub address: SocketAddr,
     /// Content of the call.
     pub content: GrantCall,
+    /// The connection that a grant has to use; `None` if it may use any. If it is closed, the
+    /// outcome is [`LinkLost`](chicory_ranges::CallOutcome::LinkLost).
+    pub link: Option<LinkId>,
 }
 
 /// An effect returned by [`SiteCore::reduce`](crate::SiteCore::reduce), to be carried out in order.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -112,6 +112,8 @@
     let outcome = match outcome {
         CallOutcome::Done { .. } => "done",
         CallOutcome::Fenced => "fenced",
+        CallOutcome::LinkLost => "link lost",
+        CallOutcome::OtherServer => "other server",
         CallOutcome::Rejected => "rejected",
         CallOutcome::Unanswered => "unanswered",
         CallOutcome::Unreachable => "unreachable",
