Keep keys served while grants change connections

A reviewer who hadn't seen the work found that the fix of OWNER cost callers: a connection that a server closed marked the keys as moving until the server had announced itself once or twice, and all grants of a server waited behind one that got no answer, on the one connection of the server.

Each fence has a connection of its own now, so grants of one server don't wait for each other. A closed connection leads to a greater fence at once, without a wait for an announcement: whoever listens at the address is refused by name, or is the successor that the keys would go to. Keys that their owner holds under a smaller fence don't count as moving meanwhile.

From the same review: a process succeeds one that ended only under the same id, as calls name their server, and only while former grants may hold and the process is known to run; releases name their server too, and a refusal of another one shows that the keys are free, without a handover of its own; the successors of a process are followed to the last; a call that waited for its connection until its time was over isn't sent; a proposal that failed is repeated after the retry interval also where the keys are released, and no tick is due while a release is under way.

Tests: closed_connections_leave_keys_with_their_owners and short_partition_causes_no_move check at every step that all keys are held and none counts as moving, and the latter the exact number of new fences; a partition that refuses connections resets open ones in the virtual cluster again, so that refused_connection_does_not_prove_that_a_partitioned_server_ended meets the refusal; server_replaced_by_another_one_frees_its_keys_at_once is the former case without a successor.

--- a/crates/chicory_directory/src/ended_server.rs
+++ b/crates/chicory_directory/src/ended_server.rs
@@ -7,7 +7,7 @@
 pub struct EndedServer {
     /// The incarnation that has ended.
     pub incarnation: ServerIncarnation,
-    /// The incarnation that now has its address, if it belongs to the same service: calls to the
-    /// address may have reached it already.
+    /// The incarnation of the same server that now has its address: grants name a server by its id,
+    /// so those for the former incarnation may have reached this one already.
     pub successor: Option<ServerIncarnation>,
 }
--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -403,7 +403,9 @@
 
 /// Returns the description of a server that has ended because of the process that `next` announces.
 fn ended_server(former: &ServerRecord, next: &ServerRecord) -> EndedServer {
-    let is_successor = former.address == next.address && former.service == next.service;
+    let is_same_server = former.incarnation.server == next.incarnation.server;
+    let is_successor =
+        is_same_server && former.address == next.address && former.service == next.service;
     EndedServer {
         incarnation: former.incarnation.clone(),
         successor: is_successor.then(|| next.incarnation.clone()),
--- a/crates/chicory_directory/tests/ended_servers.rs
+++ b/crates/chicory_directory/tests/ended_servers.rs
@@ -40,22 +40,20 @@
 }
 
 #[gtest]
-fn process_at_the_address_succeeds_one_of_its_service() {
+fn restarted_server_succeeds_its_former_incarnation() {
     let former = record("i-1", 1, "archive", 1);
     let restarted = record("i-1", 2, "archive", 1);
-    let other_id = record("i-2", 2, "archive", 1);
-    for next in [restarted, other_id] {
-        let expected = ended(&former, Some(&next));
-        expect_that!(ended_by(former.clone(), next), eq(&expected));
-    }
+    let expected = ended(&former, Some(&restarted));
+    expect_that!(ended_by(former, restarted), eq(&expected));
 }
 
 #[gtest]
-fn process_of_another_service_or_at_another_address_succeeds_none() {
+fn another_server_or_one_at_another_address_succeeds_none() {
     let former = record("i-1", 1, "archive", 1);
-    let other_service = record("i-2", 2, "orders", 1);
+    let other_id = record("i-2", 2, "archive", 1);
+    let other_service = record("i-1", 2, "orders", 1);
     let other_address = record("i-1", 2, "archive", 2);
-    for next in [other_service, other_address] {
+    for next in [other_id, other_service, other_address] {
         let expected = ended(&former, None);
         expect_that!(ended_by(former.clone(), next), eq(&expected));
     }
--- a/crates/chicory_ranges/src/grant_coordinator.rs
+++ b/crates/chicory_ranges/src/grant_coordinator.rs
@@ -156,7 +156,7 @@
         // An owner stops when the hold is over by its own clock, which may run fast.
         let slack = self.config.grant_expiry().saturating_sub(self.config.hold);
         let moving = self.grants.iter().filter(move |(_, grant)| {
-            let has_expired = now + slack >= grant.confirmed_until;
+            let has_expired = now + slack >= grant.confirmed_until.max(grant.inherited_until);
             let has_ended = self.ended.contains_key(&grant.owned.owner);
             grant.pending_transfer.is_some() || !grant.is_granted || has_expired || has_ended
         });
@@ -191,9 +191,9 @@
     fn wakeup(&self, grant: &RangeGrant) -> Option<MonoTime> {
         match &grant.pending_transfer {
             Some(pending) if pending.is_proposed => None,
-            Some(pending) if pending.is_released => Some(grant.free_at()),
-            Some(_) if grant.call.is_none() => Some(grant.free_at().min(grant.due_at)),
-            Some(_) => Some(grant.free_at()),
+            Some(pending) if pending.is_released => Some(grant.free_at().max(grant.due_at)),
+            Some(_) if grant.call.is_none() => Some(grant.due_at),
+            Some(_) => None,
             None if !grant.is_idle() => None,
             None if !self.known_running.contains(&grant.owned.owner) => None,
             None => Some(grant.due_at),
@@ -231,6 +231,18 @@
         self.ended.insert(incarnation, successor);
     }
 
+    /// Whether `process` now has, or has had, the address of a process that has ended.
+    fn has_succeeded(&self, ended: &ServerIncarnation, process: &ServerIncarnation) -> bool {
+        let mut last = ended;
+        while let Some(Some(next)) = self.ended.get(last) {
+            if next == process {
+                return true;
+            }
+            last = next;
+        }
+        false
+    }
+
     /// Returns what is known of the end of a process.
     fn ending(&self, incarnation: &ServerIncarnation) -> Ending<'_> {
         let Some(mut successor) = self.ended.get(incarnation) else {
@@ -284,12 +296,17 @@
             return;
         };
         let ending = self.ending(&old.owned.owner);
-        if let Ending::Succeeded(successor) = ending {
-            old.pending_transfer = Some(PendingTransfer::to_successor(successor.clone()));
+        if let Ending::Succeeded(successor) = ending
+            && now < old.free_at()
+        {
+            if self.known_running.contains(successor) {
+                old.pending_transfer = Some(PendingTransfer::to_successor(successor.clone()));
+            }
+            old.due_at = now;
             self.grants.insert(start.clone(), old);
             return;
         }
-        let is_ended = matches!(ending, Ending::Ended);
+        let is_ended = ending != Ending::NotKnown;
         if now < old.uncertain_until() && !is_ended {
             if self.known_running.contains(&old.owned.owner) {
                 old.is_refencing = true;
@@ -378,9 +395,16 @@
         let is_known_running = self.known_running.contains(&grant.owned.owner);
         match &grant.pending_transfer {
             Some(pending) if pending.is_proposed => GrantStep::Wait,
-            Some(pending) if pending.is_released && now >= grant.free_at() => GrantStep::Propose,
-            Some(pending) if pending.is_released => GrantStep::Wait,
-            Some(_) if grant.call.is_none() && now >= grant.free_at() => GrantStep::Propose,
+            Some(pending) if pending.is_released => {
+                if now >= grant.free_at().max(grant.due_at) {
+                    GrantStep::Propose
+                } else {
+                    GrantStep::Wait
+                }
+            }
+            Some(_) if grant.call.is_none() && now >= grant.free_at().max(grant.due_at) => {
+                GrantStep::Propose
+            }
             Some(_) if grant.call.is_none() && now >= grant.due_at => GrantStep::Release,
             Some(_) => GrantStep::Wait,
             None if !grant.is_idle() || !is_known_running || now < grant.due_at => GrantStep::Wait,
--- a/crates/chicory_ranges/src/grant_coordinator/call_results.rs
+++ b/crates/chicory_ranges/src/grant_coordinator/call_results.rs
@@ -26,7 +26,6 @@
             CallOutcome::Unanswered
                 | CallOutcome::Unreachable
                 | CallOutcome::ConnectionRefused
-                | CallOutcome::LinkLost
                 | CallOutcome::OtherServer
         );
         if is_broken {
@@ -65,7 +64,11 @@
                 grant.unconfirmed_until = grant.unconfirmed_until.max(grant_expiry);
                 grant.link = FenceLink::Lost;
             }
-            CallOutcome::LinkLost => grant.link = FenceLink::Lost,
+            // The server may well be running: servers close idle connections.
+            CallOutcome::LinkLost => {
+                grant.link = FenceLink::Lost;
+                grant.due_at = now;
+            }
             // The server has seen a fence above the registry's and accepts only greater ones.
             CallOutcome::Fenced => {
                 grant.is_refencing = true;
@@ -84,9 +87,15 @@
         let Some(pending) = &mut grant.pending_transfer else {
             return;
         };
-        if let CallOutcome::Done { handover, .. } = outcome {
-            pending.is_released = true;
-            pending.handover = handover;
+        match outcome {
+            CallOutcome::Done { handover, .. } => {
+                pending.is_released = true;
+                pending.handover = handover;
+                grant.due_at = now;
+            }
+            // The process that held the keys has ended, and grants name their server.
+            CallOutcome::OtherServer => grant.set_free(now),
+            _ => {}
         }
     }
 }
--- a/crates/chicory_ranges/src/grant_coordinator/registry_sync.rs
+++ b/crates/chicory_ranges/src/grant_coordinator/registry_sync.rs
@@ -61,7 +61,7 @@
             let of_service = former_grants.iter().filter(|((of, _), _)| of == service);
             let next_owner = owned.owner.clone();
             grant.inherit(of_service.map(|(_, former)| former), |former| {
-                self.ending(former) == Ending::Succeeded(&next_owner)
+                self.has_succeeded(former, &next_owner)
             });
             self.grants.insert(start, grant);
             at = u32::from(end) + 1;
@@ -83,6 +83,7 @@
             owned,
             answered_at: None,
             confirmed_until: if is_ended { now } else { held_until },
+            inherited_until: now,
             unconfirmed_until: now,
             older_grants_until: if is_ended { now } else { held_until },
             call: None,
--- a/crates/chicory_ranges/src/grant_event.rs
+++ b/crates/chicory_ranges/src/grant_event.rs
@@ -22,8 +22,8 @@
     Ended {
         /// The incarnation that has ended.
         incarnation: ServerIncarnation,
-        /// The incarnation that now has its address, if it belongs to the same service. Grants
-        /// may have reached it before its first announcement did.
+        /// The incarnation of the same server that now has its address. Grants may have reached it
+        /// before its first announcement did.
         successor: Option<ServerIncarnation>,
     },
     /// Keys should move to another owner.
--- a/crates/chicory_ranges/src/range_grant.rs
+++ b/crates/chicory_ranges/src/range_grant.rs
@@ -17,6 +17,8 @@
     pub(crate) answered_at: Option<MonoTime>,
     /// Until then the owner may hold the keys because of grants that it answered.
     pub(crate) confirmed_until: MonoTime,
+    /// Until then the owner holds the keys because of grants under a smaller fence that it answered.
+    pub(crate) inherited_until: MonoTime,
     /// Until then a grant under this fence that got no answer may take effect and hold.
     pub(crate) unconfirmed_until: MonoTime,
     /// Until then a grant under a smaller fence or of a former leader may take effect and hold. The
@@ -91,6 +93,8 @@
         self.confirmed_until = now;
         self.unconfirmed_until = now;
         self.older_grants_until = now;
+        self.inherited_until = now;
+        self.due_at = now;
         if let Some(pending) = &mut self.pending_transfer {
             pending.is_released = true;
         }
@@ -100,6 +104,7 @@
     /// another server goes to the successor instead, unless the keys are free already.
     pub(crate) fn redirect_transfer(&mut self, now: MonoTime, successor: &ServerIncarnation) {
         let free_at = self.free_at();
+        self.due_at = now;
         let Some(pending) = &mut self.pending_transfer else {
             return;
         };
@@ -163,7 +168,11 @@
             }
             let former_grant_until = former.confirmed_until.max(former.uncertain_until());
             self.older_grants_until = self.older_grants_until.max(former_grant_until);
-            self.is_granted |= is_same && former.is_granted;
+            if is_same {
+                let held_until = former.confirmed_until.max(former.inherited_until);
+                self.inherited_until = self.inherited_until.max(held_until);
+                self.is_granted |= former.is_granted;
+            }
         }
     }
 }
--- a/crates/chicory_ranges/tests/grant_coordinator.rs
+++ b/crates/chicory_ranges/tests/grant_coordinator.rs
@@ -73,20 +73,43 @@
 #[gtest]
 fn short_partition_causes_no_move() {
     let mut cluster = settled_cluster(4);
-    let moved_before = cluster.move_count - cluster.refence_count;
+    let move_count = cluster.move_count;
+    let owned = cluster.registry.ranges(support::SERVICE);
+    let owned_count = owned.filter(|owned| owned.owner == incarnation(0)).count();
     server(&mut cluster, 0).is_partitioned = true;
-    cluster.run(Duration::from_secs(5));
-    expect_that!(cluster.held_key_count(), eq(ALL_KEYS));
+    for _ in 0..100 {
+        cluster.step();
+        assert_that!(cluster.held_key_count(), eq(ALL_KEYS));
+    }
     server(&mut cluster, 0).is_partitioned = false;
-    cluster.run(Duration::from_secs(10));
-    // The connection of the partitioned server was reset, so it gets its keys under a new fence.
-    let moved = cluster.move_count - cluster.refence_count;
-    expect_that!(moved, eq(moved_before));
-    expect_that!(cluster.held_key_count(), eq(ALL_KEYS));
+    for _ in 0..200 {
+        cluster.step();
+        assert_that!(cluster.held_key_count(), eq(ALL_KEYS));
+        // Requests for the keys are not held back while their owner gets them under a new fence.
+        assert_that!(cluster.coordinator.moving(cluster.now).count(), eq(0));
+    }
+    // The grants under way were lost with their connections, so they get new fences.
+    let refence_count = usize::try_from(cluster.refence_count).unwrap_or(usize::MAX);
+    expect_that!(refence_count, eq(owned_count));
+    expect_that!(cluster.move_count - cluster.refence_count, eq(move_count));
+}
+
+/// Guards against requests that are held back because a server closed an idle connection.
+#[gtest]
+fn closed_connections_leave_keys_with_their_owners() {
+    let mut cluster = settled_cluster(11);
+    let move_count = cluster.move_count;
+    for _ in 0..10 {
+        cluster.links.clear();
+        for _ in 0..60 {
+            cluster.step();
+            assert_that!(cluster.held_key_count(), eq(ALL_KEYS));
+            assert_that!(cluster.coordinator.moving(cluster.now).count(), eq(0));
+        }
+    }
+    expect_that!(cluster.move_count - cluster.refence_count, eq(move_count));
 }
 
-/// Guards against sending requests for keys whose grant has expired at the owner, but which may not
-/// move yet: the owner would refuse them.
 #[gtest]
 fn keys_with_expired_grants_are_listed_as_moving() {
     let mut cluster = settled_cluster(4);
@@ -129,6 +152,19 @@
     expect_that!(cluster.held_key_count(), eq(ALL_KEYS));
 }
 
+#[gtest]
+fn server_replaced_by_another_one_frees_its_keys_at_once() {
+    let mut cluster = settled_cluster(5);
+    server(&mut cluster, 0).is_up = false;
+    cluster.handle_event(GrantEvent::Ended {
+        incarnation: incarnation(0),
+        successor: None,
+    });
+    cluster.servers.remove(&incarnation(0));
+    cluster.run(Duration::from_millis(600));
+    expect_that!(cluster.held_key_count(), eq(ALL_KEYS));
+}
+
 #[gtest]
 fn grant_without_an_answer_is_fenced_before_keys_move() {
     let mut cluster = settled_cluster(6);
--- a/crates/chicory_ranges/tests/restarted_servers.rs
+++ b/crates/chicory_ranges/tests/restarted_servers.rs
@@ -44,7 +44,7 @@
     cluster.servers.remove(ended);
     cluster.handle_event(GrantEvent::Ended {
         incarnation: ended.clone(),
-        successor: Some(next.clone()),
+        successor: (next.server == ended.server).then(|| next.clone()),
     });
     cluster.handle_event(GrantEvent::Announced(next.clone()));
 }
--- a/crates/chicory_ranges/tests/support/mod.rs
+++ b/crates/chicory_ranges/tests/support/mod.rs
@@ -103,8 +103,8 @@
     pub move_count: u32,
     /// Number of those moves that left the keys with their owner, under a greater fence.
     pub refence_count: u32,
-    /// Open connections for grants: the identifier, and the process that they lead to.
-    links: BTreeMap<ServerIncarnation, (LinkId, ServerIncarnation)>,
+    /// Connections over which keys were granted, with the processes that they lead to.
+    pub links: BTreeMap<LinkId, ServerIncarnation>,
     last_link: LinkId,
     /// Servers that have started, and whose announcements have not arrived yet.
     pub unannounced: BTreeSet<ServerIncarnation>,
@@ -242,72 +242,64 @@
     ) -> GrantEvent {
         let outcome = match content {
             GrantCall::Grant { .. } => self.grant(to, content, required_link),
-            GrantCall::Release { .. } => {
-                let process = self.listener(to);
-                match self.connect(&process) {
-                    Some(failure) => failure,
-                    None => self.exchange(&process, content),
-                }
-            }
+            GrantCall::Release { .. } => match self.connect(to) {
+                Ok(process) => self.exchange(&process, content),
+                Err(failure) => failure,
+            },
         };
         GrantEvent::CallEnded { call, outcome }
     }
 
-    /// Sends a grant on the connection to the server, or on a new one if it may use any.
+    /// Sends a grant on the connection of its fence, or on a new one if it may use any.
     fn grant(
         &mut self,
         to: &ServerIncarnation,
         content: &GrantCall,
         required_link: Option<LinkId>,
     ) -> CallOutcome {
-        let kept = self.links.get(to).cloned();
-        let kept = kept.filter(|(id, process)| {
-            self.is_up(process) && required_link.is_none_or(|required| required == *id)
-        });
-        let (id, process) = match kept {
-            Some(kept) => kept,
-            None if required_link.is_some() => return CallOutcome::LinkLost,
-            None => {
-                let process = self.listener(to);
-                if let Some(failure) = self.connect(&process) {
-                    return failure;
-                }
-                if process.server != to.server {
-                    return CallOutcome::OtherServer;
-                }
-                self.last_link += 1;
-                (self.last_link, process)
-            }
+        let (id, process) = match required_link {
+            Some(id) => match self.links.get(&id) {
+                Some(process) if self.is_link_open(process) => (id, process.clone()),
+                _ => return CallOutcome::LinkLost,
+            },
+            None => match self.connect(to) {
+                Ok(process) => (self.last_link + 1, process),
+                Err(failure) => return failure,
+            },
         };
+        self.last_link = self.last_link.max(id);
         let mut outcome = self.exchange(&process, content);
-        match &mut outcome {
-            CallOutcome::Done { link, .. } => {
-                *link = Some(id);
-                self.links.insert(to.clone(), (id, process));
-            }
-            CallOutcome::Unanswered => {
-                self.links.remove(to);
-            }
-            _ => {}
+        if let CallOutcome::Done { link, .. } = &mut outcome {
+            *link = Some(id);
+            self.links.insert(id, process);
+        } else {
+            self.links.remove(&id);
         }
         outcome
     }
 
-    fn is_up(&self, process: &ServerIncarnation) -> bool {
+    /// Whether a connection to a process is open: one that ends closes it, and so does a partition
+    /// that refuses new ones.
+    fn is_link_open(&self, process: &ServerIncarnation) -> bool {
         let server = self.servers.get(process);
-        server.is_some_and(|server| server.is_up)
+        server.is_some_and(|server| {
+            server.is_up && !(server.is_partitioned && server.refuses_connections)
+        })
     }
 
-    /// Returns why no connection can be opened, or `None` if one can.
-    fn connect(&self, process: &ServerIncarnation) -> Option<CallOutcome> {
-        match self.servers.get(process) {
-            None => Some(CallOutcome::Unreachable),
+    /// Opens a connection to the process at the address of a server, which refuses calls that name
+    /// another server.
+    fn connect(&self, to: &ServerIncarnation) -> Result<ServerIncarnation, CallOutcome> {
+        let process = self.listener(to);
+        match self.servers.get(&process) {
+            None => Err(CallOutcome::Unreachable),
             Some(server) if server.is_partitioned && server.refuses_connections => {
-                Some(CallOutcome::ConnectionRefused)
+                Err(CallOutcome::ConnectionRefused)
             }
-            Some(server) if server.is_partitioned => Some(CallOutcome::Unreachable),
-            Some(server) if !server.is_up => Some(CallOutcome::ConnectionRefused),
-            Some(_) => None,
+            Some(server) if server.is_partitioned => Err(CallOutcome::Unreachable),
+            Some(server) if !server.is_up => Err(CallOutcome::ConnectionRefused),
+            Some(_) if process.server != to.server => Err(CallOutcome::OtherServer),
+            Some(_) => Ok(process),
         }
     }
 
