--- a/crates/chicory_ranges/src/grant_coordinator.rs
+++ b/crates/chicory_ranges/src/grant_coordinator.rs
@@ -36,7 +36,7 @@
 /// let mut coordinator = GrantCoordinator::new(Default::default(), Duration::ZERO, &registry);
 /// assert!(coordinator.reduce(Duration::ZERO, GrantEvent::Tick, &registry).is_empty());
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct GrantCoordinator {
     config: GrantCoordinatorConfig,
     grants: BTreeMap<RangeStart, RangeGrant>,
