--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
+use chicory_consensus::LEADER_LEASE;
 use chicory_directory::{
     ControlMessage, DirectoryPosition, EntryMessage, EntryReport, KeyCount, PermitRequest,
     PoisonReport, ServerState, SiteAnswer, SiteCall,
 };
-use chicory_ranges::{GrantCall, ServerIncarnation};
+use chicory_ranges::{GrantCall, RENEWAL_INTERVAL, ServerIncarnation};
 use chicory_site::SiteEvent;
 use googletest::prelude::*;
 use support::{Simulation, server, table, vm_name};
@@ -276,6 +277,33 @@
     expect_that!(granted_servers.len(), eq(4));
 }
 
+/// Keys that a leader without a lease grants or has released may be the next leader's by then.
+#[gtest]
+fn leader_without_a_lease_makes_no_calls_to_servers() {
+    let mut simulation = Simulation::with_leader(3);
+    let leader = simulation.await_leader();
+    simulation.call_and_wait(&leader, SiteCall::PutRoutes(table(1)));
+    for index in 1..=4 {
+        let name = format!("server-{index}");
+        simulation.call_and_wait(&leader, announce(&name, 8000 + index, ServerState::Ready));
+    }
+    simulation.run(Duration::from_secs(2));
+    simulation.set_isolated(&leader, true);
+    simulation.run(LEADER_LEASE);
+    expect_that!(simulation.grants.is_empty(), eq(false));
+    simulation.grants.clear();
+    // The others get no announcements, so that only the former leader could call servers.
+    let end = simulation.now + RENEWAL_INTERVAL * 2;
+    while simulation.now < end {
+        for index in 1..=4 {
+            let name = format!("server-{index}");
+            simulation.call(&leader, announce(&name, 8000 + index, ServerState::Ready));
+        }
+        simulation.run(Duration::from_millis(100));
+    }
+    expect_that!(simulation.grants.len(), eq(0));
+}
+
 #[gtest]
 fn draining_server_releases_its_keys() {
     let mut simulation = Simulation::with_leader(3);
