Explore moves that take time to commit, and name the receiver of calls

The model committed moves at once, so that nothing could happen between a proposal and its commit.

The words for a call that arrives named the process at the address, also where the call's connection led to another one.

--- a/crates/chicory_ranges/tests/model/action.rs
+++ b/crates/chicory_ranges/tests/model/action.rs
@@ -33,6 +33,10 @@
         /// The next owner.
         to: ProcessIndex,
     },
+    /// The oldest move that was proposed is committed.
+    Commit,
+    /// The oldest move that was proposed fails.
+    FailMove,
     /// Another leader, which knows only the registry, takes over; calls of the former one are
     /// under way up to their timeout.
     ChangeLeader,
--- a/crates/chicory_ranges/tests/model/bounds.rs
+++ b/crates/chicory_ranges/tests/model/bounds.rs
@@ -19,6 +19,8 @@
     pub leader_change_count: u32,
     /// Number of transfers that the planner requests.
     pub transfer_count: u32,
+    /// Whether moves are committed in a step of their own instead of at once.
+    pub has_slow_commits: bool,
     /// Number of steps in which time passes.
     pub time_step_count: u32,
 }
--- a/crates/chicory_ranges/tests/model/world.rs
+++ b/crates/chicory_ranges/tests/model/world.rs
@@ -2,11 +2,12 @@
 
 mod in_words;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use chicory_ranges::{
     CALL_TIMEOUT, CallId, CallOutcome, GrantCall, GrantCoordinator, GrantCoordinatorConfig,
-    GrantEffect, GrantEvent, Key, KeyRange, LinkId, RENEWAL_INTERVAL, RangeRegistry,
+    GrantEffect, GrantEvent, Key, KeyRange, LinkId, RENEWAL_INTERVAL, RangeMove, RangeRegistry,
     ServerIncarnation, Transfer,
 };
 use chicory_types::{MonoTime, fingerprint_of};
@@ -34,6 +35,8 @@
     processes: Vec<Process>,
     calls: Vec<Call>,
     links: Links,
+    /// Moves that are neither committed nor failed.
+    proposals: VecDeque<RangeMove>,
     /// What may still happen.
     remaining: Bounds,
     /// The violation in the last step.
@@ -54,8 +57,10 @@
             processes: Vec::new(),
             calls: Vec::new(),
             links: Links::default(),
+            proposals: VecDeque::new(),
             remaining: Bounds {
                 time_step_count: 1,
+                has_slow_commits: false,
                 ..bounds.clone()
             },
             violation: None,
@@ -116,6 +121,9 @@
         }
         actions.extend((0..self.processes.len()).map(Action::Hear));
         self.add_transfers(&mut actions);
+        if !self.proposals.is_empty() {
+            actions.extend([Action::Commit, Action::FailMove]);
+        }
         if self.remaining.leader_change_count > 0 {
             actions.push(Action::ChangeLeader);
         }
@@ -173,6 +181,8 @@
             Action::Start(address, successor) => self.start(address, successor),
             Action::Hear(process) => self.hear(process),
             Action::Transfer { first, to } => self.transfer(first, to),
+            Action::Commit => self.commit(),
+            Action::FailMove => self.fail_move(),
             Action::ChangeLeader => self.change_leader(),
             Action::Pass(step) => self.pass(step),
         }
@@ -359,6 +369,27 @@
         }));
     }
 
+    fn commit(&mut self) {
+        if let Some(change) = self.proposals.pop_front() {
+            let event = self.applied(&change);
+            self.handle(event);
+        }
+    }
+
+    fn fail_move(&mut self) {
+        if let Some(change) = self.proposals.pop_front() {
+            self.handle(move_failed(&change));
+        }
+    }
+
+    /// Applies a move to the registry and returns what the leader is told.
+    fn applied(&mut self, change: &RangeMove) -> GrantEvent {
+        match self.registry.apply(change) {
+            Ok(_) => GrantEvent::RegistryChanged,
+            Err(_) => move_failed(change),
+        }
+    }
+
     fn change_leader(&mut self) {
         self.remaining.leader_change_count -= 1;
         self.calls
@@ -369,6 +400,7 @@
         let config = GrantCoordinatorConfig::default();
         self.coordinator = GrantCoordinator::new(config, self.now, &self.registry);
         self.links.close_all();
+        self.proposals.clear();
         self.directory.on_leader_change(self.now);
     }
 
@@ -395,15 +427,10 @@
         while let Some(event) = events.pop() {
             for effect in self.coordinator.reduce(self.now, event, &self.registry) {
                 match effect {
-                    GrantEffect::Propose(change) => {
-                        events.push(match self.registry.apply(&change) {
-                            Ok(_) => GrantEvent::RegistryChanged,
-                            Err(_) => GrantEvent::MoveFailed {
-                                service: change.service.clone(),
-                                first: change.range.first,
-                            },
-                        });
+                    GrantEffect::Propose(change) if self.remaining.has_slow_commits => {
+                        self.proposals.push_back(change);
                     }
+                    GrantEffect::Propose(change) => events.push(self.applied(&change)),
                     GrantEffect::Call {
                         call,
                         to,
@@ -446,6 +473,13 @@
     }
 }
 
+fn move_failed(change: &RangeMove) -> GrantEvent {
+    GrantEvent::MoveFailed {
+        service: change.service.clone(),
+        first: change.range.first,
+    }
+}
+
 fn time_of(step: TimeStep) -> Duration {
     let grant_expiry = GrantCoordinatorConfig::default().grant_expiry();
     match step {
--- a/crates/chicory_ranges/tests/model/world/in_words.rs
+++ b/crates/chicory_ranges/tests/model/world/in_words.rs
@@ -1,5 +1,7 @@
 //! Steps in words.
 
+use chicory_ranges::RangeMove;
+
 use super::{START, World, time_of};
 use crate::model::{Action, Call};
 
@@ -18,12 +20,12 @@
         let step = match action {
             Action::Exchange(index) => {
                 let call = &self.calls[index];
-                let receiver = self.running_at(call.address);
-                let receiver = receiver.map(|index| self.processes[index].incarnation.to_string());
-                format!(
-                    "{} arrives at {receiver:?} and is answered",
-                    call.in_words()
-                )
+                let answer = if self.receiver(call).is_ok() {
+                    " and is answered"
+                } else {
+                    ""
+                };
+                format!("{} {}{answer}", call.in_words(), self.arrival(call))
             }
             Action::Arrive(index) => {
                 let call = &self.calls[index];
@@ -47,9 +49,15 @@
                 let to = &self.processes[to].incarnation;
                 format!("the planner moves the keys from {first} on to {to}")
             }
+            Action::Commit => format!("{} is committed", move_in_words(&self.proposals[0])),
+            Action::FailMove => format!("{} fails", move_in_words(&self.proposals[0])),
             Action::ChangeLeader => "another leader takes over".into(),
             Action::Pass(step) => format!("{:?} passes", time_of(step)),
         };
         format!("{seconds:>5.1} s: {step}")
     }
 }
+
+fn move_in_words(change: &RangeMove) -> String {
+    format!("the move of {} to {}", change.range, change.to)
+}
--- a/crates/chicory_ranges/tests/ownership_model.rs
+++ b/crates/chicory_ranges/tests/ownership_model.rs
@@ -1,8 +1,8 @@
 //! Sole ownership of keys in all short interleavings of calls that are lost or late, processes that
 //! end and start again, late announcements and changes of the leader.
 //!
-//! The bounds keep each test to some ten thousand states. Out of their reach are moves that take
-//! time to commit, servers that are removed since they are silent, and parts of ranges.
+//! The bounds keep each test to some ten thousand states. Out of their reach are servers that are
+//! removed since they are silent, and parts of ranges.
 
 mod model;
 
@@ -18,6 +18,7 @@
     successors: &[],
     leader_change_count: 0,
     transfer_count: 1,
+    has_slow_commits: false,
     time_step_count: 1,
 };
 
@@ -97,6 +98,16 @@
     });
 }
 
+#[gtest]
+fn model_with_moves_that_take_time_to_commit_has_one_holder_of_a_key() {
+    expect_sole_ownership(&Bounds {
+        restart_count: 1,
+        successors: &[Successor::SameServer],
+        has_slow_commits: true,
+        ..SHORT
+    });
+}
+
 #[gtest]
 fn model_with_two_ranges_has_one_holder_of_a_key() {
     expect_sole_ownership(&Bounds {
