Send no grant later than the next leader waits for it

The time limit of a call counted from its first turn, on a clock that a connect could overtake: a control process frozen between its decision and the call, or between connect and write, sent the grant when it went on, and the kernel of a frozen process sent what had waited.

--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -7,8 +7,8 @@
 use chicory_directory::{RemovalCause, ServerRecord, ServerRemoval, ServerState, SiteCommand};
 use chicory_policy::Rests;
 use chicory_ranges::{
-    CallId, CallOutcome, GrantCoordinator, GrantEffect, GrantEvent, KeyRange, KeyWeights,
-    PlannedServer, RangePlanner, ServerIncarnation, Transfer,
+    CALL_TIMEOUT, CallId, CallOutcome, GrantCoordinator, GrantEffect, GrantEvent, KeyRange,
+    KeyWeights, PlannedServer, RangePlanner, ServerIncarnation, Transfer,
 };
 use chicory_types::{MonoTime, ServiceName};
 
@@ -133,6 +133,7 @@
                     address,
                     content,
                     link,
+                    send_before: now + CALL_TIMEOUT,
                 }));
             }
         }
--- a/crates/chicory_site/src/core/site_effect.rs
+++ b/crates/chicory_site/src/core/site_effect.rs
@@ -5,7 +5,7 @@
 use chicory_consensus::{Entry, HardState, Snapshot};
 use chicory_directory::{ControlMessage, PeerEnvelope, SiteAnswer};
 use chicory_ranges::{CallId, GrantCall, LinkId, ServerIncarnation};
-use chicory_types::{LogIndex, VmId};
+use chicory_types::{LogIndex, MonoTime, VmId};
 
 use super::{CallerId, EntryLinkId, SiteNote};
 
@@ -23,6 +23,9 @@
     /// The connection that a grant has to use; `None` if it may use any. If it is closed, the
     /// outcome is [`LinkLost`](chicory_ranges::CallOutcome::LinkLost).
     pub link: Option<LinkId>,
+    /// The call is not sent at this time or later, whatever has delayed it: the next leader doesn't
+    /// wait for it any longer.
+    pub send_before: MonoTime,
 }
 
 /// An effect returned by [`SiteCore::reduce`](crate::SiteCore::reduce), to be carried out in order.
