--- a/crates/chicory_ranges/tests/model/call.rs
+++ b/crates/chicory_ranges/tests/model/call.rs
@@ -1,7 +1,7 @@
 //! A call that has not ended.
 
 use chicory_ranges::{
-    CALL_TIMEOUT, CallId, CallOutcome, GrantCall, RELEASE_TIMEOUT, ServerIncarnation,
+    CALL_TIMEOUT, CallId, CallOutcome, GrantCall, LinkId, RELEASE_TIMEOUT, ServerIncarnation,
 };
 use chicory_types::MonoTime;
 
@@ -11,10 +11,8 @@
 /// The way of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallRoute {
-    /// To a process on an open connection, or on a new one to the address if that one is closed.
-    OpenLinkOrAddress(ProcessIndex),
     /// To a process on an open connection.
-    OpenLink(ProcessIndex),
+    OpenLink(LinkId, ProcessIndex),
     /// On a connection that is closed.
     ClosedLink,
     /// On a new connection to the address.
--- a/crates/chicory_ranges/tests/model/links.rs
+++ b/crates/chicory_ranges/tests/model/links.rs
@@ -2,48 +2,38 @@
 
 use std::collections::BTreeMap;
 
-use chicory_ranges::{LinkId, ServerIncarnation};
+use chicory_ranges::LinkId;
 
 use super::ProcessIndex;
 
-/// The leader's connections for grants, one for each server. A connection leads to one process.
+/// The leader's open connections on which grants were answered, each to one process.
 #[derive(Clone, Debug, Default)]
 pub struct Links {
-    open: BTreeMap<ServerIncarnation, (LinkId, ProcessIndex)>,
+    open: BTreeMap<LinkId, ProcessIndex>,
     last: LinkId,
 }
 
 impl Links {
-    /// Returns the process that a call reaches on the connection for a server, if that one is open
-    /// and is the one that the call has to use.
-    pub fn process(
-        &self,
-        to: &ServerIncarnation,
-        required: Option<LinkId>,
-    ) -> Option<ProcessIndex> {
-        let (link, process) = self.open.get(to)?;
-        let is_usable = required.is_none_or(|required| required == *link);
-        is_usable.then_some(*process)
+    /// Returns the process at the other end of a connection, if that is open.
+    pub fn process(&self, link: LinkId) -> Option<ProcessIndex> {
+        self.open.get(&link).copied()
     }
 
-    /// Keeps the connection on which a process answered, and returns its id.
-    pub fn keep(&mut self, to: &ServerIncarnation, process: ProcessIndex) -> LinkId {
-        if let Some((link, _)) = self.open.get(to).filter(|(_, open)| *open == process) {
-            return *link;
-        }
+    /// Keeps a new connection to a process.
+    pub fn add(&mut self, process: ProcessIndex) -> LinkId {
         self.last += 1;
-        self.open.insert(to.clone(), (self.last, process));
+        self.open.insert(self.last, process);
         self.last
     }
 
-    /// Closes the connection for a server.
-    pub fn close(&mut self, to: &ServerIncarnation) {
-        self.open.remove(to);
+    /// Closes a connection.
+    pub fn close(&mut self, link: LinkId) {
+        self.open.remove(&link);
     }
 
     /// Closes the connections to a process that has ended.
     pub fn close_all_to(&mut self, ended: ProcessIndex) {
-        self.open.retain(|_, (_, process)| *process != ended);
+        self.open.retain(|_, process| *process != ended);
     }
 
     /// Closes all connections.
--- a/crates/chicory_ranges/tests/model/process.rs
+++ b/crates/chicory_ranges/tests/model/process.rs
@@ -51,17 +51,17 @@
         self.held_until.retain(|_, until| now < *until);
     }
 
-    /// Carries out a call to a server that arrived at some time. Grants name the server.
+    /// Carries out a call to a server that arrived at some time. Calls name the server.
     pub fn apply(
         &mut self,
         arrived_at: MonoTime,
         to: &ServerIncarnation,
         content: &GrantCall,
     ) -> CallOutcome {
+        if to.server != self.incarnation.server {
+            return CallOutcome::OtherServer;
+        }
         match content {
-            GrantCall::Grant { .. } if to.server != self.incarnation.server => {
-                CallOutcome::OtherServer
-            }
             GrantCall::Grant {
                 range, fence, hold, ..
             } => {
--- a/crates/chicory_ranges/tests/model/world.rs
+++ b/crates/chicory_ranges/tests/model/world.rs
@@ -223,13 +223,9 @@
     fn receiver(&self, call: &Call) -> Result<ProcessIndex, CallOutcome> {
         let is_running = |process: ProcessIndex| self.processes[process].is_running;
         match call.route {
-            CallRoute::OpenLink(process) | CallRoute::OpenLinkOrAddress(process)
-                if is_running(process) =>
-            {
-                Ok(process)
-            }
-            CallRoute::OpenLink(_) | CallRoute::ClosedLink => Err(CallOutcome::LinkLost),
-            CallRoute::OpenLinkOrAddress(_) | CallRoute::Address => self
+            CallRoute::OpenLink(_, process) if is_running(process) => Ok(process),
+            CallRoute::OpenLink(..) | CallRoute::ClosedLink => Err(CallOutcome::LinkLost),
+            CallRoute::Address => self
                 .running_at(call.address)
                 .ok_or(CallOutcome::ConnectionRefused),
         }
@@ -269,13 +265,18 @@
             return;
         };
         let is_grant = matches!(call.content, GrantCall::Grant { .. });
-        let to = call.to.clone();
+        let used_link = match call.route {
+            CallRoute::OpenLink(link, _) => Some(link),
+            CallRoute::ClosedLink | CallRoute::Address => None,
+        };
+        let is_kept = is_grant && call.is_awaited && self.processes[process].is_running;
         let outcome = match outcome {
-            CallOutcome::Done { handover, .. }
-                if is_grant && self.processes[process].is_running =>
-            {
-                let link = Some(self.links.keep(&to, process));
-                CallOutcome::Done { handover, link }
+            CallOutcome::Done { handover, .. } if is_kept => {
+                let link = used_link.unwrap_or_else(|| self.links.add(process));
+                CallOutcome::Done {
+                    handover,
+                    link: Some(link),
+                }
             }
             outcome => outcome,
         };
@@ -285,14 +286,14 @@
     fn break_connection(&mut self, index: usize) {
         let call = &self.calls[index];
         let outcome = match (&call.stage, call.route) {
-            (CallStage::Sent, CallRoute::OpenLink(_) | CallRoute::ClosedLink) => {
+            (CallStage::Sent, CallRoute::OpenLink(..) | CallRoute::ClosedLink) => {
                 CallOutcome::LinkLost
             }
             (CallStage::Sent, _) => CallOutcome::Unreachable,
             (CallStage::Arrived { .. } | CallStage::Applied { .. }, _) => CallOutcome::Unanswered,
         };
-        if call.is_awaited && matches!(call.content, GrantCall::Grant { .. }) {
-            self.links.close(&call.to.clone());
+        if let CallRoute::OpenLink(link, _) = call.route {
+            self.links.close(link);
         }
         if !matches!(self.calls[index].stage, CallStage::Arrived { .. }) {
             self.end_call(index, outcome);
@@ -349,9 +350,10 @@
             Heard::Refused => {}
             Heard::Known => self.handle(GrantEvent::Announced(incarnation)),
             Heard::Replaces(former) => {
+                let is_same_server = former.server == incarnation.server;
                 self.handle(GrantEvent::Ended {
                     incarnation: former,
-                    successor: Some(incarnation.clone()),
+                    successor: is_same_server.then(|| incarnation.clone()),
                 });
                 self.handle(GrantEvent::Announced(incarnation));
             }
@@ -450,12 +452,10 @@
         content: GrantCall,
         required: Option<LinkId>,
     ) {
-        let route = match (&content, self.links.process(&to, required)) {
-            (GrantCall::Release { .. }, _) => CallRoute::Address,
-            (_, Some(process)) if required.is_some() => CallRoute::OpenLink(process),
-            (_, Some(process)) => CallRoute::OpenLinkOrAddress(process),
-            (_, None) if required.is_some() => CallRoute::ClosedLink,
-            (_, None) => CallRoute::Address,
+        let route = match required.map(|link| (link, self.links.process(link))) {
+            Some((link, Some(process))) => CallRoute::OpenLink(link, process),
+            Some((_, None)) => CallRoute::ClosedLink,
+            None => CallRoute::Address,
         };
         let mut processes = self.processes.iter();
         let process = processes.find(|process| process.incarnation == to);
