Restart servers at their addresses in the soak, and check what they hold

Servers, mostly those that own keys, restart in series now, down for 0.2 to 1.5 s: with another id and a later start time or the same, or with the same id and a later one. They are drawn last, so that seeds keep their other faults.

The check of owners forgot a holder once another one was granted the key, compared a fence with the greatest one only, and passed over low fences too after a pause or cut. It keeps all holders now. Without exception, no two hold a key for over half a second or begin requests on it meanwhile, and a new owner's fence is above those of all other processes. A renewal of a server's own grant is passed over. That a grant overlaps another one is reported as before.

Those are the product's faults, which aren't mended here.

--- a/tools/soak/src/fault.rs
+++ b/tools/soak/src/fault.rs
@@ -5,6 +5,8 @@
 use platform_stand_ins::ServerBehaviour;
 
 use crate::cluster::Vm;
+use crate::fault_kind::FaultKind;
+use crate::successor::Successor;
 
 /// A fault or a piece of planned work.
 ///
@@ -43,6 +45,12 @@
     Reload,
     /// A backend server crashes; its next incarnation starts after a while.
     CrashServer { server: usize, down: Duration },
+    /// A backend server ends, and the next one starts at the same address.
+    RestartServer {
+        server: usize,
+        successor: Successor,
+        down: Duration,
+    },
     /// A backend server is slow, fails or doesn't answer for a while.
     Misbehave {
         server: usize,
@@ -78,6 +86,14 @@
 }
 
 impl Fault {
+    /// Returns the kind by which a run can be limited to it. `None` for faults without such a kind.
+    pub(crate) fn kind(&self) -> Option<FaultKind> {
+        match self {
+            Self::RestartServer { .. } => Some(FaultKind::Restarts),
+            _ => None,
+        }
+    }
+
     /// Returns for how long guarantees with a time bound are suspended. `None` for changes during
     /// which all guarantees must hold.
     pub(crate) fn disturbance(&self) -> Option<Duration> {
@@ -87,7 +103,8 @@
             | Self::KillEntries { down }
             | Self::Wipe { down, .. }
             | Self::Tear { down, .. }
-            | Self::CrashServer { down, .. } => Some(*down),
+            | Self::CrashServer { down, .. }
+            | Self::RestartServer { down, .. } => Some(*down),
             Self::Pause { length, .. }
             | Self::Cut { length, .. }
             | Self::SlowLinks { length, .. }
--- a/tools/soak/src/fault_injection.rs
+++ b/tools/soak/src/fault_injection.rs
@@ -7,6 +7,7 @@
 
 use crate::cluster::{CONTROL_VMS, Cluster, Vm};
 use crate::fault::Fault;
+use crate::fleet::Fleet;
 use crate::link_source::LinkSource;
 use crate::proxy_rules::{Direction, ProxyAction, Selection, Treatment};
 use crate::{Run, SoakError};
@@ -83,6 +84,11 @@
                 tokio::time::sleep(down).await;
                 self.fleet.lock().await.start_incarnation(server).await?;
             }
+            Fault::RestartServer {
+                server,
+                successor,
+                down,
+            } => Fleet::restart(&self.fleet, server, successor, down).await?,
             Fault::Replace { server } => self.replace(server).await?,
             Fault::Misbehave {
                 server,
--- /dev/null
+++ b/tools/soak/src/fault_kind.rs
@@ -0,0 +1,24 @@
+//! The kinds of faults that a run can be limited to.
+
+use clap::ValueEnum;
+use clap::builder::PossibleValue;
+
+/// A kind of fault that a run can be limited to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// Backend servers end and start again at the same address.
+    Restarts,
+}
+
+impl ValueEnum for FaultKind {
+    fn value_variants<'a>() -> &'a [Self] {
+        &[Self::Restarts]
+    }
+
+    fn to_possible_value(&self) -> Option<PossibleValue> {
+        let name = match self {
+            Self::Restarts => "restarts",
+        };
+        Some(PossibleValue::new(name))
+    }
+}
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use snafu::ResultExt;
+use tokio::sync::Mutex;
 
 use crate::addresses::Addresses;
 use crate::cluster::CONTROL_VMS;
@@ -15,6 +16,7 @@
 use crate::proxy::Proxy;
 use crate::proxy_rules::ProxyRules;
 use crate::soak_error::{ListenSnafu, SoakError};
+use crate::successor::Successor;
 
 /// Service whose servers own keys.
 pub(crate) const ARCHIVE: &str = "archive";
@@ -22,8 +24,10 @@
 pub(crate) const LEDGER: &str = "ledger";
 /// Service with large answers.
 pub(crate) const LIBRARY: &str = "library";
+/// Number of servers that own keys. They are the first ones.
+pub(crate) const KEYED_SERVERS: usize = 5;
 /// Number of servers of each service.
-const SERVERS: [(&str, usize); 3] = [(ARCHIVE, 5), (LEDGER, 4), (LIBRARY, 3)];
+const SERVERS: [(&str, usize); 3] = [(ARCHIVE, KEYED_SERVERS), (LEDGER, 4), (LIBRARY, 3)];
 /// Number of server addresses. Each incarnation uses the one that has been free for longest.
 const ADDRESSES: u8 = 24;
 /// Time after which an address may be used again, also for another service. It is part of the
@@ -41,6 +45,8 @@
     server: Option<BackendServer>,
     address: u8,
     proxy: Option<Proxy>,
+    /// Whether the next incarnation is about to start at the same address.
+    is_restarting: bool,
 }
 
 /// The backend servers of a run.
@@ -68,6 +74,7 @@
                 server: None,
                 address: 0,
                 proxy: None,
+                is_restarting: false,
             })
         });
         let now = Instant::now();
@@ -111,6 +118,43 @@
         }
     }
 
+    /// Ends the current incarnation of a member as by a crash. After `down` its successor starts
+    /// at the same address.
+    pub(crate) async fn restart(
+        fleet: &Mutex<Self>,
+        member: usize,
+        successor: Successor,
+        down: Duration,
+    ) -> Result<(), SoakError> {
+        let (address, id, started_at_ms) = {
+            let mut fleet = fleet.lock().await;
+            let ended = &mut fleet.members[member];
+            let Some(server) = ended.server.take() else {
+                return Ok(());
+            };
+            server.crash();
+            ended.proxy = None;
+            ended.is_restarting = true;
+            (
+                ended.address,
+                server.config().id.clone(),
+                server.config().started_at_ms,
+            )
+        };
+        tokio::time::sleep(down).await;
+        let mut fleet = fleet.lock().await;
+        fleet.members[member].is_restarting = false;
+        let id = match successor {
+            Successor::SameId => id,
+            Successor::NewId | Successor::NewIdSameStart => fleet.new_id(member),
+        };
+        let mut config = fleet.config(member, address, id);
+        if successor == Successor::NewIdSameStart {
+            config.started_at_ms = started_at_ms;
+        }
+        fleet.start_server(member, address, config).await
+    }
+
     /// Ends all servers, so that none of them goes on beside later runs.
     pub(crate) fn crash_all(&mut self) {
         for member in 0..self.members.len() {
@@ -120,14 +164,30 @@
 
     /// Starts a new incarnation of a member, unless one runs.
     pub(crate) async fn start_incarnation(&mut self, member: usize) -> Result<(), SoakError> {
-        if self.members[member].server.is_some() {
+        if self.members[member].server.is_some() || self.members[member].is_restarting {
             return Ok(());
         }
         let Some((address, free_at)) = self.free.pop_front() else {
             return Ok(());
         };
         tokio::time::sleep_until(free_at.into()).await;
-        let config = self.config(member, address);
+        // Half of the incarnations use the id of their member again, with another start time; the
+        // others get an id of their own.
+        let id = if self.rng.random_bool(0.5) {
+            format!("{}-{member}", self.members[member].service)
+        } else {
+            self.new_id(member)
+        };
+        let config = self.config(member, address, id);
+        self.start_server(member, address, config).await
+    }
+
+    async fn start_server(
+        &mut self,
+        member: usize,
+        address: u8,
+        config: BackendServerConfig,
+    ) -> Result<(), SoakError> {
         self.incarnations += 1;
         let name = format!("{}#{}", config.id, self.incarnations);
         self.guarantees.record_incarnation(&name, &config.service);
@@ -143,17 +203,15 @@
         Ok(())
     }
 
-    fn config(&mut self, member: usize, address: u8) -> BackendServerConfig {
+    /// Returns an id that no other incarnation has.
+    fn new_id(&self, member: usize) -> String {
+        let service = self.members[member].service;
+        format!("{service}-{member}-{}", self.incarnations + 1)
+    }
+
+    fn config(&mut self, member: usize, address: u8, id: String) -> BackendServerConfig {
         let service = self.members[member].service;
         let control_vms = (0..CONTROL_VMS).map(|index| self.addresses.control_interface(index));
-        // Half of the incarnations use the id of their member again, with another start time; the
-        // others get an id of their own.
-        let keeps_id = self.rng.random_bool(0.5);
-        let id = if keeps_id {
-            format!("{service}-{member}")
-        } else {
-            format!("{service}-{member}-{}", self.incarnations + 1)
-        };
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let started_at_ms = since_epoch.map_or(0, |since| since.as_millis());
         BackendServerConfig {
--- a/tools/soak/src/guarantees.rs
+++ b/tools/soak/src/guarantees.rs
@@ -64,6 +64,12 @@
         lock(&self.violations).clone()
     }
 
+    /// Checks the keys that servers hold, whether or not anything happens to them.
+    pub(crate) fn check_held_keys(&self) {
+        let new_violations = lock(&self.keys).check_held_keys();
+        self.record_violations(new_violations);
+    }
+
     /// Records that an incarnation of a server starts.
     pub(crate) fn record_incarnation(&self, server: &str, service: &str) {
         lock(&self.services).insert(server.to_owned(), service.to_owned());
@@ -171,6 +177,9 @@
     }
 
     fn request_started(&self, server: &str, request: SeenRequest) {
+        let key = request.key;
+        let new_violation = key.and_then(|key| lock(&self.keys).record_request(server, key));
+        self.record_violations(new_violation);
         let service = lock(&self.services).get(server).cloned();
         let service = service.unwrap_or_default();
         let mut requests = lock(&self.requests);
--- a/tools/soak/src/options.rs
+++ b/tools/soak/src/options.rs
@@ -4,6 +4,8 @@
 
 use clap::{Arg, Command, value_parser};
 
+use crate::fault_kind::FaultKind;
+
 /// The options of the command line.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -19,6 +21,8 @@
     pub rounds: u32,
     /// Number of entry VMs in each run.
     pub entry_count: u8,
+    /// The only kind of fault; all kinds if `None`.
+    pub only: Option<FaultKind>,
     /// Folder for the logs of runs that violated a guarantee.
     pub logs: PathBuf,
     /// Whether the logs of runs without violations are kept too.
@@ -39,6 +43,7 @@
             jobs: matches.remove_one("jobs").unwrap_or(1),
             rounds: matches.remove_one("rounds").unwrap_or(1),
             entry_count: matches.remove_one("entries").unwrap_or(4),
+            only: matches.remove_one("only"),
             logs: matches.remove_one("logs").unwrap_or_default(),
             keeps_logs: matches.get_flag("keep-logs"),
         }
@@ -96,6 +101,13 @@
                 .value_parser(value_parser!(u8).range(2..=100))
                 .help("Number of entry VMs in each run"),
         )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_name("KIND")
+                .value_parser(value_parser!(FaultKind))
+                .help("The only kind of fault; there is no planned work and no other fault"),
+        )
         .arg(
             Arg::new("keep-logs")
                 .long("keep-logs")
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -9,6 +9,9 @@
 
 use crate::cluster::{CONTROL_VMS, Vm};
 use crate::fault::Fault;
+use crate::fault_kind::FaultKind;
+use crate::fleet::KEYED_SERVERS;
+use crate::successor::Successor;
 
 /// Time in which the faults of a round begin.
 const FAULT_PHASE: Duration = Duration::from_secs(8);
@@ -16,6 +19,10 @@
 const RECOVERY_PHASE: Duration = Duration::from_secs(8);
 /// Length of the planned work of a round.
 const PLANNED_WORK_PHASE: Duration = Duration::from_secs(6);
+/// Length of a round.
+const ROUND: Duration = FAULT_PHASE
+    .saturating_add(RECOVERY_PHASE)
+    .saturating_add(PLANNED_WORK_PHASE);
 
 /// Number of notices of servers that begin beside the faults of a round.
 const NOTICES: usize = 4;
@@ -47,16 +54,25 @@
             planner.add_planned_work(at);
             at += PLANNED_WORK_PHASE;
         }
-        // Notices are drawn after all else, so that a seed has the same faults as before there were
-        // notices.
+        // Newer kinds are drawn after all else, so that a seed has the same faults as before there
+        // were any.
         for round in 0..rounds {
-            let begin = (FAULT_PHASE + RECOVERY_PHASE + PLANNED_WORK_PHASE) * round;
-            planner.add_notices(begin);
+            planner.add_notices(ROUND * round);
+        }
+        for round in 0..rounds {
+            planner.add_restarts(ROUND * round);
         }
         let mut steps = planner.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, end: at }
     }
+
+    /// Removes all faults and planned work that are not of this kind.
+    #[must_use]
+    pub fn only(mut self, kind: FaultKind) -> Self {
+        self.steps.retain(|(_, fault)| fault.kind() == Some(kind));
+        self
+    }
 }
 
 impl fmt::Display for Plan {
@@ -100,6 +116,32 @@
         self.steps.push((at, step));
     }
 
+    /// Adds restarts in series beside faults, mostly of servers that own keys. They come in turn, as
+    /// a server that is down can't be restarted.
+    fn add_restarts(&mut self, begin: Duration) {
+        let mut at = begin + self.millis(0..1000);
+        let mut keyed = self.rng.random_range(0..KEYED_SERVERS);
+        while at < begin + FAULT_PHASE {
+            let server = if self.rng.random_bool(0.8) {
+                keyed = (keyed + 1) % KEYED_SERVERS;
+                keyed
+            } else {
+                self.server()
+            };
+            let fault = Fault::RestartServer {
+                server,
+                successor: match self.rng.random_range(0..3) {
+                    0 => Successor::NewId,
+                    1 => Successor::NewIdSameStart,
+                    _ => Successor::SameId,
+                },
+                down: self.millis(200..1500),
+            };
+            self.steps.push((at, fault));
+            at += self.millis(100..1500);
+        }
+    }
+
     fn notice(&mut self) -> Fault {
         let server = self.server();
         let length = self.millis(4000..8000);
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -31,6 +31,8 @@
 /// Time limit for a deployment to serve again once all faults have ended. It is part of the
 /// operators' requirements.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+/// Interval at which the keys that servers hold are checked.
+const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval over which the share of served requests is computed.
 const RECOVERY_SPAN: Duration = Duration::from_secs(2);
 /// Share of the requests that has to be served after a recovery; much more than the quarter that
@@ -92,6 +94,10 @@
             entry_count: options.entry_count,
         });
         let plan = Plan::from_seed(seed, options.rounds, options.entry_count, Fleet::count());
+        let plan = match options.only {
+            Some(kind) => plan.only(kind),
+            None => plan,
+        };
         let executed = run.clone().execute_plan(&plan, seed).await;
         run.fleet.lock().await.crash_all();
         executed?;
@@ -119,6 +125,8 @@
         let _proxies = self.start_all().await?;
         let _operators = self.operators.start(seed);
         let _callers = self.load.start();
+        let mut key_check = JoinSet::new();
+        key_check.spawn(check_held_keys_forever(self.guarantees.clone()));
         if let Err(seen) = self.wait_until_serving(START_LIMIT).await {
             self.guarantees.record_violations([format!(
                 "deployment does not serve requests after its start: {seen}"
@@ -247,6 +255,13 @@
     }
 }
 
+async fn check_held_keys_forever(guarantees: Arc<Guarantees>) {
+    loop {
+        guarantees.check_held_keys();
+        tokio::time::sleep(KEY_CHECK_INTERVAL).await;
+    }
+}
+
 /// Copies the logs of a run to the folder `to` and writes its plan there.
 fn copy_logs(folder: &Path, to: &Path, plan: &Plan) -> Result<(), SoakError> {
     std::fs::create_dir_all(to).context(FileSnafu { path: to })?;
--- a/tools/soak/tests/guarantees.rs
+++ b/tools/soak/tests/guarantees.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use clap::ValueEnum;
 use googletest::prelude::*;
 use platform_stand_ins::{
     CallerAnswer, CallerRequest, CallerRequestKind, HeldGrant, Operator, ReadTable, SeenRequest,
     ServerBehaviour, answer_body,
 };
 use soak::{
-    Disturbances, KeyGuarantees, NoticeGuarantees, Plan, RequestGuarantees, TableGuarantees,
+    Disturbances, FaultKind, KeyGuarantees, NoticeGuarantees, Plan, RequestGuarantees,
+    TableGuarantees,
 };
 
 fn grant(first: u16, last: u16, fence: u64, hold_s: u64) -> HeldGrant {
@@ -52,6 +54,76 @@
     expect_that!(keys.record_grant("b", grant(0, 9, 5, 10)), some(anything()));
 }
 
+#[gtest]
+fn fence_is_compared_with_all_former_owners() {
+    let mut keys = KeyGuarantees::default();
+    for (server, fence) in [("a", 7), ("b", 9)] {
+        expect_that!(keys.record_grant(server, grant(0, 9, fence, 10)), none());
+        // Its successor may have the same address or id.
+        keys.record_end(server);
+    }
+    expect_that!(keys.record_grant("c", grant(0, 9, 7, 10)), some(anything()));
+    keys.record_end("c");
+    // An end of a cut excuses grants that overlap, but no fence.
+    keys.record_resume();
+    expect_that!(keys.record_grant("d", grant(0, 9, 9, 10)), some(anything()));
+    // The same grant once more is a renewal.
+    expect_that!(keys.record_grant("d", grant(0, 9, 9, 10)), none());
+    expect_that!(keys.record_grant("d", grant(0, 9, 10, 10)), none());
+    expect_that!(keys.record_grant("d", grant(0, 9, 10, 10)), none());
+}
+
+/// Returns guarantees in which `a` and `b` hold keys 50 to 99, just after the end of a cut.
+fn shared_keys() -> KeyGuarantees {
+    let mut keys = KeyGuarantees::default();
+    expect_that!(keys.record_grant("a", grant(0, 99, 1, 10)), none());
+    keys.record_resume();
+    expect_that!(keys.record_grant("b", grant(50, 149, 2, 10)), none());
+    keys
+}
+
+/// Time after which no key may be shared.
+const TOO_LONG: Duration = Duration::from_millis(550);
+
+#[gtest]
+fn keys_that_two_servers_hold_for_too_long_are_detected() {
+    let mut keys = shared_keys();
+    expect_that!(keys.check_held_keys(), none());
+    std::thread::sleep(TOO_LONG);
+    expect_that!(
+        keys.check_held_keys(),
+        some(contains_substring("key 50").and(contains_substring("50 keys")))
+    );
+    expect_that!(keys.check_held_keys(), none());
+}
+
+#[gtest]
+fn keys_that_two_servers_held_for_a_short_time_are_allowed() {
+    let mut released = shared_keys();
+    released.record_release("a", 0, 99);
+    let mut ended = shared_keys();
+    ended.record_end("a");
+    let mut expired = KeyGuarantees::default();
+    expect_that!(expired.record_grant("a", grant(0, 99, 1, 0)), none());
+    expect_that!(expired.record_grant("b", grant(0, 99, 2, 10)), none());
+    std::thread::sleep(TOO_LONG);
+    for mut keys in [released, ended, expired] {
+        expect_that!(keys.check_held_keys(), none());
+        expect_that!(keys.record_request("a", 60), none());
+        expect_that!(keys.record_request("b", 60), none());
+    }
+}
+
+#[gtest]
+fn requests_of_two_servers_on_a_key_that_both_hold_are_detected() {
+    let mut keys = shared_keys();
+    expect_that!(keys.record_request("a", 49), none());
+    expect_that!(keys.record_request("a", 60), none());
+    expect_that!(keys.record_request("a", 60), none());
+    expect_that!(keys.record_request("b", 61), none());
+    expect_that!(keys.record_request("b", 60), some(anything()));
+}
+
 fn order(id: &str) -> CallerRequest {
     CallerRequest {
         attempt_id: id.into(),
@@ -230,6 +302,17 @@
     expect_that!(marker_violations(later, false), eq(2));
 }
 
+#[gtest]
+fn plans_can_be_limited_to_a_kind_of_fault() {
+    for kind in FaultKind::value_variants() {
+        let plan = Plan::from_seed(1, 1, 4, 12);
+        let whole = plan.to_string();
+        let part = plan.only(*kind).to_string();
+        expect_that!(part.lines().count(), ge(1), "{kind:?}");
+        expect_that!(part.lines().count(), lt(whole.lines().count()), "{kind:?}");
+    }
+}
+
 #[gtest]
 fn plans_follow_from_their_seeds() {
     let plan = |seed| Plan::from_seed(seed, 2, 4, 12).to_string();
