Cut entry VMs off from all servers in the soak, and check that they serve

The soak could hinder one server at a time, for all callers of it alike.

One entry VM, a third, all of a zone or all but one lose all servers now: silently, with resets, with open connections that live on while new ones are refused, or one way. That comes beside all other faults, and in a new part of each round, 12 s long, without any.

The proxies of servers told control VMs from others by the first request. That can't tell entry VMs apart, once they send requests for each other; the proxies ask the kernel for the socket's inode and look for the process that holds it. Callers open a new connection for a fifth of their requests: otherwise all end up at the entry VMs that serve, and none comes to the others.

That is the product's fault, which isn't mended here.

--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -11,6 +11,7 @@
 use crate::addresses::{Addresses, LINK_PORT};
 use crate::process_usage::ProcessUsage;
 use crate::soak_error::{FileSnafu, SoakError};
+use crate::socket_owner::SocketOwners;
 use crate::vm_process::VmProcess;
 
 /// Number of control VMs, one in each availability zone.
@@ -51,15 +52,22 @@
     binaries: PathBuf,
     folder: PathBuf,
     addresses: Addresses,
+    owners: SocketOwners,
     processes: BTreeMap<Vm, VmProcess>,
 }
 
 impl Cluster {
-    pub(crate) fn new(binaries: PathBuf, folder: PathBuf, addresses: Addresses) -> Self {
+    pub(crate) fn new(
+        binaries: PathBuf,
+        folder: PathBuf,
+        addresses: Addresses,
+        owners: SocketOwners,
+    ) -> Self {
         Self {
             binaries,
             folder,
             addresses,
+            owners,
             processes: BTreeMap::new(),
         }
     }
@@ -78,6 +86,9 @@
             listen_address,
             &self.folder.join(format!("{}.log", vm.name())),
         )?;
+        if let Some(id) = process.id() {
+            self.owners.record_start(vm, id);
+        }
         self.processes.insert(vm, process);
         Ok(())
     }
--- a/tools/soak/src/fault.rs
+++ b/tools/soak/src/fault.rs
@@ -5,6 +5,7 @@
 use platform_stand_ins::ServerBehaviour;
 
 use crate::cluster::Vm;
+use crate::cut_manner::CutManner;
 use crate::fault_kind::FaultKind;
 use crate::successor::Successor;
 
@@ -73,6 +74,12 @@
     },
     /// A backend server can't be reached by control VMs.
     CutServerFromControl { server: usize, length: Duration },
+    /// VMs, all of one role, lose the path to all backend servers.
+    CutFromServers {
+        vms: Vec<Vm>,
+        manner: CutManner,
+        length: Duration,
+    },
     /// Connections to a backend server are reset.
     ResetServer { server: usize },
     /// Open connections to a backend server transfer nothing any more but stay open.
@@ -90,6 +97,7 @@
     pub(crate) fn kind(&self) -> Option<FaultKind> {
         match self {
             Self::RestartServer { .. } => Some(FaultKind::Restarts),
+            Self::CutFromServers { .. } => Some(FaultKind::EntryCuts),
             _ => None,
         }
     }
@@ -116,7 +124,9 @@
             | Self::ResetServer { .. }
             | Self::SilenceServer { .. }
             | Self::Stop { vm: Vm::Control(_) } => Some(Duration::ZERO),
-            Self::Reload
+            // A cut is recorded with its entry VMs.
+            Self::CutFromServers { .. }
+            | Self::Reload
             | Self::HotKey { .. }
             | Self::Stop { vm: Vm::Entry(_) }
             | Self::Notice { .. }
--- a/tools/soak/src/fault_injection.rs
+++ b/tools/soak/src/fault_injection.rs
@@ -108,6 +108,11 @@
             Fault::CutServerFromControl { server, length } => {
                 self.cut_from_control(server, length).await;
             }
+            Fault::CutFromServers {
+                vms,
+                manner,
+                length,
+            } => self.cut_from_servers(&vms, manner, length).await?,
             Fault::ResetServer { server } => self.act_on(server, ProxyAction::Reset).await,
             Fault::SilenceServer { server } => self.act_on(server, ProxyAction::Silence).await,
         }
@@ -174,7 +179,7 @@
 
     async fn cut(&self, control: u8, length: Duration, is_one_way: bool) {
         let id = self.addresses.control_id(control);
-        let vm = LinkSource::Vm(id.to_string());
+        let vm = LinkSource::Link(id.to_string());
         // With a one-way cut the VM receives nothing, but what it sends still arrives.
         let (to_vm, from_vm) = if is_one_way {
             (Some(Direction::ToServer), Some(Direction::ToOpener))
@@ -298,20 +303,6 @@
         self.rules.remove(rule);
     }
 
-    async fn cut_from_control(&self, server: usize, length: Duration) {
-        let Some(server) = self.fleet.lock().await.server(server) else {
-            return;
-        };
-        let selection = Selection {
-            to: Some(server.config().announced_address),
-            from: Some(LinkSource::KeyCalls),
-        };
-        let rule = self.rules.add(selection, None, Treatment::Block);
-        tokio::time::sleep(length).await;
-        self.guarantees.record_resume();
-        self.rules.remove(rule);
-    }
-
     async fn act_on(&self, server: usize, action: impl Fn(Selection) -> ProxyAction) {
         if let Some(server) = self.fleet.lock().await.server(server) {
             self.guarantees
--- a/tools/soak/src/fault_kind.rs
+++ b/tools/soak/src/fault_kind.rs
@@ -8,16 +8,19 @@
 pub enum FaultKind {
     /// Backend servers end and start again at the same address.
     Restarts,
+    /// Entry VMs lose the path to all backend servers.
+    EntryCuts,
 }
 
 impl ValueEnum for FaultKind {
     fn value_variants<'a>() -> &'a [Self] {
-        &[Self::Restarts]
+        &[Self::Restarts, Self::EntryCuts]
     }
 
     fn to_possible_value(&self) -> Option<PossibleValue> {
         let name = match self {
             Self::Restarts => "restarts",
+            Self::EntryCuts => "entry-cuts",
         };
         Some(PossibleValue::new(name))
     }
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::addresses::Addresses;
 use crate::cluster::CONTROL_VMS;
 use crate::guarantees::Guarantees;
+use crate::link_source::Recognition;
 use crate::proxy::Proxy;
 use crate::proxy_rules::ProxyRules;
 use crate::soak_error::{ListenSnafu, SoakError};
@@ -195,7 +196,8 @@
         let observer: Arc<dyn ServerObserver> = self.guarantees.clone();
         let started = BackendServer::start(config, name.clone(), observer).await;
         let server = started.context(ListenSnafu { name })?;
-        let proxy = Proxy::start(advertised, target, false, self.rules.clone()).await?;
+        let proxy =
+            Proxy::start(advertised, target, Recognition::Process, self.rules.clone()).await?;
         let member = &mut self.members[member];
         member.server = Some(server);
         member.address = address;
--- a/tools/soak/src/guarantees.rs
+++ b/tools/soak/src/guarantees.rs
@@ -10,7 +10,8 @@
 };
 use serde_json::Value;
 
-use crate::disturbances::Disturbances;
+use crate::disturbances::{Cut, Disturbances};
+use crate::entry_cut_guarantees::{EntryCutGuarantees, FirstTry};
 use crate::key_guarantees::KeyGuarantees;
 use crate::notice_guarantees::NoticeGuarantees;
 use crate::request_guarantees::RequestGuarantees;
@@ -29,6 +30,7 @@
     requests: Mutex<RequestGuarantees>,
     tables: Mutex<TableGuarantees>,
     notices: Mutex<NoticeGuarantees>,
+    entry_cuts: Mutex<EntryCutGuarantees>,
     /// Service of each incarnation of a server, by its name.
     services: Mutex<BTreeMap<String, String>>,
     violations: Mutex<Vec<String>>,
@@ -43,6 +45,7 @@
             requests: Mutex::default(),
             tables: Mutex::default(),
             notices: Mutex::default(),
+            entry_cuts: Mutex::default(),
             services: Mutex::default(),
             violations: Mutex::default(),
         }
@@ -107,6 +110,17 @@
         self.record_violations(new_violations);
     }
 
+    /// Records a caller's first try that has ended.
+    pub(crate) fn record_try(&self, first_try: FirstTry) {
+        lock(&self.entry_cuts).record_try(first_try);
+    }
+
+    /// Checks how callers were served during a cut that has ended.
+    pub(crate) fn check_cut(&self, cut: &Cut) {
+        let new_violation = lock(&self.entry_cuts).check_cut(cut, &self.disturbances);
+        self.record_violations(new_violation);
+    }
+
     /// Records that connections to a server are hindered for a time.
     pub(crate) fn record_hindrance(&self, server: &str, length: Duration) {
         lock(&self.notices).record_hindrance(server, length);
--- a/tools/soak/src/load.rs
+++ b/tools/soak/src/load.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info};
 use tokio::task::JoinSet;
 
+use crate::entry_cut_guarantees::FirstTry;
 use crate::fleet::{ARCHIVE, LEDGER, LIBRARY};
 use crate::guarantees::Guarantees;
 use crate::unserved_requests::UnservedRequests;
@@ -24,8 +25,11 @@
 const BALANCER_INTERVAL: Duration = Duration::from_secs(1);
 /// Failed readiness checks in a row that take an entry VM out of rotation.
 const MAX_FAILED_CHECKS: u32 = 2;
+/// Share of the requests for which a caller opens a new connection, so that callers go on coming to
+/// entry VMs that serve badly.
+const NEW_CONNECTION_SHARE: f64 = 0.2;
 /// Time for which a caller waits for an answer.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Share of the keyed requests that are for the hot key while there is one.
 const HOT_KEY_SHARE: f64 = 0.5;
 
@@ -145,6 +149,9 @@
     async fn send_requests_forever(self: Arc<Self>) {
         let mut caller = Caller::default();
         loop {
+            if rand::rng().random_bool(NEW_CONNECTION_SHARE) {
+                caller = Caller::default();
+            }
             let open = caller.connected_to();
             let open = self
                 .entries
@@ -176,6 +183,12 @@
         let guarantees = &self.guarantees;
         guarantees.record_answer(request, entry.address, is_stopping, &answer);
         self.record_unserved(entry.address, request, sent_at.elapsed(), &answer);
+        guarantees.record_try(FirstTry {
+            entry: entry.address,
+            sent_at,
+            ended_at: Instant::now(),
+            is_served: matches!(answer, CallerAnswer::Complete { status: 200, .. }),
+        });
         let CallerAnswer::Complete { status, .. } = answer else {
             return;
         };
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::cluster::{CONTROL_VMS, Vm};
+use crate::cut_manner::CutManner;
 use crate::fault::Fault;
 use crate::fault_kind::FaultKind;
 use crate::fleet::KEYED_SERVERS;
@@ -19,10 +20,13 @@
 const RECOVERY_PHASE: Duration = Duration::from_secs(8);
 /// Length of the planned work of a round.
 const PLANNED_WORK_PHASE: Duration = Duration::from_secs(6);
+/// Time in which some entry VMs are cut off from all backend servers, without other faults.
+const CUT_PHASE: Duration = Duration::from_secs(12);
 /// Length of a round.
 const ROUND: Duration = FAULT_PHASE
     .saturating_add(RECOVERY_PHASE)
-    .saturating_add(PLANNED_WORK_PHASE);
+    .saturating_add(PLANNED_WORK_PHASE)
+    .saturating_add(CUT_PHASE);
 
 /// Number of notices of servers that begin beside the faults of a round.
 const NOTICES: usize = 4;
@@ -52,7 +56,7 @@
             planner.add_faults(at);
             at += FAULT_PHASE + RECOVERY_PHASE;
             planner.add_planned_work(at);
-            at += PLANNED_WORK_PHASE;
+            at += PLANNED_WORK_PHASE + CUT_PHASE;
         }
         // Newer kinds are drawn after all else, so that a seed has the same faults as before there
         // were any.
@@ -62,6 +66,9 @@
         for round in 0..rounds {
             planner.add_restarts(ROUND * round);
         }
+        for round in 0..rounds {
+            planner.add_entry_cuts(ROUND * round);
+        }
         let mut steps = planner.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, end: at }
@@ -142,6 +149,47 @@
         }
     }
 
+    /// Adds a short cut of entry VMs beside faults, and a long one without them.
+    fn add_entry_cuts(&mut self, begin: Duration) {
+        let at = begin + self.millis(0..6000);
+        let length = self.millis(1000..5000);
+        let fault = self.entry_cut(length);
+        self.steps.push((at, fault));
+        let at = begin + ROUND.saturating_sub(CUT_PHASE) + self.millis(500..1500);
+        let length = self.millis(8000..9500);
+        let fault = self.entry_cut(length);
+        self.steps.push((at, fault));
+    }
+
+    fn entry_cut(&mut self, length: Duration) -> Fault {
+        let first = self.rng.random_range(0..self.entry_count);
+        let in_turn = (first..self.entry_count).chain(0..first);
+        let group: Vec<u8> = match self.rng.random_range(0..4) {
+            0 => vec![first],
+            1 => in_turn
+                .take(usize::from(self.entry_count.div_ceil(3)))
+                .collect(),
+            2 => in_turn
+                .filter(|entry| entry % CONTROL_VMS == first % CONTROL_VMS)
+                .collect(),
+            _ => in_turn.skip(1).collect(),
+        };
+        Fault::CutFromServers {
+            vms: group.into_iter().map(Vm::Entry).collect(),
+            manner: self.cut_manner(),
+            length,
+        }
+    }
+
+    fn cut_manner(&mut self) -> CutManner {
+        match self.rng.random_range(0..4) {
+            0 => CutManner::Silent,
+            1 => CutManner::Reset,
+            2 => CutManner::RefuseNew,
+            _ => CutManner::OneWay,
+        }
+    }
+
     fn notice(&mut self) -> Fault {
         let server = self.server();
         let length = self.millis(4000..8000);
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::task::AbortHandle;
 
-use crate::link_source::LinkSource;
+use crate::link_source::{LinkSource, Recognition};
 use crate::proxy_rules::{Direction, ProxyAction, ProxyRules, Treatment};
 use crate::soak_error::{ListenSnafu, SoakError};
 
@@ -32,12 +32,11 @@
 }
 
 impl Proxy {
-    /// Listens at `advertised` and forwards connections to `target`. `is_link` is set for links
-    /// between processes, whose first frame names the opener.
+    /// Listens at `advertised` and forwards connections to `target`.
     pub(crate) async fn start(
         advertised: SocketAddr,
         target: SocketAddr,
-        is_link: bool,
+        recognition: Recognition,
         rules: Arc<ProxyRules>,
     ) -> Result<Self, SoakError> {
         let listener = TcpListener::bind(advertised).await;
@@ -52,7 +51,7 @@
                 let connection = Connection {
                     advertised,
                     target,
-                    is_link,
+                    recognition,
                     rules: rules.clone(),
                 };
                 tokio::spawn(connection.forward(opener));
@@ -68,7 +67,7 @@
 struct Connection {
     advertised: SocketAddr,
     target: SocketAddr,
-    is_link: bool,
+    recognition: Recognition,
     rules: Arc<ProxyRules>,
 }
 
@@ -88,6 +87,10 @@
         let Some((source, first_bytes)) = self.source(&mut opener).await else {
             return;
         };
+        if self.rules.refuses(self.advertised, &source) {
+            reset(&opener);
+            return;
+        }
         let Ok(server) = TcpStream::connect(self.target).await else {
             reset(&opener);
             return;
@@ -142,15 +145,26 @@
         }
     }
 
-    /// Reads as many of the first bytes as are needed to recognize the opener of the connection.
-    /// Returns `None` if it is closed before.
+    /// Recognizes the opener of the connection. Returns it with the bytes that were read for that,
+    /// or `None` if the connection is closed before.
     async fn source(&self, opener: &mut TcpStream) -> Option<(LinkSource, Vec<u8>)> {
         let mut first_bytes = Vec::new();
+        match self.recognition {
+            Recognition::Hello => {}
+            Recognition::Process => {
+                let (owners, to) = (self.rules.owners.clone(), self.advertised);
+                let from = opener.peer_addr().ok()?;
+                let vm = tokio::task::spawn_blocking(move || owners.opener(from, to)).await;
+                let vm = vm.ok().flatten();
+                return Some((vm.map_or(LinkSource::Other, LinkSource::Vm), first_bytes));
+            }
+            Recognition::None => return Some((LinkSource::Other, first_bytes)),
+        }
         loop {
             if opener.read_buf(&mut first_bytes).await.ok()? == 0 {
                 return None;
             }
-            if let Some(source) = LinkSource::from_first_bytes(&first_bytes, self.is_link) {
+            if let Some(source) = LinkSource::from_first_bytes(&first_bytes) {
                 return Some((source, first_bytes));
             }
         }
@@ -214,7 +228,7 @@
         loop {
             changes.mark_unchanged();
             match self.rules.treatment(self.advertised, source, direction) {
-                None => return,
+                None | Some(Treatment::RefuseNew) => return,
                 Some(Treatment::Delay(delay)) => {
                     tokio::time::sleep(delay).await;
                     return;
--- a/tools/soak/src/proxy_rules.rs
+++ b/tools/soak/src/proxy_rules.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::link_source::LinkSource;
+use crate::socket_owner::SocketOwners;
 
 /// Capacity of the queue of actions for a connection; older ones are lost if it overflows.
 const ACTION_QUEUE_LENGTH: usize = 256;
@@ -61,6 +62,8 @@
 pub(crate) enum Treatment {
     /// They are held back until the rule is removed; new connections hang.
     Block,
+    /// They are forwarded, but new connections are refused.
+    RefuseNew,
     /// They are forwarded after this delay.
     Delay(Duration),
 }
@@ -86,6 +89,8 @@
 /// The rules and actions of the proxies of one run.
 #[derive(Debug)]
 pub(crate) struct ProxyRules {
+    /// The processes that open connections.
+    pub(crate) owners: SocketOwners,
     rules: Mutex<Vec<Rule>>,
     /// Number of changes of the rules; notifies connections that wait for one.
     changes: watch::Sender<u64>,
@@ -95,6 +100,7 @@
 impl Default for ProxyRules {
     fn default() -> Self {
         Self {
+            owners: SocketOwners::default(),
             rules: Mutex::default(),
             changes: watch::Sender::new(0),
             actions: broadcast::Sender::new(ACTION_QUEUE_LENGTH),
@@ -158,11 +164,20 @@
             match rule.treatment {
                 Treatment::Block => return Some(Treatment::Block),
                 Treatment::Delay(_) => delay = Some(rule.treatment),
+                Treatment::RefuseNew => {}
             }
         }
         delay
     }
 
+    /// Returns whether a new connection is refused.
+    pub(crate) fn refuses(&self, to: SocketAddr, from: &LinkSource) -> bool {
+        let rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut rules = rules.iter();
+        rules
+            .any(|rule| rule.treatment == Treatment::RefuseNew && rule.selection.includes(to, from))
+    }
+
     /// Returns a receiver that is notified when the rules change.
     pub(crate) fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -13,6 +13,7 @@
 use crate::cluster::{CONTROL_VMS, Cluster, Vm};
 use crate::fleet::Fleet;
 use crate::guarantees::Guarantees;
+use crate::link_source::Recognition;
 use crate::load::Load;
 use crate::machine_usage::MachineUsage;
 use crate::not_serving::NotServing;
@@ -80,7 +81,8 @@
         let control_vms = (0..CONTROL_VMS).map(|index| addresses.control_interface(index));
         let operators = Operators::new(guarantees.clone(), control_vms.collect(), callers);
         let binaries = options.binaries.clone();
-        let cluster = Cluster::new(binaries, folder.path().to_owned(), addresses);
+        let folder_path = folder.path().to_owned();
+        let cluster = Cluster::new(binaries, folder_path, addresses, rules.owners.clone());
         let run = Arc::new(Self {
             addresses,
             load: Load::new(guarantees.clone(), entries, log.clone()),
@@ -166,10 +168,11 @@
             let target = self.addresses.control_listen(index);
             let interface = self.addresses.control_interface(index);
             let links = self.addresses.control_id(index);
-            for (advertised, is_link) in [(interface, false), (links, true)] {
+            let interfaces = [(interface, Recognition::None), (links, Recognition::Hello)];
+            for (advertised, recognition) in interfaces {
                 let target = (target, advertised.port()).into();
                 let rules = self.rules.clone();
-                proxies.push(Proxy::start(advertised, target, is_link, rules).await?);
+                proxies.push(Proxy::start(advertised, target, recognition, rules).await?);
             }
         }
         {
--- a/tools/soak/src/soak_error.rs
+++ b/tools/soak/src/soak_error.rs
@@ -33,4 +33,7 @@
         /// The error of the operating system.
         source: io::Error,
     },
+    /// It is unknown which process has opened a connection.
+    #[snafu(display("the kernel doesn't tell which process opens connections"))]
+    UnknownOpeners,
 }
--- a/tools/soak/src/vm_process.rs
+++ b/tools/soak/src/vm_process.rs
@@ -92,9 +92,14 @@
         matches!(ended, Ok(Ok(_)))
     }
 
+    /// Returns the process id. `None` once it has ended.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Returns what the process has used of the machine. `None` once it has ended.
     pub(crate) fn usage(&self) -> Option<ProcessUsage> {
-        ProcessUsage::of_process(self.child.id()?)
+        ProcessUsage::of_process(self.id()?)
     }
 
     /// Returns whether the process has exited.
--- a/tools/soak/tests/guarantees.rs
+++ b/tools/soak/tests/guarantees.rs
@@ -10,8 +10,8 @@
     ServerBehaviour, answer_body,
 };
 use soak::{
-    Disturbances, FaultKind, KeyGuarantees, NoticeGuarantees, Plan, RequestGuarantees,
-    TableGuarantees,
+    Disturbances, EntryCutGuarantees, FaultKind, FirstTry, KeyGuarantees, NoticeGuarantees, Plan,
+    RequestGuarantees, TableGuarantees,
 };
 
 fn grant(first: u16, last: u16, fence: u64, hold_s: u64) -> HeldGrant {
@@ -124,6 +124,62 @@
     expect_that!(keys.record_request("b", 60), some(anything()));
 }
 
+/// Returns whether it is a violation if the entry VM that is cut off serves `served` of `all` first
+/// tries, each sent `after` the begin of the cut, and the other one all of its own.
+fn is_cut_violation(disturbances: &Disturbances, served: u32, all: u32, after: Duration) -> bool {
+    let cut_off = entry();
+    let other = SocketAddr::from(([127, 0, 0, 2], 80));
+    let cut_length = Duration::from_secs(8);
+    let sent_at = Instant::now() + after;
+    let cut = disturbances.record_cut([cut_off].into(), cut_length);
+    let mut guarantees = EntryCutGuarantees::default();
+    for number in 0..all {
+        for (entry, is_served) in [(cut_off, number < served), (other, true)] {
+            guarantees.record_try(FirstTry {
+                entry,
+                sent_at,
+                ended_at: sent_at,
+                is_served,
+            });
+        }
+    }
+    guarantees.check_cut(&cut, disturbances).is_some()
+}
+
+#[gtest]
+fn entry_vms_without_a_path_to_servers_that_serve_less_than_others_are_detected() {
+    let after = Duration::from_secs(4);
+    let is_violation = |served, all| is_cut_violation(&Disturbances::default(), served, all, after);
+    expect_that!(is_violation(0, 100), eq(true));
+    expect_that!(is_violation(66, 100), eq(true));
+    expect_that!(is_violation(67, 100), eq(false));
+    // Ten may fail, and one in fifty.
+    expect_that!(is_violation(0, 10), eq(false));
+    expect_that!(is_violation(0, 11), eq(true));
+}
+
+#[gtest]
+fn callers_in_the_begin_of_a_cut_or_beside_other_faults_are_left_out() {
+    let after = Duration::from_secs(4);
+    let early = Duration::from_secs(2);
+    expect_that!(
+        is_cut_violation(&Disturbances::default(), 0, 100, early),
+        eq(false)
+    );
+    let disturb: [fn(&Disturbances); 3] = [
+        |disturbances| disturbances.record(Duration::from_secs(2)),
+        |disturbances| disturbances.record_for_entry(entry(), Duration::from_secs(2)),
+        |disturbances| {
+            disturbances.record_cut([].into(), Duration::from_secs(2));
+        },
+    ];
+    for disturb in disturb {
+        let disturbances = Disturbances::default();
+        disturb(&disturbances);
+        expect_that!(is_cut_violation(&disturbances, 0, 100, after), eq(false));
+    }
+}
+
 fn order(id: &str) -> CallerRequest {
     CallerRequest {
         attempt_id: id.into(),
