Cut control VMs off from all servers in the soak

One, two or all control VMs lose all backend servers for 1 to 5 s, in the ways in which entry VMs do, or their calls arrive 0.2 to 1.5 s late, so that grants take effect late.

--- a/tools/soak/src/cut_manner.rs
+++ b/tools/soak/src/cut_manner.rs
@@ -1,5 +1,7 @@
 //! The ways in which VMs lose the path to backend servers.
 
+use std::time::Duration;
+
 /// The way in which VMs lose the path to backend servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CutManner {
@@ -11,4 +13,6 @@
     RefuseNew,
     /// What VMs send arrives, but not what servers answer.
     OneWay,
+    /// What VMs send arrives late.
+    Late(Duration),
 }
--- a/tools/soak/src/fault.rs
+++ b/tools/soak/src/fault.rs
@@ -97,7 +97,10 @@
     pub(crate) fn kind(&self) -> Option<FaultKind> {
         match self {
             Self::RestartServer { .. } => Some(FaultKind::Restarts),
-            Self::CutFromServers { .. } => Some(FaultKind::EntryCuts),
+            Self::CutFromServers { vms, .. } => Some(match vms.first() {
+                Some(Vm::Entry(_)) => FaultKind::EntryCuts,
+                _ => FaultKind::ControlCuts,
+            }),
             _ => None,
         }
     }
--- a/tools/soak/src/fault_kind.rs
+++ b/tools/soak/src/fault_kind.rs
@@ -10,17 +10,20 @@
     Restarts,
     /// Entry VMs lose the path to all backend servers.
     EntryCuts,
+    /// Control VMs lose the path to all backend servers.
+    ControlCuts,
 }
 
 impl ValueEnum for FaultKind {
     fn value_variants<'a>() -> &'a [Self] {
-        &[Self::Restarts, Self::EntryCuts]
+        &[Self::Restarts, Self::EntryCuts, Self::ControlCuts]
     }
 
     fn to_possible_value(&self) -> Option<PossibleValue> {
         let name = match self {
             Self::Restarts => "restarts",
             Self::EntryCuts => "entry-cuts",
+            Self::ControlCuts => "control-cuts",
         };
         Some(PossibleValue::new(name))
     }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -30,6 +30,8 @@
 
 /// Number of notices of servers that begin beside the faults of a round.
 const NOTICES: usize = 4;
+/// Number of cuts of control VMs beside the faults of a round.
+const CONTROL_CUTS: usize = 2;
 
 /// The faults and planned work of a run, each with its time.
 #[derive(Clone, Debug)]
@@ -69,6 +71,9 @@
         for round in 0..rounds {
             planner.add_entry_cuts(ROUND * round);
         }
+        for round in 0..rounds {
+            planner.add_control_cuts(ROUND * round);
+        }
         let mut steps = planner.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, end: at }
@@ -181,6 +186,27 @@
         }
     }
 
+    /// Adds cuts of control VMs beside faults.
+    fn add_control_cuts(&mut self, begin: Duration) {
+        for _ in 0..CONTROL_CUTS {
+            let at = begin + self.millis(0..6000);
+            let first = self.rng.random_range(0..CONTROL_VMS);
+            let count = self.rng.random_range(1..=CONTROL_VMS);
+            let vms = (0..count).map(|index| Vm::Control((first + index) % CONTROL_VMS));
+            let manner = if self.rng.random_bool(0.3) {
+                CutManner::Late(self.millis(200..1500))
+            } else {
+                self.cut_manner()
+            };
+            let fault = Fault::CutFromServers {
+                vms: vms.collect(),
+                manner,
+                length: self.millis(1000..5000),
+            };
+            self.steps.push((at, fault));
+        }
+    }
+
     fn cut_manner(&mut self) -> CutManner {
         match self.rng.random_range(0..4) {
             0 => CutManner::Silent,
--- a/tools/soak/src/server_cuts.rs
+++ b/tools/soak/src/server_cuts.rs
@@ -74,6 +74,7 @@
             CutManner::Silent => (None, Treatment::Block),
             CutManner::Reset | CutManner::RefuseNew => (None, Treatment::RefuseNew),
             CutManner::OneWay => (Some(Direction::ToOpener), Treatment::Block),
+            CutManner::Late(delay) => (Some(Direction::ToServer), Treatment::Delay(delay)),
         };
         let rule = self.rules.add(selection.clone(), direction, treatment);
         if manner == CutManner::Reset {
