Simplify the record of who holds a key in the soak

Holders that have ended are removed in place instead of being taken out and put back. Shared keys are checked every 0.1 s rather than 0.05 s, as a check of 10,000 shared keys takes 12 to 19 ms in programs built for tests.

--- a/tools/soak/src/key_guarantees.rs
+++ b/tools/soak/src/key_guarantees.rs
@@ -103,10 +103,9 @@
         let mut overlap = None;
         for key in grant.first..=grant.last {
             low_fence = low_fence.or_else(|| self.low_fence(key, incarnation, grant.fence));
-            let others = self.take_holders(key, now).into_iter();
-            let mut holders: Vec<_> = others
-                .filter(|held| held.incarnation != incarnation)
-                .collect();
+            self.remove_ended(key, now);
+            let holders = &mut self.held_keys[usize::from(key)];
+            holders.retain(|held| held.incarnation != incarnation);
             if let Some(held) = holders.first() {
                 overlap.get_or_insert((key, *held));
                 self.shared_keys.entry(key).or_insert(SharedKey {
@@ -120,7 +119,6 @@
                 until: grant.expires_at,
                 fence: grant.fence,
             });
-            self.held_keys[usize::from(key)] = holders;
             self.greatest_fences[usize::from(key)].record(incarnation, grant.fence);
         }
         let fence = grant.fence;
@@ -209,20 +207,19 @@
         if !self.shared_keys.contains_key(&key) {
             return false;
         }
-        let holders = self.take_holders(key, now);
-        let is_shared = holders.len() > 1;
-        self.held_keys[usize::from(key)] = holders;
+        self.remove_ended(key, now);
+        let is_shared = self.held_keys[usize::from(key)].len() > 1;
         if !is_shared {
             self.shared_keys.remove(&key);
         }
         is_shared
     }
 
-    /// Takes the grants of a key that running servers hold.
-    fn take_holders(&mut self, key: u16, now: Instant) -> Vec<HeldKey> {
-        let mut holders = std::mem::take(&mut self.held_keys[usize::from(key)]);
-        holders.retain(|held| now < held.until && !self.ended.contains(&held.incarnation));
-        holders
+    /// Removes the grants of a key that have expired, or whose servers have ended.
+    fn remove_ended(&mut self, key: u16, now: Instant) {
+        let ended = &self.ended;
+        self.held_keys[usize::from(key)]
+            .retain(|held| now < held.until && !ended.contains(&held.incarnation));
     }
 
     fn name(&self, incarnation: u32) -> &str {
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -33,7 +33,7 @@
 /// operators' requirements.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Interval at which the keys that servers hold are checked.
-const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval over which the share of served requests is computed.
 const RECOVERY_SPAN: Duration = Duration::from_secs(2);
 /// Share of the requests that has to be served after a recovery; much more than the quarter that
