Add the types of relayed requests

Callers of an entry VM that is cut off from all backend servers are refused (RECOVER). Another entry VM that reaches the servers could send their requests on. This adds what the parts of that share and changes nothing yet: the entry VM that relays, the way of a target, the outcomes of a relayed attempt, and whether an entry VM says that it can relay.

--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -76,6 +76,9 @@
     /// Whether the entry VM understands [`ServerLimitUpdate`](crate::ServerLimitUpdate). Entry VMs
     /// of earlier releases don't.
     pub accepts_server_limits: bool,
+    /// Whether the entry VM relays requests for others: it reaches backend servers, and is not about
+    /// to stop.
+    pub can_relay: bool,
 }
 
 impl EntryReport {
--- a/crates/chicory_gateway/src/decide/crash_detector.rs
+++ b/crates/chicory_gateway/src/decide/crash_detector.rs
@@ -65,6 +65,9 @@
             AttemptOutcome::Unreachable
             | AttemptOutcome::ConnectionRejected
             | AttemptOutcome::Withheld
+            | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::UnreachableFromRelay
+            | AttemptOutcome::RelayBroken
             | AttemptOutcome::Garbled
             | AttemptOutcome::Silent
             | AttemptOutcome::Cancelled => {}
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -421,6 +421,7 @@
             connect_timeout: CONNECT_TIMEOUT.min(left),
             settle_time,
             has_permit,
+            relay: None,
         })
     }
 
@@ -477,6 +478,7 @@
                 .into_iter()
                 .collect(),
             accepts_server_limits: true,
+            can_relay: true,
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -66,6 +66,9 @@
                 self.unreachable.record_usable(incarnation);
             }
             AttemptOutcome::Withheld
+            | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::UnreachableFromRelay
+            | AttemptOutcome::RelayBroken
             | AttemptOutcome::Broken
             | AttemptOutcome::Silent
             | AttemptOutcome::Cancelled => {}
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -109,6 +109,7 @@
             limits,
             permits,
             accepts_server_limits: true,
+            can_relay: true,
             ..EntryReport::default()
         };
         report.is_about_limits_only().then_some(report)
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use chicory_directory::RelayPeer;
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
@@ -26,6 +27,8 @@
     pub settle_time: Duration,
     /// Whether the server has a rate limit that this request is within.
     pub has_permit: bool,
+    /// Entry VM that relays the request to the server; `None` if it is sent to the server directly.
+    pub relay: Option<RelayPeer>,
 }
 
 /// Whether a request may still be sent to its [`Target`].
@@ -72,6 +75,13 @@
     ConnectionRejected,
     /// The server named a rate limit or asked for a pause before anything was sent.
     Withheld,
+    /// The entry VM that was to relay the request could not be reached, or refused; nothing was sent
+    /// to the server.
+    RelayUnavailable,
+    /// The entry VM that relays the request could not open a connection to the server either.
+    UnreachableFromRelay,
+    /// The connection to the entry VM that relays the request broke after something was sent.
+    RelayBroken,
     /// The connection broke after something was sent.
     Broken,
     /// The answer is malformed or belongs to another request.
@@ -95,6 +105,8 @@
                 | Self::Unreachable
                 | Self::ConnectionRejected
                 | Self::Withheld
+                | Self::RelayUnavailable
+                | Self::UnreachableFromRelay
         )
     }
 
@@ -111,6 +123,9 @@
             Self::Unreachable => "unreachable",
             Self::ConnectionRejected => "turned-away",
             Self::Withheld => "withheld",
+            Self::RelayUnavailable => "relay-unavailable",
+            Self::UnreachableFromRelay => "unreachable-from-relay",
+            Self::RelayBroken => "relay-broken",
             Self::Broken => "broken",
             Self::Garbled => "garbled",
             Self::Silent => "silent",
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -139,7 +139,12 @@
             }
             AttemptOutcome::Broken | AttemptOutcome::Garbled => self.record_break(now),
             AttemptOutcome::OtherServer => self.is_gone = true,
-            AttemptOutcome::WrongServer | AttemptOutcome::Withheld | AttemptOutcome::Cancelled => {}
+            AttemptOutcome::WrongServer
+            | AttemptOutcome::Withheld
+            | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::UnreachableFromRelay
+            | AttemptOutcome::RelayBroken
+            | AttemptOutcome::Cancelled => {}
         }
     }
 
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -264,6 +264,7 @@
         connect_timeout: Duration::from_secs(1),
         settle_time: Duration::ZERO,
         has_permit: false,
+        relay: None,
     };
     for incarnation in [&drains, &leaves] {
         let recheck = gateway.recheck(START, &target(incarnation));
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -475,6 +475,7 @@
             rate_per_s: 2.0,
         }],
         accepts_server_limits: true,
+        can_relay: true,
         ..EntryReport::default()
     };
     let message = EntryMessage::Report(report);
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -60,7 +60,7 @@
 convert_record!(
     EntryReport,
     site::EntryReport {
-        plain: [accepts_server_limits],
+        plain: [accepts_server_limits, can_relay],
         nested: [],
         list: [keys, servers, poison, limits, permits, leaving, rests],
     }
--- a/crates/chicory_wire/tests/server_limits.rs
+++ b/crates/chicory_wire/tests/server_limits.rs
@@ -38,6 +38,7 @@
         }],
         leaving: vec![incarnation()],
         accepts_server_limits: true,
+        can_relay: true,
         ..EntryReport::default()
     }
 }
