Play entry VMs that are cut off from all backend servers

Callers of an entry VM without a path to any server are refused, though other entry VMs reach the servers. The test plays entry VMs, their callers and servers in virtual time, with 10 entry VMs in 3 zones and with 77 in 4. One entry VM, a third, a zone, or all but one have no path for 12 s, in three ways: connections hang, are reset, or live on while new ones are refused.

A target that names a relay is served by it already; nothing names one yet.

--- /dev/null
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
@@ -0,0 +1,84 @@
+//! One entry VM, and its connections to the backend servers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_directory::{DirectoryUpdate, LinkStatus};
+use chicory_gateway::{Gateway, GatewayConfig, Target};
+use chicory_ranges::ServerIncarnation;
+use chicory_types::ZoneName;
+
+use crate::plan::CutKind;
+
+/// Requests that an entry VM relays at a time.
+const RELAY_ROOM: usize = 8;
+
+pub struct EntryVm {
+    pub gateway: Gateway,
+    /// How the path to the servers is cut, if it is.
+    pub cut: Option<CutKind>,
+    /// Requests of other entry VMs that are being relayed.
+    pub relaying: usize,
+    /// Whether the previous report says that this entry VM can relay.
+    pub can_relay: bool,
+    /// Times since which connections to each server are idle.
+    idle_connections: BTreeMap<ServerIncarnation, Vec<Duration>>,
+}
+
+impl EntryVm {
+    pub fn new(now: Duration, index: usize, zone: ZoneName, directory: DirectoryUpdate) -> Self {
+        let mut gateway = Gateway::new(GatewayConfig {
+            random_seed: index as u64,
+            zone,
+            ..GatewayConfig::default()
+        });
+        gateway.update(now, directory);
+        Self {
+            gateway,
+            cut: None,
+            relaying: 0,
+            can_relay: true,
+            idle_connections: BTreeMap::new(),
+        }
+    }
+
+    /// Exchanges messages with the control VM.
+    pub fn report(&mut self, now: Duration, vm_count: usize) {
+        let status = LinkStatus {
+            is_in_contact: true,
+            entry_count: u32::try_from(vm_count).expect("a small number"),
+            routes_version: 1,
+            ..LinkStatus::default()
+        };
+        self.gateway.record_status(now, &status);
+        self.can_relay = self.gateway.take_report(now).can_relay;
+    }
+
+    pub fn set_cut(&mut self, cut: Option<CutKind>) {
+        self.cut = cut;
+        if cut == Some(CutKind::Reset) {
+            self.idle_connections.clear();
+        }
+    }
+
+    /// Takes a connection to a server that may be reused. Returns whether there was one.
+    pub fn take_connection(&mut self, now: Duration, target: &Target) -> bool {
+        let idle = self.idle_connections.get_mut(&target.incarnation);
+        let latest = idle.and_then(Vec::pop);
+        latest.is_some_and(|since| now <= since + target.max_idle)
+    }
+
+    pub fn keep_connection(&mut self, now: Duration, server: &ServerIncarnation) {
+        let idle = self.idle_connections.entry(server.clone()).or_default();
+        idle.push(now);
+    }
+
+    pub fn close_connections(&mut self, server: &ServerIncarnation) {
+        self.idle_connections.remove(server);
+    }
+
+    /// Whether one more request of another entry VM is relayed.
+    pub fn has_room(&self) -> bool {
+        self.relaying < RELAY_ROOM
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -0,0 +1,268 @@
+//! Entry VMs, their callers and backend servers in virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use chicory_gateway::{Admission, AttemptOutcome, NextStep, Refusal, RequestMetadata};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::entry_vm::EntryVm;
+use crate::plan::{CUT_AT, CutKind, HEALED_AT, Plan};
+use crate::requests::{Attempt, Ending, Exchange, ORDERS, READS, Record};
+use crate::site::{directory, zone_name};
+
+/// Time that a message takes between two VMs.
+const HOP: Duration = Duration::from_millis(1);
+/// Time that a server takes for a request.
+const WORK_TIME: Duration = Duration::from_millis(40);
+/// Time after which opening a connection without an answer is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const REPORT_INTERVAL: Duration = Duration::from_millis(350);
+
+enum Event {
+    /// The path of the entry VMs that the plan names is cut or restored.
+    SetCut(Option<CutKind>),
+    /// An entry VM reports to the control VM.
+    Report(usize),
+    /// A caller sends a request to an entry VM.
+    Arrival(usize),
+    /// A request requests its next step.
+    Advance(Exchange),
+    /// A connection to a server opens, or is refused.
+    Connected(Attempt),
+    /// The answer of a server arrives at the entry VM.
+    Answer(Attempt),
+    /// A request arrives at the entry VM that is to relay it.
+    Relay(Attempt, usize),
+    /// The answer of a server arrives at the entry VM that relays it.
+    RelayedAnswer(Attempt, usize),
+    /// An attempt ends.
+    End(Attempt, AttemptOutcome),
+}
+
+pub struct World {
+    pub now: Duration,
+    pub plan: Plan,
+    pub entry_vms: Vec<EntryVm>,
+    /// What became of the requests so far.
+    pub records: Vec<Record>,
+    events: BTreeMap<(Duration, u64), Event>,
+    event_count: u64,
+    rng: StdRng,
+}
+
+impl World {
+    /// Starts a site whose callers send requests at once.
+    pub fn start(plan: Plan) -> Self {
+        let directory = directory(plan.zone_count, 4 * plan.zone_count);
+        let entry_vms = (0..plan.vm_count).map(|index| {
+            let zone = zone_name(plan.zone_of(index));
+            EntryVm::new(Duration::ZERO, index, zone, directory.clone())
+        });
+        let mut world = Self {
+            now: Duration::ZERO,
+            plan,
+            entry_vms: entry_vms.collect(),
+            records: Vec::new(),
+            events: BTreeMap::new(),
+            event_count: 0,
+            rng: StdRng::seed_from_u64(7),
+        };
+        world.add_event(CUT_AT, Event::SetCut(Some(plan.kind)));
+        world.add_event(HEALED_AT, Event::SetCut(None));
+        for vm in 0..plan.vm_count {
+            let offset = world.rng.random_range(0.0..1.0);
+            world.add_event(REPORT_INTERVAL.mul_f64(offset), Event::Report(vm));
+            world.entry_vms[vm].report(Duration::ZERO, plan.vm_count);
+            world.add_arrival(vm);
+        }
+        world
+    }
+
+    pub fn run_until(&mut self, end: Duration) {
+        while let Some(first) = self.events.first_entry()
+            && first.key().0 <= end
+        {
+            let ((at, _), event) = first.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn add_event(&mut self, at: Duration, event: Event) {
+        self.event_count += 1;
+        self.events.insert((at, self.event_count), event);
+    }
+
+    fn add_arrival(&mut self, vm: usize) {
+        let gap = self.rng.random_range(0.5..1.5) / self.plan.requests_per_s;
+        self.add_event(self.now + Duration::from_secs_f64(gap), Event::Arrival(vm));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::SetCut(cut) => {
+                for vm in 0..self.plan.vm_count {
+                    if self.plan.is_cut(vm) {
+                        self.entry_vms[vm].set_cut(cut);
+                    }
+                }
+            }
+            Event::Report(vm) => {
+                self.entry_vms[vm].report(self.now, self.plan.vm_count);
+                self.add_event(self.now + REPORT_INTERVAL, Event::Report(vm));
+            }
+            Event::Arrival(vm) => {
+                self.add_arrival(vm);
+                self.admit(vm);
+            }
+            Event::Advance(exchange) => self.advance(exchange),
+            Event::Connected(attempt) => self.finish_connect(attempt),
+            Event::Answer(attempt) => self.receive_answer(attempt),
+            Event::Relay(attempt, peer) => self.relay(attempt, peer),
+            Event::RelayedAnswer(attempt, peer) => {
+                self.entry_vms[peer].relaying -= 1;
+                self.add_event(
+                    self.now + HOP,
+                    Event::End(attempt, AttemptOutcome::Answered),
+                );
+            }
+            Event::End(attempt, outcome) => self.end_attempt(attempt, outcome),
+        }
+    }
+
+    fn admit(&mut self, vm: usize) {
+        let path = if self.rng.random_bool(0.5) {
+            READS
+        } else {
+            ORDERS
+        };
+        let metadata = RequestMetadata {
+            attempt_id: None,
+            time_left: Some(Duration::from_millis(self.rng.random_range(1000..1500))),
+            key: Some(self.rng.random()),
+        };
+        let gateway = &mut self.entry_vms[vm].gateway;
+        match gateway.admit(self.now, "host", path, &metadata) {
+            Admission::Accepted(ticket) => self.advance(Exchange {
+                entry_vm: vm,
+                arrived_at: self.now,
+                ticket,
+            }),
+            Admission::Refused(refusal) => panic!("refused at arrival: {refusal:?}"),
+        }
+    }
+
+    fn advance(&mut self, mut exchange: Exchange) {
+        let gateway = &mut self.entry_vms[exchange.entry_vm].gateway;
+        match gateway.next_step(self.now, &mut exchange.ticket) {
+            NextStep::Refuse(refusal) => self.record_refusal(&exchange, &refusal),
+            NextStep::Wait(until) => self.add_event(until, Event::Advance(exchange)),
+            NextStep::Send(target) => self.send(Attempt {
+                exchange,
+                target,
+                is_connected: false,
+            }),
+        }
+    }
+
+    fn record_refusal(&mut self, exchange: &Exchange, refusal: &Refusal) {
+        let ending = Ending::Refused {
+            took: self.now.saturating_sub(exchange.arrived_at),
+            may_have_run: refusal.may_have_run,
+            has_retry_after: refusal.retry_after.is_some(),
+        };
+        self.record(exchange, ending);
+    }
+
+    fn record(&mut self, exchange: &Exchange, ending: Ending) {
+        self.records.push(Record {
+            entry_vm: exchange.entry_vm,
+            arrived_at: exchange.arrived_at,
+            ending,
+        });
+    }
+
+    fn send(&mut self, mut attempt: Attempt) {
+        let entry_vm = &mut self.entry_vms[attempt.exchange.entry_vm];
+        if let Some(peer) = &attempt.target.relay {
+            let peer = peer.vm.parse().expect("an index");
+            self.add_event(self.now + HOP, Event::Relay(attempt, peer));
+            return;
+        }
+        if entry_vm.take_connection(self.now, &attempt.target) {
+            attempt.is_connected = true;
+            self.add_event(self.now + 2 * HOP + WORK_TIME, Event::Answer(attempt));
+            return;
+        }
+        let connect_time = if entry_vm.cut == Some(CutKind::Silent) {
+            attempt.target.connect_timeout
+        } else {
+            2 * HOP
+        };
+        self.add_event(self.now + connect_time, Event::Connected(attempt));
+    }
+
+    fn finish_connect(&mut self, mut attempt: Attempt) {
+        let outcome = match self.entry_vms[attempt.exchange.entry_vm].cut {
+            None => {
+                attempt.is_connected = true;
+                let answered_at = self.now + attempt.target.settle_time + 2 * HOP + WORK_TIME;
+                return self.add_event(answered_at, Event::Answer(attempt));
+            }
+            Some(CutKind::Silent) => AttemptOutcome::Unreachable,
+            Some(CutKind::Reset | CutKind::NewRefused) => AttemptOutcome::Refused,
+        };
+        self.end_attempt(attempt, outcome);
+    }
+
+    fn receive_answer(&mut self, attempt: Attempt) {
+        match self.entry_vms[attempt.exchange.entry_vm].cut {
+            None | Some(CutKind::NewRefused) => self.end_attempt(attempt, AttemptOutcome::Answered),
+            Some(CutKind::Silent) => {
+                let until = attempt.target.attempt_deadline.max(self.now);
+                self.add_event(until, Event::End(attempt, AttemptOutcome::Silent));
+            }
+            Some(CutKind::Reset) => self.end_attempt(attempt, AttemptOutcome::Broken),
+        }
+    }
+
+    fn relay(&mut self, attempt: Attempt, peer: usize) {
+        let relay = &mut self.entry_vms[peer];
+        let (after, outcome) = match relay.cut {
+            _ if !relay.can_relay || !relay.has_room() => (HOP, AttemptOutcome::RelayUnavailable),
+            Some(CutKind::Silent) => (CONNECT_TIMEOUT + HOP, AttemptOutcome::UnreachableFromRelay),
+            Some(_) => (3 * HOP, AttemptOutcome::UnreachableFromRelay),
+            None => {
+                relay.relaying += 1;
+                let answered_at = self.now + 2 * HOP + WORK_TIME;
+                return self.add_event(answered_at, Event::RelayedAnswer(attempt, peer));
+            }
+        };
+        self.add_event(self.now + after, Event::End(attempt, outcome));
+    }
+
+    fn end_attempt(&mut self, mut attempt: Attempt, outcome: AttemptOutcome) {
+        let now = self.now;
+        let entry_vm = &mut self.entry_vms[attempt.exchange.entry_vm];
+        let incarnation = &attempt.target.incarnation;
+        if outcome == AttemptOutcome::Silent {
+            entry_vm.close_connections(incarnation);
+        }
+        if outcome == AttemptOutcome::Answered && attempt.is_connected {
+            entry_vm.keep_connection(now, incarnation);
+        }
+        let gateway = &mut entry_vm.gateway;
+        let ticket = &mut attempt.exchange.ticket;
+        if gateway.record_attempt_end(now, ticket, outcome) {
+            return self.advance(attempt.exchange);
+        }
+        if outcome == AttemptOutcome::Answered {
+            return self.record(&attempt.exchange, Ending::Served);
+        }
+        let refusal = gateway.final_refusal(now, ticket, outcome);
+        self.record_refusal(&attempt.exchange, &refusal);
+    }
+}
