Let entry VMs name the address at which they relay

Entry VMs that are cut off from all backend servers need others to relay for them (RECOVER), and control VMs have to know at which address each can be asked. The hello of an entry VM names it.

The field is optional: a hello of an earlier release names none, and a control VM of an earlier release passes over it. A malformed address rejects the hello with the name of the field.

--- a/crates/chicory_directory/src/link_hello.rs
+++ b/crates/chicory_directory/src/link_hello.rs
@@ -1,5 +1,7 @@
 //! The first message on a link.
 
+use std::net::SocketAddr;
+
 use chicory_types::{OperatorName, VmId, ZoneName};
 
 use crate::DirectoryPosition;
@@ -20,6 +22,9 @@
         zone: ZoneName,
         /// How much of the directory the entry VM has already.
         known: DirectoryPosition,
+        /// Address on which it accepts requests of other entry VMs to relay; `None` if it relays
+        /// none, as entry VMs of earlier releases.
+        relay_address: Option<SocketAddr>,
     },
     /// An operator, who reads or replaces the route table.
     Operator {
--- a/crates/chicory_gateway/src/process/control_vm_dialer.rs
+++ b/crates/chicory_gateway/src/process/control_vm_dialer.rs
@@ -25,6 +25,7 @@
     pub(super) shared: Arc<SharedState>,
     pub(super) vm: VmId,
     pub(super) zone: ZoneName,
+    pub(super) relay_address: Option<SocketAddr>,
 }
 
 impl ControlVmDialer {
@@ -38,6 +39,7 @@
             vm: self.vm.clone(),
             zone: self.zone.clone(),
             known: self.shared.gateway().directory().position(),
+            relay_address: self.relay_address,
         };
         writer.put(&site::LinkHello::from(hello));
         writer.flush().await
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -1,5 +1,6 @@
 //! Follows the directory of a control VM.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +50,7 @@
     shared: Arc<SharedState>,
     vm: VmId,
     zone: ZoneName,
+    relay_address: Option<SocketAddr>,
     seeds: Vec<VmId>,
     /// All control VMs that are known.
     candidates: Vec<VmId>,
@@ -91,12 +93,14 @@
         shared: Arc<SharedState>,
         vm: VmId,
         zone: ZoneName,
+        relay_address: Option<SocketAddr>,
         seeds: Vec<VmId>,
     ) -> Self {
         Self {
             shared,
             vm,
             zone,
+            relay_address,
             candidates: seeds.clone(),
             seeds,
             lost: None,
@@ -283,6 +287,7 @@
             shared: self.shared.clone(),
             vm: self.vm.clone(),
             zone: self.zone.clone(),
+            relay_address: self.relay_address,
         }
     }
 
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -76,6 +76,7 @@
             shared.clone(),
             self.config.vm,
             self.config.zone,
+            self.config.relay_address,
             self.config.seeds,
         );
         tokio::spawn(link.run());
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -20,7 +20,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 pub(super) async fn serve(server: LinkServer, link: LinkStream, hello: LinkHello) {
-    let LinkHello::Entry { vm, zone, known } = hello else {
+    let LinkHello::Entry {
+        vm, zone, known, ..
+    } = hello
+    else {
         return;
     };
     if let Err(failure) = extend_unacknowledged_timeout(&link) {
--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -121,6 +121,7 @@
         vm: "entry-1".into(),
         zone: "north".into(),
         known: DirectoryPosition::default(),
+        relay_address: None,
     };
     link.1.put(&site::LinkHello::from(hello));
     link.1.flush().await.expect("an open link");
--- a/crates/chicory_wire/src/convert_error.rs
+++ b/crates/chicory_wire/src/convert_error.rs
@@ -1,5 +1,7 @@
 //! Errors and helper functions of conversions.
 
+use std::net::SocketAddr;
+
 use snafu::{OptionExt, Snafu};
 
 /// The reason why a message could not be converted into a domain value.
@@ -44,6 +46,11 @@
     narrowed(value, field)
 }
 
+/// Converts the text of a socket address.
+pub(crate) fn parsed_address(text: &str, field: &'static str) -> Result<SocketAddr, ConvertError> {
+    text.parse().ok().context(OutOfRangeSnafu { field })
+}
+
 /// Converts each message of a repeated field into its domain value.
 pub(crate) fn from_messages<P, D>(values: Vec<P>) -> Result<Vec<D>, ConvertError>
 where
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -10,7 +10,9 @@
 };
 use snafu::OptionExt;
 
-use crate::convert_error::{OutOfRangeSnafu, from_messages, into_messages, narrowed, required};
+use crate::convert_error::{
+    OutOfRangeSnafu, from_messages, into_messages, narrowed, parsed_address, required,
+};
 use crate::deflated_message::inflate;
 use crate::directory_convert::key_range;
 use crate::proto::common;
@@ -259,12 +261,18 @@
             LinkHello::Operator { operator } => {
                 link_hello::From::Operator(site::OperatorHello { operator })
             }
-            LinkHello::Entry { vm, zone, known } => link_hello::From::Entry(site::EntryHello {
+            LinkHello::Entry {
+                vm,
+                zone,
+                known,
+                relay_address,
+            } => link_hello::From::Entry(site::EntryHello {
                 vm,
                 zone,
                 known_version: known.version,
                 known_last_fence: known.last_fence,
                 known_routes_version: known.routes_version,
+                relay_address: relay_address.map(|address| address.to_string()),
             }),
         };
         Self { from: Some(from) }
@@ -288,6 +296,10 @@
                     last_fence: hello.known_last_fence,
                     routes_version: hello.known_routes_version,
                 },
+                relay_address: hello
+                    .relay_address
+                    .map(|address| parsed_address(&address, "entry_hello.relay_address"))
+                    .transpose()?,
             },
         })
     }
