--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -22,7 +22,7 @@
 use super::table_lag::TableLag;
 use super::zone_reachability::ZoneReachability;
 use super::{
-    AttemptOutcome, GatewayConfig, NextStep, Policy, Recheck, Refusal, RefusalReason,
+    Admission, AttemptOutcome, GatewayConfig, NextStep, Policy, Recheck, RefusalReason,
     RequestMetadata, RequestTicket, RetryBudget, Target,
 };
 use crate::{Directory, UpdateOutcome};
@@ -58,15 +58,6 @@
 /// instead of [`RefusalReason::NoRoute`].
 const STALE_AFTER: Duration = Duration::from_millis(1500);
 
-/// Result of [`Gateway::admit`].
-#[derive(Debug)]
-pub enum Admission {
-    /// The request is admitted; [`Gateway::next_step`] returns what to do for it.
-    Accepted(RequestTicket),
-    /// The request is not served.
-    Refused(Refusal),
-}
-
 /// Decides which backend server requests are sent to.
 ///
 /// # Examples
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions about requests, without I/O.
 
+mod admission;
 mod crash_detector;
 mod entry_count;
 mod gateway;
@@ -22,7 +23,8 @@
 mod table_lag;
 mod zone_reachability;
 
-pub use gateway::{Admission, Gateway};
+pub use admission::Admission;
+pub use gateway::Gateway;
 pub use gateway_config::GatewayConfig;
 pub use limited_servers::{LimitInForce, LimitedServerLoad};
 pub use next_step::{AttemptOutcome, NextStep, Recheck, Target};
