Add the message that names relay peers to an entry VM

A control VM names the entry VMs that relay for another one in a message of their own, since the list changes seldom and concerns one entry VM. The gateway stores the list; nothing sends or uses it yet.

An entry VM of an earlier release would take the message for a lost update, so the type says that only entry VMs whose hello names a relay address are sent any. A malformed address rejects the message.

--- a/crates/chicory_directory/src/control_message.rs
+++ b/crates/chicory_directory/src/control_message.rs
@@ -1,6 +1,6 @@
 //! Messages from control VMs to entry VMs.
 
-use crate::{DirectoryUpdate, LinkStatus, MovesChange, ServerLimitUpdate};
+use crate::{DirectoryUpdate, LinkStatus, MovesChange, RelayPeer, ServerLimitUpdate};
 
 /// A message from a control VM to an entry VM.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,4 +14,7 @@
     Moves(MovesChange),
     /// Rate limits of backend servers, and permits to send requests to them.
     ServerLimits(ServerLimitUpdate),
+    /// Entry VMs that relay requests for the receiver, the preferred one first. Each such message
+    /// replaces the one before. Only entry VMs whose hello names a relay address are sent any.
+    Relays(Vec<RelayPeer>),
 }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, EntryReport, KeyCount, MovesChange, MovingRange, RequestFingerprint,
-    ServerLoad, ServerRecord,
+    DirectoryUpdate, EntryReport, KeyCount, MovesChange, MovingRange, RelayPeer,
+    RequestFingerprint, ServerLoad, ServerRecord,
 };
 use chicory_policy::{Outages, Rests};
 use chicory_ranges::{Fence, Key, OwnedRange, ServerIncarnation};
@@ -104,6 +104,8 @@
     pub(super) unreported_rests: BTreeSet<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
+    /// Entry VMs that relay requests for this one; the preferred one is first.
+    pub(super) relays: Vec<RelayPeer>,
     pub(super) rng: StdRng,
 }
 
@@ -133,6 +135,7 @@
             rests: Rests::default(),
             unreported_rests: BTreeSet::new(),
             issuer_contact_at: None,
+            relays: Vec::new(),
         }
     }
 
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod gateway_config;
 mod gateway_freshness;
 mod gateway_notices;
+mod gateway_relays;
 mod limited_servers;
 mod next_step;
 mod permit_state;
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -339,6 +339,10 @@
                 self.shared.changes.send_modify(|changes| *changes += 1);
                 FrameEffect::Applied
             }
+            Some(ControlMessage::Relays(peers)) => {
+                self.shared.gateway().set_relays(peers);
+                FrameEffect::Applied
+            }
             None => {
                 warn!(
                     self.shared.logger,
--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -21,6 +21,7 @@
 mod link_convert;
 mod log_convert;
 mod record_macro;
+mod relay_peer_convert;
 mod renewal_convert;
 mod routes_convert;
 mod table_convert;
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -313,6 +313,9 @@
             ControlMessage::Status(status) => Message::Status(status.into()),
             ControlMessage::Moves(change) => Message::Moves(change.into()),
             ControlMessage::ServerLimits(update) => Message::ServerLimits(update.into()),
+            ControlMessage::Relays(peers) => Message::Relays(site::RelayPeers {
+                peers: into_messages(peers),
+            }),
         };
         Self {
             message: Some(message),
@@ -331,6 +334,7 @@
                 Message::Status(status) => Self::Status(status.try_into()?),
                 Message::Moves(change) => Self::Moves(change.try_into()?),
                 Message::ServerLimits(update) => Self::ServerLimits(update.try_into()?),
+                Message::Relays(relays) => Self::Relays(from_messages(relays.peers)?),
                 Message::Deflated(deflated) => inflate(&deflated)?,
             },
         )
