Tell entry VMs which others relay requests for them

It has to know at once whom to ask, so control VMs name each entry VM up to four others beforehand, and again whenever its list changes. Entry VMs don't use the list yet.

Each control VM names those that follow it, have named a relay address and reported last that they can relay. A report about limits only doesn't count, as such reports are no statement about the way to servers. Entry VMs of earlier releases name no address: they are sent nothing and never named.

The order is a rendezvous hash of both ids, own availability zone first, so that one change concerns few lists. Two places are kept for other zones, as a whole zone may be cut off. Those that can't relay and those that can are counted apart.

While nothing changes nothing is computed or sent. A link that is busy gets the newest list when it has written what it has; the queue of a link holds one message more for it. Changes are noted, 40 a second at most, and counted.

--- a/crates/chicory_gateway/tests/server_notices/control_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/control_vm.rs
@@ -82,6 +82,7 @@
             vm: format!("entry-{entry_vm}"),
             zone: "north".into(),
             known: DirectoryPosition::default(),
+            relay_address: None,
         };
         self.handle(now, connected);
     }
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -1,6 +1,7 @@
 //! Entry VMs that follow this member.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use chicory_consensus::Replica;
 use chicory_directory::{
@@ -30,6 +31,7 @@
         vm: VmId,
         zone: ZoneName,
         known: DirectoryPosition,
+        relay_address: Option<SocketAddr>,
     ) {
         self.push_note(SiteNote::EntryConnected {
             vm: vm.clone(),
@@ -42,7 +44,8 @@
         } else {
             0
         };
-        let entry = EntryLink::new(vm, zone, known, reports);
+        let entry = EntryLink::new(vm, zone, relay_address, known, reports);
+        self.record_relay_link(&entry);
         self.entries.insert(link, entry);
     }
 
@@ -54,6 +57,7 @@
 
     pub(super) fn on_entry_disconnected(&mut self, link: EntryLinkId) {
         if let Some(entry) = self.entries.remove(&link) {
+            self.record_relay_link(&entry);
             self.push_note(SiteNote::EntryDisconnected { vm: entry.vm });
         }
     }
@@ -65,6 +69,7 @@
         message: EntryMessage,
     ) {
         let EntryMessage::Report(mut report) = message;
+        self.record_relay_ability(now, link, &report);
         let permit_requests = std::mem::take(&mut report.permits);
         let accepts_server_limits = report.accepts_server_limits;
         let is_periodic = permit_requests.is_empty() && !report.is_about_limits_only();
@@ -186,6 +191,7 @@
             self.send_to_entries(links, message);
         }
         self.send_server_limits(now);
+        self.send_relays();
         for link in std::mem::take(&mut self.busy_links) {
             if let Some(entry) = self.entries.get_mut(&link) {
                 entry.is_ready = false;
@@ -225,7 +231,7 @@
         }
     }
 
-    fn send_to_entries(&mut self, links: Vec<EntryLinkId>, message: ControlMessage) {
+    pub(super) fn send_to_entries(&mut self, links: Vec<EntryLinkId>, message: ControlMessage) {
         self.busy_links.extend(&links);
         self.effects
             .push(SiteEffect::SendToEntries { links, message });
--- a/crates/chicory_site/src/core/entry_link.rs
+++ b/crates/chicory_site/src/core/entry_link.rs
@@ -1,8 +1,11 @@
 //! The state of a link to an entry VM.
 
-use chicory_directory::{DirectoryPosition, MovesVersion, PermitRequest};
+use std::net::SocketAddr;
+
+use chicory_directory::{DirectoryPosition, MovesVersion, PermitRequest, RelayPeer};
 use chicory_types::{VmId, ZoneName};
 
+use super::relay_ability::RelayAbility;
 use super::server_limits::LimitsVersion;
 
 /// Identifier of a link to an entry VM, unique while the process runs.
@@ -12,8 +15,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EntryLink {
     pub(crate) vm: VmId,
-    #[expect(dead_code, reason = "placing work by availability zone will need it")]
     pub(crate) zone: ZoneName,
+    /// Address on which it accepts requests of other entry VMs, if it takes part in relaying.
+    pub(crate) relay_address: Option<SocketAddr>,
+    pub(crate) relay_ability: RelayAbility,
+    /// Entry VMs that relay for it.
+    pub(crate) relays: Vec<RelayPeer>,
+    /// Those that were sent to it.
+    pub(crate) sent_relays: Vec<RelayPeer>,
     /// Position of the directory that was sent to it.
     pub(crate) sent_position: DirectoryPosition,
     /// Version of the moving ranges that was sent to it.
@@ -38,12 +47,17 @@
     pub(crate) fn new(
         vm: VmId,
         zone: ZoneName,
+        relay_address: Option<SocketAddr>,
         known: DirectoryPosition,
         reports_before_update: u32,
     ) -> Self {
         Self {
             vm,
             zone,
+            relay_address,
+            relay_ability: RelayAbility::default(),
+            relays: Vec::new(),
+            sent_relays: Vec::new(),
             sent_position: known,
             sent_moves: 0,
             reports_before_update,
@@ -55,6 +69,16 @@
         }
     }
 
+    /// Returns what other entry VMs need to have requests relayed by this one, if it takes part.
+    pub(crate) fn relay_peer(&self) -> Option<RelayPeer> {
+        let address = self.relay_address?;
+        Some(RelayPeer {
+            vm: self.vm.clone(),
+            address,
+            zone: self.zone.clone(),
+        })
+    }
+
     /// Whether an update to `newest` is missing and can be sent now.
     pub(crate) fn awaits_update(&self, newest: DirectoryPosition) -> bool {
         self.is_ready
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -10,6 +10,7 @@
 use chicory_types::{MonoTime, ServiceName, VmId};
 
 use super::entry_link::EntryLink;
+use super::note_budget::NoteBudget;
 use super::planned_rates::PlannedRates;
 use super::poison_registry::PoisonRegistry;
 use super::server_limits::ServerLimits;
@@ -113,6 +114,11 @@
     pub(super) entries: BTreeMap<EntryLinkId, EntryLink>,
     /// Links to which messages were sent during this call of the reducer.
     pub(super) busy_links: BTreeSet<EntryLinkId>,
+    /// Whether the relay peers of entry VMs have to be assigned again.
+    pub(super) are_relays_outdated: bool,
+    /// Links to which relay peers have to be sent.
+    pub(super) links_due_relays: BTreeSet<EntryLinkId>,
+    pub(super) relay_notes: NoteBudget,
     pub(super) route_history: RouteHistory,
     /// Ranges that are in transfer, not granted yet or whose grant has expired.
     pub(super) moves: MovesHistory,
@@ -152,6 +158,9 @@
             last_id: 0,
             entries: BTreeMap::new(),
             busy_links: BTreeSet::new(),
+            are_relays_outdated: false,
+            links_due_relays: BTreeSet::new(),
+            relay_notes: NoteBudget::default(),
             route_history: RouteHistory::default(),
             moves: MovesHistory::default(),
             plan_at: now,
@@ -246,7 +255,8 @@
                 vm,
                 known,
                 zone,
-            } => self.on_entry_connected(link, vm, zone, known),
+                relay_address,
+            } => self.on_entry_connected(link, vm, zone, known, relay_address),
             SiteEvent::EntrySent { link, message } => self.on_entry_message(now, link, message),
             SiteEvent::EntryLinkReady { link } => self.on_entry_link_ready(link),
             SiteEvent::EntryDisconnected { link } => self.on_entry_disconnected(link),
--- a/crates/chicory_site/src/core/site_event.rs
+++ b/crates/chicory_site/src/core/site_event.rs
@@ -1,5 +1,7 @@
 //! Events for the reducer.
 
+use std::net::SocketAddr;
+
 use chicory_consensus::RestoredState;
 use chicory_directory::{DirectoryPosition, EntryMessage, PeerEnvelope, SiteCall};
 use chicory_ranges::{CallId, CallOutcome};
@@ -65,6 +67,8 @@
         zone: ZoneName,
         /// Position of the directory that it has.
         known: DirectoryPosition,
+        /// Address on which it accepts requests of other entry VMs, if it relays any.
+        relay_address: Option<SocketAddr>,
     },
     /// An entry VM sent a message.
     EntrySent {
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -157,6 +157,16 @@
         /// Version of the directory that it has.
         known_version: LogIndex,
     },
+    /// An entry VM reported that it can no longer relay requests for others, because it reaches no
+    /// backend servers or is about to stop, or that it can again.
+    RelayAbilityChanged {
+        /// The entry VM.
+        vm: VmId,
+        /// Whether it can relay requests.
+        can_relay: bool,
+        /// Number of such notes that were left out before this one.
+        suppressed: u64,
+    },
     /// An entry VM no longer follows this member.
     EntryDisconnected {
         /// The entry VM.
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -13,15 +13,19 @@
 use super::site_input::SiteInput;
 use crate::SiteEvent;
 
-/// Messages that may be queued for one entry VM: a status, an update, the moving
-/// ranges and the rate limits of servers. The reducer creates the next ones after these have been written.
-const OUTBOX_MESSAGES: usize = 4;
+/// Messages that may be queued for one entry VM: a status, an update, the moving ranges, the rate
+/// limits of servers and the relay peers. The reducer creates the next ones after these have been
+/// written.
+const OUTBOX_MESSAGES: usize = 5;
 /// Time without any received byte after which the link is closed: several report intervals.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
 pub(super) async fn serve(server: LinkServer, link: LinkStream, hello: LinkHello) {
     let LinkHello::Entry {
-        vm, zone, known, ..
+        vm,
+        zone,
+        known,
+        relay_address,
     } = hello
     else {
         return;
@@ -37,6 +41,7 @@
         vm,
         zone,
         known,
+        relay_address,
     };
     let inputs = [
         SiteInput::EntryLink { link: id, outbox },
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -100,6 +100,12 @@
             info!(logger, "entry VM follows this control VM"; "entry_vm" => vm,
                 "known_version" => known_version);
         }
+        SiteNote::RelayAbilityChanged {
+            vm,
+            can_relay,
+            suppressed,
+        } => info!(logger, "entry VM reports whether it can relay"; "entry_vm" => vm,
+            "can_relay" => can_relay, "lines_suppressed" => suppressed),
         SiteNote::EntryDisconnected { vm } => info!(logger, "entry VM left"; "entry_vm" => vm),
     }
 }
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -29,6 +29,10 @@
     IterationTime,
     /// Entry VMs that follow this member.
     EntryVms,
+    /// Entry VMs that have reported that they can't relay requests for others.
+    EntryVmsUnableToRelay,
+    /// Lists of relay peers that were sent to entry VMs.
+    RelayListsSent,
     /// Version of the directory.
     DirectoryVersion,
     /// Whether this member acts as leader.
@@ -50,6 +54,8 @@
             Self::UndecodableFrames => "site_undecodable_frames",
             Self::IterationTime => "site_turn_seconds",
             Self::EntryVms => "site_entry_vms",
+            Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
+            Self::RelayListsSent => "site_relay_lists_sent",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
         }
@@ -69,6 +75,10 @@
             Self::UndecodableFrames => "Frames of links that could not be decoded.",
             Self::IterationTime => "Duration of an iteration of the event loop.",
             Self::EntryVms => "Entry VMs that follow this member.",
+            Self::EntryVmsUnableToRelay => {
+                "Entry VMs that have reported that they can't relay requests for others."
+            }
+            Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
         }
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -201,6 +201,9 @@
         self.metrics.set(SiteMetric::DirectoryVersion, version);
         let entry_count = self.core.entry_count() as u64;
         self.metrics.set(SiteMetric::EntryVms, entry_count);
+        let unable_count = self.core.unable_to_relay_count() as u64;
+        self.metrics
+            .set(SiteMetric::EntryVmsUnableToRelay, unable_count);
     }
 
     fn run_effect(&mut self, effect: SiteEffect) {
@@ -269,6 +272,9 @@
 
     /// Encodes a message once and sends it to several entry VMs.
     fn send_to_entries(&mut self, links: &[EntryLinkId], message: ControlMessage) {
+        if let ControlMessage::Relays(_) = message {
+            self.metrics.increment(SiteMetric::RelayListsSent);
+        }
         let message = Bytes::from(encode_control_message(message));
         for link in links {
             let Some(outbox) = self.entries.get(link) else {
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -331,6 +331,7 @@
         vm: "entry-1".into(),
         zone: "north".into(),
         known: DirectoryPosition::default(),
+        relay_address: None,
     };
     let follower = simulation.follower();
     simulation.handle_event(&follower, connected);
@@ -370,6 +371,7 @@
             vm: "entry-1".into(),
             zone: "north".into(),
             known: DirectoryPosition::default(),
+            relay_address: None,
         };
         simulation.entry_messages.clear();
         simulation.handle_event(vm, connected);
@@ -398,6 +400,7 @@
         vm: "entry-1".into(),
         zone: "north".into(),
         known: DirectoryPosition::default(),
+        relay_address: None,
     };
     simulation.handle_event(&lagging, connected);
     for _ in 0..100 {
@@ -426,6 +429,7 @@
         vm: "entry-1".into(),
         zone: "north".into(),
         known: DirectoryPosition::default(),
+        relay_address: None,
     };
     simulation.handle_event(&leader, connected);
     for server in ["server-1", "server-2"] {
@@ -465,6 +469,7 @@
         vm: "entry-1".into(),
         zone: "north".into(),
         known: DirectoryPosition::default(),
+        relay_address: None,
     };
     simulation.handle_event(&leader, connected);
     let report = EntryReport {
--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    ControlMessage, DirectoryPosition, EntryMessage, EntryReport, LinkHello, ServerRecord,
-    ServerState, SiteAnswer,
+    ControlMessage, DirectoryPosition, EntryMessage, EntryReport, LinkHello, RelayPeer,
+    ServerRecord, ServerState, SiteAnswer,
 };
 use chicory_link::{LinkStream, ReadEvent, dial, split};
 use chicory_ranges::{CallOutcome, GrantCoordinatorConfig, ServerIncarnation};
@@ -116,12 +116,20 @@
     split(stream).expect("a link")
 }
 
-async fn send_hello(mut link: LinkStream) -> LinkStream {
+async fn send_hello(link: LinkStream) -> LinkStream {
+    send_hello_as(link, "entry-1", None).await
+}
+
+async fn send_hello_as(
+    mut link: LinkStream,
+    vm: &str,
+    relay_address: Option<SocketAddr>,
+) -> LinkStream {
     let hello = LinkHello::Entry {
-        vm: "entry-1".into(),
+        vm: vm.into(),
         zone: "north".into(),
         known: DirectoryPosition::default(),
-        relay_address: None,
+        relay_address,
     };
     link.1.put(&site::LinkHello::from(hello));
     link.1.flush().await.expect("an open link");
@@ -247,3 +255,63 @@
     // is bounded.
     expect_that!(versions.len(), le(4), "{versions:?}");
 }
+
+/// Sends a report, and reads messages until a status answers it. Returns the relay peers received
+/// before that.
+async fn report_and_read(link: &mut LinkStream, can_relay: bool) -> Option<Vec<RelayPeer>> {
+    let report = EntryReport {
+        can_relay,
+        ..EntryReport::default()
+    };
+    let report = EntryMessage::Report(report);
+    link.1.put(&site::EntryMessage::from(report));
+    link.1.flush().await.ok()?;
+    let mut relays = Vec::new();
+    loop {
+        let frame = link.0.next().await.ok()??;
+        let message = frame.decode::<site::ControlMessage>().expect("a message");
+        match ControlMessage::try_from(message).expect("a whole message") {
+            ControlMessage::Status(_) => return Some(relays),
+            ControlMessage::Relays(peers) => relays.extend(peers),
+            _ => {}
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn entry_vms_learn_who_relays_and_those_of_earlier_releases_do_not() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (address, site) = start_site(&folder).await;
+    let peer = RelayPeer {
+        vm: "entry-2".into(),
+        address: SocketAddr::from(([10, 0, 0, 2], 7560)),
+        zone: "north".into(),
+    };
+    let own_address = SocketAddr::from(([10, 0, 0, 1], 7560));
+    let scenario = async {
+        put_table(&site, 1).await;
+        let links = [
+            ("entry-1", Some(own_address)),
+            ("entry-2", Some(peer.address)),
+            ("entry-3", None),
+        ];
+        let mut open = Vec::new();
+        for (vm, relay_address) in links {
+            let link = dial(address).await.expect("a link");
+            open.push(send_hello_as(link, vm, relay_address).await);
+        }
+        let mut received = Vec::new();
+        while received.is_empty() {
+            report_and_read(&mut open[1], true).await?;
+            received = report_and_read(&mut open[0], false).await?;
+        }
+        for _ in 0..3 {
+            let of_earlier_release = report_and_read(&mut open[2], true).await?;
+            expect_that!(of_earlier_release, is_empty());
+        }
+        Some(received)
+    };
+    let received = tokio::time::timeout(DEADLINE, scenario).await;
+    expect_that!(received, ok(some(eq(&vec![peer.clone()]))));
+}
