Don't judge servers by entry VMs that are cut off from them

While an entry VM is cut off, its requests time out and its connections are reset. It reports the timeouts as slow answers, the resets as shed requests, and requests whose connection broke before new ones were refused as crashes.

Entry VMs say in each report whether they can relay, which they can't while they are cut off. The control VM that receives such a report, or the first one after it, which covers the end of the cut, takes the loads and the crashes out before it uses or forwards it. Other entry VMs still report both. What servers state themselves (limits, rests, that they leave) counts as before, and so do requests per key. Servers are fenced and removed by their own announcements only, which no entry VM's report touches.

Reports that an entry VM sends before it notices that it is cut off still count, and so do all reports of earlier releases. The tests failed before; one shows that the same loads move keys if the entry VM can relay.

--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -69,10 +69,15 @@
         message: EntryMessage,
     ) {
         let EntryMessage::Report(mut report) = message;
+        let is_distorted = self.is_distorted_by_cut(link, &report);
         self.record_relay_ability(now, link, &report);
         let permit_requests = std::mem::take(&mut report.permits);
         let accepts_server_limits = report.accepts_server_limits;
         let is_periodic = permit_requests.is_empty() && !report.is_about_limits_only();
+        if is_distorted {
+            report.servers.clear();
+            report.poison.clear();
+        }
         if self.mover.is_some() {
             self.on_report(now, report);
         } else if let Some(leader) = self.leader_vm() {
--- a/crates/chicory_site/src/core/relays.rs
+++ b/crates/chicory_site/src/core/relays.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Whether a report covers time in which its entry VM may have been cut off from backend
+    /// servers. Timeouts and broken connections then say nothing about the servers.
+    pub(super) fn is_distorted_by_cut(&self, link: EntryLinkId, report: &EntryReport) -> bool {
+        // A report covers the time since the one before.
+        self.entries.get(&link).is_some_and(|entry| {
+            let was_unable = entry.relay_ability == RelayAbility::Unable;
+            entry.relay_address.is_some() && (was_unable || !report.can_relay)
+        })
+    }
+
     /// Records that an entry VM that takes part in relaying connected or disconnected.
     pub(super) fn record_relay_link(&mut self, entry: &EntryLink) {
         self.are_relays_outdated |= entry.relay_address.is_some();
