--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, EntryReport, KeyCount, MovesChange, MovingRange, RelayPeer,
-    RequestFingerprint, ServerLoad, ServerRecord,
+    DirectoryUpdate, MovesChange, MovingRange, RelayPeer, RequestFingerprint, ServerRecord,
 };
 use chicory_policy::{Outages, Rests};
 use chicory_ranges::{Fence, Key, OwnedRange, ServerIncarnation};
@@ -85,7 +84,7 @@
     pub(super) majority_contact_at: Option<MonoTime>,
     pub(super) table_lag: TableLag,
     /// Requests per key since the previous report.
-    key_counts: BTreeMap<(ServiceName, Key), u32>,
+    pub(super) key_counts: BTreeMap<(ServiceName, Key), u32>,
     pub(super) crashes: CrashDetector,
     pub(super) zones: BTreeMap<ZoneName, ZoneReachability>,
     /// Outages of keys that have no usable owner, by service and fence.
@@ -437,42 +436,4 @@
         let budget = self.budgets.entry(ticket.service.clone()).or_default();
         budget.try_retry(now, &self.config, self.entry_count.get())
     }
-
-    /// Returns what happened since the previous report.
-    pub fn take_report(&mut self, now: MonoTime) -> EntryReport {
-        let rests = self.take_rests(now);
-        let (limits, permits) = self.limited.take_reports(now);
-        let keys = std::mem::take(&mut self.key_counts).into_iter();
-        let servers = self
-            .health
-            .iter_mut()
-            .filter(|(_, health)| health.answered + health.shed > 0);
-        EntryReport {
-            keys: keys
-                .map(|((service, key), request_count)| KeyCount {
-                    service,
-                    key,
-                    request_count,
-                })
-                .collect(),
-            servers: servers
-                .map(|(incarnation, health)| ServerLoad {
-                    incarnation: incarnation.clone(),
-                    in_flight: health.in_flight,
-                    answered: std::mem::take(&mut health.answered),
-                    shed: std::mem::take(&mut health.shed),
-                    service_time: std::mem::take(&mut health.service_time),
-                })
-                .collect(),
-            poison: self.crashes.take_reports(),
-            limits,
-            permits,
-            rests,
-            leaving: std::mem::take(&mut self.unreported_leaving)
-                .into_iter()
-                .collect(),
-            accepts_server_limits: true,
-            can_relay: true,
-        }
-    }
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod gateway_freshness;
 mod gateway_notices;
 mod gateway_relays;
+mod gateway_reports;
 mod limited_servers;
 mod next_step;
 mod permit_state;
