Decide whether an entry VM's own path to backend servers is cut

Until now an entry VM knew of single servers that it could not connect to, and of zones in which three connections in a row had failed. That takes requests, and an answer on a connection that had been open before ended it, so an entry VM whose new connections were all refused never noticed.

Each group of servers, all, those of a zone or those of a service, is now judged by new connections alone. A failed connection, or attempts that no server answers, are a reason to probe other servers of the group by opening a connection; three different servers that fail, one of them at a probe and none reached in between, show a cut. If the group spans several zones or services, so must the failures. Two servers that are reached end it. A server that fails by itself is known for that after a probe for each of its groups, and causes no further ones. Outages of single servers and zones are recorded as before.

The policy `relay` switches the probes off. Nothing uses the decision yet besides the reports, which say that an entry VM that is cut off or about to stop can't relay. An entry VM that is cut off stays ready; the doc comment says why.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -18,6 +18,7 @@
 use super::limited_servers::LimitedServers;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
+use super::server_reachability::ServerReachability;
 use super::table_lag::TableLag;
 use super::zone_reachability::ZoneReachability;
 use super::{
@@ -91,6 +92,10 @@
     owner_outages: Outages<(ServiceName, Fence)>,
     /// Outages of servers to which no connection can be opened.
     pub(super) unreachable: Outages<ServerIncarnation>,
+    /// This entry VM's own paths to servers.
+    pub(super) reachability: ServerReachability,
+    /// Whether this entry VM is about to stop.
+    pub(super) is_stopping: bool,
     /// Servers that have named a rate limit.
     pub(super) limited: LimitedServers,
     /// Servers that have said that they are about to end, and since when.
@@ -128,6 +133,8 @@
             zones: BTreeMap::new(),
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
+            reachability: ServerReachability::default(),
+            is_stopping: false,
             limited: LimitedServers::default(),
             leaving_since: BTreeMap::new(),
             unreported_leaving: BTreeSet::new(),
@@ -155,6 +162,7 @@
         });
         self.unreachable
             .retain(|incarnation| directory.server(incarnation).is_some());
+        self.reachability.retain(directory);
         self.limited
             .remove_expired(now, |incarnation| directory.server(incarnation).is_some());
         self.leaving_since
@@ -300,17 +308,6 @@
         is_paused.then(|| ticket.reason_after_attempts())
     }
 
-    pub(super) fn is_zone_cut_off(&self, now: MonoTime, record: &ServerRecord) -> bool {
-        let reachability = self.zones.get(&record.zone);
-        reachability.is_some_and(|reachability| reachability.is_cut_off(now))
-    }
-
-    /// Whether no connection to a server could be opened, and it is too early to try again.
-    fn is_unreachable(&mut self, now: MonoTime, record: &ServerRecord) -> bool {
-        self.config.is_enabled(Policy::Outages)
-            && !self.unreachable.try_start_probe(now, &record.incarnation)
-    }
-
     /// Whether the key is in a range that is reported as moving under the fence of its owner.
     fn is_moving(&self, service: &str, key: Key, owned: &OwnedRange) -> bool {
         let mut moving = self.moving.iter();
@@ -389,6 +386,7 @@
         if let Some(reachability) = self.zones.get_mut(&record.zone) {
             reachability.record_sent(now);
         }
+        self.reachability.silence().record_sent(now);
         let settle_time = if is_order || health.needs_connection_check(now) {
             self.config.settle_time
         } else {
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -1,6 +1,5 @@
 //! Handles the end of an attempt.
 
-use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
 use super::gateway::{MAX_OWNER_TRIES, OWNER_RETRY_PAUSE};
@@ -38,43 +37,6 @@
         Self::is_retry_allowed(now, ticket, outcome, is_congested)
     }
 
-    fn record_reachability(
-        &mut self,
-        now: MonoTime,
-        incarnation: &ServerIncarnation,
-        outcome: AttemptOutcome,
-    ) {
-        let Some(record) = self.directory().server(incarnation) else {
-            return;
-        };
-        let zone = record.zone.clone();
-        let reachability = self.zones.entry(zone).or_default();
-        match outcome {
-            // While the network is cut, new connections may be answered with resets.
-            AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
-                reachability.record_failed_connection(now);
-                self.unreachable.record_unusable(now, incarnation);
-            }
-            AttemptOutcome::Answered
-            | AttemptOutcome::Failed
-            | AttemptOutcome::Shed
-            | AttemptOutcome::ConnectionRejected
-            | AttemptOutcome::WrongServer
-            | AttemptOutcome::OtherServer
-            | AttemptOutcome::Garbled => {
-                reachability.record_contact();
-                self.unreachable.record_usable(incarnation);
-            }
-            AttemptOutcome::Withheld
-            | AttemptOutcome::RelayUnavailable
-            | AttemptOutcome::UnreachableFromRelay
-            | AttemptOutcome::RelayBroken
-            | AttemptOutcome::Broken
-            | AttemptOutcome::Silent
-            | AttemptOutcome::Cancelled => {}
-        }
-    }
-
     fn is_retry_allowed(
         now: MonoTime,
         ticket: &mut RequestTicket,
--- a/crates/chicory_gateway/src/decide/gateway_freshness.rs
+++ b/crates/chicory_gateway/src/decide/gateway_freshness.rs
@@ -23,6 +23,10 @@
     /// Whether this entry VM has a route table and is in contact with a majority of control VMs.
     /// Without that contact it does not learn which keys move, and it may be cut off from most
     /// servers as well, so callers are better served by other entry VMs.
+    ///
+    /// An entry VM without a path to servers stays ready: others relay its requests. Balancers take
+    /// seconds to send callers elsewhere, and if many entry VMs were cut off, the others would get
+    /// all their callers.
     #[must_use]
     pub fn is_ready_and_in_contact(&self, now: MonoTime) -> bool {
         let contact_age = self.contact_age(now);
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -109,7 +109,7 @@
             limits,
             permits,
             accepts_server_limits: true,
-            can_relay: true,
+            can_relay: self.can_relay(now),
             ..EntryReport::default()
         };
         report.is_about_limits_only().then_some(report)
--- /dev/null
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -0,0 +1,151 @@
+//! Handles what shows whether this entry VM's own path to backend servers is cut.
+
+use chicory_directory::{ServerRecord, ServerState};
+use chicory_ranges::ServerIncarnation;
+use chicory_types::MonoTime;
+
+use super::server_group::ServerGroup;
+use super::{AttemptOutcome, Gateway, Policy, ReachabilityChange};
+
+impl Gateway {
+    /// Returns the servers to which a connection has to be opened now and closed again, to find out
+    /// if that is possible; [`record_probe`](Self::record_probe) records the result. There are none
+    /// while nothing hints at a cut. At most one is returned each 100 ms, so this is best called a
+    /// few times more often.
+    ///
+    /// A probe succeeds if the connection opens within the time that a
+    /// [`Target`](crate::Target) has for that, and the server does not close it at once.
+    pub fn take_probes(&mut self, now: MonoTime) -> Vec<ServerRecord> {
+        if !self.config.is_enabled(Policy::Relay) {
+            return Vec::new();
+        }
+        let probe = self
+            .reachability
+            .take_probe(now, &self.directory, &mut self.rng);
+        probe.into_iter().collect()
+    }
+
+    /// Records whether a connection to a server that had to be probed could be opened.
+    pub fn record_probe(&mut self, now: MonoTime, incarnation: &ServerIncarnation, is_open: bool) {
+        let was_in_progress = self.reachability.record_probe_end(incarnation);
+        let Some(record) = self.directory.server(incarnation).cloned() else {
+            return;
+        };
+        if !was_in_progress {
+            return;
+        }
+        if !is_open {
+            self.reachability
+                .record_failure(now, &record, &self.directory, true);
+            return;
+        }
+        if let Some(zone) = self.zones.get_mut(&record.zone) {
+            zone.record_contact();
+        }
+        self.unreachable.record_usable(incarnation);
+        let restored = self.reachability.record_open(now, &record, &self.directory);
+        for group in restored {
+            self.record_restored_group(&group);
+        }
+    }
+
+    /// Makes the servers of a group usable at once: they were not at fault.
+    fn record_restored_group(&mut self, group: &ServerGroup) {
+        let servers = self.directory.servers();
+        for record in servers.filter(|record| group.contains(record)) {
+            if let Some(zone) = self.zones.get_mut(&record.zone) {
+                zone.record_contact();
+            }
+            self.unreachable.record_usable(&record.incarnation);
+            if let Some(health) = self.health.get_mut(&record.incarnation) {
+                health.end_pause();
+            }
+        }
+    }
+
+    /// Returns for which servers this entry VM's own path was found to be cut or to be usable again
+    /// since the previous call.
+    pub fn take_reachability_changes(&mut self) -> Vec<ReachabilityChange> {
+        self.reachability.take_changes()
+    }
+
+    /// Whether this entry VM can relay requests of others: it reaches most servers and is not about
+    /// to stop.
+    #[must_use]
+    pub fn can_relay(&self, now: MonoTime) -> bool {
+        if self.is_stopping
+            || self.reachability.is_all_suspected(now)
+            || !self.config.is_enabled(Policy::Relay)
+        {
+            return false;
+        }
+        let servers = self.directory.servers();
+        let ready = servers.filter(|record| record.state == ServerState::Ready);
+        let (cut, reached): (Vec<_>, Vec<_>) =
+            ready.partition(|record| self.reachability.is_cut(record));
+        !reached.is_empty() && cut.len() <= reached.len()
+    }
+
+    /// Records that this entry VM is about to stop.
+    pub fn set_stopping(&mut self) {
+        self.is_stopping = true;
+    }
+
+    pub(super) fn is_zone_cut_off(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        let reachability = self.zones.get(&record.zone);
+        reachability.is_some_and(|reachability| reachability.is_cut_off(now))
+    }
+
+    /// Whether no connection to a server could be opened, and it is too early to try again.
+    pub(super) fn is_unreachable(&mut self, now: MonoTime, record: &ServerRecord) -> bool {
+        self.config.is_enabled(Policy::Outages)
+            && !self.unreachable.try_start_probe(now, &record.incarnation)
+    }
+
+    /// Records what the end of an attempt that was sent directly shows about the path to its
+    /// server.
+    pub(super) fn record_reachability(
+        &mut self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        outcome: AttemptOutcome,
+    ) {
+        self.reachability.silence().record_end();
+        let Some(record) = self.directory.server(incarnation) else {
+            return;
+        };
+        let zone = self.zones.entry(record.zone.clone()).or_default();
+        match outcome {
+            // While the network is cut, new connections may be answered with resets.
+            AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
+                zone.record_failed_connection(now);
+                self.unreachable.record_unusable(now, incarnation);
+                self.reachability
+                    .record_failure(now, record, &self.directory, false);
+            }
+            AttemptOutcome::ConnectionRejected => {
+                zone.record_contact();
+                self.unreachable.record_usable(incarnation);
+                self.reachability.silence().record_unanswered();
+            }
+            AttemptOutcome::Answered
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Shed
+            | AttemptOutcome::WrongServer
+            | AttemptOutcome::OtherServer
+            | AttemptOutcome::Garbled => {
+                zone.record_contact();
+                self.unreachable.record_usable(incarnation);
+                self.reachability.silence().record_answer(now);
+            }
+            AttemptOutcome::Broken | AttemptOutcome::Silent => {
+                self.reachability.silence().record_unanswered();
+            }
+            AttemptOutcome::Withheld
+            | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::UnreachableFromRelay
+            | AttemptOutcome::RelayBroken
+            | AttemptOutcome::Cancelled => {}
+        }
+    }
+}
--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -8,6 +8,7 @@
 impl Gateway {
     /// Returns what happened since the previous report.
     pub fn take_report(&mut self, now: MonoTime) -> EntryReport {
+        let can_relay = self.can_relay(now);
         let rests = self.take_rests(now);
         let (limits, permits) = self.limited.take_reports(now);
         let keys = std::mem::take(&mut self.key_counts).into_iter();
@@ -40,7 +41,7 @@
                 .into_iter()
                 .collect(),
             accepts_server_limits: true,
-            can_relay: true,
+            can_relay,
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions about requests, without I/O.
 
 mod admission;
+mod answer_silence;
 mod crash_detector;
 mod entry_count;
 mod gateway;
@@ -10,7 +11,9 @@
 mod gateway_freshness;
 mod gateway_notices;
 mod gateway_relays;
+mod gateway_reachability;
 mod gateway_reports;
+mod group_reachability;
 mod limited_servers;
 mod next_step;
 mod permit_state;
@@ -20,8 +23,10 @@
 mod request_metadata;
 mod request_ticket;
 mod retry_budget;
+mod server_group;
 mod server_health;
 mod server_notices;
+mod server_reachability;
 mod table_lag;
 mod zone_reachability;
 
@@ -35,4 +40,6 @@
 pub use request_metadata::RequestMetadata;
 pub use request_ticket::RequestTicket;
 pub use retry_budget::RetryBudget;
+pub use server_group::ServerGroup;
 pub use server_notices::{LeavingNotice, LimitNotice, RestNotice, ServerNotices};
+pub use server_reachability::ReachabilityChange;
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -13,15 +13,18 @@
     Readiness,
     /// Prefers servers of the entry VM's own availability zone for requests without keys.
     OwnZone,
+    /// Sends requests by way of other entry VMs while this one has no path to backend servers.
+    Relay,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Outages,
         Self::RetryAfterTime,
         Self::Readiness,
         Self::OwnZone,
+        Self::Relay,
     ];
 
     /// Returns the name of the policy in settings.
@@ -32,6 +35,7 @@
             Self::RetryAfterTime => "return-time",
             Self::Readiness => "readiness",
             Self::OwnZone => "own-zone",
+            Self::Relay => "relay",
         }
     }
 
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -123,8 +123,7 @@
                 self.record_latency(took);
                 self.update_failure_rate(false);
                 self.consecutive_breaks = 0;
-                self.next_pause = FIRST_PAUSE;
-                self.paused_until = MonoTime::ZERO;
+                self.end_pause();
             }
             AttemptOutcome::Failed => self.update_failure_rate(true),
             AttemptOutcome::Shed | AttemptOutcome::ConnectionRejected => {
@@ -176,6 +175,12 @@
         }
     }
 
+    /// Ends the pause: the server was not at fault.
+    pub(crate) fn end_pause(&mut self) {
+        self.next_pause = FIRST_PAUSE;
+        self.paused_until = MonoTime::ZERO;
+    }
+
     fn start_pause(&mut self, now: MonoTime) {
         self.paused_until = now + self.next_pause;
         self.next_pause = (self.next_pause * 2).min(MAX_PAUSE);
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -2,5 +2,6 @@
 
 mod choices;
 mod notices;
+mod reachability;
 mod retries;
 mod support;
--- /dev/null
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -0,0 +1,190 @@
+//! Tests when an entry VM considers its own path to servers cut, without a network.
+
+use std::time::Duration;
+
+use crate::support::{START, expect_sent, gateway, metadata, owned, ranges, server};
+use chicory_directory::{DirectoryUpdate, ServerRecord, ServerState};
+use chicory_gateway::{
+    Admission, AttemptOutcome, Gateway, ReachabilityChange, RequestTicket, ServerGroup,
+};
+use googletest::prelude::*;
+
+const TICK: Duration = Duration::from_millis(50);
+/// Users require that callers are served 3 s after a cut began; half of that is left to the relays.
+const LONGEST_DETECTION: Duration = Duration::from_millis(1500);
+
+/// Creates a gateway with servers of three services in two zones.
+fn gateway_over_two_zones() -> Gateway {
+    let mut gateway = gateway();
+    let names = ["a3", "a4", "a5", "a6", "l3", "l4", "o3", "o4"];
+    let south = names.map(|name| ServerRecord {
+        zone: "south".into(),
+        ..server(name, service_of(name), ServerState::Ready)
+    });
+    let update = DirectoryUpdate {
+        version: 9,
+        last_fence: 9,
+        servers: south.into(),
+        ranges: ranges(vec![owned(500, 999, "a3", 8), owned(1500, 1999, "a4", 9)]),
+        ..DirectoryUpdate::default()
+    };
+    gateway.update(START, update);
+    gateway
+}
+
+fn service_of(name: &str) -> &str {
+    match &name[..1] {
+        "a" => "archive",
+        "l" => "library",
+        _ => "ledger",
+    }
+}
+
+/// Sends a request to the owner of a key.
+fn send(gateway: &mut Gateway, now: Duration, key: u16) -> RequestTicket {
+    let admission = gateway.admit(now, "host", "/reads/x", &metadata(Some(key)));
+    let Admission::Accepted(mut ticket) = admission else {
+        panic!("refused: {admission:?}");
+    };
+    expect_sent(gateway.next_step(now, &mut ticket));
+    ticket
+}
+
+/// Ends one attempt at the owner of a key.
+fn end_attempt(gateway: &mut Gateway, now: Duration, key: u16, outcome: AttemptOutcome) {
+    let mut ticket = send(gateway, now, key);
+    gateway.record_attempt_end(now, &mut ticket, outcome);
+}
+
+/// Carries out probes for a time. Returns the servers that were probed.
+fn probe_until(
+    gateway: &mut Gateway,
+    from: Duration,
+    until: Duration,
+    is_open: impl Fn(&ServerRecord) -> bool,
+) -> Vec<ServerRecord> {
+    let mut probed = Vec::new();
+    let mut now = from;
+    while now < until {
+        for record in gateway.take_probes(now) {
+            gateway.record_probe(now, &record.incarnation, is_open(&record));
+            probed.push(record);
+        }
+        now += TICK;
+    }
+    probed
+}
+
+fn change(group: ServerGroup, is_cut: bool) -> ReachabilityChange {
+    ReachabilityChange { group, is_cut }
+}
+
+#[gtest]
+fn no_server_is_probed_while_attempts_are_answered() {
+    let mut gateway = gateway_over_two_zones();
+    for step in 0..40 {
+        let now = START + TICK * step;
+        end_attempt(&mut gateway, now, 7, AttemptOutcome::Answered);
+        expect_that!(gateway.take_probes(now), is_empty());
+    }
+    expect_that!(gateway.can_relay(START + TICK * 40), eq(true));
+}
+
+#[gtest]
+fn first_failed_connection_is_enough_to_find_a_cut() {
+    let mut gateway = gateway_over_two_zones();
+    end_attempt(&mut gateway, START, 7, AttemptOutcome::Unreachable);
+    let until = START + LONGEST_DETECTION;
+    probe_until(&mut gateway, START, until, |_| false);
+    let changes = gateway.take_reachability_changes();
+    expect_that!(changes, eq(&vec![change(ServerGroup::All, true)]));
+    expect_that!(gateway.can_relay(until), eq(false));
+    expect_that!(gateway.take_report(until).can_relay, eq(false));
+}
+
+#[gtest]
+fn attempt_that_hangs_is_enough_to_find_a_cut() {
+    let mut gateway = gateway_over_two_zones();
+    send(&mut gateway, START, 7);
+    let until = START + LONGEST_DETECTION;
+    probe_until(&mut gateway, START, until, |_| false);
+    expect_that!(gateway.can_relay(until), eq(false));
+}
+
+#[gtest]
+fn one_crashed_server_is_no_cut_and_is_not_probed_for_long() {
+    let mut gateway = gateway_over_two_zones();
+    let mut probe_count = 0;
+    let attempts: u32 = 20;
+    for step in 0..attempts {
+        // A server that can't be reached is tried only once in a while.
+        let now = START + Duration::from_millis(300) * step;
+        end_attempt(&mut gateway, now, 7, AttemptOutcome::Refused);
+        let until = now + Duration::from_millis(300);
+        let is_open = |record: &ServerRecord| record.incarnation.server != "a1";
+        probe_count += probe_until(&mut gateway, now, until, is_open).len();
+        expect_that!(gateway.can_relay(until), eq(true));
+    }
+    expect_that!(gateway.take_reachability_changes(), is_empty());
+    // One for each group that the server belongs to.
+    expect_that!(probe_count, le(3));
+}
+
+#[gtest]
+fn answers_on_open_connections_do_not_hide_a_cut() {
+    let mut gateway = gateway_over_two_zones();
+    for step in 0..30 {
+        let now = START + TICK * step;
+        end_attempt(&mut gateway, now, 1200, AttemptOutcome::Answered);
+        if step == 0 {
+            end_attempt(&mut gateway, now, 7, AttemptOutcome::Refused);
+        }
+        probe_until(&mut gateway, now, now + TICK, |_| false);
+    }
+    expect_that!(gateway.can_relay(START + LONGEST_DETECTION), eq(false));
+}
+
+#[gtest]
+fn cut_of_one_zone_is_not_taken_for_a_cut_of_all_servers() {
+    let mut gateway = gateway_over_two_zones();
+    end_attempt(&mut gateway, START, 600, AttemptOutcome::Unreachable);
+    end_attempt(&mut gateway, START, 1600, AttemptOutcome::Unreachable);
+    let until = START + LONGEST_DETECTION;
+    probe_until(&mut gateway, START, until, |record| record.zone == "north");
+    let changes = gateway.take_reachability_changes();
+    let south = ServerGroup::Zone("south".into());
+    expect_that!(changes, eq(&vec![change(south, true)]));
+}
+
+#[gtest]
+fn servers_are_probed_seldom_during_a_cut_until_two_are_reached() {
+    let mut gateway = gateway_over_two_zones();
+    end_attempt(&mut gateway, START, 7, AttemptOutcome::Unreachable);
+    let found_at = START + LONGEST_DETECTION;
+    probe_until(&mut gateway, START, found_at, |_| false);
+    gateway.take_reachability_changes();
+    let healed_at = found_at + Duration::from_secs(10);
+    let probed = probe_until(&mut gateway, found_at, healed_at, |_| false);
+    // At most one each 200 ms.
+    expect_that!(probed.len(), le(50));
+    expect_that!(gateway.take_reachability_changes(), is_empty());
+    let probed = probe_until(
+        &mut gateway,
+        healed_at,
+        healed_at + Duration::from_secs(1),
+        |_| true,
+    );
+    let changes = gateway.take_reachability_changes();
+    expect_that!(changes, eq(&vec![change(ServerGroup::All, false)]));
+    expect_that!(probed.len(), eq(2));
+    expect_that!(probed[0].incarnation, not(eq(&probed[1].incarnation)));
+    // Requests are sent directly at once.
+    send(&mut gateway, healed_at + TICK, 7);
+}
+
+#[gtest]
+fn entry_vm_that_stops_relays_nothing() {
+    let mut gateway = gateway_over_two_zones();
+    gateway.set_stopping();
+    expect_that!(gateway.can_relay(START), eq(false));
+}
