Send requests by way of other entry VMs while the own path is cut

Callers of an entry VM without a path to the servers were refused as `unreachable` for as long as the cut lasted, though other entry VMs reached the servers.

The entry VM still decides everything about a request; only the way of an attempt changes. It names a relay peer if the path to the server is cut, or if a connection to it has failed and nothing was sent, and then no retry is used. The peer is one of the own zone if there is one, with the fewest requests in flight. A peer that refuses or fails is paused for a moment, and a request is sent to three at most, of which two may fail to reach the server. Servers and zones that peers could not reach either are remembered by the types that do that for the own path, so requests for them are refused at once, but for a few. Without a free peer a request is refused at once, unless servers still answer on connections that were open before the cut.

A relayed attempt shows nothing about the own path, about the latency of the server, or, if the relay broke, about crashes. An order whose relay broke may have run and is not sent again.

Their plan now includes the relay peers that control VMs name, and the probes; three new tests play few requests a second, the return to the direct path, and calm.

--- a/crates/chicory_gateway/src/decide/answer_silence.rs
+++ b/crates/chicory_gateway/src/decide/answer_silence.rs
@@ -50,14 +50,9 @@
         self.quiet_until = now + QUIET_TIME;
     }
 
-    /// Whether the last answer was received within the time in which one is expected.
-    pub(super) fn is_answered_lately(&self, now: MonoTime) -> bool {
-        now < self.since + LONG_SILENCE
-    }
-
     /// Whether the path to the servers has to be checked.
     pub(super) fn needs_probe(&self, now: MonoTime) -> bool {
-        let is_silent = self.in_flight > 0 && !self.is_answered_lately(now);
+        let is_silent = self.in_flight > 0 && now >= self.since + LONG_SILENCE;
         now >= self.quiet_until && (is_silent || self.has_unanswered)
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chicory_directory::{
-    DirectoryUpdate, MovesChange, MovingRange, RelayPeer, RequestFingerprint, ServerRecord,
+    DirectoryUpdate, MovesChange, MovingRange, RequestFingerprint, ServerRecord,
 };
 use chicory_policy::{Outages, Rests};
 use chicory_ranges::{Fence, Key, OwnedRange, ServerIncarnation};
@@ -15,7 +15,10 @@
 use super::crash_detector::CrashDetector;
 use super::entry_count::EntryCount;
 use super::gateway_notices::ServerStep;
+use super::gateway_relays::Way;
 use super::limited_servers::LimitedServers;
+use super::relay_choice::RelayChoice;
+use super::relay_reachability::RelayReachability;
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::server_reachability::ServerReachability;
@@ -94,6 +97,10 @@
     pub(super) unreachable: Outages<ServerIncarnation>,
     /// This entry VM's own paths to servers.
     pub(super) reachability: ServerReachability,
+    /// Other entry VMs that relay requests.
+    pub(super) relays: RelayChoice,
+    /// Their paths to servers.
+    pub(super) relay_reachability: RelayReachability,
     /// Whether this entry VM is about to stop.
     pub(super) is_stopping: bool,
     /// Servers that have named a rate limit.
@@ -108,8 +115,6 @@
     pub(super) unreported_rests: BTreeSet<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
-    /// Entry VMs that relay requests for this one; the preferred one is first.
-    pub(super) relays: Vec<RelayPeer>,
     pub(super) rng: StdRng,
 }
 
@@ -134,6 +139,8 @@
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
             reachability: ServerReachability::default(),
+            relays: RelayChoice::default(),
+            relay_reachability: RelayReachability::default(),
             is_stopping: false,
             limited: LimitedServers::default(),
             leaving_since: BTreeMap::new(),
@@ -141,7 +148,6 @@
             rests: Rests::default(),
             unreported_rests: BTreeSet::new(),
             issuer_contact_at: None,
-            relays: Vec::new(),
         }
     }
 
@@ -163,6 +169,8 @@
         self.unreachable
             .retain(|incarnation| directory.server(incarnation).is_some());
         self.reachability.retain(directory);
+        self.relay_reachability
+            .retain(|incarnation| directory.server(incarnation).is_some());
         self.limited
             .remove_expired(now, |incarnation| directory.server(incarnation).is_some());
         self.leaving_since
@@ -239,6 +247,7 @@
             may_have_run: false,
             waiting_since: None,
             not_before: now,
+            relayed_server: None,
             permit: None,
         })
     }
@@ -281,33 +290,17 @@
             return self.wait_for_owner(now, ticket, &grant);
         };
         self.owner_outages.record_usable(&grant);
-        if let Some(reason) = self.reason_to_refuse(now, ticket, &record) {
-            return NextStep::Refuse(self.refusal(now, ticket, reason));
-        }
+        let way = match self.way_to_owner(now, ticket, &record) {
+            Ok(way) => way,
+            Err(reason) => return NextStep::Refuse(self.refusal(now, ticket, reason)),
+        };
         match self.server_step(now, ticket, &record) {
-            ServerStep::Send { has_permit } => self.send(now, ticket, &record, has_permit),
+            ServerStep::Send { has_permit } => self.send(now, ticket, &record, way, has_permit),
             ServerStep::Wait(until) => NextStep::Wait(until.min(ticket.deadline)),
             ServerStep::Deny(denial) => NextStep::Refuse(self.denial_refusal(now, ticket, denial)),
         }
     }
 
-    /// Returns why a request is not sent to the owner of its key, or `None` if it may be sent.
-    fn reason_to_refuse(
-        &mut self,
-        now: MonoTime,
-        ticket: &RequestTicket,
-        record: &ServerRecord,
-    ) -> Option<RefusalReason> {
-        if ticket.attempts.is_empty() {
-            let cannot_connect =
-                self.is_zone_cut_off(now, record) || self.is_unreachable(now, record);
-            return cannot_connect.then_some(RefusalReason::Unreachable);
-        }
-        let health = self.health.get(&record.incarnation);
-        let is_paused = health.is_some_and(|health| health.is_paused(now));
-        is_paused.then(|| ticket.reason_after_attempts())
-    }
-
     /// Whether the key is in a range that is reported as moving under the fence of its owner.
     fn is_moving(&self, service: &str, key: Key, owned: &OwnedRange) -> bool {
         let mut moving = self.moving.iter();
@@ -374,6 +367,7 @@
         now: MonoTime,
         ticket: &mut RequestTicket,
         record: &ServerRecord,
+        way: Way,
         has_permit: bool,
     ) -> NextStep {
         if !ticket.attempts.is_empty() && !self.try_take_retry(now, ticket) {
@@ -383,19 +377,20 @@
         let is_order = !ticket.route.route.kind.is_repeatable();
         let health = self.health.entry(record.incarnation.clone()).or_default();
         health.in_flight += 1;
-        if let Some(reachability) = self.zones.get_mut(&record.zone) {
-            reachability.record_sent(now);
-        }
-        self.reachability.silence().record_sent(now);
         let settle_time = if is_order || health.needs_connection_check(now) {
             self.config.settle_time
         } else {
             Duration::ZERO
         };
+        self.record_sent(now, record, &way);
+        let relay = way.into_relay();
+        ticket.relayed_server = None;
         ticket.attempts.push(Attempt {
             incarnation: record.incarnation.clone(),
             started_at: now,
             ended: None,
+            relay: relay.clone(),
+            is_replaced: false,
         });
         let left = ticket.deadline.saturating_sub(now);
         let can_follow = !is_order && ticket.key.is_none() && ticket.attempts_left() > 0;
@@ -412,7 +407,7 @@
             connect_timeout: CONNECT_TIMEOUT.min(left),
             settle_time,
             has_permit,
-            relay: None,
+            relay,
         })
     }
 
@@ -426,6 +421,8 @@
                 AttemptOutcome::Refused
                     | AttemptOutcome::Unreachable
                     | AttemptOutcome::ConnectionRejected
+                    | AttemptOutcome::RelayUnavailable
+                    | AttemptOutcome::UnreachableFromRelay
             )
         });
         if !may_have_arrived {
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -1,5 +1,6 @@
 //! Handles the end of an attempt.
 
+use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
 use super::gateway::{MAX_OWNER_TRIES, OWNER_RETRY_PAUSE};
@@ -22,11 +23,18 @@
         attempt.ended = Some((outcome, now));
         let took = now.saturating_sub(attempt.started_at);
         let incarnation = attempt.incarnation.clone();
+        let relay = attempt.relay.clone();
         let health = self.health.entry(incarnation.clone()).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
-        health.record_outcome(now, outcome, took);
+        match &relay {
+            None => health.record_outcome(now, outcome, took),
+            Some(_) => health.record_relayed_outcome(now, outcome, took),
+        }
         let is_congested = health.is_congested();
-        self.record_reachability(now, &incarnation, outcome);
+        match &relay {
+            None => self.record_reachability(now, &incarnation, outcome),
+            Some(peer) => self.record_relayed_end(now, peer, &incarnation, outcome),
+        }
         ticket.may_have_run |= outcome.may_have_run();
         self.crashes
             .record_outcome(now, ticket.fingerprint, &incarnation, outcome);
@@ -34,12 +42,14 @@
         if ticket.key.is_some() && self.rests.rest(now, &incarnation).is_some() {
             return false;
         }
-        Self::is_retry_allowed(now, ticket, outcome, is_congested)
+        self.is_retry_allowed(now, ticket, &incarnation, outcome, is_congested)
     }
 
     fn is_retry_allowed(
+        &mut self,
         now: MonoTime,
         ticket: &mut RequestTicket,
+        incarnation: &ServerIncarnation,
         outcome: AttemptOutcome,
         is_congested: bool,
     ) -> bool {
@@ -52,12 +62,17 @@
         if is_final || !is_safe_to_retry || now >= ticket.deadline {
             return false;
         }
+        if self.try_other_way(now, ticket, incarnation, outcome) {
+            return true;
+        }
         if ticket.key.is_none() {
             return ticket.attempts_left() > 0;
         }
         // The owner of a key is the only server that can serve the request, so it is tried again
         // after a pause.
-        let tries = u32::try_from(ticket.attempts.len()).unwrap_or(u32::MAX);
+        let attempts = ticket.attempts.iter();
+        let counted = attempts.filter(|attempt| !attempt.is_replaced).count();
+        let tries = u32::try_from(counted).unwrap_or(u32::MAX);
         ticket.not_before = now + OWNER_RETRY_PAUSE * tries;
         let max_tries = match outcome {
             AttemptOutcome::WrongServer
@@ -65,7 +80,7 @@
             | AttemptOutcome::Unreachable
             | AttemptOutcome::Withheld => MAX_OWNER_TRIES,
             AttemptOutcome::Shed if !is_congested => MAX_OWNER_TRIES,
-            AttemptOutcome::Garbled | AttemptOutcome::Broken => 2,
+            AttemptOutcome::Garbled | AttemptOutcome::Broken | AttemptOutcome::RelayBroken => 2,
             _ => 0,
         };
         tries < max_tries
--- a/crates/chicory_gateway/src/decide/gateway_choice.rs
+++ b/crates/chicory_gateway/src/decide/gateway_choice.rs
@@ -9,8 +9,9 @@
 use rand::RngExt;
 
 use super::gateway_notices::{Denial, ServerStep};
+use super::gateway_relays::Way;
 use super::server_health::ServerHealth;
-use super::{Gateway, NextStep, Policy, RequestTicket};
+use super::{Gateway, NextStep, Policy, RefusalReason, RequestTicket};
 
 /// Latency that is assumed for a service until one of its servers has answered.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(200);
@@ -24,34 +25,45 @@
         now: MonoTime,
         ticket: &mut RequestTicket,
     ) -> NextStep {
-        let mut denials: BTreeMap<ServerIncarnation, Denial> = BTreeMap::new();
+        if self.is_without_way(now, ticket) {
+            return NextStep::Refuse(self.refusal(now, ticket, RefusalReason::Unreachable));
+        }
+        let mut denials: BTreeMap<ServerIncarnation, Option<Denial>> = BTreeMap::new();
         while let Some(record) = self.choose_server(now, ticket, &denials) {
+            let way = self.choose_way(now, ticket, &record, false);
+            if way == Way::Cut {
+                denials.insert(record.incarnation, None);
+                continue;
+            }
             match self.server_step(now, ticket, &record) {
                 ServerStep::Send { has_permit } => {
-                    return self.send(now, ticket, &record, has_permit);
+                    return self.send(now, ticket, &record, way, has_permit);
                 }
                 ServerStep::Wait(until) => return NextStep::Wait(until.min(ticket.deadline)),
                 ServerStep::Deny(denial) => {
-                    denials.insert(record.incarnation, denial);
+                    denials.insert(record.incarnation, Some(denial));
                 }
             }
         }
-        let earliest = denials.values().min_by_key(|denial| denial.retry_after());
+        let known = denials.values().flatten();
+        let earliest = known.min_by_key(|denial| denial.retry_after());
         let refusal = match earliest {
             Some(denial) => self.denial_refusal(now, ticket, *denial),
+            None if !denials.is_empty() => self.refusal(now, ticket, RefusalReason::Unreachable),
             None => self.refusal(now, ticket, ticket.reason_after_attempts()),
         };
         NextStep::Refuse(refusal)
     }
 
     /// Returns the server with the least expected cost, other than those that were tried or have
-    /// denied the request. A server that is paused or denies requests is chosen only if there is no
+    /// denied the request (`denials`; without a denial if there is no way to the server). A server
+    /// that is paused, denies requests or can't be reached directly is chosen only if there is no
     /// other.
     fn choose_server(
         &mut self,
         now: MonoTime,
         ticket: &RequestTicket,
-        denials: &BTreeMap<ServerIncarnation, Denial>,
+        denials: &BTreeMap<ServerIncarnation, Option<Denial>>,
     ) -> Option<ServerRecord> {
         let awaited = ticket.awaited_server();
         let rank = ticket.route.route.rank();
@@ -64,18 +76,20 @@
         let mut best: Option<(bool, f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
             let health = self.health.get(&record.incarnation);
-            let is_excluded = tried.contains(&record.incarnation)
+            let is_relayed = ticket.relayed_server.as_ref() == Some(&record.incarnation);
+            let is_excluded = (tried.contains(&record.incarnation) && !is_relayed)
                 || self.leaving_since.contains_key(&record.incarnation)
                 || denials.contains_key(&record.incarnation)
                 || health.is_some_and(|health| health.is_gone);
             if is_excluded {
                 continue;
             }
-            if awaited == Some(&record.incarnation) {
+            if is_relayed || awaited == Some(&record.incarnation) {
                 return Some(record.clone());
             }
             let is_paused = health.is_some_and(|health| health.is_paused(now))
                 || self.is_zone_cut_off(now, record)
+                || self.reachability.is_cut(record)
                 || self.limited.is_denied(now, &record.incarnation, rank)
                 || self.rests.rest(now, &record.incarnation).is_some();
             let cost = health.map_or_else(
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -136,7 +136,7 @@
             | AttemptOutcome::Garbled => {
                 zone.record_contact();
                 self.unreachable.record_usable(incarnation);
-                self.reachability.silence().record_answer(now);
+                self.reachability.record_answer(now, record);
             }
             AttemptOutcome::Broken | AttemptOutcome::Silent => {
                 self.reachability.silence().record_unanswered();
--- a/crates/chicory_gateway/src/decide/group_reachability.rs
+++ b/crates/chicory_gateway/src/decide/group_reachability.rs
@@ -11,6 +11,8 @@
 /// Time after its latest failure for which a server that failed while others of its group could be
 /// reached gives no reason for probes.
 const ISOLATION_TIME: Duration = Duration::from_secs(2);
+/// Time after an answer for which connections that were open before a cut are taken to be in use.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Servers that have to be reached until the group is no longer considered cut off.
 const REACHED_THRESHOLD: usize = 2;
 /// Failed servers from which on the group is suspected to be cut off.
@@ -29,6 +31,8 @@
     isolated: BTreeMap<ServerIncarnation, MonoTime>,
     /// Servers that were reached while the group is considered cut off.
     reached: BTreeSet<ServerIncarnation>,
+    /// When a server of the group answered last, on a connection of this entry VM.
+    answered_at: Option<MonoTime>,
     /// When a server of the group was probed last.
     pub(super) probed_at: MonoTime,
 }
@@ -75,6 +79,15 @@
         false
     }
 
+    pub(super) fn record_answer(&mut self, now: MonoTime) {
+        self.answered_at = Some(now);
+    }
+
+    /// Whether servers of the group still answer, on connections that are open.
+    pub(super) fn is_answering(&self, now: MonoTime) -> bool {
+        self.answered_at.is_some_and(|at| now < at + ANSWER_TIME)
+    }
+
     pub(super) fn set_cut(&mut self) {
         self.is_cut = true;
         self.reached.clear();
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -52,7 +52,10 @@
         let reason = match outcome {
             AttemptOutcome::Shed | AttemptOutcome::ConnectionRejected => RefusalReason::Overloaded,
             AttemptOutcome::WrongServer | AttemptOutcome::OtherServer => RefusalReason::NoOwner,
-            AttemptOutcome::Refused | AttemptOutcome::Unreachable => RefusalReason::Unreachable,
+            AttemptOutcome::Refused
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::UnreachableFromRelay => RefusalReason::Unreachable,
             AttemptOutcome::Withheld => RefusalReason::ServerLimited,
             AttemptOutcome::Silent => RefusalReason::TimedOut,
             _ => RefusalReason::BrokenAnswer,
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use chicory_directory::RequestFingerprint;
+use chicory_directory::{RelayPeer, RequestFingerprint};
 use chicory_ranges::{Key, ServerIncarnation};
 use chicory_routes::{MatchedRoute, RouteTableVersion};
 use chicory_types::{MonoTime, ServiceName};
@@ -20,6 +20,17 @@
     pub started_at: MonoTime,
     /// Outcome of the attempt and the time of its end; `None` while it runs.
     pub ended: Option<(AttemptOutcome, MonoTime)>,
+    /// Entry VM that relays the request; `None` if it is sent to the server directly.
+    pub relay: Option<RelayPeer>,
+    /// Whether nothing was sent to the server and the request is sent to it another way.
+    pub is_replaced: bool,
+}
+
+impl Attempt {
+    /// Returns the outcome of the attempt; `None` while it runs.
+    pub(crate) fn outcome(&self) -> Option<AttemptOutcome> {
+        self.ended.map(|(outcome, _)| outcome)
+    }
 }
 
 /// State of one request that is being served.
@@ -41,6 +52,8 @@
     pub(crate) waiting_since: Option<MonoTime>,
     /// Earliest time of the next attempt.
     pub(crate) not_before: MonoTime,
+    /// Server to which the request is relayed, because connections to it have failed.
+    pub(crate) relayed_server: Option<ServerIncarnation>,
     /// Present while or after the rate limit of a server has held the request back.
     pub(crate) permit: Option<Box<PermitState>>,
 }
@@ -115,16 +128,28 @@
         limit.saturating_sub(distinct.len())
     }
 
+    /// Returns the entry VMs that the request was sent to.
+    pub(crate) fn tried_relays(&self) -> Vec<RelayPeer> {
+        let attempts = self.attempts.iter();
+        attempts
+            .filter_map(|attempt| attempt.relay.clone())
+            .collect()
+    }
+
     /// Returns a short summary of the attempts, for logs.
     #[must_use]
     pub fn attempts_summary(&self) -> String {
-        let texts = self.attempts.iter().map(|attempt| match attempt.ended {
-            Some((outcome, at)) => {
-                let took = at.saturating_sub(attempt.started_at);
-                let (incarnation, outcome_name) = (&attempt.incarnation, outcome.as_str());
-                format!("{incarnation}:{outcome_name}:{}ms", took.as_millis())
+        let texts = self.attempts.iter().map(|attempt| {
+            let incarnation = &attempt.incarnation;
+            let relay = attempt.relay.as_ref();
+            let way = relay.map_or_else(String::new, |peer| format!(":by-{}", peer.vm));
+            match attempt.ended {
+                Some((outcome, at)) => {
+                    let took = at.saturating_sub(attempt.started_at).as_millis();
+                    format!("{incarnation}{way}:{}:{took}ms", outcome.as_str())
+                }
+                None => format!("{incarnation}{way}:running"),
             }
-            None => format!("{}:running", attempt.incarnation),
         });
         texts.collect::<Vec<_>>().join(",")
     }
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -147,6 +147,36 @@
         }
     }
 
+    /// Records the outcome of an attempt that another entry VM relayed. Its duration does not count
+    /// for the server's latency, and what failed may be the path by way of that entry VM.
+    pub(crate) fn record_relayed_outcome(
+        &mut self,
+        now: MonoTime,
+        outcome: AttemptOutcome,
+        took: Duration,
+    ) {
+        match outcome {
+            AttemptOutcome::Answered | AttemptOutcome::Silent => {
+                self.answered += 1;
+                self.service_time += took;
+                self.update_failure_rate(outcome == AttemptOutcome::Silent);
+            }
+            AttemptOutcome::Failed
+            | AttemptOutcome::Shed
+            | AttemptOutcome::ConnectionRejected
+            | AttemptOutcome::OtherServer => self.record_outcome(now, outcome, took),
+            AttemptOutcome::Broken | AttemptOutcome::Garbled => self.update_failure_rate(true),
+            AttemptOutcome::WrongServer
+            | AttemptOutcome::Refused
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Withheld
+            | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::UnreachableFromRelay
+            | AttemptOutcome::RelayBroken
+            | AttemptOutcome::Cancelled => {}
+        }
+    }
+
     fn record_latency(&mut self, took: Duration) {
         self.answered += 1;
         self.service_time += took;
--- a/crates/chicory_gateway/src/decide/server_reachability.rs
+++ b/crates/chicory_gateway/src/decide/server_reachability.rs
@@ -66,6 +66,11 @@
         all.is_some_and(|group| group.is_suspected(now))
     }
 
+    /// Whether the path to a server may be cut, but that isn't certain yet.
+    pub(super) fn is_suspected(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        self.any_group(record, |group| group.is_suspected(now))
+    }
+
     fn any_group(
         &self,
         record: &ServerRecord,
@@ -78,6 +83,31 @@
                 .any(|group| self.groups.get(group).is_some_and(&condition))
     }
 
+    /// Records that a server answered, perhaps on a connection that had been open before.
+    pub(super) fn record_answer(&mut self, now: MonoTime, record: &ServerRecord) {
+        self.silence.record_answer(now);
+        if self.groups.is_empty() {
+            return;
+        }
+        for group in ServerGroup::all_of(record) {
+            if let Some(state) = self.groups.get_mut(&group) {
+                state.record_answer(now);
+            }
+        }
+    }
+
+    /// Whether servers that are cut off together with this one still answer, on connections that
+    /// are open.
+    pub(super) fn is_answering(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        !self.any_group(record, |group| group.is_cut && !group.is_answering(now))
+    }
+
+    /// Whether the path to all servers is cut, and none answers on a connection that is open.
+    pub(super) fn is_all_silent(&self, now: MonoTime) -> bool {
+        let all = self.groups.get(&ServerGroup::All);
+        all.is_some_and(|group| group.is_cut && !group.is_answering(now))
+    }
+
     /// Records that no connection to a server could be opened.
     pub(super) fn record_failure(
         &mut self,
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use chicory_directory::{DirectoryUpdate, LinkStatus};
+use chicory_directory::{DirectoryUpdate, LinkStatus, RelayPeer};
 use chicory_gateway::{Gateway, GatewayConfig, Target};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::ZoneName;
 
 use crate::plan::CutKind;
+use crate::world::{CONNECT_TIMEOUT, HOP};
 
 /// Requests that an entry VM relays at a time.
 const RELAY_ROOM: usize = 8;
@@ -21,6 +22,8 @@
     pub relaying: usize,
     /// Whether the previous report says that this entry VM can relay.
     pub can_relay: bool,
+    /// Entry VMs that may relay, as the control VM named them last.
+    relays: Vec<RelayPeer>,
     /// Times since which connections to each server are idle.
     idle_connections: BTreeMap<ServerIncarnation, Vec<Duration>>,
 }
@@ -38,6 +41,7 @@
             cut: None,
             relaying: 0,
             can_relay: true,
+            relays: Vec::new(),
             idle_connections: BTreeMap::new(),
         }
     }
@@ -54,6 +58,14 @@
         self.can_relay = self.gateway.take_report(now).can_relay;
     }
 
+    /// Learns which entry VMs may relay. Control VMs report only changes.
+    pub fn set_relays(&mut self, relays: Vec<RelayPeer>) {
+        if relays != self.relays {
+            self.gateway.set_relays(relays.clone());
+            self.relays = relays;
+        }
+    }
+
     pub fn set_cut(&mut self, cut: Option<CutKind>) {
         self.cut = cut;
         if cut == Some(CutKind::Reset) {
@@ -61,6 +73,15 @@
         }
     }
 
+    /// Returns the time until a new connection to a server opens or fails.
+    pub fn connect_time(&self) -> Duration {
+        if self.cut == Some(CutKind::Silent) {
+            CONNECT_TIMEOUT
+        } else {
+            2 * HOP
+        }
+    }
+
     /// Takes a connection to a server that may be reused. Returns whether there was one.
     pub fn take_connection(&mut self, now: Duration, target: &Target) -> bool {
         let idle = self.idle_connections.get_mut(&target.incarnation);
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/main.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/main.rs
@@ -2,6 +2,7 @@
 //! servers are served.
 
 mod entry_vm;
+mod healing;
 mod plan;
 mod requests;
 mod serving;
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -1,9 +1,12 @@
 //! Entry VMs, their callers and backend servers in virtual time.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use chicory_directory::RelayPeer;
 use chicory_gateway::{Admission, AttemptOutcome, NextStep, Refusal, RequestMetadata};
+use chicory_ranges::ServerIncarnation;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -13,18 +16,29 @@
 use crate::site::{directory, zone_name};
 
 /// Time that a message takes between two VMs.
-const HOP: Duration = Duration::from_millis(1);
+pub const HOP: Duration = Duration::from_millis(1);
 /// Time that a server takes for a request.
 const WORK_TIME: Duration = Duration::from_millis(40);
 /// Time after which opening a connection without an answer is given up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const REPORT_INTERVAL: Duration = Duration::from_millis(350);
 
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+const RELAYS_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of entry VMs of the own zone, and of others, that an entry VM is told of.
+const RELAYS_PER_VM: usize = 4;
+
 enum Event {
     /// The path of the entry VMs that the plan names is cut or restored.
     SetCut(Option<CutKind>),
     /// An entry VM reports to the control VM.
     Report(usize),
+    /// The control VM tells entry VMs which others may relay.
+    Relays,
+    /// An entry VM probes servers if it has to.
+    Probe(usize),
+    /// A connection that was opened as a probe opens, or fails.
+    ProbeEnd(usize, ServerIncarnation),
     /// A caller sends a request to an entry VM.
     Arrival(usize),
     /// A request requests its next step.
@@ -47,6 +61,12 @@
     pub entry_vms: Vec<EntryVm>,
     /// What became of the requests so far.
     pub records: Vec<Record>,
+    /// When which entry VM began to open a connection to a server.
+    pub connects: Vec<(Duration, usize)>,
+    /// Number of probes so far.
+    pub probe_count: usize,
+    /// When a request was sent to an entry VM that was to relay it.
+    pub relayed_at: Vec<Duration>,
     events: BTreeMap<(Duration, u64), Event>,
     event_count: u64,
     rng: StdRng,
@@ -65,6 +85,9 @@
             plan,
             entry_vms: entry_vms.collect(),
             records: Vec::new(),
+            connects: Vec::new(),
+            probe_count: 0,
+            relayed_at: Vec::new(),
             events: BTreeMap::new(),
             event_count: 0,
             rng: StdRng::seed_from_u64(7),
@@ -74,9 +97,12 @@
         for vm in 0..plan.vm_count {
             let offset = world.rng.random_range(0.0..1.0);
             world.add_event(REPORT_INTERVAL.mul_f64(offset), Event::Report(vm));
+            let offset = world.rng.random_range(0.0..1.0);
+            world.add_event(PROBE_INTERVAL.mul_f64(offset), Event::Probe(vm));
             world.entry_vms[vm].report(Duration::ZERO, plan.vm_count);
             world.add_arrival(vm);
         }
+        world.add_event(Duration::ZERO, Event::Relays);
         world
     }
 
@@ -114,6 +140,19 @@
                 self.entry_vms[vm].report(self.now, self.plan.vm_count);
                 self.add_event(self.now + REPORT_INTERVAL, Event::Report(vm));
             }
+            Event::Relays => {
+                self.send_relays();
+                self.add_event(self.now + RELAYS_INTERVAL, Event::Relays);
+            }
+            Event::Probe(vm) => {
+                self.start_probes(vm);
+                self.add_event(self.now + PROBE_INTERVAL, Event::Probe(vm));
+            }
+            Event::ProbeEnd(vm, server) => {
+                let entry_vm = &mut self.entry_vms[vm];
+                let is_open = entry_vm.cut.is_none();
+                entry_vm.gateway.record_probe(self.now, &server, is_open);
+            }
             Event::Arrival(vm) => {
                 self.add_arrival(vm);
                 self.admit(vm);
@@ -133,6 +172,36 @@
         }
     }
 
+    fn start_probes(&mut self, vm: usize) {
+        let entry_vm = &mut self.entry_vms[vm];
+        let connect_time = entry_vm.connect_time();
+        for record in entry_vm.gateway.take_probes(self.now) {
+            self.connects.push((self.now, vm));
+            self.probe_count += 1;
+            let event = Event::ProbeEnd(vm, record.incarnation);
+            self.add_event(self.now + connect_time, event);
+        }
+    }
+
+    fn send_relays(&mut self) {
+        let able = (0..self.plan.vm_count).filter(|vm| self.entry_vms[*vm].can_relay);
+        let able: Vec<usize> = able.collect();
+        for vm in 0..self.plan.vm_count {
+            let zone = self.plan.zone_of(vm);
+            // Each entry VM is told of others, so that no few get all requests.
+            let start = able.iter().position(|able| *able > vm).unwrap_or(0);
+            let others = able.iter().cycle().skip(start).take(able.len());
+            let others = others.filter(|other| **other != vm);
+            let (own, other): (Vec<usize>, Vec<usize>) =
+                others.partition(|other| self.plan.zone_of(**other) == zone);
+            let own = own.into_iter().take(RELAYS_PER_VM);
+            let chosen = own.chain(other.into_iter().take(RELAYS_PER_VM));
+            let relays = chosen.map(|index| relay_peer(index, self.plan.zone_of(index)));
+            let relays = relays.collect();
+            self.entry_vms[vm].set_relays(relays);
+        }
+    }
+
     fn admit(&mut self, vm: usize) {
         let path = if self.rng.random_bool(0.5) {
             READS
@@ -189,6 +258,7 @@
         let entry_vm = &mut self.entry_vms[attempt.exchange.entry_vm];
         if let Some(peer) = &attempt.target.relay {
             let peer = peer.vm.parse().expect("an index");
+            self.relayed_at.push(self.now);
             self.add_event(self.now + HOP, Event::Relay(attempt, peer));
             return;
         }
@@ -197,11 +267,8 @@
             self.add_event(self.now + 2 * HOP + WORK_TIME, Event::Answer(attempt));
             return;
         }
-        let connect_time = if entry_vm.cut == Some(CutKind::Silent) {
-            attempt.target.connect_timeout
-        } else {
-            2 * HOP
-        };
+        let connect_time = entry_vm.connect_time();
+        self.connects.push((self.now, attempt.exchange.entry_vm));
         self.add_event(self.now + connect_time, Event::Connected(attempt));
     }
 
@@ -232,7 +299,9 @@
     fn relay(&mut self, attempt: Attempt, peer: usize) {
         let relay = &mut self.entry_vms[peer];
         let (after, outcome) = match relay.cut {
-            _ if !relay.can_relay || !relay.has_room() => (HOP, AttemptOutcome::RelayUnavailable),
+            _ if !relay.gateway.can_relay(self.now) || !relay.has_room() => {
+                (HOP, AttemptOutcome::RelayUnavailable)
+            }
             Some(CutKind::Silent) => (CONNECT_TIMEOUT + HOP, AttemptOutcome::UnreachableFromRelay),
             Some(_) => (3 * HOP, AttemptOutcome::UnreachableFromRelay),
             None => {
@@ -266,3 +335,12 @@
         self.record_refusal(&attempt.exchange, &refusal);
     }
 }
+
+fn relay_peer(index: usize, zone: usize) -> RelayPeer {
+    let port = 9000 + u16::try_from(index).expect("a small index");
+    RelayPeer {
+        vm: index.to_string(),
+        address: SocketAddr::from(([10, 0, 1, 1], port)),
+        zone: zone_name(zone),
+    }
+}
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -3,5 +3,6 @@
 mod choices;
 mod notices;
 mod reachability;
+mod relays;
 mod retries;
 mod support;
--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -2,20 +2,25 @@
 
 use std::time::Duration;
 
-use crate::support::{START, expect_sent, gateway, metadata, owned, ranges, server};
+use crate::support::{START, expect_sent, gateway_with, metadata, owned, ranges, server};
 use chicory_directory::{DirectoryUpdate, ServerRecord, ServerState};
 use chicory_gateway::{
-    Admission, AttemptOutcome, Gateway, ReachabilityChange, RequestTicket, ServerGroup,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, ReachabilityChange, RequestTicket,
+    ServerGroup,
 };
 use googletest::prelude::*;
 
 const TICK: Duration = Duration::from_millis(50);
 /// Users require that callers are served 3 s after a cut began; half of that is left to the relays.
-const LONGEST_DETECTION: Duration = Duration::from_millis(1500);
+pub const LONGEST_DETECTION: Duration = Duration::from_millis(1500);
 
 /// Creates a gateway with servers of three services in two zones.
-fn gateway_over_two_zones() -> Gateway {
-    let mut gateway = gateway();
+pub fn gateway_over_two_zones() -> Gateway {
+    gateway_over_two_zones_with(GatewayConfig::default())
+}
+
+pub fn gateway_over_two_zones_with(config: GatewayConfig) -> Gateway {
+    let mut gateway = gateway_with(config);
     let names = ["a3", "a4", "a5", "a6", "l3", "l4", "o3", "o4"];
     let south = names.map(|name| ServerRecord {
         zone: "south".into(),
@@ -57,7 +62,7 @@
 }
 
 /// Carries out probes for a time. Returns the servers that were probed.
-fn probe_until(
+pub fn probe_until(
     gateway: &mut Gateway,
     from: Duration,
     until: Duration,
--- a/crates/chicory_gateway/tests/decisions/support.rs
+++ b/crates/chicory_gateway/tests/decisions/support.rs
@@ -88,7 +88,11 @@
 }
 
 pub fn gateway() -> Gateway {
-    let mut gateway = Gateway::new(GatewayConfig::default());
+    gateway_with(GatewayConfig::default())
+}
+
+pub fn gateway_with(config: GatewayConfig) -> Gateway {
+    let mut gateway = Gateway::new(config);
     let ready = ServerState::Ready;
     let update = DirectoryUpdate {
         version: 5,
