Name the relay of an attempt after its outcome

`chicory_ctl` reads the outcome of an attempt from the second field of its summary in the log, so an attempt that was relayed had the relay for its outcome. The name of the relay comes last now.

--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -146,9 +146,9 @@
             match attempt.ended {
                 Some((outcome, at)) => {
                     let took = at.saturating_sub(attempt.started_at).as_millis();
-                    format!("{incarnation}{way}:{}:{took}ms", outcome.as_str())
+                    format!("{incarnation}:{}:{took}ms{way}", outcome.as_str())
                 }
-                None => format!("{incarnation}{way}:running"),
+                None => format!("{incarnation}:running{way}"),
             }
         });
         texts.collect::<Vec<_>>().join(",")
--- a/crates/chicory_gateway/tests/decisions/relays.rs
+++ b/crates/chicory_gateway/tests/decisions/relays.rs
@@ -282,6 +282,18 @@
     expect_that!(refused_at_once, ge(request_count - 13));
 }
 
+/// The outcome follows the server, as for attempts that are sent directly.
+#[gtest]
+fn summary_of_attempts_names_the_relay_last() {
+    let (mut gateway, now) = cut_off(|_| false);
+    let mut ticket = admit(&mut gateway, now, "/reads/x", Some(7));
+    let target = expect_sent(gateway.next_step(now, &mut ticket));
+    gateway.record_attempt_end(now, &mut ticket, AttemptOutcome::Answered);
+    let vm = target.relay.map(|peer| peer.vm).unwrap_or_default();
+    let expected = format!("{}:answered:0ms:by-{vm}", target.incarnation);
+    expect_that!(ticket.attempts_summary(), eq(&expected));
+}
+
 #[gtest]
 fn slow_relays_do_not_make_a_server_seem_congested() {
     let (mut gateway, now) = cut_off(|_| false);
