Notice within three seconds that a backend server is gone

Nothing was set on these connections, so the kernel resends for minutes and never probes a connection that only waits for an answer.

Connections to servers now send keep-alive probes each second, and have TCP_USER_TIMEOUT at 2.2 s. The kernel gives up on probes by that timeout, too, whatever their count: two of them remain unanswered before. The kernel of a server acknowledges whatever its process does, so a server may stay silent for any time.

The timeout also closes a connection whose peer has no room for more bytes, although its kernel answers each probe. It is therefore lifted while a request has more than 16 KB.

--- a/crates/chicory_net/src/http/metered_stream.rs
+++ b/crates/chicory_net/src/http/metered_stream.rs
@@ -1,14 +1,21 @@
-//! A connection that accepts only so many bytes.
+//! A connection that accepts only so many bytes, and notices the end of its peer.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::http::peer_liveness::{UNACKNOWLEDGED_TIMEOUT, set_probes, set_unacknowledged_timeout};
+
+/// Most bytes of a request that any server's receive buffer takes. The kernel closes a connection
+/// whose peer has no room for more bytes like one whose peer is gone, so longer requests are sent
+/// without a timeout for their acknowledgement.
+const MAX_TIMED_BYTES: usize = 16 * 1024;
+
 /// Number of bytes that a [`MeteredStream`] still accepts.
 #[derive(Clone, Debug)]
 pub(crate) struct ByteAllowance(Arc<AtomicU64>);
@@ -30,16 +37,65 @@
     }
 }
 
-/// A connection that accepts only so many bytes, and fails after that.
+/// Number of bytes of a request that a [`MeteredStream`] has sent.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SentBytes(Arc<AtomicUsize>);
+
+impl SentBytes {
+    /// Begins to count the bytes of another request.
+    pub(crate) fn reset(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+/// A connection that accepts only so many bytes, and fails after that. It also fails soon after its
+/// peer has vanished from the network.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
     stream: TcpStream,
     allowance: ByteAllowance,
+    sent: SentBytes,
+    has_timeout: bool,
 }
 
 impl MeteredStream {
-    pub(crate) fn new(stream: TcpStream, allowance: ByteAllowance) -> Self {
-        Self { stream, allowance }
+    pub(crate) fn new(stream: TcpStream, allowance: ByteAllowance, sent: SentBytes) -> Self {
+        // Without the options the connection still works, only its loss is noticed later.
+        let _ = set_probes(&stream);
+        Self {
+            stream,
+            allowance,
+            sent,
+            has_timeout: false,
+        }
+    }
+
+    /// Sets or removes the timeout for acknowledgements before `bytes` more are sent.
+    fn adjust_timeout(&mut self, bytes: usize) {
+        let sent_before = self.sent.get();
+        let is_short = sent_before + bytes <= MAX_TIMED_BYTES;
+        let starts_short = is_short && sent_before == 0 && !self.has_timeout;
+        let becomes_long = !is_short && self.has_timeout;
+        if starts_short || becomes_long {
+            let timeout = is_short.then_some(UNACKNOWLEDGED_TIMEOUT);
+            self.has_timeout = is_short;
+            let _ = set_unacknowledged_timeout(&self.stream, timeout);
+        }
+    }
+
+    fn record_sent(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.sent.add(bytes);
+        }
+        written
     }
 }
 
@@ -69,7 +125,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.adjust_timeout(bytes.len());
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_sent(written)
     }
 
     fn poll_write_vectored(
@@ -77,7 +135,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        self.adjust_timeout(parts.iter().map(|part| part.len()).sum());
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.record_sent(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/chicory_net/src/http/mod.rs
+++ b/crates/chicory_net/src/http/mod.rs
@@ -13,6 +13,7 @@
 mod http_listener;
 mod link_error;
 mod metered_stream;
+mod peer_liveness;
 mod server_link;
 
 pub use body_error::BodyError;
--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -16,7 +16,7 @@
 
 use crate::http::HttpBody;
 use crate::http::link_error::{HandshakeSnafu, LinkError, SendError};
-use crate::http::metered_stream::{ByteAllowance, MeteredStream};
+use crate::http::metered_stream::{ByteAllowance, MeteredStream, SentBytes};
 
 /// Most bytes of an answer before its body begins, including interim answers.
 const MAX_HEAD_BYTES: u64 = 128 * 1024;
@@ -34,7 +34,9 @@
 
 /// One connection to a backend server, for one request at a time.
 ///
-/// It is closed if an answer is longer than any answer should be, wherever the bytes are.
+/// It is closed if an answer is longer than any answer should be, wherever the bytes are, and if the
+/// server's kernel acknowledges nothing for two to three seconds. A server whose kernel does may take
+/// any time.
 ///
 /// Dropping it closes the connection at once, which signals the server to cancel the request that
 /// is in progress on it.
@@ -43,6 +45,7 @@
     sender: SendRequest<HttpBody>,
     connection_task: AbortHandle,
     allowance: ByteAllowance,
+    sent: SentBytes,
     max_body_bytes: u64,
     expiries: mpsc::UnboundedSender<Option<Expiry>>,
 }
@@ -77,7 +80,8 @@
     ) -> Result<Self, LinkError> {
         let _ = stream.set_nodelay(true);
         let allowance = ByteAllowance::new(MAX_HEAD_BYTES);
-        let stream = MeteredStream::new(stream, allowance.clone());
+        let sent = SentBytes::default();
+        let stream = MeteredStream::new(stream, allowance.clone(), sent.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake(TokioIo::new(stream))
@@ -95,6 +99,7 @@
             sender,
             connection_task: connection_task.abort_handle(),
             allowance,
+            sent,
             max_body_bytes: MAX_BODY_BYTES,
             expiries,
         })
@@ -138,6 +143,7 @@
         request: Request<HttpBody>,
     ) -> impl Future<Output = Result<Response<Incoming>, SendError>> + Send + use<> {
         self.allowance.set(MAX_HEAD_BYTES);
+        self.sent.reset();
         let sent = self.sender.try_send_request(request);
         let (allowance, max_body_bytes) = (self.allowance.clone(), self.max_body_bytes);
         async move {
