Let a listener probe silent connections and take more headers

A listener for other entry VMs gets the callers' headers and its own on top, which may be more than the HTTP library takes by default, and has to notice when an entry VM is cut off. Both are off unless asked for.

--- a/crates/chicory_net/src/http/http_listener.rs
+++ b/crates/chicory_net/src/http/http_listener.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use crate::NetMetric;
+use crate::http::peer_liveness::set_probes;
 use crate::http::{HttpHandler, HttpLimits};
 
 /// Pause after a failed accept, for example if no file descriptors are left.
@@ -24,6 +25,16 @@
 #[derive(Debug)]
 pub struct HttpListener {
     listener: TcpListener,
+    options: ConnectionOptions,
+}
+
+/// Options of the connections of a listener.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConnectionOptions {
+    /// Maximum number of headers of a request; `None` for that of the HTTP library.
+    max_headers: Option<usize>,
+    /// Whether silent connections are probed.
+    has_probes: bool,
 }
 
 /// State shared by the connections of a listener.
@@ -31,6 +42,7 @@
 struct SharedState {
     handler: Arc<dyn HttpHandler>,
     limits: HttpLimits,
+    options: ConnectionOptions,
     stop: watch::Receiver<bool>,
     metrics: Arc<Metrics>,
 }
@@ -43,7 +55,24 @@
     /// Returns an error if the address can't be bound.
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        Ok(Self { listener })
+        Ok(Self {
+            listener,
+            options: ConnectionOptions::default(),
+        })
+    }
+
+    /// Sets the maximum number of headers of a request.
+    #[must_use]
+    pub fn with_max_headers(mut self, max_headers: usize) -> Self {
+        self.options.max_headers = Some(max_headers);
+        self
+    }
+
+    /// Closes connections whose other end has vanished from the network while nothing is sent.
+    #[must_use]
+    pub fn with_probes(mut self) -> Self {
+        self.options.has_probes = true;
+        self
     }
 
     /// Returns the address that the listener is bound to.
@@ -67,6 +96,7 @@
         let shared = SharedState {
             handler,
             limits,
+            options: self.options,
             stop: stop.clone(),
             metrics,
         };
@@ -94,6 +124,10 @@
             return;
         }
         let _ = stream.set_nodelay(true);
+        if self.options.has_probes {
+            // Without probes the connection still works, only its loss is noticed later.
+            let _ = set_probes(&stream);
+        }
         connections.spawn(self.clone().serve(stream));
     }
 
@@ -104,11 +138,15 @@
             let answer = handler.handle(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = http1::Builder::new()
+        let mut builder = http1::Builder::new();
+        builder
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.head_timeout)
-            .max_header_size(self.limits.max_head_bytes)
-            .serve_connection(TokioIo::new(stream), service);
+            .max_header_size(self.limits.max_head_bytes);
+        if let Some(max_headers) = self.options.max_headers {
+            builder.max_headers(max_headers);
+        }
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
