--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod gateway_process_config;
 mod gateway_process_error;
 mod interfaces;
+mod line_budget;
 mod loss_cause;
 mod request_guard;
 mod request_log;
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -1,5 +1,6 @@
 //! Log lines about requests, at a limited rate.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -10,27 +11,18 @@
 use slog::{Logger, info, warn};
 
 use super::GatewayMetric;
+use super::line_budget::LineBudget;
 use crate::{Gateway, Refusal, RequestMetadata, RequestTicket, ServerNotices};
 
-/// Lines about failures per second. Under overload most of them have the same content.
-const FAILURE_LINES_PER_S: f64 = 40.0;
-/// Lines about failures that may be written at once.
-const FAILURE_LINES_BURST: f64 = 80.0;
 /// One in this many answered requests is logged.
 const ANSWERED_SAMPLE: u64 = 64;
 
-struct LineBudget {
-    lines: f64,
-    refilled_at: MonoTime,
-    suppressed: u64,
-    answered: u64,
-}
-
 /// Writes a line for each request that fails, and for a sample of the others.
 pub(super) struct RequestLog {
     logger: Logger,
     metrics: Arc<Metrics>,
     budget: Mutex<LineBudget>,
+    answered: AtomicU64,
 }
 
 /// Data about a request that each line contains.
@@ -45,12 +37,8 @@
         Self {
             logger,
             metrics,
-            budget: Mutex::new(LineBudget {
-                lines: FAILURE_LINES_BURST,
-                refilled_at: Duration::ZERO,
-                suppressed: 0,
-                answered: 0,
-            }),
+            budget: Mutex::default(),
+            answered: AtomicU64::new(0),
         }
     }
 
@@ -147,26 +135,19 @@
     }
 
     fn is_sampled(&self) -> bool {
-        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.answered += 1;
-        budget.answered % ANSWERED_SAMPLE == 1
+        let answered_before = self.answered.fetch_add(1, Ordering::Relaxed);
+        answered_before.is_multiple_of(ANSWERED_SAMPLE)
     }
 
     /// Returns the number of lines suppressed before this one, or `None` if this one
     /// is suppressed too.
     fn take_line(&self, now: MonoTime) -> Option<u64> {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        let elapsed = now.saturating_sub(budget.refilled_at).as_secs_f64();
-        budget.refilled_at = now;
-        let refilled = budget.lines + elapsed * FAILURE_LINES_PER_S;
-        budget.lines = refilled.min(FAILURE_LINES_BURST);
-        if budget.lines < 1.0 {
-            budget.suppressed += 1;
+        let line = budget.take(now);
+        if line.is_none() {
             self.metrics.increment(GatewayMetric::LogLinesSuppressed);
-            return None;
         }
-        budget.lines -= 1.0;
-        Some(std::mem::take(&mut budget.suppressed))
+        line
     }
 }
 
