Relay requests to backend servers for other entry VMs

An entry VM can now send an attempt by way of another one: `Target.relay` names it. The other entry VM sends it to that server on its own connections, without any decision but whether it takes it, and passes the answer on with a header that says so. It never relays further. Outcomes without an answer of the server have names of their own, so that the first entry VM can tell what certainly has not run.

A refused request is read to its end first: a connection that is closed in the middle of a body looks broken, and an order would count as one that may have run.

The sending on a connection to a server and the keeping of connections are shared by both ways (`send_to_server`, `UsedLink`, `ConnectionPool`).

--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
-    GatewayProcessError, ServerInterface,
+    GatewayProcessError, RelayAdmission, RelayClient, RelayHead, RelayHeadError, RelayLoad,
+    RelayOutcome, RelayedCall, ServerInterface,
 };
 pub use view::{Directory, UpdateOutcome};
--- a/crates/chicory_gateway/src/process/answer.rs
+++ b/crates/chicory_gateway/src/process/answer.rs
@@ -1,13 +1,13 @@
 //! An answer of a backend server, read far enough to be passed on.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use bytes::Bytes;
-use chicory_net::http::ServerLink;
 use hyper::body::Incoming;
 use hyper::http::response;
 
+use super::used_link::UsedLink;
+
 /// Bytes of a body that are read before an answer is passed on, so that the request can be sent
 /// again if the answer breaks off early. Most answers fit.
 pub(super) const BUFFERED_BYTES: usize = 16 * 1024;
@@ -19,6 +19,5 @@
     pub(super) parts: VecDeque<Bytes>,
     /// Rest of the body; `None` if all of it was read.
     pub(super) rest: Option<Incoming>,
-    pub(super) link: ServerLink,
-    pub(super) keep_alive: Option<Duration>,
+    pub(super) link: UsedLink,
 }
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -1,20 +1,21 @@
 //! One attempt to have a request served by a backend server.
 
 use std::collections::VecDeque;
-use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicory_net::http::{HttpBody, LinkError, SendError, ServerLink};
+use chicory_net::http::{HttpBody, ServerLink};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::http::{HeaderMap, header, request};
+use hyper::http::{HeaderMap, header, request, response};
 use hyper::{Request, Response, Version};
 
-use super::GatewayMetric;
 use super::answer::{Answer, BUFFERED_BYTES};
 use super::interfaces::AnswerClass;
+use super::server_send::send_to_server;
 use super::shared_state::SharedState;
+use super::used_link::{LinkPeer, UsedLink};
+use super::{GatewayMetric, RelayedCall};
 use crate::{AttemptOutcome, Recheck, RequestMetadata, Target};
 
 /// Headers that apply to one connection only.
@@ -59,8 +60,11 @@
     if let Ok(result) = tokio::time::timeout(limit, exchange).await {
         return result;
     }
-    // If one connection to a server is unresponsive, the others usually are as well.
-    shared.pool.close_all(&target.incarnation);
+    // If one connection to a server or an entry VM is unresponsive, the others usually are as well.
+    match &target.relay {
+        Some(peer) => shared.relays.close_all(&peer.vm),
+        None => shared.pool.close_all(&target.incarnation),
+    }
     AttemptResult::Ended(AttemptOutcome::Silent)
 }
 
@@ -78,7 +82,10 @@
     let took = shared.now().saturating_sub(started_at);
     shared.metrics.record(GatewayMetric::AttemptLatency, took);
     let (head, body) = response.into_parts();
-    let keep_alive = shared.servers.keep_alive(&head);
+    let link = UsedLink {
+        link,
+        peer: link_peer(shared, target, &head),
+    };
     let class = shared
         .servers
         .classify(&request.metadata, &target.incarnation, &head);
@@ -92,11 +99,11 @@
         AnswerClass::Answer => false,
         AnswerClass::Failure => true,
         AnswerClass::Shed => {
-            keep_connection(shared, target, link, &body, keep_alive);
+            keep_connection(shared, link, &body);
             return AttemptResult::Ended(AttemptOutcome::Shed);
         }
         AnswerClass::WrongServer => {
-            keep_connection(shared, target, link, &body, keep_alive);
+            keep_connection(shared, link, &body);
             return AttemptResult::Ended(AttemptOutcome::WrongServer);
         }
         AnswerClass::OtherServer => {
@@ -114,15 +121,14 @@
                 parts,
                 rest,
                 link,
-                keep_alive,
             });
             AttemptResult::Answered { answer, is_failure }
         }
-        Err(_) => AttemptResult::Ended(AttemptOutcome::Broken),
+        Err(_) => AttemptResult::Ended(link.peer.broken_outcome()),
     }
 }
 
-/// Sends on a pooled connection, or on a new one if there is none or the pooled one is closed.
+/// Sends to the server, or to the entry VM that relays the request to it.
 async fn send(
     shared: &SharedState,
     request: &CallerRequest,
@@ -130,45 +136,27 @@
     time_left: Duration,
 ) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
     let started_at = shared.now();
-    while let Some(mut link) = shared
-        .pool
-        .take(shared.now(), &target.incarnation, target.max_idle)
-    {
+    let outgoing = || {
         recheck(shared, target)?;
         let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
-        match link.send(outgoing(shared, request, target, left)).await {
-            Ok(response) => return Ok((link, response)),
-            Err(SendError::NothingSent) => {}
-            Err(SendError::Malformed) => return Err(AttemptOutcome::Garbled),
-            Err(SendError::Broken) => return Err(AttemptOutcome::Broken),
-        }
-    }
-    shared.metrics.increment(GatewayMetric::Connections);
-    let address = target.address.to_string();
-    let opened = ServerLink::open(&address, target.connect_timeout, || {}).await;
-    let mut link = opened.map_err(|failure| match failure {
-        LinkError::Refused => AttemptOutcome::Refused,
-        LinkError::Network { source } if source.kind() == ErrorKind::ConnectionReset => {
-            AttemptOutcome::ConnectionRejected
-        }
-        _ => AttemptOutcome::Unreachable,
-    })?;
-    if !target.settle_time.is_zero() {
-        tokio::time::sleep(target.settle_time).await;
-        if !link.is_ready() {
-            return Err(AttemptOutcome::ConnectionRejected);
-        }
+        Ok(outgoing(shared, request, target, left))
+    };
+    let Some(peer) = &target.relay else {
+        return send_to_server(shared, target, outgoing).await;
+    };
+    let call = RelayedCall {
+        request: request.metadata.attempt_id.as_deref(),
+        time_left,
+    };
+    shared.relays.send(peer, target, call, outgoing).await
+}
+
+/// Returns the other end of the connection that an answer arrived on.
+fn link_peer(shared: &SharedState, target: &Target, head: &response::Parts) -> LinkPeer {
+    match &target.relay {
+        Some(peer) => LinkPeer::Relay(peer.vm.clone()),
+        None => LinkPeer::Server(target.incarnation.clone(), shared.servers.keep_alive(head)),
     }
-    let now = shared.now();
-    recheck(shared, target)?;
-    let left = time_left.saturating_sub(now.saturating_sub(started_at));
-    let sent = link.send(outgoing(shared, request, target, left)).await;
-    let response = sent.map_err(|failure| match failure {
-        SendError::NothingSent => AttemptOutcome::Unreachable,
-        SendError::Malformed => AttemptOutcome::Garbled,
-        SendError::Broken => AttemptOutcome::Broken,
-    })?;
-    Ok((link, response))
 }
 
 /// Checks that the request may still be sent to its target.
@@ -197,15 +185,24 @@
         &target.incarnation,
         time_left,
     );
-    let has_body = !request.body.is_empty() || headers.contains_key(header::CONTENT_LENGTH);
+    server_request(&request.head, headers, &request.body)
+}
+
+/// Builds a request to a server from a head whose headers were replaced.
+pub(super) fn server_request(
+    head: &request::Parts,
+    headers: HeaderMap,
+    body: &Bytes,
+) -> Request<HttpBody> {
+    let has_body = !body.is_empty() || headers.contains_key(header::CONTENT_LENGTH);
     let body = if has_body {
-        HttpBody::full(request.body.clone())
+        HttpBody::full(body.clone())
     } else {
         HttpBody::empty()
     };
     let mut outgoing = Request::new(body);
-    *outgoing.method_mut() = request.head.method.clone();
-    *outgoing.uri_mut() = request.head.uri.clone();
+    *outgoing.method_mut() = head.method.clone();
+    *outgoing.uri_mut() = head.uri.clone();
     *outgoing.version_mut() = Version::HTTP_11;
     *outgoing.headers_mut() = headers;
     outgoing
@@ -251,16 +248,8 @@
 }
 
 /// Keeps the connection after an answer that is not passed on, if no more of its body is to come.
-fn keep_connection(
-    shared: &SharedState,
-    target: &Target,
-    link: ServerLink,
-    body: &Incoming,
-    keep_alive: Option<Duration>,
-) {
+fn keep_connection(shared: &SharedState, link: UsedLink, body: &Incoming) {
     if body.is_end_stream() {
-        shared
-            .pool
-            .put(shared.now(), &target.incarnation, link, keep_alive);
+        link.keep(shared);
     }
 }
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -21,14 +21,13 @@
 use super::shared_state::SharedState;
 use crate::{
     Admission, AttemptOutcome, NextStep, Refusal, RefusalReason, RequestMetadata, RequestTicket,
-    Target,
 };
 
 /// Time after the caller's own time for which an answer is passed on. A caller that still reads then
 /// can use it, but an answer without an end would be passed on forever.
-const MAX_BODY_OVERTIME: Duration = Duration::from_secs(10);
+pub(super) const MAX_BODY_OVERTIME: Duration = Duration::from_secs(10);
 /// Largest body that is buffered for sending.
-const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
+pub(super) const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
@@ -157,7 +156,7 @@
         ticket.set_fingerprint(fingerprint(request));
         let mut guard = RequestGuard::new(self.shared.clone(), ticket);
         let mut changes = self.shared.changes.subscribe();
-        let mut failure: Option<(Box<Answer>, Target)> = None;
+        let mut failure: Option<Box<Answer>> = None;
         loop {
             changes.mark_unchanged();
             match guard.next_step() {
@@ -171,8 +170,8 @@
                     drop(tokio::time::timeout(pause, changes.changed()).await);
                 }
                 NextStep::Refuse(refusal) => {
-                    if let Some((answer, target)) = failure {
-                        return self.pass_on(guard, *answer, &target);
+                    if let Some(answer) = failure {
+                        return self.pass_on(guard, *answer);
                     }
                     return self.refuse(Some(&guard.ticket), &refusal);
                 }
@@ -183,18 +182,18 @@
                         AttemptResult::Answered {
                             answer,
                             is_failure: false,
-                        } => return self.pass_on(guard, *answer, &target),
+                        } => return self.pass_on(guard, *answer),
                         AttemptResult::Answered { answer, .. } => {
                             let may_retry = guard.end_attempt(AttemptOutcome::Failed);
                             if !may_retry {
-                                return self.pass_on(guard, *answer, &target);
+                                return self.pass_on(guard, *answer);
                             }
-                            failure = Some((answer, target));
+                            failure = Some(answer);
                         }
                         AttemptResult::Ended(outcome) => {
                             if !guard.end_attempt(outcome) {
-                                if let Some((answer, target)) = failure {
-                                    return self.pass_on(guard, *answer, &target);
+                                if let Some(answer) = failure {
+                                    return self.pass_on(guard, *answer);
                                 }
                                 let refusal = {
                                     let now = self.shared.now();
@@ -220,7 +219,7 @@
 
     /// Passes a server's answer on, unchanged except for the headers that apply to
     /// one connection only.
-    fn pass_on(&self, guard: RequestGuard, answer: Answer, target: &Target) -> Response<HttpBody> {
+    fn pass_on(&self, guard: RequestGuard, answer: Answer) -> Response<HttpBody> {
         let now = self.shared.now();
         self.shared.metrics.increment(GatewayMetric::Answered);
         let summary = self.summary(Some(&guard.ticket));
@@ -237,16 +236,14 @@
                     rest,
                 };
                 let until_expiry = self.caller_time_left() + MAX_BODY_OVERTIME;
-                let expiry = answer.link.set_expiry(Instant::now() + until_expiry);
+                let expiry = answer.link.link.set_expiry(Instant::now() + until_expiry);
                 (source, Some(expiry))
             }
             None => (BodySource::Full(concatenated(answer.parts)), None),
         };
         let observer = AnswerObserver {
             guard,
-            incarnation: target.incarnation.clone(),
             link: answer.link,
-            keep_alive: answer.keep_alive,
         };
         let mut body = HttpBody::observed(source, Box::new(observer));
         if let Some(expiry) = expiry {
@@ -290,7 +287,11 @@
     }
 }
 
-fn response(status: hyper::StatusCode, headers: HeaderMap, body: HttpBody) -> Response<HttpBody> {
+pub(super) fn response(
+    status: hyper::StatusCode,
+    headers: HeaderMap,
+    body: HttpBody,
+) -> Response<HttpBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/chicory_gateway/src/process/connection_pool.rs
+++ b/crates/chicory_gateway/src/process/connection_pool.rs
@@ -1,19 +1,15 @@
-//! Idle connections to backend servers.
+//! Idle connections.
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use chicory_net::http::ServerLink;
-use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
-/// Maximum number of idle connections to one server. It is low because servers limit the total over
-/// all entry VMs.
-const MAX_IDLE_CONNECTIONS: usize = 3;
-/// Idle timeout that is assumed for a server that does not state one.
+/// Idle timeout that is assumed for a peer that does not state one.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(8);
-/// Margin by which a connection is discarded before the server would close it.
+/// Margin by which a connection is discarded before its peer would close it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
 struct IdleConnection {
@@ -30,22 +26,25 @@
     }
 }
 
-/// Idle connections to backend servers, by the incarnation of the server.
-#[derive(Default)]
-pub(super) struct ConnectionPool {
-    idle: Mutex<BTreeMap<ServerIncarnation, Vec<IdleConnection>>>,
+/// Idle connections, by the id of their peer.
+pub(super) struct ConnectionPool<Id> {
+    idle: Mutex<BTreeMap<Id, Vec<IdleConnection>>>,
+    /// Maximum number of idle connections to one peer.
+    max_idle_connections: usize,
 }
 
-impl ConnectionPool {
+impl<Id: Clone + Ord> ConnectionPool<Id> {
+    pub(super) fn new(max_idle_connections: usize) -> Self {
+        Self {
+            idle: Mutex::default(),
+            max_idle_connections,
+        }
+    }
+
     /// Takes the connection that was used last, if it may be used again.
-    pub(super) fn take(
-        &self,
-        now: MonoTime,
-        incarnation: &ServerIncarnation,
-        max_idle: Duration,
-    ) -> Option<ServerLink> {
+    pub(super) fn take(&self, now: MonoTime, peer: &Id, max_idle: Duration) -> Option<ServerLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(incarnation)?;
+        let connections = idle.get_mut(peer)?;
         let position = connections
             .iter()
             .rposition(|c| c.is_usable(now, max_idle))?;
@@ -56,13 +55,13 @@
     pub(super) fn put(
         &self,
         now: MonoTime,
-        incarnation: &ServerIncarnation,
+        peer: &Id,
         link: ServerLink,
         keep_alive: Option<Duration>,
     ) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(incarnation.clone()).or_default();
-        if connections.len() >= MAX_IDLE_CONNECTIONS {
+        let connections = idle.entry(peer.clone()).or_default();
+        if connections.len() >= self.max_idle_connections {
             connections.remove(0);
         }
         connections.push(IdleConnection {
@@ -72,18 +71,18 @@
         });
     }
 
-    /// Closes all idle connections to a server, after one of them was found dead.
-    pub(super) fn close_all(&self, incarnation: &ServerIncarnation) {
+    /// Closes all idle connections to a peer, after one of them was found dead.
+    pub(super) fn close_all(&self, peer: &Id) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(incarnation);
+        idle.remove(peer);
     }
 
-    /// Closes connections that can't be used any more, and those to servers that have left.
-    pub(super) fn prune(&self, now: MonoTime, is_known: impl Fn(&ServerIncarnation) -> bool) {
+    /// Closes connections that can't be used any more, and those to peers that have left.
+    pub(super) fn prune(&self, now: MonoTime, is_known: impl Fn(&Id) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|incarnation, connections| {
+        idle.retain(|peer, connections| {
             connections.retain(|connection| connection.is_usable(now, Duration::MAX));
-            is_known(incarnation) && !connections.is_empty()
+            is_known(peer) && !connections.is_empty()
         });
     }
 }
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -49,6 +49,28 @@
     UpdateBytes,
     /// Time from the first report of a newer route table until the newest one is applied.
     TableLag,
+    /// Requests sent by way of another entry VM.
+    RelayedRequests,
+    /// Requests that another entry VM didn't take to relay them.
+    RelaysUnavailable,
+    /// Requests whose connection to the entry VM that relayed them broke.
+    RelaysBroken,
+    /// Answers of backend servers passed on to other entry VMs.
+    RelayedForOthers,
+    /// Bytes of bodies relayed for other entry VMs.
+    RelayedBytes,
+    /// Requests of other entry VMs to which no backend server's answer was received.
+    RelayFailures,
+    /// Requests of other entry VMs refused because of overload.
+    RelayRefusedBusy,
+    /// Requests of other entry VMs refused because no server is reached.
+    RelayRefusedCutOff,
+    /// Requests of other entry VMs refused during a stop.
+    RelayRefusedStopping,
+    /// Requests of other entry VMs refused because their server isn't known.
+    RelayRefusedUnknownServer,
+    /// Requests to be relayed that couldn't be read.
+    RelayRefusedMalformed,
     /// Log lines about requests that were suppressed to limit their volume.
     LogLinesSuppressed,
     /// Time from a request's head to the head of its answer.
@@ -82,6 +104,17 @@
             Self::UpdateTransfer => "gateway_update_transfer_seconds",
             Self::UpdateBytes => "gateway_update_bytes",
             Self::TableLag => "gateway_table_lag_seconds",
+            Self::RelayedRequests => "gateway_relayed_requests",
+            Self::RelaysUnavailable => "gateway_relays_unavailable",
+            Self::RelaysBroken => "gateway_relays_broken",
+            Self::RelayedForOthers => "gateway_relayed_for_others",
+            Self::RelayedBytes => "gateway_relayed_bytes",
+            Self::RelayFailures => "gateway_relay_failures",
+            Self::RelayRefusedBusy => "gateway_relay_refused_busy",
+            Self::RelayRefusedCutOff => "gateway_relay_refused_cut_off",
+            Self::RelayRefusedStopping => "gateway_relay_refused_stopping",
+            Self::RelayRefusedUnknownServer => "gateway_relay_refused_unknown_server",
+            Self::RelayRefusedMalformed => "gateway_relay_refused_malformed",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
@@ -122,6 +155,25 @@
             Self::TableLag => {
                 "Time from the first report of a newer route table until it is applied."
             }
+            Self::RelayedRequests => "Requests sent by way of another entry VM.",
+            Self::RelaysUnavailable => "Requests that another entry VM didn't take to relay them.",
+            Self::RelaysBroken => {
+                "Requests whose connection to the entry VM that relayed them broke."
+            }
+            Self::RelayedForOthers => "Answers of backend servers passed on to other entry VMs.",
+            Self::RelayedBytes => "Bytes of bodies relayed for other entry VMs.",
+            Self::RelayFailures => {
+                "Requests of other entry VMs to which no backend server's answer was received."
+            }
+            Self::RelayRefusedBusy => "Requests of other entry VMs refused because of overload.",
+            Self::RelayRefusedCutOff => {
+                "Requests of other entry VMs refused because no server is reached."
+            }
+            Self::RelayRefusedStopping => "Requests of other entry VMs refused during a stop.",
+            Self::RelayRefusedUnknownServer => {
+                "Requests of other entry VMs refused because their server isn't known."
+            }
+            Self::RelayRefusedMalformed => "Requests to be relayed that couldn't be read.",
             Self::LogLinesSuppressed => "Log lines suppressed to limit their volume.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -15,6 +15,7 @@
 use super::caller_handler::CallerHandler;
 use super::directory_link::DirectoryLink;
 use super::gateway_process_error::ListenSnafu;
+use super::relay_listener::RelayListener;
 use super::shared_state::SharedState;
 use super::{CallerInterface, GatewayProcessConfig, GatewayProcessError, ServerInterface};
 use crate::Gateway;
@@ -39,16 +40,17 @@
     shared: Arc<SharedState>,
     config: GatewayProcessConfig,
     listener: HttpListener,
+    relay_listener: Option<RelayListener>,
 }
 
 impl GatewayProcess {
-    /// Starts to listen for callers.
+    /// Starts to listen for callers, and for other entry VMs if that address can be listened on.
     ///
     /// # Errors
     ///
-    /// [`GatewayProcessError`] when the address can't be listened on.
+    /// [`GatewayProcessError`] when the address for callers can't be listened on.
     pub async fn start(
-        config: GatewayProcessConfig,
+        mut config: GatewayProcessConfig,
         clock: Arc<dyn Clock + Send + Sync>,
         interfaces: (Arc<dyn CallerInterface>, Arc<dyn ServerInterface>),
         readiness: Readiness,
@@ -59,12 +61,22 @@
         let listener = HttpListener::bind(address)
             .await
             .context(ListenSnafu { address })?;
+        let relay_address = config.relay_listen_address.or(config.relay_address);
+        let relay_listener = match relay_address {
+            Some(address) => RelayListener::bind(address, &logger).await,
+            None => None,
+        };
+        if relay_listener.is_none() {
+            config.relay_address = None;
+        }
         let gateway = Gateway::new(config.gateway_config.clone());
-        let shared = SharedState::new(gateway, clock, interfaces, readiness, logger, metrics);
+        let vm = config.vm.clone();
+        let shared = SharedState::new(vm, gateway, clock, interfaces, readiness, logger, metrics);
         Ok(Self {
             shared: Arc::new(shared),
             config,
             listener,
+            relay_listener,
         })
     }
 
@@ -80,19 +92,28 @@
             self.config.seeds,
         );
         tokio::spawn(link.run());
-        tokio::spawn(update_readiness_periodically(shared.clone()));
+        tokio::spawn(run_periodic_work(shared.clone()));
         let (close, closing) = watch::channel(false);
         let handler = Arc::new(CallerHandler::new(shared.clone()));
         let metrics = shared.metrics.clone();
         let served = self
             .listener
-            .serve(handler, CALLER_LIMITS, closing, metrics);
-        let served = tokio::spawn(served);
+            .serve(handler, CALLER_LIMITS, closing.clone(), metrics);
+        let relayed = self.relay_listener;
+        let relayed = relayed.map(|listener| listener.serve(shared.clone(), closing));
+        let served = tokio::spawn(async move {
+            tokio::join!(served, async {
+                if let Some(relayed) = relayed {
+                    relayed.await;
+                }
+            })
+        });
         // If the sender is gone, no stop can be requested, so the process serves forever.
         if stop.wait_for(|stop| *stop).await.is_err() {
             std::future::pending::<()>().await;
         }
         shared.readiness.begin_stop();
+        shared.gateway().set_stopping();
         info!(shared.logger, "stop begins"; "grace" => ?self.config.stop_grace);
         tokio::time::sleep(BALANCER_REACTION_TIME).await;
         close.send_replace(true);
@@ -108,12 +129,13 @@
 }
 
 /// Updates readiness periodically, because no event signals that the contact to the control
-/// VMs has ended.
-async fn update_readiness_periodically(shared: Arc<SharedState>) {
+/// VMs has ended. Closes connections that were idle for too long.
+async fn run_periodic_work(shared: Arc<SharedState>) {
     let mut ticks = tokio::time::interval(READINESS_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         shared.update_readiness();
+        shared.relays.prune();
     }
 }
--- a/crates/chicory_gateway/src/process/gateway_process_config.rs
+++ b/crates/chicory_gateway/src/process/gateway_process_config.rs
@@ -16,8 +16,11 @@
     pub zone: ZoneName,
     /// Address to listen on for callers.
     pub caller_address: SocketAddr,
-    /// Address on which this VM accepts requests of other entry VMs; `None` if it relays none.
+    /// Address at which other entry VMs send requests that this one is to relay; `None` if it relays
+    /// none.
     pub relay_address: Option<SocketAddr>,
+    /// Address to listen on for these requests, if it is another one.
+    pub relay_listen_address: Option<SocketAddr>,
     /// Control VMs that are known at the start. They stay candidates beside those that
     /// control VMs report.
     pub seeds: Vec<VmId>,
--- /dev/null
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -0,0 +1,155 @@
+//! Relays requests of other entry VMs to backend servers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chicory_net::http::{AnswerFuture, BodySource, HttpBody, HttpHandler, ServerLink};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::http::{HeaderMap, HeaderName, HeaderValue, header, request};
+use hyper::{Request, Response};
+use tokio::time::Instant;
+
+use super::attempt::{remove_hop_by_hop, server_request};
+use super::caller_handler::{MAX_BODY_OVERTIME, MAX_BUFFERED_BODY_BYTES, response};
+use super::relay_observer::RelayObserver;
+use super::relayed_request::{RelayedRequest, SharedLoad};
+use super::server_send::send_to_server;
+use super::shared_state::SharedState;
+use super::used_link::{LinkPeer, UsedLink};
+use super::{GatewayMetric, RelayHead, RelayHeadError, RelayOutcome};
+
+/// Header of an answer that states the [`RelayOutcome`].
+pub(super) const OUTCOME: HeaderName = HeaderName::from_static("chicory-relay-outcome");
+/// Header that states what is wrong with a request that can't be read.
+const REASON: HeaderName = HeaderName::from_static("chicory-relay-reason");
+
+/// Relays requests of other entry VMs to backend servers.
+///
+/// The entry VM that a request comes from has decided everything about it: the server, the times and
+/// the headers. Which process sends a request is not checked, as processes do not authenticate
+/// themselves to each other.
+pub(super) struct RelayHandler {
+    pub(super) shared: Arc<SharedState>,
+    pub(super) load: SharedLoad,
+}
+
+impl HttpHandler for RelayHandler {
+    fn handle(&self, request: Request<Incoming>) -> AnswerFuture {
+        let (shared, load) = (self.shared.clone(), self.load.clone());
+        Box::pin(async move {
+            let (mut head, body) = request.into_parts();
+            match RelayHead::take(&mut head.headers) {
+                Ok(relay_head) => {
+                    let relayed = RelayedRequest::new(shared, relay_head, load);
+                    relay(relayed, &head, body).await
+                }
+                Err(error) => refuse_unreadable(&shared, error),
+            }
+        })
+    }
+}
+
+fn refuse_unreadable(shared: &SharedState, error: RelayHeadError) -> Response<HttpBody> {
+    shared
+        .metrics
+        .increment(GatewayMetric::RelayRefusedMalformed);
+    shared.relayed.malformed(shared.now(), error);
+    let mut refused = failure(RelayOutcome::BadRequest);
+    if let Ok(reason) = HeaderValue::from_str(&error.to_string()) {
+        refused.headers_mut().insert(REASON, reason);
+    }
+    refused
+}
+
+async fn relay(
+    mut relayed: RelayedRequest,
+    head: &request::Parts,
+    body: Incoming,
+) -> Response<HttpBody> {
+    let attempt_time = relayed.head.attempt_time;
+    let exchange = exchange(&mut relayed, head, body);
+    let ended = tokio::time::timeout(attempt_time, exchange).await;
+    let ended = ended.unwrap_or_else(|_| {
+        relayed.shared.pool.close_all(&relayed.head.server);
+        Err(RelayOutcome::Broken)
+    });
+    match ended {
+        Ok((link, answer)) => pass_on(relayed, link, answer),
+        Err(outcome) => {
+            relayed.end(outcome);
+            failure(outcome)
+        }
+    }
+}
+
+async fn exchange(
+    relayed: &mut RelayedRequest,
+    head: &request::Parts,
+    body: Incoming,
+) -> Result<(ServerLink, Response<Incoming>), RelayOutcome> {
+    let stated_bytes = body.size_hint().exact();
+    let body_bytes = stated_bytes.unwrap_or(MAX_BUFFERED_BODY_BYTES);
+    if let Err(outcome) = relayed.try_admit(body_bytes) {
+        drain(body).await;
+        return Err(outcome);
+    }
+    let body = read_body(body).await.ok_or(RelayOutcome::BadRequest)?;
+    relayed.add_bytes(body.len());
+    let mut headers = head.headers.clone();
+    remove_hop_by_hop(&mut headers);
+    headers.remove(header::EXPECT);
+    let shared = &relayed.shared;
+    let target = relayed.head.target(shared.now());
+    let request = || Ok(server_request(head, headers.clone(), &body));
+    let sent = send_to_server(shared, &target, request).await;
+    sent.map_err(RelayOutcome::of_attempt)
+}
+
+/// Reads the rest of the body of a request that is refused. The connection would be closed otherwise
+/// while the other entry VM still sends, which would look as if it broke.
+async fn drain(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
+async fn read_body(body: Incoming) -> Option<Bytes> {
+    if body.is_end_stream() {
+        return Some(Bytes::new());
+    }
+    let max_bytes = usize::try_from(MAX_BUFFERED_BODY_BYTES).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, max_bytes).collect().await.ok()?;
+    Some(collected.to_bytes())
+}
+
+/// Passes a server's answer on, unchanged except for the headers that apply to one connection only.
+fn pass_on(
+    relayed: RelayedRequest,
+    link: ServerLink,
+    answer: Response<Incoming>,
+) -> Response<HttpBody> {
+    let (head, body) = answer.into_parts();
+    let keep_alive = relayed.shared.servers.keep_alive(&head);
+    let mut headers = head.headers;
+    remove_hop_by_hop(&mut headers);
+    headers.insert(OUTCOME, outcome_value(RelayOutcome::Answer));
+    let until_expiry = relayed.head.caller_time + MAX_BODY_OVERTIME;
+    let expiry = link.set_expiry(Instant::now() + until_expiry);
+    let peer = LinkPeer::Server(relayed.head.server.clone(), keep_alive);
+    let observer = RelayObserver {
+        request: relayed,
+        link: UsedLink { link, peer },
+    };
+    let body = HttpBody::observed(BodySource::Incoming(body), Box::new(observer));
+    response(head.status, headers, body.with_abort_signal(expiry))
+}
+
+/// Builds the answer to a request to which there is no answer of a server.
+fn failure(outcome: RelayOutcome) -> Response<HttpBody> {
+    let mut headers = HeaderMap::new();
+    headers.insert(OUTCOME, outcome_value(outcome));
+    response(outcome.status(), headers, HttpBody::empty())
+}
+
+fn outcome_value(outcome: RelayOutcome) -> HeaderValue {
+    HeaderValue::from_static(outcome.as_str())
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/relay_listener.rs
@@ -0,0 +1,74 @@
+//! Listens for requests of other entry VMs.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use chicory_net::http::{HttpLimits, HttpListener};
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::relay_handler::RelayHandler;
+use super::relayed_request::SharedLoad;
+use super::shared_state::SharedState;
+
+/// Limits of connections of other entry VMs. They close idle connections sooner than this.
+const LIMITS: HttpLimits = HttpLimits {
+    max_head_bytes: 80 * 1024,
+    max_connections: 1000,
+    head_timeout: Duration::from_secs(8),
+};
+/// Most headers of a request: those of a caller, which are 100 at most, and those of entry VMs.
+const MAX_HEADERS: usize = 128;
+/// Interval at which the delay of a timer is measured.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Listens for requests of other entry VMs.
+pub(super) struct RelayListener {
+    listener: HttpListener,
+}
+
+impl RelayListener {
+    /// Starts to listen. Without the address, the process serves its own callers all the same.
+    pub(super) async fn bind(address: SocketAddr, logger: &Logger) -> Option<Self> {
+        match HttpListener::bind(address).await {
+            Ok(listener) => {
+                info!(logger, "listens for requests to relay"; "address" => %address);
+                let listener = listener.with_max_headers(MAX_HEADERS).with_probes();
+                Some(Self { listener })
+            }
+            Err(error) => {
+                warn!(logger, "can't listen for requests to relay";
+                    "address" => %address, "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Serves until `closing` becomes `true` and all requests in progress are complete.
+    pub(super) async fn serve(self, shared: Arc<SharedState>, closing: watch::Receiver<bool>) {
+        let load = SharedLoad::default();
+        let metrics = shared.metrics.clone();
+        let handler = Arc::new(RelayHandler {
+            shared,
+            load: load.clone(),
+        });
+        let served = self.listener.serve(handler, LIMITS, closing, metrics);
+        tokio::select! {
+            () = served => {}
+            () = measure_tick_lag(&load) => {}
+        }
+    }
+}
+
+/// Measures by how much a timer is late, which shows whether the process is overloaded.
+async fn measure_tick_lag(load: &SharedLoad) {
+    loop {
+        let due_at = Instant::now() + TICK_INTERVAL;
+        tokio::time::sleep_until(due_at).await;
+        let lag = due_at.elapsed();
+        let mut load = load.lock().unwrap_or_else(PoisonError::into_inner);
+        load.record_tick_lag(lag);
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -0,0 +1,116 @@
+//! A request that is relayed for another entry VM.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use chicory_types::MonoTime;
+
+use super::shared_state::SharedState;
+use super::{GatewayMetric, RelayAdmission, RelayHead, RelayLoad, RelayOutcome};
+
+/// Outcome in the log of a request that the other entry VM cancelled.
+const CANCELLED: &str = "cancelled";
+/// Outcome in the log of a request whose answer broke off.
+const BROKEN_OFF: &str = "broken-off";
+
+/// What all connections of a listener relay together.
+pub(super) type SharedLoad = Arc<Mutex<RelayLoad>>;
+
+/// A request that is relayed for another entry VM. However it ends, it gets a log line then, and
+/// makes room for another one.
+pub(super) struct RelayedRequest {
+    pub(super) shared: Arc<SharedState>,
+    pub(super) head: RelayHead,
+    load: SharedLoad,
+    started_at: MonoTime,
+    /// Length of the body that the request was admitted with.
+    admitted_bytes: Option<u64>,
+    relayed_bytes: u64,
+    outcome: &'static str,
+}
+
+impl RelayedRequest {
+    pub(super) fn new(shared: Arc<SharedState>, head: RelayHead, load: SharedLoad) -> Self {
+        Self {
+            started_at: shared.now(),
+            shared,
+            head,
+            load,
+            admitted_bytes: None,
+            relayed_bytes: 0,
+            outcome: CANCELLED,
+        }
+    }
+
+    /// Admits the request with a body of this length, or returns why it is refused.
+    pub(super) fn try_admit(&mut self, body_bytes: u64) -> Result<(), RelayOutcome> {
+        if self.shared.readiness.is_stopping() {
+            return Err(RelayOutcome::Stopping);
+        }
+        let now = self.shared.now();
+        let is_known = {
+            let gateway = self.shared.gateway();
+            if !gateway.can_relay(now) {
+                return Err(RelayOutcome::CutOff);
+            }
+            let record = gateway.directory().server(&self.head.server);
+            record.is_some_and(|record| record.address == self.head.address)
+        };
+        if !is_known {
+            return Err(RelayOutcome::UnknownServer);
+        }
+        let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
+        match load.try_begin(body_bytes) {
+            RelayAdmission::Accepted => {
+                self.admitted_bytes = Some(body_bytes);
+                Ok(())
+            }
+            RelayAdmission::Full | RelayAdmission::Overloaded => Err(RelayOutcome::Busy),
+        }
+    }
+
+    pub(super) fn add_bytes(&mut self, bytes: usize) {
+        self.relayed_bytes = self.relayed_bytes.saturating_add(bytes as u64);
+    }
+
+    /// Records that the request ended with this outcome.
+    pub(super) fn end(&mut self, outcome: RelayOutcome) {
+        self.outcome = outcome.as_str();
+        let metric = match outcome {
+            RelayOutcome::Answer => GatewayMetric::RelayedForOthers,
+            RelayOutcome::Busy => GatewayMetric::RelayRefusedBusy,
+            RelayOutcome::CutOff => GatewayMetric::RelayRefusedCutOff,
+            RelayOutcome::Stopping => GatewayMetric::RelayRefusedStopping,
+            RelayOutcome::UnknownServer => GatewayMetric::RelayRefusedUnknownServer,
+            RelayOutcome::BadRequest => GatewayMetric::RelayRefusedMalformed,
+            RelayOutcome::Unreachable
+            | RelayOutcome::RefusedByServer
+            | RelayOutcome::TurnedAway
+            | RelayOutcome::Broken
+            | RelayOutcome::Malformed => GatewayMetric::RelayFailures,
+        };
+        self.shared.metrics.increment(metric);
+    }
+
+    /// Records that the answer broke off after its head was passed on.
+    pub(super) fn break_off(&mut self) {
+        self.outcome = BROKEN_OFF;
+        self.shared.metrics.increment(GatewayMetric::RelayFailures);
+    }
+}
+
+impl Drop for RelayedRequest {
+    fn drop(&mut self) {
+        if let Some(body_bytes) = self.admitted_bytes {
+            let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
+            load.end(body_bytes);
+        }
+        let shared = &self.shared;
+        shared
+            .metrics
+            .add(GatewayMetric::RelayedBytes, self.relayed_bytes);
+        let now = shared.now();
+        let took = now.saturating_sub(self.started_at);
+        let relayed = (took, self.relayed_bytes);
+        shared.relayed.ended(now, &self.head, self.outcome, relayed);
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/src/process/server_send.rs
@@ -0,0 +1,55 @@
+//! Sends a request on a connection to a backend server.
+
+use std::io::ErrorKind;
+
+use chicory_net::http::{HttpBody, LinkError, SendError, ServerLink};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use super::GatewayMetric;
+use super::shared_state::SharedState;
+use crate::{AttemptOutcome, Target};
+
+/// Sends on a pooled connection, or on a new one if there is none or the pooled one is closed.
+/// `request` is asked for the request each time that one is about to be sent, and may refuse it
+/// then.
+pub(super) async fn send_to_server(
+    shared: &SharedState,
+    target: &Target,
+    request: impl Fn() -> Result<Request<HttpBody>, AttemptOutcome> + Send + Sync,
+) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
+    while let Some(mut link) = shared
+        .pool
+        .take(shared.now(), &target.incarnation, target.max_idle)
+    {
+        match link.send(request()?).await {
+            Ok(response) => return Ok((link, response)),
+            Err(SendError::NothingSent) => {}
+            Err(SendError::Malformed) => return Err(AttemptOutcome::Garbled),
+            Err(SendError::Broken) => return Err(AttemptOutcome::Broken),
+        }
+    }
+    shared.metrics.increment(GatewayMetric::Connections);
+    let address = target.address.to_string();
+    let opened = ServerLink::open(&address, target.connect_timeout, || {}).await;
+    let mut link = opened.map_err(|failure| match failure {
+        LinkError::Refused => AttemptOutcome::Refused,
+        LinkError::Network { source } if source.kind() == ErrorKind::ConnectionReset => {
+            AttemptOutcome::ConnectionRejected
+        }
+        _ => AttemptOutcome::Unreachable,
+    })?;
+    if !target.settle_time.is_zero() {
+        tokio::time::sleep(target.settle_time).await;
+        if !link.is_ready() {
+            return Err(AttemptOutcome::ConnectionRejected);
+        }
+    }
+    let sent = link.send(request()?).await;
+    let response = sent.map_err(|failure| match failure {
+        SendError::NothingSent => AttemptOutcome::Unreachable,
+        SendError::Malformed => AttemptOutcome::Garbled,
+        SendError::Broken => AttemptOutcome::Broken,
+    })?;
+    Ok((link, response))
+}
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -6,20 +6,27 @@
 use chicory_policy::LimitChange;
 use chicory_ranges::ServerIncarnation;
 use chicory_telemetry::Metrics;
-use chicory_types::{Clock, MonoTime};
+use chicory_types::{Clock, MonoTime, VmId};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
 use super::connection_pool::ConnectionPool;
+use super::relay_log::RelayLog;
 use super::request_log::RequestLog;
-use super::{CallerInterface, GatewayMetric, ServerInterface};
+use super::{CallerInterface, GatewayMetric, RelayClient, ServerInterface};
 use crate::{Gateway, LeavingNotice, LimitNotice, RestNotice, ServerNotices};
 
+/// Maximum number of idle connections to one server. It is low because servers limit the total over
+/// all entry VMs.
+const MAX_IDLE_CONNECTIONS: usize = 3;
+
 /// State that all tasks of an entry process share. The tasks run on one thread, so the locks are
 /// never contended.
 pub(super) struct SharedState {
     gateway: Mutex<Gateway>,
-    pub(super) pool: ConnectionPool,
+    pub(super) pool: ConnectionPool<ServerIncarnation>,
+    /// Sends requests by way of other entry VMs.
+    pub(super) relays: RelayClient,
     pub(super) clock: Arc<dyn Clock + Send + Sync>,
     pub(super) callers: Arc<dyn CallerInterface>,
     pub(super) servers: Arc<dyn ServerInterface>,
@@ -29,12 +36,14 @@
     /// Notified when limits or requests for permits have to be reported.
     pub(super) limit_reports: Notify,
     pub(super) requests: RequestLog,
+    pub(super) relayed: RelayLog,
     pub(super) logger: Logger,
     pub(super) metrics: Arc<Metrics>,
 }
 
 impl SharedState {
     pub(super) fn new(
+        vm: VmId,
         gateway: Gateway,
         clock: Arc<dyn Clock + Send + Sync>,
         interfaces: (Arc<dyn CallerInterface>, Arc<dyn ServerInterface>),
@@ -44,7 +53,8 @@
     ) -> Self {
         Self {
             gateway: Mutex::new(gateway),
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(MAX_IDLE_CONNECTIONS),
+            relays: RelayClient::new(vm, clock.clone(), metrics.clone()),
             clock,
             callers: interfaces.0,
             servers: interfaces.1,
@@ -52,6 +62,7 @@
             changes: watch::Sender::new(0),
             limit_reports: Notify::new(),
             requests: RequestLog::new(logger.clone(), metrics.clone()),
+            relayed: RelayLog::new(logger.clone(), metrics.clone()),
             logger,
             metrics,
         }
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -77,6 +77,7 @@
         zone: "north".into(),
         caller_address: ANY_PORT.into(),
         relay_address: None,
+        relay_listen_address: None,
         seeds: seeds.iter().map(SocketAddr::to_string).collect(),
         stop_grace: Duration::from_secs(6),
         gateway_config: GatewayConfig::default(),
--- /dev/null
+++ b/crates/chicory_gateway/tests/relay/interfaces.rs
@@ -0,0 +1,55 @@
+//! Interfaces of an entry process that gets no requests of callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicory_gateway::{
+    AnswerClass, CallerInterface, Refusal, RequestMetadata, ServerInterface, ServerNotices,
+};
+use chicory_ranges::ServerIncarnation;
+use hyper::Response;
+use hyper::http::{HeaderMap, request, response};
+
+pub struct NoCallers;
+
+impl CallerInterface for NoCallers {
+    fn read(&self, _head: &request::Parts) -> RequestMetadata {
+        RequestMetadata::default()
+    }
+
+    fn refuse(&self, _metadata: &RequestMetadata, _refusal: &Refusal) -> Response<Bytes> {
+        Response::default()
+    }
+}
+
+/// Marks requests that it prepares, which only the entry VM of the caller may do.
+pub struct PreparingInterface;
+
+impl ServerInterface for PreparingInterface {
+    fn prepare(
+        &self,
+        headers: &mut HeaderMap,
+        _: &RequestMetadata,
+        _: &ServerIncarnation,
+        _: Duration,
+    ) {
+        headers.insert("prepared", 1.into());
+    }
+
+    fn classify(
+        &self,
+        _: &RequestMetadata,
+        _: &ServerIncarnation,
+        _: &response::Parts,
+    ) -> AnswerClass {
+        AnswerClass::Answer
+    }
+
+    fn notices(&self, _: &ServerIncarnation, _: &response::Parts) -> Option<ServerNotices> {
+        None
+    }
+
+    fn keep_alive(&self, _head: &response::Parts) -> Option<Duration> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/chicory_gateway/tests/relay/main.rs
@@ -0,0 +1,11 @@
+//! Tests requests that one entry VM sends to a backend server by way of another one, on loopback.
+
+mod backend_server;
+mod cancellation;
+mod exchanges;
+mod headers;
+mod interfaces;
+mod load;
+mod peers;
+mod refusals;
+mod site;
