Open connections to backend servers as probes

An entry VM that sends all requests by way of another one learns nothing about its own way to the servers.

--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -71,6 +71,8 @@
     RelayRefusedUnknownServer,
     /// Requests to be relayed that couldn't be read.
     RelayRefusedMalformed,
+    /// Connections opened to see whether backend servers can be reached.
+    Probes,
     /// Log lines about requests that were suppressed to limit their volume.
     LogLinesSuppressed,
     /// Time from a request's head to the head of its answer.
@@ -115,6 +117,7 @@
             Self::RelayRefusedStopping => "gateway_relay_refused_stopping",
             Self::RelayRefusedUnknownServer => "gateway_relay_refused_unknown_server",
             Self::RelayRefusedMalformed => "gateway_relay_refused_malformed",
+            Self::Probes => "gateway_probes",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
@@ -174,6 +177,7 @@
                 "Requests of other entry VMs refused because their server isn't known."
             }
             Self::RelayRefusedMalformed => "Requests to be relayed that couldn't be read.",
+            Self::Probes => "Connections opened to see whether backend servers can be reached.",
             Self::LogLinesSuppressed => "Log lines suppressed to limit their volume.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -29,6 +29,7 @@
 mod request_guard;
 mod request_log;
 mod search_cause;
+mod server_probes;
 mod server_send;
 mod shared_state;
 mod used_link;
