Follow a relayed request over both entry VMs

The attempts of a request's line name the entry VM that relayed it (`s1@7:answered:12ms:by-entry-2`). `chicoryctl explain` reads that, shows the line `relayed request` of the other entry VM, and knows the outcomes of attempts by way of others. That line is no request of a caller, so it gets no cause.

--- a/crates/chicory_ctl/src/explain/explanation.rs
+++ b/crates/chicory_ctl/src/explain/explanation.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 
 use super::related_lines::{covers_key, is_related};
+use super::request_summary::RELAYED_MESSAGE;
 use super::{LogLine, RequestSummary};
 use crate::Report;
 
@@ -48,10 +49,12 @@
         let summaries: Vec<RequestSummary> = summaries.collect();
         let is_request_line = |line: &LogLine| line.text_field("request") == Some(request);
         let related = lines.iter().filter(|line| {
-            !is_request_line(line)
-                && summaries
-                    .iter()
-                    .any(|request_summary| is_related(line, request_summary))
+            let is_relayed = line.message == RELAYED_MESSAGE;
+            if is_request_line(line) {
+                return is_relayed;
+            }
+            let mut summaries = summaries.iter();
+            !is_relayed && summaries.any(|request_summary| is_related(line, request_summary))
         });
         let mut related: Vec<LogLine> = related.cloned().collect();
         related.sort_by_key(|line| line.timestamp);
@@ -132,7 +135,7 @@
 /// Returns the cause of a request's result, derived from its own line and the related lines.
 fn find_cause(summary: &RequestSummary, related: &[LogLine]) -> String {
     let Some(reason) = summary.reason.as_deref() else {
-        return "a backend server answered".to_owned();
+        return answer_cause(summary);
     };
     let contact_ms = summary.line.number_field("contact_age_ms").unwrap_or(0);
     if contact_ms >= OUTDATED_CONTACT_MS && has_key_moved(summary, related) {
@@ -173,6 +176,15 @@
     cause_from_control_lines(summary, related).unwrap_or_else(|| cause_from_outcomes(summary))
 }
 
+/// Returns why a request was answered.
+fn answer_cause(summary: &RequestSummary) -> String {
+    let last = summary.attempts.last();
+    match last.and_then(|attempt| attempt.relay.as_deref()) {
+        Some(relay) => format!("a backend server answered by way of entry VM {relay}"),
+        None => "a backend server answered".to_owned(),
+    }
+}
+
 /// Returns the cause of the refusal of a request that a server's rate limit left no room for.
 fn limit_cause(line: &LogLine) -> String {
     let server = line.text_field("limited_server").unwrap_or("of the key");
@@ -245,6 +257,19 @@
             "wrong-server",
             "the server that the entry VM knew as the owner of the key had no grant for it",
         ),
+        (
+            "relay-broken",
+            "the connection to the entry VM that relayed the request broke after part of it was \
+             sent",
+        ),
+        (
+            "unreachable-from-relay",
+            "the entry VM that was to relay the request could not reach the server either",
+        ),
+        (
+            "relay-unavailable",
+            "the entry VM that was to relay the request could not be reached, or refused",
+        ),
         ("shed", "the server was overloaded"),
         ("turned-away", "the server had too many connections"),
         ("refused", "no process listened at the server's address"),
--- a/crates/chicory_ctl/tests/explain.rs
+++ b/crates/chicory_ctl/tests/explain.rs
@@ -159,3 +159,45 @@
         1800 ms";
     expect_that!(text, contains_substring(cause));
 }
+
+fn relayed_line(vm: &str, request: &str, outcome: &str) -> String {
+    let fields = json!({"request": request, "from": "entry-1", "server": "s1@7",
+        "outcome": outcome, "took_ms": 12, "bytes": 400});
+    log_line(30, vm, "relayed request", fields)
+}
+
+#[gtest]
+fn request_that_another_entry_vm_relayed_is_followed_there() {
+    let fields = json!({"request": "a1", "status": 200, "service": "archive",
+        "attempts": "s1@7:unreachable:301ms,s1@7:answered:12ms:by-entry-2"});
+    let lines = [
+        log_line(30, "entry-1", "request answered", fields),
+        relayed_line("entry-2", "a1", "answer"),
+        relayed_line("entry-3", "a2", "answer"),
+    ];
+    let text = explanation_of(&lines).expect("an explanation");
+    let cause = "a backend server answered by way of entry VM entry-2";
+    expect_that!(text, contains_substring(cause));
+    expect_that!(text, contains_substring("entry-2 relayed request: "));
+    expect_that!(text, contains_substring("from=entry-1"));
+    // The line of the other entry VM has no cause of its own, and other requests are left out.
+    expect_that!(text.matches("cause: ").count(), eq(1));
+    expect_that!(text, not(contains_substring("entry-3")));
+}
+
+#[gtest]
+fn request_that_could_not_be_relayed() {
+    for (outcome, cause) in [
+        ("relay-unavailable", "could not be reached, or refused"),
+        (
+            "unreachable-from-relay",
+            "could not reach the server either",
+        ),
+        ("relay-broken", "broke after part of it was sent"),
+    ] {
+        let attempts = format!("s1@7:{outcome}:12ms:by-entry-2");
+        let lines = [refused_line("unreachable", &attempts, 90)];
+        let text = explanation_of(&lines).expect("an explanation");
+        expect_that!(text, contains_substring(cause), "{outcome}");
+    }
+}
