--- a/crates/chicory_gateway/tests/relay/refusals.rs
+++ b/crates/chicory_gateway/tests/relay/refusals.rs
@@ -217,3 +217,16 @@
     let (sent, _connection) = tokio::join!(send_to(&site, &client, get), server);
     expect_that!(sent.is_ok(), eq(true));
 }
+
+#[gtest]
+#[tokio::test]
+async fn entry_process_that_cannot_listen_for_others_runs_without_relaying() {
+    let (_socket, taken) = bind();
+    let server = BackendServer::start().await;
+    let address = server.address;
+    let site = Site::start_with_relay_address(server, address, taken).await;
+    expect_that!(site.readiness.is_ready(), eq(true));
+    let client = client();
+    let sent = send_once(&client, &site.peer, &site.target(), get).await;
+    expect_that!(sent.err(), some(eq(AttemptOutcome::RelayUnavailable)));
+}
--- a/crates/chicory_gateway/tests/relay/site.rs
+++ b/crates/chicory_gateway/tests/relay/site.rs
@@ -56,11 +56,20 @@
 
     /// Starts an entry process whose directory has this address for the server.
     pub async fn start_with_directory(server: BackendServer, address: SocketAddr) -> Self {
+        Self::start_with_relay_address(server, address, free_address()).await
+    }
+
+    /// Starts an entry process that relays at this address if it can listen there.
+    pub async fn start_with_relay_address(
+        server: BackendServer,
+        address: SocketAddr,
+        relay_address: SocketAddr,
+    ) -> Self {
         let control = TcpListener::bind(SocketAddr::from((LOOPBACK, 0))).await;
         let control = control.expect("a free port");
         let control_address = control.local_addr().expect("an address");
         tokio::spawn(run_control_vm(control, address));
-        let peer = peer_at(free_address());
+        let peer = peer_at(relay_address);
         let config = GatewayProcessConfig {
             vm: peer.vm.clone(),
             zone: "north".into(),
