Test that a refusal follows the end of the body

The test with whole refused orders on loopback also passes without the reading to the end, as the refusal usually arrives before the connection breaks; so it does not show that the reading is needed. The new test sends half of a body and expects no answer, then the other half and the refusal. Without the reading (a trial) it fails: the answer comes at once, and the connection is closed.

--- a/crates/chicory_gateway/tests/relay/refusals.rs
+++ b/crates/chicory_gateway/tests/relay/refusals.rs
@@ -102,6 +102,44 @@
     expect_that!(site.server.has_connection().await, eq(false));
 }
 
+/// An entry VM that closed the connection while the other one sends could destroy its own refusal on
+/// the way.
+#[gtest]
+#[tokio::test]
+async fn refusal_is_sent_after_the_end_of_the_body() {
+    let site = Site::start().await;
+    let mut request = post(&LONG_BODY);
+    let head = RelayHead {
+        server: ServerIncarnation::new("i-2", 7),
+        ..head_for(site.server.address)
+    };
+    head.write(request.headers_mut()).expect("headers");
+    let mut text = format!(
+        "POST /orders/x HTTP/1.1\r\ncontent-length: {}\r\n",
+        LONG_BODY.len()
+    );
+    for (name, value) in request.headers() {
+        let value = value.to_str().expect("a text");
+        text.extend([name.as_str(), ": ", value, "\r\n"]);
+    }
+    text.push_str("\r\n");
+    let mut stream = TcpStream::connect(site.peer.address)
+        .await
+        .expect("a connection");
+    let (first, second) = LONG_BODY.split_at(LONG_BODY.len() / 2);
+    for part in [text.as_bytes(), first] {
+        stream.write_all(part).await.expect("an open connection");
+    }
+    let mut answer = vec![0; 1024];
+    let early = tokio::time::timeout(Duration::from_millis(300), stream.read(&mut answer)).await;
+    expect_that!(early.is_err(), eq(true), "the body was not read to its end");
+    stream.write_all(second).await.expect("an open connection");
+    let read = tokio::time::timeout(DEADLINE, stream.read(&mut answer)).await;
+    let read_bytes = read.expect("an end").expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..read_bytes]);
+    expect_that!(answer, starts_with("HTTP/1.1 503 "));
+}
+
 #[gtest]
 #[tokio::test]
 async fn server_that_no_process_listens_for_is_unreachable_from_the_relay() {
