Probe backend servers as soon as a cut is suspected

Probes were started with each readiness tick, every 250 ms, while the decisions name one server each 100 ms and need three that fail: a cut was found late. While nothing hints at a cut, the task waits for the next readiness tick, as before.

--- a/crates/chicory_gateway/src/decide/answer_silence.rs
+++ b/crates/chicory_gateway/src/decide/answer_silence.rs
@@ -52,7 +52,16 @@
 
     /// Whether the path to the servers has to be checked.
     pub(super) fn needs_probe(&self, now: MonoTime) -> bool {
-        let is_silent = self.in_flight > 0 && now >= self.since + LONG_SILENCE;
-        now >= self.quiet_until && (is_silent || self.has_unanswered)
+        self.probe_at().is_some_and(|at| now >= at)
+    }
+
+    /// Returns from when on the path to the servers has to be checked if no answer arrives until
+    /// then; `None` if no attempt runs and all were answered.
+    pub(super) fn probe_at(&self) -> Option<MonoTime> {
+        if self.has_unanswered {
+            return Some(self.quiet_until);
+        }
+        let silent_at = (self.in_flight > 0).then(|| self.since + LONG_SILENCE);
+        silent_at.map(|at| at.max(self.quiet_until))
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -10,8 +10,8 @@
 impl Gateway {
     /// Returns the servers to which a connection has to be opened now and closed again, to find out
     /// if that is possible; [`record_probe`](Self::record_probe) records the result. There are none
-    /// while nothing hints at a cut. At most one is returned each 100 ms, so this is best called a
-    /// few times more often.
+    /// while nothing hints at a cut. At most one is returned each 100 ms;
+    /// [`next_probe_at`](Self::next_probe_at) tells when to call this again.
     ///
     /// A probe succeeds if the connection opens within the time that a
     /// [`Target`](crate::Target) has for that, and the server does not close it at once.
@@ -25,6 +25,16 @@
         probe.into_iter().collect()
     }
 
+    /// Returns when [`take_probes`](Self::take_probes) may next return a server if no attempt and no
+    /// probe ends until then; `None` if nothing hints at a cut.
+    #[must_use]
+    pub fn next_probe_at(&self, now: MonoTime) -> Option<MonoTime> {
+        if !self.config.is_enabled(Policy::Relay) {
+            return None;
+        }
+        self.reachability.next_probe_at(now)
+    }
+
     /// Records whether a connection to a server that had to be probed could be opened.
     pub fn record_probe(&mut self, now: MonoTime, incarnation: &ServerIncarnation, is_open: bool) {
         let was_in_progress = self.reachability.record_probe_end(incarnation);
--- a/crates/chicory_gateway/src/decide/server_reachability.rs
+++ b/crates/chicory_gateway/src/decide/server_reachability.rs
@@ -196,6 +196,18 @@
         Some(record)
     }
 
+    /// Returns when [`take_probe`](Self::take_probe) may next return a server if nothing happens
+    /// until then; `None` if nothing hints at a cut.
+    pub(super) fn next_probe_at(&self, now: MonoTime) -> Option<MonoTime> {
+        let needs_probe = self.groups.values().any(|state| state.needs_probe(now));
+        let due_at = if needs_probe {
+            Some(now)
+        } else {
+            self.silence.probe_at()
+        };
+        due_at.map(|at| at.max(self.next_probe_at))
+    }
+
     /// Records that a probe has ended. Returns whether it was in progress.
     pub(super) fn record_probe_end(&mut self, incarnation: &ServerIncarnation) -> bool {
         self.probes.remove(incarnation).is_some()
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -73,6 +73,8 @@
     RelayRefusedMalformed,
     /// Connections opened to see whether backend servers can be reached.
     Probes,
+    /// Those that could not be opened, or were closed at once.
+    FailedProbes,
     /// Log lines about requests that were suppressed to limit their volume.
     LogLinesSuppressed,
     /// Time from a request's head to the head of its answer.
@@ -118,6 +120,7 @@
             Self::RelayRefusedUnknownServer => "gateway_relay_refused_unknown_server",
             Self::RelayRefusedMalformed => "gateway_relay_refused_malformed",
             Self::Probes => "gateway_probes",
+            Self::FailedProbes => "gateway_failed_probes",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
@@ -178,6 +181,7 @@
             }
             Self::RelayRefusedMalformed => "Requests to be relayed that couldn't be read.",
             Self::Probes => "Connections opened to see whether backend servers can be reached.",
+            Self::FailedProbes => "Probes that could not connect, or were closed at once.",
             Self::LogLinesSuppressed => "Log lines suppressed to limit their volume.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -16,7 +16,7 @@
 use super::directory_link::DirectoryLink;
 use super::gateway_process_error::ListenSnafu;
 use super::relay_listener::RelayListener;
-use super::server_probes::start_due_probes;
+use super::server_probes::{start_due_probes, wait_for_due_probe};
 use super::shared_state::SharedState;
 use super::{CallerInterface, GatewayProcessConfig, GatewayProcessError, ServerInterface};
 use crate::Gateway;
@@ -130,14 +130,19 @@
 }
 
 /// Updates readiness periodically, because no event signals that the contact to the control
-/// VMs has ended. Starts the probes that are due, and closes connections that were idle for too long.
+/// VMs has ended. Closes connections that were idle for too long. Starts probes when they are due,
+/// for which the same ticks show that attempts have begun.
 async fn run_periodic_work(shared: Arc<SharedState>) {
     let mut ticks = tokio::time::interval(READINESS_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        shared.update_readiness();
+        tokio::select! {
+            _ = ticks.tick() => {
+                shared.update_readiness();
+                shared.relays.prune();
+            }
+            () = wait_for_due_probe(&shared) => {}
+        }
         start_due_probes(&shared);
-        shared.relays.prune();
     }
 }
--- a/crates/chicory_gateway/src/process/request_guard.rs
+++ b/crates/chicory_gateway/src/process/request_guard.rs
@@ -36,6 +36,17 @@
             return false;
         }
         let now = self.shared.now();
+        let may_be_cut_off = matches!(
+            outcome,
+            AttemptOutcome::Unreachable
+                | AttemptOutcome::Refused
+                | AttemptOutcome::ConnectionRejected
+                | AttemptOutcome::Broken
+                | AttemptOutcome::Silent
+        );
+        if may_be_cut_off {
+            self.shared.probe_hints.notify_one();
+        }
         let mut gateway = self.shared.gateway();
         gateway.record_attempt_end(now, &mut self.ticket, outcome)
     }
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -35,6 +35,8 @@
     pub(super) changes: watch::Sender<u64>,
     /// Notified when limits or requests for permits have to be reported.
     pub(super) limit_reports: Notify,
+    /// Notified when an attempt or a probe ended in a way that may call for a probe.
+    pub(super) probe_hints: Notify,
     pub(super) requests: RequestLog,
     pub(super) relayed: RelayLog,
     pub(super) logger: Logger,
@@ -61,6 +63,7 @@
             readiness,
             changes: watch::Sender::new(0),
             limit_reports: Notify::new(),
+            probe_hints: Notify::new(),
             requests: RequestLog::new(logger.clone(), metrics.clone()),
             relayed: RelayLog::new(logger.clone(), metrics.clone()),
             logger,
--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -193,3 +193,22 @@
     gateway.set_stopping();
     expect_that!(gateway.can_relay(START), eq(false));
 }
+
+#[gtest]
+fn gateway_names_the_time_of_the_next_probe_only_while_there_may_be_one() {
+    let mut gateway = gateway_over_two_zones();
+    expect_that!(gateway.next_probe_at(START), none());
+    let mut ticket = send(&mut gateway, START, 600);
+    let silent_at = gateway.next_probe_at(START).expect("a time");
+    expect_that!(silent_at, gt(START));
+    expect_that!(gateway.take_probes(silent_at - TICK), is_empty());
+    expect_that!(gateway.take_probes(silent_at).len(), eq(1));
+    gateway.record_attempt_end(silent_at, &mut ticket, AttemptOutcome::Answered);
+    expect_that!(gateway.next_probe_at(silent_at), none());
+
+    let now = silent_at + LONGEST_DETECTION;
+    end_attempt(&mut gateway, now, 600, AttemptOutcome::Unreachable);
+    expect_that!(gateway.next_probe_at(now), some(eq(now)));
+    expect_that!(gateway.take_probes(now).len(), eq(1));
+    expect_that!(gateway.next_probe_at(now), some(gt(now)));
+}
