Log and count when the path to backend servers is cut or open again

`path to backend servers is cut` and `path to backend servers is open again` name the group of servers and the number of relay peers, `relay peers changed` the entry VMs that may relay.

--- a/crates/chicory_gateway/src/decide/gateway_relays.rs
+++ b/crates/chicory_gateway/src/decide/gateway_relays.rs
@@ -33,9 +33,15 @@
 }
 
 impl Gateway {
-    /// Sets the entry VMs that may relay requests of this one.
-    pub fn set_relays(&mut self, relays: Vec<RelayPeer>) {
-        self.relays.set_peers(relays);
+    /// Sets the entry VMs that may relay requests of this one. Returns whether they changed.
+    pub fn set_relays(&mut self, relays: Vec<RelayPeer>) -> bool {
+        self.relays.set_peers(relays)
+    }
+
+    /// Returns the number of entry VMs that may relay requests of this one.
+    #[must_use]
+    pub fn relay_count(&self) -> usize {
+        self.relays.len()
     }
 
     fn has_relays(&self) -> bool {
--- a/crates/chicory_gateway/src/decide/relay_choice.rs
+++ b/crates/chicory_gateway/src/decide/relay_choice.rs
@@ -40,11 +40,18 @@
 }
 
 impl RelayChoice {
-    /// Sets the entry VMs that may relay.
-    pub(super) fn set_peers(&mut self, peers: Vec<RelayPeer>) {
+    /// Sets the entry VMs that may relay. Returns whether they changed.
+    pub(super) fn set_peers(&mut self, peers: Vec<RelayPeer>) -> bool {
+        let has_changed = self.peers != peers;
         self.states
             .retain(|vm, state| state.in_flight > 0 || peers.iter().any(|peer| peer.vm == *vm));
         self.peers = peers;
+        has_changed
+    }
+
+    /// Returns the number of entry VMs that may relay.
+    pub(super) fn len(&self) -> usize {
+        self.peers.len()
     }
 
     /// Whether no entry VM may relay.
--- a/crates/chicory_gateway/src/decide/server_group.rs
+++ b/crates/chicory_gateway/src/decide/server_group.rs
@@ -1,6 +1,7 @@
 //! Groups of backend servers that can become unreachable together.
 
 use std::collections::BTreeSet;
+use std::fmt;
 
 use chicory_directory::ServerRecord;
 use chicory_types::{ServiceName, ZoneName};
@@ -23,6 +24,16 @@
     Service(ServiceName),
 }
 
+impl fmt::Display for ServerGroup {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::All => f.write_str("all"),
+            Self::Zone(zone) => write!(f, "zone {zone}"),
+            Self::Service(service) => write!(f, "service {service}"),
+        }
+    }
+}
+
 impl ServerGroup {
     /// Returns the groups that a server belongs to, the largest first.
     pub(super) fn all_of(record: &ServerRecord) -> [Self; 3] {
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -340,7 +340,10 @@
                 FrameEffect::Applied
             }
             Some(ControlMessage::Relays(peers)) => {
-                self.shared.gateway().set_relays(peers);
+                let has_changed = self.shared.gateway().set_relays(peers.clone());
+                if has_changed {
+                    self.shared.reachability.relays_changed(now, &peers);
+                }
                 FrameEffect::Applied
             }
             None => {
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -75,6 +75,10 @@
     Probes,
     /// Those that could not be opened, or were closed at once.
     FailedProbes,
+    /// Times that the path to a group of backend servers was found to be cut.
+    PathsCut,
+    /// Times that such a path was found to be open again.
+    PathsRestored,
     /// Log lines about requests that were suppressed to limit their volume.
     LogLinesSuppressed,
     /// Time from a request's head to the head of its answer.
@@ -121,6 +125,8 @@
             Self::RelayRefusedMalformed => "gateway_relay_refused_malformed",
             Self::Probes => "gateway_probes",
             Self::FailedProbes => "gateway_failed_probes",
+            Self::PathsCut => "gateway_paths_cut",
+            Self::PathsRestored => "gateway_paths_restored",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
@@ -182,6 +188,10 @@
             Self::RelayRefusedMalformed => "Requests to be relayed that couldn't be read.",
             Self::Probes => "Connections opened to see whether backend servers can be reached.",
             Self::FailedProbes => "Probes that could not connect, or were closed at once.",
+            Self::PathsCut => "Times that the path to a group of servers was found to be cut.",
+            Self::PathsRestored => {
+                "Times that the path to a group of servers was found to be open again."
+            }
             Self::LogLinesSuppressed => "Log lines suppressed to limit their volume.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -144,5 +144,6 @@
             () = wait_for_due_probe(&shared) => {}
         }
         start_due_probes(&shared);
+        shared.log_reachability_changes();
     }
 }
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -15,6 +15,7 @@
 mod interfaces;
 mod line_budget;
 mod loss_cause;
+mod reachability_log;
 mod relay_client;
 mod relay_handler;
 mod relay_head;
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::connection_pool::ConnectionPool;
+use super::reachability_log::ReachabilityLog;
 use super::relay_log::RelayLog;
 use super::request_log::RequestLog;
 use super::{CallerInterface, GatewayMetric, RelayClient, ServerInterface};
@@ -38,6 +39,7 @@
     /// Notified when an attempt or a probe ended in a way that may call for a probe.
     pub(super) probe_hints: Notify,
     pub(super) requests: RequestLog,
+    pub(super) reachability: ReachabilityLog,
     pub(super) relayed: RelayLog,
     pub(super) logger: Logger,
     pub(super) metrics: Arc<Metrics>,
@@ -64,6 +66,7 @@
             changes: watch::Sender::new(0),
             limit_reports: Notify::new(),
             probe_hints: Notify::new(),
+            reachability: ReachabilityLog::new(logger.clone(), metrics.clone()),
             requests: RequestLog::new(logger.clone(), metrics.clone()),
             relayed: RelayLog::new(logger.clone(), metrics.clone()),
             logger,
@@ -88,6 +91,18 @@
             "contact_age" => ?contact_age);
     }
 
+    /// Logs how the path to backend servers changed.
+    pub(super) fn log_reachability_changes(&self) {
+        let (changes, relay_count) = {
+            let mut gateway = self.gateway();
+            (gateway.take_reachability_changes(), gateway.relay_count())
+        };
+        let now = self.now();
+        for change in &changes {
+            self.reachability.changed(now, change, relay_count);
+        }
+    }
+
     /// Records what a server states about itself in an answer to a request that was sent at
     /// `sent_at`.
     pub(super) fn record_notices(
