Don't take requests that a cut broke for requests that crash servers

When the own path to the servers is cut by resets, a request's connection breaks and the next one is refused. That is what a crash looks like, so innocent requests were reported as poison.

While several servers of a group can't be connected to and none could since, broken and refused attempts say nothing about the servers. Once a path is found to be cut, suspects and reports of its servers that were not sent yet are discarded. A report can still leave with the entry VM's next message if that is sent between the first refusal and the discovery of the cut.

--- a/crates/chicory_gateway/src/decide/crash_detector.rs
+++ b/crates/chicory_gateway/src/decide/crash_detector.rs
@@ -82,6 +82,13 @@
         self.confirm(|suspect| !is_running(&suspect.incarnation));
     }
 
+    /// Discards all suspects, and all reports that were not taken yet, at some incarnations.
+    pub(crate) fn discard(&mut self, is_discarded: impl Fn(&ServerIncarnation) -> bool) {
+        self.suspects
+            .retain(|suspect| !is_discarded(&suspect.incarnation));
+        self.reports.retain(|report| !is_discarded(&report.life));
+    }
+
     /// Returns the reports that were added since the last call.
     pub(crate) fn take_reports(&mut self) -> Vec<PoisonReport> {
         std::mem::take(&mut self.reports)
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -36,8 +36,10 @@
             Some(peer) => self.record_relayed_end(now, peer, &incarnation, outcome),
         }
         ticket.may_have_run |= outcome.may_have_run();
-        self.crashes
-            .record_outcome(now, ticket.fingerprint, &incarnation, outcome);
+        if !self.may_be_path_fault(now, &incarnation, outcome) {
+            self.crashes
+                .record_outcome(now, ticket.fingerprint, &incarnation, outcome);
+        }
         // The owner of a key is the only server that can serve the request.
         if ticket.key.is_some() && self.rests.rest(now, &incarnation).is_some() {
             return false;
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -47,6 +47,7 @@
         if !is_open {
             self.reachability
                 .record_failure(now, &record, &self.directory, true);
+            self.discard_suspects_behind_cuts();
             return;
         }
         if let Some(zone) = self.zones.get_mut(&record.zone) {
@@ -112,6 +113,29 @@
             && !self.unreachable.try_start_probe(now, &record.incarnation)
     }
 
+    /// Whether an attempt may have failed because this entry VM's own path to its server is cut,
+    /// rather than because the server has ended.
+    pub(super) fn may_be_path_fault(
+        &self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        outcome: AttemptOutcome,
+    ) -> bool {
+        let record = self.directory.server(incarnation);
+        matches!(outcome, AttemptOutcome::Broken | AttemptOutcome::Refused)
+            && record.is_some_and(|record| self.reachability.is_suspected(now, record))
+    }
+
+    /// Discards what makes requests look as if they crashed their server, if the path to the server
+    /// is cut: it broke and refused connections just the same.
+    fn discard_suspects_behind_cuts(&mut self) {
+        let (directory, reachability) = (&self.directory, &self.reachability);
+        self.crashes.discard(|incarnation| {
+            let record = directory.server(incarnation);
+            record.is_some_and(|record| reachability.is_cut(record))
+        });
+    }
+
     /// Records what the end of an attempt that was sent directly shows about the path to its
     /// server.
     pub(super) fn record_reachability(
@@ -132,6 +156,7 @@
                 self.unreachable.record_unusable(now, incarnation);
                 self.reachability
                     .record_failure(now, record, &self.directory, false);
+                self.discard_suspects_behind_cuts();
             }
             AttemptOutcome::ConnectionRejected => {
                 zone.record_contact();
--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -212,3 +212,42 @@
     expect_that!(gateway.take_probes(now).len(), eq(1));
     expect_that!(gateway.next_probe_at(now), some(gt(now)));
 }
+
+/// Breaks the connection of a request that is watched for crashes.
+fn break_watched_request(gateway: &mut Gateway, now: Duration, key: u16) {
+    let mut ticket = send(gateway, now, key);
+    ticket.set_fingerprint(42);
+    gateway.record_attempt_end(now, &mut ticket, AttemptOutcome::Broken);
+}
+
+#[gtest]
+fn request_that_a_cut_broke_is_not_reported_as_a_crash() {
+    let mut gateway = gateway_over_two_zones();
+    break_watched_request(&mut gateway, START, 7);
+    end_attempt(&mut gateway, START, 8, AttemptOutcome::Refused);
+    let until = START + LONGEST_DETECTION;
+    probe_until(&mut gateway, START, until, |_| false);
+    expect_that!(gateway.take_report(until).poison, is_empty());
+}
+
+#[gtest]
+fn request_that_broke_while_a_cut_is_suspected_is_not_reported_as_a_crash() {
+    let mut gateway = gateway_over_two_zones();
+    for key in [600, 1600] {
+        end_attempt(&mut gateway, START, key, AttemptOutcome::Refused);
+    }
+    break_watched_request(&mut gateway, START, 7);
+    end_attempt(&mut gateway, START, 8, AttemptOutcome::Refused);
+    expect_that!(gateway.take_report(START).poison, is_empty());
+}
+
+#[gtest]
+fn request_that_broke_its_server_is_reported_if_others_are_reached() {
+    let mut gateway = gateway_over_two_zones();
+    break_watched_request(&mut gateway, START, 7);
+    end_attempt(&mut gateway, START, 8, AttemptOutcome::Refused);
+    let until = START + LONGEST_DETECTION;
+    let is_open = |record: &ServerRecord| record.incarnation.server != "a1";
+    probe_until(&mut gateway, START, until, is_open);
+    expect_that!(gateway.take_report(until).poison.len(), eq(1));
+}
