Send reports in the test of an entry VM that reads late

The test now sends a report every 300 ms while the tables are put, and reads nothing until then, as before. What it checks is unchanged.

--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -220,6 +220,22 @@
     }
 }
 
+/// Sends reports without reading anything until `work` is done.
+async fn report_during(link: &mut LinkStream, work: impl Future<Output = ()>) {
+    let mut reports = tokio::time::interval(Duration::from_millis(300));
+    let mut work = std::pin::pin!(work);
+    loop {
+        tokio::select! {
+            () = &mut work => return,
+            _ = reports.tick() => {
+                let report = EntryMessage::Report(EntryReport::default());
+                link.1.put(&site::EntryMessage::from(report));
+                link.1.flush().await.expect("an open link");
+            }
+        }
+    }
+}
+
 /// Reads updates up to the route table `newest`, and returns the versions of all tables received.
 async fn tables_received(link: &mut LinkStream, newest: u64) -> Option<Vec<u64>> {
     let mut versions = Vec::new();
@@ -243,10 +259,13 @@
     let scenario = async {
         put_table(&site, 1).await;
         let mut link = send_hello(dial_with_small_buffer(address).await).await;
-        for version in 2..=newest {
-            let table = replaced_table(version);
-            site.put_routes(table).await.expect("a valid table");
-        }
+        let put_tables = async {
+            for version in 2..=newest {
+                let table = replaced_table(version);
+                site.put_routes(table).await.expect("a valid table");
+            }
+        };
+        report_during(&mut link, put_tables).await;
         tables_received(&mut link, newest).await
     };
     let received = tokio::time::timeout(DEADLINE, scenario).await;
