--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -1,6 +1,6 @@
 //! Writes decisions to the log.
 
-use chicory_ranges::{CallOutcome, GrantCall};
+use chicory_ranges::{CallOutcome, Fence, GrantCall, RangeMove};
 use slog::{Logger, info, warn};
 
 use crate::SiteNote;
@@ -70,15 +70,7 @@
             last_answer_age,
         } => info!(logger, "server has ended"; "server" => %server_incarnation, "next" => %next,
             "ranges" => range_count, "last_answer_age" => ?last_answer_age),
-        SiteNote::RangeMoved { change, fence } => {
-            let from = change
-                .from
-                .as_ref()
-                .map_or("nobody".into(), ToString::to_string);
-            info!(logger, "keys moved"; "service" => &change.service,
-                "keys" => %change.range, "from" => from, "to" => %change.to,
-                "fence" => fence, "has_handover" => change.handover.is_some());
-        }
+        SiteNote::RangeMoved { change, fence } => write_move(logger, change, *fence),
         SiteNote::MoveRejected { rejection } => {
             info!(logger, "move rejected"; "reason" => %rejection);
         }
@@ -110,6 +102,16 @@
     }
 }
 
+fn write_move(logger: &Logger, change: &RangeMove, fence: Fence) {
+    let from = change
+        .from
+        .as_ref()
+        .map_or("nobody".into(), ToString::to_string);
+    info!(logger, "keys moved"; "service" => &change.service, "keys" => %change.range,
+        "from" => from, "to" => %change.to, "fence" => fence,
+        "has_handover" => change.handover.is_some());
+}
+
 fn write_grant(logger: &Logger, server: &str, content: &GrantCall, outcome: &CallOutcome) {
     let (call, range, fence) = match content {
         GrantCall::Grant { range, fence, .. } => ("grant", range, fence),
