--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -201,7 +201,10 @@
     let mut ticket = send(&mut gateway, START, 600);
     let silent_at = gateway.next_probe_at(START).expect("a time");
     expect_that!(silent_at, gt(START));
-    expect_that!(gateway.take_probes(silent_at - TICK), is_empty());
+    expect_that!(
+        gateway.take_probes(silent_at.saturating_sub(TICK)),
+        is_empty()
+    );
     expect_that!(gateway.take_probes(silent_at).len(), eq(1));
     gateway.record_attempt_end(silent_at, &mut ticket, AttemptOutcome::Answered);
     expect_that!(gateway.next_probe_at(silent_at), none());
--- a/crates/chicory_gateway/tests/server_notices/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/entry_vm.rs
@@ -119,7 +119,9 @@
             ControlMessage::ServerLimits(update) => {
                 self.gateway.record_server_limits(now, update);
             }
-            ControlMessage::Relays(peers) => self.gateway.set_relays(peers),
+            ControlMessage::Relays(peers) => {
+                self.gateway.set_relays(peers);
+            }
         }
         // Any news may let a request that waits go on.
         for (_, until) in &mut self.waiting {
