Name the port that is really listened on for relayed requests

With port 0 in the settings, the hello named port 0. The test of the whole path uses that, which also spares it the time between choosing a free port and listening on it.

--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -67,9 +67,10 @@
             Some(address) => RelayListener::bind(address, &logger).await,
             None => None,
         };
-        if relay_listener.is_none() {
-            config.relay_address = None;
-        }
+        config.relay_address = match (&relay_listener, config.relay_address) {
+            (Some(listener), Some(address)) => Some(listener.reachable_address(address)),
+            _ => None,
+        };
         let gateway = Gateway::new(config.gateway_config.clone());
         let vm = config.vm.clone();
         let shared = SharedState::new(vm, gateway, clock, interfaces, readiness, logger, metrics);
--- a/crates/chicory_gateway/src/process/gateway_process_config.rs
+++ b/crates/chicory_gateway/src/process/gateway_process_config.rs
@@ -17,7 +17,7 @@
     /// Address to listen on for callers.
     pub caller_address: SocketAddr,
     /// Address at which other entry VMs send requests that this one is to relay; `None` if it relays
-    /// none.
+    /// none. With port 0 any free port is used.
     pub relay_address: Option<SocketAddr>,
     /// Address to listen on for these requests, if it is another one.
     pub relay_listen_address: Option<SocketAddr>,
--- a/crates/chicory_gateway/src/process/relay_listener.rs
+++ b/crates/chicory_gateway/src/process/relay_listener.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Returns the address for other entry VMs: this one, with the port that is listened on if it
+    /// states none.
+    pub(super) fn reachable_address(&self, address: SocketAddr) -> SocketAddr {
+        match self.listener.local_addr() {
+            Ok(local) if address.port() == 0 => SocketAddr::new(address.ip(), local.port()),
+            _ => address,
+        }
+    }
+
     /// Serves until `closing` becomes `true` and all requests in progress are complete.
     pub(super) async fn serve(self, shared: Arc<SharedState>, closing: watch::Receiver<bool>) {
         let load = SharedLoad::default();
