--- a/crates/chicory_net/src/http/metered_stream.rs
+++ b/crates/chicory_net/src/http/metered_stream.rs
@@ -9,7 +9,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::http::peer_liveness::{UNACKNOWLEDGED_TIMEOUT, set_probes, set_unacknowledged_timeout};
+use crate::http::peer_liveness::{
+    UNACKNOWLEDGED_TIMEOUT, has_unacknowledged_timeout, set_probes, set_unacknowledged_timeout,
+};
 
 /// Most bytes of a request that any server's receive buffer takes. The kernel closes a connection
 /// whose peer has no room for more bytes like one whose peer is gone, so longer requests are sent
@@ -63,6 +65,8 @@
     stream: TcpStream,
     allowance: ByteAllowance,
     sent: SentBytes,
+    /// Whether the timeout for acknowledgements was set before, and stays as it is.
+    is_timeout_fixed: bool,
     has_timeout: bool,
 }
 
@@ -71,6 +75,7 @@
         // Without the options the connection still works, only its loss is noticed later.
         let _ = set_probes(&stream);
         Self {
+            is_timeout_fixed: has_unacknowledged_timeout(&stream),
             stream,
             allowance,
             sent,
@@ -80,6 +85,9 @@
 
     /// Sets or removes the timeout for acknowledgements before `bytes` more are sent.
     fn adjust_timeout(&mut self, bytes: usize) {
+        if self.is_timeout_fixed {
+            return;
+        }
         let sent_before = self.sent.get();
         let is_short = sent_before + bytes <= MAX_TIMED_BYTES;
         let starts_short = is_short && sent_before == 0 && !self.has_timeout;
--- a/crates/chicory_net/src/http/peer_liveness.rs
+++ b/crates/chicory_net/src/http/peer_liveness.rs
@@ -31,3 +31,9 @@
 ) -> io::Result<()> {
     SockRef::from(stream).set_tcp_user_timeout(timeout)
 }
+
+/// Whether unacknowledged bytes close a connection after some time.
+pub(crate) fn has_unacknowledged_timeout(stream: &TcpStream) -> bool {
+    let timeout = SockRef::from(stream).tcp_user_timeout();
+    timeout.is_ok_and(|timeout| timeout.is_some_and(|timeout| !timeout.is_zero()))
+}
