Ask backend servers for an answer when the path to them is probed

A probe only connected, so it never failed.

A probe now sends a request that names no server; each one refuses it at once and doesn't run it. Any answer within 300 ms shows the path, none or a closed connection doesn't.

--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -8,13 +8,13 @@
 use super::{AttemptOutcome, Gateway, Policy, ReachabilityChange};
 
 impl Gateway {
-    /// Returns the servers to which a connection has to be opened now and closed again, to find out
-    /// if that is possible; [`record_probe`](Self::record_probe) records the result. There are none
+    /// Returns the servers that have to be probed now, to find out if they answer on a new
+    /// connection; [`record_probe`](Self::record_probe) records the result. There are none
     /// while nothing hints at a cut. At most one is returned each 100 ms;
     /// [`next_probe_at`](Self::next_probe_at) tells when to call this again.
     ///
-    /// A probe succeeds if the connection opens within the time that a
-    /// [`Target`](crate::Target) has for that, and the server does not close it at once.
+    /// A probe succeeds if a new connection opens within the time that a
+    /// [`Target`](crate::Target) has for that, and the server answers on it.
     pub fn take_probes(&mut self, now: MonoTime) -> Vec<ServerRecord> {
         if !self.config.is_enabled(Policy::Relay) {
             return Vec::new();
@@ -35,7 +35,7 @@
         self.reachability.next_probe_at(now)
     }
 
-    /// Records whether a connection to a server that had to be probed could be opened.
+    /// Records whether a server that had to be probed answered on a new connection.
     pub fn record_probe(&mut self, now: MonoTime, incarnation: &ServerIncarnation, is_open: bool) {
         let was_in_progress = self.reachability.record_probe_end(incarnation);
         let Some(record) = self.directory.server(incarnation).cloned() else {
--- a/crates/chicory_gateway/src/process/interfaces.rs
+++ b/crates/chicory_gateway/src/process/interfaces.rs
@@ -46,6 +46,9 @@
         time_left: Duration,
     );
 
+    /// Adds the headers of a probe: a request that every server refuses at once and does not run.
+    fn prepare_probe(&self, headers: &mut HeaderMap);
+
     /// Classifies an answer.
     fn classify(
         &self,
--- a/crates/chicory_gateway/src/process/server_probes.rs
+++ b/crates/chicory_gateway/src/process/server_probes.rs
@@ -1,19 +1,20 @@
-//! Opens connections to backend servers only to see whether they can be reached.
+//! Sends requests to backend servers only to see whether they can be reached.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use chicory_directory::ServerRecord;
-use tokio::net::TcpStream;
+use chicory_net::http::{HttpBody, SendError, ServerLink};
+use hyper::Request;
+use hyper::header::{HOST, HeaderValue};
 
 use super::GatewayMetric;
 use super::shared_state::SharedState;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which an opened connection must stay open. A connection may be accepted only to be
-/// closed.
-const SETTLE_TIME: Duration = Duration::from_millis(20);
+/// Time limit for the answer, which takes a server no work.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Shortest time between two checks whether a probe is due.
 const MIN_PAUSE: Duration = Duration::from_millis(25);
 
@@ -44,7 +45,7 @@
 }
 
 async fn probe(shared: Arc<SharedState>, server: ServerRecord) {
-    let is_open = can_connect(&server).await;
+    let is_open = is_answering(&shared, &server).await;
     let now = shared.now();
     shared
         .gateway()
@@ -55,14 +56,18 @@
     shared.probe_hints.notify_one();
 }
 
-async fn can_connect(server: &ServerRecord) -> bool {
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(server.address));
-    let Ok(Ok(stream)) = connected.await else {
+/// Whether a server answers. A connection that opens shows little: what stands between may accept it
+/// and lose its bytes, or close it.
+async fn is_answering(shared: &SharedState, server: &ServerRecord) -> bool {
+    let address = server.address.to_string();
+    let Ok(mut link) = ServerLink::open(&address, CONNECT_TIMEOUT, || {}).await else {
         return false;
     };
-    let mut byte = [0];
-    match tokio::time::timeout(SETTLE_TIME, stream.peek(&mut byte)).await {
-        Ok(peeked) => peeked.is_ok_and(|length| length > 0),
-        Err(_) => true,
+    let mut request = Request::new(HttpBody::empty());
+    if let Ok(host) = HeaderValue::from_str(&address) {
+        request.headers_mut().insert(HOST, host);
     }
+    shared.servers.prepare_probe(request.headers_mut());
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, link.send(request)).await;
+    matches!(answer, Ok(Ok(_) | Err(SendError::Malformed)))
 }
--- a/crates/chicory_gateway/tests/control_link.rs
+++ b/crates/chicory_gateway/tests/control_link.rs
@@ -46,6 +46,8 @@
 impl ServerInterface for NoInterface {
     fn prepare(&self, _: &mut HeaderMap, _: &RequestMetadata, _: &ServerIncarnation, _: Duration) {}
 
+    fn prepare_probe(&self, _: &mut HeaderMap) {}
+
     fn classify(
         &self,
         _: &RequestMetadata,
--- a/crates/chicory_gateway/tests/relay/interfaces.rs
+++ b/crates/chicory_gateway/tests/relay/interfaces.rs
@@ -36,6 +36,8 @@
         headers.insert("prepared", 1.into());
     }
 
+    fn prepare_probe(&self, _: &mut HeaderMap) {}
+
     fn classify(
         &self,
         _: &RequestMetadata,
