Take no server in the log of a new leader for one that has announced itself

A control VM that restarts and becomes the leader may apply its log in the same step. Each server in it counted as announced just then, and the new leader renewed the grants of all of them at once, 27 ms after its election, without any announcement.

Events that the log gave rise to before this member leads are discarded. restarted_leader_makes_no_calls_to_servers_that_have_not_announced_themselves failed before (12 calls in two renewal intervals without an announcement) and passes.

--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -46,6 +46,8 @@
         let version = self.state.version();
         self.push_note(SiteNote::ActingAsLeader { version });
         let registry = self.state.registry();
+        // Entries of the log that were applied just now tell of former announcements.
+        self.grant_events.clear();
         self.mover = Some(GrantCoordinator::new(
             self.config.grants.clone(),
             now,
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -305,6 +305,33 @@
     expect_that!(simulation.grants.len(), eq(0));
 }
 
+/// Guards against a restarted leader that takes servers in its log for servers that have announced
+/// themselves: they may have ended while it was down.
+#[gtest]
+fn restarted_leader_makes_no_calls_to_servers_that_have_not_announced_themselves() {
+    let mut simulation = Simulation::with_leader(3);
+    let leader = simulation.await_leader();
+    simulation.call_and_wait(&leader, SiteCall::PutRoutes(table(1)));
+    for index in 1..=4 {
+        let name = format!("server-{index}");
+        simulation.call_and_wait(&leader, announce(&name, 8000 + index, ServerState::Ready));
+    }
+    simulation.run(Duration::from_secs(2));
+    for index in 1..=3 {
+        simulation.kill(&vm_name(index));
+    }
+    simulation.grants.clear();
+    for index in 1..=3 {
+        simulation.start(&vm_name(index));
+    }
+    let leader = simulation.await_leader();
+    simulation.run(RENEWAL_INTERVAL * 2);
+    expect_that!(simulation.grants.len(), eq(0));
+    simulation.call_and_wait(&leader, announce("server-1", 8001, ServerState::Ready));
+    simulation.run(Duration::from_millis(500));
+    expect_that!(simulation.grants.is_empty(), eq(false));
+}
+
 #[gtest]
 fn draining_server_releases_its_keys() {
     let mut simulation = Simulation::with_leader(3);
