Count timeouts as a cut only where no server answers

Thin links and full servers made connections and probes take longer than 300 ms, the relays doubled the traffic, and more timed out.

A cut that hangs silences open connections as well. So a timeout says something about the path to a group of servers only if none of them has answered for 1.2 s, on any connection; a refused connection still does at once. A request whose connection timed out is relayed before a cut is found only under the same condition. The tests of entry VMs that are cut off pass as before; their probes report whether a connection was refused.

--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -4,8 +4,9 @@
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
+use super::path_failure::PathFailure;
 use super::server_group::ServerGroup;
-use super::{AttemptOutcome, Gateway, Policy, ReachabilityChange};
+use super::{AttemptOutcome, Gateway, Policy, ProbeResult, ReachabilityChange};
 
 impl Gateway {
     /// Returns the servers that have to be probed now, to find out if they answer on a new
@@ -35,8 +36,13 @@
         self.reachability.next_probe_at(now)
     }
 
-    /// Records whether a server that had to be probed answered on a new connection.
-    pub fn record_probe(&mut self, now: MonoTime, incarnation: &ServerIncarnation, is_open: bool) {
+    /// Records how a server that had to be probed answered on a new connection.
+    pub fn record_probe(
+        &mut self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+        result: ProbeResult,
+    ) {
         let was_in_progress = self.reachability.record_probe_end(incarnation);
         let Some(record) = self.directory.server(incarnation).cloned() else {
             return;
@@ -44,9 +50,13 @@
         if !was_in_progress {
             return;
         }
-        if !is_open {
+        if result != ProbeResult::Answered {
+            let failure = PathFailure {
+                is_refused: result == ProbeResult::Refused,
+                is_probe: true,
+            };
             self.reachability
-                .record_failure(now, &record, &self.directory, true);
+                .record_failure(now, &record, &self.directory, failure);
             self.discard_suspects_behind_cuts();
             return;
         }
@@ -154,8 +164,12 @@
             AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
                 zone.record_failed_connection(now);
                 self.unreachable.record_unusable(now, incarnation);
+                let failure = PathFailure {
+                    is_refused: outcome == AttemptOutcome::Refused,
+                    is_probe: false,
+                };
                 self.reachability
-                    .record_failure(now, record, &self.directory, false);
+                    .record_failure(now, record, &self.directory, failure);
                 self.discard_suspects_behind_cuts();
             }
             AttemptOutcome::ConnectionRejected => {
--- a/crates/chicory_gateway/src/decide/gateway_relays.rs
+++ b/crates/chicory_gateway/src/decide/gateway_relays.rs
@@ -155,8 +155,10 @@
         let is_tried = match outcome {
             // One server that fails is no reason for a relay if others can serve the request.
             AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
-                ticket.key.is_some()
-                    || ticket.attempts_left() == 0
+                let is_slow = outcome == AttemptOutcome::Unreachable
+                    && !self.reachability.is_zone_silent(now, &record);
+                (ticket.key.is_some() && !is_slow)
+                    || (ticket.attempts_left() == 0 && !is_slow)
                     || self.reachability.is_suspected(now, &record)
             }
             AttemptOutcome::RelayUnavailable => true,
--- a/crates/chicory_gateway/src/decide/server_reachability.rs
+++ b/crates/chicory_gateway/src/decide/server_reachability.rs
@@ -11,6 +11,7 @@
 
 use super::answer_silence::AnswerSilence;
 use super::group_reachability::GroupReachability;
+use super::path_failure::PathFailure;
 use super::server_group::ServerGroup;
 use crate::Directory;
 
@@ -20,6 +21,9 @@
 const CUT_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a probe without a result is forgotten.
 const PROBE_RETENTION: Duration = Duration::from_secs(1);
+/// Time after an answer for which timeouts say nothing about the path: it carries answers, so what is
+/// slow is the link or the server. A cut that hangs silences open connections as well.
+const ANSWERED_TIME: Duration = Duration::from_millis(1200);
 /// Maximum number of changes that are kept until they are taken.
 const MAX_CHANGES: usize = 16;
 
@@ -43,6 +47,8 @@
 pub(super) struct ServerReachability {
     groups: BTreeMap<ServerGroup, GroupReachability>,
     silence: AnswerSilence,
+    /// When a server of each group answered last, on any connection of this entry VM.
+    answered_at: BTreeMap<ServerGroup, MonoTime>,
     /// Probes in progress, and when they began.
     probes: BTreeMap<ServerIncarnation, MonoTime>,
     next_probe_at: MonoTime,
@@ -86,13 +92,11 @@
     /// Records that a server answered, perhaps on a connection that had been open before.
     pub(super) fn record_answer(&mut self, now: MonoTime, record: &ServerRecord) {
         self.silence.record_answer(now);
-        if self.groups.is_empty() {
-            return;
-        }
         for group in ServerGroup::all_of(record) {
             if let Some(state) = self.groups.get_mut(&group) {
                 state.record_answer(now);
             }
+            self.answered_at.insert(group, now);
         }
     }
 
@@ -108,20 +112,32 @@
         all.is_some_and(|group| group.is_cut && !group.is_answering(now))
     }
 
+    /// Whether an unanswered connection to a server says something about the path: no server of its
+    /// availability zone has answered lately.
+    pub(super) fn is_zone_silent(&self, now: MonoTime, record: &ServerRecord) -> bool {
+        !self.has_answered(now, &ServerGroup::Zone(record.zone.clone()))
+    }
+
+    fn has_answered(&self, now: MonoTime, group: &ServerGroup) -> bool {
+        let answered_at = self.answered_at.get(group);
+        answered_at.is_some_and(|at| now < *at + ANSWERED_TIME)
+    }
+
     /// Records that no connection to a server could be opened.
     pub(super) fn record_failure(
         &mut self,
         now: MonoTime,
         record: &ServerRecord,
         directory: &Directory,
-        is_probe: bool,
+        failure: PathFailure,
     ) {
         for group in ServerGroup::all_of(record) {
-            if !group.is_large_enough(ready_servers(directory)) {
+            let is_slow = !failure.is_refused && self.has_answered(now, &group);
+            if is_slow || !group.is_large_enough(ready_servers(directory)) {
                 continue;
             }
             let state = self.groups.entry(group.clone()).or_default();
-            state.record_failure(now, &record.incarnation, is_probe);
+            state.record_failure(now, &record.incarnation, failure.is_probe);
             if state.is_cut {
                 // Smaller groups are judged once the larger one is no longer cut off.
                 return;
@@ -279,7 +295,10 @@
             state.retain(|incarnation| directory.server(incarnation).is_some());
         }
         let groups = &mut self.groups;
-        groups.retain(|group, _| directory.servers().any(|record| group.contains(record)));
+        let is_known =
+            |group: &ServerGroup| directory.servers().any(|record| group.contains(record));
+        groups.retain(|group, _| is_known(group));
+        self.answered_at.retain(|group, _| is_known(group));
     }
 }
 
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -11,8 +11,9 @@
 
 pub use decide::{
     Admission, AttemptOutcome, Gateway, GatewayConfig, LeavingNotice, LimitInForce, LimitNotice,
-    LimitedServerLoad, NextStep, Policy, ReachabilityChange, Recheck, Refusal, RefusalReason,
-    RequestMetadata, RequestTicket, RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
+    LimitedServerLoad, NextStep, Policy, ProbeResult, ReachabilityChange, Recheck, Refusal,
+    RefusalReason, RequestMetadata, RequestTicket, RestNotice, RetryBudget, ServerGroup,
+    ServerNotices, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/server_probes.rs
+++ b/crates/chicory_gateway/src/process/server_probes.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use chicory_directory::ServerRecord;
-use chicory_net::http::{HttpBody, SendError, ServerLink};
+use chicory_net::http::{HttpBody, LinkError, SendError, ServerLink};
 use hyper::Request;
 use hyper::header::{HOST, HeaderValue};
 
 use super::GatewayMetric;
 use super::shared_state::SharedState;
+use crate::ProbeResult;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -45,23 +46,25 @@
 }
 
 async fn probe(shared: Arc<SharedState>, server: ServerRecord) {
-    let is_open = is_answering(&shared, &server).await;
+    let result = send_probe(&shared, &server).await;
     let now = shared.now();
     shared
         .gateway()
-        .record_probe(now, &server.incarnation, is_open);
-    if !is_open {
+        .record_probe(now, &server.incarnation, result);
+    if result != ProbeResult::Answered {
         shared.metrics.increment(GatewayMetric::FailedProbes);
     }
     shared.probe_hints.notify_one();
 }
 
-/// Whether a server answers. A connection that opens shows little: what stands between may accept it
+/// Sends a request that the server refuses at once. A connection that opens shows little: what stands between may accept it
 /// and lose its bytes, or close it.
-async fn is_answering(shared: &SharedState, server: &ServerRecord) -> bool {
+async fn send_probe(shared: &SharedState, server: &ServerRecord) -> ProbeResult {
     let address = server.address.to_string();
-    let Ok(mut link) = ServerLink::open(&address, CONNECT_TIMEOUT, || {}).await else {
-        return false;
+    let mut link = match ServerLink::open(&address, CONNECT_TIMEOUT, || {}).await {
+        Ok(link) => link,
+        Err(LinkError::Refused) => return ProbeResult::Refused,
+        Err(_) => return ProbeResult::Unanswered,
     };
     let mut request = Request::new(HttpBody::empty());
     if let Ok(host) = HeaderValue::from_str(&address) {
@@ -69,5 +72,8 @@
     }
     shared.servers.prepare_probe(request.headers_mut());
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, link.send(request)).await;
-    matches!(answer, Ok(Ok(_) | Err(SendError::Malformed)))
+    match answer {
+        Ok(Ok(_) | Err(SendError::Malformed)) => ProbeResult::Answered,
+        _ => ProbeResult::Unanswered,
+    }
 }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chicory_directory::RelayPeer;
-use chicory_gateway::{Admission, AttemptOutcome, NextStep, Refusal, RequestMetadata};
+use chicory_gateway::{Admission, AttemptOutcome, NextStep, ProbeResult, Refusal, RequestMetadata};
 use chicory_ranges::ServerIncarnation;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -150,8 +150,12 @@
             }
             Event::ProbeEnd(vm, server) => {
                 let entry_vm = &mut self.entry_vms[vm];
-                let is_open = entry_vm.cut.is_none();
-                entry_vm.gateway.record_probe(self.now, &server, is_open);
+                let result = match entry_vm.cut {
+                    None => ProbeResult::Answered,
+                    Some(CutKind::Silent) => ProbeResult::Unanswered,
+                    Some(CutKind::Reset | CutKind::NewRefused) => ProbeResult::Refused,
+                };
+                entry_vm.gateway.record_probe(self.now, &server, result);
             }
             Event::Arrival(vm) => {
                 self.add_arrival(vm);
--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -5,8 +5,8 @@
 use crate::support::{START, expect_sent, gateway_with, metadata, owned, ranges, server};
 use chicory_directory::{DirectoryUpdate, ServerRecord, ServerState};
 use chicory_gateway::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, ReachabilityChange, RequestTicket,
-    ServerGroup,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, ProbeResult, ReachabilityChange,
+    RequestTicket, ServerGroup,
 };
 use googletest::prelude::*;
 
@@ -72,7 +72,12 @@
     let mut now = from;
     while now < until {
         for record in gateway.take_probes(now) {
-            gateway.record_probe(now, &record.incarnation, is_open(&record));
+            let result = if is_open(&record) {
+                ProbeResult::Answered
+            } else {
+                ProbeResult::Unanswered
+            };
+            gateway.record_probe(now, &record.incarnation, result);
             probed.push(record);
         }
         now += TICK;
