--- a/crates/chicory_gateway/src/decide/gateway_relays.rs
+++ b/crates/chicory_gateway/src/decide/gateway_relays.rs
@@ -157,9 +157,8 @@
             AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
                 let is_slow = outcome == AttemptOutcome::Unreachable
                     && !self.reachability.is_zone_silent(now, &record);
-                (ticket.key.is_some() && !is_slow)
-                    || (ticket.attempts_left() == 0 && !is_slow)
-                    || self.reachability.is_suspected(now, &record)
+                let has_no_other = ticket.key.is_some() || ticket.attempts_left() == 0;
+                (has_no_other && !is_slow) || self.reachability.is_suspected(now, &record)
             }
             AttemptOutcome::RelayUnavailable => true,
             AttemptOutcome::UnreachableFromRelay => {
