Test that any two of ten control VMs, or an availability zone, may be lost

What has to be borne with ten control VMs in five availability zones: the loss of any two of them, with their disks, or of all in one zone. Nine of the new tests fail, for these reasons:

- The group has three voters whatever is to be borne, so two lost disks take the majority: each of the pairs among the three seeds, after a pause, right after an acknowledgement, in the middle of a change, and while all others lose power.
- Nothing keeps two voters out of one zone: with two seeds in one zone its loss ends the group.
- A new VM says hello to its seeds only.
If the leader is not among them, it never joins; the same holds for a voter that was removed while it was cut off.
- Learners are never removed, so four VMs that left for good keep any further one out.

--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -227,6 +227,14 @@
         &self.state
     }
 
+    /// Returns the control VMs whose votes count in the group, as far as this member knows.
+    #[must_use]
+    pub fn voters(&self) -> BTreeSet<VmId> {
+        let membership = self.replica.iter().map(Replica::membership);
+        let voters = membership.flat_map(|membership| &membership.voters);
+        voters.map(|voter| voter.vm.clone()).collect()
+    }
+
     /// Returns the number of entry VMs that follow this member.
     #[must_use]
     pub fn entry_count(&self) -> usize {
--- /dev/null
+++ b/crates/chicory_site/tests/control_groups/mod.rs
@@ -0,0 +1,4 @@
+//! Losses of control VMs that a deployment with ten of them in five availability zones bears.
+
+mod deployment;
+mod losses;
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -91,6 +91,30 @@
         simulation
     }
 
+    /// Starts control VMs in several availability zones for the first time, with empty disks.
+    pub fn deployment(vms_by_zone: &[usize], seeds: &[String]) -> Self {
+        let mut simulation = Self::new(0);
+        simulation.seeds = seeds.to_vec();
+        for (zone, vm_count) in vms_by_zone.iter().enumerate() {
+            for index in 0..*vm_count {
+                let vm = vm_in_zone(zone, index);
+                let is_founder = seeds.contains(&vm);
+                simulation.add(&vm, is_founder);
+            }
+        }
+        simulation
+    }
+
+    /// Returns the names of all control VMs, running or not.
+    pub fn vm_names(&self) -> Vec<String> {
+        self.vms.keys().cloned().collect()
+    }
+
+    /// Sets the seeds of VMs that start from now on.
+    pub fn set_seeds(&mut self, seeds: &[String]) {
+        self.seeds = seeds.to_vec();
+    }
+
     /// Starts a VM with an empty disk.
     pub fn add(&mut self, vm: &str, is_founder: bool) {
         self.start_count += 1;
@@ -151,6 +175,10 @@
         }
     }
 
+    pub fn is_running(&self, vm: &str) -> bool {
+        self.vms[vm].core.is_some()
+    }
+
     pub fn core(&self, vm: &str) -> &SiteCore {
         self.vms[vm].core.as_ref().expect("running VM")
     }
@@ -333,6 +361,11 @@
     format!("10.{index}.0.1:7540")
 }
 
+/// Returns the name of a control VM of a deployment.
+pub fn vm_in_zone(zone: usize, index: usize) -> String {
+    format!("10.{zone}.0.{index}:7540")
+}
+
 pub fn table(version: u64) -> RouteTable {
     let service = |name: &str, is_keyed| RoutedService {
         name: name.into(),
