--- a/crates/chicory_consensus/src/lib.rs
+++ b/crates/chicory_consensus/src/lib.rs
@@ -31,6 +31,8 @@
 //! - **Open membership.** Where VMs are replaced at other addresses, any VM that sends a hello can
 //!   be admitted as a learner. A caught-up learner replaces a voter that has been unresponsive for
 //!   the contact timeout: the voter is removed first, and the learner is promoted in a later entry.
+//!   Voters are spread over availability zones ([`VoterPlacement`]). A member that doesn't know the
+//!   leader is told by any other one, so it finds the group through members without a vote, too.
 //! - **Damaged state.** A member with [`RestoredState::may_vote`] unset does not vote before it has
 //!   been a learner again.
 //!
@@ -66,6 +68,7 @@
 mod role;
 mod snapshot;
 mod snapshot_receiver;
+mod voter_placement;
 
 pub use config_error::ConfigError;
 pub use entry::{Entry, EntryPayload};
@@ -80,9 +83,9 @@
 pub use replica::Replica;
 pub use replica_config::{
     ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL, HELLO_INTERVAL,
-    INFLIGHT_WINDOW, LEADER_LEASE, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_LEARNERS,
-    MAX_UNCOMMITTED_ENTRIES, ReplicaConfig, SNAPSHOT_AFTER_BYTES, SNAPSHOT_AFTER_ENTRIES,
-    SNAPSHOT_CHUNK_BYTES, TRAILING_ENTRIES, VOTER_CONTACT_TIMEOUT,
+    INFLIGHT_WINDOW, LEADER_LEASE, LEARNER_TIMEOUT_FACTOR, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES,
+    MAX_LEARNERS, MAX_UNCOMMITTED_ENTRIES, ReplicaConfig, SNAPSHOT_AFTER_BYTES,
+    SNAPSHOT_AFTER_ENTRIES, SNAPSHOT_CHUNK_BYTES, TRAILING_ENTRIES, VOTER_CONTACT_TIMEOUT,
 };
 pub use replica_config_builder::ReplicaConfigBuilder;
 pub use replica_effect::ReplicaEffect;
@@ -90,3 +93,4 @@
 pub use restored_state::RestoredState;
 pub use role::Role;
 pub use snapshot::{Snapshot, SnapshotHeader};
+pub use voter_placement::{VoterPlacement, VoterStep};
--- a/crates/chicory_consensus/src/peer_message.rs
+++ b/crates/chicory_consensus/src/peer_message.rs
@@ -1,6 +1,6 @@
 //! Messages between the members of a group.
 
-use chicory_types::{LogIndex, MonoTime, Term};
+use chicory_types::{LogIndex, MonoTime, Term, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::{Entry, MemberId, Membership, SnapshotHeader};
@@ -22,7 +22,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessageBody {
     /// Announces the sender's incarnation and its status in the group.
-    Hello(HelloStatus),
+    Hello {
+        /// Status of the sender.
+        status: HelloStatus,
+        /// VM of the leader, if the sender knows one; a VM that asks to be admitted has to reach it.
+        leader: Option<VmId>,
+    },
     /// Asks whether a vote in `term` would be granted.
     PreVote {
         /// Term in which the sender would stand for election.
--- a/crates/chicory_consensus/src/replica/election.rs
+++ b/crates/chicory_consensus/src/replica/election.rs
@@ -144,6 +144,7 @@
             granted,
         };
         self.send(from, body);
+        self.direct_removed_member(from);
     }
 
     pub(super) fn on_pre_vote_response(
--- a/crates/chicory_consensus/src/replica/following.rs
+++ b/crates/chicory_consensus/src/replica/following.rs
@@ -16,6 +16,7 @@
         self.set_term(term);
         if self.leader.as_ref() != Some(from) {
             self.leader = Some(from.clone());
+            self.named_leaders.clear();
         }
         self.refuse_votes_until =
             ClockRateMargin::lease_expiry_for_grantor(self.now, self.config.leader_lease);
--- a/crates/chicory_consensus/src/replica/forming.rs
+++ b/crates/chicory_consensus/src/replica/forming.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use chicory_types::MonoTime;
+use chicory_types::{MonoTime, VmId};
 
 use super::{Phase, Replica, RoleState};
 use crate::{
@@ -125,13 +125,45 @@
         founders.is_some_and(|m| m.is_voter(member))
     }
 
-    pub(super) fn on_hello(&mut self, from: &MemberId, to: &MemberId, status: &HelloStatus) {
+    pub(super) fn on_hello(
+        &mut self,
+        from: &MemberId,
+        to: &MemberId,
+        status: &HelloStatus,
+        leader: Option<VmId>,
+    ) {
         self.record_hello(from, status);
+        self.record_named_leader(from, leader);
         if to.incarnation == UNKNOWN_INCARNATION {
             self.send_hello(from);
         }
     }
 
+    /// Records which leader another member names, while this one knows none. Hellos go there, too.
+    fn record_named_leader(&mut self, from: &MemberId, leader: Option<VmId>) {
+        let leader = leader.filter(|leader| *leader != self.config.member.vm);
+        if self.leader.is_some() || self.config.open_voter_count.is_none() {
+            return;
+        }
+        match leader {
+            Some(leader) => self.named_leaders.insert(from.vm.clone(), leader),
+            None => self.named_leaders.remove(&from.vm),
+        };
+        if self.needs_hellos() {
+            self.hello_deadline = self
+                .hello_deadline
+                .min(self.now + self.config.hello_interval);
+        }
+    }
+
+    /// Sends a hello to a VM that asks for votes although it is not in the group any more: its
+    /// former peers need not include the leader.
+    pub(super) fn direct_removed_member(&mut self, from: &MemberId) {
+        if self.leader.is_some() && !self.membership().contains(from) {
+            self.send_hello(from);
+        }
+    }
+
     fn record_hello(&mut self, from: &MemberId, status: &HelloStatus) {
         let founders = self.log.membership().cloned();
         let is_latest = self.latest_incarnations.get(&from.vm) == Some(&from.incarnation);
@@ -190,7 +222,10 @@
     }
 
     fn send_hello(&mut self, to: &MemberId) {
-        let body = PeerMessageBody::Hello(self.hello_status());
+        let body = PeerMessageBody::Hello {
+            status: self.hello_status(),
+            leader: self.leader.as_ref().map(|leader| leader.vm.clone()),
+        };
         self.send_when_durable(to, body);
     }
 
@@ -200,22 +235,36 @@
             return;
         }
         self.hello_deadline = self.now + self.config.hello_interval;
-        for vm in self.config.bootstrap_vms.clone() {
-            if vm != self.config.member.vm {
-                self.send_hello(&MemberId::any_incarnation_of(vm));
-            }
+        for vm in self.hello_receivers() {
+            self.send_hello(&MemberId::any_incarnation_of(vm));
+        }
+    }
+
+    /// Returns the VMs through which this member may find its group.
+    fn hello_receivers(&self) -> BTreeSet<VmId> {
+        let bootstrap_vms = self.config.bootstrap_vms.iter();
+        let mut vms: BTreeSet<VmId> = bootstrap_vms
+            .chain(self.named_leaders.values())
+            .cloned()
+            .collect();
+        if self.config.open_voter_count.is_some() {
+            vms.extend(self.membership().members().map(|member| member.vm.clone()));
         }
+        vms.remove(&self.config.member.vm);
+        vms
     }
 
     /// Returns whether the replica has to send hellos.
     ///
-    /// The leader contacts voters by itself; every other member has to make itself known.
+    /// The leader contacts voters by itself; every other member has to make itself known. A voter
+    /// that others name a leader to, but that hears from none, may have been removed.
     fn needs_hellos(&self) -> bool {
         match self.phase {
             Phase::Joining | Phase::Forming { .. } | Phase::Bound { .. } => true,
             Phase::Formed => {
-                let is_passive = matches!(self.role, RoleState::Passive);
-                is_passive && !self.is_voter() && self.leader.is_none()
+                let is_learner = matches!(self.role, RoleState::Passive) && !self.is_voter();
+                let may_be_removed = !self.named_leaders.is_empty();
+                self.leader.is_none() && (is_learner || may_be_removed)
             }
             Phase::Halted | Phase::Superseded => false,
         }
@@ -224,7 +273,7 @@
 
 fn is_hello_before_formation(body: &PeerMessageBody) -> bool {
     match body {
-        PeerMessageBody::Hello(status) => *status != HelloStatus::Formed,
+        PeerMessageBody::Hello { status, .. } => *status != HelloStatus::Formed,
         _ => false,
     }
 }
--- a/crates/chicory_consensus/src/replica/leading.rs
+++ b/crates/chicory_consensus/src/replica/leading.rs
@@ -20,6 +20,7 @@
             elected_at: self.now,
         });
         self.leader = Some(self.config.member.clone());
+        self.named_leaders.clear();
         self.effects.push(ReplicaEffect::BecameLeader { term });
         self.append_in_own_term(EntryPayload::Noop);
         self.sync_progress_with_membership();
--- a/crates/chicory_consensus/src/replica/membership_maintenance.rs
+++ b/crates/chicory_consensus/src/replica/membership_maintenance.rs
@@ -1,10 +1,13 @@
 //! Membership changes, one at a time, on request or because the group needs them.
 
+use std::time::Duration;
+
 use chicory_types::{ClockRateMargin, LogIndex};
 
 use super::{Replica, RoleState};
 use crate::{
-    EntryPayload, MAX_LEARNERS, MemberId, Membership, MembershipChange, ProposalRejection,
+    EntryPayload, LEARNER_TIMEOUT_FACTOR, MAX_LEARNERS, MemberId, Membership, MembershipChange,
+    ProposalRejection, VoterPlacement, VoterStep,
 };
 
 impl Replica {
@@ -50,7 +53,7 @@
     }
 
     /// Admits new incarnations of the bootstrap VMs as learners and promotes them once they have
-    /// caught up. With open membership, admits any VM and replaces unresponsive voters. A leader
+    /// caught up. With open membership, admits any VM and decides which members vote. A leader
     /// that was removed steps down.
     pub(super) fn maintain_membership(&mut self) {
         if !self.can_change_membership() {
@@ -66,47 +69,73 @@
     }
 
     fn due_membership(&self) -> Option<Membership> {
-        let new_member = self.new_member();
-        if let Some(new_member) = new_member {
+        if let Some(new_member) = self.new_member() {
             return Some(self.with_new_member(new_member));
         }
-        let learner = self.caught_up_learner()?;
-        let change = match self.voter_to_replace() {
-            Some(voter) => MembershipChange::Remove(voter),
-            None if self.can_promote_now(&learner) => MembershipChange::Promote(learner),
-            None => return None,
+        let change = match self.config.open_voter_count {
+            Some(voter_count) => self.due_change_of_open_group(voter_count)?,
+            None => MembershipChange::Promote(self.eligible_learner()?),
         };
         change.apply_to(self.membership())
     }
 
-    /// Returns whether a learner may become a voter now.
-    fn can_promote_now(&self, learner: &MemberId) -> bool {
-        match self.config.open_voter_count {
-            None => self.is_eligible_voter(learner),
-            Some(voter_count) => self.membership().voters.len() < voter_count,
+    fn due_change_of_open_group(&self, voter_count: usize) -> Option<MembershipChange> {
+        if let Some(learner) = self.lost_learner() {
+            return Some(MembershipChange::Remove(learner));
+        }
+        match self.next_voter_step(voter_count) {
+            VoterStep::Keep => None,
+            VoterStep::Promote(learner) => Some(MembershipChange::Promote(learner)),
+            VoterStep::Remove(voter) => Some(MembershipChange::Remove(voter)),
         }
     }
 
-    /// Returns an unresponsive voter that a caught-up learner can replace. `None` unless the
-    /// membership is open and has all its voters.
-    fn voter_to_replace(&self) -> Option<MemberId> {
+    fn next_voter_step(&self, voter_count: usize) -> VoterStep {
+        let Membership { voters, learners } = self.membership();
+        let contact_timeout = self.config.voter_contact_timeout;
+        let placement = VoterPlacement {
+            voter_count,
+            leader: &self.config.member,
+            voters,
+            unresponsive: voters
+                .iter()
+                .filter(|voter| self.is_silent_for(voter, contact_timeout))
+                .collect(),
+            ready: learners
+                .iter()
+                .filter(|learner| self.is_caught_up(learner))
+                .collect(),
+            zones: &self.zones,
+        };
+        placement.next_step()
+    }
+
+    /// Returns whether another member has made no contact with this leader for `timeout`.
+    fn is_silent_for(&self, member: &MemberId, timeout: Duration) -> bool {
         let RoleState::Leader(leader_state) = &self.role else {
-            return None;
+            return false;
         };
-        let voters = &self.membership().voters;
-        if voters.len() < self.config.open_voter_count? {
-            return None;
-        }
-        let unresponsive = voters.iter().find(|voter| {
-            let progress = leader_state.progress.get(voter);
-            progress.is_some_and(|progress| {
-                let last_contact_at = progress.contact_at.unwrap_or(leader_state.elected_at);
-                self.now
-                    >= last_contact_at.max(leader_state.elected_at)
-                        + self.config.voter_contact_timeout
-            })
-        });
-        unresponsive.cloned()
+        let progress = leader_state.progress.get(member);
+        progress.is_some_and(|progress| {
+            let last_contact_at = progress.contact_at.unwrap_or(leader_state.elected_at);
+            self.now >= last_contact_at.max(leader_state.elected_at) + timeout
+        })
+    }
+
+    /// Returns a learner that does not come back. If the group can't admit another one otherwise, it
+    /// is given up as soon as a voter would be.
+    fn lost_learner(&self) -> Option<MemberId> {
+        let learners = &self.membership().learners;
+        let contact_timeout = self.config.voter_contact_timeout;
+        let timeout = if learners.len() < MAX_LEARNERS {
+            contact_timeout * LEARNER_TIMEOUT_FACTOR
+        } else {
+            contact_timeout
+        };
+        let mut learners = learners.iter();
+        learners
+            .find(|learner| self.is_silent_for(learner, timeout))
+            .cloned()
     }
 
     /// Returns a member that has made contact, may join and is not in the membership.
@@ -147,17 +176,15 @@
         next
     }
 
-    fn caught_up_learner(&self) -> Option<MemberId> {
+    /// Returns a caught-up learner on a bootstrap VM.
+    fn eligible_learner(&self) -> Option<MemberId> {
         let mut learners = self.membership().learners.iter();
+        let is_eligible = |learner: &MemberId| self.config.bootstrap_vms.contains(&learner.vm);
         learners
-            .find(|learner| self.is_caught_up(learner) && self.is_eligible_voter(learner))
+            .find(|learner| self.is_caught_up(learner) && is_eligible(learner))
             .cloned()
     }
 
-    fn is_eligible_voter(&self, learner: &MemberId) -> bool {
-        self.config.open_voter_count.is_some() || self.config.bootstrap_vms.contains(&learner.vm)
-    }
-
     /// Returns whether a learner is in contact, has the entry that admitted it and lags by no more
     /// than one append.
     fn is_caught_up(&self, learner: &MemberId) -> bool {
--- a/crates/chicory_consensus/src/replica/mod.rs
+++ b/crates/chicory_consensus/src/replica/mod.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use chicory_types::{ClockRateMargin, Incarnation, LogIndex, MonoTime, Term, VmId};
+use chicory_types::{ClockRateMargin, Incarnation, LogIndex, MonoTime, Term, VmId, ZoneName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -133,6 +133,10 @@
     latest_incarnations: BTreeMap<VmId, Incarnation>,
     /// Time of the last message from each VM.
     last_contact_at: BTreeMap<VmId, MonoTime>,
+    /// Availability zones of VMs, as far as they are known.
+    zones: BTreeMap<VmId, ZoneName>,
+    /// The leader that each VM has named since this member last followed one.
+    named_leaders: BTreeMap<VmId, VmId>,
     election_deadline: MonoTime,
     hello_deadline: MonoTime,
     /// Time before which the replica does not vote for another candidate.
@@ -172,6 +176,8 @@
             proposals: BTreeMap::new(),
             latest_incarnations: BTreeMap::new(),
             last_contact_at: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            named_leaders: BTreeMap::new(),
             election_deadline: now,
             hello_deadline: now,
             refuse_votes_until: ClockRateMargin::lease_expiry_for_grantor(now, config.leader_lease),
@@ -179,6 +185,10 @@
             held_messages: VecDeque::new(),
             config,
         };
+        if let Some(zone) = &replica.config.zone {
+            let vm = replica.config.member.vm.clone();
+            replica.zones.insert(vm, zone.clone());
+        }
         replica.set_initial_election_deadline();
         replica.restore_applied_state();
         replica.enter_initial_phase();
@@ -218,6 +228,9 @@
         match event {
             ReplicaEvent::Tick => {}
             ReplicaEvent::Received { from, message } => self.on_received(&from, message),
+            ReplicaEvent::Located { vm, zone } => {
+                self.zones.insert(vm, zone);
+            }
             ReplicaEvent::Propose {
                 proposal_id,
                 command,
@@ -255,7 +268,7 @@
 
     fn on_body(&mut self, from: &MemberId, to: &MemberId, body: PeerMessageBody) {
         match body {
-            PeerMessageBody::Hello(status) => self.on_hello(from, to, &status),
+            PeerMessageBody::Hello { status, leader } => self.on_hello(from, to, &status, leader),
             PeerMessageBody::PreVote {
                 term,
                 last_index,
--- a/crates/chicory_consensus/src/replica_config.rs
+++ b/crates/chicory_consensus/src/replica_config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_types::VmId;
+use chicory_types::{VmId, ZoneName};
 
 use crate::{Formation, MemberId, ReplicaConfigBuilder};
 
@@ -36,7 +36,10 @@
 /// Time without contact after which a group with open membership replaces a voter.
 pub const VOTER_CONTACT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of learners at which a group with open membership admits no further unknown VM.
-pub const MAX_LEARNERS: usize = 4;
+pub const MAX_LEARNERS: usize = 32;
+/// Number of contact timeouts after which a learner without contact is removed. It does not count
+/// in a quorum, so there is no haste.
+pub const LEARNER_TIMEOUT_FACTOR: u32 = 6;
 
 /// Settings of a replica, built by [`ReplicaConfigBuilder`].
 #[derive(Clone, Debug)]
@@ -61,6 +64,7 @@
     pub(crate) seed: u64,
     pub(crate) open_voter_count: Option<usize>,
     pub(crate) voter_contact_timeout: Duration,
+    pub(crate) zone: Option<ZoneName>,
 }
 
 impl ReplicaConfig {
--- a/crates/chicory_consensus/src/replica_config_builder.rs
+++ b/crates/chicory_consensus/src/replica_config_builder.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_types::{ClockRateMargin, VmId};
+use chicory_types::{ClockRateMargin, VmId, ZoneName};
 use snafu::ensure;
 
 use crate::config_error::{
@@ -61,6 +61,7 @@
             seed: 0,
             open_voter_count: None,
             voter_contact_timeout: VOTER_CONTACT_TIMEOUT,
+            zone: None,
         };
         Self { config }
     }
@@ -165,7 +166,8 @@
 
     /// Opens the membership: any VM that sends a hello can be admitted as a learner. Once caught
     /// up, it fills the group up to `voter_count` voters, or replaces a voter that has made no
-    /// contact for `voter_contact_timeout`.
+    /// contact for `voter_contact_timeout`. Voters are spread evenly over availability zones as far
+    /// as these are known.
     #[must_use]
     pub fn open_membership(mut self, voter_count: usize, voter_contact_timeout: Duration) -> Self {
         self.config.open_voter_count = Some(voter_count);
@@ -173,6 +175,13 @@
         self
     }
 
+    /// Sets the availability zone of this member.
+    #[must_use]
+    pub fn zone(mut self, zone: ZoneName) -> Self {
+        self.config.zone = Some(zone);
+        self
+    }
+
     /// Sets the range of the randomised time without a leader after which a voter starts an
     /// election.
     ///
@@ -232,6 +241,10 @@
             ("snapshot_chunk_bytes", config.snapshot_chunk_bytes as u64),
             ("snapshot_after_entries", config.snapshot_after_entries),
             ("max_uncommitted_entries", config.max_uncommitted_entries),
+            (
+                "open_voter_count",
+                config.open_voter_count.map_or(1, |count| count as u64),
+            ),
         ];
         for (limit, value) in limits {
             ensure!(value > 0, ZeroLimitSnafu { limit });
--- a/crates/chicory_consensus/src/replica_event.rs
+++ b/crates/chicory_consensus/src/replica_event.rs
@@ -1,6 +1,6 @@
 //! Events that a replica handles.
 
-use chicory_types::LogIndex;
+use chicory_types::{LogIndex, VmId, ZoneName};
 
 use crate::{MemberId, MembershipChange, PeerMessage};
 
@@ -17,6 +17,13 @@
         /// The message.
         message: PeerMessage,
     },
+    /// It became known in which availability zone a VM is.
+    Located {
+        /// The VM.
+        vm: VmId,
+        /// Its availability zone.
+        zone: ZoneName,
+    },
     /// A command has been proposed for the log.
     Propose {
         /// Identifier chosen by the caller; the outcome repeats it.
--- a/crates/chicory_consensus/tests/cluster/membership.rs
+++ b/crates/chicory_consensus/tests/cluster/membership.rs
@@ -228,7 +228,10 @@
             group_epoch: 2,
             from: sender,
             to: MemberId::any_incarnation_of(&leader),
-            body: PeerMessageBody::Hello(HelloStatus::Formed),
+            body: PeerMessageBody::Hello {
+                status: HelloStatus::Formed,
+                leader: None,
+            },
         },
     };
     cluster.feed(&leader, event);
--- a/crates/chicory_consensus/tests/replica_rules.rs
+++ b/crates/chicory_consensus/tests/replica_rules.rs
@@ -346,7 +346,10 @@
         any::<bool>(),
     );
     (0..10_u8, numbers).prop_map(|(kind, (term, index, other, third, flag))| match kind {
-        0 => PeerMessageBody::Hello(HelloStatus::Bound(Membership::default())),
+        0 => PeerMessageBody::Hello {
+            status: HelloStatus::Bound(Membership::default()),
+            leader: None,
+        },
         1 => PeerMessageBody::PreVote {
             term,
             last_index: index,
--- a/crates/chicory_ctl/tests/routes.rs
+++ b/crates/chicory_ctl/tests/routes.rs
@@ -44,6 +44,7 @@
         link_address: address,
         zone: "north".into(),
         seeds: vec![address.to_string()],
+        voter_count: 3,
         is_first_start: true,
         data_dir: data.path().to_owned(),
         grants: GrantCoordinatorConfig::default(),
--- a/crates/chicory_directory/src/link_hello.rs
+++ b/crates/chicory_directory/src/link_hello.rs
@@ -13,6 +13,8 @@
     Control {
         /// Id of the control VM, which is also the address of its links.
         vm: VmId,
+        /// Availability zone of the control VM; `None` from control VMs of earlier releases.
+        zone: Option<ZoneName>,
     },
     /// An entry VM, which receives the directory and its updates.
     Entry {
--- a/crates/chicory_gateway/tests/server_notices/control_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/control_vm.rs
@@ -8,7 +8,7 @@
 use chicory_directory::{
     ControlMessage, DirectoryPosition, EntryMessage, ServerRecord, ServerState, SiteCall,
 };
-use chicory_ranges::{CallOutcome, GrantCoordinatorConfig, ServerIncarnation};
+use chicory_ranges::{CallOutcome, ServerIncarnation};
 use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
 use chicory_site::{SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
 
@@ -25,12 +25,7 @@
 
 impl ControlVm {
     pub fn start(now: Duration, seed: u64) -> Self {
-        let config = SiteConfig {
-            vm: VM.into(),
-            seeds: vec![VM.into()],
-            random_seed: seed,
-            grants: GrantCoordinatorConfig::default(),
-        };
+        let config = SiteConfig::new(VM, vec![VM.into()]).with_random_seed(seed);
         let mut control_vm = Self {
             core: SiteCore::new(config, now),
             outbox: Vec::new(),
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod entries;
 mod entry_link;
+mod fault_tolerance;
 mod leader;
 mod note_budget;
 mod planned_rates;
@@ -18,10 +19,13 @@
 mod site_effect;
 mod site_event;
 mod site_note;
+mod tolerance_shortfall;
 
 pub use entry_link::EntryLinkId;
+pub use fault_tolerance::{FaultTolerance, VoterPlan};
 pub use site_config::SiteConfig;
 pub use site_core::SiteCore;
 pub use site_effect::{GrantRequest, SiteEffect};
 pub use site_event::{CallerId, SiteEvent};
 pub use site_note::SiteNote;
+pub use tolerance_shortfall::ToleranceShortfall;
--- a/crates/chicory_site/src/core/replicated_log.rs
+++ b/crates/chicory_site/src/core/replicated_log.rs
@@ -31,6 +31,9 @@
         match self.config.replica_config(incarnation, is_founder) {
             Ok(config) => {
                 self.replica = Some(Replica::new(config, restored, now));
+                for (vm, zone) in self.control_zones.clone() {
+                    self.run_replica(now, ReplicaEvent::Located { vm, zone });
+                }
                 self.run_replica(now, ReplicaEvent::Tick);
             }
             Err(_) => self.push_note(SiteNote::StorageFailed),
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -4,10 +4,10 @@
 
 use chicory_consensus::{ConfigError, Formation, MemberId, ReplicaConfig, VOTER_CONTACT_TIMEOUT};
 use chicory_ranges::GrantCoordinatorConfig;
-use chicory_types::{Incarnation, VmId};
+use chicory_types::{Incarnation, VmId, ZoneName};
+
+use super::fault_tolerance::MIN_VOTER_COUNT;
 
-/// Number of voters in the group; three tolerate the loss of one.
-pub(crate) const VOTER_COUNT: usize = 3;
 /// Time limit for the answer to a call that was forwarded to the leader; callers wait one second.
 pub(crate) const FORWARDED_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval at which a leader plans the owners of keys and removes unresponsive servers.
@@ -48,19 +48,71 @@
 pub(crate) const RATE_OF_RESTING_PER_S: f64 = 0.1;
 
 /// Settings of the reducer.
+///
+/// # Examples
+///
+/// ```
+/// use chicory_site::SiteConfig;
+///
+/// let seeds = vec!["10.0.0.1:7540".to_owned()];
+/// let config = SiteConfig::new("10.0.0.1:7540", seeds)
+///     .with_zone("north")
+///     .with_voter_count(5);
+/// ```
 #[derive(Clone, Debug)]
 pub struct SiteConfig {
-    /// Id of this VM, which is the address of its links.
-    pub vm: VmId,
-    /// Control VMs named in the settings.
-    pub seeds: Vec<VmId>,
-    /// Seed of the random election timeouts.
-    pub random_seed: u64,
-    /// Settings of grants.
-    pub grants: GrantCoordinatorConfig,
+    pub(super) vm: VmId,
+    pub(super) seeds: Vec<VmId>,
+    pub(super) zone: Option<ZoneName>,
+    pub(super) voter_count: usize,
+    pub(super) random_seed: u64,
+    pub(super) grants: GrantCoordinatorConfig,
 }
 
 impl SiteConfig {
+    /// Creates settings with the defaults. `vm` is the id of this VM, which is the address of its
+    /// links; `seeds` are the control VMs named in the settings.
+    #[must_use]
+    pub fn new(vm: impl Into<VmId>, seeds: Vec<VmId>) -> Self {
+        Self {
+            vm: vm.into(),
+            seeds,
+            zone: None,
+            voter_count: MIN_VOTER_COUNT,
+            random_seed: 0,
+            grants: GrantCoordinatorConfig::default(),
+        }
+    }
+
+    /// Sets the availability zone of this VM.
+    #[must_use]
+    pub fn with_zone(mut self, zone: impl Into<ZoneName>) -> Self {
+        self.zone = Some(zone.into());
+        self
+    }
+
+    /// Sets the number of voters of the control group; see
+    /// [`FaultTolerance::voter_plan`](crate::FaultTolerance::voter_plan).
+    #[must_use]
+    pub fn with_voter_count(mut self, voter_count: usize) -> Self {
+        self.voter_count = voter_count;
+        self
+    }
+
+    /// Sets the seed of the random election timeouts.
+    #[must_use]
+    pub fn with_random_seed(mut self, random_seed: u64) -> Self {
+        self.random_seed = random_seed;
+        self
+    }
+
+    /// Sets the settings of grants.
+    #[must_use]
+    pub fn with_grants(mut self, grants: GrantCoordinatorConfig) -> Self {
+        self.grants = grants;
+        self
+    }
+
     /// Returns the settings of the replica that runs as `incarnation` of this member.
     pub(crate) fn replica_config(
         &self,
@@ -73,10 +125,13 @@
             Formation::Join
         };
         let member = MemberId::new(&self.vm, incarnation);
-        ReplicaConfig::builder(member, self.seeds.clone())
+        let mut builder = ReplicaConfig::builder(member, self.seeds.clone())
             .formation(formation)
-            .open_membership(VOTER_COUNT, VOTER_CONTACT_TIMEOUT)
-            .seed(self.random_seed)
-            .build()
+            .open_membership(self.voter_count, VOTER_CONTACT_TIMEOUT)
+            .seed(self.random_seed);
+        if let Some(zone) = &self.zone {
+            builder = builder.zone(zone.clone());
+        }
+        builder.build()
     }
 }
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -7,7 +7,7 @@
 use chicory_directory::{MovesHistory, PeerEnvelope, RouteHistory, SiteCallId, SiteState};
 use chicory_policy::Rests;
 use chicory_ranges::{CallId, GrantCall, GrantCoordinator, GrantEvent, KeyLoad, ServerIncarnation};
-use chicory_types::{MonoTime, ServiceName, VmId};
+use chicory_types::{MonoTime, ServiceName, VmId, ZoneName};
 
 use super::entry_link::EntryLink;
 use super::note_budget::NoteBudget;
@@ -66,15 +66,9 @@
 ///
 /// ```
 /// use chicory_site::{SiteConfig, SiteCore};
-/// use chicory_ranges::GrantCoordinatorConfig;
 /// use std::time::Duration;
 ///
-/// let config = SiteConfig {
-///     vm: "10.0.0.1:7540".into(),
-///     seeds: vec!["10.0.0.1:7540".into()],
-///     random_seed: 1,
-///     grants: GrantCoordinatorConfig::default(),
-/// };
+/// let config = SiteConfig::new("10.0.0.1:7540", vec!["10.0.0.1:7540".into()]);
 /// let core = SiteCore::new(config, Duration::ZERO);
 /// assert!(!core.is_leading(Duration::ZERO));
 /// ```
@@ -84,6 +78,11 @@
     pub(super) replica: Option<Replica>,
     pub(super) state: SiteState,
     pub(super) known_leader: Option<VmId>,
+    /// Voters of the group when this member, as leader, last noted them.
+    noted_voters: BTreeSet<VmId>,
+    /// Availability zones of other control VMs, which outlast the replica when the storage is
+    /// opened again.
+    pub(super) control_zones: BTreeMap<VmId, ZoneName>,
     /// Grants keys to backend servers and moves them between servers. It is present from when this
     /// member first acts as leader until it loses the leadership.
     pub(super) mover: Option<GrantCoordinator>,
@@ -140,6 +139,8 @@
             replica: None,
             state: SiteState::default(),
             known_leader: None,
+            noted_voters: BTreeSet::new(),
+            control_zones: BTreeMap::new(),
             mover: None,
             running_grant_calls: BTreeMap::new(),
             addresses: BTreeMap::new(),
@@ -192,6 +193,7 @@
         self.run_grant_events(now);
         self.record_moving_ranges(now);
         self.check_leader_change();
+        self.check_voters();
         self.notify_entries(now);
         std::mem::take(&mut self.effects)
     }
@@ -256,6 +258,7 @@
             SiteEvent::CallReceived { caller, call } => {
                 self.on_call(now, ReplyTo::Caller(caller), call);
             }
+            SiteEvent::PeerConnected { vm, zone } => self.on_peer_connected(now, vm, zone),
             SiteEvent::PeerSent { from, envelope } => self.on_peer_message(now, from, envelope),
             SiteEvent::GrantCallEnded { call, outcome } => self.on_grant_call_ended(call, outcome),
             SiteEvent::EntryConnected {
@@ -272,6 +275,11 @@
         }
     }
 
+    fn on_peer_connected(&mut self, now: MonoTime, vm: VmId, zone: ZoneName) {
+        self.control_zones.insert(vm.clone(), zone.clone());
+        self.run_replica(now, chicory_consensus::ReplicaEvent::Located { vm, zone });
+    }
+
     fn on_peer_message(&mut self, now: MonoTime, from: VmId, envelope: PeerEnvelope) {
         match envelope {
             PeerEnvelope::Log(message) => {
@@ -334,6 +342,27 @@
         }
     }
 
+    /// Notes a change of the voters, on the leader only.
+    fn check_voters(&mut self) {
+        let Some(replica) = self.replica.as_ref().filter(|replica| replica.is_leader()) else {
+            return;
+        };
+        let voters = &replica.membership().voters;
+        let is_unchanged = voters.len() == self.noted_voters.len()
+            && voters
+                .iter()
+                .all(|voter| self.noted_voters.contains(&voter.vm));
+        if is_unchanged {
+            return;
+        }
+        let voters = self.voters();
+        self.noted_voters.clone_from(&voters);
+        self.push_note(SiteNote::VotersChanged {
+            voters,
+            wanted_count: self.config.voter_count,
+        });
+    }
+
     pub(super) fn leader_vm(&self) -> Option<VmId> {
         let leader = self.replica.as_ref().and_then(Replica::leader);
         leader.map(|member| member.vm.clone())
--- a/crates/chicory_site/src/core/site_event.rs
+++ b/crates/chicory_site/src/core/site_event.rs
@@ -43,6 +43,13 @@
         /// The call.
         call: SiteCall,
     },
+    /// Another control VM opened a link and named its availability zone.
+    PeerConnected {
+        /// Id of that control VM.
+        vm: VmId,
+        /// Its availability zone.
+        zone: ZoneName,
+    },
     /// Another control VM sent a message.
     PeerSent {
         /// Id of that control VM.
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -1,5 +1,6 @@
 //! Decisions that are written to the log.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use chicory_directory::{RequestFingerprint, SiteAnswer};
@@ -55,6 +56,13 @@
         /// The leader, if there is one.
         leader: Option<VmId>,
     },
+    /// The control VMs with a vote changed, as the leader knows them.
+    VotersChanged {
+        /// The control VMs with a vote.
+        voters: BTreeSet<VmId>,
+        /// Number of voters that the group should have.
+        wanted_count: usize,
+    },
     /// A route table came into force.
     RoutesInForce {
         /// Its version.
--- a/crates/chicory_site/src/lib.rs
+++ b/crates/chicory_site/src/lib.rs
@@ -9,7 +9,8 @@
 mod process;
 
 pub use core::{
-    CallerId, EntryLinkId, GrantRequest, SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote,
+    CallerId, EntryLinkId, FaultTolerance, GrantRequest, SiteConfig, SiteCore, SiteEffect,
+    SiteEvent, SiteNote, ToleranceShortfall, VoterPlan,
 };
 pub use process::{
     GrantFuture, GrantTransport, SiteHandle, SiteMetric, SiteProcess, SiteProcessConfig,
--- a/crates/chicory_site/src/process/link_listener.rs
+++ b/crates/chicory_site/src/process/link_listener.rs
@@ -70,7 +70,15 @@
     async fn serve(self, stream: TcpStream) {
         let Ok(mut link) = split(stream) else { return };
         match tokio::time::timeout(HELLO_TIMEOUT, read_hello(&mut link)).await {
-            Ok(Ok(Some(LinkHello::Control { vm }))) => self.serve_control(link, vm).await,
+            Ok(Ok(Some(LinkHello::Control { vm, zone }))) => {
+                if let Some(zone) = zone {
+                    let vm = vm.clone();
+                    let event = SiteEvent::PeerConnected { vm, zone };
+                    // If the event loop has ended, the process is ending too.
+                    drop(self.inbox.send(SiteInput::Event(event)));
+                }
+                self.serve_control(link, vm).await;
+            }
             Ok(Ok(Some(LinkHello::Operator { operator }))) => {
                 operator_server::serve(self, link, operator).await;
             }
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -32,6 +32,10 @@
             let leader = leader.as_deref().unwrap_or("none");
             info!(logger, "leader changed"; "leader" => leader);
         }
+        SiteNote::VotersChanged {
+            voters,
+            wanted_count,
+        } => info!(logger, "voters changed"; "voters" => ?voters, "wanted" => wanted_count),
         SiteNote::RoutesInForce {
             routes_version,
             index,
--- a/crates/chicory_site/src/process/peer_links.rs
+++ b/crates/chicory_site/src/process/peer_links.rs
@@ -8,7 +8,7 @@
 use chicory_directory::{LinkHello, PeerEnvelope};
 use chicory_link::{Backoff, LinkStream, dial};
 use chicory_telemetry::Metrics;
-use chicory_types::VmId;
+use chicory_types::{VmId, ZoneName};
 use chicory_wire::proto::site;
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
@@ -25,15 +25,22 @@
 /// Connections to other control VMs, opened when there is a message to send.
 pub(super) struct PeerLinks {
     own_vm: VmId,
+    own_zone: ZoneName,
     outboxes: BTreeMap<VmId, mpsc::Sender<PeerEnvelope>>,
     logger: Logger,
     metrics: Arc<Metrics>,
 }
 
 impl PeerLinks {
-    pub(super) fn new(own_vm: VmId, logger: Logger, metrics: Arc<Metrics>) -> Self {
+    pub(super) fn new(
+        own_vm: VmId,
+        own_zone: ZoneName,
+        logger: Logger,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             own_vm,
+            own_zone,
             outboxes: BTreeMap::new(),
             logger,
             metrics,
@@ -50,6 +57,7 @@
             let (sender, messages) = mpsc::channel(OUTBOX_MESSAGES);
             let link = PeerLink {
                 own_vm: self.own_vm.clone(),
+                own_zone: self.own_zone.clone(),
                 peer: to.clone(),
                 address,
                 messages,
@@ -68,6 +76,7 @@
 /// The connection to one other control VM.
 struct PeerLink {
     own_vm: VmId,
+    own_zone: ZoneName,
     peer: VmId,
     address: SocketAddr,
     messages: mpsc::Receiver<PeerEnvelope>,
@@ -120,6 +129,7 @@
     ) {
         let hello = LinkHello::Control {
             vm: self.own_vm.clone(),
+            zone: Some(self.own_zone.clone()),
         };
         writer.put(&site::LinkHello::from(hello));
         writer.put(&site::PeerEnvelope::from(first));
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -77,12 +77,12 @@
             .context(ListenSnafu { address })?;
         let (inbox, inputs) = mpsc::unbounded_channel();
         let vm = config.vm.clone();
-        let site_config = SiteConfig {
-            vm: vm.clone(),
-            seeds: config.seeds.clone(),
-            random_seed: election_seed(&vm, clock.now()),
-            grants: config.grants.clone(),
-        };
+        let zone = config.zone.clone();
+        let site_config = SiteConfig::new(vm.clone(), config.seeds.clone())
+            .with_zone(zone.clone())
+            .with_voter_count(config.voter_count)
+            .with_random_seed(election_seed(&vm, clock.now()))
+            .with_grants(config.grants.clone());
         let storage = storage_worker::start(config, inbox.clone(), logger.clone())?;
         let listener = LinkListener {
             listener,
@@ -97,7 +97,7 @@
             inputs,
             listener: Some(listener),
             storage,
-            peers: PeerLinks::new(vm, logger.clone(), metrics.clone()),
+            peers: PeerLinks::new(vm, zone, logger.clone(), metrics.clone()),
             grants,
             entries: BTreeMap::new(),
             callers: BTreeMap::new(),
--- a/crates/chicory_site/src/process/site_process_config.rs
+++ b/crates/chicory_site/src/process/site_process_config.rs
@@ -19,6 +19,8 @@
     pub zone: ZoneName,
     /// Control VMs through which the group is found.
     pub seeds: Vec<VmId>,
+    /// Number of voters of the control group.
+    pub voter_count: usize,
     /// Whether the deployment is started for the very first time.
     pub is_first_start: bool,
     /// The data folder.
--- a/crates/chicory_site/tests/control_groups/deployment.rs
+++ b/crates/chicory_site/tests/control_groups/deployment.rs
@@ -19,8 +19,8 @@
 
 impl Deployment {
     /// Starts the VMs, and has a table acknowledged once they had time to form their group.
-    pub fn new(vms_by_zone: &[usize], seeds: &[String]) -> Self {
-        let mut simulation = Simulation::deployment(vms_by_zone, seeds);
+    pub fn new(vms_by_zone: &[usize], voter_count: usize, seeds: &[String]) -> Self {
+        let mut simulation = Simulation::deployment(vms_by_zone, voter_count, seeds);
         simulation.run(LEAD_TIME);
         let mut deployment = Self {
             simulation,
@@ -32,7 +32,7 @@
 
     /// Ten VMs in five zones; the seeds are in the first three.
     pub fn of_ten() -> Self {
-        Self::new(&[2; 5], &[0, 1, 2].map(|zone| vm_in_zone(zone, 0)))
+        Self::new(&[2; 5], 5, &[0, 1, 2].map(|zone| vm_in_zone(zone, 0)))
     }
 
     pub fn vm_names(&self) -> Vec<String> {
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Starts a VM that was not there before.
+    pub fn add(&mut self, zone: usize, vm: &str) {
+        self.simulation.add_in_zone(zone, vm, false);
+    }
+
     /// Starts VMs again, with empty disks.
     pub fn start_empty(&mut self, vms: &[String]) {
         for vm in vms {
@@ -82,12 +87,17 @@
         read == table(self.acknowledged_version)
     }
 
+    pub fn running_vms(&self) -> Vec<String> {
+        let mut vms = self.vm_names();
+        vms.retain(|vm| self.simulation.is_running(vm));
+        vms
+    }
+
     /// Returns a running VM of an availability zone.
     pub fn running_vm_in_zone(&self, zone: usize) -> String {
         let prefix = format!("10.{zone}.");
-        let vms = self.vm_names();
-        let mut vms = vms.into_iter().filter(|vm| vm.starts_with(&prefix));
-        vms.find(|vm| self.simulation.is_running(vm))
+        let mut vms = self.running_vms().into_iter();
+        vms.find(|vm| vm.starts_with(&prefix))
             .expect("a running VM")
     }
 
@@ -95,8 +105,8 @@
     pub fn vms_without_vote(&self) -> Vec<String> {
         let leader = self.simulation.leader().expect("a leader");
         let voters = self.simulation.core(&leader).voters();
-        let mut vms = self.vm_names();
-        vms.retain(|vm| self.simulation.is_running(vm) && !voters.contains(vm));
+        let mut vms = self.running_vms();
+        vms.retain(|vm| !voters.contains(vm));
         vms
     }
 
--- a/crates/chicory_site/tests/control_groups/losses.rs
+++ b/crates/chicory_site/tests/control_groups/losses.rs
@@ -93,7 +93,7 @@
 
 #[gtest]
 fn any_lost_availability_zone_costs_nothing_acknowledged() {
-    let unserved = unserved(&all_zones(), |deployment, lost| deployment.kill(lost));
+    let unserved = unserved(&all_zones(), Deployment::kill);
     expect_that!(unserved, is_empty());
 }
 
@@ -101,7 +101,7 @@
 fn lost_availability_zone_is_borne_wherever_the_seeds_are() {
     let seeds = [vm_in_zone(0, 0), vm_in_zone(0, 1), vm_in_zone(1, 0)];
     let is_served = |lost: &Vec<String>| {
-        let mut deployment = Deployment::new(&[2; 5], &seeds);
+        let mut deployment = Deployment::new(&[2; 5], 5, &seeds);
         deployment.kill(lost);
         deployment.reads_back() && deployment.acknowledges_next_table()
     };
@@ -132,7 +132,7 @@
         deployment.kill(&[old]);
         let seeds = [1, 2, 3].map(|step| deployment.running_vm_in_zone((zone + step) % 5));
         deployment.simulation.set_seeds(&seeds);
-        deployment.start_empty(&[new]);
+        deployment.add(zone, &new);
         deployment.simulation.run(CATCH_UP_TIME);
         expect_true!(deployment.reads_back());
         expect_true!(deployment.acknowledges_next_table());
@@ -145,7 +145,7 @@
     let without_vote = deployment.vms_without_vote();
     deployment.simulation.set_seeds(&without_vote[..3]);
     let new = vm_in_zone(0, 10);
-    deployment.start_empty(std::slice::from_ref(&new));
+    deployment.add(0, &new);
     deployment.simulation.run(CATCH_UP_TIME);
     let read = deployment
         .simulation
@@ -176,13 +176,13 @@
     deployment.simulation.set_seeds(&seeds);
     for round in 0..40 {
         let temporary = vm_in_zone(4, 20 + round);
-        deployment.start_empty(std::slice::from_ref(&temporary));
+        deployment.add(4, &temporary);
         deployment.simulation.run(Duration::from_secs(1));
         deployment.kill(&[temporary]);
     }
     deployment.simulation.run(CATCH_UP_TIME);
     let new = vm_in_zone(0, 10);
-    deployment.start_empty(std::slice::from_ref(&new));
+    deployment.add(0, &new);
     deployment.simulation.run(CATCH_UP_TIME);
     let read = deployment
         .simulation
@@ -195,9 +195,9 @@
 fn small_groups_bear_one_loss_in_three_and_four_zones() {
     for zones in [&[1, 1, 1][..], &[1, 1, 1, 1], &[2, 2, 2]] {
         let seeds = [0, 1, 2].map(|zone| vm_in_zone(zone, 0));
-        let vms = Simulation::deployment(zones, &seeds).vm_names();
+        let vms = Simulation::deployment(zones, 3, &seeds).vm_names();
         for lost in vms {
-            let mut deployment = Deployment::new(zones, &seeds);
+            let mut deployment = Deployment::new(zones, 3, &seeds);
             deployment.kill(std::slice::from_ref(&lost));
             deployment.simulation.run(DOWN_TIME);
             deployment.start_empty(&[lost]);
--- a/crates/chicory_site/tests/relays/fleet.rs
+++ b/crates/chicory_site/tests/relays/fleet.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use chicory_directory::{ControlMessage, DirectoryPosition, EntryMessage, EntryReport, RelayPeer};
-use chicory_ranges::GrantCoordinatorConfig;
 use chicory_site::{EntryLinkId, SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
 
 /// Time between two reports of an entry VM.
@@ -29,12 +28,8 @@
 impl Fleet {
     /// Creates a control VM without entry VMs.
     pub fn empty(zone_count: usize) -> Self {
-        let config = SiteConfig {
-            vm: "10.0.0.1:7540".into(),
-            seeds: vec!["10.0.0.1:7540".into()],
-            random_seed: 1,
-            grants: GrantCoordinatorConfig::default(),
-        };
+        let config =
+            SiteConfig::new("10.0.0.1:7540", vec!["10.0.0.1:7540".into()]).with_random_seed(1);
         let now = Duration::from_secs(1);
         Self {
             core: SiteCore::new(config, now),
--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -55,6 +55,7 @@
         link_address: address,
         zone: "north".into(),
         seeds: vec![address.to_string()],
+        voter_count: 3,
         is_first_start: true,
         data_dir: folder.path().to_path_buf(),
         grants: GrantCoordinatorConfig::default(),
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use chicory_directory::{
     ControlMessage, PeerEnvelope, ServerRecord, ServerState, SiteAnswer, SiteCall,
 };
-use chicory_ranges::{CallOutcome, GrantCall, GrantCoordinatorConfig, ServerIncarnation};
+use chicory_ranges::{CallOutcome, GrantCall, ServerIncarnation};
 use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
 use chicory_site::{SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
 
@@ -50,6 +50,9 @@
     pub now: Duration,
     vms: BTreeMap<String, Vm>,
     seeds: Vec<String>,
+    voter_count: usize,
+    /// Availability zones of the VMs that name theirs.
+    zones: BTreeMap<String, String>,
     blocked_links: BTreeSet<(String, String)>,
     in_flight: Vec<(Duration, String, String, PeerEnvelope)>,
     pub answers: BTreeMap<u64, SiteAnswer>,
@@ -69,6 +72,8 @@
             now: Duration::from_secs(1),
             vms: BTreeMap::new(),
             seeds: seeds.clone(),
+            voter_count: 3,
+            zones: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
             in_flight: Vec::new(),
             answers: BTreeMap::new(),
@@ -92,14 +97,15 @@
     }
 
     /// Starts control VMs in several availability zones for the first time, with empty disks.
-    pub fn deployment(vms_by_zone: &[usize], seeds: &[String]) -> Self {
+    pub fn deployment(vms_by_zone: &[usize], voter_count: usize, seeds: &[String]) -> Self {
         let mut simulation = Self::new(0);
         simulation.seeds = seeds.to_vec();
+        simulation.voter_count = voter_count;
         for (zone, vm_count) in vms_by_zone.iter().enumerate() {
             for index in 0..*vm_count {
                 let vm = vm_in_zone(zone, index);
                 let is_founder = seeds.contains(&vm);
-                simulation.add(&vm, is_founder);
+                simulation.add_in_zone(zone, &vm, is_founder);
             }
         }
         simulation
@@ -133,14 +139,20 @@
         self.start(vm);
     }
 
+    /// Starts a VM with an empty disk that names its availability zone.
+    pub fn add_in_zone(&mut self, zone: usize, vm: &str, is_founder: bool) {
+        self.zones.insert(vm.to_owned(), format!("zone-{zone}"));
+        self.add(vm, is_founder);
+    }
+
     pub fn start(&mut self, vm: &str) {
         self.start_count += 1;
-        let config = SiteConfig {
-            vm: vm.to_owned(),
-            seeds: self.seeds.clone(),
-            random_seed: self.start_count * 77,
-            grants: GrantCoordinatorConfig::default(),
-        };
+        let mut config = SiteConfig::new(vm, self.seeds.clone())
+            .with_random_seed(self.start_count * 77)
+            .with_voter_count(self.voter_count);
+        if let Some(zone) = self.zones.get(vm) {
+            config = config.with_zone(zone);
+        }
         let state = self.vms.get_mut(vm).expect("known VM");
         state.core = Some(SiteCore::new(config, self.now));
         let opened = SiteEvent::StorageOpened {
@@ -255,6 +267,10 @@
             let is_blocked = self.blocked_links.contains(&(from.clone(), to.clone()));
             let is_up = self.vms.get(&to).is_some_and(|vm| vm.core.is_some());
             if is_up && !is_blocked {
+                if let Some(zone) = self.zones.get(&from).cloned() {
+                    let vm = from.clone();
+                    self.handle_event(&to, SiteEvent::PeerConnected { vm, zone });
+                }
                 self.handle_event(&to, SiteEvent::PeerSent { from, envelope });
             }
         }
--- a/crates/chicory_types/src/ids.rs
+++ b/crates/chicory_types/src/ids.rs
@@ -5,6 +5,8 @@
 pub type ClusterName = String;
 /// Name of an availability zone.
 pub type ZoneName = String;
+/// Name of a region, which has one or more availability zones.
+pub type RegionName = String;
 /// Name of one entry VM or control VM, unique in the cluster.
 pub type VmId = String;
 /// Name of a service, the first segment of a request path.
--- a/crates/chicory_types/src/lib.rs
+++ b/crates/chicory_types/src/lib.rs
@@ -18,8 +18,8 @@
 pub use clock_rate_margin::{CLOCK_RATE_MARGIN_PERCENT, ClockRateMargin};
 pub use fencing_token::FencingToken;
 pub use ids::{
-    ClusterName, EditId, Incarnation, LogIndex, OperatorName, OrderKey, RequestId, Revision,
-    ServerId, ServiceName, Slot, Term, ViewVersion, VmId, ZoneName,
+    ClusterName, EditId, Incarnation, LogIndex, OperatorName, OrderKey, RegionName, RequestId,
+    Revision, ServerId, ServiceName, Slot, Term, ViewVersion, VmId, ZoneName,
 };
 pub use key_hash::{SLOTS_PER_SERVICE, fingerprint_of, slot_of_key};
 pub use slot_run::SlotRun;
--- a/crates/chicory_wire/src/consensus_convert.rs
+++ b/crates/chicory_wire/src/consensus_convert.rs
@@ -109,25 +109,22 @@
     }
 );
 
-impl From<HelloStatus> for consensus::Hello {
+impl From<HelloStatus> for Status {
     fn from(status: HelloStatus) -> Self {
-        let status = match status {
-            HelloStatus::Joining => Status::Joining(Empty {}),
-            HelloStatus::Forming => Status::Forming(Empty {}),
-            HelloStatus::Bound(membership) => Status::Bound(membership.into()),
-            HelloStatus::Formed => Status::Formed(Empty {}),
-        };
-        Self {
-            status: Some(status),
+        match status {
+            HelloStatus::Joining => Self::Joining(Empty {}),
+            HelloStatus::Forming => Self::Forming(Empty {}),
+            HelloStatus::Bound(membership) => Self::Bound(membership.into()),
+            HelloStatus::Formed => Self::Formed(Empty {}),
         }
     }
 }
 
-impl TryFrom<consensus::Hello> for HelloStatus {
+impl TryFrom<Status> for HelloStatus {
     type Error = ConvertError;
 
-    fn try_from(message: consensus::Hello) -> Result<Self, ConvertError> {
-        Ok(match required(message.status, "hello.status")? {
+    fn try_from(status: Status) -> Result<Self, ConvertError> {
+        Ok(match status {
             Status::Joining(Empty {}) => Self::Joining,
             Status::Forming(Empty {}) => Self::Forming,
             Status::Bound(membership) => Self::Bound(membership.try_into()?),
@@ -171,7 +168,10 @@
 impl From<PeerMessageBody> for Body {
     fn from(body: PeerMessageBody) -> Self {
         match body {
-            PeerMessageBody::Hello(status) => Self::Hello(status.into()),
+            PeerMessageBody::Hello { status, leader } => Self::Hello(consensus::Hello {
+                status: Some(status.into()),
+                leader,
+            }),
             PeerMessageBody::PreVote {
                 term,
                 last_index,
@@ -266,7 +266,10 @@
 
     fn try_from(body: Body) -> Result<Self, ConvertError> {
         Ok(match body {
-            Body::Hello(hello) => Self::Hello(hello.try_into()?),
+            Body::Hello(hello) => Self::Hello {
+                status: required(hello.status, "hello.status")?.try_into()?,
+                leader: hello.leader,
+            },
             Body::PreVote(vote) => Self::PreVote {
                 term: vote.term,
                 last_index: vote.last_index,
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -257,7 +257,9 @@
 impl From<LinkHello> for site::LinkHello {
     fn from(hello: LinkHello) -> Self {
         let from = match hello {
-            LinkHello::Control { vm } => link_hello::From::Control(site::ControlHello { vm }),
+            LinkHello::Control { vm, zone } => {
+                link_hello::From::Control(site::ControlHello { vm, zone })
+            }
             LinkHello::Operator { operator } => {
                 link_hello::From::Operator(site::OperatorHello { operator })
             }
@@ -284,7 +286,10 @@
 
     fn try_from(message: site::LinkHello) -> Result<Self, ConvertError> {
         Ok(match required(message.from, "link_hello.from")? {
-            link_hello::From::Control(hello) => Self::Control { vm: hello.vm },
+            link_hello::From::Control(hello) => Self::Control {
+                vm: hello.vm,
+                zone: hello.zone,
+            },
             link_hello::From::Operator(hello) => Self::Operator {
                 operator: hello.operator,
             },
--- a/crates/chicory_wire/tests/consensus_messages.rs
+++ b/crates/chicory_wire/tests/consensus_messages.rs
@@ -129,7 +129,8 @@
 
 fn message() -> impl Strategy<Value = PeerMessage> {
     let body = prop_oneof![
-        1 => hello().prop_map(PeerMessageBody::Hello),
+        1 => (hello(), any::<Option<String>>())
+            .prop_map(|(status, leader)| PeerMessageBody::Hello { status, leader }),
         2 => election_body(),
         3 => replication_body(),
     ];
--- a/crates/chicory_wire/tests/link_hellos.rs
+++ b/crates/chicory_wire/tests/link_hellos.rs
@@ -134,3 +134,37 @@
         expect_that!(EntryReport::try_from(message), ok(eq(&report)));
     }
 }
+
+/// The hello of a control VM of an earlier release, which names no availability zone.
+#[derive(Clone, PartialEq, Message)]
+struct EarlierControlHello {
+    #[prost(string, tag = "1")]
+    vm: String,
+}
+
+#[gtest]
+fn control_vms_of_earlier_releases_name_no_zone() {
+    let earlier = EarlierControlHello { vm: "vm-a".into() };
+    let message = site::ControlHello::decode(&earlier.encode_to_vec()[..]).expect("a message");
+    let received = LinkHello::try_from(site::LinkHello {
+        from: Some(link_hello::From::Control(message)),
+    });
+    let expected = LinkHello::Control {
+        vm: "vm-a".into(),
+        zone: None,
+    };
+    expect_that!(received, ok(eq(&expected)));
+}
+
+#[gtest]
+fn control_vms_of_earlier_releases_read_the_hello_of_today() {
+    let hello = LinkHello::Control {
+        vm: "vm-a".into(),
+        zone: Some("north".into()),
+    };
+    let Some(link_hello::From::Control(message)) = site::LinkHello::from(hello).from else {
+        panic!("the hello of a control VM");
+    };
+    let earlier = EarlierControlHello::decode(&message.encode_to_vec()[..]).expect("a message");
+    expect_that!(earlier.vm, eq("vm-a"));
+}
--- a/tools/soak/src/link_source.rs
+++ b/tools/soak/src/link_source.rs
@@ -40,7 +40,7 @@
         let hello = site::LinkHello::decode(frame).ok();
         let hello = hello.and_then(|hello| LinkHello::try_from(hello).ok());
         Some(match hello {
-            Some(LinkHello::Control { vm } | LinkHello::Entry { vm, .. }) => Self::Link(vm),
+            Some(LinkHello::Control { vm, .. } | LinkHello::Entry { vm, .. }) => Self::Link(vm),
             Some(LinkHello::Operator { .. }) | None => Self::Other,
         })
     }
