Abandon an attempt that lasts too long only for a server that can be reached

When the time is over, the entry VM looks for a server that can follow, opens a connection to it and takes a retry, while it goes on waiting for the answer. Only then is the attempt broken off, and the request goes to that server. A server that refuses the connection is paused as usual, and one more is tried. Without any, the attempt goes on to the request's deadline. It is given up at once where the path to its server is cut, as its answer could not arrive, and where it is relayed.

Ruled out: no second attempt at entry VMs that stop (the same caller loses the answer at any other).

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -50,7 +50,7 @@
 const DRAINING_GRACE: Duration = Duration::from_millis(1200);
 /// Longest time to open a connection. It is short because another server may be able to
 /// serve the request.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest idle time of a connection that is reused. The server may have dropped an older one.
 const MAX_IDLE: Duration = Duration::from_secs(6);
 /// Longest idle time of a connection that is reused for an order. It is shorter than [`MAX_IDLE`]
@@ -248,6 +248,7 @@
             waiting_since: None,
             not_before: now,
             relayed_server: None,
+            follow_up: None,
             permit: None,
         })
     }
@@ -385,6 +386,7 @@
         self.record_sent(now, record, &way);
         let relay = way.into_relay();
         ticket.relayed_server = None;
+        ticket.follow_up = None;
         ticket.attempts.push(Attempt {
             incarnation: record.incarnation.clone(),
             started_at: now,
@@ -393,8 +395,8 @@
             is_replaced: false,
         });
         let left = ticket.deadline.saturating_sub(now);
-        let can_follow = !is_order && ticket.key.is_none() && ticket.attempts_left() > 0;
-        let attempt_time = if can_follow {
+        let can_be_followed = !is_order && ticket.key.is_none() && ticket.attempts_left() > 0;
+        let attempt_time = if can_be_followed {
             left.mul_f64(ATTEMPT_FRACTION)
         } else {
             left
@@ -403,6 +405,7 @@
             incarnation: record.incarnation.clone(),
             address: record.address,
             attempt_deadline: now + attempt_time,
+            can_be_followed,
             max_idle: if is_order { MAX_ORDER_IDLE } else { MAX_IDLE },
             connect_timeout: CONNECT_TIMEOUT.min(left),
             settle_time,
@@ -411,9 +414,12 @@
         })
     }
 
-    /// Takes a retry out of the budget if the last attempt may have reached its server. Returns
-    /// `false` if none is left.
+    /// Takes a retry out of the budget if the last attempt may have reached its server, unless one
+    /// was taken when a follow-up was found. Returns `false` if none is left.
     fn try_take_retry(&mut self, now: MonoTime, ticket: &RequestTicket) -> bool {
+        if ticket.follow_up.is_some() {
+            return true;
+        }
         let last = ticket.attempts.last().and_then(|attempt| attempt.ended);
         let may_have_arrived = last.is_some_and(|(outcome, _)| {
             !matches!(
@@ -428,7 +434,12 @@
         if !may_have_arrived {
             return true;
         }
-        let budget = self.budgets.entry(ticket.service.clone()).or_default();
+        self.take_retry(now, &ticket.service)
+    }
+
+    /// Takes a retry out of the budget of a service. Returns `false` if none is left.
+    pub(super) fn take_retry(&mut self, now: MonoTime, service: &ServiceName) -> bool {
+        let budget = self.budgets.entry(service.clone()).or_default();
         budget.try_retry(now, &self.config, self.entry_count.get())
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_choice.rs
+++ b/crates/chicory_gateway/src/decide/gateway_choice.rs
@@ -59,7 +59,7 @@
     /// denied the request (`denials`; without a denial if there is no way to the server). A server
     /// that is paused, denies requests or can't be reached directly is chosen only if there is no
     /// other.
-    fn choose_server(
+    pub(super) fn choose_server(
         &mut self,
         now: MonoTime,
         ticket: &RequestTicket,
@@ -84,14 +84,11 @@
             if is_excluded {
                 continue;
             }
-            if is_relayed || awaited == Some(&record.incarnation) {
+            let is_follow_up = ticket.follow_up.as_deref() == Some(&record.incarnation);
+            if is_relayed || is_follow_up || awaited == Some(&record.incarnation) {
                 return Some(record.clone());
             }
-            let is_paused = health.is_some_and(|health| health.is_paused(now))
-                || self.is_zone_cut_off(now, record)
-                || self.reachability.is_cut(record)
-                || self.limited.is_denied(now, &record.incarnation, rank)
-                || self.rests.rest(now, &record.incarnation).is_some();
+            let is_paused = self.is_avoided(now, record, rank);
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
@@ -116,6 +113,17 @@
         best.map(|(_, _, record)| record)
     }
 
+    /// Whether a server is chosen only if there is no other: it is paused, denies requests of this
+    /// rank or can't be reached directly.
+    pub(super) fn is_avoided(&self, now: MonoTime, record: &ServerRecord, rank: u32) -> bool {
+        let health = self.health.get(&record.incarnation);
+        health.is_some_and(|health| health.is_paused(now))
+            || self.is_zone_cut_off(now, record)
+            || self.reachability.is_cut(record)
+            || self.limited.is_denied(now, &record.incarnation, rank)
+            || self.rests.rest(now, &record.incarnation).is_some()
+    }
+
     fn typical_latency(&self, service: &str) -> Duration {
         let servers = self.directory.ready_servers(service);
         let known = servers.filter_map(|record| self.health.get(&record.incarnation)?.latency());
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -18,6 +18,9 @@
     pub address: SocketAddr,
     /// Time at which the attempt is abandoned.
     pub attempt_deadline: MonoTime,
+    /// Whether another server may follow. The attempt is then abandoned at its deadline only if one
+    /// can be reached.
+    pub can_be_followed: bool,
     /// Longest idle time of a pooled connection that may carry the request.
     pub max_idle: Duration,
     /// Longest time to open a new connection.
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -54,6 +54,9 @@
     pub(crate) not_before: MonoTime,
     /// Server to which the request is relayed, because connections to it have failed.
     pub(crate) relayed_server: Option<ServerIncarnation>,
+    /// Server to which a connection is open and a retry was taken for, because the current attempt
+    /// has lasted too long.
+    pub(crate) follow_up: Option<Box<ServerIncarnation>>,
     /// Present while or after the rate limit of a server has held the request back.
     pub(crate) permit: Option<Box<PermitState>>,
 }
@@ -96,6 +99,11 @@
         self.fingerprint = Some(fingerprint);
     }
 
+    /// Sends the request to this server next, once the current attempt has ended.
+    pub fn set_follow_up(&mut self, server: ServerIncarnation) {
+        self.follow_up = Some(Box::new(server));
+    }
+
     /// Whether the request waits for a permit of a server with a rate limit.
     #[must_use]
     pub fn waits_for_permit(&self) -> bool {
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -10,10 +10,10 @@
 mod view;
 
 pub use decide::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, LeavingNotice, LimitInForce, LimitNotice,
-    LimitedServerLoad, NextStep, Policy, ProbeResult, ReachabilityChange, Recheck, Refusal,
-    RefusalReason, RequestMetadata, RequestTicket, RestNotice, RetryBudget, ServerGroup,
-    ServerNotices, Target,
+    Admission, AttemptOutcome, FollowUp, FollowUpStep, Gateway, GatewayConfig, LeavingNotice,
+    LimitInForce, LimitNotice, LimitedServerLoad, NextStep, Policy, ProbeResult,
+    ReachabilityChange, Recheck, Refusal, RefusalReason, RequestMetadata, RequestTicket,
+    RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -1,22 +1,25 @@
 //! One attempt to have a request served by a backend server.
 
 use std::collections::VecDeque;
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
 use chicory_net::http::{HttpBody, ServerLink};
+use chicory_ranges::ServerIncarnation;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, header, request, response};
 use hyper::{Request, Response, Version};
 
 use super::answer::{Answer, BUFFERED_BYTES};
+use super::follow_up::{self, FollowUpSearch};
 use super::interfaces::AnswerClass;
 use super::server_send::send_to_server;
 use super::shared_state::SharedState;
 use super::used_link::{LinkPeer, UsedLink};
 use super::{GatewayMetric, RelayedCall};
-use crate::{AttemptOutcome, Recheck, RequestMetadata, Target};
+use crate::{AttemptOutcome, Recheck, RequestMetadata, RequestTicket, Target};
 
 /// Headers that apply to one connection only.
 const HOP_BY_HOP: [header::HeaderName; 6] = [
@@ -46,26 +49,56 @@
     },
     /// No answer to pass on.
     Ended(AttemptOutcome),
+    /// No answer in time, and a connection to this server is open.
+    Superseded(ServerIncarnation),
 }
 
 /// Sends a request to a server and reads its answer far enough to pass it on.
+///
+/// An attempt that lasts too long is abandoned once another server can take the request.
 pub(super) async fn run(
     shared: &SharedState,
     request: &CallerRequest,
+    ticket: &RequestTicket,
     target: &Target,
     time_left: Duration,
 ) -> AttemptResult {
+    let mut exchange = pin!(exchange(shared, request, target, time_left));
     let limit = target.attempt_deadline.saturating_sub(shared.now());
-    let exchange = exchange(shared, request, target, time_left);
-    if let Ok(result) = tokio::time::timeout(limit, exchange).await {
+    if let Ok(result) = tokio::time::timeout(limit, &mut exchange).await {
         return result;
     }
-    // If one connection to a server or an entry VM is unresponsive, the others usually are as well.
+    if target.can_be_followed {
+        let search = tokio::select! {
+            biased;
+            result = &mut exchange => return result,
+            search = follow_up::search(shared, ticket, target) => search,
+        };
+        match search {
+            FollowUpSearch::Found(server) => {
+                close_connections(shared, target);
+                return AttemptResult::Superseded(server);
+            }
+            FollowUpSearch::NotFound => {
+                let limit = ticket.deadline().saturating_sub(shared.now());
+                if let Ok(result) = tokio::time::timeout(limit, &mut exchange).await {
+                    return result;
+                }
+            }
+            FollowUpSearch::NotNeeded => {}
+        }
+    }
+    close_connections(shared, target);
+    AttemptResult::Ended(AttemptOutcome::Silent)
+}
+
+/// Closes idle connections to a peer that did not answer in time: if one of its connections is
+/// unresponsive, the others usually are as well.
+fn close_connections(shared: &SharedState, target: &Target) {
     match &target.relay {
         Some(peer) => shared.relays.close_all(&peer.vm),
         None => shared.pool.close_all(&target.incarnation),
     }
-    AttemptResult::Ended(AttemptOutcome::Silent)
 }
 
 async fn exchange(
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -177,7 +177,8 @@
                 }
                 NextStep::Send(target) => {
                     let left = self.caller_time_left();
-                    let result = attempt::run(&self.shared, request, &target, left).await;
+                    let result =
+                        attempt::run(&self.shared, request, &guard.ticket, &target, left).await;
                     match result {
                         AttemptResult::Answered {
                             answer,
@@ -190,6 +191,10 @@
                             }
                             failure = Some(answer);
                         }
+                        AttemptResult::Superseded(next) => {
+                            guard.ticket.set_follow_up(next);
+                            guard.end_attempt(AttemptOutcome::Silent);
+                        }
                         AttemptResult::Ended(outcome) => {
                             if !guard.end_attempt(outcome) {
                                 if let Some(answer) = failure {
--- a/crates/chicory_gateway/src/process/connection_pool.rs
+++ b/crates/chicory_gateway/src/process/connection_pool.rs
@@ -51,6 +51,15 @@
         Some(connections.remove(position).link)
     }
 
+    /// Whether there is a connection that may be used again.
+    pub(super) fn has_usable(&self, now: MonoTime, peer: &Id, max_idle: Duration) -> bool {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get(peer).into_iter().flatten();
+        connections
+            .into_iter()
+            .any(|connection| connection.is_usable(now, max_idle))
+    }
+
     /// Keeps a connection for a later request.
     pub(super) fn put(
         &self,
--- a/crates/chicory_gateway/src/process/relay_head.rs
+++ b/crates/chicory_gateway/src/process/relay_head.rs
@@ -73,6 +73,7 @@
             incarnation: self.server.clone(),
             address: self.address,
             attempt_deadline: now + self.attempt_time,
+            can_be_followed: false,
             max_idle: self.max_idle,
             connect_timeout: self.connect_timeout,
             settle_time: self.settle_time,
--- a/crates/chicory_gateway/src/process/server_send.rs
+++ b/crates/chicory_gateway/src/process/server_send.rs
@@ -1,12 +1,11 @@
 //! Sends a request on a connection to a backend server.
 
-use std::io::ErrorKind;
-
-use chicory_net::http::{HttpBody, LinkError, SendError, ServerLink};
+use chicory_net::http::{HttpBody, SendError, ServerLink};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
 use super::GatewayMetric;
+use super::follow_up::connect_outcome;
 use super::shared_state::SharedState;
 use crate::{AttemptOutcome, Target};
 
@@ -32,13 +31,7 @@
     shared.metrics.increment(GatewayMetric::Connections);
     let address = target.address.to_string();
     let opened = ServerLink::open(&address, target.connect_timeout, || {}).await;
-    let mut link = opened.map_err(|failure| match failure {
-        LinkError::Refused => AttemptOutcome::Refused,
-        LinkError::Network { source } if source.kind() == ErrorKind::ConnectionReset => {
-            AttemptOutcome::ConnectionRejected
-        }
-        _ => AttemptOutcome::Unreachable,
-    })?;
+    let mut link = opened.map_err(|failure| connect_outcome(&failure))?;
     if !target.settle_time.is_zero() {
         tokio::time::sleep(target.settle_time).await;
         if !link.is_ready() {
--- a/crates/chicory_gateway/tests/decisions/choices.rs
+++ b/crates/chicory_gateway/tests/decisions/choices.rs
@@ -260,6 +260,7 @@
         incarnation: incarnation.clone(),
         address: ([10, 0, 0, 1], 8000).into(),
         attempt_deadline: START + Duration::from_secs(1),
+        can_be_followed: false,
         max_idle: Duration::from_secs(1),
         connect_timeout: Duration::from_secs(1),
         settle_time: Duration::ZERO,
--- a/crates/chicory_gateway/tests/relay/site.rs
+++ b/crates/chicory_gateway/tests/relay/site.rs
@@ -121,6 +121,7 @@
         incarnation: incarnation(),
         address,
         attempt_deadline: BootClock.now() + DEADLINE,
+        can_be_followed: false,
         max_idle: Duration::from_secs(2),
         connect_timeout: Duration::from_secs(5),
         settle_time: Duration::ZERO,
