Give new connections to owners a part of the caller's time, and probes what connections take

A new connection had 300 ms to open, on an idle link of 1,000 Mbit/s as on a full one of 2.2 Mbit/s.

Change. - The time to open a connection is 0.3 of the time that is left for the owner of a key and 0.15 where another server can serve the request, from 300 ms to 1.2 s. Where callers have a second or less it is 300 ms as before. - A probe waits twice as long as connections took to open in the last seconds, 300 to 900 ms. - The head and the parts of an answer count as a sign of life of the path: a large answer that takes seconds on a full link hid that the path carries bytes.

Ruled out: an even longer limit for probes (a cut has to be found within 1.5 s); refused connections count as before.

Tests: timeouts_while_parts_of_an_answer_arrive_are_no_cut, probes_wait_longer_where_connections_open_slowly, connection_to_the_owner_of_a_key_may_take_a_part_ of_the_callers_time; the simulated cuts of entry VMs now last as long as the limits say, and pass.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::connect_delay::ConnectDelay;
 use super::crash_detector::CrashDetector;
 use super::entry_count::EntryCount;
 use super::gateway_notices::ServerStep;
@@ -48,9 +49,15 @@
 pub(super) const MAX_OWNER_TRIES: u32 = 3;
 /// Time for which a draining server still gets requests for keys that it owns.
 const DRAINING_GRACE: Duration = Duration::from_millis(1200);
-/// Longest time to open a connection. It is short because another server may be able to
-/// serve the request.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Least time limit for opening a connection.
+pub(super) const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Greatest time limit for opening a connection.
+const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Fraction of the remaining time that opening a connection may take if only this server can serve
+/// the request.
+const CONNECT_FRACTION: f64 = 0.3;
+/// The same if another server can.
+const REPLACEABLE_CONNECT_FRACTION: f64 = 0.15;
 /// Longest idle time of a connection that is reused. The server may have dropped an older one.
 const MAX_IDLE: Duration = Duration::from_secs(6);
 /// Longest idle time of a connection that is reused for an order. It is shorter than [`MAX_IDLE`]
@@ -97,6 +104,7 @@
     pub(super) unreachable: Outages<ServerIncarnation>,
     /// This entry VM's own paths to servers.
     pub(super) reachability: ServerReachability,
+    pub(super) connect_delay: ConnectDelay,
     /// Other entry VMs that relay requests.
     pub(super) relays: RelayChoice,
     /// Their paths to servers.
@@ -139,6 +147,7 @@
             owner_outages: Outages::default(),
             unreachable: Outages::default(),
             reachability: ServerReachability::default(),
+            connect_delay: ConnectDelay::default(),
             relays: RelayChoice::default(),
             relay_reachability: RelayReachability::default(),
             is_stopping: false,
@@ -407,7 +416,7 @@
             attempt_deadline: now + attempt_time,
             can_be_followed,
             max_idle: if is_order { MAX_ORDER_IDLE } else { MAX_IDLE },
-            connect_timeout: CONNECT_TIMEOUT.min(left),
+            connect_timeout: connect_timeout(left, ticket.key.is_some()),
             settle_time,
             has_permit,
             relay,
@@ -443,3 +452,17 @@
         budget.try_retry(now, &self.config, self.entry_count.get())
     }
 }
+
+/// Returns the time limit for opening a connection for a request with this remaining time. On a full
+/// link it takes long, and a caller who can wait is better served late than refused.
+fn connect_timeout(left: Duration, is_only_server: bool) -> Duration {
+    let fraction = if is_only_server {
+        CONNECT_FRACTION
+    } else {
+        REPLACEABLE_CONNECT_FRACTION
+    };
+    let limit = left.mul_f64(fraction);
+    limit
+        .clamp(MIN_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT)
+        .min(left)
+}
--- a/crates/chicory_gateway/src/decide/gateway_follow_up.rs
+++ b/crates/chicory_gateway/src/decide/gateway_follow_up.rs
@@ -3,7 +3,7 @@
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
-use super::gateway::CONNECT_TIMEOUT;
+use super::gateway::MIN_CONNECT_TIMEOUT;
 use super::{AttemptOutcome, FollowUp, FollowUpStep, Gateway, RequestTicket, Target};
 
 impl Gateway {
@@ -38,7 +38,7 @@
             Some(record) if ticket.attempts_left() > 0 => FollowUpStep::Connect(FollowUp {
                 incarnation: record.incarnation,
                 address: record.address,
-                connect_timeout: CONNECT_TIMEOUT.min(left),
+                connect_timeout: MIN_CONNECT_TIMEOUT.min(left),
                 settle_time: self.config.settle_time,
             }),
             _ => FollowUpStep::Continue,
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -1,5 +1,7 @@
 //! Handles what shows whether this entry VM's own path to backend servers is cut.
 
+use std::time::Duration;
+
 use chicory_directory::{ServerRecord, ServerState};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
@@ -14,8 +16,8 @@
     /// while nothing hints at a cut. At most one is returned each 100 ms;
     /// [`next_probe_at`](Self::next_probe_at) tells when to call this again.
     ///
-    /// A probe succeeds if a new connection opens within the time that a
-    /// [`Target`](crate::Target) has for that, and the server answers on it.
+    /// A probe succeeds if a new connection opens within the
+    /// [`probe_timeout`](Self::probe_timeout), and the server answers on it.
     pub fn take_probes(&mut self, now: MonoTime) -> Vec<ServerRecord> {
         if !self.config.is_enabled(Policy::Relay) {
             return Vec::new();
@@ -36,6 +38,16 @@
         self.reachability.next_probe_at(now)
     }
 
+    /// Returns the time limit for opening the connection of a probe, and again for its answer.
+    pub fn probe_timeout(&mut self, now: MonoTime) -> Duration {
+        self.connect_delay.probe_timeout(now)
+    }
+
+    /// Records how long a new connection to a server took to open.
+    pub fn record_connect_time(&mut self, now: MonoTime, took: Duration) {
+        self.connect_delay.record(now, took);
+    }
+
     /// Records how a server that had to be probed answered on a new connection.
     pub fn record_probe(
         &mut self,
@@ -84,6 +96,14 @@
         }
     }
 
+    /// Records that part of an answer was received from a server: the path to it carries bytes, however
+    /// long the rest takes.
+    pub fn record_progress(&mut self, now: MonoTime, incarnation: &ServerIncarnation) {
+        if let Some(record) = self.directory.server(incarnation) {
+            self.reachability.record_answer(now, record);
+        }
+    }
+
     /// Returns for which servers this entry VM's own path was found to be cut or to be usable again
     /// since the previous call.
     pub fn take_reachability_changes(&mut self) -> Vec<ReachabilityChange> {
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer_silence;
+mod connect_delay;
 mod crash_detector;
 mod entry_count;
 mod follow_up;
--- a/crates/chicory_gateway/src/decide/server_reachability.rs
+++ b/crates/chicory_gateway/src/decide/server_reachability.rs
@@ -20,7 +20,7 @@
 /// Time between two probes of servers that are considered cut off, as long as none was reached.
 const CUT_PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which a probe without a result is forgotten.
-const PROBE_RETENTION: Duration = Duration::from_secs(1);
+const PROBE_RETENTION: Duration = Duration::from_secs(2);
 /// Time after an answer for which timeouts say nothing about the path: it carries answers, so what is
 /// slow is the link or the server. A cut that hangs silences open connections as well.
 const ANSWERED_TIME: Duration = Duration::from_millis(1200);
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -114,6 +114,10 @@
     };
     let took = shared.now().saturating_sub(started_at);
     shared.metrics.record(GatewayMetric::AttemptLatency, took);
+    if target.relay.is_none() {
+        let now = shared.now();
+        shared.gateway().record_progress(now, &target.incarnation);
+    }
     let (head, body) = response.into_parts();
     let link = UsedLink {
         link,
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -246,10 +246,7 @@
             }
             None => (BodySource::Full(concatenated(answer.parts)), None),
         };
-        let observer = AnswerObserver {
-            guard,
-            link: answer.link,
-        };
+        let observer = AnswerObserver::new(guard, answer.link);
         let mut body = HttpBody::observed(source, Box::new(observer));
         if let Some(expiry) = expiry {
             body = body.with_abort_signal(expiry);
--- a/crates/chicory_gateway/src/process/server_probes.rs
+++ b/crates/chicory_gateway/src/process/server_probes.rs
@@ -12,10 +12,6 @@
 use super::shared_state::SharedState;
 use crate::ProbeResult;
 
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit for the answer, which takes a server no work.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Shortest time between two checks whether a probe is due.
 const MIN_PAUSE: Duration = Duration::from_millis(25);
 
@@ -61,8 +57,13 @@
 /// and lose its bytes, or close it.
 async fn send_probe(shared: &SharedState, server: &ServerRecord) -> ProbeResult {
     let address = server.address.to_string();
-    let mut link = match ServerLink::open(&address, CONNECT_TIMEOUT, || {}).await {
-        Ok(link) => link,
+    let began_at = shared.now();
+    let time_limit = shared.gateway().probe_timeout(began_at);
+    let mut link = match ServerLink::open(&address, time_limit, || {}).await {
+        Ok(link) => {
+            shared.record_connect_time(began_at);
+            link
+        }
         Err(LinkError::Refused) => return ProbeResult::Refused,
         Err(_) => return ProbeResult::Unanswered,
     };
@@ -71,7 +72,7 @@
         request.headers_mut().insert(HOST, host);
     }
     shared.servers.prepare_probe(request.headers_mut());
-    let answer = tokio::time::timeout(ANSWER_TIMEOUT, link.send(request)).await;
+    let answer = tokio::time::timeout(time_limit, link.send(request)).await;
     match answer {
         Ok(Ok(_) | Err(SendError::Malformed)) => ProbeResult::Answered,
         _ => ProbeResult::Unanswered,
--- a/crates/chicory_gateway/src/process/server_send.rs
+++ b/crates/chicory_gateway/src/process/server_send.rs
@@ -30,8 +30,10 @@
     }
     shared.metrics.increment(GatewayMetric::Connections);
     let address = target.address.to_string();
+    let began_at = shared.now();
     let opened = ServerLink::open(&address, target.connect_timeout, || {}).await;
     let mut link = opened.map_err(|failure| connect_outcome(&failure))?;
+    shared.record_connect_time(began_at);
     if !target.settle_time.is_zero() {
         tokio::time::sleep(target.settle_time).await;
         if !link.is_ready() {
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Records that a connection to a server has opened.
+    pub(super) fn record_connect_time(&self, began_at: MonoTime) {
+        let now = self.now();
+        let took = now.saturating_sub(began_at);
+        self.gateway().record_connect_time(now, took);
+    }
+
     pub(super) fn gateway(&self) -> MutexGuard<'_, Gateway> {
         self.gateway.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
@@ -9,7 +9,7 @@
 use chicory_types::ZoneName;
 
 use crate::plan::CutKind;
-use crate::world::{CONNECT_TIMEOUT, HOP};
+use crate::world::HOP;
 
 /// Requests that an entry VM relays at a time.
 const RELAY_ROOM: usize = 8;
@@ -74,9 +74,9 @@
     }
 
     /// Returns the time until a new connection to a server opens or fails.
-    pub fn connect_time(&self) -> Duration {
+    pub fn connect_time(&self, time_limit: Duration) -> Duration {
         if self.cut == Some(CutKind::Silent) {
-            CONNECT_TIMEOUT
+            time_limit
         } else {
             2 * HOP
         }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -178,7 +178,8 @@
 
     fn start_probes(&mut self, vm: usize) {
         let entry_vm = &mut self.entry_vms[vm];
-        let connect_time = entry_vm.connect_time();
+        let time_limit = entry_vm.gateway.probe_timeout(self.now);
+        let connect_time = entry_vm.connect_time(time_limit);
         for record in entry_vm.gateway.take_probes(self.now) {
             self.connects.push((self.now, vm));
             self.probe_count += 1;
@@ -271,7 +272,7 @@
             self.add_event(self.now + 2 * HOP + WORK_TIME, Event::Answer(attempt));
             return;
         }
-        let connect_time = entry_vm.connect_time();
+        let connect_time = entry_vm.connect_time(attempt.target.connect_timeout);
         self.connects.push((self.now, attempt.exchange.entry_vm));
         self.add_event(self.now + connect_time, Event::Connected(attempt));
     }
--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -5,7 +5,7 @@
 use crate::support::{START, expect_sent, gateway_with, metadata, owned, ranges, server};
 use chicory_directory::{DirectoryUpdate, ServerRecord, ServerState};
 use chicory_gateway::{
-    Admission, AttemptOutcome, Gateway, GatewayConfig, ProbeResult, ReachabilityChange,
+    Admission, AttemptOutcome, Gateway, GatewayConfig, NextStep, ProbeResult, ReachabilityChange,
     RequestTicket, ServerGroup,
 };
 use googletest::prelude::*;
@@ -154,6 +154,58 @@
     expect_that!(gateway.can_relay(START + LONGEST_DETECTION), eq(false));
 }
 
+/// A full link delays new connections past their time limit while it still carries an answer.
+#[gtest]
+fn timeouts_while_parts_of_an_answer_arrive_are_no_cut() {
+    let mut gateway = gateway_over_two_zones();
+    let admission = gateway.admit(START, "host", "/plans/x", &metadata(None));
+    let Admission::Accepted(mut ticket) = admission else {
+        panic!("refused: {admission:?}");
+    };
+    let target = expect_sent(gateway.next_step(START, &mut ticket));
+    for step in 0..60 {
+        let now = START + TICK * step;
+        if step % 4 == 0 {
+            gateway.record_progress(now, &target.incarnation);
+        }
+        for key in [7, 600, 1600] {
+            let admission = gateway.admit(now, "host", "/reads/x", &metadata(Some(key)));
+            let Admission::Accepted(mut ticket) = admission else {
+                continue;
+            };
+            if let NextStep::Send(_) = gateway.next_step(now, &mut ticket) {
+                gateway.record_attempt_end(now, &mut ticket, AttemptOutcome::Unreachable);
+            }
+        }
+        probe_until(&mut gateway, now, now + TICK, |_| false);
+        for change in gateway.take_reachability_changes() {
+            // Nothing has arrived from the servers of other zones and services.
+            expect_that!(change.group, not(eq(&ServerGroup::All)), "{now:?}");
+            expect_that!(
+                change.group,
+                not(eq(&ServerGroup::Service("library".into())))
+            );
+        }
+    }
+}
+
+#[gtest]
+fn probes_wait_longer_where_connections_open_slowly() {
+    let mut gateway = gateway_over_two_zones();
+    expect_that!(gateway.probe_timeout(START), eq(Duration::from_millis(300)));
+    gateway.record_connect_time(START, Duration::from_millis(250));
+    gateway.record_connect_time(START, Duration::from_millis(20));
+    let slow = Duration::from_millis(500);
+    expect_that!(gateway.probe_timeout(START + TICK), eq(slow));
+    let soon = START + Duration::from_secs(4);
+    expect_that!(gateway.probe_timeout(soon), eq(slow));
+    // A cut has to be found soon on any link.
+    gateway.record_connect_time(soon, Duration::from_secs(5));
+    expect_that!(gateway.probe_timeout(soon), le(LONGEST_DETECTION / 3 * 2));
+    let later = soon + Duration::from_secs(20);
+    expect_that!(gateway.probe_timeout(later), eq(Duration::from_millis(300)));
+}
+
 #[gtest]
 fn cut_of_one_zone_is_not_taken_for_a_cut_of_all_servers() {
     let mut gateway = gateway_over_two_zones();
--- a/crates/chicory_gateway/tests/decisions/retries.rs
+++ b/crates/chicory_gateway/tests/decisions/retries.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use crate::support::{
-    START, admit, expect_sent, gateway, in_contact, metadata, owned, ranges, server,
+    START, admit, expect_sent, gateway, in_contact, metadata, owned, ranges, server, table,
 };
 use chicory_directory::{DirectoryUpdate, LinkStatus, ServerRecord, ServerState};
 use chicory_gateway::{
     Admission, AttemptOutcome, FollowUpStep, Gateway, GatewayConfig, NextStep, RefusalReason,
-    RequestTicket, Target,
+    RequestMetadata, RequestTicket, Target,
 };
 use chicory_ranges::ServerIncarnation;
+use chicory_routes::RouteTableDelta;
 use googletest::prelude::*;
 
 #[gtest]
@@ -482,3 +483,42 @@
     let target = expect_sent(gateway.next_step(START, &mut ticket));
     expect_false!(target.can_be_followed);
 }
+
+/// A full link delays new connections. Nobody else can serve a key, and its caller can wait.
+#[gtest]
+fn connection_to_the_owner_of_a_key_may_take_a_part_of_the_callers_time() {
+    let time_limit = |path: &str, key, time_left_ms| {
+        let mut gateway = gateway();
+        let mut patient = table(6);
+        for route in &mut patient.routes {
+            route.timeout = None;
+        }
+        let update = DirectoryUpdate {
+            version: 6,
+            routes: Some(RouteTableDelta::whole(&patient)),
+            ..DirectoryUpdate::default()
+        };
+        gateway.update(START, update);
+        let metadata = RequestMetadata {
+            time_left: Some(Duration::from_millis(time_left_ms)),
+            ..metadata(key)
+        };
+        let admission = gateway.admit(START, "host", path, &metadata);
+        let Admission::Accepted(mut ticket) = admission else {
+            panic!("refused: {admission:?}");
+        };
+        expect_sent(gateway.next_step(START, &mut ticket)).connect_timeout
+    };
+    let shortest = Duration::from_millis(300);
+    expect_that!(time_limit("/reads/x", Some(7), 1000), eq(shortest));
+    expect_that!(time_limit("/plans/x", None, 1500), eq(shortest));
+    let of_owner = time_limit("/reads/x", Some(7), 4000);
+    expect_that!(of_owner, gt(shortest));
+    expect_that!(of_owner, le(Duration::from_millis(1200)));
+    expect_that!(time_limit("/plans/x", None, 4000), lt(of_owner));
+    // No connection takes all of the time that is left.
+    expect_that!(
+        time_limit("/reads/x", Some(7), 200),
+        lt(Duration::from_millis(200))
+    );
+}
