--- a/crates/chicory_consensus/src/peer_message.rs
+++ b/crates/chicory_consensus/src/peer_message.rs
@@ -1,9 +1,9 @@
 //! Messages between the members of a group.
 
-use chicory_types::{LogIndex, MonoTime, Term, VmId};
+use chicory_types::{LogIndex, MonoTime, Term};
 use serde::{Deserialize, Serialize};
 
-use crate::{Entry, MemberId, Membership, SnapshotHeader};
+use crate::{Entry, Hello, MemberId, SnapshotHeader};
 
 /// One message between two members, with its sender and receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,12 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessageBody {
     /// Announces the sender's incarnation and its status in the group.
-    Hello {
-        /// Status of the sender.
-        status: HelloStatus,
-        /// VM of the leader, if the sender knows one; a VM that asks to be admitted has to reach it.
-        leader: Option<VmId>,
-    },
+    Hello(Hello),
     /// Asks whether a vote in `term` would be granted.
     PreVote {
         /// Term in which the sender would stand for election.
@@ -137,16 +132,3 @@
         hint_index: LogIndex,
     },
 }
-
-/// Status in the group that the sender of a hello reports.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum HelloStatus {
-    /// The sender belongs to no group, does not form one and asks to be admitted.
-    Joining,
-    /// The sender has no state and takes part in forming the group.
-    Forming,
-    /// The sender has recorded these founders and never records others in this epoch.
-    Bound(Membership),
-    /// The sender belongs to a formed group.
-    Formed,
-}
--- a/crates/chicory_consensus/src/replica/forming.rs
+++ b/crates/chicory_consensus/src/replica/forming.rs
@@ -6,7 +6,7 @@
 
 use super::{Phase, Replica, RoleState};
 use crate::{
-    Formation, HelloStatus, MemberId, Membership, PeerMessageBody, ReplicaEffect, Snapshot,
+    Formation, Hello, HelloStatus, MemberId, Membership, PeerMessageBody, ReplicaEffect, Snapshot,
     UNKNOWN_INCARNATION,
 };
 
@@ -125,15 +125,9 @@
         founders.is_some_and(|m| m.is_voter(member))
     }
 
-    pub(super) fn on_hello(
-        &mut self,
-        from: &MemberId,
-        to: &MemberId,
-        status: &HelloStatus,
-        leader: Option<VmId>,
-    ) {
-        self.record_hello(from, status);
-        self.record_named_leader(from, leader);
+    pub(super) fn on_hello(&mut self, from: &MemberId, to: &MemberId, hello: Hello) {
+        self.record_hello(from, &hello.status);
+        self.record_named_leader(from, hello.leader);
         if to.incarnation == UNKNOWN_INCARNATION {
             self.send_hello(from);
         }
@@ -222,10 +216,10 @@
     }
 
     fn send_hello(&mut self, to: &MemberId) {
-        let body = PeerMessageBody::Hello {
+        let body = PeerMessageBody::Hello(Hello {
             status: self.hello_status(),
             leader: self.leader.as_ref().map(|leader| leader.vm.clone()),
-        };
+        });
         self.send_when_durable(to, body);
     }
 
@@ -273,7 +267,7 @@
 
 fn is_hello_before_formation(body: &PeerMessageBody) -> bool {
     match body {
-        PeerMessageBody::Hello { status, .. } => *status != HelloStatus::Formed,
+        PeerMessageBody::Hello(hello) => hello.status != HelloStatus::Formed,
         _ => false,
     }
 }
--- a/crates/chicory_consensus/src/replica/mod.rs
+++ b/crates/chicory_consensus/src/replica/mod.rs
@@ -268,7 +268,7 @@
 
     fn on_body(&mut self, from: &MemberId, to: &MemberId, body: PeerMessageBody) {
         match body {
-            PeerMessageBody::Hello { status, leader } => self.on_hello(from, to, &status, leader),
+            PeerMessageBody::Hello(hello) => self.on_hello(from, to, hello),
             PeerMessageBody::PreVote {
                 term,
                 last_index,
--- a/crates/chicory_consensus/tests/cluster/membership.rs
+++ b/crates/chicory_consensus/tests/cluster/membership.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use chicory_consensus::{
-    Formation, GroupStatus, HelloStatus, MemberId, MembershipChange, PeerMessage, PeerMessageBody,
-    ProposalRejection, ReplicaEffect, ReplicaEvent,
+    Formation, GroupStatus, Hello, HelloStatus, MemberId, MembershipChange, PeerMessage,
+    PeerMessageBody, ProposalRejection, ReplicaEffect, ReplicaEvent,
 };
 use googletest::prelude::*;
 
@@ -228,10 +228,10 @@
             group_epoch: 2,
             from: sender,
             to: MemberId::any_incarnation_of(&leader),
-            body: PeerMessageBody::Hello {
+            body: PeerMessageBody::Hello(Hello {
                 status: HelloStatus::Formed,
                 leader: None,
-            },
+            }),
         },
     };
     cluster.feed(&leader, event);
--- a/crates/chicory_consensus/tests/replica_rules.rs
+++ b/crates/chicory_consensus/tests/replica_rules.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use chicory_consensus::{
-    AppendOutcome, Entry, EntryPayload, HardState, HelloStatus, MemberId, Membership, PeerMessage,
-    PeerMessageBody, Replica, ReplicaConfig, ReplicaEffect, ReplicaEvent, RestoredState, Role,
-    Snapshot, SnapshotHeader,
+    AppendOutcome, Entry, EntryPayload, HardState, Hello, HelloStatus, MemberId, Membership,
+    PeerMessage, PeerMessageBody, Replica, ReplicaConfig, ReplicaEffect, ReplicaEvent,
+    RestoredState, Role, Snapshot, SnapshotHeader,
 };
 use chicory_types::CLOCK_RATE_MARGIN_PERCENT;
 use googletest::prelude::*;
@@ -346,10 +346,10 @@
         any::<bool>(),
     );
     (0..10_u8, numbers).prop_map(|(kind, (term, index, other, third, flag))| match kind {
-        0 => PeerMessageBody::Hello {
+        0 => PeerMessageBody::Hello(Hello {
             status: HelloStatus::Bound(Membership::default()),
             leader: None,
-        },
+        }),
         1 => PeerMessageBody::PreVote {
             term,
             last_index: index,
--- a/crates/chicory_site/tests/control_groups/deployment.rs
+++ b/crates/chicory_site/tests/control_groups/deployment.rs
@@ -75,6 +75,12 @@
         self.ask_in_turn(&SiteCall::ReadRoutes) == Some(expected)
     }
 
+    /// Returns whether this VM answers with the newest acknowledged table.
+    pub fn reads_back_at(&mut self, vm: &str) -> bool {
+        let expected = SiteAnswer::Routes(table(self.acknowledged_version));
+        self.simulation.call_and_wait(vm, SiteCall::ReadRoutes) == Some(expected)
+    }
+
     /// Returns whether the newest acknowledged table is read back in time, or the one with
     /// `version`, which counts as acknowledged from then on.
     pub fn reads_back_or(&mut self, version: u64) -> bool {
--- a/crates/chicory_site/tests/control_groups/losses.rs
+++ b/crates/chicory_site/tests/control_groups/losses.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_directory::{SiteAnswer, SiteCall};
+use chicory_directory::SiteCall;
 use googletest::prelude::*;
 
 use super::deployment::{Deployment, pairs};
@@ -147,11 +147,7 @@
     let new = vm_in_zone(0, 10);
     deployment.add(0, &new);
     deployment.simulation.run(CATCH_UP_TIME);
-    let read = deployment
-        .simulation
-        .call_and_wait(&new, SiteCall::ReadRoutes);
-    let expected = SiteAnswer::Routes(table(deployment.acknowledged_version));
-    expect_that!(read, some(eq(&expected)));
+    expect_true!(deployment.reads_back_at(&new));
 }
 
 #[gtest]
@@ -162,11 +158,7 @@
     deployment.simulation.run(Duration::from_secs(12));
     deployment.simulation.set_isolated(&leader, false);
     deployment.simulation.run(CATCH_UP_TIME);
-    let read = deployment
-        .simulation
-        .call_and_wait(&leader, SiteCall::ReadRoutes);
-    let expected = SiteAnswer::Routes(table(deployment.acknowledged_version));
-    expect_that!(read, some(eq(&expected)));
+    expect_true!(deployment.reads_back_at(&leader));
 }
 
 #[gtest]
@@ -184,11 +176,7 @@
     let new = vm_in_zone(0, 10);
     deployment.add(0, &new);
     deployment.simulation.run(CATCH_UP_TIME);
-    let read = deployment
-        .simulation
-        .call_and_wait(&new, SiteCall::ReadRoutes);
-    let expected = SiteAnswer::Routes(table(deployment.acknowledged_version));
-    expect_that!(read, some(eq(&expected)));
+    expect_true!(deployment.reads_back_at(&new));
 }
 
 #[gtest]
--- a/crates/chicory_wire/src/consensus_convert.rs
+++ b/crates/chicory_wire/src/consensus_convert.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use chicory_consensus::{
-    AppendOutcome, Entry, EntryPayload, HardState, HelloStatus, MemberId, Membership, PeerMessage,
-    PeerMessageBody, SnapshotHeader,
+    AppendOutcome, Entry, EntryPayload, HardState, Hello, HelloStatus, MemberId, Membership,
+    PeerMessage, PeerMessageBody, SnapshotHeader,
 };
 
 use crate::ConvertError;
@@ -168,9 +168,9 @@
 impl From<PeerMessageBody> for Body {
     fn from(body: PeerMessageBody) -> Self {
         match body {
-            PeerMessageBody::Hello { status, leader } => Self::Hello(consensus::Hello {
-                status: Some(status.into()),
-                leader,
+            PeerMessageBody::Hello(hello) => Self::Hello(consensus::Hello {
+                status: Some(hello.status.into()),
+                leader: hello.leader,
             }),
             PeerMessageBody::PreVote {
                 term,
@@ -266,10 +266,10 @@
 
     fn try_from(body: Body) -> Result<Self, ConvertError> {
         Ok(match body {
-            Body::Hello(hello) => Self::Hello {
+            Body::Hello(hello) => Self::Hello(Hello {
                 status: required(hello.status, "hello.status")?.try_into()?,
                 leader: hello.leader,
-            },
+            }),
             Body::PreVote(vote) => Self::PreVote {
                 term: vote.term,
                 last_index: vote.last_index,
--- a/crates/chicory_wire/tests/consensus_messages.rs
+++ b/crates/chicory_wire/tests/consensus_messages.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use chicory_consensus::{
-    AppendOutcome, Entry, EntryPayload, HardState, HelloStatus, MemberId, Membership, PeerMessage,
-    PeerMessageBody, SnapshotHeader,
+    AppendOutcome, Entry, EntryPayload, HardState, Hello, HelloStatus, MemberId, Membership,
+    PeerMessage, PeerMessageBody, SnapshotHeader,
 };
+use chicory_wire::proto::common;
 use chicory_wire::proto::consensus::{self, GroupName};
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -130,7 +131,7 @@
 fn message() -> impl Strategy<Value = PeerMessage> {
     let body = prop_oneof![
         1 => (hello(), any::<Option<String>>())
-            .prop_map(|(status, leader)| PeerMessageBody::Hello { status, leader }),
+            .prop_map(|(status, leader)| PeerMessageBody::Hello(Hello { status, leader })),
         2 => election_body(),
         3 => replication_body(),
     ];
@@ -183,3 +184,26 @@
     let empty = consensus::PeerMessage::default();
     expect_that!(PeerMessage::try_from(empty), err(anything()));
 }
+
+/// A hello of an earlier release, which names no leader.
+#[derive(Clone, PartialEq, prost::Message)]
+struct EarlierHello {
+    #[prost(message, optional, tag = "4")]
+    formed: Option<common::Empty>,
+}
+
+#[gtest]
+fn hellos_of_earlier_releases_name_no_leader_and_they_read_those_of_today() {
+    let earlier = EarlierHello {
+        formed: Some(common::Empty {}),
+    };
+    let decoded = consensus::Hello::decode(&earlier.encode_to_vec()[..]).expect("a message");
+    expect_that!(decoded.leader, none());
+    expect_that!(decoded.status, some(anything()));
+    let today = consensus::Hello {
+        leader: Some("vm-a".into()),
+        ..decoded
+    };
+    let read = EarlierHello::decode(&today.encode_to_vec()[..]).expect("a message");
+    expect_that!(read, eq(&earlier));
+}
