Agree on the messages for evacuated zones, cold servers, slot shares and admission to owners

Evacuated zones are already part of the replicated state; nothing decides by them yet, and no message of the new kinds is sent.

--- a/crates/chicory_directory/src/command_outcome.rs
+++ b/crates/chicory_directory/src/command_outcome.rs
@@ -2,6 +2,8 @@
 
 use chicory_ranges::{Fence, MoveRejection, ServerIncarnation};
 
+use chicory_types::ZoneName;
+
 use crate::EndedServer;
 
 /// The outcome of applying a [`SiteCommand`](crate::SiteCommand).
@@ -20,6 +22,10 @@
     RangeMoved(Fence),
     /// A move was rejected, because the keys have another owner than it assumes.
     MoveRejected(MoveRejection),
+    /// The evacuation of an availability zone began.
+    EvacuationBegun(ZoneName),
+    /// The evacuation of an availability zone ended.
+    EvacuationFinished(ZoneName),
     /// The command changed nothing.
     Unchanged,
     /// The announced incarnation has already ended or left.
--- a/crates/chicory_directory/src/control_message.rs
+++ b/crates/chicory_directory/src/control_message.rs
@@ -1,6 +1,9 @@
 //! Messages from control VMs to entry VMs.
 
-use crate::{DirectoryUpdate, LinkStatus, MovesChange, RelayPeer, ServerLimitUpdate};
+use crate::{
+    AdmittedFraction, DirectoryUpdate, LinkStatus, MovesChange, RelayPeer, ServerLimitUpdate,
+    ServiceShares,
+};
 
 /// A message from a control VM to an entry VM.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,4 +20,11 @@
     /// Entry VMs that relay requests for the receiver, the preferred one first. Each such message
     /// replaces the one before. Only entry VMs whose hello names a relay address are sent any.
     Relays(Vec<RelayPeer>),
+    /// Parts of the servers' slots that the receiver prefers. Each such message replaces the one
+    /// before. Only entry VMs whose reports say that they understand it are sent any.
+    ServerShares(Vec<ServiceShares>),
+    /// Admission to servers whose keys are asked for more than they can do; all other servers take
+    /// everything. Each such message replaces the one before. Only entry VMs whose reports say that
+    /// they understand it are sent any.
+    OwnerAdmission(Vec<AdmittedFraction>),
 }
--- a/crates/chicory_directory/src/directory_update.rs
+++ b/crates/chicory_directory/src/directory_update.rs
@@ -1,7 +1,10 @@
 //! Changes of the directory.
 
+use std::collections::BTreeSet;
+
 use chicory_ranges::{Fence, ServerIncarnation};
 use chicory_routes::RouteTableDelta;
+use chicory_types::ZoneName;
 
 use crate::{ServerRecord, ServiceRanges};
 
@@ -26,4 +29,6 @@
     /// Ranges that moved to another owner. For their keys they replace what the receiver has; a
     /// range that they overlap keeps its other keys.
     pub ranges: Vec<ServiceRanges>,
+    /// All evacuated availability zones; `None` if they did not change.
+    pub evacuated_zones: Option<BTreeSet<ZoneName>>,
 }
--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -79,6 +79,10 @@
     /// Whether the entry VM relays requests for others: it reaches backend servers, and is not about
     /// to stop.
     pub can_relay: bool,
+    /// Whether the entry VM understands [`ControlMessage::ServerShares`](crate::ControlMessage).
+    pub accepts_server_shares: bool,
+    /// Whether the entry VM understands [`ControlMessage::OwnerAdmission`](crate::ControlMessage).
+    pub accepts_owner_admission: bool,
 }
 
 impl EntryReport {
--- a/crates/chicory_directory/src/lib.rs
+++ b/crates/chicory_directory/src/lib.rs
@@ -5,6 +5,7 @@
 //! to and from messages. A directory version is the log index of the last entry that the directory
 //! reflects, so versions of different control VMs can be compared.
 
+mod admitted_fraction;
 mod command_outcome;
 mod control_message;
 mod directory_position;
@@ -23,6 +24,7 @@
 mod server_limit_update;
 mod server_record;
 mod server_removal;
+mod server_shares;
 mod server_state;
 mod service_ranges;
 mod site_answer;
@@ -30,6 +32,7 @@
 mod site_command;
 mod site_state;
 
+pub use admitted_fraction::AdmittedFraction;
 pub use command_outcome::CommandOutcome;
 pub use control_message::ControlMessage;
 pub use directory_position::DirectoryPosition;
@@ -50,6 +53,7 @@
 pub use server_limit_update::{PermitAnswer, PermitRequest, ReportedLimit, ServerLimitUpdate};
 pub use server_record::ServerRecord;
 pub use server_removal::{RemovalCause, ServerRemoval};
+pub use server_shares::{ServerShare, ServiceShares};
 pub use server_state::ServerState;
 pub use service_ranges::ServiceRanges;
 pub use site_answer::SiteAnswer;
--- a/crates/chicory_directory/src/link_hello.rs
+++ b/crates/chicory_directory/src/link_hello.rs
@@ -7,7 +7,7 @@
 use crate::DirectoryPosition;
 
 /// The first message on a link to a control VM: the identity of the process that opened the link.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LinkHello {
     /// Another control VM.
     Control {
@@ -27,6 +27,9 @@
         /// Address on which it accepts requests of other entry VMs to relay; `None` if it relays
         /// none, as entry VMs of earlier releases.
         relay_address: Option<SocketAddr>,
+        /// Processor cores that the entry VM may use, which may be a fraction; `None` if it does not
+        /// state them, as entry VMs of earlier releases. The value is finite and positive.
+        cpu_share: Option<f64>,
     },
     /// An operator, who reads or replaces the route table.
     Operator {
--- a/crates/chicory_directory/src/site_answer.rs
+++ b/crates/chicory_directory/src/site_answer.rs
@@ -15,6 +15,8 @@
     Stale,
     /// The announced service is not in the route table.
     UnknownService,
+    /// The deployment has no such availability zone.
+    UnknownZone,
     /// The control group can't answer now; a requested change may or may not have been made.
     Unavailable,
 }
--- a/crates/chicory_directory/src/site_call.rs
+++ b/crates/chicory_directory/src/site_call.rs
@@ -1,7 +1,7 @@
 //! Calls of operators and backend servers.
 
 use chicory_routes::RouteTable;
-use chicory_types::ServerId;
+use chicory_types::{ServerId, ZoneName};
 
 use crate::ServerRecord;
 
@@ -21,4 +21,8 @@
     PutRoutes(RouteTable),
     /// An operator reads the route table.
     ReadRoutes,
+    /// An operator evacuates an availability zone.
+    BeginEvacuation(ZoneName),
+    /// An operator ends the evacuation of an availability zone.
+    FinishEvacuation(ZoneName),
 }
--- a/crates/chicory_directory/src/site_command.rs
+++ b/crates/chicory_directory/src/site_command.rs
@@ -2,6 +2,7 @@
 
 use chicory_ranges::RangeMove;
 use chicory_routes::RouteTable;
+use chicory_types::ZoneName;
 
 use crate::{ServerRecord, ServerRemoval};
 
@@ -16,4 +17,8 @@
     RemoveServer(ServerRemoval),
     /// Moves keys to another owner.
     MoveRange(RangeMove),
+    /// Evacuates an availability zone: nothing more is sent to its servers.
+    BeginEvacuation(ZoneName),
+    /// Ends the evacuation of an availability zone.
+    FinishEvacuation(ZoneName),
 }
--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -1,11 +1,11 @@
 //! The replicated state: routes, servers and key ranges.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use chicory_ranges::{Fence, OwnedRange, RangeMove, RangeRegistry, ServerIncarnation};
 use chicory_routes::RouteTable;
-use chicory_types::{LogIndex, ServerId};
+use chicory_types::{LogIndex, ServerId, ZoneName};
 
 use crate::{
     CommandOutcome, DirectoryPosition, DirectoryUpdate, DirectoryVersion, EndedServer,
@@ -49,6 +49,7 @@
     servers: BTreeMap<ServerId, Versioned<ServerRecord>>,
     removals: BTreeMap<ServerId, Versioned<ServerRemoval>>,
     registry: RangeRegistry,
+    evacuated_zones: Versioned<BTreeSet<ZoneName>>,
     /// Removals up to this index may have been dropped, so followers with an older version are sent
     /// the whole directory.
     forgotten_up_to: LogIndex,
@@ -89,10 +90,18 @@
             servers: servers.collect(),
             removals: removals.collect(),
             registry,
+            evacuated_zones: Versioned::default(),
             forgotten_up_to,
         }
     }
 
+    /// Sets the evacuated availability zones of a state that is restored.
+    #[must_use]
+    pub fn with_evacuated_zones(mut self, evacuated_zones: Versioned<BTreeSet<ZoneName>>) -> Self {
+        self.evacuated_zones = evacuated_zones;
+        self
+    }
+
     /// Returns the log index of the last command that was applied.
     #[must_use]
     pub fn version(&self) -> DirectoryVersion {
@@ -150,6 +159,18 @@
         &self.registry
     }
 
+    /// Returns the availability zones that are evacuated.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> &BTreeSet<ZoneName> {
+        &self.evacuated_zones.value
+    }
+
+    /// Returns the log index at which the evacuated availability zones last changed.
+    #[must_use]
+    pub fn evacuations_changed_at(&self) -> LogIndex {
+        self.evacuated_zones.changed_at
+    }
+
     /// Returns the position of a follower that has the whole current state.
     #[must_use]
     pub fn position(&self) -> DirectoryPosition {
@@ -168,6 +189,8 @@
             SiteCommand::PutServer(record) => self.put_server(index, record),
             SiteCommand::RemoveServer(removal) => self.remove_server(index, removal),
             SiteCommand::MoveRange(change) => self.move_range(&change),
+            SiteCommand::BeginEvacuation(zone) => self.begin_evacuation(index, zone),
+            SiteCommand::FinishEvacuation(zone) => self.finish_evacuation(index, &zone),
         }
     }
 
@@ -327,6 +350,22 @@
         }
     }
 
+    fn begin_evacuation(&mut self, index: LogIndex, zone: ZoneName) -> CommandOutcome {
+        if !self.evacuated_zones.value.insert(zone.clone()) {
+            return CommandOutcome::Unchanged;
+        }
+        self.evacuated_zones.changed_at = index;
+        CommandOutcome::EvacuationBegun(zone)
+    }
+
+    fn finish_evacuation(&mut self, index: LogIndex, zone: &str) -> CommandOutcome {
+        let Some(zone) = self.evacuated_zones.value.take(zone) else {
+            return CommandOutcome::Unchanged;
+        };
+        self.evacuated_zones.changed_at = index;
+        CommandOutcome::EvacuationFinished(zone)
+    }
+
     fn move_range(&mut self, change: &RangeMove) -> CommandOutcome {
         match self.registry.apply(change) {
             Ok(fence) => CommandOutcome::RangeMoved(fence),
@@ -373,10 +412,16 @@
                 .map(|removal| removal.value.incarnation.clone())
                 .collect(),
             ranges: self.ranges_since(known.last_fence),
+            evacuated_zones: self.evacuations_since(since, is_full),
         };
         Some(update)
     }
 
+    fn evacuations_since(&self, since: LogIndex, is_full: bool) -> Option<BTreeSet<ZoneName>> {
+        let has_changed = is_full || self.evacuated_zones.changed_at > since;
+        has_changed.then(|| self.evacuated_zones.value.clone())
+    }
+
     /// Returns the ranges with a fence greater than `fence`, without their handovers, which
     /// followers don't need.
     fn ranges_since(&self, fence: Fence) -> Vec<ServiceRanges> {
--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -42,6 +42,8 @@
                 .collect(),
             accepts_server_limits: true,
             can_relay,
+            accepts_server_shares: false,
+            accepts_owner_admission: false,
         }
     }
 }
--- a/crates/chicory_gateway/src/process/control_vm_dialer.rs
+++ b/crates/chicory_gateway/src/process/control_vm_dialer.rs
@@ -40,6 +40,7 @@
             zone: self.zone.clone(),
             known: self.shared.gateway().directory().position(),
             relay_address: self.relay_address,
+            cpu_share: None,
         };
         writer.put(&site::LinkHello::from(hello));
         writer.flush().await
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -339,6 +339,10 @@
                 self.shared.changes.send_modify(|changes| *changes += 1);
                 FrameEffect::Applied
             }
+            // Reports don't ask for these.
+            Some(ControlMessage::ServerShares(_) | ControlMessage::OwnerAdmission(_)) => {
+                FrameEffect::Applied
+            }
             Some(ControlMessage::Relays(peers)) => {
                 let has_changed = self.shared.gateway().set_relays(peers.clone());
                 if has_changed {
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/site.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/site.rs
@@ -36,6 +36,7 @@
             service: KEYED.into(),
             ranges,
         }],
+        evacuated_zones: None,
     }
 }
 
@@ -105,5 +106,7 @@
         is_keyed: Some(is_keyed),
         warmup: None,
         grant_mode: None,
+        cold_time: None,
+        cold_rate_millihertz: None,
     }
 }
--- a/crates/chicory_gateway/tests/decisions/support.rs
+++ b/crates/chicory_gateway/tests/decisions/support.rs
@@ -37,6 +37,8 @@
         is_keyed: Some(is_keyed),
         warmup: None,
         grant_mode: None,
+        cold_time: None,
+        cold_rate_millihertz: None,
     }
 }
 
@@ -108,6 +110,7 @@
             server("o2", "ledger", ready),
         ],
         removed: Vec::new(),
+        evacuated_zones: None,
         ranges: ranges(vec![owned(0, 999, "a1", 1), owned(1000, 65_535, "a2", 2)]),
     };
     gateway.update(START, update);
--- a/crates/chicory_gateway/tests/server_notices/control_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/control_vm.rs
@@ -147,6 +147,8 @@
             is_keyed: Some(true),
             warmup: None,
             grant_mode: None,
+            cold_time: None,
+            cold_rate_millihertz: None,
         }],
         limits: None,
     }
--- a/crates/chicory_gateway/tests/server_notices/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/entry_vm.rs
@@ -119,6 +119,7 @@
             ControlMessage::ServerLimits(update) => {
                 self.gateway.record_server_limits(now, update);
             }
+            ControlMessage::ServerShares(_) | ControlMessage::OwnerAdmission(_) => {}
             ControlMessage::Relays(peers) => {
                 self.gateway.set_relays(peers);
             }
--- a/crates/chicory_routes/src/route_csv_row.rs
+++ b/crates/chicory_routes/src/route_csv_row.rs
@@ -54,6 +54,8 @@
     pub(crate) warmup_ms: Option<u64>,
     #[serde(default)]
     pub(crate) grant_mode: Option<String>,
+    pub(crate) cold_time_ms: Option<u64>,
+    pub(crate) cold_rate_millihertz: Option<u32>,
     #[serde(default)]
     pub(crate) max_header_bytes: Option<u64>,
     #[serde(default)]
@@ -84,6 +86,8 @@
             is_keyed: None,
             warmup_ms: None,
             grant_mode: None,
+            cold_time_ms: None,
+            cold_rate_millihertz: None,
             max_header_bytes: None,
             max_body_bytes: None,
             header_timeout_ms: None,
@@ -116,6 +120,8 @@
             is_keyed: service.is_keyed,
             warmup_ms: service.warmup.map(millis),
             grant_mode: service.grant_mode.clone(),
+            cold_time_ms: service.cold_time.map(millis),
+            cold_rate_millihertz: service.cold_rate_millihertz,
             ..Self::empty(RowKind::Service)
         }
     }
@@ -156,6 +162,8 @@
             is_keyed: self.is_keyed,
             warmup: self.warmup_ms.map(Duration::from_millis),
             grant_mode: self.grant_mode,
+            cold_time: self.cold_time_ms.map(Duration::from_millis),
+            cold_rate_millihertz: self.cold_rate_millihertz,
         })
     }
 
--- a/crates/chicory_routes/src/routed_service.rs
+++ b/crates/chicory_routes/src/routed_service.rs
@@ -24,4 +24,19 @@
     pub warmup: Option<Duration>,
     /// How backend servers are notified of the keys that they own.
     pub grant_mode: Option<String>,
+    /// How long a backend server stays cold after its start.
+    pub cold_time: Option<Duration>,
+    /// Requests that a cold backend server bears in 1000 seconds, which makes it the rate in
+    /// millihertz; see [`Self::cold_rate_per_s`].
+    pub cold_rate_millihertz: Option<u32>,
+}
+
+impl RoutedService {
+    /// Returns the requests that a cold backend server bears in a second, from all entry VMs
+    /// together. `None` if cold servers have no limit, which is also what a rate of 0 means.
+    #[must_use]
+    pub fn cold_rate_per_s(&self) -> Option<f64> {
+        let rate_millihertz = self.cold_rate_millihertz.filter(|rate| *rate > 0)?;
+        Some(f64::from(rate_millihertz) / 1000.0)
+    }
 }
--- a/crates/chicory_routes/tests/route_csv.rs
+++ b/crates/chicory_routes/tests/route_csv.rs
@@ -21,6 +21,8 @@
         is_keyed,
         warmup: Some(Duration::from_secs(3)),
         grant_mode: Some("direct".into()),
+        cold_time: None,
+        cold_rate_millihertz: None,
     }
 }
 
--- a/crates/chicory_routes/tests/route_table.rs
+++ b/crates/chicory_routes/tests/route_table.rs
@@ -19,6 +19,8 @@
         is_keyed: None,
         warmup: None,
         grant_mode: None,
+        cold_time: None,
+        cold_rate_millihertz: None,
     }
 }
 
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -39,7 +39,11 @@
                 let is_known = table.version <= self.state.routes().version;
                 is_known.then_some(SiteAnswer::Done)
             }
-            SiteCall::Leave { .. } | SiteCall::ReadRoutes => None,
+            // The applied state may be behind, so only the leader answers these.
+            SiteCall::Leave { .. }
+            | SiteCall::ReadRoutes
+            | SiteCall::BeginEvacuation(_)
+            | SiteCall::FinishEvacuation(_) => None,
         }
     }
 
@@ -94,6 +98,8 @@
                 SiteCommand::PutServer(record)
             }
             SiteCall::PutRoutes(table) => SiteCommand::PutRoutes(table),
+            SiteCall::BeginEvacuation(zone) => SiteCommand::BeginEvacuation(zone),
+            SiteCall::FinishEvacuation(zone) => SiteCommand::FinishEvacuation(zone),
             SiteCall::ReadRoutes => {
                 let answer = self.routes_answer();
                 self.reply(reply_to, answer);
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -26,6 +26,7 @@
         zone,
         known,
         relay_address,
+        cpu_share: _,
     } = hello
     else {
         return;
--- a/crates/chicory_site/src/process/operator_server.rs
+++ b/crates/chicory_site/src/process/operator_server.rs
@@ -31,6 +31,14 @@
                 (format!("put routes {version}"), answer)
             }
             SiteCall::ReadRoutes => ("read routes".to_owned(), handle.read_routes().await),
+            SiteCall::BeginEvacuation(zone) => {
+                let answer = handle.begin_evacuation(zone.clone()).await;
+                (format!("begin evacuation of {zone}"), answer)
+            }
+            SiteCall::FinishEvacuation(zone) => {
+                let answer = handle.finish_evacuation(zone.clone()).await;
+                (format!("finish evacuation of {zone}"), answer)
+            }
             // Backend servers have an interface of their own.
             SiteCall::Announce(_) | SiteCall::Leave { .. } => return,
         };
@@ -54,6 +62,6 @@
         SiteAnswer::Routes(_) => "told",
         SiteAnswer::Invalid(_) => "invalid",
         SiteAnswer::Unavailable => "unavailable",
-        SiteAnswer::Stale | SiteAnswer::UnknownService => "refused",
+        SiteAnswer::Stale | SiteAnswer::UnknownService | SiteAnswer::UnknownZone => "refused",
     }
 }
--- a/crates/chicory_site/src/process/site_handle.rs
+++ b/crates/chicory_site/src/process/site_handle.rs
@@ -4,7 +4,7 @@
 
 use chicory_directory::{ServerRecord, SiteAnswer, SiteCall};
 use chicory_routes::{RouteTable, RouteTableFault};
-use chicory_types::ServerId;
+use chicory_types::{ServerId, ZoneName};
 use tokio::sync::{mpsc, oneshot};
 
 use super::site_input::SiteInput;
@@ -52,6 +52,16 @@
         self.call(SiteCall::ReadRoutes).await
     }
 
+    /// Evacuates an availability zone, on behalf of an operator.
+    pub async fn begin_evacuation(&self, zone: ZoneName) -> SiteAnswer {
+        self.call(SiteCall::BeginEvacuation(zone)).await
+    }
+
+    /// Ends the evacuation of an availability zone, on behalf of an operator.
+    pub async fn finish_evacuation(&self, zone: ZoneName) -> SiteAnswer {
+        self.call(SiteCall::FinishEvacuation(zone)).await
+    }
+
     /// Transfers the leadership to another member before a planned stop.
     pub async fn stop(&self) {
         let (done, stopped) = oneshot::channel();
--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -84,6 +84,8 @@
             is_keyed: Some(true),
             warmup: None,
             grant_mode: None,
+            cold_time: None,
+            cold_rate_millihertz: None,
         }],
         ..RouteTable::default()
     }
@@ -131,6 +133,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address,
+        cpu_share: None,
     };
     link.1.put(&site::LinkHello::from(hello));
     link.1.flush().await.expect("an open link");
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -392,6 +392,8 @@
         is_keyed: Some(is_keyed),
         warmup: None,
         grant_mode: None,
+        cold_time: None,
+        cold_rate_millihertz: None,
     };
     RouteTable {
         version,
--- a/crates/chicory_wire/src/directory_convert.rs
+++ b/crates/chicory_wire/src/directory_convert.rs
@@ -162,6 +162,8 @@
             SiteCommand::PutServer(record) => Command::PutServer(record.into()),
             SiteCommand::RemoveServer(removal) => Command::RemoveServer(removal.into()),
             SiteCommand::MoveRange(change) => Command::MoveRange(change.into()),
+            SiteCommand::BeginEvacuation(zone) => Command::BeginEvacuation(zone),
+            SiteCommand::FinishEvacuation(zone) => Command::FinishEvacuation(zone),
         };
         Self {
             command: Some(command),
@@ -178,6 +180,8 @@
             Command::PutServer(record) => Self::PutServer(record.try_into()?),
             Command::RemoveServer(removal) => Self::RemoveServer(removal.try_into()?),
             Command::MoveRange(change) => Self::MoveRange(change.try_into()?),
+            Command::BeginEvacuation(zone) => Self::BeginEvacuation(zone),
+            Command::FinishEvacuation(zone) => Self::FinishEvacuation(zone),
         })
     }
 }
@@ -192,6 +196,9 @@
             servers: into_messages(update.servers),
             removed: into_messages(update.removed),
             ranges: into_messages(update.ranges),
+            evacuations: update.evacuated_zones.map(|zones| site::Evacuations {
+                zones: zones.into_iter().collect(),
+            }),
         }
     }
 }
@@ -208,6 +215,9 @@
             servers: from_messages(message.servers)?,
             removed: from_messages(message.removed)?,
             ranges: from_messages(message.ranges)?,
+            evacuated_zones: message
+                .evacuations
+                .map(|evacuations| evacuations.zones.into_iter().collect()),
         })
     }
 }
@@ -238,6 +248,8 @@
             ranges: ranges.collect(),
             last_fence: state.registry().last_fence(),
             forgotten_up_to: state.forgotten_up_to(),
+            evacuated_zones: state.evacuated_zones().iter().cloned().collect(),
+            evacuations_changed_at: state.evacuations_changed_at(),
         }
     }
 }
@@ -279,13 +291,18 @@
             value: required(message.routes, "site_snapshot.routes")?.try_into()?,
             changed_at: message.routes_changed_at,
         };
-        Ok(Self::restore(
+        let evacuated_zones = Versioned {
+            value: message.evacuated_zones.into_iter().collect(),
+            changed_at: message.evacuations_changed_at,
+        };
+        let state = Self::restore(
             message.version,
             routes,
             from_messages(message.servers)?,
             from_messages(message.removals)?,
             RangeRegistry::restore(message.last_fence, ranges),
             message.forgotten_up_to,
-        ))
+        );
+        Ok(state.with_evacuated_zones(evacuated_zones))
     }
 }
--- a/crates/chicory_wire/src/lib.rs
+++ b/crates/chicory_wire/src/lib.rs
@@ -5,6 +5,8 @@
 //! committed; after a change of a `.proto` file, run `cargo run -p wire_generator`.
 
 mod audit_convert;
+mod balance_convert;
+mod call_convert;
 mod claim_convert;
 mod common_convert;
 mod consensus_convert;
@@ -24,6 +26,7 @@
 mod relay_peer_convert;
 mod renewal_convert;
 mod routes_convert;
+mod server_limit_convert;
 mod table_convert;
 mod view_convert;
 mod zone_convert;
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -1,31 +1,20 @@
 //! Conversions of the messages on links between control and entry VMs.
 
-use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use chicory_directory::{
-    ControlMessage, DirectoryPosition, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus,
-    MovesChange, MovingRange, PeerEnvelope, PermitAnswer, PermitRequest, PoisonReport,
-    ReportedLimit, ServerLimitUpdate, ServerLoad, ServerRest, SiteAnswer, SiteCall,
-};
-use snafu::OptionExt;
-
-use crate::convert_error::{
-    OutOfRangeSnafu, from_messages, into_messages, narrowed, parsed_address, required,
-};
+use crate::balance_convert::stated_cpu_share;
+use crate::convert_error::{from_messages, into_messages, narrowed, parsed_address, required};
 use crate::deflated_message::inflate;
 use crate::directory_convert::key_range;
-use crate::proto::common;
 use crate::proto::consensus::GroupName;
-use crate::proto::site::{
-    self, control_message, entry_message, link_hello, peer_envelope, site_answer, site_call,
-};
+use crate::proto::site::{self, control_message, entry_message, link_hello, peer_envelope};
 use crate::record_macro::convert_record;
 use crate::routes_convert::micros;
 use crate::{ConvertError, peer_message};
-
-/// Bounds of the rate of a limit, in requests per second; they keep times that follow from it finite.
-const RATE_BOUNDS_PER_S: RangeInclusive<f64> = 0.001..=1e9;
+use chicory_directory::{
+    ControlMessage, DirectoryPosition, EntryMessage, EntryReport, KeyCount, LinkHello, LinkStatus,
+    MovesChange, MovingRange, PeerEnvelope, PoisonReport, ServerLoad, ServerRest,
+};
 
 convert_record!(
     LinkStatus,
@@ -62,50 +51,17 @@
 convert_record!(
     EntryReport,
     site::EntryReport {
-        plain: [accepts_server_limits, can_relay],
+        plain: [
+            accepts_server_limits,
+            can_relay,
+            accepts_server_shares,
+            accepts_owner_admission
+        ],
         nested: [],
         list: [keys, servers, poison, limits, permits, leaving, rests],
     }
 );
 
-convert_record!(
-    ServerLimitUpdate,
-    site::ServerLimitUpdate {
-        plain: [],
-        nested: [],
-        list: [limits, permits],
-    }
-);
-
-impl From<ReportedLimit> for site::ReportedLimit {
-    fn from(limit: ReportedLimit) -> Self {
-        Self {
-            life: Some(limit.incarnation.into()),
-            rate_per_s: limit.rate_per_s,
-            sent_age_us: micros(limit.sent_age),
-            received_age_us: micros(limit.received_age),
-        }
-    }
-}
-
-impl TryFrom<site::ReportedLimit> for ReportedLimit {
-    type Error = ConvertError;
-
-    fn try_from(message: site::ReportedLimit) -> Result<Self, ConvertError> {
-        let field = "reported_limit.rate_per_s";
-        let rate_per_s = message.rate_per_s;
-        let is_valid = rate_per_s.is_none_or(is_rate);
-        Ok(Self {
-            incarnation: required(message.life, "reported_limit.life")?.try_into()?,
-            rate_per_s: is_valid
-                .then_some(rate_per_s)
-                .context(OutOfRangeSnafu { field })?,
-            sent_age: Duration::from_micros(message.sent_age_us),
-            received_age: Duration::from_micros(message.received_age_us),
-        })
-    }
-}
-
 impl From<ServerRest> for site::ServerRest {
     fn from(rest: ServerRest) -> Self {
         Self {
@@ -126,63 +82,6 @@
     }
 }
 
-/// Whether a number is the rate of a limit, in requests per second.
-fn is_rate(number: f64) -> bool {
-    RATE_BOUNDS_PER_S.contains(&number)
-}
-
-impl From<PermitRequest> for site::PermitRequest {
-    fn from(request: PermitRequest) -> Self {
-        Self {
-            life: Some(request.incarnation.into()),
-            rank: request.rank,
-            count: request.count,
-            rate_per_s: request.rate_per_s,
-        }
-    }
-}
-
-impl TryFrom<site::PermitRequest> for PermitRequest {
-    type Error = ConvertError;
-
-    fn try_from(message: site::PermitRequest) -> Result<Self, ConvertError> {
-        let field = "permit_request.rate_per_s";
-        let rate_per_s = Some(message.rate_per_s).filter(|rate| is_rate(*rate));
-        Ok(Self {
-            incarnation: required(message.life, "permit_request.life")?.try_into()?,
-            rank: message.rank,
-            count: message.count,
-            rate_per_s: rate_per_s.context(OutOfRangeSnafu { field })?,
-        })
-    }
-}
-
-impl From<PermitAnswer> for site::PermitAnswer {
-    fn from(answer: PermitAnswer) -> Self {
-        Self {
-            life: Some(answer.incarnation.into()),
-            rank: answer.rank,
-            granted: answer.granted,
-            denied: answer.denied,
-            retry_after_us: micros(answer.retry_after),
-        }
-    }
-}
-
-impl TryFrom<site::PermitAnswer> for PermitAnswer {
-    type Error = ConvertError;
-
-    fn try_from(message: site::PermitAnswer) -> Result<Self, ConvertError> {
-        Ok(Self {
-            incarnation: required(message.life, "permit_answer.life")?.try_into()?,
-            rank: message.rank,
-            granted: message.granted,
-            denied: message.denied,
-            retry_after: Duration::from_micros(message.retry_after_us),
-        })
-    }
-}
-
 impl From<MovingRange> for site::MovingRange {
     fn from(moving: MovingRange) -> Self {
         Self {
@@ -268,6 +167,7 @@
                 zone,
                 known,
                 relay_address,
+                cpu_share,
             } => link_hello::From::Entry(site::EntryHello {
                 vm,
                 zone,
@@ -275,6 +175,7 @@
                 known_last_fence: known.last_fence,
                 known_routes_version: known.routes_version,
                 relay_address: relay_address.map(|address| address.to_string()),
+                cpu_share,
             }),
         };
         Self { from: Some(from) }
@@ -305,6 +206,7 @@
                     .relay_address
                     .map(|address| parsed_address(&address, "entry_hello.relay_address"))
                     .transpose()?,
+                cpu_share: stated_cpu_share(hello.cpu_share)?,
             },
         })
     }
@@ -321,6 +223,14 @@
             ControlMessage::Relays(peers) => Message::Relays(site::RelayPeers {
                 peers: into_messages(peers),
             }),
+            ControlMessage::ServerShares(services) => Message::ServerShares(site::ServerShares {
+                services: into_messages(services),
+            }),
+            ControlMessage::OwnerAdmission(owners) => {
+                Message::OwnerAdmission(site::OwnerAdmission {
+                    owners: into_messages(owners),
+                })
+            }
         };
         Self {
             message: Some(message),
@@ -340,6 +250,12 @@
                 Message::Moves(change) => Self::Moves(change.try_into()?),
                 Message::ServerLimits(update) => Self::ServerLimits(update.try_into()?),
                 Message::Relays(relays) => Self::Relays(from_messages(relays.peers)?),
+                Message::ServerShares(shares) => {
+                    Self::ServerShares(from_messages(shares.services)?)
+                }
+                Message::OwnerAdmission(admission) => {
+                    Self::OwnerAdmission(from_messages(admission.owners)?)
+                }
                 Message::Deflated(deflated) => inflate(&deflated)?,
             },
         )
@@ -365,76 +281,6 @@
     }
 }
 
-impl From<SiteCall> for site::SiteCall {
-    fn from(call: SiteCall) -> Self {
-        use site_call::Call;
-        let call = match call {
-            SiteCall::Announce(record) => Call::Announce(record.into()),
-            SiteCall::Leave {
-                server,
-                started_at_ms,
-            } => Call::Leave(site::Leave {
-                server,
-                started_at_ms,
-            }),
-            SiteCall::PutRoutes(table) => Call::PutRoutes(table.into()),
-            SiteCall::ReadRoutes => Call::ReadRoutes(common::Empty {}),
-        };
-        Self { call: Some(call) }
-    }
-}
-
-impl TryFrom<site::SiteCall> for SiteCall {
-    type Error = ConvertError;
-
-    fn try_from(message: site::SiteCall) -> Result<Self, ConvertError> {
-        use site_call::Call;
-        Ok(match required(message.call, "site_call.call")? {
-            Call::Announce(record) => Self::Announce(record.try_into()?),
-            Call::Leave(leave) => Self::Leave {
-                server: leave.server,
-                started_at_ms: leave.started_at_ms,
-            },
-            Call::PutRoutes(table) => Self::PutRoutes(table.try_into()?),
-            Call::ReadRoutes(_) => Self::ReadRoutes,
-        })
-    }
-}
-
-impl From<SiteAnswer> for site::SiteAnswer {
-    fn from(answer: SiteAnswer) -> Self {
-        use site_answer::Answer;
-        let empty = common::Empty {};
-        let answer = match answer {
-            SiteAnswer::Done => Answer::Done(empty),
-            SiteAnswer::Routes(table) => Answer::Routes(table.into()),
-            SiteAnswer::Invalid(fault) => Answer::Invalid(fault),
-            SiteAnswer::Stale => Answer::Stale(empty),
-            SiteAnswer::Unavailable => Answer::Unavailable(empty),
-            SiteAnswer::UnknownService => Answer::UnknownService(empty),
-        };
-        Self {
-            answer: Some(answer),
-        }
-    }
-}
-
-impl TryFrom<site::SiteAnswer> for SiteAnswer {
-    type Error = ConvertError;
-
-    fn try_from(message: site::SiteAnswer) -> Result<Self, ConvertError> {
-        use site_answer::Answer;
-        Ok(match required(message.answer, "site_answer.answer")? {
-            Answer::Done(_) => Self::Done,
-            Answer::Routes(table) => Self::Routes(table.try_into()?),
-            Answer::Invalid(fault) => Self::Invalid(fault),
-            Answer::Stale(_) => Self::Stale,
-            Answer::Unavailable(_) => Self::Unavailable,
-            Answer::UnknownService(_) => Self::UnknownService,
-        })
-    }
-}
-
 impl From<PeerEnvelope> for site::PeerEnvelope {
     fn from(envelope: PeerEnvelope) -> Self {
         use peer_envelope::Content;
--- a/crates/chicory_wire/src/routes_convert.rs
+++ b/crates/chicory_wire/src/routes_convert.rs
@@ -108,6 +108,8 @@
             is_keyed: service.is_keyed,
             warmup_us: service.warmup.map(micros),
             grant_mode: service.grant_mode,
+            cold_time_us: service.cold_time.map(micros),
+            cold_rate_millihertz: service.cold_rate_millihertz,
         }
     }
 }
@@ -123,6 +125,8 @@
             is_keyed: message.is_keyed,
             warmup: message.warmup_us.map(Duration::from_micros),
             grant_mode: message.grant_mode,
+            cold_time: message.cold_time_us.map(Duration::from_micros),
+            cold_rate_millihertz: message.cold_rate_millihertz,
         }
     }
 }
--- a/crates/chicory_wire/tests/link_hellos.rs
+++ b/crates/chicory_wire/tests/link_hellos.rs
@@ -38,6 +38,7 @@
             routes_version: 3,
         },
         relay_address: relay_address.map(|address| address.parse().expect("an address")),
+        cpu_share: None,
     }
 }
 
@@ -49,6 +50,7 @@
         known_last_fence: 5,
         known_routes_version: 3,
         relay_address: relay_address.map(Into::into),
+        cpu_share: None,
     }
 }
 
