--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -58,6 +58,10 @@
 /// A report of an entry VM to the leader, sent periodically and when limits or permits are to be
 /// reported at once.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each one stands for a field of the message"
+)]
 pub struct EntryReport {
     /// Number of requests for each key.
     pub keys: Vec<KeyCount>,
