Let large request bodies take turns on thin links

Small messages waited behind the packets of all bodies. Change: on a link of 10 Mbit/s or less, bodies of 16 KB and more are received one after the other and sent one after the other, in chunks, at 0.8 of the link's rate. A body that can't be received in half of the caller's time is refused at once.

--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -33,6 +33,9 @@
     pub settle_time: Duration,
     /// Availability zone of the entry VM.
     pub zone: ZoneName,
+    /// Rate of the entry VM's link in bytes per second, if it is so thin that large bodies have to
+    /// take turns. The value is positive.
+    pub thin_link_bytes_per_s: Option<f64>,
     /// Seed of random choices.
     pub random_seed: u64,
     /// Policies that are switched off to measure their benefit.
@@ -55,6 +58,7 @@
             retry_window: RETRY_WINDOW,
             settle_time: SETTLE_TIME,
             zone: ZoneName::new(),
+            thin_link_bytes_per_s: None,
             random_seed: 0,
             disabled_policies: BTreeSet::new(),
         }
--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -3,9 +3,15 @@
 use chicory_directory::{EntryReport, KeyCount, ServerLoad};
 use chicory_types::MonoTime;
 
-use super::Gateway;
+use super::{Gateway, GatewayConfig};
 
 impl Gateway {
+    /// Returns the settings.
+    #[must_use]
+    pub fn config(&self) -> &GatewayConfig {
+        &self.config
+    }
+
     /// Returns what happened since the previous report.
     pub fn take_report(&mut self, now: MonoTime) -> EntryReport {
         let can_relay = self.can_relay(now);
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -173,10 +173,16 @@
     time_left: Duration,
 ) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
     let started_at = shared.now();
+    let turn = shared.bulk.send_turn(&request.body, started_at + time_left);
+    let turn = turn.await.map_err(|_| AttemptOutcome::Withheld)?;
     let outgoing = || {
         recheck(shared, target)?;
         let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
-        Ok(outgoing(shared, request, target, left))
+        let mut outgoing = outgoing(shared, request, target, left);
+        if let Some(paced) = turn.paced_body(&request.body) {
+            *outgoing.body_mut() = paced;
+        }
+        Ok(outgoing)
     };
     let Some(peer) = &target.relay else {
         return send_to_server(shared, target, outgoing).await;
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -29,6 +29,10 @@
 /// Largest body that is buffered for sending.
 pub(super) const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Fraction of a request's time in which its body has to be received. The rest is for sending it on
+/// and for the server.
+const RECEIVE_FRACTION: f64 = 0.5;
+
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 /// Idle time for which callers are asked to keep connections. Most callers send another request
@@ -135,6 +139,15 @@
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
+        let now = self.shared.now();
+        let left = deadline.saturating_sub(now);
+        let receive_deadline = now + left.mul_f64(RECEIVE_FRACTION);
+        if let Err(retry_after) = self.shared.bulk.receive_turn(&body, receive_deadline).await {
+            let metrics = &self.shared.metrics;
+            metrics.increment(GatewayMetric::BodiesRefusedByLink);
+            let busy = Refusal::not_run(RefusalReason::Overloaded);
+            return Err(busy.with_retry_after(retry_after));
+        }
         let left = deadline.saturating_sub(self.shared.now());
         let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
         let collected = tokio::time::timeout(left, Limited::new(body, max_bytes).collect()).await;
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -37,6 +37,8 @@
     DeniedByLimit,
     /// Requests refused because their servers had asked for a pause.
     DeniedByRest,
+    /// Requests refused because the link was too busy to receive their bodies in time.
+    BodiesRefusedByLink,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -106,6 +108,7 @@
             Self::UnreadableLeaving => "gateway_unreadable_leaving",
             Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::DeniedByRest => "gateway_denied_by_rest",
+            Self::BodiesRefusedByLink => "gateway_bodies_refused_by_link",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -159,6 +162,9 @@
                 "Requests refused because the rate limits of their servers were used up."
             }
             Self::DeniedByRest => "Requests refused because their servers had asked for a pause.",
+            Self::BodiesRefusedByLink => {
+                "Requests refused because the link was too busy to receive their bodies in time."
+            }
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod answer_observer;
 mod attempt;
+mod bulk_transfers;
 mod caller_handler;
 mod connection_pool;
 mod control_vm_dialer;
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
+use super::bulk_transfers::BulkTransfers;
 use super::connection_pool::ConnectionPool;
 use super::reachability_log::ReachabilityLog;
 use super::relay_log::RelayLog;
@@ -28,6 +29,8 @@
     pub(super) pool: ConnectionPool<ServerIncarnation>,
     /// Sends requests by way of other entry VMs.
     pub(super) relays: RelayClient,
+    /// Lets large bodies take turns.
+    pub(super) bulk: BulkTransfers,
     pub(super) clock: Arc<dyn Clock + Send + Sync>,
     pub(super) callers: Arc<dyn CallerInterface>,
     pub(super) servers: Arc<dyn ServerInterface>,
@@ -55,7 +58,9 @@
         logger: Logger,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let thin_link_bytes_per_s = gateway.config().thin_link_bytes_per_s;
         Self {
+            bulk: BulkTransfers::new(clock.clone(), thin_link_bytes_per_s),
             gateway: Mutex::new(gateway),
             pool: ConnectionPool::new(MAX_IDLE_CONNECTIONS),
             relays: RelayClient::new(vm, clock.clone(), metrics.clone()),
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! | type | load or fault | decision |
 //! |---|---|---|
+//! | [`BulkTurns`] | large bodies of many callers on a thin link | when each one is transferred, or refuse it at once |
 //! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
 //! | [`Outages`] | keys without an owner, or unreachable servers, for seconds | wait, probe now and then, or refuse at once |
 //! | [`PermitIssuer`] | more requests to a server than its limit, from many senders | which sender may send the next one |
@@ -14,6 +15,7 @@
 //! | [`RetryAfter`] | refused callers | when they should retry |
 //! | [`TokenBucket`] | more requests than a rate allows | when the next one may go |
 
+mod bulk_turns;
 mod decaying_rate;
 mod named_limits;
 mod outages;
@@ -24,6 +26,7 @@
 mod spaced_share;
 mod token_bucket;
 
+pub use bulk_turns::{BulkStep, BulkTurns};
 pub use named_limits::{LimitChange, LimitObservation, NamedLimits};
 pub use outages::Outages;
 pub use permit_holder::{PermitHolder, PermitStep, SenderState};
