Answer requests that still wait when a planned stop ends

At the end of the grace period the process left, and its open connections closed. Change: 0.2 s before the process leaves, each request without an answer gets one: not run if no attempt was begun, else a time-out that says that it may have run.

--- a/crates/chicory_gateway/src/decide/refusal.rs
+++ b/crates/chicory_gateway/src/decide/refusal.rs
@@ -32,6 +32,8 @@
     ServerResting,
     /// The deadline passed before any server could have run the request.
     TooLate,
+    /// The entry VM is about to stop.
+    Stopping,
     /// The request crashes servers that run it.
     Poisoned,
     /// No connection to a server could be opened.
@@ -62,6 +64,7 @@
             Self::ServerLimited => "server-limited",
             Self::ServerResting => "server-resting",
             Self::TooLate => "too-late",
+            Self::Stopping => "stopping",
             Self::Poisoned => "poisoned",
             Self::Unreachable => "unreachable",
             Self::NoRetryLeft => "no-retry-left",
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of callers.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,6 +34,10 @@
 /// and for the server.
 const RECEIVE_FRACTION: f64 = 0.5;
 
+/// Time after which a caller that was refused because of a planned stop may come back: other entry
+/// VMs serve it.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
+
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 /// Idle time for which callers are asked to keep connections. Most callers send another request
@@ -79,6 +84,8 @@
     shared: Arc<SharedState>,
     started_at: MonoTime,
     metadata: RequestMetadata,
+    /// Whether an attempt to send the request has begun.
+    has_begun_attempt: AtomicBool,
 }
 
 impl Exchange {
@@ -91,8 +98,15 @@
             shared,
             started_at,
             metadata,
+            has_begun_attempt: AtomicBool::new(false),
+        };
+        let response = tokio::select! {
+            biased;
+            response = exchange.run(head, body) => response,
+            () = exchange.shared.wait_for_due_answers() => {
+                exchange.refuse(None, &exchange.refusal_at_stop())
+            }
         };
-        let response = exchange.run(head, body).await;
         let now = exchange.shared.now();
         let took = now.saturating_sub(started_at);
         let metrics = &exchange.shared.metrics;
@@ -130,6 +144,18 @@
         self.serve(ticket, &request).await
     }
 
+    /// Returns the refusal of a request that still waits when the planned stop ends.
+    fn refusal_at_stop(&self) -> Refusal {
+        if self.has_begun_attempt.load(Ordering::Relaxed) {
+            return Refusal {
+                reason: RefusalReason::TimedOut,
+                may_have_run: true,
+                retry_after: None,
+            };
+        }
+        Refusal::not_run(RefusalReason::Stopping).with_retry_after(RETRY_AFTER_STOP)
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
@@ -189,6 +215,7 @@
                     return self.refuse(Some(&guard.ticket), &refusal);
                 }
                 NextStep::Send(target) => {
+                    self.has_begun_attempt.store(true, Ordering::Relaxed);
                     let left = self.caller_time_left();
                     let result =
                         attempt::run(&self.shared, request, &guard.ticket, &target, left).await;
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -24,6 +24,9 @@
 /// Time from switching readiness off until new connections are no longer accepted. The balancer
 /// checks once a second and removes a VM after two failed checks.
 const BALANCER_REACTION_TIME: Duration = Duration::from_millis(2600);
+/// Time before a planned stop ends in which requests that still wait are answered by this entry VM, so
+/// that no connection closes without an answer.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Part of the grace period that is reserved for the end of the process itself.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which readiness is updated; the balancer checks once a second.
@@ -123,7 +126,14 @@
             .config
             .stop_grace
             .saturating_sub(BALANCER_REACTION_TIME + STOP_MARGIN);
-        match tokio::time::timeout(remaining, served).await {
+        let mut served = served;
+        let before_last_answers = remaining.saturating_sub(LAST_ANSWERS_TIME);
+        let mut ended = tokio::time::timeout(before_last_answers, &mut served).await;
+        if ended.is_err() {
+            shared.answers_are_due.send_replace(true);
+            ended = tokio::time::timeout(LAST_ANSWERS_TIME, &mut served).await;
+        }
+        match ended {
             Ok(_) => info!(shared.logger, "stop ends, all requests were answered"),
             Err(_) => warn!(shared.logger, "stop ends with requests unanswered"),
         }
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -35,6 +35,8 @@
     pub(super) callers: Arc<dyn CallerInterface>,
     pub(super) servers: Arc<dyn ServerInterface>,
     pub(super) readiness: Readiness,
+    /// Set when the planned stop is about to end, and requests that still wait have to be answered.
+    pub(super) answers_are_due: watch::Sender<bool>,
     /// Number of changes of the directory.
     pub(super) changes: watch::Sender<u64>,
     /// Notified when limits or requests for permits have to be reported.
@@ -68,6 +70,7 @@
             callers: interfaces.0,
             servers: interfaces.1,
             readiness,
+            answers_are_due: watch::Sender::new(false),
             changes: watch::Sender::new(0),
             limit_reports: Notify::new(),
             probe_hints: Notify::new(),
@@ -90,6 +93,13 @@
         self.gateway.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until requests that still wait have to be answered, as the planned stop is about to end.
+    pub(super) async fn wait_for_due_answers(&self) {
+        let mut due = self.answers_are_due.subscribe();
+        // The sender lives as long as this state, so the wait can't fail.
+        drop(due.wait_for(|is_due| *is_due).await);
+    }
+
     /// Sets the readiness by which the balancer and callers choose an entry VM.
     pub(super) fn update_readiness(&self) {
         let now = self.now();
