--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -1,6 +1,7 @@
 //! Serves the requests of callers.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,14 @@
 /// Largest body that is buffered for sending.
 pub(super) const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Fraction of a request's time in which its body has to be received. The rest is for sending it on
+/// and for the server.
+const RECEIVE_FRACTION: f64 = 0.5;
+
+/// Time after which a caller that was refused because of a planned stop may come back: other entry
+/// VMs serve it.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
+
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 /// Idle time for which callers are asked to keep connections. Most callers send another request
@@ -75,6 +84,8 @@
     shared: Arc<SharedState>,
     started_at: MonoTime,
     metadata: RequestMetadata,
+    /// Whether an attempt to send the request has begun.
+    has_begun_attempt: AtomicBool,
 }
 
 impl Exchange {
@@ -87,8 +98,15 @@
             shared,
             started_at,
             metadata,
+            has_begun_attempt: AtomicBool::new(false),
+        };
+        let response = tokio::select! {
+            biased;
+            response = exchange.run(head, body) => response,
+            () = exchange.shared.wait_for_due_answers() => {
+                exchange.refuse(None, &exchange.refusal_at_stop())
+            }
         };
-        let response = exchange.run(head, body).await;
         let now = exchange.shared.now();
         let took = now.saturating_sub(started_at);
         let metrics = &exchange.shared.metrics;
@@ -126,6 +144,18 @@
         self.serve(ticket, &request).await
     }
 
+    /// Returns the refusal of a request that still waits when the planned stop ends.
+    fn refusal_at_stop(&self) -> Refusal {
+        if self.has_begun_attempt.load(Ordering::Relaxed) {
+            return Refusal {
+                reason: RefusalReason::TimedOut,
+                may_have_run: true,
+                retry_after: None,
+            };
+        }
+        Refusal::not_run(RefusalReason::Stopping).with_retry_after(RETRY_AFTER_STOP)
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
@@ -135,6 +165,15 @@
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
+        let now = self.shared.now();
+        let left = deadline.saturating_sub(now);
+        let receive_deadline = now + left.mul_f64(RECEIVE_FRACTION);
+        if let Err(retry_after) = self.shared.bulk.receive_turn(&body, receive_deadline).await {
+            let metrics = &self.shared.metrics;
+            metrics.increment(GatewayMetric::BodiesRefusedByLink);
+            let busy = Refusal::not_run(RefusalReason::Overloaded);
+            return Err(busy.with_retry_after(retry_after));
+        }
         let left = deadline.saturating_sub(self.shared.now());
         let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
         let collected = tokio::time::timeout(left, Limited::new(body, max_bytes).collect()).await;
@@ -176,6 +215,7 @@
                     return self.refuse(Some(&guard.ticket), &refusal);
                 }
                 NextStep::Send(target) => {
+                    self.has_begun_attempt.store(true, Ordering::Relaxed);
                     let left = self.caller_time_left();
                     let result =
                         attempt::run(&self.shared, request, &guard.ticket, &target, left).await;
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
+use super::bulk_transfers::BulkTransfers;
 use super::connection_pool::ConnectionPool;
 use super::reachability_log::ReachabilityLog;
 use super::relay_log::RelayLog;
@@ -28,10 +29,14 @@
     pub(super) pool: ConnectionPool<ServerIncarnation>,
     /// Sends requests by way of other entry VMs.
     pub(super) relays: RelayClient,
+    /// Lets large bodies take turns.
+    pub(super) bulk: BulkTransfers,
     pub(super) clock: Arc<dyn Clock + Send + Sync>,
     pub(super) callers: Arc<dyn CallerInterface>,
     pub(super) servers: Arc<dyn ServerInterface>,
     pub(super) readiness: Readiness,
+    /// Set when the planned stop is about to end, and requests that still wait have to be answered.
+    pub(super) answers_are_due: watch::Sender<bool>,
     /// Number of changes of the directory.
     pub(super) changes: watch::Sender<u64>,
     /// Notified when limits or requests for permits have to be reported.
@@ -55,7 +60,9 @@
         logger: Logger,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let thin_link_bytes_per_s = gateway.config().thin_link_bytes_per_s;
         Self {
+            bulk: BulkTransfers::new(clock.clone(), thin_link_bytes_per_s),
             gateway: Mutex::new(gateway),
             pool: ConnectionPool::new(MAX_IDLE_CONNECTIONS),
             relays: RelayClient::new(vm, clock.clone(), metrics.clone()),
@@ -63,6 +70,7 @@
             callers: interfaces.0,
             servers: interfaces.1,
             readiness,
+            answers_are_due: watch::Sender::new(false),
             changes: watch::Sender::new(0),
             limit_reports: Notify::new(),
             probe_hints: Notify::new(),
@@ -85,6 +93,13 @@
         self.gateway.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until requests that still wait have to be answered, as the planned stop is about to end.
+    pub(super) async fn wait_for_due_answers(&self) {
+        let mut due = self.answers_are_due.subscribe();
+        // The sender lives as long as this state, so the wait can't fail.
+        drop(due.wait_for(|is_due| *is_due).await);
+    }
+
     /// Sets the readiness by which the balancer and callers choose an entry VM.
     pub(super) fn update_readiness(&self) {
         let now = self.now();
