--- a/crates/chicory_ctl/tests/routes.rs
+++ b/crates/chicory_ctl/tests/routes.rs
@@ -48,6 +48,7 @@
         is_first_start: true,
         data_dir: data.path().to_owned(),
         grants: GrantCoordinatorConfig::default(),
+        cold_allowance: chicory_site::ColdAllowance::default(),
     };
     let logger = Logger::root(slog::Discard, o!());
     let metrics = Arc::new(Metrics::new().expect("metrics"));
--- a/crates/chicory_directory/src/command_outcome.rs
+++ b/crates/chicory_directory/src/command_outcome.rs
@@ -16,6 +16,8 @@
         /// Incarnations that the server replaced, and that have ended because of it.
         ended: Vec<EndedServer>,
     },
+    /// Only the time for which a server stays cold changed.
+    ColdTimeChanged,
     /// This incarnation of a server was removed.
     ServerRemoved(ServerIncarnation),
     /// Keys moved to another owner under this fence.
--- a/crates/chicory_directory/src/lib.rs
+++ b/crates/chicory_directory/src/lib.rs
@@ -6,6 +6,7 @@
 //! reflects, so versions of different control VMs can be compared.
 
 mod admitted_fraction;
+mod cold_servers;
 mod command_outcome;
 mod control_message;
 mod directory_position;
--- a/crates/chicory_directory/src/server_record.rs
+++ b/crates/chicory_directory/src/server_record.rs
@@ -25,9 +25,9 @@
     pub slots: u32,
     /// Whether the server accepts new work.
     pub state: ServerState,
-    /// How much longer the server stays slow after its start, as of its announcement. An
-    /// announcement in which only this value changed doesn't replace the record, so the value in
-    /// the directory can be old.
+    /// How much longer the server stays cold, as of its announcement. The record is replaced when
+    /// the server turns cold or warm and when it will stay cold for longer than stated before, so
+    /// the value in the directory can be old.
     pub cold_for: Duration,
 }
 
--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -45,8 +45,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SiteState {
     version: DirectoryVersion,
-    routes: Versioned<Arc<RouteTable>>,
-    servers: BTreeMap<ServerId, Versioned<ServerRecord>>,
+    pub(crate) routes: Versioned<Arc<RouteTable>>,
+    pub(crate) servers: BTreeMap<ServerId, Versioned<ServerRecord>>,
     removals: BTreeMap<ServerId, Versioned<ServerRemoval>>,
     registry: RangeRegistry,
     evacuated_zones: Versioned<BTreeSet<ZoneName>>,
@@ -284,8 +284,12 @@
         }
         let record = self.merged(record);
         let known = self.server(&record.incarnation.server);
-        if known.is_some_and(|known| known.equals_except_cold_for(&record)) {
-            return CommandOutcome::Unchanged;
+        if let Some(known) = known.filter(|known| known.equals_except_cold_for(&record)) {
+            if !self.is_cold_time_new(known, &record) {
+                return CommandOutcome::Unchanged;
+            }
+            self.insert_server(index, record);
+            return CommandOutcome::ColdTimeChanged;
         }
         let former = known.filter(|known| known.incarnation != record.incarnation);
         let mut ended: Vec<EndedServer> = former
@@ -302,13 +306,17 @@
         }
         ended.extend(replaced);
         self.removals.remove(&record.incarnation.server);
+        self.insert_server(index, record);
+        CommandOutcome::ServerChanged { ended }
+    }
+
+    fn insert_server(&mut self, index: LogIndex, record: ServerRecord) {
         let server = record.incarnation.server.clone();
         let value = Versioned {
             value: record,
             changed_at: index,
         };
         self.servers.insert(server, value);
-        CommandOutcome::ServerChanged { ended }
     }
 
     fn remove_server(&mut self, index: LogIndex, removal: ServerRemoval) -> CommandOutcome {
@@ -363,6 +371,7 @@
             return CommandOutcome::Unchanged;
         };
         self.evacuated_zones.changed_at = index;
+        self.mark_zone_cold(index, &zone);
         CommandOutcome::EvacuationFinished(zone)
     }
 
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -328,7 +328,7 @@
         if !record.is_some_and(|record| self.may_receive(now, record)) {
             return Recheck::ServerLeft;
         }
-        let has_limit = self.limited.limit(now, &target.incarnation).is_some();
+        let has_limit = self.limit(now, &target.incarnation).is_some();
         let is_resting = self.rests.rest(now, &target.incarnation).is_some();
         if is_resting || (has_limit && !target.has_permit) {
             return Recheck::Withhold;
@@ -416,7 +416,11 @@
             attempt_deadline: now + attempt_time,
             can_be_followed,
             max_idle: if is_order { MAX_ORDER_IDLE } else { MAX_IDLE },
-            connect_timeout: connect_timeout(left, ticket.key.is_some()),
+            connect_timeout: self.connect_limit(
+                now,
+                record,
+                connect_timeout(left, ticket.key.is_some()),
+            ),
             settle_time,
             has_permit,
             relay,
--- a/crates/chicory_gateway/src/decide/gateway_choice.rs
+++ b/crates/chicory_gateway/src/decide/gateway_choice.rs
@@ -73,7 +73,8 @@
             .map(|attempt| &attempt.incarnation)
             .collect();
         let typical = self.typical_latency(&ticket.service);
-        let mut best: Option<(bool, f64, ServerRecord)> = None;
+        let prefers_cold = ticket.was_shed();
+        let mut best: Option<((bool, bool), f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
             let health = self.health.get(&record.incarnation);
             let is_relayed = ticket.relayed_server.as_ref() == Some(&record.incarnation);
@@ -88,7 +89,8 @@
             if is_relayed || is_follow_up || awaited == Some(&record.incarnation) {
                 return Some(record.clone());
             }
-            let is_paused = self.is_avoided(now, record, rank);
+            let is_second = self.is_cold(now, record) != prefers_cold;
+            let order = (self.is_avoided(now, record, rank), is_second);
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
                 |health| health.cost(record.slots, typical),
@@ -105,9 +107,9 @@
             let cost = cost * self.rng.random_range(0.9..1.1);
             let is_better = best
                 .as_ref()
-                .is_none_or(|(paused, least, _)| (is_paused, cost) < (*paused, *least));
+                .is_none_or(|(first, least, _)| (order, cost) < (*first, *least));
             if is_better {
-                best = Some((is_paused, cost, record.clone()));
+                best = Some((order, cost, record.clone()));
             }
         }
         best.map(|(_, _, record)| record)
@@ -120,7 +122,7 @@
         health.is_some_and(|health| health.is_paused(now))
             || self.is_zone_cut_off(now, record)
             || self.reachability.is_cut(record)
-            || self.limited.is_denied(now, &record.incarnation, rank)
+            || self.is_denied(now, record, rank)
             || self.rests.rest(now, &record.incarnation).is_some()
     }
 
--- a/crates/chicory_gateway/src/decide/gateway_follow_up.rs
+++ b/crates/chicory_gateway/src/decide/gateway_follow_up.rs
@@ -30,7 +30,7 @@
         let next = self.choose_server(now, ticket, &denials);
         let reachable = next.filter(|record| !self.is_avoided(now, record, rank));
         let unlimited = reachable.filter(|record| {
-            let limit = self.limited.limit(now, &record.incarnation);
+            let limit = self.limit(now, &record.incarnation);
             limit.is_none()
         });
         let left = ticket.deadline.saturating_sub(now);
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -11,8 +11,8 @@
 use super::limited_servers::{EntryState, LimitedRequest};
 use super::permit_state::PermitState;
 use super::{
-    Gateway, LeavingNotice, LimitInForce, LimitedServerLoad, RefusalReason, RequestTicket,
-    RestNotice, ServerNotices,
+    Gateway, LeavingNotice, LimitInForce, LimitedCounts, LimitedServerLoad, RefusalReason,
+    RequestTicket, RestNotice, ServerNotices,
 };
 
 /// Time without a message from a leader after which it is considered unable to issue permits.
@@ -69,8 +69,9 @@
         if self.directory().server(incarnation).is_none() {
             return LimitChange::Unchanged;
         }
+        let directory = &self.directory;
         self.limited
-            .record_limit(now, incarnation, sent_at, notices)
+            .record_limit(now, directory, incarnation, sent_at, notices)
     }
 
     /// Records limits that the leader reports, and permits that it issues. Returns the limits that
@@ -84,7 +85,7 @@
         let directory = &self.directory;
         let limits = &mut update.limits;
         limits.retain(|limit| directory.server(&limit.incarnation).is_some());
-        self.limited.record_update(now, update)
+        self.limited.record_update(now, directory, update)
     }
 
     /// Records that another control VM is followed.
@@ -104,7 +105,7 @@
     /// Returns the limits and requests for permits that have to be reported at once, if there are
     /// any.
     pub fn take_limit_report(&mut self, now: MonoTime) -> Option<EntryReport> {
-        let (limits, permits) = self.limited.take_reports(now);
+        let (limits, permits) = self.limited.take_reports(now, &self.directory);
         let report = EntryReport {
             limits,
             permits,
@@ -160,7 +161,11 @@
             has_issuer: contact_at.is_some_and(|at| now < at + ISSUER_CONTACT_TIMEOUT),
             random_fraction: self.rng.random_range(0.0..1.0),
         };
-        match self.limited.next_step(now, incarnation, request, entry) {
+        let directory = &self.directory;
+        let step = self
+            .limited
+            .next_step(now, directory, incarnation, request, entry);
+        match step {
             None => ServerStep::Send { has_permit: false },
             Some(PermitStep::Send) => {
                 ticket.permit = None;
@@ -248,11 +253,25 @@
             Some(PermitState::Denied(server)) => server,
             _ => &ticket.attempts.last()?.incarnation,
         };
-        self.limited.limit(now, server)
+        self.limit(now, server)
+    }
+
+    /// Returns the limit of a server, if it has named one or is cold.
+    pub(super) fn limit(
+        &self,
+        now: MonoTime,
+        incarnation: &ServerIncarnation,
+    ) -> Option<LimitInForce> {
+        self.limited.limit(now, &self.directory, incarnation)
     }
 
     /// Returns what was sent to each server with a limit since the previous call.
     pub fn take_limited_server_loads(&mut self, now: MonoTime) -> Vec<LimitedServerLoad> {
-        self.limited.take_loads(now)
+        self.limited.take_loads(now, &self.directory)
+    }
+
+    /// Returns the numbers of requests to cold servers since the previous call.
+    pub fn take_cold_counts(&mut self) -> LimitedCounts {
+        self.limited.take_cold_counts()
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -10,7 +10,7 @@
     pub fn take_report(&mut self, now: MonoTime) -> EntryReport {
         let can_relay = self.can_relay(now);
         let rests = self.take_rests(now);
-        let (limits, permits) = self.limited.take_reports(now);
+        let (limits, permits) = self.limited.take_reports(now, &self.directory);
         let keys = std::mem::take(&mut self.key_counts).into_iter();
         let servers = self
             .health
--- a/crates/chicory_gateway/src/decide/limited_servers.rs
+++ b/crates/chicory_gateway/src/decide/limited_servers.rs
@@ -11,6 +11,7 @@
 use chicory_types::MonoTime;
 
 use super::{LimitNotice, ServerNotices};
+use crate::Directory;
 
 /// A rate limit of a backend server that concerns a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,8 +20,11 @@
     pub incarnation: ServerIncarnation,
     /// Limit of the server for all entry VMs together, in requests per second.
     pub rate_per_s: f64,
-    /// Time since the latest answer that showed the limit.
+    /// Time since the latest answer that showed the limit, or since the directory said that the
+    /// server is cold.
     pub age: Duration,
+    /// Whether the server has the limit because it is cold.
+    pub is_cold: bool,
 }
 
 /// What this entry VM sent to one backend server that has a rate limit.
@@ -51,21 +55,39 @@
     pub(super) random_fraction: f64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    sent: u32,
-    denied: u32,
+/// Numbers of requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitedCounts {
+    /// Requests that were sent.
+    pub sent: u32,
+    /// Requests that were not sent because of a limit.
+    pub denied: u32,
 }
 
-/// Backend servers that have named a rate limit, the permits to send requests to them, and what was
-/// sent.
+impl LimitedCounts {
+    fn record(&mut self, step: PermitStep) {
+        match step {
+            PermitStep::Send => self.sent += 1,
+            PermitStep::Deny(_) => self.denied += 1,
+            PermitStep::Wait(_) => {}
+        }
+    }
+}
+
+/// Backend servers that have named a rate limit or are cold, the permits to send requests to them,
+/// and what was sent.
+///
+/// The lower one of both limits holds. The directory tells which servers are cold, so nothing in
+/// answers lifts the limit of a cold server.
 #[derive(Debug, Default)]
 pub(super) struct LimitedServers {
     limits: NamedLimits<ServerIncarnation>,
     /// Servers whose limit changed since the previous report.
     unreported: BTreeSet<ServerIncarnation>,
     permits: BTreeMap<ServerIncarnation, PermitHolder>,
-    counts: BTreeMap<ServerIncarnation, Counts>,
+    counts: BTreeMap<ServerIncarnation, LimitedCounts>,
+    /// Requests to servers that are cold.
+    cold_counts: LimitedCounts,
 }
 
 impl LimitedServers {
@@ -73,6 +95,7 @@
     pub(super) fn record_limit(
         &mut self,
         now: MonoTime,
+        directory: &Directory,
         incarnation: &ServerIncarnation,
         sent_at: MonoTime,
         notices: &ServerNotices,
@@ -87,7 +110,7 @@
             sent_at,
             received_at: now,
         };
-        let change = self.record(incarnation, observation);
+        let change = self.record(now, directory, incarnation, observation);
         if change != LimitChange::Unchanged {
             self.unreported.insert(incarnation.clone());
         }
@@ -99,6 +122,7 @@
     pub(super) fn record_update(
         &mut self,
         now: MonoTime,
+        directory: &Directory,
         update: ServerLimitUpdate,
     ) -> Vec<(ServerIncarnation, LimitChange)> {
         let mut changes = Vec::new();
@@ -108,7 +132,7 @@
                 sent_at: now.saturating_sub(reported.sent_age),
                 received_at: now.saturating_sub(reported.received_age),
             };
-            let change = self.record(&reported.incarnation, observation);
+            let change = self.record(now, directory, &reported.incarnation, observation);
             if change != LimitChange::Unchanged {
                 changes.push((reported.incarnation, change));
             }
@@ -124,27 +148,50 @@
 
     fn record(
         &mut self,
+        now: MonoTime,
+        directory: &Directory,
         incarnation: &ServerIncarnation,
         observation: LimitObservation,
     ) -> LimitChange {
         let change = self.limits.record(incarnation, observation);
-        if change == LimitChange::Lifted {
+        let is_cold = directory.cold_rate_per_s(now, incarnation).is_some();
+        // The permits and the own share of a cold server stay in use.
+        if change == LimitChange::Lifted && !is_cold {
             self.permits.remove(incarnation);
             self.counts.remove(incarnation);
         }
         change
     }
 
+    /// Returns the limit of a server in requests per second: the lower one of its named limit and
+    /// its cold limit.
+    fn rate_per_s(
+        &self,
+        now: MonoTime,
+        directory: &Directory,
+        incarnation: &ServerIncarnation,
+    ) -> Option<f64> {
+        let named = self.limits.rate_per_s(incarnation);
+        let cold = directory.cold_rate_per_s(now, incarnation);
+        named.into_iter().chain(cold).reduce(f64::min)
+    }
+
     /// Decides whether a request may be sent to a server; `None` if the server has no limit.
     pub(super) fn next_step(
         &mut self,
         now: MonoTime,
+        directory: &Directory,
         incarnation: &ServerIncarnation,
         request: LimitedRequest,
         entry: EntryState,
     ) -> Option<PermitStep> {
+        let Some(rate_per_s) = self.rate_per_s(now, directory, incarnation) else {
+            // What is left of a cold period must not count in the next one.
+            self.permits.remove(incarnation);
+            return None;
+        };
         let sender = SenderState {
-            rate_per_s: self.limits.rate_per_s(incarnation)?,
+            rate_per_s,
             sender_count: entry.entry_count,
             has_issuer: entry.has_issuer,
             random_fraction: entry.random_fraction,
@@ -152,10 +199,9 @@
         let holder = self.permits.entry(incarnation.clone()).or_default();
         let step = holder.next_step(now, request.rank, request.waiting_since, sender);
         let counts = self.counts.entry(incarnation.clone()).or_default();
-        match step {
-            PermitStep::Send => counts.sent += 1,
-            PermitStep::Deny(_) => counts.denied += 1,
-            PermitStep::Wait(_) => {}
+        counts.record(step);
+        if directory.cold_rate_per_s(now, incarnation).is_some() {
+            self.cold_counts.record(step);
         }
         Some(step)
     }
@@ -164,24 +210,36 @@
     pub(super) fn is_denied(
         &self,
         now: MonoTime,
+        directory: &Directory,
         incarnation: &ServerIncarnation,
         rank: Rank,
     ) -> bool {
-        let holder = self.permits.get(incarnation);
-        holder.is_some_and(|holder| holder.is_denied(now, rank))
+        let Some(holder) = self.permits.get(incarnation) else {
+            return false;
+        };
+        holder.is_denied(now, rank) && self.rate_per_s(now, directory, incarnation).is_some()
     }
 
-    /// Returns the limit of a server, if it has one.
+    /// Returns the limit of a server, if it has one: the lower one of its named limit and its cold
+    /// limit.
     pub(super) fn limit(
         &self,
         now: MonoTime,
+        directory: &Directory,
         incarnation: &ServerIncarnation,
     ) -> Option<LimitInForce> {
-        let observation = self.limits.observation(incarnation)?;
+        let rate_per_s = self.rate_per_s(now, directory, incarnation)?;
+        let named = self.limits.observation(incarnation);
+        let named = named.filter(|named| named.rate_per_s == Some(rate_per_s));
+        let since = match named {
+            Some(named) => named.received_at,
+            None => directory.cold_since(incarnation)?,
+        };
         Some(LimitInForce {
             incarnation: incarnation.clone(),
-            rate_per_s: observation.rate_per_s?,
-            age: now.saturating_sub(observation.received_at),
+            rate_per_s,
+            age: now.saturating_sub(since),
+            is_cold: named.is_none(),
         })
     }
 
@@ -190,6 +248,7 @@
     pub(super) fn take_reports(
         &mut self,
         now: MonoTime,
+        directory: &Directory,
     ) -> (Vec<ReportedLimit>, Vec<PermitRequest>) {
         let unreported = std::mem::take(&mut self.unreported).into_iter();
         let limits = unreported.filter_map(|incarnation| {
@@ -204,7 +263,9 @@
         let limits = limits.collect();
         let mut requests = Vec::new();
         for (incarnation, holder) in &mut self.permits {
-            let Some(rate_per_s) = self.limits.rate_per_s(incarnation) else {
+            let named = self.limits.rate_per_s(incarnation);
+            let cold = directory.cold_rate_per_s(now, incarnation);
+            let Some(rate_per_s) = named.into_iter().chain(cold).reduce(f64::min) else {
                 continue;
             };
             for (rank, count) in holder.take_requests(now) {
@@ -230,11 +291,15 @@
     }
 
     /// Returns what was sent to each limited server since the previous call.
-    pub(super) fn take_loads(&mut self, now: MonoTime) -> Vec<LimitedServerLoad> {
+    pub(super) fn take_loads(
+        &mut self,
+        now: MonoTime,
+        directory: &Directory,
+    ) -> Vec<LimitedServerLoad> {
         let counts = std::mem::take(&mut self.counts).into_iter();
         let loads = counts.filter_map(|(incarnation, counts)| {
             Some(LimitedServerLoad {
-                limit: self.limit(now, &incarnation)?,
+                limit: self.limit(now, directory, &incarnation)?,
                 sent: counts.sent,
                 denied: counts.denied,
             })
@@ -242,6 +307,11 @@
         loads.collect()
     }
 
+    /// Returns the numbers of requests to cold servers since the previous call.
+    pub(super) fn take_cold_counts(&mut self) -> LimitedCounts {
+        std::mem::take(&mut self.cold_counts)
+    }
+
     pub(super) fn remove_expired(
         &mut self,
         now: MonoTime,
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use decide::{
     Admission, AttemptOutcome, FollowUp, FollowUpStep, Gateway, GatewayConfig, LeavingNotice,
-    LimitInForce, LimitNotice, LimitedServerLoad, NextStep, Policy, ProbeResult,
+    LimitInForce, LimitNotice, LimitedCounts, LimitedServerLoad, NextStep, Policy, ProbeResult,
     ReachabilityChange, Recheck, Refusal, RefusalReason, RequestMetadata, RequestTicket,
     RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
 };
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -12,6 +12,7 @@
 use chicory_types::{MonoTime, ServerId, ServiceName};
 
 use super::UpdateOutcome;
+use super::cold_servers::ColdServers;
 
 /// Routes, servers and owners of keys, as of one version.
 ///
@@ -42,6 +43,7 @@
     known_since: BTreeMap<ServerIncarnation, MonoTime>,
     draining_since: BTreeMap<ServerIncarnation, MonoTime>,
     owners: BTreeMap<ServiceName, OwnerMap>,
+    cold: ColdServers,
 }
 
 impl Directory {
@@ -94,6 +96,7 @@
         let previous = std::mem::take(&mut self.routes);
         let routes = delta.apply(Arc::unwrap_or_clone(previous));
         let keyed = routes.services.iter().filter(|s| s.is_keyed == Some(true));
+        self.cold.record_routes(&routes);
         self.keyed = keyed.map(|service| service.name.clone()).collect();
         self.position.routes_version = routes.version;
         self.routes = Arc::new(routes);
@@ -108,6 +111,7 @@
                 .entry(record.incarnation.clone())
                 .or_insert(now);
         }
+        self.cold.record(now, &record);
         self.servers
             .insert(record.incarnation.server.clone(), record);
     }
@@ -122,6 +126,29 @@
             .retain(|incarnation, _| is_known(incarnation));
         self.draining_since
             .retain(|incarnation, _| is_known(incarnation));
+        self.cold.retain(is_known);
+    }
+
+    /// Returns the requests per second that a server bears from all entry VMs together because it is
+    /// cold; `None` if it is warm or its service has no cold limit.
+    #[must_use]
+    pub fn cold_rate_per_s(&self, now: MonoTime, incarnation: &ServerIncarnation) -> Option<f64> {
+        self.cold.rate_per_s(now, self.server(incarnation)?)
+    }
+
+    /// Returns when this entry VM received the record that says that a server is cold.
+    #[must_use]
+    pub fn cold_since(&self, incarnation: &ServerIncarnation) -> Option<MonoTime> {
+        self.cold.since(incarnation)
+    }
+
+    /// Returns the number of servers that are cold and have a cold limit.
+    #[must_use]
+    pub fn cold_count(&self, now: MonoTime) -> usize {
+        let servers = self.servers.values();
+        servers
+            .filter(|record| self.cold.rate_per_s(now, record).is_some())
+            .count()
     }
 
     /// Returns the version of the directory; 0 before the first update.
--- a/crates/chicory_gateway/src/view/mod.rs
+++ b/crates/chicory_gateway/src/view/mod.rs
@@ -1,5 +1,6 @@
 //! What an entry VM knows of its site.
 
+mod cold_servers;
 mod directory;
 mod update_outcome;
 
--- a/crates/chicory_gateway/tests/server_notices/backend_server.rs
+++ b/crates/chicory_gateway/tests/server_notices/backend_server.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Length of the span in which requests to a cold server are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Length of the span in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time from an answer with the limit until it binds the entry VM that passed it on.
@@ -43,6 +45,10 @@
 
 #[derive(Default)]
 pub struct BackendServer {
+    /// Spans in which the server is cold.
+    cold_periods: Vec<(Duration, Duration)>,
+    /// Time that the server states as left of a cold period, whatever is left of it.
+    stated_cold: Option<Duration>,
     /// Limits in requests per second, by the time from which the server names them.
     limits: BTreeMap<Duration, Option<f64>>,
     arrivals: Vec<Arrival>,
@@ -69,6 +75,48 @@
         *self.limits.range(..=at).next_back()?.1
     }
 
+    /// Creates a server that is cold in a span.
+    pub fn cold(from: Duration, until: Duration) -> Self {
+        let mut server = Self::default();
+        server.set_cold(from, until);
+        server
+    }
+
+    /// Lets the server be cold in a span.
+    pub fn set_cold(&mut self, from: Duration, until: Duration) {
+        self.cold_periods.push((from, until));
+    }
+
+    /// Lets the server state this time in each cold period, however long it stays cold.
+    pub fn set_stated_cold(&mut self, stated: Duration) {
+        self.stated_cold = Some(stated);
+    }
+
+    /// Returns what the server states as the time for which it stays cold.
+    pub fn cold_left(&self, at: Duration) -> Duration {
+        let mut periods = self.cold_periods.iter();
+        let current = periods.find(|(from, until)| (*from..*until).contains(&at));
+        let left = current.map(|(_, until)| until.saturating_sub(at));
+        left.map_or(Duration::ZERO, |left| self.stated_cold.unwrap_or(left))
+    }
+
+    /// Returns the greatest number of requests in any second of a span in which the server is cold.
+    pub fn most_in_a_second_of_cold(&self, from: Duration, until: Duration) -> usize {
+        let is_counted = |at: &Duration| {
+            let mut periods = self.cold_periods.iter();
+            (from..until).contains(at)
+                && periods.any(|(cold_from, end)| (*cold_from..*end).contains(at))
+        };
+        let arrivals = self.arrivals.iter().map(|arrival| arrival.at);
+        let mut counted: Vec<Duration> = arrivals.filter(is_counted).collect();
+        counted.sort();
+        let ends = counted.iter().enumerate().map(|(last, end)| {
+            let begin = end.saturating_sub(COLD_WINDOW);
+            last + 1 - counted.partition_point(|at| *at <= begin)
+        });
+        ends.max().unwrap_or(0)
+    }
+
     /// Lets the server turn away all requests in a span, and ask for rest each time.
     pub fn set_overload(&mut self, from: Duration, until: Duration, rest: Duration) {
         self.overloads.push((from, until));
--- a/crates/chicory_gateway/tests/server_notices/control_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/control_vm.rs
@@ -1,6 +1,6 @@
 //! A control VM that leads a group of its own, without a network or a disk.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
 use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
 use chicory_site::{SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
 
+use crate::backend_server::BackendServer;
+
 const VM: &str = "10.0.0.1:7540";
 
 pub struct ControlVm {
@@ -51,12 +53,17 @@
         }
     }
 
-    pub fn put_routes(&mut self, now: Duration) {
-        self.call(now, SiteCall::PutRoutes(routes()));
+    /// Puts a route table in which cold servers bear this many requests in 1000 seconds.
+    pub fn put_routes(&mut self, now: Duration, cold_rate_millihertz: Option<u32>) {
+        self.call(now, SiteCall::PutRoutes(routes(cold_rate_millihertz)));
     }
 
-    pub fn announce_servers(&mut self, now: Duration, servers: &[ServerIncarnation]) {
-        for (server, port) in servers.iter().zip(8000..) {
+    pub fn announce_servers(
+        &mut self,
+        now: Duration,
+        servers: &BTreeMap<ServerIncarnation, BackendServer>,
+    ) {
+        for ((server, backend_server), port) in servers.iter().zip(8000..) {
             let record = ServerRecord {
                 incarnation: server.clone(),
                 service: "archive".into(),
@@ -65,7 +72,7 @@
                 software_version: String::new(),
                 slots: 4,
                 state: ServerState::Ready,
-                cold_for: Duration::ZERO,
+                cold_for: backend_server.cold_left(now),
             };
             self.call(now, SiteCall::Announce(record));
         }
@@ -123,7 +130,7 @@
     }
 }
 
-fn routes() -> RouteTable {
+fn routes(cold_rate_millihertz: Option<u32>) -> RouteTable {
     let route = |name: &str, priority| Route {
         name: name.into(),
         host: "host".into(),
@@ -147,8 +154,8 @@
             is_keyed: Some(true),
             warmup: None,
             grant_mode: None,
-            cold_time: None,
-            cold_rate_millihertz: None,
+            cold_time: cold_rate_millihertz.map(|_| Duration::from_secs(3)),
+            cold_rate_millihertz,
         }],
         limits: None,
     }
--- a/crates/chicory_gateway/tests/server_notices/main.rs
+++ b/crates/chicory_gateway/tests/server_notices/main.rs
@@ -3,6 +3,7 @@
 
 mod backend_server;
 mod callers;
+mod cold;
 mod control_vm;
 mod entry_vm;
 mod leaving;
--- a/crates/chicory_gateway/tests/server_notices/world.rs
+++ b/crates/chicory_gateway/tests/server_notices/world.rs
@@ -8,6 +8,8 @@
 use chicory_ranges::ServerIncarnation;
 use chicory_wire::proto::site;
 use prost::Message as _;
+use rand::RngExt;
+use rand::rngs::StdRng;
 
 use crate::backend_server::BackendServer;
 use crate::callers::{Arrivals, Callers};
@@ -20,6 +22,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(900);
 const STEP: Duration = Duration::from_millis(1);
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
+/// Longest time that a connection to a cold server takes to open.
+const MAX_CONNECT_TIME: Duration = Duration::from_millis(300);
 const WORK_TIME: Duration = Duration::from_millis(80);
 
 /// A request at the server, until its answer is received.
@@ -70,6 +74,11 @@
     exchanges: Vec<Exchange>,
     messages: Vec<(Duration, usize, Message)>,
     announce_at: Duration,
+    cold_rate_millihertz: Option<u32>,
+    /// Draws how long connections take to open, if they don't open at once.
+    pub connect_delays: Option<StdRng>,
+    /// Whether answers to requests for permits get lost.
+    pub are_permits_lost: bool,
     /// Messages about limits and permits, in both directions.
     pub limit_traffic: Traffic,
 }
@@ -77,12 +86,26 @@
 impl World {
     /// Starts a site whose backend servers have these names, until callers begin.
     pub fn start(entry_count: usize, server_names: &[&str]) -> Self {
-        let servers = server_names
-            .iter()
-            .map(|name| (ServerIncarnation::new(*name, 1), BackendServer::default()));
+        let names = server_names.iter();
+        let servers = names.map(|name| (*name, BackendServer::default()));
+        Self::start_with(entry_count, servers.collect(), None)
+    }
+
+    /// Starts a site with these backend servers, until callers begin. Cold servers bear this many
+    /// requests in 1000 seconds.
+    pub fn start_with(
+        entry_count: usize,
+        servers: Vec<(&str, BackendServer)>,
+        cold_rate_millihertz: Option<u32>,
+    ) -> Self {
+        let servers = servers.into_iter();
+        let servers = servers.map(|(name, server)| (ServerIncarnation::new(name, 1), server));
         let mut world = Self {
             now: START,
             servers: servers.collect(),
+            cold_rate_millihertz,
+            connect_delays: None,
+            are_permits_lost: false,
             entry_vms: (0..entry_count)
                 .map(|index| EntryVm::new(START, index))
                 .collect(),
@@ -134,10 +157,9 @@
         {
             self.run_until(self.now + STEP);
         }
-        let servers: Vec<ServerIncarnation> = self.servers.keys().cloned().collect();
         let control_vm = self.control_vm.as_mut().expect("a control VM");
-        control_vm.put_routes(self.now);
-        control_vm.announce_servers(self.now, &servers);
+        control_vm.put_routes(self.now, self.cold_rate_millihertz);
+        control_vm.announce_servers(self.now, &self.servers);
         self.announce_at = self.now + ANNOUNCE_INTERVAL;
     }
 
@@ -188,13 +210,15 @@
             control_vm.tick(now);
             if now >= self.announce_at && control_vm.is_leading(now) {
                 self.announce_at = now + ANNOUNCE_INTERVAL;
-                let servers: Vec<ServerIncarnation> = self.servers.keys().cloned().collect();
-                control_vm.announce_servers(now, &servers);
+                control_vm.announce_servers(now, &self.servers);
             }
             for (index, message) in control_vm.outbox.drain(..) {
                 if matches!(message, ControlMessage::ServerLimits(_)) {
                     let message = site::ControlMessage::from(message.clone());
                     self.limit_traffic.record(message.encoded_len());
+                    if self.are_permits_lost {
+                        continue;
+                    }
                 }
                 self.messages
                     .push((arrives_at, index, Message::ToEntry(message)));
@@ -236,7 +260,10 @@
         match progress {
             Progress::Sent(ticket, server) => {
                 self.counts.entry(path).or_default().sent += 1;
-                let arrives_at = self.now + NETWORK_DELAY;
+                let mut arrives_at = self.now + NETWORK_DELAY;
+                if let Some(rng) = &mut self.connect_delays {
+                    arrives_at += MAX_CONNECT_TIME.mul_f64(rng.random_range(0.0..1.0));
+                }
                 let backend_server = self.servers.get_mut(&server).expect("a server");
                 backend_server.record_arrival(arrives_at, entry_vm);
                 let rest = backend_server.rest_at(arrives_at);
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|
 //! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
 //! | [`Outages`] | keys without an owner, or unreachable servers, for seconds | wait, probe now and then, or refuse at once |
+//! | [`ColdAllowance`] | servers that bear few requests just after their start | how many permits for them may accumulate |
 //! | [`PermitIssuer`] | more requests to a server than its limit, from many senders | which sender may send the next one |
 //! | [`PermitHolder`] | the same, at one sender | send, wait for a permit, or refuse at once |
 //! | [`SpacedShare`] | the same, without anybody who issues permits | when a sender may send the next one by itself |
@@ -14,20 +15,24 @@
 //! | [`RetryAfter`] | refused callers | when they should retry |
 //! | [`TokenBucket`] | more requests than a rate allows | when the next one may go |
 
+mod cold_allowance;
 mod decaying_rate;
 mod named_limits;
 mod outages;
 mod permit_holder;
 mod permit_issuer;
+mod permit_limit;
 mod rests;
 mod retry_after;
 mod spaced_share;
 mod token_bucket;
 
+pub use cold_allowance::ColdAllowance;
 pub use named_limits::{LimitChange, LimitObservation, NamedLimits};
 pub use outages::Outages;
 pub use permit_holder::{PermitHolder, PermitStep, SenderState};
 pub use permit_issuer::{PermitDecision, PermitIssuer, Rank};
+pub use permit_limit::PermitLimit;
 pub use rests::{Rest, Rests};
 pub use retry_after::RetryAfter;
 pub use spaced_share::SpacedShare;
--- a/crates/chicory_policy/src/permit_holder.rs
+++ b/crates/chicory_policy/src/permit_holder.rs
@@ -17,7 +17,7 @@
 const MAX_PENDING: u32 = 8;
 /// Fraction of a limit that senders use together without an issuer. The others may still get
 /// permits for all of it.
-const FRACTION_WITHOUT_ISSUER: f64 = 0.5;
+pub(crate) const FRACTION_WITHOUT_ISSUER: f64 = 0.5;
 
 /// Whether a request may be sent to a server with a rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/chicory_policy/src/permit_issuer.rs
+++ b/crates/chicory_policy/src/permit_issuer.rs
@@ -5,17 +5,12 @@
 
 use chicory_types::MonoTime;
 
-use crate::TokenBucket;
 use crate::decaying_rate::DecayingRate;
+use crate::{PermitLimit, TokenBucket};
 
 /// Rank of a request; 0 is the most urgent.
 pub type Rank = u32;
 
-/// Time for which permits accumulate while nobody requests any.
-const BURST_TIME: Duration = Duration::from_millis(500);
-/// Permits that accumulate in addition, so that a low limit is used although requests come at
-/// irregular times.
-const EXTRA_BURST: f64 = 2.0;
 /// Permits that a new issuer has for a server: another one may just have issued the others.
 const INITIAL_PERMITS: f64 = 1.0;
 /// Time without requests after which the permits of a server are forgotten.
@@ -78,7 +73,7 @@
 }
 
 impl<Server: Ord + Clone> PermitIssuer<Server> {
-    /// Decides about one permit for a server whose limit is `rate_per_s`.
+    /// Decides about one permit for a server that names this limit in its answers.
     pub fn decide(
         &mut self,
         now: MonoTime,
@@ -86,7 +81,18 @@
         rate_per_s: f64,
         rank: Rank,
     ) -> PermitDecision {
-        let burst = rate_per_s * BURST_TIME.as_secs_f64() + EXTRA_BURST;
+        self.decide_within(now, server, PermitLimit::named(rate_per_s), rank)
+    }
+
+    /// Decides about one permit for a server with this limit.
+    pub fn decide_within(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        limit: PermitLimit,
+        rank: Rank,
+    ) -> PermitDecision {
+        let PermitLimit { rate_per_s, burst } = limit;
         let issued = self
             .servers
             .entry(server.clone())
--- a/crates/chicory_ranges/src/range_planner.rs
+++ b/crates/chicory_ranges/src/range_planner.rs
@@ -12,6 +12,8 @@
 /// Keys are moved only from servers that are loaded above the mean by this factor: moves cost
 /// callers a short pause, and operators count them.
 const OVERLOAD_FACTOR: f64 = 1.25;
+/// Part of the mean utilization up to which a server whose capacity has grown is filled.
+const GROWTH_FACTOR: f64 = 0.8;
 /// Greatest number of pieces into which the keys of a leaving server, or keys without an owner, are
 /// cut, so that no other server gets all of their load.
 const MAX_PIECES_OF_LEAVING_SERVER: usize = 4;
@@ -43,6 +45,7 @@
     service: ServiceName,
     servers: Vec<PlannedServer>,
     weights: KeyWeights,
+    growing: BTreeSet<ServerIncarnation>,
 }
 
 impl RangePlanner {
@@ -53,9 +56,18 @@
             service,
             servers,
             weights,
+            growing: BTreeSet::new(),
         }
     }
 
+    /// Sets servers whose capacity has just grown. They get keys even if no other server is
+    /// overloaded.
+    #[must_use]
+    pub fn with_growing(mut self, growing: BTreeSet<ServerIncarnation>) -> Self {
+        self.growing = growing;
+        self
+    }
+
     /// Returns the transfers that are due, given the owner of each range.
     ///
     /// Ranges in transfer count for their next owners.
@@ -188,7 +200,11 @@
             let Some(from) = most_loaded(shares, &immovable) else {
                 break;
             };
-            let Some(to) = least_loaded(shares) else {
+            let has_weight = total >= MIN_BALANCING_WEIGHT;
+            let least = self.least_grown(shares, mean_utilization);
+            let least = least.filter(|_| has_weight);
+            let is_growing = least.is_some();
+            let Some(to) = least.or_else(|| least_loaded(shares)) else {
                 break;
             };
             let (from_share, to_share) = (shares[&from], shares[&to]);
@@ -196,8 +212,8 @@
             // Small counts differ by chance alone, so one standard deviation is tolerated.
             let fair_load = mean_utilization * from_share.capacity;
             let has_excess = from_share.load > fair_load * OVERLOAD_FACTOR + from_share.load.sqrt();
-            let is_overloaded = total >= MIN_BALANCING_WEIGHT && has_excess;
-            if from == to || !(has_no_load || is_overloaded) {
+            let is_overloaded = has_weight && has_excess;
+            if from == to || !(has_no_load || is_overloaded || is_growing) {
                 break;
             }
             let capacities = from_share.capacity + to_share.capacity;
@@ -220,6 +236,18 @@
         transfers
     }
 
+    /// Returns the server with the least load among those whose capacity has grown and that are not
+    /// filled yet.
+    fn least_grown(&self, shares: &Shares, mean_utilization: f64) -> Option<ServerIncarnation> {
+        let grown = shares.iter().filter(|(incarnation, share)| {
+            self.growing.contains(*incarnation)
+                && share.utilization() < mean_utilization * GROWTH_FACTOR
+        });
+        let least =
+            grown.min_by(|one, other| one.1.utilization().total_cmp(&other.1.utilization()));
+        least.map(|(incarnation, _)| incarnation.clone())
+    }
+
     /// Returns the part of a server's keys whose load is close to `excess`, with as few
     /// keys as possible.
     fn part_to_move(
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -65,13 +65,14 @@
         if !known.equals_except_cold_for(&merged) {
             return None;
         }
+        let is_cold_change = self.is_cold_change(now, &merged);
         if self.mover.is_some() {
             self.record_announcement(now, record.incarnation.clone());
         } else {
             self.unforwarded_announcements
                 .insert(record.incarnation.clone());
         }
-        Some(SiteAnswer::Done)
+        (!is_cold_change).then_some(SiteAnswer::Done)
     }
 
     /// Records when a server announced itself, and notifies the grant coordinator if the directory
@@ -95,11 +96,15 @@
             }
             SiteCall::Announce(record) => {
                 self.record_first_announcement(now, &record);
-                SiteCommand::PutServer(record)
+                SiteCommand::PutServer(self.proposed_record(now, record))
             }
             SiteCall::PutRoutes(table) => SiteCommand::PutRoutes(table),
             SiteCall::BeginEvacuation(zone) => SiteCommand::BeginEvacuation(zone),
-            SiteCall::FinishEvacuation(zone) => SiteCommand::FinishEvacuation(zone),
+            SiteCall::FinishEvacuation(zone) => {
+                // Announcements that are proposed after this may be applied after it.
+                self.cold.periods.hold_zone(now, zone.clone());
+                SiteCommand::FinishEvacuation(zone)
+            }
             SiteCall::ReadRoutes => {
                 let answer = self.routes_answer();
                 self.reply(reply_to, answer);
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -12,6 +12,7 @@
 use chicory_ranges::KeyLoad;
 use chicory_types::{MonoTime, VmId, ZoneName};
 
+use super::cold_servers::cold_permit_limit;
 use super::entry_link::EntryLink;
 use super::server_limits::LimitsVersion;
 use super::{EntryLinkId, SiteCore, SiteEffect, SiteNote};
@@ -224,7 +225,9 @@
                 entry.sent_limits = version;
             }
         }
-        let mut updates = self.limits.answer(now, requests);
+        let (state, allowance) = (&self.state, self.config.cold_allowance);
+        let cold_limit = |server: &_| cold_permit_limit(state, allowance, server);
+        let mut updates = self.limits.answer(now, requests, cold_limit);
         for (link, sent) in outdated {
             let changes = self.limits.changes_since(now, sent);
             if !changes.is_empty() {
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -70,6 +70,7 @@
         self.rests = Rests::default();
         self.limits.clear();
         self.planned_rates.clear();
+        self.cold.clear_leader_state();
         self.grant_events.clear();
     }
 
@@ -153,6 +154,7 @@
         self.leaving.retain(|incarnation| is_known(incarnation));
         self.limits.remove_expired(now, is_known);
         self.rests.retain(now, is_known);
+        self.cold.remove_expired(now, is_known);
         let resting = self.resting_servers_to_relieve(now);
         let resting = resting
             .into_iter()
@@ -220,12 +222,13 @@
         if is_new && !self.has_settled(now, service) {
             return;
         }
-        let servers = self.eligible_servers(now, service);
+        let mut servers = self.eligible_servers(now, service);
         let load = self.loads.get(service);
         let weights = load.map_or_else(KeyWeights::even, chicory_ranges::KeyLoad::weights);
         let owners = self.expected_owners(mover, service);
-        let planner = RangePlanner::new(service.clone(), servers, weights);
         let pending_count = mover.pending_transfers(service).count();
+        let growing = self.limit_cold_servers(now, &mut servers, &owners, &weights);
+        let planner = RangePlanner::new(service.clone(), servers, weights).with_growing(growing);
         let may_balance = may_balance && pending_count < planner.max_pending_transfers();
         let transfers = planner.plan(&owners);
         for transfer in transfers {
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -1,6 +1,9 @@
 //! The reducer of a control process.
 
 mod calls;
+mod cold_capacities;
+mod cold_periods;
+mod cold_servers;
 mod entries;
 mod entry_link;
 mod fault_tolerance;
--- a/crates/chicory_site/src/core/replicated_log.rs
+++ b/crates/chicory_site/src/core/replicated_log.rs
@@ -9,6 +9,7 @@
 use chicory_wire::proto::site;
 use prost::Message;
 
+use super::cold_servers;
 use super::site_core::Proposal;
 use super::{SiteCore, SiteEffect, SiteNote};
 
@@ -132,7 +133,10 @@
             self.on_unreadable(index);
             return;
         };
+        let announced = cold_servers::announced_server(&command);
+        let was_cold = announced.is_some_and(|server| self.state.cold_rate_per_s(server).is_some());
         let outcome = self.state.apply(index, command.clone());
+        self.record_cold_outcome(now, &command, &outcome, was_cold);
         if let (SiteCommand::PutServer(record), CommandOutcome::ServerChanged { ended }) =
             (&command, &outcome)
         {
--- a/crates/chicory_site/src/core/server_limits.rs
+++ b/crates/chicory_site/src/core/server_limits.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use chicory_directory::{PermitAnswer, PermitRequest, ReportedLimit, ServerLimitUpdate};
-use chicory_policy::{LimitChange, LimitObservation, NamedLimits, PermitDecision, PermitIssuer};
+use chicory_policy::{
+    LimitChange, LimitObservation, NamedLimits, PermitDecision, PermitIssuer, PermitLimit,
+};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
@@ -76,27 +78,35 @@
     }
 
     /// Decides about requests for permits, the most urgent ones first. Returns the answers by link.
+    /// `cold_limit` returns the limit of a server that is cold.
     pub(super) fn answer(
         &mut self,
         now: MonoTime,
         requests: Vec<(EntryLinkId, PermitRequest)>,
+        cold_limit: impl Fn(&ServerIncarnation) -> Option<PermitLimit>,
     ) -> BTreeMap<EntryLinkId, ServerLimitUpdate> {
         let mut requests = requests;
         requests.sort_by_key(|(_, request)| request.rank);
         let mut updates: BTreeMap<EntryLinkId, ServerLimitUpdate> = BTreeMap::new();
         for (link, request) in requests {
-            let answer = self.answer_one(now, request);
+            let cold_limit = cold_limit(&request.incarnation);
+            let answer = self.answer_one(now, request, cold_limit);
             updates.entry(link).or_default().permits.push(answer);
         }
         updates
     }
 
-    fn answer_one(&mut self, now: MonoTime, request: PermitRequest) -> PermitAnswer {
+    fn answer_one(
+        &mut self,
+        now: MonoTime,
+        request: PermitRequest,
+        cold_limit: Option<PermitLimit>,
+    ) -> PermitAnswer {
         let mut granted = 0;
         let mut retry_after = Duration::ZERO;
         let count = request.count.min(MAX_REQUESTED_PERMITS);
         while granted < count {
-            match self.decide(now, &request) {
+            match self.decide(now, &request, cold_limit) {
                 PermitDecision::Granted => granted += 1,
                 PermitDecision::Denied(after) => {
                     retry_after = after;
@@ -113,16 +123,28 @@
         }
     }
 
-    fn decide(&mut self, now: MonoTime, request: &PermitRequest) -> PermitDecision {
+    /// Decides about one permit by the named limit and the cold limit of the server, whichever is
+    /// lower. The limit that the request states counts if neither is known.
+    fn decide(
+        &mut self,
+        now: MonoTime,
+        request: &PermitRequest,
+        cold_limit: Option<PermitLimit>,
+    ) -> PermitDecision {
         let incarnation = &request.incarnation;
         let rate_per_s = match self.limits.observation(incarnation) {
             Some(observation) => observation.rate_per_s,
             None => Some(request.rate_per_s),
         };
-        match rate_per_s {
-            Some(rate_per_s) => self
+        let named_limit = rate_per_s.map(PermitLimit::named);
+        let limit = match (named_limit, cold_limit) {
+            (Some(named), Some(cold)) => Some(named.stricter(cold)),
+            (named, cold) => named.or(cold),
+        };
+        match limit {
+            Some(limit) => self
                 .issuer
-                .decide(now, incarnation, rate_per_s, request.rank),
+                .decide_within(now, incarnation, limit, request.rank),
             // The entry VM is about to learn that the limit was lifted.
             None => PermitDecision::Granted,
         }
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicory_consensus::{ConfigError, Formation, MemberId, ReplicaConfig, VOTER_CONTACT_TIMEOUT};
+use chicory_policy::ColdAllowance;
 use chicory_ranges::GrantCoordinatorConfig;
 use chicory_types::{Incarnation, VmId, ZoneName};
 
@@ -63,6 +64,7 @@
     pub(super) voter_count: usize,
     pub(super) random_seed: u64,
     pub(super) grants: GrantCoordinatorConfig,
+    pub(super) cold_allowance: ColdAllowance,
 }
 
 impl SiteConfig {
@@ -77,6 +79,7 @@
             voter_count: MIN_VOTER_COUNT,
             random_seed: 0,
             grants: GrantCoordinatorConfig::default(),
+            cold_allowance: ColdAllowance::default(),
         }
     }
 
@@ -109,6 +112,13 @@
         self
     }
 
+    /// Sets how far the requests to a cold server may exceed its rate.
+    #[must_use]
+    pub fn with_cold_allowance(mut self, cold_allowance: ColdAllowance) -> Self {
+        self.cold_allowance = cold_allowance;
+        self
+    }
+
     /// Returns the settings of the replica that runs as `incarnation` of this member.
     pub(crate) fn replica_config(
         &self,
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -9,6 +9,7 @@
 use chicory_ranges::{CallId, GrantCall, GrantCoordinator, GrantEvent, KeyLoad, ServerIncarnation};
 use chicory_types::{MonoTime, ServiceName, VmId, ZoneName};
 
+use super::cold_servers::ColdServers;
 use super::entry_link::EntryLink;
 use super::note_budget::NoteBudget;
 use super::planned_rates::PlannedRates;
@@ -106,6 +107,7 @@
     /// Rate limits of backend servers, as far as entry VMs report them to this leader.
     pub(super) limits: ServerLimits,
     pub(super) planned_rates: PlannedRates,
+    pub(super) cold: ColdServers,
     pub(super) poison: PoisonRegistry,
     pub(super) proposals: BTreeMap<u64, Proposal>,
     pub(super) forwarded_calls: BTreeMap<SiteCallId, ForwardedCall>,
@@ -153,6 +155,7 @@
             leaving: BTreeSet::new(),
             limits: ServerLimits::default(),
             planned_rates: PlannedRates::default(),
+            cold: ColdServers::default(),
             poison: PoisonRegistry::default(),
             proposals: BTreeMap::new(),
             forwarded_calls: BTreeMap::new(),
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -35,6 +35,15 @@
         /// more.
         rate_per_s: Option<f64>,
     },
+    /// A server of a service with a cold limit turned cold or warm.
+    ServerColdChanged {
+        /// The server.
+        server_incarnation: ServerIncarnation,
+        /// Whether it is cold.
+        is_cold: bool,
+        /// Number of such notes that were left out before this one.
+        suppressed: u64,
+    },
     /// This member was elected leader.
     BecameLeader {
         /// Term of the leadership.
--- a/crates/chicory_site/src/lib.rs
+++ b/crates/chicory_site/src/lib.rs
@@ -8,6 +8,7 @@
 mod core;
 mod process;
 
+pub use chicory_policy::ColdAllowance;
 pub use core::{
     CallerId, EntryLinkId, FaultTolerance, GrantRequest, SiteConfig, SiteCore, SiteEffect,
     SiteEvent, SiteNote, ToleranceShortfall, VoterPlan,
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -23,6 +23,12 @@
             rate_per_s,
         } => info!(logger, "server limit changed"; "server" => %server_incarnation,
             "rate_per_s" => rate_per_s),
+        SiteNote::ServerColdChanged {
+            server_incarnation,
+            is_cold,
+            suppressed,
+        } => info!(logger, "server turned cold or warm"; "server" => %server_incarnation,
+            "is_cold" => is_cold, "lines_suppressed" => suppressed),
         SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
         SiteNote::ActingAsLeader { version } => {
             info!(logger, "acts as leader"; "version" => version);
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -31,6 +31,8 @@
     EntryVms,
     /// Entry VMs that have reported that they can't relay requests for others.
     EntryVmsUnableToRelay,
+    /// Backend servers that are cold and have a cold limit.
+    ColdServers,
     /// Lists of relay peers that were sent to entry VMs.
     RelayListsSent,
     /// Version of the directory.
@@ -55,6 +57,7 @@
             Self::IterationTime => "site_turn_seconds",
             Self::EntryVms => "site_entry_vms",
             Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
+            Self::ColdServers => "site_cold_servers",
             Self::RelayListsSent => "site_relay_lists_sent",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
@@ -78,6 +81,7 @@
             Self::EntryVmsUnableToRelay => {
                 "Entry VMs that have reported that they can't relay requests for others."
             }
+            Self::ColdServers => "Backend servers that are cold and have a cold limit.",
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -82,7 +82,8 @@
             .with_zone(zone.clone())
             .with_voter_count(config.voter_count)
             .with_random_seed(election_seed(&vm, clock.now()))
-            .with_grants(config.grants.clone());
+            .with_grants(config.grants.clone())
+            .with_cold_allowance(config.cold_allowance);
         let storage = storage_worker::start(config, inbox.clone(), logger.clone())?;
         let listener = LinkListener {
             listener,
@@ -204,6 +205,8 @@
         let unable_count = self.core.unable_to_relay_count() as u64;
         self.metrics
             .set(SiteMetric::EntryVmsUnableToRelay, unable_count);
+        let cold_count = self.core.cold_count() as u64;
+        self.metrics.set(SiteMetric::ColdServers, cold_count);
     }
 
     fn run_effect(&mut self, effect: SiteEffect) {
--- a/crates/chicory_site/src/process/site_process_config.rs
+++ b/crates/chicory_site/src/process/site_process_config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use chicory_policy::ColdAllowance;
 use chicory_ranges::GrantCoordinatorConfig;
 use chicory_types::{ClusterName, VmId, ZoneName};
 
@@ -27,4 +28,6 @@
     pub data_dir: PathBuf,
     /// Settings of grants.
     pub grants: GrantCoordinatorConfig,
+    /// How far the requests to a cold server may exceed its rate.
+    pub cold_allowance: ColdAllowance,
 }
--- a/crates/chicory_site/tests/site_process.rs
+++ b/crates/chicory_site/tests/site_process.rs
@@ -59,6 +59,7 @@
         is_first_start: true,
         data_dir: folder.path().to_path_buf(),
         grants: GrantCoordinatorConfig::default(),
+        cold_allowance: chicory_site::ColdAllowance::default(),
     };
     let started = SiteProcess::start(
         config,
