--- a/crates/chicory_gateway/tests/server_notices/main.rs
+++ b/crates/chicory_gateway/tests/server_notices/main.rs
@@ -4,6 +4,7 @@
 mod backend_server;
 mod callers;
 mod cold;
+mod cold_owners;
 mod control_vm;
 mod entry_vm;
 mod leaving;
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -1,6 +1,7 @@
 //! Checks what operators, backend servers and entry VMs observe of a site during failures, in
 //! virtual time.
 
+mod cold_servers;
 mod control_groups;
 mod entry_reports;
 mod grants;
