--- a/crates/chicory_gateway/tests/server_notices/cold_owners.rs
+++ b/crates/chicory_gateway/tests/server_notices/cold_owners.rs
@@ -110,3 +110,22 @@
         expect_that!(refused, le(0.02), "{stated:?}");
     }
 }
+
+/// The other servers are hardly above the mean without this one, so nothing but its own growth is a
+/// reason to move keys to it.
+#[gtest]
+fn one_server_that_turns_warm_gets_its_share_although_no_other_one_is_overloaded() {
+    let mut world = world(10, &["a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9"]);
+    world.add_callers(READS, Callers::even(200.0));
+    world.run_until(TRAFFIC_AT + seconds(5));
+    let back_at = world.now;
+    let server = BackendServer::cold(back_at, back_at + COLD_TIME);
+    world
+        .servers
+        .insert(ServerIncarnation::new("b1", 1), server);
+    let from = back_at + COLD_TIME + seconds(10);
+    world.run_until(from + seconds(10));
+    // A fair share is 20 requests a second.
+    let rate = world.server("b1").rate_between(from, from + seconds(10));
+    expect_that!(rate, ge(0.6 * 20.0));
+}
