Check a relayed request's server again just before the request is sent

Cause: a relay peer looked a server up when a request arrived, then read the body, opened a connection and sent the request without looking again. An upload was at its server 2.094 s after the leave was acknowledged; the bound is 2 s.

Change: `Gateway::recheck_relayed` decides after the body was read and just before each write, as `recheck` does at the entry VM of the caller. The entry VM of the caller then uses another server or waits for another owner, and holds it neither against the relay peer nor against the path if its own directory says that the server left. A relay peer that has never known an incarnation no longer refuses at once: it reads the body and waits for its directory for 0.3 s at most. It sends nothing to servers that stay unknown, as whoever reaches the port could have requests sent to any address otherwise. Ended incarnations are remembered for a minute to tell both apart. Bodies are read whole on both entry VMs before a server is chosen or a connection opened; the entry VM of the caller already looked again before each write.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -336,7 +336,7 @@
         Recheck::Send
     }
 
-    fn may_receive(&self, now: MonoTime, record: &ServerRecord) -> bool {
+    pub(super) fn may_receive(&self, now: MonoTime, record: &ServerRecord) -> bool {
         if self
             .health
             .get(&record.incarnation)
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -81,6 +81,10 @@
             | AttemptOutcome::OtherServer
             | AttemptOutcome::Unreachable
             | AttemptOutcome::Withheld => MAX_OWNER_TRIES,
+            // The relay peer sends nothing to an owner that has left, and another one may follow.
+            AttemptOutcome::UnreachableFromRelay if self.has_left(now, incarnation) => {
+                MAX_OWNER_TRIES
+            }
             AttemptOutcome::Shed if !is_congested => MAX_OWNER_TRIES,
             AttemptOutcome::Garbled | AttemptOutcome::Broken | AttemptOutcome::RelayBroken => 2,
             _ => 0,
--- a/crates/chicory_gateway/src/decide/gateway_relays.rs
+++ b/crates/chicory_gateway/src/decide/gateway_relays.rs
@@ -152,6 +152,9 @@
         let Some(record) = self.directory.server(incarnation).cloned() else {
             return false;
         };
+        if outcome == AttemptOutcome::UnreachableFromRelay && self.has_left(now, incarnation) {
+            return false;
+        }
         let is_tried = match outcome {
             // One server that fails is no reason for a relay if others can serve the request.
             AttemptOutcome::Unreachable | AttemptOutcome::Refused => {
@@ -214,7 +217,13 @@
             AttemptOutcome::RelayUnavailable | AttemptOutcome::RelayBroken => {
                 self.relays.record_failure(now, peer);
             }
-            AttemptOutcome::UnreachableFromRelay => self.relays.record_unreached(now, peer),
+            AttemptOutcome::UnreachableFromRelay => {
+                // A relay peer sends nothing to a server that has left, which shows nothing about
+                // its paths.
+                if !self.has_left(now, incarnation) {
+                    self.relays.record_unreached(now, peer);
+                }
+            }
             AttemptOutcome::Answered
             | AttemptOutcome::Failed
             | AttemptOutcome::Shed
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -81,7 +81,8 @@
     /// The entry VM that was to relay the request could not be reached, or refused; nothing was sent
     /// to the server.
     RelayUnavailable,
-    /// The entry VM that relays the request could not open a connection to the server either.
+    /// The entry VM that relays the request could not open a connection to the server either, or knows
+    /// that the server gets no more requests.
     UnreachableFromRelay,
     /// The connection to the entry VM that relays the request broke after something was sent.
     RelayBroken,
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -12,8 +12,8 @@
 pub use decide::{
     Admission, AttemptOutcome, FollowUp, FollowUpStep, Gateway, GatewayConfig, LeavingNotice,
     LimitInForce, LimitNotice, LimitedServerLoad, NextStep, Policy, ProbeResult,
-    ReachabilityChange, Recheck, Refusal, RefusalReason, RequestMetadata, RequestTicket,
-    RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
+    ReachabilityChange, Recheck, Refusal, RefusalReason, RelayRecheck, RequestMetadata,
+    RequestTicket, RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -18,6 +18,7 @@
 use super::shared_state::SharedState;
 use super::used_link::{LinkPeer, UsedLink};
 use super::{GatewayMetric, RelayHead, RelayHeadError, RelayOutcome};
+use crate::{AttemptOutcome, RelayRecheck};
 
 /// Header of an answer that states the [`RelayOutcome`].
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("chicory-relay-outcome");
@@ -96,12 +97,16 @@
     }
     let body = read_body(body).await.ok_or(RelayOutcome::BadRequest)?;
     relayed.add_bytes(body.len());
+    relayed.wait_for_server().await?;
     let mut headers = head.headers.clone();
     remove_hop_by_hop(&mut headers);
     headers.remove(header::EXPECT);
     let shared = &relayed.shared;
     let target = relayed.head.target(shared.now());
-    let request = || Ok(server_request(head, headers.clone(), &body));
+    let request = || match relayed.recheck() {
+        RelayRecheck::Send => Ok(server_request(head, headers.clone(), &body)),
+        RelayRecheck::Withhold | RelayRecheck::NotKnownYet => Err(AttemptOutcome::Unreachable),
+    };
     let sent = send_to_server(shared, &target, request).await;
     sent.map_err(RelayOutcome::of_attempt)
 }
--- a/crates/chicory_gateway/src/process/relay_outcome.rs
+++ b/crates/chicory_gateway/src/process/relay_outcome.rs
@@ -9,7 +9,8 @@
 pub enum RelayOutcome {
     /// The answer of the backend server follows.
     Answer,
-    /// No connection to the server could be opened.
+    /// No connection to the server could be opened, or the server gets no more requests. Nothing was
+    /// sent to it.
     Unreachable,
     /// The server's host refused the connection.
     RefusedByServer,
@@ -25,7 +26,8 @@
     CutOff,
     /// The entry VM is about to stop.
     Stopping,
-    /// The directory of the entry VM does not contain the server, or has another address for it.
+    /// The directory of the entry VM does not contain the server, or has another address for it, and
+    /// the wait for an update was in vain.
     UnknownServer,
     /// The request to the entry VM lacks headers or has malformed ones.
     BadRequest,
--- a/crates/chicory_gateway/src/process/relayed_request.rs
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -1,12 +1,18 @@
 //! A request that is relayed for another entry VM.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use chicory_types::MonoTime;
+use tokio::time::Instant;
 
 use super::shared_state::SharedState;
 use super::{GatewayMetric, RelayAdmission, RelayHead, RelayLoad, RelayOutcome};
+use crate::RelayRecheck;
 
+/// Longest wait for a server that the directory does not contain yet. Control VMs send each change to
+/// all entry VMs at once, so a directory is behind for little more than a delay of the network.
+const MAX_DIRECTORY_WAIT: Duration = Duration::from_millis(300);
 /// Outcome in the log of a request that the other entry VM cancelled.
 const CANCELLED: &str = "cancelled";
 /// Outcome in the log of a request whose answer broke off.
@@ -47,16 +53,11 @@
             return Err(RelayOutcome::Stopping);
         }
         let now = self.shared.now();
-        let is_known = {
-            let gateway = self.shared.gateway();
-            if !gateway.can_relay(now) {
-                return Err(RelayOutcome::CutOff);
-            }
-            let record = gateway.directory().server(&self.head.server);
-            record.is_some_and(|record| record.address == self.head.address)
-        };
-        if !is_known {
-            return Err(RelayOutcome::UnknownServer);
+        if !self.shared.gateway().can_relay(now) {
+            return Err(RelayOutcome::CutOff);
+        }
+        if self.recheck() == RelayRecheck::Withhold {
+            return Err(RelayOutcome::Unreachable);
         }
         let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
         match load.try_begin(body_bytes) {
@@ -68,6 +69,37 @@
         }
     }
 
+    /// Whether the request may be sent to its server now.
+    pub(super) fn recheck(&self) -> RelayRecheck {
+        let now = self.shared.now();
+        let gateway = self.shared.gateway();
+        gateway.recheck_relayed(now, &self.head.server, self.head.address)
+    }
+
+    /// Waits until the directory contains the server, which another entry VM may have learned of
+    /// earlier. Servers that it never contains get nothing: whoever reaches the port could have
+    /// requests sent to any address otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the request if it may not be sent.
+    pub(super) async fn wait_for_server(&self) -> Result<(), RelayOutcome> {
+        let mut changes = self.shared.changes.subscribe();
+        let limit = MAX_DIRECTORY_WAIT.min(self.head.attempt_time / 3);
+        let until = Instant::now() + limit;
+        loop {
+            match self.recheck() {
+                RelayRecheck::Send => return Ok(()),
+                RelayRecheck::Withhold => return Err(RelayOutcome::Unreachable),
+                RelayRecheck::NotKnownYet => {}
+            }
+            let notified = tokio::time::timeout_at(until, changes.changed()).await;
+            if !matches!(notified, Ok(Ok(()))) {
+                return Err(RelayOutcome::UnknownServer);
+            }
+        }
+    }
+
     pub(super) fn add_bytes(&mut self, bytes: usize) {
         self.relayed_bytes = self.relayed_bytes.saturating_add(bytes as u64);
     }
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use chicory_directory::{
     DirectoryPosition, DirectoryUpdate, DirectoryVersion, ServerRecord, ServerState,
@@ -13,6 +14,10 @@
 
 use super::UpdateOutcome;
 
+/// Time for which incarnations that have ended are remembered. It is longer than the directory of an
+/// entry VM in contact with control VMs can lag behind that of another one.
+const ENDED_MEMORY: Duration = Duration::from_mins(1);
+
 /// Routes, servers and owners of keys, as of one version.
 ///
 /// The version never decreases, whichever control VM the updates come from.
@@ -41,6 +46,8 @@
     /// Time at which this entry VM first learned of each server's current incarnation.
     known_since: BTreeMap<ServerIncarnation, MonoTime>,
     draining_since: BTreeMap<ServerIncarnation, MonoTime>,
+    /// Time at which this entry VM learned that an incarnation had ended.
+    ended_at: BTreeMap<ServerIncarnation, MonoTime>,
     owners: BTreeMap<ServiceName, OwnerMap>,
 }
 
@@ -85,7 +92,7 @@
                 owners.put(owned);
             }
         }
-        self.forget_removed_servers();
+        self.forget_removed_servers(now);
         UpdateOutcome::Changed
     }
 
@@ -100,6 +107,7 @@
     }
 
     fn put_server(&mut self, now: MonoTime, record: ServerRecord) {
+        self.ended_at.remove(&record.incarnation);
         self.known_since
             .entry(record.incarnation.clone())
             .or_insert(now);
@@ -112,14 +120,18 @@
             .insert(record.incarnation.server.clone(), record);
     }
 
-    fn forget_removed_servers(&mut self) {
+    fn forget_removed_servers(&mut self, now: MonoTime) {
         let servers = &self.servers;
         let is_known = |incarnation: &ServerIncarnation| {
             let known = servers.get(&incarnation.server);
             known.is_some_and(|known| known.incarnation == *incarnation)
         };
-        self.known_since
-            .retain(|incarnation, _| is_known(incarnation));
+        self.ended_at.retain(|_, at| now < *at + ENDED_MEMORY);
+        let ended = self
+            .known_since
+            .extract_if(.., |incarnation, _| !is_known(incarnation));
+        self.ended_at
+            .extend(ended.map(|(incarnation, _)| (incarnation, now)));
         self.draining_since
             .retain(|incarnation, _| is_known(incarnation));
     }
@@ -186,6 +198,16 @@
         (record.incarnation == *incarnation).then_some(record)
     }
 
+    /// Whether this incarnation was removed or replaced by a later start of the server. Incarnations
+    /// that were removed over a minute ago are no longer remembered.
+    #[must_use]
+    pub fn has_ended(&self, incarnation: &ServerIncarnation) -> bool {
+        let known = self.servers.get(&incarnation.server);
+        let is_replaced =
+            known.is_some_and(|known| known.incarnation.started_at_ms > incarnation.started_at_ms);
+        is_replaced || self.ended_at.contains_key(incarnation)
+    }
+
     /// Returns the owner of a key according to the directory.
     #[must_use]
     pub fn owner(&self, service: &str, key: Key) -> Option<&OwnedRange> {
--- a/crates/chicory_gateway/tests/decisions/relays.rs
+++ b/crates/chicory_gateway/tests/decisions/relays.rs
@@ -7,12 +7,14 @@
 use crate::reachability::{
     LONGEST_DETECTION, gateway_over_two_zones, gateway_over_two_zones_with, probe_until,
 };
-use crate::support::{START, expect_sent, metadata};
-use chicory_directory::RelayPeer;
+use crate::support::{START, expect_sent, metadata, server, table};
+use chicory_directory::{DirectoryUpdate, RelayPeer, ServerRecord, ServerState};
 use chicory_gateway::{
     Admission, AttemptOutcome, Gateway, GatewayConfig, NextStep, Policy, RefusalReason,
-    RequestTicket,
+    RelayRecheck, RequestMetadata, RequestTicket, RestNotice, ServerNotices,
 };
+use chicory_ranges::ServerIncarnation;
+use chicory_routes::RouteTableDelta;
 use googletest::prelude::*;
 
 fn peers() -> Vec<RelayPeer> {
@@ -327,3 +329,147 @@
     let step = gateway.next_step(START, &mut next);
     expect_that!(reason_of(&step), eq(RefusalReason::Unreachable));
 }
+
+/// Guards against orders that are refused, and healthy relay peers that are paused, because servers
+/// left while relay peers read the bodies.
+#[gtest]
+fn order_that_a_relay_peer_withholds_from_a_server_that_left_goes_to_another_one() {
+    for is_removed in [false, true] {
+        let (mut gateway, now) = cut_off(|_| false);
+        let mut routes = table(2);
+        for route in &mut routes.routes {
+            route.timeout = None;
+        }
+        let untimed = DirectoryUpdate {
+            version: 10,
+            routes: Some(RouteTableDelta::whole(&routes)),
+            ..DirectoryUpdate::default()
+        };
+        gateway.update(now, untimed);
+        let four_seconds = RequestMetadata {
+            time_left: Some(Duration::from_secs(4)),
+            ..metadata(None)
+        };
+        let mut sent = Vec::new();
+        for _ in 0..24 {
+            let admission = gateway.admit(now, "host", "/orders/x", &four_seconds);
+            let Admission::Accepted(mut ticket) = admission else {
+                panic!("refused: {admission:?}");
+            };
+            let target = expect_sent(gateway.next_step(now, &mut ticket));
+            expect_that!(target.relay, some(anything()));
+            sent.push((ticket, target));
+        }
+        let leaving = ["o1", "o2", "o3"];
+        let mut left = DirectoryUpdate {
+            version: 11,
+            ..DirectoryUpdate::default()
+        };
+        for name in leaving {
+            if is_removed {
+                left.removed.push(ServerIncarnation::new(name, 1));
+            } else {
+                left.servers
+                    .push(server(name, "ledger", ServerState::Draining));
+            }
+        }
+        gateway.update(now, left);
+        let now = now + Duration::from_millis(1250);
+        sent.retain(|(_, target)| leaving.contains(&target.incarnation.server.as_str()));
+        expect_that!(sent.len(), ge(9));
+        for (ticket, _) in &mut sent {
+            let unreachable = AttemptOutcome::UnreachableFromRelay;
+            let may_retry = gateway.record_attempt_end(now, ticket, unreachable);
+            expect_that!(may_retry, eq(true));
+            let next = expect_sent(gateway.next_step(now, ticket));
+            expect_that!(next.incarnation.server, eq("o4"));
+            expect_that!(next.relay, some(anything()));
+        }
+    }
+}
+
+/// Guards against requests that reach a server by way of this entry VM after it has left.
+#[gtest]
+fn relayed_request_is_withheld_from_a_server_that_left() {
+    let mut gateway = gateway_over_two_zones();
+    let record = server("o1", "ledger", ServerState::Draining);
+    let (server, address) = (record.incarnation.clone(), record.address);
+    let recheck = |gateway: &Gateway, now| gateway.recheck_relayed(now, &server, address);
+    expect_that!(recheck(&gateway, START), eq(RelayRecheck::Send));
+    let update = |version| DirectoryUpdate {
+        version,
+        ..DirectoryUpdate::default()
+    };
+    let draining = DirectoryUpdate {
+        servers: vec![record.clone()],
+        ..update(10)
+    };
+    gateway.update(START, draining);
+    let grace = Duration::from_millis(1200);
+    let within = START + grace.saturating_sub(Duration::from_millis(1));
+    expect_that!(recheck(&gateway, within), eq(RelayRecheck::Send));
+    expect_that!(recheck(&gateway, START + grace), eq(RelayRecheck::Withhold));
+    let removed = DirectoryUpdate {
+        removed: vec![server.clone()],
+        ..update(11)
+    };
+    gateway.update(START, removed);
+    expect_that!(recheck(&gateway, START), eq(RelayRecheck::Withhold));
+    // A server that was removed by mistake is added again as the same incarnation.
+    let ready = ServerRecord {
+        state: ServerState::Ready,
+        ..record
+    };
+    let added = DirectoryUpdate {
+        servers: vec![ready],
+        ..update(12)
+    };
+    gateway.update(START, added);
+    expect_that!(recheck(&gateway, START), eq(RelayRecheck::Send));
+    // A full update removes what it does not contain.
+    let emptied = DirectoryUpdate {
+        is_full: true,
+        ..update(13)
+    };
+    gateway.update(START, emptied);
+    expect_that!(recheck(&gateway, START), eq(RelayRecheck::Withhold));
+}
+
+/// Guards against requests that reach a server by way of this entry VM while it has asked it for a
+/// pause.
+#[gtest]
+fn relayed_request_is_withheld_from_a_server_that_rests() {
+    let mut gateway = gateway_over_two_zones();
+    let record = server("o1", "ledger", ServerState::Ready);
+    let notices = ServerNotices {
+        rest: RestNotice::For(Duration::from_secs(2)),
+        ..ServerNotices::default()
+    };
+    gateway.record_rest(START, &record.incarnation, &notices);
+    let during = gateway.recheck_relayed(START, &record.incarnation, record.address);
+    expect_that!(during, eq(RelayRecheck::Withhold));
+    let after = START + Duration::from_secs(3);
+    let after = gateway.recheck_relayed(after, &record.incarnation, record.address);
+    expect_that!(after, eq(RelayRecheck::Send));
+}
+
+/// Guards against refusals by a relay peer whose directory is older than that of the entry VM of the
+/// caller, and against requests that it sends to an earlier start of their server.
+#[gtest]
+fn incarnation_that_was_never_known_is_told_from_one_that_has_ended() {
+    let gateway = gateway_over_two_zones();
+    let record = server("o1", "ledger", ServerState::Ready);
+    for (id, started_at_ms, expected) in [
+        ("o9", 1, RelayRecheck::NotKnownYet),
+        ("o1", 2, RelayRecheck::NotKnownYet),
+        ("o1", 1, RelayRecheck::Send),
+        ("o1", 0, RelayRecheck::Withhold),
+    ] {
+        let server = ServerIncarnation::new(id, started_at_ms);
+        let recheck = gateway.recheck_relayed(START, &server, record.address);
+        expect_that!(recheck, eq(expected), "{server}");
+    }
+    let elsewhere = SocketAddr::from(([10, 0, 0, 9], 1));
+    let recheck = gateway.recheck_relayed(START, &record.incarnation, elsewhere);
+    expect_that!(recheck, eq(RelayRecheck::NotKnownYet));
+}
--- a/crates/chicory_gateway/tests/relay/main.rs
+++ b/crates/chicory_gateway/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod backend_server;
 mod cancellation;
+mod departures;
 mod exchanges;
 mod headers;
 mod interfaces;
--- a/crates/chicory_gateway/tests/relay/refusals.rs
+++ b/crates/chicory_gateway/tests/relay/refusals.rs
@@ -19,7 +19,7 @@
 
 static LONG_BODY: [u8; 4_000_000] = [b'x'; 4_000_000];
 
-fn head_for(address: SocketAddr) -> RelayHead {
+pub fn head_for(address: SocketAddr) -> RelayHead {
     RelayHead {
         from: "entry-1".into(),
         request: Some("a-1".into()),
@@ -34,7 +34,7 @@
 }
 
 /// Sends a request as it is to the entry VM, and again as long as that is overloaded.
-async fn send_raw(
+pub async fn send_raw(
     to: SocketAddr,
     request: impl Fn() -> Request<HttpBody>,
 ) -> Response<hyper::body::Incoming> {
@@ -49,7 +49,7 @@
     }
 }
 
-fn with_head(head: &RelayHead) -> Request<HttpBody> {
+pub fn with_head(head: &RelayHead) -> Request<HttpBody> {
     let mut request = get();
     head.write(request.headers_mut()).expect("headers");
     request
--- a/crates/chicory_gateway/tests/relay/site.rs
+++ b/crates/chicory_gateway/tests/relay/site.rs
@@ -41,9 +41,11 @@
 pub struct Site {
     pub peer: RelayPeer,
     pub metrics: Arc<Metrics>,
-    pub server: BackendServer,
+    pub server: Arc<BackendServer>,
     pub readiness: Readiness,
     pub stop: watch::Sender<bool>,
+    /// Update of the directory that is sent in answer to the next report.
+    pub updates: watch::Sender<DirectoryUpdate>,
 }
 
 impl Site {
@@ -68,7 +70,8 @@
         let control = TcpListener::bind(SocketAddr::from((LOOPBACK, 0))).await;
         let control = control.expect("a free port");
         let control_address = control.local_addr().expect("an address");
-        tokio::spawn(run_control_vm(control, address));
+        let updates = watch::Sender::new(DirectoryUpdate::default());
+        tokio::spawn(run_control_vm(control, address, updates.subscribe()));
         let peer = peer_at(relay_address);
         let config = GatewayProcessConfig {
             vm: peer.vm.clone(),
@@ -99,9 +102,10 @@
         Self {
             peer,
             metrics,
-            server,
+            server: Arc::new(server),
             readiness,
             stop,
+            updates,
         }
     }
 
@@ -116,6 +120,20 @@
     ServerIncarnation::new("i-1", 7)
 }
 
+/// Returns the record of the server that a [`Site`] knows.
+pub fn server_record(address: SocketAddr) -> ServerRecord {
+    ServerRecord {
+        incarnation: incarnation(),
+        service: "archive".into(),
+        address,
+        zone: "north".into(),
+        software_version: String::new(),
+        slots: 4,
+        state: ServerState::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
 pub fn target_at(address: SocketAddr) -> Target {
     Target {
         incarnation: incarnation(),
@@ -154,25 +172,23 @@
 }
 
 /// Sends the directory to each entry process, and a status in answer to each report.
-async fn run_control_vm(listener: TcpListener, server: SocketAddr) {
+async fn run_control_vm(
+    listener: TcpListener,
+    server: SocketAddr,
+    updates: watch::Receiver<DirectoryUpdate>,
+) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve_entry(stream, server));
+        tokio::spawn(serve_entry(stream, server, updates.clone()));
     }
 }
 
-async fn serve_entry(stream: TcpStream, server: SocketAddr) {
+async fn serve_entry(
+    stream: TcpStream,
+    server: SocketAddr,
+    mut updates: watch::Receiver<DirectoryUpdate>,
+) {
     let mut link = split(stream).expect("a link");
     link.0.next().await.expect("a hello");
-    let record = ServerRecord {
-        incarnation: incarnation(),
-        service: "archive".into(),
-        address: server,
-        zone: "north".into(),
-        software_version: String::new(),
-        slots: 4,
-        state: ServerState::Ready,
-        cold_for: Duration::ZERO,
-    };
     let status = ControlMessage::Status(LinkStatus {
         is_in_contact: true,
         ..LinkStatus::default()
@@ -184,7 +200,7 @@
             version: 1,
             ..RouteTable::default()
         })),
-        servers: vec![record],
+        servers: vec![server_record(server)],
         ..DirectoryUpdate::default()
     });
     link.1.put(&site::ControlMessage::from(status.clone()));
@@ -193,6 +209,10 @@
         let Ok(Some(_)) = link.0.next().await else {
             return;
         };
+        if updates.has_changed().unwrap_or(false) {
+            let update = ControlMessage::Update(updates.borrow_and_update().clone());
+            link.1.put(&site::ControlMessage::from(update));
+        }
         link.1.put(&site::ControlMessage::from(status.clone()));
     }
 }
