--- a/crates/chicory_directory/tests/updates.rs
+++ b/crates/chicory_directory/tests/updates.rs
@@ -25,6 +25,7 @@
     servers: BTreeMap<String, ServerRecord>,
     /// Owner and fence of each key that has an owner.
     owners: BTreeMap<u16, (ServerIncarnation, Fence)>,
+    evacuated_zones: BTreeSet<String>,
 }
 
 impl NaiveFollower {
@@ -38,6 +39,9 @@
             self.servers.clear();
             self.owners.clear();
         }
+        if let Some(zones) = update.evacuated_zones {
+            self.evacuated_zones = zones;
+        }
         if let Some(delta) = update.routes {
             assert!(delta.applies_to(&self.routes));
             self.position.routes_version = delta.version;
@@ -100,8 +104,14 @@
     }
 }
 
+fn random_zone(rng: &mut StdRng) -> String {
+    format!("zone-{}", rng.random_range(0..4))
+}
+
 fn random_command(rng: &mut StdRng, index: u64, state: &SiteState) -> SiteCommand {
-    match rng.random_range(0..10) {
+    match rng.random_range(0..12) {
+        10 => SiteCommand::BeginEvacuation(random_zone(rng)),
+        11 => SiteCommand::FinishEvacuation(random_zone(rng)),
         0 => SiteCommand::PutRoutes(RouteTable {
             version: index,
             routes: (0..5)
