Send nothing to servers of evacuated zones

Cause: operators can order that a zone be evacuated; entry VMs were told of it and did nothing. Change: the directory keeps the evacuated zones and since when each is known. Requests without a key leave at once, those for keys after a grace (the bound less 2 s; 3 s by default), both when a server is chosen and right before each send. An entry VM that starts, or was without contact for over a second, grants no grace from then on: the order may be old. Servers of evacuated zones are neither followed up to nor probed, requests that were held back don't count as failed connections, and if all servers of a service are in evacuated zones its requests are refused at once. A gauge, and a line for each change. Ruled out: a flag in each target for the grace; whether a service has keys tells the same.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -320,8 +320,8 @@
     }
 
     /// Whether a request may still be sent to the server that was chosen for it. Opening a
-    /// connection takes time, and meanwhile the server may have begun to drain, may have left, or
-    /// may have named a rate limit or asked for a pause.
+    /// connection takes time, and meanwhile the server may have begun to drain, may have left, may
+    /// have named a rate limit or asked for a pause, or its zone may be evacuated.
     #[must_use]
     pub fn recheck(&self, now: MonoTime, target: &Target) -> Recheck {
         let record = self.directory.server(&target.incarnation);
@@ -344,6 +344,9 @@
         {
             return false;
         }
+        if self.is_evacuated(now, record) {
+            return false;
+        }
         let draining_since = self.directory.draining_since(&record.incarnation);
         let leaving_since = self.leaving_since.get(&record.incarnation).copied();
         let earliest = draining_since.into_iter().chain(leaving_since).min();
@@ -359,7 +362,8 @@
         grant: &(ServiceName, Fence),
     ) -> NextStep {
         let is_lasting = self.owner_outages.record_unusable(now, grant);
-        if is_lasting && self.config.is_enabled(Policy::Outages) {
+        let is_lasting = is_lasting && self.config.is_enabled(Policy::Outages);
+        if is_lasting || self.has_only_evacuated_servers(now, &ticket.service) {
             return NextStep::Refuse(self.refusal(now, ticket, RefusalReason::NoOwner));
         }
         let since = *ticket.waiting_since.get_or_insert(now);
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -18,6 +18,9 @@
 /// many connections resets a new one within a round trip, which takes less than this time
 /// within a region.
 const SETTLE_TIME: Duration = Duration::from_millis(5);
+/// Time that the owners of keys in an evacuated zone still get requests: keys leave a zone within
+/// 2 s, and nothing may reach its servers 5 s after the order.
+const EVACUATION_GRACE: Duration = Duration::from_secs(3);
 
 /// Settings of a [`Gateway`](crate::Gateway).
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +34,9 @@
     /// Time to wait on a new connection before anything is sent on it. If the server closes the
     /// connection within this time, it has rejected it.
     pub settle_time: Duration,
+    /// Time from when an entry VM learns that an availability zone is evacuated until its servers get
+    /// no more requests for keys that they own. They get no requests without keys from the start.
+    pub evacuation_grace: Duration,
     /// Availability zone of the entry VM.
     pub zone: ZoneName,
     /// Seed of random choices.
@@ -54,6 +60,7 @@
             retry_slack: RETRY_SLACK,
             retry_window: RETRY_WINDOW,
             settle_time: SETTLE_TIME,
+            evacuation_grace: EVACUATION_GRACE,
             zone: ZoneName::new(),
             random_seed: 0,
             disabled_policies: BTreeSet::new(),
--- a/crates/chicory_gateway/src/decide/gateway_freshness.rs
+++ b/crates/chicory_gateway/src/decide/gateway_freshness.rs
@@ -57,6 +57,7 @@
     pub fn record_status(&mut self, now: MonoTime, status: &LinkStatus) {
         if status.is_in_contact {
             self.majority_contact_at = Some(now);
+            self.directory.record_contact(now);
             self.entry_count.record(now, status.entry_count);
         }
         // Only a leader reports how many entry VMs follow it.
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -121,7 +121,10 @@
             return false;
         }
         let servers = self.directory.servers();
-        let ready = servers.filter(|record| record.state == ServerState::Ready);
+        let evacuations = self.directory.evacuations();
+        let ready = servers.filter(|record| {
+            record.state == ServerState::Ready && !evacuations.contains(&record.zone)
+        });
         let (cut, reached): (Vec<_>, Vec<_>) =
             ready.partition(|record| self.reachability.is_cut(record));
         !reached.is_empty() && cut.len() <= reached.len()
@@ -178,6 +181,10 @@
         let Some(record) = self.directory.server(incarnation) else {
             return;
         };
+        // A request that was held back just before it was sent shows nothing about the path.
+        if outcome == AttemptOutcome::Unreachable && self.is_evacuated(now, record) {
+            return;
+        }
         let zone = self.zones.entry(record.zone.clone()).or_default();
         match outcome {
             // While the network is cut, new connections may be answered with resets.
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod gateway_attempts;
 mod gateway_choice;
 mod gateway_config;
+mod gateway_evacuation;
 mod gateway_follow_up;
 mod gateway_freshness;
 mod gateway_notices;
--- a/crates/chicory_gateway/src/decide/server_reachability.rs
+++ b/crates/chicory_gateway/src/decide/server_reachability.rs
@@ -295,8 +295,14 @@
             state.retain(|incarnation| directory.server(incarnation).is_some());
         }
         let groups = &mut self.groups;
-        let is_known =
-            |group: &ServerGroup| directory.servers().any(|record| group.contains(record));
+        // Servers of evacuated zones are not probed, so a group of such servers could never be found
+        // to be reachable again.
+        let is_known = |group: &ServerGroup| {
+            let mut servers = directory.servers();
+            servers.any(|record| {
+                group.contains(record) && !directory.evacuations().contains(&record.zone)
+            })
+        };
         groups.retain(|group, _| is_known(group));
         self.answered_at.retain(|group, _| is_known(group));
     }
@@ -304,5 +310,7 @@
 
 fn ready_servers(directory: &Directory) -> impl Iterator<Item = &ServerRecord> {
     let servers = directory.servers();
-    servers.filter(|record| record.state == ServerState::Ready)
+    servers.filter(|record| {
+        record.state == ServerState::Ready && !directory.evacuations().contains(&record.zone)
+    })
 }
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -20,4 +20,4 @@
     GatewayProcessError, RelayAdmission, RelayClient, RelayHead, RelayHeadError, RelayLoad,
     RelayOutcome, RelayedCall, ServerInterface,
 };
-pub use view::{Directory, UpdateOutcome};
+pub use view::{Directory, Evacuations, UpdateOutcome};
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -15,6 +15,7 @@
 use super::GatewayMetric;
 use super::control_vm_dialer::ControlVmDialer;
 use super::control_vm_search::ControlVmSearch;
+use super::evacuation_log::EvacuationLog;
 use super::loss_cause::LossCause;
 use super::search_cause::SearchCause;
 use super::shared_state::SharedState;
@@ -59,6 +60,7 @@
     /// Whether the log already states that no control VM can be reached.
     is_loss_logged: bool,
     logged: LoggedChange,
+    evacuations: EvacuationLog,
     limited_logged_at: Instant,
 }
 
@@ -110,6 +112,7 @@
                 routes_version: 0,
                 suppressed: 0,
             },
+            evacuations: EvacuationLog::default(),
             limited_logged_at: Instant::now(),
         }
     }
@@ -386,6 +389,7 @@
         let metrics = &self.shared.metrics;
         metrics.set(GatewayMetric::DirectoryVersion, version);
         metrics.set(GatewayMetric::RoutesVersion, routes_version);
+        self.evacuations.update(&self.shared);
         self.shared.update_readiness();
         let logged = &mut self.logged;
         let has_new_routes = logged.routes_version != routes_version;
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -39,6 +39,8 @@
     DeniedByRest,
     /// Links to control VMs that were lost.
     ControlLinksLost,
+    /// Availability zones that are evacuated.
+    EvacuatedZones,
     /// Version of the directory.
     DirectoryVersion,
     /// Version of the route table.
@@ -107,6 +109,7 @@
             Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::DeniedByRest => "gateway_denied_by_rest",
             Self::ControlLinksLost => "gateway_control_links_lost",
+            Self::EvacuatedZones => "gateway_evacuated_zones",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
             Self::UpdateTransfer => "gateway_update_transfer_seconds",
@@ -160,6 +163,7 @@
             }
             Self::DeniedByRest => "Requests refused because their servers had asked for a pause.",
             Self::ControlLinksLost => "Links to control VMs that were lost.",
+            Self::EvacuatedZones => "Availability zones that are evacuated.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
             Self::UpdateTransfer => "Time from an update's first byte to its last.",
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod control_vm_dialer;
 mod control_vm_search;
 mod directory_link;
+mod evacuation_log;
 mod follow_up;
 mod gateway_metric;
 mod gateway_process;
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -11,7 +11,7 @@
 
 use chicory_types::{MonoTime, ServerId, ServiceName};
 
-use super::UpdateOutcome;
+use super::{Evacuations, UpdateOutcome};
 
 /// Routes, servers and owners of keys, as of one version.
 ///
@@ -42,6 +42,7 @@
     known_since: BTreeMap<ServerIncarnation, MonoTime>,
     draining_since: BTreeMap<ServerIncarnation, MonoTime>,
     owners: BTreeMap<ServiceName, OwnerMap>,
+    evacuations: Evacuations,
 }
 
 impl Directory {
@@ -85,6 +86,10 @@
                 owners.put(owned);
             }
         }
+        match update.evacuated_zones {
+            Some(zones) => self.evacuations.replace(now, zones),
+            None => self.evacuations.record_update(),
+        }
         self.forget_removed_servers();
         UpdateOutcome::Changed
     }
@@ -163,7 +168,8 @@
         self.keyed.contains(service)
     }
 
-    /// Returns the servers of a service that accept new work.
+    /// Returns the servers of a service that accept new work; those of evacuated availability zones
+    /// don't.
     pub fn ready_servers<'a>(
         &'a self,
         service: &'a str,
@@ -171,6 +177,18 @@
         let servers = self.servers.values();
         servers
             .filter(move |record| record.service == service && record.state == ServerState::Ready)
+            .filter(|record| !self.evacuations.contains(&record.zone))
+    }
+
+    /// Returns the evacuated availability zones.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Records contact to a majority of control VMs.
+    pub fn record_contact(&mut self, now: MonoTime) {
+        self.evacuations.record_contact(now);
     }
 
     /// Returns all servers.
