Let operators evacuate a zone, and move its keys at once

Change: POST /api/evacuations/ZONE/begin and /finish; the leader refuses zones that the settings don't name, or without such settings those where no server and no control VM is known. Servers of an evacuated zone may own no keys; their keys are planned at once, and also while other moves are open. Notes for begin, in force and finished, a gauge. An update with nothing but evacuated zones counted as empty and was not sent; it is now.

--- a/crates/chicory_ctl/tests/routes.rs
+++ b/crates/chicory_ctl/tests/routes.rs
@@ -43,6 +43,7 @@
         vm: address.to_string(),
         link_address: address,
         zone: "north".into(),
+        zones: std::collections::BTreeSet::new(),
         seeds: vec![address.to_string()],
         voter_count: 3,
         is_first_start: true,
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -98,6 +98,12 @@
                 SiteCommand::PutServer(record)
             }
             SiteCall::PutRoutes(table) => SiteCommand::PutRoutes(table),
+            SiteCall::BeginEvacuation(zone) | SiteCall::FinishEvacuation(zone)
+                if !self.is_known_zone(&zone) =>
+            {
+                self.reply(reply_to, SiteAnswer::UnknownZone);
+                return;
+            }
             SiteCall::BeginEvacuation(zone) => SiteCommand::BeginEvacuation(zone),
             SiteCall::FinishEvacuation(zone) => SiteCommand::FinishEvacuation(zone),
             SiteCall::ReadRoutes => {
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -295,4 +295,5 @@
         && update.servers.is_empty()
         && update.removed.is_empty()
         && update.ranges.is_empty()
+        && update.evacuated_zones.is_none()
 }
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -171,17 +171,17 @@
                 }
             )
         });
-        if has_open_moves {
+        if has_open_moves && !self.evacuations.is_any_pending() {
             return;
         }
-        let may_balance = now >= self.balance_at;
+        let may_balance = now >= self.balance_at && !has_open_moves;
         if may_balance {
             self.balance_at = now + BALANCING_INTERVAL;
         }
         let routes = self.state.routes().clone();
         let keyed = routes.services.iter().filter(|s| s.is_keyed == Some(true));
         for service in keyed {
-            self.plan_service(now, &service.name, may_balance);
+            self.plan_service(now, &service.name, may_balance, has_open_moves);
         }
     }
 
@@ -214,7 +214,16 @@
         bearable.flat_map(|service| service.to_relieve).collect()
     }
 
-    fn plan_service(&mut self, now: MonoTime, service: &ServiceName, may_balance: bool) {
+    /// Plans the owners of a service's keys. While other moves are open, only keys of evacuated zones
+    /// are moved: their moves don't wait for those that were planned before, and hundreds of moves
+    /// under way would hardly leave a moment without an open one.
+    fn plan_service(
+        &mut self,
+        now: MonoTime,
+        service: &ServiceName,
+        may_balance: bool,
+        has_open_moves: bool,
+    ) {
         let Some(mover) = &self.mover else { return };
         let is_new = self.state.registry().ranges(service).next().is_none();
         if is_new && !self.has_settled(now, service) {
@@ -229,8 +238,12 @@
         let may_balance = may_balance && pending_count < planner.max_pending_transfers();
         let transfers = planner.plan(&owners);
         for transfer in transfers {
-            let is_needed = self.is_needed(now, &transfer);
-            if is_needed || may_balance {
+            let is_due = if has_open_moves {
+                self.is_from_evacuated_zone(&transfer)
+            } else {
+                may_balance || self.is_needed(now, &transfer)
+            };
+            if is_due {
                 self.grant_events.push_back(GrantEvent::Transfer(transfer));
             }
         }
@@ -284,6 +297,7 @@
     fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
         record.state == ServerState::Ready
             && !self.leaving.contains(&record.incarnation)
+            && !self.is_evacuated(record)
             && !self.is_unresponsive(now, &record.incarnation)
     }
 
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod entries;
 mod entry_link;
+mod evacuations;
 mod fault_tolerance;
 mod leader;
 mod note_budget;
--- a/crates/chicory_site/src/core/replicated_log.rs
+++ b/crates/chicory_site/src/core/replicated_log.rs
@@ -236,6 +236,9 @@
                 let rejection = rejection.clone();
                 self.push_note(SiteNote::MoveRejected { rejection });
             }
+            (SiteCommand::BeginEvacuation(_) | SiteCommand::FinishEvacuation(_), outcome) => {
+                self.on_evacuations_changed(index, outcome);
+            }
             _ => {}
         }
     }
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -1,5 +1,6 @@
 //! Settings of the reducer.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use chicory_consensus::{ConfigError, Formation, MemberId, ReplicaConfig, VOTER_CONTACT_TIMEOUT};
@@ -60,6 +61,7 @@
     pub(super) vm: VmId,
     pub(super) seeds: Vec<VmId>,
     pub(super) zone: Option<ZoneName>,
+    pub(super) zones: BTreeSet<ZoneName>,
     pub(super) voter_count: usize,
     pub(super) random_seed: u64,
     pub(super) grants: GrantCoordinatorConfig,
@@ -74,6 +76,7 @@
             vm: vm.into(),
             seeds,
             zone: None,
+            zones: BTreeSet::new(),
             voter_count: MIN_VOTER_COUNT,
             random_seed: 0,
             grants: GrantCoordinatorConfig::default(),
@@ -87,6 +90,14 @@
         self
     }
 
+    /// Sets the availability zones of the deployment, which operators may evacuate. If there are
+    /// none, they may evacuate those in which a server or a control VM is known.
+    #[must_use]
+    pub fn with_zones(mut self, zones: BTreeSet<ZoneName>) -> Self {
+        self.zones = zones;
+        self
+    }
+
     /// Sets the number of voters of the control group; see
     /// [`FaultTolerance::voter_plan`](crate::FaultTolerance::voter_plan).
     #[must_use]
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -10,6 +10,7 @@
 use chicory_types::{MonoTime, ServiceName, VmId, ZoneName};
 
 use super::entry_link::EntryLink;
+use super::evacuations::EvacuationProgress;
 use super::note_budget::NoteBudget;
 use super::planned_rates::PlannedRates;
 use super::poison_registry::PoisonRegistry;
@@ -107,6 +108,7 @@
     pub(super) limits: ServerLimits,
     pub(super) planned_rates: PlannedRates,
     pub(super) poison: PoisonRegistry,
+    pub(super) evacuations: EvacuationProgress,
     pub(super) proposals: BTreeMap<u64, Proposal>,
     pub(super) forwarded_calls: BTreeMap<SiteCallId, ForwardedCall>,
     pub(super) last_id: u64,
@@ -154,6 +156,7 @@
             limits: ServerLimits::default(),
             planned_rates: PlannedRates::default(),
             poison: PoisonRegistry::default(),
+            evacuations: EvacuationProgress::default(),
             proposals: BTreeMap::new(),
             forwarded_calls: BTreeMap::new(),
             last_id: 0,
@@ -192,6 +195,7 @@
         self.check_deadlines(now);
         self.run_grant_events(now);
         self.record_moving_ranges(now);
+        self.check_evacuations(now);
         self.check_leader_change();
         self.check_voters();
         self.notify_entries(now);
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -6,7 +6,7 @@
 use chicory_directory::{RequestFingerprint, SiteAnswer};
 use chicory_ranges::{CallOutcome, Fence, GrantCall, MoveRejection, RangeMove, ServerIncarnation};
 use chicory_routes::RouteTableVersion;
-use chicory_types::{Incarnation, LogIndex, ServiceName, Term, VmId};
+use chicory_types::{Incarnation, LogIndex, ServiceName, Term, VmId, ZoneName};
 
 /// A decision, or a change of the state of the process, with the inputs that led to it.
 #[derive(Clone, Debug, PartialEq)]
@@ -142,6 +142,27 @@
         /// The server.
         server_incarnation: ServerIncarnation,
     },
+    /// The evacuation of an availability zone began.
+    EvacuationBegun {
+        /// The zone.
+        zone: ZoneName,
+        /// Log index of the entry.
+        index: LogIndex,
+    },
+    /// No server of an evacuated availability zone owns keys any more, as the leader knows it.
+    EvacuationInForce {
+        /// The zone.
+        zone: ZoneName,
+        /// Time since this member applied the order, or since it started if that was later.
+        took: Duration,
+    },
+    /// The evacuation of an availability zone ended.
+    EvacuationFinished {
+        /// The zone.
+        zone: ZoneName,
+        /// Log index of the entry.
+        index: LogIndex,
+    },
     /// A call could not be answered with success.
     CallUnavailable {
         /// The answer that was sent.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -85,6 +85,9 @@
         } => write_grant(logger, &server_incarnation.to_string(), content, outcome),
         SiteNote::ServerUnresponsive { server_incarnation } => warn!(logger, "server is silent";
             "server" => %server_incarnation),
+        SiteNote::EvacuationBegun { .. }
+        | SiteNote::EvacuationInForce { .. }
+        | SiteNote::EvacuationFinished { .. } => write_evacuation(logger, note),
         SiteNote::CallUnavailable { .. } => warn!(logger, "call answered as unavailable"),
         SiteNote::RequestPoisoned { fingerprint } => {
             warn!(logger, "request crashes servers"; "fingerprint" => fingerprint);
@@ -106,6 +109,20 @@
     }
 }
 
+fn write_evacuation(logger: &Logger, note: &SiteNote) {
+    match note {
+        SiteNote::EvacuationBegun { zone, index } => {
+            info!(logger, "evacuation begins"; "zone" => zone, "index" => index);
+        }
+        SiteNote::EvacuationInForce { zone, took } => info!(logger, "evacuation in force";
+            "zone" => zone, "took_s" => took.as_secs_f64()),
+        SiteNote::EvacuationFinished { zone, index } => {
+            info!(logger, "evacuation finished"; "zone" => zone, "index" => index);
+        }
+        _ => {}
+    }
+}
+
 fn write_move(logger: &Logger, change: &RangeMove, fence: Fence) {
     let from = change
         .from
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -33,6 +33,8 @@
     EntryVmsUnableToRelay,
     /// Lists of relay peers that were sent to entry VMs.
     RelayListsSent,
+    /// Availability zones that are evacuated.
+    EvacuatedZones,
     /// Version of the directory.
     DirectoryVersion,
     /// Whether this member acts as leader.
@@ -56,6 +58,7 @@
             Self::EntryVms => "site_entry_vms",
             Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
             Self::RelayListsSent => "site_relay_lists_sent",
+            Self::EvacuatedZones => "site_evacuated_zones",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
         }
@@ -79,6 +82,7 @@
                 "Entry VMs that have reported that they can't relay requests for others."
             }
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
+            Self::EvacuatedZones => "Availability zones that are evacuated.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
         }
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -80,6 +80,7 @@
         let zone = config.zone.clone();
         let site_config = SiteConfig::new(vm.clone(), config.seeds.clone())
             .with_zone(zone.clone())
+            .with_zones(config.zones.clone())
             .with_voter_count(config.voter_count)
             .with_random_seed(election_seed(&vm, clock.now()))
             .with_grants(config.grants.clone());
@@ -199,6 +200,9 @@
             .set(SiteMetric::IsLeading, u64::from(is_leading));
         let version = self.core.state().version();
         self.metrics.set(SiteMetric::DirectoryVersion, version);
+        let evacuated_count = self.core.state().evacuated_zones().len() as u64;
+        self.metrics
+            .set(SiteMetric::EvacuatedZones, evacuated_count);
         let entry_count = self.core.entry_count() as u64;
         self.metrics.set(SiteMetric::EntryVms, entry_count);
         let unable_count = self.core.unable_to_relay_count() as u64;
--- a/crates/chicory_site/src/process/site_process_config.rs
+++ b/crates/chicory_site/src/process/site_process_config.rs
@@ -1,5 +1,6 @@
 //! Settings of a control process.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -17,6 +18,9 @@
     pub link_address: SocketAddr,
     /// Availability zone of the VM.
     pub zone: ZoneName,
+    /// Availability zones of the deployment, which operators may evacuate; if there are none, those
+    /// in which a server or a control VM is known.
+    pub zones: BTreeSet<ZoneName>,
     /// Control VMs through which the group is found.
     pub seeds: Vec<VmId>,
     /// Number of voters of the control group.
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -3,6 +3,7 @@
 
 mod control_groups;
 mod entry_reports;
+mod evacuations;
 mod grants;
 mod support;
 
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -9,9 +9,9 @@
 use chicory_directory::{
     ControlMessage, PeerEnvelope, ServerRecord, ServerState, SiteAnswer, SiteCall,
 };
-use chicory_ranges::{CallOutcome, GrantCall, ServerIncarnation};
+use chicory_ranges::{CallId, CallOutcome, GrantCall, RELEASE_TIMEOUT, ServerIncarnation};
 use chicory_routes::{RequestKind, Route, RouteTable, RouteTarget, RoutedService};
-use chicory_site::{SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
+use chicory_site::{GrantRequest, SiteConfig, SiteCore, SiteEffect, SiteEvent, SiteNote};
 
 const STEP: Duration = Duration::from_millis(10);
 const LINK_DELAY: Duration = Duration::from_millis(1);
@@ -53,6 +53,8 @@
     voter_count: usize,
     /// Availability zones of the VMs that name theirs.
     zones: BTreeMap<String, String>,
+    /// Availability zones in the settings of VMs that start from now on.
+    pub known_zones: BTreeSet<String>,
     blocked_links: BTreeSet<(String, String)>,
     in_flight: Vec<(Duration, String, String, PeerEnvelope)>,
     pub answers: BTreeMap<u64, SiteAnswer>,
@@ -60,6 +62,10 @@
     /// Links that have written their messages, which is reported in the next step.
     drained_links: BTreeSet<(String, u64)>,
     pub grants: Vec<(ServerIncarnation, GrantCall)>,
+    /// Shortest and longest time until a server answers a call; unreachable servers never do.
+    pub grant_delay: (Duration, Duration),
+    pub unreachable_servers: BTreeSet<String>,
+    running_calls: Vec<(Duration, String, CallId, CallOutcome)>,
     pub notes: Vec<(String, SiteNote)>,
     last_caller: u64,
     start_count: u64,
@@ -80,6 +86,10 @@
             entry_messages: Vec::new(),
             drained_links: BTreeSet::new(),
             grants: Vec::new(),
+            grant_delay: (Duration::ZERO, Duration::ZERO),
+            unreachable_servers: BTreeSet::new(),
+            running_calls: Vec::new(),
+            known_zones: BTreeSet::new(),
             notes: Vec::new(),
             last_caller: 0,
             start_count: 0,
@@ -149,7 +159,8 @@
         self.start_count += 1;
         let mut config = SiteConfig::new(vm, self.seeds.clone())
             .with_random_seed(self.start_count * 77)
-            .with_voter_count(self.voter_count);
+            .with_voter_count(self.voter_count)
+            .with_zones(self.known_zones.clone());
         if let Some(zone) = self.zones.get(vm) {
             config = config.with_zone(zone);
         }
@@ -259,6 +270,7 @@
                 self.handle_event(&vm, SiteEvent::Tick);
             }
         }
+        self.finish_grant_calls();
         let due: Vec<_> = self
             .in_flight
             .extract_if(.., |(at, ..)| *at <= self.now)
@@ -329,6 +341,46 @@
         }
     }
 
+    fn run_grant_call(&mut self, vm: &str, request: GrantRequest) {
+        let call = request.call;
+        let is_unreachable = self
+            .unreachable_servers
+            .contains(&request.incarnation.server);
+        self.grants.push((request.incarnation, request.content));
+        let (outcome, delay) = if is_unreachable {
+            (CallOutcome::Unanswered, RELEASE_TIMEOUT)
+        } else {
+            let done = CallOutcome::Done {
+                handover: None,
+                link: Some(1),
+            };
+            let (shortest, longest) = self.grant_delay;
+            // Spreads the answers over the whole time, in another order than that of the calls.
+            let part = u32::try_from(call * 37 % 100).expect("below 100");
+            (
+                done,
+                shortest + longest.saturating_sub(shortest) * part / 100,
+            )
+        };
+        if delay.is_zero() {
+            self.handle_event(vm, SiteEvent::GrantCallEnded { call, outcome });
+        } else {
+            let at = self.now + delay;
+            self.running_calls.push((at, vm.to_owned(), call, outcome));
+        }
+    }
+
+    fn finish_grant_calls(&mut self) {
+        let now = self.now;
+        let ended: Vec<_> = self
+            .running_calls
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect();
+        for (_, vm, call, outcome) in ended {
+            self.handle_event(&vm, SiteEvent::GrantCallEnded { call, outcome });
+        }
+    }
+
     fn run_effect(&mut self, vm: &str, effect: SiteEffect) {
         let state = self.vms.get_mut(vm).expect("known VM");
         match effect {
@@ -359,15 +411,7 @@
                     self.drained_links.insert((vm.to_owned(), link));
                 }
             }
-            SiteEffect::Grant(request) => {
-                self.grants.push((request.incarnation, request.content));
-                let outcome = CallOutcome::Done {
-                    handover: None,
-                    link: Some(1),
-                };
-                let call = request.call;
-                self.handle_event(vm, SiteEvent::GrantCallEnded { call, outcome });
-            }
+            SiteEffect::Grant(request) => self.run_grant_call(vm, request),
             SiteEffect::Note(note) => self.notes.push((vm.to_owned(), note)),
         }
     }
