--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -41,6 +41,8 @@
     BodiesRefusedByLink,
     /// Links to control VMs that were lost.
     ControlLinksLost,
+    /// Availability zones that are evacuated.
+    EvacuatedZones,
     /// Version of the directory.
     DirectoryVersion,
     /// Version of the route table.
@@ -110,6 +112,7 @@
             Self::DeniedByRest => "gateway_denied_by_rest",
             Self::BodiesRefusedByLink => "gateway_bodies_refused_by_link",
             Self::ControlLinksLost => "gateway_control_links_lost",
+            Self::EvacuatedZones => "gateway_evacuated_zones",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
             Self::UpdateTransfer => "gateway_update_transfer_seconds",
@@ -166,6 +169,7 @@
                 "Requests refused because the link was too busy to receive their bodies in time."
             }
             Self::ControlLinksLost => "Links to control VMs that were lost.",
+            Self::EvacuatedZones => "Availability zones that are evacuated.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
             Self::UpdateTransfer => "Time from an update's first byte to its last.",
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -12,8 +12,8 @@
 
 use chicory_types::{MonoTime, ServerId, ServiceName};
 
-use super::UpdateOutcome;
 use super::cold_servers::ColdServers;
+use super::{Evacuations, UpdateOutcome};
 
 /// Time for which incarnations that have ended are remembered. It is longer than the directory of an
 /// entry VM in contact with control VMs can lag behind that of another one.
@@ -51,6 +51,7 @@
     ended_at: BTreeMap<ServerIncarnation, MonoTime>,
     owners: BTreeMap<ServiceName, OwnerMap>,
     cold: ColdServers,
+    evacuations: Evacuations,
 }
 
 impl Directory {
@@ -94,6 +95,10 @@
                 owners.put(owned);
             }
         }
+        match update.evacuated_zones {
+            Some(zones) => self.evacuations.replace(now, zones),
+            None => self.evacuations.record_update(),
+        }
         self.forget_removed_servers(now);
         UpdateOutcome::Changed
     }
@@ -202,7 +207,8 @@
         self.keyed.contains(service)
     }
 
-    /// Returns the servers of a service that accept new work.
+    /// Returns the servers of a service that accept new work; those of evacuated availability zones
+    /// don't.
     pub fn ready_servers<'a>(
         &'a self,
         service: &'a str,
@@ -210,6 +216,18 @@
         let servers = self.servers.values();
         servers
             .filter(move |record| record.service == service && record.state == ServerState::Ready)
+            .filter(|record| !self.evacuations.contains(&record.zone))
+    }
+
+    /// Returns the evacuated availability zones.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Records contact to a majority of control VMs.
+    pub fn record_contact(&mut self, now: MonoTime) {
+        self.evacuations.record_contact(now);
     }
 
     /// Returns all servers.
--- a/crates/chicory_gateway/src/view/mod.rs
+++ b/crates/chicory_gateway/src/view/mod.rs
@@ -2,7 +2,9 @@
 
 mod cold_servers;
 mod directory;
+mod evacuations;
 mod update_outcome;
 
 pub use directory::Directory;
+pub use evacuations::Evacuations;
 pub use update_outcome::UpdateOutcome;
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -99,6 +99,12 @@
                 SiteCommand::PutServer(self.proposed_record(now, record))
             }
             SiteCall::PutRoutes(table) => SiteCommand::PutRoutes(table),
+            SiteCall::BeginEvacuation(zone) | SiteCall::FinishEvacuation(zone)
+                if !self.is_known_zone(&zone) =>
+            {
+                self.reply(reply_to, SiteAnswer::UnknownZone);
+                return;
+            }
             SiteCall::BeginEvacuation(zone) => SiteCommand::BeginEvacuation(zone),
             SiteCall::FinishEvacuation(zone) => {
                 // Announcements that are proposed after this may be applied after it.
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod cold_servers;
 mod entries;
 mod entry_link;
+mod evacuations;
 mod fault_tolerance;
 mod leader;
 mod note_budget;
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -11,6 +11,7 @@
 
 use super::cold_servers::ColdServers;
 use super::entry_link::EntryLink;
+use super::evacuations::EvacuationProgress;
 use super::note_budget::NoteBudget;
 use super::planned_rates::PlannedRates;
 use super::poison_registry::PoisonRegistry;
@@ -109,6 +110,7 @@
     pub(super) planned_rates: PlannedRates,
     pub(super) cold: ColdServers,
     pub(super) poison: PoisonRegistry,
+    pub(super) evacuations: EvacuationProgress,
     pub(super) proposals: BTreeMap<u64, Proposal>,
     pub(super) forwarded_calls: BTreeMap<SiteCallId, ForwardedCall>,
     pub(super) last_id: u64,
@@ -157,6 +159,7 @@
             planned_rates: PlannedRates::default(),
             cold: ColdServers::default(),
             poison: PoisonRegistry::default(),
+            evacuations: EvacuationProgress::default(),
             proposals: BTreeMap::new(),
             forwarded_calls: BTreeMap::new(),
             last_id: 0,
@@ -195,6 +198,7 @@
         self.check_deadlines(now);
         self.run_grant_events(now);
         self.record_moving_ranges(now);
+        self.check_evacuations(now);
         self.check_leader_change();
         self.check_voters();
         self.notify_entries(now);
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -35,6 +35,8 @@
     ColdServers,
     /// Lists of relay peers that were sent to entry VMs.
     RelayListsSent,
+    /// Availability zones that are evacuated.
+    EvacuatedZones,
     /// Version of the directory.
     DirectoryVersion,
     /// Whether this member acts as leader.
@@ -59,6 +61,7 @@
             Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
             Self::ColdServers => "site_cold_servers",
             Self::RelayListsSent => "site_relay_lists_sent",
+            Self::EvacuatedZones => "site_evacuated_zones",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
         }
@@ -83,6 +86,7 @@
             }
             Self::ColdServers => "Backend servers that are cold and have a cold limit.",
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
+            Self::EvacuatedZones => "Availability zones that are evacuated.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
         }
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -4,6 +4,7 @@
 mod cold_servers;
 mod control_groups;
 mod entry_reports;
+mod evacuations;
 mod grants;
 mod support;
 
