Order and list evacuations with chicoryctl

Cause: operators need the orders without the platform's interface, and a list of what is evacuated. Change: chicoryctl evacuation begin, finish and list over the operator link.

--- a/crates/chicory_ctl/src/command_line.rs
+++ b/crates/chicory_ctl/src/command_line.rs
@@ -31,6 +31,7 @@
         .subcommand(audit_command())
         .subcommand(explain_command())
         .subcommand(routes_command())
+        .subcommand(evacuation_command())
 }
 
 fn connection_args() -> [Arg; 8] {
@@ -197,16 +198,41 @@
         .arg(setting("limit", "COUNT", "Maximum number of records to show").default_value("100"))
 }
 
-fn routes_command() -> Command {
-    let site = || {
-        setting(
-            "site",
-            "ADDRESS,...",
-            "Link addresses of the site's control VMs, tried one after another",
+fn site() -> Arg {
+    setting(
+        "site",
+        "ADDRESS,...",
+        "Link addresses of the site's control VMs, tried one after another",
+    )
+    .required(true)
+    .value_delimiter(',')
+}
+
+fn evacuation_command() -> Command {
+    let zone = || positional("zone", "Availability zone").required(true);
+    Command::new("evacuation")
+        .about("Evacuates availability zones of a site, and lists them")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("begin")
+                .about("Orders that nothing more be sent to the zone's servers")
+                .arg(zone())
+                .arg(site()),
         )
-        .required(true)
-        .value_delimiter(',')
-    };
+        .subcommand(
+            Command::new("finish")
+                .about("Orders that the zone's servers be used again")
+                .arg(zone())
+                .arg(site()),
+        )
+        .subcommand(
+            Command::new("list")
+                .about("Lists the zones that are evacuated")
+                .arg(site()),
+        )
+}
+
+fn routes_command() -> Command {
     let file = |help| positional("file", help);
     Command::new("routes")
         .about("Checks, reads and replaces the route table of a site")
--- a/crates/chicory_ctl/src/ctl_error.rs
+++ b/crates/chicory_ctl/src/ctl_error.rs
@@ -73,8 +73,20 @@
         /// The reason.
         fault: String,
     },
-    /// No control VM of the site could answer for its group. It isn't known whether a route table
-    /// was put in force; sending the same request again is harmless.
+    /// The site has no such availability zone; nothing was changed.
+    #[snafu(display("the site has no availability zone {zone}"))]
+    NoSuchZone {
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// The site sent an unexpected answer to an order about an evacuation.
+    #[snafu(display("the site did not take the order: {fault}"))]
+    EvacuationRejected {
+        /// The reason.
+        fault: String,
+    },
+    /// No control VM of the site could answer for its group. It isn't known whether a change was
+    /// made; sending the same request again is harmless.
     #[snafu(display(
         "no control VM of the site answered for its group; last failure: {last_failure}"
     ))]
@@ -225,6 +237,8 @@
             | Self::Conflict { .. }
             | Self::Invalid { .. }
             | Self::RoutesRejected { .. }
+            | Self::NoSuchZone { .. }
+            | Self::EvacuationRejected { .. }
             | Self::EditIdReused { .. } => ExitStatus::Refused,
             Self::OutcomeUnknown { .. } => ExitStatus::Unknown,
             Self::NotInForce { .. } => ExitStatus::NotInForce,
--- a/crates/chicory_ctl/src/run.rs
+++ b/crates/chicory_ctl/src/run.rs
@@ -12,9 +12,10 @@
 
 use crate::client::{ControlClient, PeerClient, PeerClientSettings, SiteClient};
 use crate::command::{
-    AuditQuery, EditOptions, Editor, IssueRequest, audit, check_routes, drain, evict_zone, explain,
-    export_table, get_routes, get_table, import_table, init_authority, issue_certificate, owner,
-    put_routes, remove_row, set_row, show_zone, status, wait_until_in_force,
+    AuditQuery, EditOptions, Editor, IssueRequest, audit, begin_evacuation, check_routes, drain,
+    evict_zone, explain, export_table, finish_evacuation, get_routes, get_table, import_table,
+    init_authority, issue_certificate, list_evacuations, owner, put_routes, remove_row, set_row,
+    show_zone, status, wait_until_in_force,
 };
 use crate::ctl_error::FileSnafu;
 use crate::{CtlError, EditHistory, ExitStatus, OutputFormat, Report};
@@ -77,6 +78,7 @@
         ["ca", "issue"] => run_ca_issue(command_matches),
         ["routes", "check"] => check_routes(Path::new(text_argument(command_matches, "file"))),
         ["routes", action] => run_routes(command_matches, action).await,
+        ["evacuation", action] => run_evacuation(command_matches, action).await,
         ["explain"] => {
             let files = command_matches
                 .get_many::<String>("files")
@@ -89,7 +91,17 @@
     }
 }
 
-async fn run_routes(matches: &ArgMatches, action: &str) -> Result<Report, CtlError> {
+async fn run_evacuation(matches: &ArgMatches, action: &str) -> Result<Report, CtlError> {
+    let client = site_client(matches)?;
+    match action {
+        "begin" => begin_evacuation(&client, text_argument(matches, "zone")).await,
+        "finish" => finish_evacuation(&client, text_argument(matches, "zone")).await,
+        _ => list_evacuations(&client).await,
+    }
+}
+
+/// Returns the client for the control VMs named by `--site`.
+fn site_client(matches: &ArgMatches) -> Result<SiteClient, CtlError> {
     let mut reader = SettingsReader::new(matches);
     let site_addresses = matches.get_many::<String>("site").into_iter().flatten();
     let mut control_vms = Vec::new();
@@ -108,7 +120,11 @@
         operator: reader.optional_text("operator").unwrap_or_default(),
         timeout: reader.millis("timeout-ms", 1..=MAX_WAIT_MS),
     };
-    let client = reader.finish(client)?;
+    Ok(reader.finish(client)?)
+}
+
+async fn run_routes(matches: &ArgMatches, action: &str) -> Result<Report, CtlError> {
+    let client = site_client(matches)?;
     let file = matches.get_one::<String>("file").map(Path::new);
     match (action, file, matches.try_get_one::<u64>("routes-version")) {
         ("put", Some(file), Ok(Some(version))) => put_routes(&client, *version, file).await,
--- a/crates/chicory_directory/src/site_answer.rs
+++ b/crates/chicory_directory/src/site_answer.rs
@@ -1,6 +1,9 @@
 //! Answers to calls of operators and backend servers.
 
+use std::collections::BTreeSet;
+
 use chicory_routes::RouteTable;
+use chicory_types::ZoneName;
 
 /// The answer to a [`SiteCall`](crate::SiteCall).
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +20,8 @@
     UnknownService,
     /// The deployment has no such availability zone.
     UnknownZone,
+    /// The availability zones that are evacuated.
+    EvacuatedZones(BTreeSet<ZoneName>),
     /// The control group can't answer now; a requested change may or may not have been made.
     Unavailable,
 }
--- a/crates/chicory_directory/src/site_call.rs
+++ b/crates/chicory_directory/src/site_call.rs
@@ -25,4 +25,6 @@
     BeginEvacuation(ZoneName),
     /// An operator ends the evacuation of an availability zone.
     FinishEvacuation(ZoneName),
+    /// An operator reads which availability zones are evacuated.
+    ReadEvacuations,
 }
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -42,6 +42,7 @@
             // The applied state may be behind, so only the leader answers these.
             SiteCall::Leave { .. }
             | SiteCall::ReadRoutes
+            | SiteCall::ReadEvacuations
             | SiteCall::BeginEvacuation(_)
             | SiteCall::FinishEvacuation(_) => None,
         }
@@ -111,6 +112,11 @@
                 self.reply(reply_to, answer);
                 return;
             }
+            SiteCall::ReadEvacuations => {
+                let zones = self.state.evacuated_zones().clone();
+                self.reply(reply_to, SiteAnswer::EvacuatedZones(zones));
+                return;
+            }
             SiteCall::Leave {
                 server,
                 started_at_ms,
--- a/crates/chicory_site/src/process/operator_server.rs
+++ b/crates/chicory_site/src/process/operator_server.rs
@@ -9,7 +9,7 @@
 use super::SiteHandle;
 use super::link_listener::LinkServer;
 
-/// Answers an operator's calls about the route table, one after the other, until the link ends.
+/// Answers an operator's calls about the route table and evacuations, one after the other, until the link ends.
 pub(super) async fn serve(
     server: LinkServer,
     (mut reader, mut writer): LinkStream,
@@ -39,6 +39,10 @@
                 let answer = handle.finish_evacuation(zone.clone()).await;
                 (format!("finish evacuation of {zone}"), answer)
             }
+            SiteCall::ReadEvacuations => {
+                let answer = handle.read_evacuations().await;
+                ("read evacuations".to_owned(), answer)
+            }
             // Backend servers have an interface of their own.
             SiteCall::Announce(_) | SiteCall::Leave { .. } => return,
         };
@@ -59,7 +63,7 @@
 fn outcome(answer: &SiteAnswer) -> &'static str {
     match answer {
         SiteAnswer::Done => "done",
-        SiteAnswer::Routes(_) => "told",
+        SiteAnswer::Routes(_) | SiteAnswer::EvacuatedZones(_) => "told",
         SiteAnswer::Invalid(_) => "invalid",
         SiteAnswer::Unavailable => "unavailable",
         SiteAnswer::Stale | SiteAnswer::UnknownService | SiteAnswer::UnknownZone => "refused",
--- a/crates/chicory_site/src/process/site_handle.rs
+++ b/crates/chicory_site/src/process/site_handle.rs
@@ -62,6 +62,11 @@
         self.call(SiteCall::FinishEvacuation(zone)).await
     }
 
+    /// Reads which availability zones are evacuated, on behalf of an operator.
+    pub async fn read_evacuations(&self) -> SiteAnswer {
+        self.call(SiteCall::ReadEvacuations).await
+    }
+
     /// Transfers the leadership to another member before a planned stop.
     pub async fn stop(&self) {
         let (done, stopped) = oneshot::channel();
--- a/crates/chicory_site/tests/evacuations/orders.rs
+++ b/crates/chicory_site/tests/evacuations/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_directory::{ControlMessage, DirectoryPosition, SiteAnswer};
+use chicory_directory::{ControlMessage, DirectoryPosition, SiteAnswer, SiteCall};
 use chicory_site::{SiteEvent, SiteNote};
 use googletest::prelude::*;
 
@@ -149,6 +149,26 @@
     }
 }
 
+/// Guards against a list that a member gives by its own state, which may be behind.
+#[gtest]
+fn every_member_lists_what_was_acknowledged() {
+    let mut simulation = site_with_servers([1, 1, 0]);
+    let lists = |simulation: &mut Simulation, expected: &[&str]| {
+        let zones = expected.iter().map(|zone| (*zone).to_owned()).collect();
+        let expected = SiteAnswer::EvacuatedZones(zones);
+        for index in 1..=3 {
+            let read = simulation.call_and_wait(&vm_name(index), SiteCall::ReadEvacuations);
+            expect_that!(read, some(eq(&expected)));
+        }
+    };
+    let follower = simulation.follower();
+    lists(&mut simulation, &[]);
+    order(&mut simulation, &follower, begin("north"));
+    lists(&mut simulation, &["north"]);
+    order(&mut simulation, &follower, finish("north"));
+    lists(&mut simulation, &[]);
+}
+
 /// Guards against orders that a cut-off former leader acknowledges.
 #[gtest]
 fn isolated_leader_acknowledges_no_order() {
@@ -156,7 +176,7 @@
     let old = simulation.await_leader();
     simulation.set_isolated(&old, true);
     simulation.run(Duration::from_secs(2));
-    for call in [begin("north"), finish("north")] {
+    for call in [begin("north"), finish("north"), SiteCall::ReadEvacuations] {
         let answer = simulation.call_and_wait(&old, call);
         expect_that!(answer, some(eq(&SiteAnswer::Unavailable)));
     }
--- a/crates/chicory_wire/src/call_convert.rs
+++ b/crates/chicory_wire/src/call_convert.rs
@@ -23,6 +23,7 @@
             SiteCall::ReadRoutes => Call::ReadRoutes(common::Empty {}),
             SiteCall::BeginEvacuation(zone) => Call::BeginEvacuation(zone),
             SiteCall::FinishEvacuation(zone) => Call::FinishEvacuation(zone),
+            SiteCall::ReadEvacuations => Call::ReadEvacuations(common::Empty {}),
         };
         Self { call: Some(call) }
     }
@@ -43,6 +44,7 @@
             Call::ReadRoutes(_) => Self::ReadRoutes,
             Call::BeginEvacuation(zone) => Self::BeginEvacuation(zone),
             Call::FinishEvacuation(zone) => Self::FinishEvacuation(zone),
+            Call::ReadEvacuations(_) => Self::ReadEvacuations,
         })
     }
 }
@@ -59,6 +61,9 @@
             SiteAnswer::Unavailable => Answer::Unavailable(empty),
             SiteAnswer::UnknownService => Answer::UnknownService(empty),
             SiteAnswer::UnknownZone => Answer::UnknownZone(empty),
+            SiteAnswer::EvacuatedZones(zones) => Answer::EvacuatedZones(site::Evacuations {
+                zones: zones.into_iter().collect(),
+            }),
         };
         Self {
             answer: Some(answer),
@@ -79,6 +84,9 @@
             Answer::Unavailable(_) => Self::Unavailable,
             Answer::UnknownService(_) => Self::UnknownService,
             Answer::UnknownZone(_) => Self::UnknownZone,
+            Answer::EvacuatedZones(evacuations) => {
+                Self::EvacuatedZones(evacuations.zones.into_iter().collect())
+            }
         })
     }
 }
--- a/crates/chicory_wire/tests/evacuations.rs
+++ b/crates/chicory_wire/tests/evacuations.rs
@@ -109,12 +109,19 @@
     for call in [
         SiteCall::BeginEvacuation(zone()),
         SiteCall::FinishEvacuation(zone()),
+        SiteCall::ReadEvacuations,
     ] {
         let bytes = site::SiteCall::from(call.clone()).encode_to_vec();
         let read = site::SiteCall::decode(&bytes[..]).expect("a call");
         expect_that!(SiteCall::try_from(read), ok(eq(&call)));
     }
-    let bytes = site::SiteAnswer::from(SiteAnswer::UnknownZone).encode_to_vec();
-    let read = site::SiteAnswer::decode(&bytes[..]).expect("an answer");
-    expect_that!(SiteAnswer::try_from(read), ok(eq(&SiteAnswer::UnknownZone)));
+    for answer in [
+        SiteAnswer::UnknownZone,
+        SiteAnswer::EvacuatedZones([zone()].into()),
+        SiteAnswer::EvacuatedZones([].into()),
+    ] {
+        let bytes = site::SiteAnswer::from(answer.clone()).encode_to_vec();
+        let read = site::SiteAnswer::decode(&bytes[..]).expect("an answer");
+        expect_that!(SiteAnswer::try_from(read), ok(eq(&answer)));
+    }
 }
