--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, without a network.
 
 mod choices;
+mod cold;
 mod follow_ups;
 mod notices;
 mod reachability;
