Send requests without keys to cold servers when warm ones turn requests away

Cause: cold servers were tried after a warm one had turned the request away, which takes a retry; while all warm servers are full the retry budget is used up, and permits of requests without a retry were lost.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -24,10 +24,11 @@
 use super::server_health::ServerHealth;
 use super::server_reachability::ServerReachability;
 use super::table_lag::TableLag;
+use super::warm_room::WarmRoom;
 use super::zone_reachability::ZoneReachability;
 use super::{
-    Admission, AttemptOutcome, GatewayConfig, NextStep, Policy, Recheck, RefusalReason,
-    RequestMetadata, RequestTicket, RetryBudget, Target,
+    Admission, GatewayConfig, NextStep, Policy, Recheck, RefusalReason, RequestMetadata,
+    RequestTicket, RetryBudget, Target,
 };
 use crate::{Directory, UpdateOutcome};
 
@@ -85,7 +86,7 @@
     pub(super) config: GatewayConfig,
     pub(super) directory: Directory,
     pub(super) health: BTreeMap<ServerIncarnation, ServerHealth>,
-    budgets: BTreeMap<ServiceName, RetryBudget>,
+    pub(super) budgets: BTreeMap<ServiceName, RetryBudget>,
     pub(super) entry_count: EntryCount,
     /// Requests that crash servers, as control VMs report them.
     pub(super) poison: BTreeSet<RequestFingerprint>,
@@ -113,6 +114,8 @@
     pub(super) is_stopping: bool,
     /// Servers that have named a rate limit.
     pub(super) limited: LimitedServers,
+    /// Whether requests without keys need cold servers.
+    pub(super) warm_room: WarmRoom,
     /// Servers that have said that they are about to end, and since when.
     pub(super) leaving_since: BTreeMap<ServerIncarnation, MonoTime>,
     /// Those among them that have to be reported.
@@ -152,6 +155,7 @@
             relay_reachability: RelayReachability::default(),
             is_stopping: false,
             limited: LimitedServers::default(),
+            warm_room: WarmRoom::default(),
             leaving_since: BTreeMap::new(),
             unreported_leaving: BTreeSet::new(),
             rests: Rests::default(),
@@ -430,24 +434,7 @@
     /// Takes a retry out of the budget if the last attempt may have reached its server, unless one
     /// was taken when a follow-up was found. Returns `false` if none is left.
     fn try_take_retry(&mut self, now: MonoTime, ticket: &RequestTicket) -> bool {
-        if ticket.follow_up.is_some() {
-            return true;
-        }
-        let last = ticket.attempts.last().and_then(|attempt| attempt.ended);
-        let may_have_arrived = last.is_some_and(|(outcome, _)| {
-            !matches!(
-                outcome,
-                AttemptOutcome::Refused
-                    | AttemptOutcome::Unreachable
-                    | AttemptOutcome::ConnectionRejected
-                    | AttemptOutcome::RelayUnavailable
-                    | AttemptOutcome::UnreachableFromRelay
-            )
-        });
-        if !may_have_arrived {
-            return true;
-        }
-        self.take_retry(now, &ticket.service)
+        !ticket.needs_retry() || self.take_retry(now, &ticket.service)
     }
 
     /// Takes a retry out of the budget of a service. Returns `false` if none is left.
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -35,6 +35,7 @@
             None => self.record_reachability(now, &incarnation, outcome),
             Some(peer) => self.record_relayed_end(now, peer, &incarnation, outcome),
         }
+        self.record_warm_room(now, ticket, &incarnation, outcome);
         ticket.may_have_run |= outcome.may_have_run();
         if !self.may_be_path_fault(now, &incarnation, outcome) {
             self.crashes
--- a/crates/chicory_gateway/src/decide/gateway_choice.rs
+++ b/crates/chicory_gateway/src/decide/gateway_choice.rs
@@ -73,7 +73,7 @@
             .map(|attempt| &attempt.incarnation)
             .collect();
         let typical = self.typical_latency(&ticket.service);
-        let prefers_cold = ticket.was_shed();
+        let prefers_cold = self.warm_room.is_used_up(&ticket.service);
         let mut best: Option<((bool, bool), f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
             let health = self.health.get(&record.incarnation);
--- a/crates/chicory_gateway/src/decide/gateway_cold.rs
+++ b/crates/chicory_gateway/src/decide/gateway_cold.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicory_directory::ServerRecord;
+use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
 use super::gateway::MIN_CONNECT_TIMEOUT;
@@ -38,18 +39,27 @@
         self.limited
             .is_denied(now, &self.directory, incarnation, rank)
     }
-}
 
-impl RequestTicket {
-    /// Whether the server that the request was sent to last was full. Warm servers are then likely
-    /// to be full as well, so a cold one that takes the request is tried first.
-    pub(super) fn was_shed(&self) -> bool {
-        let last = self.attempts.last().and_then(|attempt| attempt.ended);
-        last.is_some_and(|(outcome, _)| {
-            matches!(
-                outcome,
-                AttemptOutcome::Shed | AttemptOutcome::ConnectionRejected
-            )
-        })
+    /// Whether a request will be refused for want of a retry. A permit for it would be lost.
+    pub(super) fn lacks_retry(&mut self, now: MonoTime, ticket: &RequestTicket) -> bool {
+        let entry_count = self.entry_count.get();
+        let budget = self.budgets.entry(ticket.service.clone()).or_default();
+        ticket.needs_retry() && !budget.has_retry(now, &self.config, entry_count)
+    }
+
+    /// Records what the end of an attempt says about the room at warm servers, for services without
+    /// keys that have a cold limit.
+    pub(super) fn record_warm_room(
+        &mut self,
+        now: MonoTime,
+        ticket: &RequestTicket,
+        incarnation: &ServerIncarnation,
+        outcome: AttemptOutcome,
+    ) {
+        let directory = &self.directory;
+        let is_cold = directory.cold_rate_per_s(now, incarnation).is_some();
+        if ticket.key.is_none() && !is_cold && directory.has_cold_limit(&ticket.service) {
+            self.warm_room.record(&ticket.service, outcome);
+        }
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -128,6 +128,9 @@
             ticket.permit = None;
             return ServerStep::Deny(denial);
         }
+        if self.is_cold(now, record) && self.lacks_retry(now, ticket) {
+            return ServerStep::Send { has_permit: false };
+        }
         self.limit_step(now, ticket, &record.incarnation)
     }
 
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -36,6 +36,7 @@
 mod server_notices;
 mod server_reachability;
 mod table_lag;
+mod warm_room;
 mod zone_reachability;
 
 pub use admission::Admission;
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -127,6 +127,23 @@
         }
     }
 
+    /// Whether the next attempt takes a retry out of the budget: the last one may have reached its
+    /// server, and no retry was taken when a follow-up was found.
+    pub(crate) fn needs_retry(&self) -> bool {
+        let last = self.attempts.last().and_then(|attempt| attempt.ended);
+        let may_have_arrived = last.is_some_and(|(outcome, _)| {
+            !matches!(
+                outcome,
+                AttemptOutcome::Refused
+                    | AttemptOutcome::Unreachable
+                    | AttemptOutcome::ConnectionRejected
+                    | AttemptOutcome::RelayUnavailable
+                    | AttemptOutcome::UnreachableFromRelay
+            )
+        });
+        may_have_arrived && self.follow_up.is_none()
+    }
+
     /// Returns the number of further servers that the request may be sent to.
     pub(crate) fn attempts_left(&self) -> usize {
         let sent = self.attempts.iter();
--- a/crates/chicory_gateway/src/decide/retry_budget.rs
+++ b/crates/chicory_gateway/src/decide/retry_budget.rs
@@ -46,11 +46,16 @@
         self.slice(now, window).requests += 1;
     }
 
-    /// Takes one retry out of the budget. Returns `false` if none is left.
-    pub fn try_retry(&mut self, now: MonoTime, config: &GatewayConfig, entry_count: u32) -> bool {
+    /// Returns whether a retry is left.
+    pub fn has_retry(&mut self, now: MonoTime, config: &GatewayConfig, entry_count: u32) -> bool {
         let allowed = self.allowed(now, config, entry_count);
         let used: u32 = self.slices.iter().map(|slice| slice.retries).sum();
-        if f64::from(used) + 1.0 > allowed {
+        f64::from(used) + 1.0 <= allowed
+    }
+
+    /// Takes one retry out of the budget. Returns `false` if none is left.
+    pub fn try_retry(&mut self, now: MonoTime, config: &GatewayConfig, entry_count: u32) -> bool {
+        if !self.has_retry(now, config, entry_count) {
             return false;
         }
         self.slice(now, config.retry_window).retries += 1;
--- a/crates/chicory_gateway/src/view/cold_servers.rs
+++ b/crates/chicory_gateway/src/view/cold_servers.rs
@@ -60,6 +60,11 @@
         (now < cold.until).then_some(*rate_per_s)
     }
 
+    /// Returns whether the route table limits the requests to cold servers of a service.
+    pub(crate) fn has_limit(&self, service: &str) -> bool {
+        self.rates_per_s.contains_key(service)
+    }
+
     /// Returns when the record was received that says that a server is cold.
     pub(crate) fn since(&self, incarnation: &ServerIncarnation) -> Option<MonoTime> {
         Some(self.servers.get(incarnation)?.since)
--- a/crates/chicory_gateway/src/view/directory.rs
+++ b/crates/chicory_gateway/src/view/directory.rs
@@ -136,6 +136,12 @@
         self.cold.rate_per_s(now, self.server(incarnation)?)
     }
 
+    /// Returns whether the route table limits the requests to cold servers of a service.
+    #[must_use]
+    pub fn has_cold_limit(&self, service: &str) -> bool {
+        self.cold.has_limit(service)
+    }
+
     /// Returns when this entry VM received the record that says that a server is cold.
     #[must_use]
     pub fn cold_since(&self, incarnation: &ServerIncarnation) -> Option<MonoTime> {
--- a/crates/chicory_gateway/tests/server_notices/backend_server.rs
+++ b/crates/chicory_gateway/tests/server_notices/backend_server.rs
@@ -47,6 +47,8 @@
 pub struct BackendServer {
     /// Spans in which the server is cold.
     cold_periods: Vec<(Duration, Duration)>,
+    /// Greatest number of requests that the server runs at once; it turns away any more.
+    pub capacity: Option<usize>,
     /// Time that the server states as left of a cold period, whatever is left of it.
     stated_cold: Option<Duration>,
     /// Limits in requests per second, by the time from which the server names them.
--- a/crates/chicory_gateway/tests/server_notices/cold.rs
+++ b/crates/chicory_gateway/tests/server_notices/cold.rs
@@ -8,7 +8,7 @@
 
 use crate::backend_server::BackendServer;
 use crate::callers::Callers;
-use crate::world::{READS, TRAFFIC_AT, World};
+use crate::world::{PLANS, READS, TRAFFIC_AT, World};
 
 /// Requests that a cold server bears in 1000 seconds.
 const RATE_MILLIHERTZ: u32 = 4_000;
@@ -187,3 +187,60 @@
     expect_that!(counts.refused, eq(0));
     expect_that!(counts.sent, ge(200));
 }
+
+/// Plays a service without keys whose warm servers are full, and one of whose zones comes back cold.
+///
+/// Guards against cold servers that get more than they bear because the others turn requests away,
+/// and against requests that are refused although cold servers would take them.
+#[gtest]
+fn zone_of_a_service_without_keys_that_comes_back_cold_is_used_up_to_its_limit() {
+    for entry_count in [10, 89] {
+        let server = |is_cold| {
+            let mut server = BackendServer::default();
+            server.capacity = Some(4);
+            if is_cold {
+                server.set_cold(Duration::ZERO, LONG);
+            }
+            server
+        };
+        let servers = vec![
+            ("library-a1", server(false)),
+            ("library-a2", server(false)),
+            ("library-a3", server(false)),
+            ("library-a4", server(false)),
+            ("library-b1", server(true)),
+            ("library-b2", server(true)),
+        ];
+        let mut world = World::start_with(entry_count, servers, Some(RATE_MILLIHERTZ));
+        // The warm servers serve 200 requests a second.
+        world.add_callers(PLANS, Callers::even(300.0));
+        let from = TRAFFIC_AT + Duration::from_secs(3);
+        let end = from + Duration::from_secs(12);
+        world.run_until(end);
+        for name in ["library-b1", "library-b2"] {
+            let most = world.server(name).most_in_a_second_of_cold(TRAFFIC_AT, end);
+            expect_that!(most, le(MOST_PER_S), "{entry_count} {name}");
+            let used = world.server(name).rate_between(from, end) / RATE_PER_S;
+            expect_that!(used, ge(LEAST_USED_PART), "{entry_count} {name}");
+        }
+    }
+}
+
+/// Guards against permits that are spent, and requests that wait for them, while warm servers could
+/// serve the requests at once.
+#[gtest]
+fn cold_servers_without_keys_get_nothing_while_warm_ones_have_room() {
+    for entry_count in [10, 89] {
+        let servers = vec![
+            ("library-a1", BackendServer::default()),
+            ("library-b1", BackendServer::cold(Duration::ZERO, LONG)),
+        ];
+        let mut world = World::start_with(entry_count, servers, Some(RATE_MILLIHERTZ));
+        world.add_callers(PLANS, Callers::even(60.0));
+        let end = TRAFFIC_AT + Duration::from_secs(5);
+        world.run_until(end);
+        let rate = world.server("library-b1").rate_between(TRAFFIC_AT, end);
+        expect_that!(rate, eq(0.0), "{entry_count}");
+        expect_that!(world.counts(PLANS).refused, eq(0), "{entry_count}");
+    }
+}
--- a/crates/chicory_gateway/tests/server_notices/control_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/control_vm.rs
@@ -66,7 +66,7 @@
         for ((server, backend_server), port) in servers.iter().zip(8000..) {
             let record = ServerRecord {
                 incarnation: server.clone(),
-                service: "archive".into(),
+                service: service_of(server).into(),
                 address: SocketAddr::from(([10, 0, 0, 1], port)),
                 zone: "north".into(),
                 software_version: String::new(),
@@ -130,8 +130,17 @@
     }
 }
 
+/// Returns the service of a server: any server of the library serves any of its requests.
+fn service_of(server: &ServerIncarnation) -> &'static str {
+    if server.server.starts_with("library") {
+        "library"
+    } else {
+        "archive"
+    }
+}
+
 fn routes(cold_rate_millihertz: Option<u32>) -> RouteTable {
-    let route = |name: &str, priority| Route {
+    let route = |name: &str, priority, service: &str| Route {
         name: name.into(),
         host: "host".into(),
         path_prefix: format!("/{name}/"),
@@ -140,23 +149,29 @@
         latency_target: None,
         priority: Some(priority),
         max_attempts: Some(2),
-        target: RouteTarget::Service("archive".into()),
+        target: RouteTarget::Service(service.into()),
     };
     RouteTable {
         version: 1,
-        routes: vec![route("urgent", 0), route("reads", 1)],
-        services: vec![RoutedService {
-            name: "archive".into(),
-            health_path: None,
-            max_connections: None,
-            protocol: None,
-            has_tls: None,
-            is_keyed: Some(true),
-            warmup: None,
-            grant_mode: None,
-            cold_time: cold_rate_millihertz.map(|_| Duration::from_secs(3)),
-            cold_rate_millihertz,
-        }],
+        routes: vec![
+            route("urgent", 0, "archive"),
+            route("reads", 1, "archive"),
+            route("plans", 1, "library"),
+        ],
+        services: ["archive", "library"]
+            .map(|name| RoutedService {
+                name: name.into(),
+                health_path: None,
+                max_connections: None,
+                protocol: None,
+                has_tls: None,
+                is_keyed: Some(name == "archive"),
+                warmup: None,
+                grant_mode: None,
+                cold_time: cold_rate_millihertz.map(|_| Duration::from_secs(3)),
+                cold_rate_millihertz,
+            })
+            .into(),
         limits: None,
     }
 }
--- a/crates/chicory_gateway/tests/server_notices/entry_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/entry_vm.rs
@@ -89,6 +89,16 @@
         self.gateway.record_attempt_end(now, &mut ticket, outcome);
     }
 
+    /// Handles an answer that turns a request away because the server is full.
+    pub fn receive_shed(&mut self, now: Duration, mut ticket: RequestTicket) -> Progress {
+        let outcome = AttemptOutcome::Shed;
+        if self.gateway.record_attempt_end(now, &mut ticket, outcome) {
+            self.advance(now, ticket)
+        } else {
+            Progress::Refused
+        }
+    }
+
     /// Handles an answer that turns a request away and asks for rest.
     pub fn receive_rest(
         &mut self,
--- a/crates/chicory_gateway/tests/server_notices/world.rs
+++ b/crates/chicory_gateway/tests/server_notices/world.rs
@@ -35,6 +35,8 @@
     answered_at: Duration,
     /// Rest that the server asks for as it turns the request away.
     rest: Option<Duration>,
+    /// Whether the server turns the request away because it is full.
+    is_shed: bool,
 }
 
 /// Numbers of requests.
@@ -264,10 +266,19 @@
                 if let Some(rng) = &mut self.connect_delays {
                     arrives_at += MAX_CONNECT_TIME.mul_f64(rng.random_range(0.0..1.0));
                 }
+                let at_server = self.exchanges.iter();
+                let at_server = at_server.filter(|exchange| exchange.server == server);
+                let running_count = at_server.filter(|exchange| !exchange.is_shed).count();
                 let backend_server = self.servers.get_mut(&server).expect("a server");
                 backend_server.record_arrival(arrives_at, entry_vm);
                 let rest = backend_server.rest_at(arrives_at);
-                let work_time = rest.map_or(WORK_TIME, |_| Duration::ZERO);
+                let capacity = backend_server.capacity;
+                let is_shed = capacity.is_some_and(|capacity| running_count >= capacity);
+                let work_time = if rest.is_some() || is_shed {
+                    Duration::ZERO
+                } else {
+                    WORK_TIME
+                };
                 self.exchanges.push(Exchange {
                     entry_vm,
                     ticket,
@@ -275,6 +286,7 @@
                     sent_at: self.now,
                     answered_at: arrives_at + work_time,
                     rest,
+                    is_shed,
                 });
             }
             Progress::Waiting(ticket, until) => {
@@ -299,6 +311,12 @@
                 self.record_progress(exchange.entry_vm, path, progress);
                 continue;
             }
+            if exchange.is_shed {
+                let path = path_of(&exchange.ticket);
+                let progress = entry_vm.receive_shed(now, exchange.ticket);
+                self.record_progress(exchange.entry_vm, path, progress);
+                continue;
+            }
             let limit = server.limit_at(exchange.answered_at);
             server.record_answer(now, exchange.entry_vm, limit);
             let is_leaving = server.is_leaving_at(exchange.answered_at);
@@ -326,13 +344,15 @@
 }
 
 fn path_of(ticket: &RequestTicket) -> &'static str {
-    if ticket.route().route.name == "urgent" {
-        URGENT
-    } else {
-        READS
+    match ticket.route().route.name.as_str() {
+        "urgent" => URGENT,
+        "plans" => PLANS,
+        _ => READS,
     }
 }
 
+/// Path of requests that any server of another service may serve.
+pub const PLANS: &str = "/plans/x";
 /// Path of requests that are served first.
 pub const URGENT: &str = "/urgent/x";
 /// Path of all other requests.
