--- a/crates/chicory_directory/tests/cold_servers.rs
+++ b/crates/chicory_directory/tests/cold_servers.rs
@@ -167,3 +167,18 @@
     state.apply(13, finish);
     expect_that!(sent_since(&state, 12), is_empty());
 }
+
+/// Guards against a limit for servers that have long been warm, at entry VMs that start later.
+#[gtest]
+fn full_update_names_no_server_as_cold_that_has_turned_warm() {
+    let mut state = state();
+    put(&mut state, 2, record("a", "limited", "north", COLD_TIME));
+    put(&mut state, 3, record("b", "limited", "north", COLD_TIME));
+    put(
+        &mut state,
+        4,
+        record("a", "limited", "north", Duration::ZERO),
+    );
+    let expected = vec![("a".into(), Duration::ZERO), ("b".into(), COLD_TIME)];
+    expect_that!(sent_since(&state, 0), eq(&expected));
+}
--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -129,6 +129,7 @@
             return ServerStep::Deny(denial);
         }
         if self.is_cold(now, record) && self.lacks_retry(now, ticket) {
+            // Refused before anything is sent.
             return ServerStep::Send { has_permit: false };
         }
         self.limit_step(now, ticket, &record.incarnation)
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -424,12 +424,21 @@
         }
         self.limited_logged_at = Instant::now();
         let now = self.shared.now();
-        let loads = self.shared.gateway().take_limited_server_loads(now);
+        let (loads, cold_counts, cold_count) = {
+            let mut gateway = self.shared.gateway();
+            let loads = gateway.take_limited_server_loads(now);
+            let cold_count = gateway.directory().cold_count(now) as u64;
+            (loads, gateway.take_cold_counts(), cold_count)
+        };
+        let metrics = &self.shared.metrics;
+        metrics.set(GatewayMetric::ColdServers, cold_count);
+        metrics.add(GatewayMetric::SentToCold, cold_counts.sent.into());
+        metrics.add(GatewayMetric::HeldBackFromCold, cold_counts.denied.into());
         let suppressed = loads.len().saturating_sub(MAX_LIMITED_LINES);
         for load in loads.iter().take(MAX_LIMITED_LINES) {
             info!(self.shared.logger, "requests to backend server with a rate limit";
                 "server" => %load.limit.incarnation, "rate_per_s" => load.limit.rate_per_s,
-                "limit_age" => ?load.limit.age, "sent" => load.sent, "denied" => load.denied,
+                "is_cold" => load.limit.is_cold, "limit_age" => ?load.limit.age, "sent" => load.sent, "denied" => load.denied,
                 "lines_suppressed" => suppressed);
         }
     }
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -33,6 +33,12 @@
     AnswersOfLeaving,
     /// Answers whose statement about that can't be read.
     UnreadableLeaving,
+    /// Backend servers that are cold and have a cold limit.
+    ColdServers,
+    /// Requests sent to cold servers.
+    SentToCold,
+    /// Times that a request was not sent to a cold server because of its limit.
+    HeldBackFromCold,
     /// Requests refused because the rate limits of their servers were used up.
     DeniedByLimit,
     /// Requests refused because their servers had asked for a pause.
@@ -104,6 +110,9 @@
             Self::UnreadableRests => "gateway_unreadable_rests",
             Self::AnswersOfLeaving => "gateway_answers_of_leaving",
             Self::UnreadableLeaving => "gateway_unreadable_leaving",
+            Self::ColdServers => "gateway_cold_servers",
+            Self::SentToCold => "gateway_sent_to_cold",
+            Self::HeldBackFromCold => "gateway_held_back_from_cold",
             Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::DeniedByRest => "gateway_denied_by_rest",
             Self::ControlLinksLost => "gateway_control_links_lost",
@@ -155,6 +164,11 @@
             Self::UnreadableLeaving => {
                 "Answers that can't be read as to whether their server is about to end."
             }
+            Self::ColdServers => "Backend servers that are cold and have a cold limit.",
+            Self::SentToCold => "Requests sent to cold servers.",
+            Self::HeldBackFromCold => {
+                "Times that a request was not sent to a cold server because of its limit."
+            }
             Self::DeniedByLimit => {
                 "Requests refused because the rate limits of their servers were used up."
             }
--- a/crates/chicory_gateway/tests/server_notices/cold.rs
+++ b/crates/chicory_gateway/tests/server_notices/cold.rs
@@ -95,7 +95,7 @@
             for entry_vm in world.entry_vms.iter_mut().step_by(2) {
                 entry_vm.is_linked = false;
             }
-            let end = world.now + Duration::from_secs(60);
+            let end = world.now + Duration::from_mins(1);
             world.run_until(end);
             let most = world.server("a1").most_in_a_second_of_cold(TRAFFIC_AT, end);
             expect_that!(most, le(MOST_PER_S), "{entry_count}");
--- a/crates/chicory_policy/tests/server_limits.rs
+++ b/crates/chicory_policy/tests/server_limits.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use chicory_policy::{
-    LimitChange, LimitObservation, NamedLimits, PermitDecision, PermitHolder, PermitIssuer,
-    PermitStep, SenderState, SpacedShare,
+    ColdAllowance, LimitChange, LimitObservation, NamedLimits, PermitDecision, PermitHolder,
+    PermitIssuer, PermitLimit, PermitStep, SenderState, SpacedShare,
 };
 use googletest::prelude::*;
 
@@ -210,3 +210,23 @@
     let until_turn = share.try_use_turn(ms(60_000), 2.0);
     expect_that!(until_turn, err(le(Duration::from_millis(500))));
 }
+
+/// Permits of up to 1.9 s can arrive within a second, and senders without an issuer send as well.
+#[gtest]
+fn what_accumulates_for_a_cold_server_leaves_room_for_late_permits() {
+    let limit = ColdAllowance::default().permit_limit(4.0);
+    expect_that!(limit.rate_per_s, eq(4.0));
+    expect_that!(limit.burst + 4.0 * 1.9 + 2.0 * 2.3, le(14.0 + 1e-9));
+    let ample = ColdAllowance {
+        overage: 1.5,
+        slack: 100.0,
+    };
+    expect_that!(ample.permit_limit(4.0), eq(PermitLimit::named(4.0)));
+    // One request needs a whole permit, however little is allowed.
+    let narrow = ColdAllowance {
+        overage: 0.5,
+        slack: 0.0,
+    };
+    let limit = narrow.permit_limit(4.0);
+    expect_that!((limit.rate_per_s, limit.burst), eq((2.0, 1.0)));
+}
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -23,12 +23,7 @@
             rate_per_s,
         } => info!(logger, "server limit changed"; "server" => %server_incarnation,
             "rate_per_s" => rate_per_s),
-        SiteNote::ServerColdChanged {
-            server_incarnation,
-            is_cold,
-            suppressed,
-        } => info!(logger, "server turned cold or warm"; "server" => %server_incarnation,
-            "is_cold" => is_cold, "lines_suppressed" => suppressed),
+        SiteNote::ServerColdChanged { .. } => write_cold(logger, note),
         SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
         SiteNote::ActingAsLeader { version } => {
             info!(logger, "acts as leader"; "version" => version);
@@ -112,6 +107,18 @@
     }
 }
 
+fn write_cold(logger: &Logger, note: &SiteNote) {
+    if let SiteNote::ServerColdChanged {
+        server_incarnation,
+        is_cold,
+        suppressed,
+    } = note
+    {
+        info!(logger, "server turned cold or warm"; "server" => %server_incarnation,
+            "is_cold" => is_cold, "lines_suppressed" => suppressed);
+    }
+}
+
 fn write_move(logger: &Logger, change: &RangeMove, fence: Fence) {
     let from = change
         .from
