--- a/crates/chicory_gateway/src/decide/gateway_notices.rs
+++ b/crates/chicory_gateway/src/decide/gateway_notices.rs
@@ -128,6 +128,10 @@
             ticket.permit = None;
             return ServerStep::Deny(denial);
         }
+        if self.is_cold(now, record) && self.lacks_retry(now, ticket) {
+            // Refused before anything is sent.
+            return ServerStep::Send { has_permit: false };
+        }
         self.limit_step(now, ticket, &record.incarnation)
     }
 
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod choices;
 mod evacuations;
+mod cold;
 mod follow_ups;
 mod notices;
 mod reachability;
