Have the soak order evacuations, start cold servers and state load falsely

Cause: the promises of docs/design/load-and-evacuation.md are judged by servers and operators, and the soak had none of the three. Change: seeds from 10000 on draw an evacuation, three false statements of load and two cold starts in each round, after all earlier draws; their servers start cold and their tables state the cold limit. Checked: late requests to evacuated zones, orders that are refused or late, zones that stay empty after a revocation, cold servers with more than 14 requests within a second. A 404 is no acknowledgement, so that builds without evacuations can be played. The path of acknowledged evacuations has not been played yet.

--- a/tools/soak/src/disturbances.rs
+++ b/tools/soak/src/disturbances.rs
@@ -102,6 +102,11 @@
         !touches(&self.lock_all(), from, to) && !self.has_cut_between(from, to, |_| true)
     }
 
+    /// Returns whether no VMs were cut off from backend servers shortly before a moment.
+    pub fn no_cut_until(&self, moment: Instant) -> bool {
+        !self.has_cut_between(moment, moment, |_| true)
+    }
+
     /// Returns whether this entry VM was not disturbed itself from `from` to `to`, whatever happened
     /// to others.
     pub fn none_of_entry_between(&self, entry: SocketAddr, from: Instant, to: Instant) -> bool {
--- a/tools/soak/src/fault.rs
+++ b/tools/soak/src/fault.rs
@@ -86,6 +86,13 @@
     SilenceServer { server: usize },
     /// Half of the keyed requests are for one key for a while.
     HotKey { key: u16, length: Duration },
+    /// Planned work: nothing is to be sent to the servers of a zone for a while. They may be cold in
+    /// the end.
+    Evacuate {
+        zone: usize,
+        length: Duration,
+        ends_cold: bool,
+    },
     /// Planned work: a process gets the signal to stop, and is started again.
     Stop { vm: Vm },
     /// Planned work: a backend server drains and leaves, then another one replaces it.
@@ -133,6 +140,7 @@
             | Self::HotKey { .. }
             | Self::Stop { vm: Vm::Entry(_) }
             | Self::Notice { .. }
+            | Self::Evacuate { .. }
             | Self::Replace { .. } => None,
         }
     }
--- a/tools/soak/src/fault_injection.rs
+++ b/tools/soak/src/fault_injection.rs
@@ -7,7 +7,7 @@
 
 use crate::cluster::{CONTROL_VMS, Cluster, Vm};
 use crate::fault::Fault;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, zone_name};
 use crate::link_source::LinkSource;
 use crate::proxy_rules::{Direction, ProxyAction, Selection, Treatment};
 use crate::{Run, SoakError};
@@ -89,6 +89,11 @@
                 successor,
                 down,
             } => Fleet::restart(&self.fleet, server, successor, down).await?,
+            Fault::Evacuate {
+                zone,
+                length,
+                ends_cold,
+            } => self.evacuate(&zone_name(zone), length, ends_cold).await,
             Fault::Replace { server } => self.replace(server).await?,
             Fault::Misbehave {
                 server,
--- a/tools/soak/src/fleet.rs
+++ b/tools/soak/src/fleet.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use platform_stand_ins::{BackendServer, BackendServerConfig, ServerObserver};
+use platform_stand_ins::{
+    BackendServer, BackendServerConfig, ColdLimit, LoadStatement, ServerObserver,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use snafu::ResultExt;
@@ -14,6 +16,7 @@
 use crate::cluster::CONTROL_VMS;
 use crate::guarantees::Guarantees;
 use crate::link_source::Recognition;
+use crate::plan::Plan;
 use crate::proxy::Proxy;
 use crate::proxy_rules::ProxyRules;
 use crate::soak_error::{ListenSnafu, SoakError};
@@ -36,6 +39,14 @@
 const ADDRESS_REUSE: Duration = Duration::from_secs(2);
 /// Time for which an address stays unused beyond [`ADDRESS_REUSE`].
 const REUSE_MARGIN: Duration = Duration::from_millis(200);
+/// What a cold server can take, in runs whose servers start cold. It is part of the operators'
+/// requirements.
+pub(crate) const COLD_LIMIT: ColdLimit = ColdLimit {
+    cold_time: Duration::from_secs(3),
+    rate_per_s: 4.0,
+    overage: 1.5,
+    slack: 8.0,
+};
 /// Upper bound of the factor by which a server's clock is slow. It is part of the operators'
 /// requirements.
 const SLOWEST_CLOCK: f64 = 1.02;
@@ -60,6 +71,8 @@
     /// Free addresses, each with the time from which it may be used.
     free: VecDeque<(u8, Instant)>,
     incarnations: u32,
+    /// Whether servers start cold, and those without keys state their load.
+    starts_cold: bool,
 }
 
 impl Fleet {
@@ -87,6 +100,7 @@
             members: members.collect(),
             free: (0..ADDRESSES).map(|address| (address, now)).collect(),
             incarnations: 0,
+            starts_cold: Plan::has_evacuations(seed),
         }
     }
 
@@ -156,6 +170,29 @@
         fleet.start_server(member, address, config).await
     }
 
+    /// Makes all servers of a zone cold.
+    pub(crate) fn turn_cold(&self, zone: &str) {
+        let servers = self
+            .members
+            .iter()
+            .filter_map(|member| member.server.as_ref());
+        for server in servers.filter(|server| server.config().zone == zone) {
+            server.turn_cold();
+        }
+    }
+
+    /// Starts the next incarnation of each server that ended by itself.
+    pub(crate) async fn restart_ended(&mut self) -> Result<(), SoakError> {
+        for member in 0..self.members.len() {
+            let server = self.server(member);
+            if server.is_some_and(|server| server.has_ended()) {
+                self.crash(member);
+                self.start_incarnation(member).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Ends all servers, so that none of them goes on beside later runs.
     pub(crate) fn crash_all(&mut self) {
         for member in 0..self.members.len() {
@@ -191,7 +228,8 @@
     ) -> Result<(), SoakError> {
         self.incarnations += 1;
         let name = format!("{}#{}", config.id, self.incarnations);
-        self.guarantees.record_incarnation(&name, &config.service);
+        self.guarantees
+            .record_incarnation(&name, &config.service, &config.zone);
         let (advertised, target) = (config.announced_address, config.listen_address);
         let observer: Arc<dyn ServerObserver> = self.guarantees.clone();
         let started = BackendServer::start(config, name.clone(), observer).await;
@@ -220,7 +258,7 @@
             id,
             started_at_ms: u64::try_from(started_at_ms).ok(),
             service: service.to_owned(),
-            zone: format!("zone-{}", member % usize::from(CONTROL_VMS)),
+            zone: zone_name(member % usize::from(CONTROL_VMS)),
             listen_address: self.addresses.server_listen(address),
             announced_address: self.addresses.server_advertised(address),
             control_vms: control_vms.collect(),
@@ -231,6 +269,17 @@
             body_bytes: if service == LIBRARY { 60_000 } else { 300 },
             announce_interval: Duration::from_millis(700),
             clock_factor: self.rng.random_range(1.0..SLOWEST_CLOCK),
+            load_statement: if self.starts_cold && service != ARCHIVE {
+                LoadStatement::True
+            } else {
+                LoadStatement::None
+            },
+            cold_limit: self.starts_cold.then_some(COLD_LIMIT),
         }
     }
 }
+
+/// Returns the name of a zone by its index.
+pub(crate) fn zone_name(index: usize) -> String {
+    format!("zone-{index}")
+}
--- a/tools/soak/src/guarantees.rs
+++ b/tools/soak/src/guarantees.rs
@@ -10,8 +10,10 @@
 };
 use serde_json::Value;
 
+use crate::cold_guarantees::ColdGuarantees;
 use crate::disturbances::{Cut, Disturbances};
 use crate::entry_cut_guarantees::{EntryCutGuarantees, FirstTry};
+use crate::evacuation_guarantees::EvacuationGuarantees;
 use crate::key_guarantees::KeyGuarantees;
 use crate::notice_guarantees::NoticeGuarantees;
 use crate::request_guarantees::RequestGuarantees;
@@ -31,6 +33,8 @@
     tables: Mutex<TableGuarantees>,
     notices: Mutex<NoticeGuarantees>,
     entry_cuts: Mutex<EntryCutGuarantees>,
+    evacuations: Mutex<EvacuationGuarantees>,
+    cold: Mutex<ColdGuarantees>,
     /// Service of each incarnation of a server, by its name.
     services: Mutex<BTreeMap<String, String>>,
     violations: Mutex<Vec<String>>,
@@ -46,6 +50,8 @@
             tables: Mutex::default(),
             notices: Mutex::default(),
             entry_cuts: Mutex::default(),
+            evacuations: Mutex::default(),
+            cold: Mutex::default(),
             services: Mutex::default(),
             violations: Mutex::default(),
         }
@@ -74,7 +80,8 @@
     }
 
     /// Records that an incarnation of a server starts.
-    pub(crate) fn record_incarnation(&self, server: &str, service: &str) {
+    pub(crate) fn record_incarnation(&self, server: &str, service: &str, zone: &str) {
+        lock(&self.evacuations).record_server(server, zone);
         lock(&self.services).insert(server.to_owned(), service.to_owned());
     }
 
@@ -91,6 +98,7 @@
         services: &[&'static str],
     ) {
         lock(&self.notices).record_request(&request.attempt_id, entry);
+        lock(&self.evacuations).record_request(&request.attempt_id, entry);
         lock(&self.requests).record_request(request, services);
     }
 
@@ -124,6 +132,22 @@
     /// Records that connections to a server are hindered for a time.
     pub(crate) fn record_hindrance(&self, server: &str, length: Duration) {
         lock(&self.notices).record_hindrance(server, length);
+        lock(&self.cold).record_hindrance(server, length);
+    }
+
+    /// Records that the evacuation of a zone was acknowledged at a moment.
+    pub(crate) fn record_evacuation(&self, zone: &str, at: Instant) {
+        lock(&self.evacuations).record_begin(zone, at);
+    }
+
+    /// Records that an operator is about to revoke the evacuation of a zone.
+    pub(crate) fn record_evacuation_end(&self, zone: &str) {
+        lock(&self.evacuations).record_finish(zone);
+    }
+
+    /// Returns the number of requests that reached servers of a zone.
+    pub(crate) fn arrivals_in(&self, zone: &str) -> u64 {
+        lock(&self.evacuations).arrivals(zone)
     }
 
     /// Records that an operator is about to send a table.
@@ -186,6 +210,20 @@
         self.record_violations(new_violations);
     }
 
+    fn request_accepted(&self, server: &str, attempt_id: &str) {
+        let mut evacuations = lock(&self.evacuations);
+        let new_violation = evacuations.record_arrival(server, attempt_id, &self.disturbances);
+        drop(evacuations);
+        self.record_violations(new_violation);
+    }
+
+    fn overloaded_while_cold(&self, server: &str, requests: u32) {
+        let cold = lock(&self.cold);
+        let new_violation = cold.check_overload(server, requests, &self.disturbances);
+        drop(cold);
+        self.record_violations(new_violation);
+    }
+
     fn request_answered(&self, server: &str, attempt_id: &str, behaviour: ServerBehaviour) {
         lock(&self.notices).record_server_answer(server, attempt_id, behaviour);
     }
--- a/tools/soak/src/lib.rs
+++ b/tools/soak/src/lib.rs
@@ -7,10 +7,13 @@
 mod addresses;
 mod clock_ticks;
 mod cluster;
+mod cold_guarantees;
 mod cut_manner;
 mod delays;
 mod disturbances;
 mod entry_cut_guarantees;
+mod evacuation_guarantees;
+mod evacuations;
 mod fault;
 mod fault_injection;
 mod fault_kind;
@@ -41,8 +44,10 @@
 mod unserved_requests;
 mod vm_process;
 
+pub use cold_guarantees::ColdGuarantees;
 pub use disturbances::{Cut, Disturbances};
 pub use entry_cut_guarantees::{EntryCutGuarantees, FirstTry};
+pub use evacuation_guarantees::EvacuationGuarantees;
 pub use fault_kind::FaultKind;
 pub use key_guarantees::KeyGuarantees;
 pub use machine_usage::MachineUsage;
--- a/tools/soak/src/operators.rs
+++ b/tools/soak/src/operators.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use tokio::task::JoinSet;
 
-use crate::fleet::{ARCHIVE, LEDGER, LIBRARY};
+use crate::fleet::{ARCHIVE, COLD_LIMIT, LEDGER, LIBRARY};
 use crate::guarantees::Guarantees;
 use crate::load::HOST;
 
@@ -32,6 +32,8 @@
     guarantees: Arc<Guarantees>,
     control_vms: Vec<SocketAddr>,
     entries: Vec<SocketAddr>,
+    /// Whether tables state what cold servers can take.
+    has_cold_limits: bool,
 }
 
 impl Operators {
@@ -39,18 +41,20 @@
         guarantees: Arc<Guarantees>,
         control_vms: Vec<SocketAddr>,
         entries: Vec<SocketAddr>,
+        has_cold_limits: bool,
     ) -> Arc<Self> {
         Arc::new(Self {
             guarantees,
             control_vms,
             entries,
+            has_cold_limits,
         })
     }
 
     /// Sends the first table until it is acknowledged, which needs a leader. Returns `false` if
     /// that takes longer than `limit`.
     pub(crate) async fn put_first_table(&self, limit: Duration) -> bool {
-        let table = table(1, &[1]);
+        let table = self.table(1, &[1]);
         let put = async {
             while !self.put(1, &table, true, self.control_vms[0]).await {
                 tokio::time::sleep(Duration::from_millis(100)).await;
@@ -87,11 +91,11 @@
             if marker_versions.len() > MAX_MARKERS {
                 marker_versions.remove(0);
             }
-            let first = table(version, &marker_versions);
+            let first = self.table(version, &marker_versions);
             if rng.random_bool(RACE_SHARE) {
                 version += 1;
                 marker_versions.push(version);
-                let second = table(version, &marker_versions);
+                let second = self.table(version, &marker_versions);
                 let (one, other) = (
                     self.random_control_vm(&mut rng),
                     self.random_control_vm(&mut rng),
@@ -107,8 +111,22 @@
         }
     }
 
-    async fn send_invalid(&self, version: u64, marker_versions: &[u64], rng: &mut StdRng) {
+    fn table(&self, version: u64, marker_versions: &[u64]) -> Value {
         let mut table = table(version, marker_versions);
+        if self.has_cold_limits {
+            Operator::add_cold_limits(&mut table, &COLD_LIMIT);
+        }
+        table
+    }
+
+    /// Returns the control VMs, in turn and without end, from a random one on.
+    pub(crate) fn control_vms_in_turn(&self) -> impl Iterator<Item = SocketAddr> {
+        let first = rand::rng().random_range(0..self.control_vms.len());
+        self.control_vms.iter().copied().cycle().skip(first)
+    }
+
+    async fn send_invalid(&self, version: u64, marker_versions: &[u64], rng: &mut StdRng) {
+        let mut table = self.table(version, marker_versions);
         match rng.random_range(0..3) {
             0 => table["routes"]["rows"][0][8] = Value::from("nowhere"),
             1 => table["routes"]["rows"][0][1] = Value::from(""),
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use platform_stand_ins::ServerBehaviour;
+use platform_stand_ins::{LoadStatement, ServerBehaviour};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -33,6 +33,14 @@
 /// Number of cuts of control VMs beside the faults of a round.
 const CONTROL_CUTS: usize = 2;
 
+/// Number of servers that state their load falsely beside the faults of a round.
+const FALSE_LOADS: usize = 3;
+/// Number of servers that are replaced beside the planned work of a round, in addition to one.
+const COLD_STARTS: usize = 2;
+/// First seed whose runs have evacuations, servers that start cold and servers that state their load.
+/// Earlier seeds are regression cases.
+const FIRST_SEED_WITH_EVACUATIONS: u64 = 10_000;
+
 /// The faults and planned work of a run, each with its time.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -74,11 +82,25 @@
         for round in 0..rounds {
             planner.add_control_cuts(ROUND * round);
         }
+        if Self::has_evacuations(seed) {
+            for round in 0..rounds {
+                planner.add_evacuation(ROUND * round);
+                planner.add_false_load(ROUND * round);
+                planner.add_cold_starts(ROUND * round);
+            }
+        }
         let mut steps = planner.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, end: at }
     }
 
+    /// Whether the runs of a seed have evacuations, servers that start cold and servers that state
+    /// their load.
+    #[must_use]
+    pub fn has_evacuations(seed: u64) -> bool {
+        seed >= FIRST_SEED_WITH_EVACUATIONS
+    }
+
     /// Removes all faults and planned work that are not of this kind.
     #[must_use]
     pub fn only(mut self, kind: FaultKind) -> Self {
@@ -207,6 +229,51 @@
         }
     }
 
+    /// Adds an evacuation that begins beside faults and outlasts them, or one without faults. Both
+    /// are over before entry VMs are cut off from servers.
+    fn add_evacuation(&mut self, begin: Duration) {
+        let (at, length) = if self.rng.random_bool(0.5) {
+            (self.millis(0..3000), self.millis(14_000..17_000))
+        } else {
+            let after_faults = FAULT_PHASE + RECOVERY_PHASE / 2;
+            (after_faults, self.millis(7000..8500))
+        };
+        let evacuation = Fault::Evacuate {
+            zone: self.rng.random_range(0..usize::from(CONTROL_VMS)),
+            length,
+            ends_cold: self.rng.random_bool(0.6),
+        };
+        self.steps.push((begin + at, evacuation));
+    }
+
+    /// Adds servers that state their load falsely beside faults.
+    fn add_false_load(&mut self, begin: Duration) {
+        for _ in 0..FALSE_LOADS {
+            let at = begin + self.millis(0..6000);
+            let statement = match self.rng.random_range(0..4) {
+                0 => LoadStatement::Idle,
+                1 => LoadStatement::Full,
+                2 => LoadStatement::NoSlots,
+                _ => LoadStatement::Unreadable,
+            };
+            let step = Fault::Notice {
+                server: self.server(),
+                conduct: ServerBehaviour::StatesLoad(statement),
+                length: self.millis(4000..8000),
+            };
+            self.steps.push((at, step));
+        }
+    }
+
+    /// Adds servers that start, and are cold then, beside planned work.
+    fn add_cold_starts(&mut self, begin: Duration) {
+        for _ in 0..COLD_STARTS {
+            let at = begin + FAULT_PHASE + RECOVERY_PHASE + self.millis(0..3000);
+            let server = self.server();
+            self.steps.push((at, Fault::Replace { server }));
+        }
+    }
+
     fn cut_manner(&mut self) -> CutManner {
         match self.rng.random_range(0..4) {
             0 => CutManner::Silent,
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -34,6 +34,8 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Interval at which the keys that servers hold are checked.
 const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which servers that have ended are started again.
+const SERVER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval over which the share of served requests is computed.
 const RECOVERY_SPAN: Duration = Duration::from_secs(2);
 /// Share of the requests that has to be served after a recovery; much more than the quarter that
@@ -79,7 +81,13 @@
             .collect();
         let callers = entries.iter().map(|(callers, _)| *callers).collect();
         let control_vms = (0..CONTROL_VMS).map(|index| addresses.control_interface(index));
-        let operators = Operators::new(guarantees.clone(), control_vms.collect(), callers);
+        let has_evacuations = Plan::has_evacuations(seed);
+        let operators = Operators::new(
+            guarantees.clone(),
+            control_vms.collect(),
+            callers,
+            has_evacuations,
+        );
         let binaries = options.binaries.clone();
         let folder_path = folder.path().to_owned();
         let cluster = Cluster::new(binaries, folder_path, addresses, rules.owners.clone());
@@ -129,6 +137,9 @@
         let _callers = self.load.start();
         let mut key_check = JoinSet::new();
         key_check.spawn(check_held_keys_forever(self.guarantees.clone()));
+        if Plan::has_evacuations(seed) {
+            key_check.spawn(self.clone().restart_ended_servers_forever());
+        }
         if let Err(seen) = self.wait_until_serving(START_LIMIT).await {
             self.guarantees.record_violations([format!(
                 "deployment does not serve requests after its start: {seen}"
@@ -245,6 +256,18 @@
         }
     }
 
+    /// Starts the servers again that ended as they got too many requests while they were cold.
+    async fn restart_ended_servers_forever(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(SERVER_CHECK_INTERVAL).await;
+            let restarted = self.fleet.lock().await.restart_ended().await;
+            if let Err(failure) = restarted {
+                let violation = format!("a server can't be started again: {failure}");
+                self.guarantees.record_violations([violation]);
+            }
+        }
+    }
+
     /// Records a violation for each process that exited without a fault or a planned stop, and
     /// starts it again.
     async fn restart_unexpectedly_ended(&self) -> Result<(), SoakError> {
