State zones and bounds in the settings of soaks with evacuations

Cause: a zone that the settings don't name can't be evacuated, and the settings of the soak named none.

--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -9,6 +9,7 @@
 use snafu::ResultExt;
 
 use crate::addresses::{Addresses, LINK_PORT};
+use crate::fleet::zone_name;
 use crate::process_usage::ProcessUsage;
 use crate::soak_error::{FileSnafu, SoakError};
 use crate::socket_owner::SocketOwners;
@@ -17,6 +18,8 @@
 /// Number of control VMs, one in each availability zone.
 pub(crate) const CONTROL_VMS: u8 = 3;
 
+/// Bounds that the settings state in runs with evacuations and cold servers.
+const EVACUATION_BOUNDS: [&str; 4] = ["ackS=4", "evacuateS=5", "coldOverage=1.5", "coldSlack=8"];
 /// Prefix of the file names of log segments.
 const SEGMENT_PREFIX: &str = "log-";
 /// Length of a torn record: its header and the first bytes of its body.
@@ -53,6 +56,8 @@
     folder: PathBuf,
     addresses: Addresses,
     owners: SocketOwners,
+    /// Whether the settings state zones and the bounds on evacuations and cold servers.
+    has_evacuations: bool,
     processes: BTreeMap<Vm, VmProcess>,
 }
 
@@ -62,12 +67,14 @@
         folder: PathBuf,
         addresses: Addresses,
         owners: SocketOwners,
+        has_evacuations: bool,
     ) -> Self {
         Self {
             binaries,
             folder,
             addresses,
             owners,
+            has_evacuations,
             processes: BTreeMap::new(),
         }
     }
@@ -109,10 +116,19 @@
         };
         let seeds = (0..CONTROL_VMS).map(|index| addresses.control_interface(index));
         let data_dir = self.data_dir(vm);
+        let (zones, bounds) = if self.has_evacuations {
+            let bounds = EVACUATION_BOUNDS.map(String::from);
+            let zones = 0..usize::from(CONTROL_VMS);
+            (zones.map(zone_name).collect(), bounds.to_vec())
+        } else {
+            (Vec::new(), Vec::new())
+        };
         let file = BootFile {
             vm_name: vm.name(),
             address,
-            zone: format!("zone-{}", index % CONTROL_VMS),
+            zone: zone_name(usize::from(index % CONTROL_VMS)),
+            zones,
+            bounds,
             link_port: LINK_PORT,
             seeds: seeds.collect(),
             is_first_start,
--- a/tools/soak/src/run.rs
+++ b/tools/soak/src/run.rs
@@ -90,7 +90,8 @@
         );
         let binaries = options.binaries.clone();
         let folder_path = folder.path().to_owned();
-        let cluster = Cluster::new(binaries, folder_path, addresses, rules.owners.clone());
+        let owners = rules.owners.clone();
+        let cluster = Cluster::new(binaries, folder_path, addresses, owners, has_evacuations);
         let run = Arc::new(Self {
             addresses,
             load: Load::new(guarantees.clone(), entries, log.clone()),
