--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use platform_stand_ins::ServerBehaviour;
+use platform_stand_ins::{LoadStatement, ServerBehaviour};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -28,11 +28,23 @@
     .saturating_add(PLANNED_WORK_PHASE)
     .saturating_add(CUT_PHASE);
 
+/// Time of an evacuation without other faults than those that follow its acknowledgement. It begins
+/// once the cuts no longer excuse anything.
+const EVACUATION_PHASE: Duration = Duration::from_secs(22);
+
 /// Number of notices of servers that begin beside the faults of a round.
 const NOTICES: usize = 4;
 /// Number of cuts of control VMs beside the faults of a round.
 const CONTROL_CUTS: usize = 2;
 
+/// Number of servers that state their load falsely beside the faults of a round.
+const FALSE_LOADS: usize = 3;
+/// Number of servers that are replaced beside the planned work of a round, in addition to one.
+const COLD_STARTS: usize = 2;
+/// First seed whose runs have evacuations, servers that start cold and servers that state their load.
+/// Earlier seeds are regression cases.
+const FIRST_SEED_WITH_EVACUATIONS: u64 = 10_000;
+
 /// The faults and planned work of a run, each with its time.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -53,32 +65,52 @@
             has_wiped: false,
             steps: Vec::new(),
         };
+        let has_evacuations = Self::has_evacuations(seed);
+        let round_length = if has_evacuations {
+            ROUND + EVACUATION_PHASE
+        } else {
+            ROUND
+        };
         let mut at = Duration::ZERO;
         for _ in 0..rounds {
             planner.add_faults(at);
             at += FAULT_PHASE + RECOVERY_PHASE;
             planner.add_planned_work(at);
-            at += PLANNED_WORK_PHASE + CUT_PHASE;
+            at += round_length.saturating_sub(FAULT_PHASE + RECOVERY_PHASE);
         }
         // Newer kinds are drawn after all else, so that a seed has the same faults as before there
         // were any.
         for round in 0..rounds {
-            planner.add_notices(ROUND * round);
+            planner.add_notices(round_length * round);
         }
         for round in 0..rounds {
-            planner.add_restarts(ROUND * round);
+            planner.add_restarts(round_length * round);
         }
         for round in 0..rounds {
-            planner.add_entry_cuts(ROUND * round);
+            planner.add_entry_cuts(round_length * round);
         }
         for round in 0..rounds {
-            planner.add_control_cuts(ROUND * round);
+            planner.add_control_cuts(round_length * round);
+        }
+        if has_evacuations {
+            for round in 0..rounds {
+                planner.add_evacuations(round_length * round);
+                planner.add_false_load(round_length * round);
+                planner.add_cold_starts(round_length * round);
+            }
         }
         let mut steps = planner.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, end: at }
     }
 
+    /// Whether the runs of a seed have evacuations, servers that start cold and servers that state
+    /// their load.
+    #[must_use]
+    pub fn has_evacuations(seed: u64) -> bool {
+        seed >= FIRST_SEED_WITH_EVACUATIONS
+    }
+
     /// Removes all faults and planned work that are not of this kind.
     #[must_use]
     pub fn only(mut self, kind: FaultKind) -> Self {
@@ -207,6 +239,71 @@
         }
     }
 
+    /// Adds an evacuation beside faults, and one whose acknowledgement is followed by a fault of control
+    /// VMs, which lose nothing that they acknowledged.
+    fn add_evacuations(&mut self, begin: Duration) {
+        let at = begin + self.millis(0..3000);
+        let length = self.millis(10_000..17_000);
+        let evacuation = self.evacuation(length);
+        self.steps.push((at, evacuation));
+        let at = begin + ROUND + self.millis(3000..4000);
+        let length = self.millis(14_000..16_000);
+        let evacuation = self.evacuation(length);
+        self.steps.push((at, evacuation));
+        let control = self.rng.random_range(0..CONTROL_VMS);
+        let down = self.millis(300..1000);
+        let fault = match self.rng.random_range(0..4) {
+            0 if !self.has_wiped => {
+                self.has_wiped = true;
+                Fault::Wipe { control, down }
+            }
+            0 | 1 => Fault::KillAllControl { down },
+            2 => Fault::Pause {
+                vm: Vm::Control(control),
+                length: down,
+            },
+            _ => return,
+        };
+        let later = at + self.millis(200..1500);
+        self.steps.push((later, fault));
+    }
+
+    fn evacuation(&mut self, length: Duration) -> Fault {
+        Fault::Evacuate {
+            zone: self.rng.random_range(0..usize::from(CONTROL_VMS)),
+            length,
+            ends_cold: self.rng.random_bool(0.6),
+        }
+    }
+
+    /// Adds servers that state their load falsely beside faults.
+    fn add_false_load(&mut self, begin: Duration) {
+        for _ in 0..FALSE_LOADS {
+            let at = begin + self.millis(0..6000);
+            let statement = match self.rng.random_range(0..4) {
+                0 => LoadStatement::Idle,
+                1 => LoadStatement::Full,
+                2 => LoadStatement::NoSlots,
+                _ => LoadStatement::Unreadable,
+            };
+            let step = Fault::Notice {
+                server: self.server(),
+                conduct: ServerBehaviour::StatesLoad(statement),
+                length: self.millis(4000..8000),
+            };
+            self.steps.push((at, step));
+        }
+    }
+
+    /// Adds servers that start, and are cold then, beside planned work.
+    fn add_cold_starts(&mut self, begin: Duration) {
+        for _ in 0..COLD_STARTS {
+            let at = begin + FAULT_PHASE + RECOVERY_PHASE + self.millis(0..3000);
+            let server = self.server();
+            self.steps.push((at, Fault::Replace { server }));
+        }
+    }
+
     fn cut_manner(&mut self) -> CutManner {
         match self.rng.random_range(0..4) {
             0 => CutManner::Silent,
