--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -1,8 +1,8 @@
 //! Tests of the gateway's decisions, without a network.
 
 mod choices;
-mod evacuations;
 mod cold;
+mod evacuations;
 mod follow_ups;
 mod notices;
 mod reachability;
