Decide which fraction of an overloaded owner's requests may be sent

Cause: an owner that is asked for more than it can answer has a full queue, and all its answers are late. No entry VM sends it enough requests to see that, and two windows of requests in flight at each entry VM lost (docs/decisions.md). Change: a policy for the leader that estimates demand, capacity and requests at the owner from all reports, and one for the entry VM that thins its requests evenly. Nothing uses them yet. Ruled out by trials on the way: requests at the owner by Little's law alone (they are known too late), Retry-After of 600 ms (repeats grow faster than the fraction falls), begin at 1.1 times the capacity.

--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -5,8 +5,10 @@
 //!
 //! | type | load or fault | decision |
 //! |---|---|---|
+//! | [`AdmittedFractions`] | more requests for the keys of one server than it can answer, at one sender | which of them are sent |
 //! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
 //! | [`Outages`] | keys without an owner, or unreachable servers, for seconds | wait, probe now and then, or refuse at once |
+//! | [`OwnerAdmission`] | the same, from many senders that see only a few of them each | which fraction may be sent |
 //! | [`PermitIssuer`] | more requests to a server than its limit, from many senders | which sender may send the next one |
 //! | [`PermitHolder`] | the same, at one sender | send, wait for a permit, or refuse at once |
 //! | [`SpacedShare`] | the same, without anybody who issues permits | when a sender may send the next one by itself |
@@ -14,9 +16,16 @@
 //! | [`RetryAfter`] | refused callers | when they should retry |
 //! | [`TokenBucket`] | more requests than a rate allows | when the next one may go |
 
+mod admitted_fractions;
+mod admitted_share;
 mod decaying_rate;
 mod named_limits;
+mod observed_answers;
 mod outages;
+mod owner_admission;
+mod owner_load;
+mod owner_overload;
+mod owner_slots;
 mod permit_holder;
 mod permit_issuer;
 mod rests;
@@ -24,8 +33,13 @@
 mod spaced_share;
 mod token_bucket;
 
+pub use admitted_fractions::AdmittedFractions;
 pub use named_limits::{LimitChange, LimitObservation, NamedLimits};
+pub use observed_answers::ObservedAnswers;
 pub use outages::Outages;
+pub use owner_admission::OwnerAdmission;
+pub use owner_overload::OwnerOverload;
+pub use owner_slots::OwnerSlots;
 pub use permit_holder::{PermitHolder, PermitStep, SenderState};
 pub use permit_issuer::{PermitDecision, PermitIssuer, Rank};
 pub use rests::{Rest, Rests};
