--- a/crates/chicory_policy/src/admitted_fractions.rs
+++ b/crates/chicory_policy/src/admitted_fractions.rs
@@ -66,8 +66,22 @@
     /// Returns the fraction of the requests for an owner's keys that may be sent; `None` if all may.
     #[must_use]
     pub fn fraction(&self, now: MonoTime, owner: &Owner) -> Option<f64> {
-        let is_valid = now < self.replaced_at + VALIDITY;
-        self.fractions.get(owner).copied().filter(|_| is_valid)
+        let fraction = self.fractions.get(owner).copied();
+        fraction.filter(|_| self.is_valid(now))
+    }
+
+    /// Returns the number of owners that get only a part of their requests.
+    #[must_use]
+    pub fn count(&self, now: MonoTime) -> usize {
+        if self.is_valid(now) {
+            self.fractions.len()
+        } else {
+            0
+        }
+    }
+
+    fn is_valid(&self, now: MonoTime) -> bool {
+        now < self.replaced_at + VALIDITY
     }
 
     /// Keeps only what is known of these owners.
