Tell entry VMs which fraction of an overloaded owner's requests they may send

Cause: an entry VM sends to one owner every few seconds only and can't see its queue; the leader has all reports.

--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -73,13 +73,14 @@
         self.record_relay_ability(now, link, &report);
         let permit_requests = std::mem::take(&mut report.permits);
         let accepts_server_limits = report.accepts_server_limits;
+        let accepts_owner_admission = report.accepts_owner_admission;
         let is_periodic = permit_requests.is_empty() && !report.is_about_limits_only();
         if is_distorted {
             report.servers.clear();
             report.poison.clear();
         }
         if self.mover.is_some() {
-            self.on_report(now, report);
+            self.on_report(now, is_periodic.then_some(link), report);
         } else if let Some(leader) = self.leader_vm() {
             self.effects.push(SiteEffect::SendToPeer {
                 to: leader,
@@ -88,6 +89,9 @@
         }
         if let Some(entry) = self.entries.get_mut(&link) {
             entry.accepts_server_limits |= accepts_server_limits;
+            if accepts_owner_admission {
+                entry.sent_admission.get_or_insert(0);
+            }
             entry.permit_requests.extend(permit_requests);
             entry.permit_requests.truncate(MAX_PERMIT_REQUESTS);
             // Other reports come as often as requests of callers, and need no status.
@@ -96,7 +100,15 @@
         }
     }
 
-    pub(super) fn on_report(&mut self, now: MonoTime, report: EntryReport) {
+    /// Handles a report. `link` is the one that a periodic report was received on; `None` for other
+    /// reports, and for those that another control VM forwarded.
+    pub(super) fn on_report(
+        &mut self,
+        now: MonoTime,
+        link: Option<EntryLinkId>,
+        report: EntryReport,
+    ) {
+        self.record_owner_loads(now, link, &report);
         for count in report.keys {
             let load = self.loads.entry(count.service);
             let load = load.or_insert_with(|| KeyLoad::new(now));
@@ -197,6 +209,7 @@
         }
         self.send_server_limits(now);
         self.send_relays();
+        self.send_owner_admission(now);
         for link in std::mem::take(&mut self.busy_links) {
             if let Some(entry) = self.entries.get_mut(&link) {
                 entry.is_ready = false;
--- a/crates/chicory_site/src/core/entry_link.rs
+++ b/crates/chicory_site/src/core/entry_link.rs
@@ -5,6 +5,7 @@
 use chicory_directory::{DirectoryPosition, MovesVersion, PermitRequest, RelayPeer};
 use chicory_types::{VmId, ZoneName};
 
+use super::owner_admissions::AdmissionVersion;
 use super::relay_ability::RelayAbility;
 use super::server_limits::LimitsVersion;
 
@@ -39,6 +40,9 @@
     pub(crate) accepts_server_limits: bool,
     /// Version of the rate limits that was sent to it.
     pub(crate) sent_limits: LimitsVersion,
+    /// Version of the admission to owners that was sent to it, 0 if none was; `None` while it has
+    /// not shown that it understands such messages.
+    pub(crate) sent_admission: Option<AdmissionVersion>,
     /// Requests for permits that were not answered yet.
     pub(crate) permit_requests: Vec<PermitRequest>,
 }
@@ -65,6 +69,7 @@
             is_ready: true,
             accepts_server_limits: false,
             sent_limits: 0,
+            sent_admission: None,
             permit_requests: Vec::new(),
         }
     }
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -70,6 +70,7 @@
         self.rests = Rests::default();
         self.limits.clear();
         self.planned_rates.clear();
+        self.admissions.clear();
         self.grant_events.clear();
     }
 
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -1,10 +1,11 @@
 //! Settings of the reducer.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use chicory_consensus::{ConfigError, Formation, MemberId, ReplicaConfig, VOTER_CONTACT_TIMEOUT};
 use chicory_ranges::GrantCoordinatorConfig;
-use chicory_types::{Incarnation, VmId, ZoneName};
+use chicory_types::{Incarnation, ServiceName, VmId, ZoneName};
 
 use super::fault_tolerance::MIN_VOTER_COUNT;
 
@@ -63,6 +64,7 @@
     pub(super) voter_count: usize,
     pub(super) random_seed: u64,
     pub(super) grants: GrantCoordinatorConfig,
+    pub(super) managed_services: BTreeSet<ServiceName>,
 }
 
 impl SiteConfig {
@@ -77,6 +79,7 @@
             voter_count: MIN_VOTER_COUNT,
             random_seed: 0,
             grants: GrantCoordinatorConfig::default(),
+            managed_services: BTreeSet::new(),
         }
     }
 
@@ -109,6 +112,13 @@
         self
     }
 
+    /// Sets the services whose servers' load is managed.
+    #[must_use]
+    pub fn with_managed_services(mut self, services: BTreeSet<ServiceName>) -> Self {
+        self.managed_services = services;
+        self
+    }
+
     /// Returns the settings of the replica that runs as `incarnation` of this member.
     pub(crate) fn replica_config(
         &self,
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -11,6 +11,7 @@
 
 use super::entry_link::EntryLink;
 use super::note_budget::NoteBudget;
+use super::owner_admissions::OwnerAdmissions;
 use super::planned_rates::PlannedRates;
 use super::poison_registry::PoisonRegistry;
 use super::server_limits::ServerLimits;
@@ -106,6 +107,7 @@
     /// Rate limits of backend servers, as far as entry VMs report them to this leader.
     pub(super) limits: ServerLimits,
     pub(super) planned_rates: PlannedRates,
+    pub(super) admissions: OwnerAdmissions,
     pub(super) poison: PoisonRegistry,
     pub(super) proposals: BTreeMap<u64, Proposal>,
     pub(super) forwarded_calls: BTreeMap<SiteCallId, ForwardedCall>,
@@ -153,6 +155,7 @@
             leaving: BTreeSet::new(),
             limits: ServerLimits::default(),
             planned_rates: PlannedRates::default(),
+            admissions: OwnerAdmissions::default(),
             poison: PoisonRegistry::default(),
             proposals: BTreeMap::new(),
             forwarded_calls: BTreeMap::new(),
@@ -302,7 +305,7 @@
                     self.record_announcement(now, server_incarnation);
                 }
             }
-            PeerEnvelope::Report(report) => self.on_report(now, report),
+            PeerEnvelope::Report(report) => self.on_report(now, None, report),
         }
     }
 
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use chicory_directory::{RequestFingerprint, SiteAnswer};
+use chicory_policy::OwnerOverload;
 use chicory_ranges::{CallOutcome, Fence, GrantCall, MoveRejection, RangeMove, ServerIncarnation};
 use chicory_routes::RouteTableVersion;
 use chicory_types::{Incarnation, LogIndex, ServiceName, Term, VmId};
@@ -175,6 +176,15 @@
         /// Number of such notes that were left out before this one.
         suppressed: u64,
     },
+    /// The keys of a server began or ceased to be asked for more than the server can answer.
+    OwnerAdmissionChanged {
+        /// The server.
+        server_incarnation: ServerIncarnation,
+        /// Its overload; `None` if it gets all requests again.
+        overload: Option<OwnerOverload>,
+        /// Number of such notes that were left out before this one.
+        suppressed: u64,
+    },
     /// An entry VM no longer follows this member.
     EntryDisconnected {
         /// The entry VM.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -102,6 +102,7 @@
             suppressed,
         } => info!(logger, "entry VM reports whether it can relay"; "entry_vm" => vm,
             "can_relay" => can_relay, "lines_suppressed" => suppressed),
+        SiteNote::OwnerAdmissionChanged { .. } => write_admission(logger, note),
         SiteNote::EntryDisconnected { vm } => info!(logger, "entry VM left"; "entry_vm" => vm),
     }
 }
@@ -116,6 +117,25 @@
         "has_handover" => change.handover.is_some());
 }
 
+fn write_admission(logger: &Logger, note: &SiteNote) {
+    let SiteNote::OwnerAdmissionChanged {
+        server_incarnation,
+        overload,
+        suppressed,
+    } = note
+    else {
+        return;
+    };
+    match overload {
+        Some(overload) => info!(logger, "owner is asked for more than it can answer";
+            "server" => %server_incarnation, "fraction" => overload.fraction,
+            "demand_per_s" => overload.demand_per_s, "capacity_per_s" => overload.capacity_per_s,
+            "lines_suppressed" => suppressed),
+        None => info!(logger, "owner gets all requests again"; "server" => %server_incarnation,
+            "lines_suppressed" => suppressed),
+    }
+}
+
 fn write_grant(logger: &Logger, server: &str, content: &GrantCall, outcome: &CallOutcome) {
     let (call, range, fence) = match content {
         GrantCall::Grant { range, fence, .. } => ("grant", range, fence),
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -31,6 +31,8 @@
     EntryVms,
     /// Entry VMs that have reported that they can't relay requests for others.
     EntryVmsUnableToRelay,
+    /// Servers whose keys are asked for more than the servers can answer, at the leader.
+    OverloadedOwners,
     /// Lists of relay peers that were sent to entry VMs.
     RelayListsSent,
     /// Version of the directory.
@@ -55,6 +57,7 @@
             Self::IterationTime => "site_turn_seconds",
             Self::EntryVms => "site_entry_vms",
             Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
+            Self::OverloadedOwners => "site_overloaded_owners",
             Self::RelayListsSent => "site_relay_lists_sent",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
@@ -78,6 +81,9 @@
             Self::EntryVmsUnableToRelay => {
                 "Entry VMs that have reported that they can't relay requests for others."
             }
+            Self::OverloadedOwners => {
+                "Servers whose keys are asked for more than the servers can answer, at the leader."
+            }
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -204,6 +204,9 @@
         let unable_count = self.core.unable_to_relay_count() as u64;
         self.metrics
             .set(SiteMetric::EntryVmsUnableToRelay, unable_count);
+        let overloaded_count = self.core.overloaded_owner_count() as u64;
+        self.metrics
+            .set(SiteMetric::OverloadedOwners, overloaded_count);
     }
 
     fn run_effect(&mut self, effect: SiteEffect) {
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -51,6 +51,8 @@
     vms: BTreeMap<String, Vm>,
     seeds: Vec<String>,
     voter_count: usize,
+    /// Services whose load is managed.
+    managed_services: BTreeSet<String>,
     /// Availability zones of the VMs that name theirs.
     zones: BTreeMap<String, String>,
     blocked_links: BTreeSet<(String, String)>,
@@ -73,6 +75,7 @@
             vms: BTreeMap::new(),
             seeds: seeds.clone(),
             voter_count: 3,
+            managed_services: BTreeSet::new(),
             zones: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
             in_flight: Vec::new(),
@@ -96,6 +99,18 @@
         simulation
     }
 
+    /// Starts control VMs that manage the load of a service, and waits for a leader.
+    pub fn with_managed_service(count: usize, service: &str) -> Self {
+        let mut simulation = Self::new(0);
+        simulation.seeds = (1..=count).map(vm_name).collect();
+        simulation.managed_services.insert(service.into());
+        for vm in simulation.seeds.clone() {
+            simulation.add(&vm, true);
+        }
+        simulation.await_leader();
+        simulation
+    }
+
     /// Starts control VMs in several availability zones for the first time, with empty disks.
     pub fn deployment(vms_by_zone: &[usize], voter_count: usize, seeds: &[String]) -> Self {
         let mut simulation = Self::new(0);
@@ -149,7 +164,8 @@
         self.start_count += 1;
         let mut config = SiteConfig::new(vm, self.seeds.clone())
             .with_random_seed(self.start_count * 77)
-            .with_voter_count(self.voter_count);
+            .with_voter_count(self.voter_count)
+            .with_managed_services(self.managed_services.clone());
         if let Some(zone) = self.zones.get(vm) {
             config = config.with_zone(zone);
         }
