Refuse requests beyond the fraction that an overloaded owner can answer

Cause: requests that wait in a full queue are answered late, and take the place of those that could be on time. Change: an entry VM thins the requests of owners that the leader names, before the first attempt and once a request. Refusals say overloaded and when to come back. Reports name owners with requests in flight too, since the leader needs them. Policy owner-admission switches it off for a measurement.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::admitted_owners::AdmittedOwners;
 use super::connect_delay::ConnectDelay;
 use super::crash_detector::CrashDetector;
 use super::entry_count::EntryCount;
@@ -121,6 +122,8 @@
     pub(super) rests: Rests<ServerIncarnation>,
     /// Those among them that have asked since the previous report.
     pub(super) unreported_rests: BTreeSet<ServerIncarnation>,
+    /// Owners that get only a part of their requests.
+    pub(super) admitted_owners: AdmittedOwners,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
     pub(super) rng: StdRng,
@@ -156,6 +159,7 @@
             unreported_leaving: BTreeSet::new(),
             rests: Rests::default(),
             unreported_rests: BTreeSet::new(),
+            admitted_owners: AdmittedOwners::default(),
             issuer_contact_at: None,
         }
     }
@@ -259,6 +263,7 @@
             relayed_server: None,
             follow_up: None,
             permit: None,
+            is_admitted: false,
         })
     }
 
@@ -304,6 +309,9 @@
             Ok(way) => way,
             Err(reason) => return NextStep::Refuse(self.refusal(now, ticket, reason)),
         };
+        if let Some(refusal) = self.refusal_by_admission(now, ticket, &record.incarnation) {
+            return NextStep::Refuse(refusal);
+        }
         match self.server_step(now, ticket, &record) {
             ServerStep::Send { has_permit } => self.send(now, ticket, &record, way, has_permit),
             ServerStep::Wait(until) => NextStep::Wait(until.min(ticket.deadline)),
--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -12,10 +12,16 @@
         let rests = self.take_rests(now);
         let (limits, permits) = self.limited.take_reports(now);
         let keys = std::mem::take(&mut self.key_counts).into_iter();
-        let servers = self
-            .health
-            .iter_mut()
-            .filter(|(_, health)| health.answered + health.shed > 0);
+        let directory = &self.directory;
+        // The leader sums up the requests that are at the owners of keys.
+        let is_busy_owner = |incarnation| {
+            let record = directory.server(incarnation);
+            record.is_some_and(|record| directory.is_keyed(&record.service))
+        };
+        let servers = self.health.iter_mut().filter(|(incarnation, health)| {
+            health.answered + health.shed > 0
+                || (health.in_flight > 0 && is_busy_owner(incarnation))
+        });
         EntryReport {
             keys: keys
                 .map(|((service, key), request_count)| KeyCount {
@@ -43,7 +49,7 @@
             accepts_server_limits: true,
             can_relay,
             accepts_server_shares: false,
-            accepts_owner_admission: false,
+            accepts_owner_admission: true,
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -1,12 +1,14 @@
 //! Decisions about requests, without I/O.
 
 mod admission;
+mod admitted_owners;
 mod answer_silence;
 mod connect_delay;
 mod crash_detector;
 mod entry_count;
 mod follow_up;
 mod gateway;
+mod gateway_admission;
 mod gateway_attempts;
 mod gateway_choice;
 mod gateway_config;
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -15,16 +15,19 @@
     OwnZone,
     /// Sends requests by way of other entry VMs while this one has no path to backend servers.
     Relay,
+    /// Refuses requests at once beyond the fraction that an overloaded owner of keys can answer.
+    OwnerAdmission,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Outages,
         Self::RetryAfterTime,
         Self::Readiness,
         Self::OwnZone,
         Self::Relay,
+        Self::OwnerAdmission,
     ];
 
     /// Returns the name of the policy in settings.
@@ -36,6 +39,7 @@
             Self::Readiness => "readiness",
             Self::OwnZone => "own-zone",
             Self::Relay => "relay",
+            Self::OwnerAdmission => "owner-admission",
         }
     }
 
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -59,6 +59,8 @@
     pub(crate) follow_up: Option<Box<ServerIncarnation>>,
     /// Present while or after the rate limit of a server has held the request back.
     pub(crate) permit: Option<Box<PermitState>>,
+    /// Whether the request is in the part that an overloaded owner gets.
+    pub(crate) is_admitted: bool,
 }
 
 impl RequestTicket {
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -246,6 +246,7 @@
                     }
                     self.prune();
                     self.log_limited_servers();
+                    self.shared.count_owner_admission(now);
                 }
                 () = tokio::time::sleep_until(last_contact_at + receive_timeout) => {
                     if is_final_wait {
@@ -340,7 +341,9 @@
                 FrameEffect::Applied
             }
             // Reports don't ask for these.
-            Some(ControlMessage::ServerShares(_) | ControlMessage::OwnerAdmission(_)) => {
+            Some(ControlMessage::ServerShares(_)) => FrameEffect::Applied,
+            Some(ControlMessage::OwnerAdmission(admitted)) => {
+                self.shared.record_owner_admission(now, admitted);
                 FrameEffect::Applied
             }
             Some(ControlMessage::Relays(peers)) => {
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -37,6 +37,10 @@
     DeniedByLimit,
     /// Requests refused because their servers had asked for a pause.
     DeniedByRest,
+    /// Requests refused because the owners of their keys are asked for more than they can answer.
+    RefusedByAdmission,
+    /// Owners that get only a part of their requests.
+    OverloadedOwners,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Version of the directory.
@@ -106,6 +110,8 @@
             Self::UnreadableLeaving => "gateway_unreadable_leaving",
             Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::DeniedByRest => "gateway_denied_by_rest",
+            Self::RefusedByAdmission => "gateway_refused_by_admission",
+            Self::OverloadedOwners => "gateway_overloaded_owners",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::DirectoryVersion => "gateway_directory_version",
             Self::RoutesVersion => "gateway_routes_version",
@@ -159,6 +165,10 @@
                 "Requests refused because the rate limits of their servers were used up."
             }
             Self::DeniedByRest => "Requests refused because their servers had asked for a pause.",
+            Self::RefusedByAdmission => {
+                "Requests refused because the owners of their keys are asked for more than they can answer."
+            }
+            Self::OverloadedOwners => "Owners that get only a part of their requests.",
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::RoutesVersion => "Version of the route table.",
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod interfaces;
 mod line_budget;
 mod loss_cause;
+mod owner_admission;
 mod reachability_log;
 mod relay_client;
 mod relay_handler;
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod choices;
 mod follow_ups;
 mod notices;
+mod owner_admission;
 mod reachability;
 mod relays;
 mod retries;
