--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -45,6 +45,10 @@
     DeniedByRest,
     /// Requests refused because the link was too busy to receive their bodies in time.
     BodiesRefusedByLink,
+    /// Requests refused because the owners of their keys are asked for more than they can answer.
+    RefusedByAdmission,
+    /// Owners that get only a part of their requests.
+    OverloadedOwners,
     /// Links to control VMs that were lost.
     ControlLinksLost,
     /// Availability zones that are evacuated.
@@ -120,6 +124,8 @@
             Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::DeniedByRest => "gateway_denied_by_rest",
             Self::BodiesRefusedByLink => "gateway_bodies_refused_by_link",
+            Self::RefusedByAdmission => "gateway_refused_by_admission",
+            Self::OverloadedOwners => "gateway_overloaded_owners",
             Self::ControlLinksLost => "gateway_control_links_lost",
             Self::EvacuatedZones => "gateway_evacuated_zones",
             Self::DirectoryVersion => "gateway_directory_version",
@@ -182,6 +188,10 @@
             Self::BodiesRefusedByLink => {
                 "Requests refused because the link was too busy to receive their bodies in time."
             }
+            Self::RefusedByAdmission => {
+                "Requests refused because the owners of their keys are asked for more than they can answer."
+            }
+            Self::OverloadedOwners => "Owners that get only a part of their requests.",
             Self::ControlLinksLost => "Links to control VMs that were lost.",
             Self::EvacuatedZones => "Availability zones that are evacuated.",
             Self::DirectoryVersion => "Version of the directory.",
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod follow_ups;
 mod notices;
+mod owner_admission;
 mod reachability;
 mod relays;
 mod retries;
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -71,6 +71,7 @@
         self.limits.clear();
         self.planned_rates.clear();
         self.cold.clear_leader_state();
+        self.admissions.clear();
         self.grant_events.clear();
     }
 
--- a/crates/chicory_site/src/core/site_config.rs
+++ b/crates/chicory_site/src/core/site_config.rs
@@ -6,7 +6,7 @@
 use chicory_consensus::{ConfigError, Formation, MemberId, ReplicaConfig, VOTER_CONTACT_TIMEOUT};
 use chicory_policy::ColdAllowance;
 use chicory_ranges::GrantCoordinatorConfig;
-use chicory_types::{Incarnation, VmId, ZoneName};
+use chicory_types::{Incarnation, ServiceName, VmId, ZoneName};
 
 use super::fault_tolerance::MIN_VOTER_COUNT;
 
@@ -67,6 +67,7 @@
     pub(super) random_seed: u64,
     pub(super) grants: GrantCoordinatorConfig,
     pub(super) cold_allowance: ColdAllowance,
+    pub(super) managed_services: BTreeSet<ServiceName>,
 }
 
 impl SiteConfig {
@@ -83,6 +84,7 @@
             random_seed: 0,
             grants: GrantCoordinatorConfig::default(),
             cold_allowance: ColdAllowance::default(),
+            managed_services: BTreeSet::new(),
         }
     }
 
@@ -130,6 +132,13 @@
         self
     }
 
+    /// Sets the services whose servers' load is managed.
+    #[must_use]
+    pub fn with_managed_services(mut self, services: BTreeSet<ServiceName>) -> Self {
+        self.managed_services = services;
+        self
+    }
+
     /// Returns the settings of the replica that runs as `incarnation` of this member.
     pub(crate) fn replica_config(
         &self,
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -13,6 +13,7 @@
 use super::entry_link::EntryLink;
 use super::evacuations::EvacuationProgress;
 use super::note_budget::NoteBudget;
+use super::owner_admissions::OwnerAdmissions;
 use super::planned_rates::PlannedRates;
 use super::poison_registry::PoisonRegistry;
 use super::server_limits::ServerLimits;
@@ -109,6 +110,7 @@
     pub(super) limits: ServerLimits,
     pub(super) planned_rates: PlannedRates,
     pub(super) cold: ColdServers,
+    pub(super) admissions: OwnerAdmissions,
     pub(super) poison: PoisonRegistry,
     pub(super) evacuations: EvacuationProgress,
     pub(super) proposals: BTreeMap<u64, Proposal>,
@@ -158,6 +160,7 @@
             limits: ServerLimits::default(),
             planned_rates: PlannedRates::default(),
             cold: ColdServers::default(),
+            admissions: OwnerAdmissions::default(),
             poison: PoisonRegistry::default(),
             evacuations: EvacuationProgress::default(),
             proposals: BTreeMap::new(),
@@ -309,7 +312,7 @@
                     self.record_announcement(now, server_incarnation);
                 }
             }
-            PeerEnvelope::Report(report) => self.on_report(now, report),
+            PeerEnvelope::Report(report) => self.on_report(now, None, report),
         }
     }
 
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -33,6 +33,8 @@
     EntryVmsUnableToRelay,
     /// Backend servers that are cold and have a cold limit.
     ColdServers,
+    /// Servers whose keys are asked for more than the servers can answer, at the leader.
+    OverloadedOwners,
     /// Lists of relay peers that were sent to entry VMs.
     RelayListsSent,
     /// Availability zones that are evacuated.
@@ -60,6 +62,7 @@
             Self::EntryVms => "site_entry_vms",
             Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
             Self::ColdServers => "site_cold_servers",
+            Self::OverloadedOwners => "site_overloaded_owners",
             Self::RelayListsSent => "site_relay_lists_sent",
             Self::EvacuatedZones => "site_evacuated_zones",
             Self::DirectoryVersion => "site_directory_version",
@@ -85,6 +88,9 @@
                 "Entry VMs that have reported that they can't relay requests for others."
             }
             Self::ColdServers => "Backend servers that are cold and have a cold limit.",
+            Self::OverloadedOwners => {
+                "Servers whose keys are asked for more than the servers can answer, at the leader."
+            }
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
             Self::EvacuatedZones => "Availability zones that are evacuated.",
             Self::DirectoryVersion => "Version of the directory.",
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -211,6 +211,9 @@
             .set(SiteMetric::EntryVmsUnableToRelay, unable_count);
         let cold_count = self.core.cold_count() as u64;
         self.metrics.set(SiteMetric::ColdServers, cold_count);
+        let overloaded_count = self.core.overloaded_owner_count() as u64;
+        self.metrics
+            .set(SiteMetric::OverloadedOwners, overloaded_count);
     }
 
     fn run_effect(&mut self, effect: SiteEffect) {
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -6,6 +6,7 @@
 mod entry_reports;
 mod evacuations;
 mod grants;
+mod owner_admission;
 mod support;
 
 use std::time::Duration;
--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -51,6 +51,8 @@
     vms: BTreeMap<String, Vm>,
     seeds: Vec<String>,
     voter_count: usize,
+    /// Services whose load is managed.
+    managed_services: BTreeSet<String>,
     /// Availability zones of the VMs that name theirs.
     zones: BTreeMap<String, String>,
     /// Availability zones in the settings of VMs that start from now on.
@@ -79,6 +81,7 @@
             vms: BTreeMap::new(),
             seeds: seeds.clone(),
             voter_count: 3,
+            managed_services: BTreeSet::new(),
             zones: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
             in_flight: Vec::new(),
@@ -106,6 +109,18 @@
         simulation
     }
 
+    /// Starts control VMs that manage the load of a service, and waits for a leader.
+    pub fn with_managed_service(count: usize, service: &str) -> Self {
+        let mut simulation = Self::new(0);
+        simulation.seeds = (1..=count).map(vm_name).collect();
+        simulation.managed_services.insert(service.into());
+        for vm in simulation.seeds.clone() {
+            simulation.add(&vm, true);
+        }
+        simulation.await_leader();
+        simulation
+    }
+
     /// Starts control VMs in several availability zones for the first time, with empty disks.
     pub fn deployment(vms_by_zone: &[usize], voter_count: usize, seeds: &[String]) -> Self {
         let mut simulation = Self::new(0);
@@ -160,7 +175,8 @@
         let mut config = SiteConfig::new(vm, self.seeds.clone())
             .with_random_seed(self.start_count * 77)
             .with_voter_count(self.voter_count)
-            .with_zones(self.known_zones.clone());
+            .with_zones(self.known_zones.clone())
+            .with_managed_services(self.managed_services.clone());
         if let Some(zone) = self.zones.get(vm) {
             config = config.with_zone(zone);
         }
