Divide the slots of a service among entry VMs, and choose by the own part

Cause: entry VMs that choose by what they know of servers overload servers in turn while others are idle, because what they know is out of date and many choose at once.

--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -6,29 +6,44 @@
 //! | type | load or fault | decision |
 //! |---|---|---|
 //! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
+//! | [`Occupancy`] | what a server states about its load, which is soon outdated | how probably the server is full |
 //! | [`Outages`] | keys without an owner, or unreachable servers, for seconds | wait, probe now and then, or refuse at once |
 //! | [`PermitIssuer`] | more requests to a server than its limit, from many senders | which sender may send the next one |
 //! | [`PermitHolder`] | the same, at one sender | send, wait for a permit, or refuse at once |
 //! | [`SpacedShare`] | the same, without anybody who issues permits | when a sender may send the next one by itself |
 //! | [`Rests`] | servers that ask for a pause | until when nothing is sent to them |
+//! | [`SlotLine`] | many senders that choose among the same servers at once | which slots each sender prefers |
+//! | [`SlotChoice`] | the same, at one sender | send to an own slot, to another one, or wait for an own one |
 //! | [`RetryAfter`] | refused callers | when they should retry |
 //! | [`TokenBucket`] | more requests than a rate allows | when the next one may go |
 
 mod decaying_rate;
+mod line_sender;
+mod line_server;
 mod named_limits;
+mod occupancy;
 mod outages;
 mod permit_holder;
 mod permit_issuer;
 mod rests;
 mod retry_after;
+mod slot_candidate;
+mod slot_choice;
+mod slot_line;
 mod spaced_share;
 mod token_bucket;
 
+pub use line_sender::LineSender;
+pub use line_server::LineServer;
 pub use named_limits::{LimitChange, LimitObservation, NamedLimits};
+pub use occupancy::Occupancy;
 pub use outages::Outages;
 pub use permit_holder::{PermitHolder, PermitStep, SenderState};
 pub use permit_issuer::{PermitDecision, PermitIssuer, Rank};
 pub use rests::{Rest, Rests};
 pub use retry_after::RetryAfter;
+pub use slot_candidate::SlotCandidate;
+pub use slot_choice::{SlotChoice, SlotStep};
+pub use slot_line::SlotLine;
 pub use spaced_share::SpacedShare;
 pub use token_bucket::TokenBucket;
