Choose servers by shares of their slots that the leader computes

Change: servers' stated load is read into ServerNotices.load, kept with its time and the own requests in flight, and reported; the leader divides the slots of services whose servers state their load, or of all services if the processor shares of entry VMs differ by 1.5 or more, and sends each entry VM its part and the speeds; choose_server calls the choice by shares if there are any. Policy::Shares switches it off.

--- a/crates/chicory_directory/src/entry_report.rs
+++ b/crates/chicory_directory/src/entry_report.rs
@@ -5,7 +5,7 @@
 use chicory_ranges::{Key, ServerIncarnation};
 use chicory_types::ServiceName;
 
-use crate::{PermitRequest, ReportedLimit};
+use crate::{PermitRequest, ReportedLimit, StatedLoad};
 
 /// Hash of everything that makes two requests equal for a backend server.
 pub type RequestFingerprint = u64;
@@ -35,6 +35,9 @@
     pub shed: u32,
     /// Sum of the times that the answered requests took.
     pub service_time: Duration,
+    /// The load that the server stated last; `None` if it has stated none, and from entry VMs of
+    /// earlier releases.
+    pub stated: Option<StatedLoad>,
 }
 
 /// A request whose backend server broke the connection while the request ran.
--- a/crates/chicory_directory/src/lib.rs
+++ b/crates/chicory_directory/src/lib.rs
@@ -31,6 +31,7 @@
 mod site_call;
 mod site_command;
 mod site_state;
+mod stated_load;
 
 pub use admitted_fraction::AdmittedFraction;
 pub use command_outcome::CommandOutcome;
@@ -60,3 +61,4 @@
 pub use site_call::SiteCall;
 pub use site_command::SiteCommand;
 pub use site_state::{SiteState, Versioned};
+pub use stated_load::StatedLoad;
--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -23,6 +23,7 @@
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::server_reachability::ServerReachability;
+use super::share_state::ShareState;
 use super::table_lag::TableLag;
 use super::zone_reachability::ZoneReachability;
 use super::{
@@ -123,6 +124,8 @@
     pub(super) unreported_rests: BTreeSet<ServerIncarnation>,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
+    /// The parts of servers' slots that this entry VM prefers.
+    pub(super) shares: ShareState,
     pub(super) rng: StdRng,
 }
 
@@ -157,6 +160,7 @@
             rests: Rests::default(),
             unreported_rests: BTreeSet::new(),
             issuer_contact_at: None,
+            shares: ShareState::default(),
         }
     }
 
@@ -259,6 +263,7 @@
             relayed_server: None,
             follow_up: None,
             permit: None,
+            awaits_slot: false,
         })
     }
 
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -31,6 +31,7 @@
             Some(_) => health.record_relayed_outcome(now, outcome, took),
         }
         let is_congested = health.is_congested();
+        self.record_end_for_shares(now, &ticket.service, &incarnation, (outcome, took));
         match &relay {
             None => self.record_reachability(now, &incarnation, outcome),
             Some(peer) => self.record_relayed_end(now, peer, &incarnation, outcome),
--- a/crates/chicory_gateway/src/decide/gateway_choice.rs
+++ b/crates/chicory_gateway/src/decide/gateway_choice.rs
@@ -1,6 +1,6 @@
 //! Chooses a backend server for requests that any server of a service may serve.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use chicory_directory::ServerRecord;
@@ -17,7 +17,20 @@
 const DEFAULT_LATENCY: Duration = Duration::from_millis(200);
 /// Factor on the cost of a large request or answer that crosses availability zones, compared to one
 /// within a zone. Large transfers are what fills the links between zones.
-const CROSS_ZONE_COST_FACTOR: f64 = 1.8;
+pub(super) const CROSS_ZONE_COST_FACTOR: f64 = 1.8;
+
+/// A choice of a server.
+pub(super) enum Choice {
+    /// This server.
+    Server(ServerRecord),
+    /// This server, where a slot that belongs to this entry VM is free.
+    OwnSlot(ServerRecord),
+    /// None until this time, unless a slot that belongs to this entry VM becomes free; this server
+    /// if the request can't wait.
+    Wait(ServerRecord, MonoTime),
+    /// No server.
+    None,
+}
 
 impl Gateway {
     pub(super) fn route_to_any_server(
@@ -29,7 +42,18 @@
             return NextStep::Refuse(self.refusal(now, ticket, RefusalReason::Unreachable));
         }
         let mut denials: BTreeMap<ServerIncarnation, Option<Denial>> = BTreeMap::new();
-        while let Some(record) = self.choose_server(now, ticket, &denials) {
+        ticket.awaits_slot = false;
+        loop {
+            let (record, is_own_slot) = match self.choose(now, ticket, &denials) {
+                Choice::Server(record) => (record, false),
+                Choice::OwnSlot(record) => (record, true),
+                Choice::Wait(_, until) => {
+                    ticket.awaits_slot = true;
+                    self.shares.record_awaited(until);
+                    return NextStep::Wait(until);
+                }
+                Choice::None => break,
+            };
             let way = self.choose_way(now, ticket, &record, false);
             if way == Way::Cut {
                 denials.insert(record.incarnation, None);
@@ -37,6 +61,7 @@
             }
             match self.server_step(now, ticket, &record) {
                 ServerStep::Send { has_permit } => {
+                    self.count_for_shares(&ticket.service, is_own_slot);
                     return self.send(now, ticket, &record, way, has_permit);
                 }
                 ServerStep::Wait(until) => return NextStep::Wait(until.min(ticket.deadline)),
@@ -55,39 +80,75 @@
         NextStep::Refuse(refusal)
     }
 
-    /// Returns the server with the least expected cost, other than those that were tried or have
-    /// denied the request (`denials`; without a denial if there is no way to the server). A server
-    /// that is paused, denies requests or can't be reached directly is chosen only if there is no
-    /// other.
+    /// Returns the server that a request should be sent to now, other than those that were tried or
+    /// have denied the request (`denials`; without a denial if there is no way to the server).
     pub(super) fn choose_server(
         &mut self,
         now: MonoTime,
         ticket: &RequestTicket,
         denials: &BTreeMap<ServerIncarnation, Option<Denial>>,
     ) -> Option<ServerRecord> {
-        let awaited = ticket.awaited_server();
+        match self.choose(now, ticket, denials) {
+            Choice::Server(record) | Choice::OwnSlot(record) | Choice::Wait(record, _) => {
+                Some(record)
+            }
+            Choice::None => None,
+        }
+    }
+
+    fn choose(
+        &mut self,
+        now: MonoTime,
+        ticket: &RequestTicket,
+        denials: &BTreeMap<ServerIncarnation, Option<Denial>>,
+    ) -> Choice {
+        if self.service_part(&ticket.service).is_some() {
+            let choice = self.choose_by_shares(now, ticket, denials);
+            if !matches!(choice, Choice::None) {
+                return choice;
+            }
+        }
+        let least = self.choose_by_cost(now, ticket, denials);
+        least.map_or(Choice::None, Choice::Server)
+    }
+
+    /// Whether a server can't be chosen: it was tried, has denied the request, leaves or has ended.
+    pub(super) fn is_excluded(
+        &self,
+        ticket: &RequestTicket,
+        record: &ServerRecord,
+        denials: &BTreeMap<ServerIncarnation, Option<Denial>>,
+    ) -> bool {
+        let incarnation = &record.incarnation;
+        let is_relayed = ticket.relayed_server.as_ref() == Some(incarnation);
+        let mut attempts = ticket.attempts.iter();
+        let was_tried = attempts.any(|attempt| attempt.incarnation == *incarnation);
+        let health = self.health.get(incarnation);
+        (was_tried && !is_relayed)
+            || self.leaving_since.contains_key(incarnation)
+            || denials.contains_key(incarnation)
+            || health.is_some_and(|health| health.is_gone)
+    }
+
+    /// Returns the server with the least expected cost. A server that is paused, denies requests or
+    /// can't be reached directly is chosen only if there is no other.
+    fn choose_by_cost(
+        &mut self,
+        now: MonoTime,
+        ticket: &RequestTicket,
+        denials: &BTreeMap<ServerIncarnation, Option<Denial>>,
+    ) -> Option<ServerRecord> {
         let rank = ticket.route.route.rank();
-        let tried: BTreeSet<&ServerIncarnation> = ticket
-            .attempts
-            .iter()
-            .map(|attempt| &attempt.incarnation)
-            .collect();
         let typical = self.typical_latency(&ticket.service);
         let mut best: Option<(bool, f64, ServerRecord)> = None;
         for record in self.directory.ready_servers(&ticket.service) {
-            let health = self.health.get(&record.incarnation);
-            let is_relayed = ticket.relayed_server.as_ref() == Some(&record.incarnation);
-            let is_excluded = (tried.contains(&record.incarnation) && !is_relayed)
-                || self.leaving_since.contains_key(&record.incarnation)
-                || denials.contains_key(&record.incarnation)
-                || health.is_some_and(|health| health.is_gone);
-            if is_excluded {
+            if self.is_excluded(ticket, record, denials) {
                 continue;
             }
-            let is_follow_up = ticket.follow_up.as_deref() == Some(&record.incarnation);
-            if is_relayed || is_follow_up || awaited == Some(&record.incarnation) {
+            if ticket.prefers(&record.incarnation) {
                 return Some(record.clone());
             }
+            let health = self.health.get(&record.incarnation);
             let is_paused = self.is_avoided(now, record, rank);
             let cost = health.map_or_else(
                 || ServerHealth::default().cost(record.slots, typical),
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -33,6 +33,9 @@
     pub settle_time: Duration,
     /// Availability zone of the entry VM.
     pub zone: ZoneName,
+    /// Processor cores that the entry VM may use, which may be a fraction; `None` if it is not
+    /// known.
+    pub cpu_share: Option<f64>,
     /// Seed of random choices.
     pub random_seed: u64,
     /// Policies that are switched off to measure their benefit.
@@ -55,6 +58,7 @@
             retry_window: RETRY_WINDOW,
             settle_time: SETTLE_TIME,
             zone: ZoneName::new(),
+            cpu_share: None,
             random_seed: 0,
             disabled_policies: BTreeSet::new(),
         }
--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -3,7 +3,7 @@
 use chicory_directory::{EntryReport, KeyCount, ServerLoad};
 use chicory_types::MonoTime;
 
-use super::Gateway;
+use super::{Gateway, Policy};
 
 impl Gateway {
     /// Returns what happened since the previous report.
@@ -31,6 +31,7 @@
                     answered: std::mem::take(&mut health.answered),
                     shed: std::mem::take(&mut health.shed),
                     service_time: std::mem::take(&mut health.service_time),
+                    stated: health.load.and_then(|load| load.stated),
                 })
                 .collect(),
             poison: self.crashes.take_reports(),
@@ -42,7 +43,7 @@
                 .collect(),
             accepts_server_limits: true,
             can_relay,
-            accepts_server_shares: false,
+            accepts_server_shares: self.config.is_enabled(Policy::Shares),
             accepts_owner_admission: false,
         }
     }
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -15,16 +15,19 @@
     OwnZone,
     /// Sends requests by way of other entry VMs while this one has no path to backend servers.
     Relay,
+    /// Prefers the part of servers' slots that the leader names, for requests without keys.
+    Shares,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Outages,
         Self::RetryAfterTime,
         Self::Readiness,
         Self::OwnZone,
         Self::Relay,
+        Self::Shares,
     ];
 
     /// Returns the name of the policy in settings.
@@ -36,6 +39,7 @@
             Self::Readiness => "readiness",
             Self::OwnZone => "own-zone",
             Self::Relay => "relay",
+            Self::Shares => "shares",
         }
     }
 
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -59,6 +59,8 @@
     pub(crate) follow_up: Option<Box<ServerIncarnation>>,
     /// Present while or after the rate limit of a server has held the request back.
     pub(crate) permit: Option<Box<PermitState>>,
+    /// Whether the request waits until a slot that belongs to this entry VM is free.
+    pub(crate) awaits_slot: bool,
 }
 
 impl RequestTicket {
@@ -110,11 +112,25 @@
         self.awaited_server().is_some()
     }
 
+    /// Whether the request waits until one of this entry VM's own requests has ended.
+    #[must_use]
+    pub fn awaits_slot(&self) -> bool {
+        self.awaits_slot
+    }
+
     /// Returns the server whose permit the request waits for.
     pub(crate) fn awaited_server(&self) -> Option<&ServerIncarnation> {
         self.permit.as_ref()?.awaited_server()
     }
 
+    /// Whether the request has to be sent to this server: it is relayed to it, follows up an attempt
+    /// there or waits for a permit of it.
+    pub(crate) fn prefers(&self, server: &ServerIncarnation) -> bool {
+        self.relayed_server.as_ref() == Some(server)
+            || self.follow_up.as_deref() == Some(server)
+            || self.awaited_server() == Some(server)
+    }
+
     /// Returns why there is no server left that the request could be sent to.
     pub(crate) fn reason_after_attempts(&self) -> RefusalReason {
         match self.attempts.last().and_then(|attempt| attempt.ended) {
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -5,6 +5,7 @@
 use chicory_types::MonoTime;
 
 use super::AttemptOutcome;
+use super::known_load::KnownLoad;
 
 /// Weight of the latest sample in averages.
 const SAMPLE_WEIGHT: f64 = 0.15;
@@ -53,6 +54,8 @@
     pub(crate) shed: u32,
     /// Sum of the times to an answer or a timeout since the previous report.
     pub(crate) service_time: Duration,
+    /// The load that the server stated last.
+    pub(crate) load: Option<KnownLoad>,
 }
 
 impl Default for ServerHealth {
@@ -70,6 +73,7 @@
             answered: 0,
             shed: 0,
             service_time: Duration::ZERO,
+            load: None,
         }
     }
 }
@@ -89,6 +93,11 @@
         self.latency_s.map(Duration::from_secs_f64)
     }
 
+    /// Returns the fraction of recent requests that failed.
+    pub(crate) fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
     /// Whether requests have had to wait at the server. A server that sheds requests without any
     /// having to wait is not full.
     pub(crate) fn is_congested(&self) -> bool {
--- a/crates/chicory_gateway/src/decide/server_notices.rs
+++ b/crates/chicory_gateway/src/decide/server_notices.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use chicory_directory::StatedLoad;
+
 /// What an answer says about the rate limit of its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitNotice {
@@ -39,6 +41,18 @@
     Unreadable,
 }
 
+/// Whether an answer states the load of its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LoadNotice {
+    /// The answer does not state it.
+    #[default]
+    None,
+    /// The load of the server.
+    Stated(StatedLoad),
+    /// The answer states a load that can't be read. It says nothing.
+    Unreadable,
+}
+
 /// What a backend server states about itself in an answer, besides what concerns the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerNotices {
@@ -48,6 +62,8 @@
     pub rest: RestNotice,
     /// Whether the server is about to end.
     pub leaving: LeavingNotice,
+    /// The load of the server.
+    pub load: LoadNotice,
 }
 
 impl ServerNotices {
@@ -57,5 +73,6 @@
         self.limit == LimitNotice::Unreadable
             || self.rest == RestNotice::Unreadable
             || self.leaving == LeavingNotice::Unreadable
+            || self.load == LoadNotice::Unreadable
     }
 }
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -11,9 +11,9 @@
 
 pub use decide::{
     Admission, AttemptOutcome, FollowUp, FollowUpStep, Gateway, GatewayConfig, LeavingNotice,
-    LimitInForce, LimitNotice, LimitedServerLoad, NextStep, Policy, ProbeResult,
+    LimitInForce, LimitNotice, LimitedServerLoad, LoadNotice, NextStep, Policy, ProbeResult,
     ReachabilityChange, Recheck, Refusal, RefusalReason, RequestMetadata, RequestTicket,
-    RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
+    RestNotice, RetryBudget, ServerGroup, ServerNotices, ShareCounts, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -165,9 +165,18 @@
                         self.shared.limit_reports.notify_one();
                     }
                     let pause = until.saturating_sub(self.shared.now());
+                    let awaits_slot = guard.ticket.awaits_slot();
                     // Request the next step again after either a change of the directory or the end
-                    // of the wait.
-                    drop(tokio::time::timeout(pause, changes.changed()).await);
+                    // of the wait, or when a slot may have become free.
+                    drop(
+                        tokio::time::timeout(pause, async {
+                            tokio::select! {
+                                _ = changes.changed() => {}
+                                () = self.shared.freed_slots.notified(), if awaits_slot => {}
+                            }
+                        })
+                        .await,
+                    );
                 }
                 NextStep::Refuse(refusal) => {
                     if let Some(answer) = failure {
--- a/crates/chicory_gateway/src/process/control_vm_dialer.rs
+++ b/crates/chicory_gateway/src/process/control_vm_dialer.rs
@@ -40,7 +40,7 @@
             zone: self.zone.clone(),
             known: self.shared.gateway().directory().position(),
             relay_address: self.relay_address,
-            cpu_share: None,
+            cpu_share: self.shared.gateway().cpu_share(),
         };
         writer.put(&site::LinkHello::from(hello));
         writer.flush().await
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -17,6 +17,7 @@
 use super::control_vm_search::ControlVmSearch;
 use super::loss_cause::LossCause;
 use super::search_cause::SearchCause;
+use super::share_log;
 use super::shared_state::SharedState;
 use crate::UpdateOutcome;
 
@@ -246,6 +247,7 @@
                     }
                     self.prune();
                     self.log_limited_servers();
+                    share_log::count(&self.shared);
                 }
                 () = tokio::time::sleep_until(last_contact_at + receive_timeout) => {
                     if is_final_wait {
@@ -339,10 +341,12 @@
                 self.shared.changes.send_modify(|changes| *changes += 1);
                 FrameEffect::Applied
             }
-            // Reports don't ask for these.
-            Some(ControlMessage::ServerShares(_) | ControlMessage::OwnerAdmission(_)) => {
+            Some(ControlMessage::ServerShares(services)) => {
+                share_log::record(&self.shared, now, services);
                 FrameEffect::Applied
             }
+            // Reports don't ask for these.
+            Some(ControlMessage::OwnerAdmission(_)) => FrameEffect::Applied,
             Some(ControlMessage::Relays(peers)) => {
                 let has_changed = self.shared.gateway().set_relays(peers.clone());
                 if has_changed {
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -81,6 +81,20 @@
     PathsRestored,
     /// Log lines about requests that were suppressed to limit their volume.
     LogLinesSuppressed,
+    /// Answers in which a backend server stated its load.
+    AnswersWithLoad,
+    /// Answers with a load that can't be read.
+    UnreadableLoads,
+    /// Requests sent to slots that belong to this entry VM.
+    SentWithinShares,
+    /// Requests sent to other slots of services with shares.
+    SentBeyondShares,
+    /// Times that a request began to wait for a slot of this entry VM.
+    AwaitedSlots,
+    /// Attempts at services with shares that full servers rejected.
+    RejectedWithShares,
+    /// Time since the leader last sent shares of servers' slots.
+    SharesAge,
     /// Time from a request's head to the head of its answer.
     RequestLatency,
     /// Time from sending to a backend server to the head of its answer.
@@ -128,6 +142,13 @@
             Self::PathsCut => "gateway_paths_cut",
             Self::PathsRestored => "gateway_paths_restored",
             Self::LogLinesSuppressed => "gateway_log_lines_suppressed",
+            Self::AnswersWithLoad => "gateway_answers_with_load",
+            Self::UnreadableLoads => "gateway_unreadable_loads",
+            Self::SentWithinShares => "gateway_sent_within_shares",
+            Self::SentBeyondShares => "gateway_sent_beyond_shares",
+            Self::AwaitedSlots => "gateway_awaited_slots",
+            Self::RejectedWithShares => "gateway_rejected_with_shares",
+            Self::SharesAge => "gateway_shares_age_seconds",
             Self::RequestLatency => "gateway_request_seconds",
             Self::AttemptLatency => "gateway_attempt_seconds",
         }
@@ -193,6 +214,15 @@
                 "Times that the path to a group of servers was found to be open again."
             }
             Self::LogLinesSuppressed => "Log lines suppressed to limit their volume.",
+            Self::AnswersWithLoad => "Answers in which a backend server stated its load.",
+            Self::UnreadableLoads => "Answers with a load that can't be read.",
+            Self::SentWithinShares => "Requests sent to slots that belong to this entry VM.",
+            Self::SentBeyondShares => "Requests sent to other slots of services with shares.",
+            Self::AwaitedSlots => "Times that a request began to wait for a slot of this entry VM.",
+            Self::RejectedWithShares => {
+                "Attempts at services with shares that full servers rejected."
+            }
+            Self::SharesAge => "Time since the leader last sent shares of servers' slots.",
             Self::RequestLatency => "Time from a request's head to the head of its answer.",
             Self::AttemptLatency => "Time from sending to the head of a backend server's answer.",
         }
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -33,6 +33,7 @@
 mod search_cause;
 mod server_probes;
 mod server_send;
+mod share_log;
 mod shared_state;
 mod used_link;
 
--- a/crates/chicory_gateway/src/process/request_guard.rs
+++ b/crates/chicory_gateway/src/process/request_guard.rs
@@ -48,7 +48,11 @@
             self.shared.probe_hints.notify_one();
         }
         let mut gateway = self.shared.gateway();
-        gateway.record_attempt_end(now, &mut self.ticket, outcome)
+        let may_retry = gateway.record_attempt_end(now, &mut self.ticket, outcome);
+        if gateway.has_awaited_slots(now) {
+            self.shared.freed_slots.notify_waiters();
+        }
+        may_retry
     }
 }
 
--- a/crates/chicory_gateway/src/process/request_log.rs
+++ b/crates/chicory_gateway/src/process/request_log.rs
@@ -131,7 +131,7 @@
         };
         warn!(self.logger, "backend server sends a notice that can't be read";
             "server" => %incarnation, "limit" => ?notices.limit, "rest" => ?notices.rest,
-            "leaving" => ?notices.leaving, "lines_suppressed" => suppressed);
+            "leaving" => ?notices.leaving, "load" => ?notices.load, "lines_suppressed" => suppressed);
     }
 
     fn is_sampled(&self) -> bool {
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -15,7 +15,7 @@
 use super::relay_log::RelayLog;
 use super::request_log::RequestLog;
 use super::{CallerInterface, GatewayMetric, RelayClient, ServerInterface};
-use crate::{Gateway, LeavingNotice, LimitNotice, RestNotice, ServerNotices};
+use crate::{Gateway, LeavingNotice, LimitNotice, LoadNotice, RestNotice, ServerNotices};
 
 /// Maximum number of idle connections to one server. It is low because servers limit the total over
 /// all entry VMs.
@@ -38,6 +38,8 @@
     pub(super) limit_reports: Notify,
     /// Notified when an attempt or a probe ended in a way that may call for a probe.
     pub(super) probe_hints: Notify,
+    /// Notified when an attempt ended while requests wait for slots of this entry VM.
+    pub(super) freed_slots: Notify,
     pub(super) requests: RequestLog,
     pub(super) reachability: ReachabilityLog,
     pub(super) relayed: RelayLog,
@@ -66,6 +68,7 @@
             changes: watch::Sender::new(0),
             limit_reports: Notify::new(),
             probe_hints: Notify::new(),
+            freed_slots: Notify::new(),
             reachability: ReachabilityLog::new(logger.clone(), metrics.clone()),
             requests: RequestLog::new(logger.clone(), metrics.clone()),
             relayed: RelayLog::new(logger.clone(), metrics.clone()),
@@ -133,7 +136,13 @@
             LeavingNotice::Leaving => self.metrics.increment(GatewayMetric::AnswersOfLeaving),
             LeavingNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableLeaving),
         }
+        match notices.load {
+            LoadNotice::None => {}
+            LoadNotice::Stated(_) => self.metrics.increment(GatewayMetric::AnswersWithLoad),
+            LoadNotice::Unreadable => self.metrics.increment(GatewayMetric::UnreadableLoads),
+        }
         let now = self.now();
+        self.gateway().record_load(now, incarnation, notices);
         if notices.is_unreadable() {
             self.requests.unreadable_notice(now, incarnation, notices);
         }
--- a/crates/chicory_gateway/tests/server_notices/control_vm.rs
+++ b/crates/chicory_gateway/tests/server_notices/control_vm.rs
@@ -78,6 +78,7 @@
             zone: "north".into(),
             known: DirectoryPosition::default(),
             relay_address: None,
+            cpu_share: None,
         };
         self.handle(now, connected);
     }
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -58,6 +58,7 @@
     pub(super) fn on_entry_disconnected(&mut self, link: EntryLinkId) {
         if let Some(entry) = self.entries.remove(&link) {
             self.record_relay_link(&entry);
+            self.shared_slots.remove_link(link);
             self.push_note(SiteNote::EntryDisconnected { vm: entry.vm });
         }
     }
@@ -71,6 +72,7 @@
         let EntryMessage::Report(mut report) = message;
         let is_distorted = self.is_distorted_by_cut(link, &report);
         self.record_relay_ability(now, link, &report);
+        self.record_demand(link, &report);
         let permit_requests = std::mem::take(&mut report.permits);
         let accepts_server_limits = report.accepts_server_limits;
         let is_periodic = permit_requests.is_empty() && !report.is_about_limits_only();
@@ -97,6 +99,7 @@
     }
 
     pub(super) fn on_report(&mut self, now: MonoTime, report: EntryReport) {
+        self.record_stated_loads(now, &report);
         for count in report.keys {
             let load = self.loads.entry(count.service);
             let load = load.or_insert_with(|| KeyLoad::new(now));
@@ -197,6 +200,7 @@
         }
         self.send_server_limits(now);
         self.send_relays();
+        self.send_shares(now);
         for link in std::mem::take(&mut self.busy_links) {
             if let Some(entry) = self.entries.get_mut(&link) {
                 entry.is_ready = false;
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -69,6 +69,8 @@
         self.leaving.clear();
         self.rests = Rests::default();
         self.limits.clear();
+        self.shared_slots.clear();
+        self.divided_services.clear();
         self.planned_rates.clear();
         self.grant_events.clear();
     }
@@ -281,7 +283,7 @@
             .collect()
     }
 
-    fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
+    pub(super) fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
         record.state == ServerState::Ready
             && !self.leaving.contains(&record.incarnation)
             && !self.is_unresponsive(now, &record.incarnation)
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod entries;
+mod entry_demand;
 mod entry_link;
 mod fault_tolerance;
 mod leader;
@@ -14,6 +15,8 @@
 mod replicated_log;
 mod server_limits;
 mod server_speeds;
+mod shared_slots;
+mod shares;
 mod site_config;
 mod site_core;
 mod site_effect;
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -15,6 +15,7 @@
 use super::poison_registry::PoisonRegistry;
 use super::server_limits::ServerLimits;
 use super::server_speeds::ServerSpeeds;
+use super::shared_slots::SharedSlots;
 use super::site_config::{FORWARDING_INTERVAL, PLANNING_INTERVAL};
 use super::{CallerId, EntryLinkId, SiteConfig, SiteEffect, SiteEvent, SiteNote};
 
@@ -118,6 +119,10 @@
     /// Links to which relay peers have to be sent.
     pub(super) links_due_relays: BTreeSet<EntryLinkId>,
     pub(super) relay_notes: NoteBudget,
+    /// How the slots of services without keys are divided.
+    pub(super) shared_slots: SharedSlots,
+    /// Services whose slots are divided, as this leader last noted them.
+    pub(super) divided_services: BTreeSet<ServiceName>,
     pub(super) route_history: RouteHistory,
     /// Ranges that are in transfer, not granted yet or whose grant has expired.
     pub(super) moves: MovesHistory,
@@ -162,6 +167,8 @@
             are_relays_outdated: false,
             links_due_relays: BTreeSet::new(),
             relay_notes: NoteBudget::default(),
+            shared_slots: SharedSlots::default(),
+            divided_services: BTreeSet::new(),
             route_history: RouteHistory::default(),
             moves: MovesHistory::default(),
             plan_at: now,
@@ -267,7 +274,11 @@
                 known,
                 zone,
                 relay_address,
-            } => self.on_entry_connected(link, vm, zone, known, relay_address),
+                cpu_share,
+            } => {
+                self.shared_slots.add_link(link, vm.clone(), cpu_share);
+                self.on_entry_connected(link, vm, zone, known, relay_address);
+            }
             SiteEvent::EntrySent { link, message } => self.on_entry_message(now, link, message),
             SiteEvent::EntryLinkReady { link } => self.on_entry_link_ready(link),
             SiteEvent::EntryDisconnected { link } => self.on_entry_disconnected(link),
--- a/crates/chicory_site/src/core/site_event.rs
+++ b/crates/chicory_site/src/core/site_event.rs
@@ -76,6 +76,8 @@
         known: DirectoryPosition,
         /// Address on which it accepts requests of other entry VMs, if it relays any.
         relay_address: Option<SocketAddr>,
+        /// Processor cores that it may use, if it states them.
+        cpu_share: Option<f64>,
     },
     /// An entry VM sent a message.
     EntrySent {
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -35,6 +35,11 @@
         /// more.
         rate_per_s: Option<f64>,
     },
+    /// The services whose slots are divided among entry VMs changed.
+    SlotsDivided {
+        /// The services.
+        services: Vec<ServiceName>,
+    },
     /// This member was elected leader.
     BecameLeader {
         /// Term of the leadership.
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -14,9 +14,9 @@
 use crate::SiteEvent;
 
 /// Messages that may be queued for one entry VM: a status, an update, the moving ranges, the rate
-/// limits of servers and the relay peers. The reducer creates the next ones after these have been
+/// limits of servers, the relay peers and the shares of slots. The reducer creates the next ones after these have been
 /// written.
-const OUTBOX_MESSAGES: usize = 5;
+const OUTBOX_MESSAGES: usize = 6;
 /// Time without any received byte after which the link is closed: several report intervals.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -26,7 +26,7 @@
         zone,
         known,
         relay_address,
-        cpu_share: _,
+        cpu_share,
     } = hello
     else {
         return;
@@ -43,6 +43,7 @@
         zone,
         known,
         relay_address,
+        cpu_share,
     };
     let inputs = [
         SiteInput::EntryLink { link: id, outbox },
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -23,6 +23,9 @@
             rate_per_s,
         } => info!(logger, "server limit changed"; "server" => %server_incarnation,
             "rate_per_s" => rate_per_s),
+        SiteNote::SlotsDivided { services } => {
+            info!(logger, "slots are divided among entry VMs"; "services" => ?services);
+        }
         SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
         SiteNote::ActingAsLeader { version } => {
             info!(logger, "acts as leader"; "version" => version);
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -33,6 +33,10 @@
     EntryVmsUnableToRelay,
     /// Lists of relay peers that were sent to entry VMs.
     RelayListsSent,
+    /// Lists of shares of slots that were sent to entry VMs.
+    ShareListsSent,
+    /// Bytes of these lists.
+    ShareBytesSent,
     /// Version of the directory.
     DirectoryVersion,
     /// Whether this member acts as leader.
@@ -56,6 +60,8 @@
             Self::EntryVms => "site_entry_vms",
             Self::EntryVmsUnableToRelay => "site_entry_vms_unable_to_relay",
             Self::RelayListsSent => "site_relay_lists_sent",
+            Self::ShareListsSent => "site_share_lists_sent",
+            Self::ShareBytesSent => "site_share_bytes_sent",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
         }
@@ -79,6 +85,8 @@
                 "Entry VMs that have reported that they can't relay requests for others."
             }
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
+            Self::ShareListsSent => "Lists of shares of slots that were sent to entry VMs.",
+            Self::ShareBytesSent => "Bytes of the lists of shares that were sent to entry VMs.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
         }
--- a/crates/chicory_site/src/process/site_process.rs
+++ b/crates/chicory_site/src/process/site_process.rs
@@ -275,7 +275,13 @@
         if let ControlMessage::Relays(_) = message {
             self.metrics.increment(SiteMetric::RelayListsSent);
         }
+        let is_shares = matches!(message, ControlMessage::ServerShares(_));
         let message = Bytes::from(encode_control_message(message));
+        if is_shares {
+            let bytes = message.len() * links.len();
+            self.metrics.increment(SiteMetric::ShareListsSent);
+            self.metrics.add(SiteMetric::ShareBytesSent, bytes as u64);
+        }
         for link in links {
             let Some(outbox) = self.entries.get(link) else {
                 continue;
--- a/crates/chicory_site/tests/entry_reports/mod.rs
+++ b/crates/chicory_site/tests/entry_reports/mod.rs
@@ -52,6 +52,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address: Some(SocketAddr::from(([10, 1, 0, 1], 7560))),
+        cpu_share: None,
     };
     simulation.handle_event(control_vm, connected);
 }
@@ -69,6 +70,7 @@
         answered: 10,
         shed: if index == 1 { 30 } else { 0 },
         service_time: Duration::from_millis(if index == 1 { 10_000 } else { 200 }),
+        stated: None,
     });
     loads.collect()
 }
--- a/crates/chicory_site/tests/relays/fleet.rs
+++ b/crates/chicory_site/tests/relays/fleet.rs
@@ -94,6 +94,7 @@
             zone: self.zone(index),
             known: DirectoryPosition::default(),
             relay_address: relay,
+            cpu_share: None,
         }
     }
 
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -262,6 +262,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address: None,
+        cpu_share: None,
     };
     let follower = simulation.follower();
     simulation.handle_event(&follower, connected);
@@ -302,6 +303,7 @@
             zone: "north".into(),
             known: DirectoryPosition::default(),
             relay_address: None,
+            cpu_share: None,
         };
         simulation.entry_messages.clear();
         simulation.handle_event(vm, connected);
@@ -331,6 +333,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address: None,
+        cpu_share: None,
     };
     simulation.handle_event(&lagging, connected);
     for _ in 0..100 {
@@ -360,6 +363,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address: None,
+        cpu_share: None,
     };
     simulation.handle_event(&leader, connected);
     for server in ["server-1", "server-2"] {
@@ -400,6 +404,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address: None,
+        cpu_share: None,
     };
     simulation.handle_event(&leader, connected);
     let report = EntryReport {
--- a/crates/chicory_wire/src/balance_convert.rs
+++ b/crates/chicory_wire/src/balance_convert.rs
@@ -2,7 +2,7 @@
 
 use std::ops::RangeInclusive;
 
-use chicory_directory::{AdmittedFraction, ServerShare, ServiceShares};
+use chicory_directory::{AdmittedFraction, ServerShare, ServiceShares, StatedLoad};
 
 use crate::ConvertError;
 use crate::convert_error::required;
@@ -25,6 +25,15 @@
     }
 );
 
+convert_record!(
+    StatedLoad,
+    site::StatedLoad {
+        plain: [running, waiting, slots, work_time_percent],
+        nested: [],
+        list: [],
+    }
+);
+
 impl From<ServerShare> for site::ServerShare {
     fn from(share: ServerShare) -> Self {
         Self {
--- a/crates/chicory_wire/src/link_convert.rs
+++ b/crates/chicory_wire/src/link_convert.rs
@@ -135,6 +135,7 @@
             answered: load.answered,
             shed: load.shed,
             service_time_us: micros(load.service_time),
+            stated: load.stated.map(Into::into),
         }
     }
 }
@@ -149,6 +150,7 @@
             answered: message.answered,
             shed: message.shed,
             service_time: Duration::from_micros(message.service_time_us),
+            stated: message.stated.map(TryInto::try_into).transpose()?,
         })
     }
 }
