--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -24,6 +24,7 @@
 use super::request_ticket::Attempt;
 use super::server_health::ServerHealth;
 use super::server_reachability::ServerReachability;
+use super::share_state::ShareState;
 use super::table_lag::TableLag;
 use super::warm_room::WarmRoom;
 use super::zone_reachability::ZoneReachability;
@@ -129,6 +130,8 @@
     pub(super) admitted_owners: AdmittedOwners,
     /// When the leader last showed that it issues permits for them.
     pub(super) issuer_contact_at: Option<MonoTime>,
+    /// The parts of servers' slots that this entry VM prefers.
+    pub(super) shares: ShareState,
     pub(super) rng: StdRng,
 }
 
@@ -165,6 +168,7 @@
             unreported_rests: BTreeSet::new(),
             admitted_owners: AdmittedOwners::default(),
             issuer_contact_at: None,
+            shares: ShareState::default(),
         }
     }
 
@@ -268,6 +272,7 @@
             follow_up: None,
             permit: None,
             is_admitted: false,
+            awaits_slot: false,
         })
     }
 
--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -42,6 +42,9 @@
     /// Rate of the entry VM's link in bytes per second, if it is so thin that large bodies have to
     /// take turns. The value is positive.
     pub thin_link_bytes_per_s: Option<f64>,
+    /// Processor cores that the entry VM may use, which may be a fraction; `None` if it is not
+    /// known.
+    pub cpu_share: Option<f64>,
     /// Seed of random choices.
     pub random_seed: u64,
     /// Policies that are switched off to measure their benefit.
@@ -66,6 +69,7 @@
             evacuation_grace: EVACUATION_GRACE,
             zone: ZoneName::new(),
             thin_link_bytes_per_s: None,
+            cpu_share: None,
             random_seed: 0,
             disabled_policies: BTreeSet::new(),
         }
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -17,17 +17,20 @@
     Relay,
     /// Refuses requests at once beyond the fraction that an overloaded owner of keys can answer.
     OwnerAdmission,
+    /// Prefers the part of servers' slots that the leader names, for requests without keys.
+    Shares,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Outages,
         Self::RetryAfterTime,
         Self::Readiness,
         Self::OwnZone,
         Self::Relay,
         Self::OwnerAdmission,
+        Self::Shares,
     ];
 
     /// Returns the name of the policy in settings.
@@ -40,6 +43,7 @@
             Self::OwnZone => "own-zone",
             Self::Relay => "relay",
             Self::OwnerAdmission => "owner-admission",
+            Self::Shares => "shares",
         }
     }
 
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -11,9 +11,10 @@
 
 pub use decide::{
     Admission, AttemptOutcome, FollowUp, FollowUpStep, Gateway, GatewayConfig, LeavingNotice,
-    LimitInForce, LimitNotice, LimitedCounts, LimitedServerLoad, NextStep, Policy, ProbeResult,
-    ReachabilityChange, Recheck, Refusal, RefusalReason, RelayRecheck, RequestMetadata,
-    RequestTicket, RestNotice, RetryBudget, ServerGroup, ServerNotices, Target,
+    LimitInForce, LimitNotice, LimitedCounts, LimitedServerLoad, LoadNotice, NextStep, Policy,
+    ProbeResult, ReachabilityChange, Recheck, Refusal, RefusalReason, RelayRecheck,
+    RequestMetadata, RequestTicket, RestNotice, RetryBudget, ServerGroup, ServerNotices,
+    ShareCounts, Target,
 };
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
--- a/crates/chicory_gateway/src/process/directory_link.rs
+++ b/crates/chicory_gateway/src/process/directory_link.rs
@@ -18,6 +18,7 @@
 use super::evacuation_log::EvacuationLog;
 use super::loss_cause::LossCause;
 use super::search_cause::SearchCause;
+use super::share_log;
 use super::shared_state::SharedState;
 use crate::UpdateOutcome;
 
@@ -250,6 +251,7 @@
                     self.prune();
                     self.log_limited_servers();
                     self.shared.count_owner_admission(now);
+                    share_log::count(&self.shared);
                 }
                 () = tokio::time::sleep_until(last_contact_at + receive_timeout) => {
                     if is_final_wait {
@@ -343,8 +345,10 @@
                 self.shared.changes.send_modify(|changes| *changes += 1);
                 FrameEffect::Applied
             }
-            // Reports don't ask for these.
-            Some(ControlMessage::ServerShares(_)) => FrameEffect::Applied,
+            Some(ControlMessage::ServerShares(services)) => {
+                share_log::record(&self.shared, now, services);
+                FrameEffect::Applied
+            }
             Some(ControlMessage::OwnerAdmission(admitted)) => {
                 self.shared.record_owner_admission(now, admitted);
                 FrameEffect::Applied
--- a/crates/chicory_site/src/core/entries.rs
+++ b/crates/chicory_site/src/core/entries.rs
@@ -59,6 +59,7 @@
     pub(super) fn on_entry_disconnected(&mut self, link: EntryLinkId) {
         if let Some(entry) = self.entries.remove(&link) {
             self.record_relay_link(&entry);
+            self.shared_slots.remove_link(link);
             self.push_note(SiteNote::EntryDisconnected { vm: entry.vm });
         }
     }
@@ -72,6 +73,7 @@
         let EntryMessage::Report(mut report) = message;
         let is_distorted = self.is_distorted_by_cut(link, &report);
         self.record_relay_ability(now, link, &report);
+        self.record_demand(link, &report);
         let permit_requests = std::mem::take(&mut report.permits);
         let accepts_server_limits = report.accepts_server_limits;
         let accepts_owner_admission = report.accepts_owner_admission;
@@ -110,6 +112,7 @@
         report: EntryReport,
     ) {
         self.record_owner_loads(now, link, &report);
+        self.record_stated_loads(now, &report);
         for count in report.keys {
             let load = self.loads.entry(count.service);
             let load = load.or_insert_with(|| KeyLoad::new(now));
@@ -211,6 +214,7 @@
         self.send_server_limits(now);
         self.send_relays();
         self.send_owner_admission(now);
+        self.send_shares(now);
         for link in std::mem::take(&mut self.busy_links) {
             if let Some(entry) = self.entries.get_mut(&link) {
                 entry.is_ready = false;
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -69,6 +69,8 @@
         self.leaving.clear();
         self.rests = Rests::default();
         self.limits.clear();
+        self.shared_slots.clear();
+        self.divided_services.clear();
         self.planned_rates.clear();
         self.cold.clear_leader_state();
         self.admissions.clear();
@@ -298,7 +300,7 @@
             .collect()
     }
 
-    fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
+    pub(super) fn may_own(&self, now: MonoTime, record: &ServerRecord) -> bool {
         record.state == ServerState::Ready
             && !self.leaving.contains(&record.incarnation)
             && !self.is_evacuated(record)
--- a/crates/chicory_site/src/core/site_note.rs
+++ b/crates/chicory_site/src/core/site_note.rs
@@ -45,6 +45,11 @@
         /// Number of such notes that were left out before this one.
         suppressed: u64,
     },
+    /// The services whose slots are divided among entry VMs changed.
+    SlotsDivided {
+        /// The services.
+        services: Vec<ServiceName>,
+    },
     /// This member was elected leader.
     BecameLeader {
         /// Term of the leadership.
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -24,6 +24,9 @@
         } => info!(logger, "server limit changed"; "server" => %server_incarnation,
             "rate_per_s" => rate_per_s),
         SiteNote::ServerColdChanged { .. } => write_cold(logger, note),
+        SiteNote::SlotsDivided { services } => {
+            info!(logger, "slots are divided among entry VMs"; "services" => ?services);
+        }
         SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
         SiteNote::ActingAsLeader { version } => {
             info!(logger, "acts as leader"; "version" => version);
--- a/crates/chicory_site/src/process/site_metric.rs
+++ b/crates/chicory_site/src/process/site_metric.rs
@@ -39,6 +39,10 @@
     RelayListsSent,
     /// Availability zones that are evacuated.
     EvacuatedZones,
+    /// Lists of shares of slots that were sent to entry VMs.
+    ShareListsSent,
+    /// Bytes of these lists.
+    ShareBytesSent,
     /// Version of the directory.
     DirectoryVersion,
     /// Whether this member acts as leader.
@@ -65,6 +69,8 @@
             Self::OverloadedOwners => "site_overloaded_owners",
             Self::RelayListsSent => "site_relay_lists_sent",
             Self::EvacuatedZones => "site_evacuated_zones",
+            Self::ShareListsSent => "site_share_lists_sent",
+            Self::ShareBytesSent => "site_share_bytes_sent",
             Self::DirectoryVersion => "site_directory_version",
             Self::IsLeading => "site_is_leading",
         }
@@ -93,6 +99,8 @@
             }
             Self::RelayListsSent => "Lists of relay peers that were sent to entry VMs.",
             Self::EvacuatedZones => "Availability zones that are evacuated.",
+            Self::ShareListsSent => "Lists of shares of slots that were sent to entry VMs.",
+            Self::ShareBytesSent => "Bytes of the lists of shares that were sent to entry VMs.",
             Self::DirectoryVersion => "Version of the directory.",
             Self::IsLeading => "Whether this member acts as leader.",
         }
--- a/crates/chicory_site/tests/cold_servers/mod.rs
+++ b/crates/chicory_site/tests/cold_servers/mod.rs
@@ -224,6 +224,7 @@
         zone: "north".into(),
         known: DirectoryPosition::default(),
         relay_address: None,
+        cpu_share: None,
     };
     simulation.handle_event(control_vm, connected);
 }
--- a/crates/chicory_site/tests/evacuations/orders.rs
+++ b/crates/chicory_site/tests/evacuations/orders.rs
@@ -210,6 +210,7 @@
             zone: "north".into(),
             known: DirectoryPosition::default(),
             relay_address: None,
+            cpu_share: None,
         };
         simulation.handle_event(&leader, connected);
         simulation.run(Duration::from_millis(100));
--- a/crates/chicory_site/tests/owner_admission/mod.rs
+++ b/crates/chicory_site/tests/owner_admission/mod.rs
@@ -50,6 +50,7 @@
             zone: "north".into(),
             known: DirectoryPosition::default(),
             relay_address: None,
+            cpu_share: None,
         };
         simulation.handle_event(control_vm, connected);
     }
@@ -75,6 +76,7 @@
             answered: 1,
             shed: 2,
             service_time: Duration::from_millis(800),
+            stated: None,
         }],
         can_relay: true,
         accepts_owner_admission: true,
