--- a/crates/chicory_gateway/src/process/control_vm_dialer.rs
+++ b/crates/chicory_gateway/src/process/control_vm_dialer.rs
@@ -35,12 +35,14 @@
     async fn handshake(&self, link: &mut LinkStream) -> Result<(), LinkError> {
         extend_unacknowledged_timeout(link)?;
         let (_, writer) = link;
+        // Each lock lives until the end of its statement.
+        let cpu_share = self.shared.gateway().cpu_share();
         let hello = LinkHello::Entry {
             vm: self.vm.clone(),
             zone: self.zone.clone(),
             known: self.shared.gateway().directory().position(),
             relay_address: self.relay_address,
-            cpu_share: self.shared.gateway().cpu_share(),
+            cpu_share,
         };
         writer.put(&site::LinkHello::from(hello));
         writer.flush().await
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -6,4 +6,5 @@
 mod reachability;
 mod relays;
 mod retries;
+mod shares;
 mod support;
