--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -9,4 +9,5 @@
 mod reachability;
 mod relays;
 mod retries;
+mod shares;
 mod support;
--- a/crates/chicory_site/src/process/note_log.rs
+++ b/crates/chicory_site/src/process/note_log.rs
@@ -27,15 +27,10 @@
         SiteNote::SlotsDivided { services } => {
             info!(logger, "slots are divided among entry VMs"; "services" => ?services);
         }
-        SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
-        SiteNote::ActingAsLeader { version } => {
-            info!(logger, "acts as leader"; "version" => version);
-        }
-        SiteNote::LostLeadership { term } => info!(logger, "leads no longer"; "term" => term),
-        SiteNote::LeaderChanged { leader } => {
-            let leader = leader.as_deref().unwrap_or("none");
-            info!(logger, "leader changed"; "leader" => leader);
-        }
+        SiteNote::BecameLeader { .. }
+        | SiteNote::ActingAsLeader { .. }
+        | SiteNote::LostLeadership { .. }
+        | SiteNote::LeaderChanged { .. } => write_leadership(logger, note),
         SiteNote::VotersChanged {
             voters,
             wanted_count,
@@ -114,6 +109,21 @@
     }
 }
 
+fn write_leadership(logger: &Logger, note: &SiteNote) {
+    match note {
+        SiteNote::BecameLeader { term } => info!(logger, "elected"; "term" => term),
+        SiteNote::ActingAsLeader { version } => {
+            info!(logger, "acts as leader"; "version" => version);
+        }
+        SiteNote::LostLeadership { term } => info!(logger, "leads no longer"; "term" => term),
+        SiteNote::LeaderChanged { leader } => {
+            let leader = leader.as_deref().unwrap_or("none");
+            info!(logger, "leader changed"; "leader" => leader);
+        }
+        _ => {}
+    }
+}
+
 fn write_evacuation(logger: &Logger, note: &SiteNote) {
     match note {
         SiteNote::EvacuationBegun { zone, index } => {
