Thin requests before the way to their owner is chosen

Cause: choosing the way may use the one probe of an unreachable owner that is due, for a request that is then refused. Measured: cargo test -p chicory_gateway, exit 0; decisions 81 passed.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -305,13 +305,13 @@
             return self.wait_for_owner(now, ticket, &grant);
         };
         self.owner_outages.record_usable(&grant);
+        if let Some(refusal) = self.refusal_by_admission(now, ticket, &record.incarnation) {
+            return NextStep::Refuse(refusal);
+        }
         let way = match self.way_to_owner(now, ticket, &record) {
             Ok(way) => way,
             Err(reason) => return NextStep::Refuse(self.refusal(now, ticket, reason)),
         };
-        if let Some(refusal) = self.refusal_by_admission(now, ticket, &record.incarnation) {
-            return NextStep::Refuse(refusal);
-        }
         match self.server_step(now, ticket, &record) {
             ServerStep::Send { has_permit } => self.send(now, ticket, &record, way, has_permit),
             ServerStep::Wait(until) => NextStep::Wait(until.min(ticket.deadline)),
