--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -4,6 +4,7 @@
 mod control_groups;
 mod entry_reports;
 mod grants;
+mod server_shares;
 mod support;
 
 use std::time::Duration;
