--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod grants;
 mod owner_admission;
+mod server_shares;
 mod support;
 
 use std::time::Duration;
