Rework the turns of large bodies after review, and leave shares and admission to owners off by default

Cold servers were considered by shares like warm ones. Change: a turn is a guard that is dropped with its request, held for twice its length at most, taken before a server is chosen and once 16 KB have come; sizes above the limit are refused at once. The queue of an entry VM's link holds all seven kinds of messages.

--- a/crates/chicory_gateway/src/decide/gateway_reports.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reports.rs
@@ -24,9 +24,10 @@
             let record = directory.server(incarnation);
             record.is_some_and(|record| directory.is_keyed(&record.service))
         };
+        let reports_owners = self.config.is_enabled(Policy::OwnerAdmission);
         let servers = self.health.iter_mut().filter(|(incarnation, health)| {
             health.answered + health.shed > 0
-                || (health.in_flight > 0 && is_busy_owner(incarnation))
+                || (reports_owners && health.in_flight > 0 && is_busy_owner(incarnation))
         });
         EntryReport {
             keys: keys
@@ -56,7 +57,7 @@
             accepts_server_limits: true,
             can_relay,
             accepts_server_shares: self.config.is_enabled(Policy::Shares),
-            accepts_owner_admission: true,
+            accepts_owner_admission: reports_owners,
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/gateway_shares.rs
+++ b/crates/chicory_gateway/src/decide/gateway_shares.rs
@@ -147,6 +147,7 @@
         };
         let is_large = ticket.route.route.kind.is_large();
         let prefers_zone = is_large && self.config.is_enabled(Policy::OwnZone);
+        let prefers_cold = self.warm_room.is_used_up(&ticket.service);
         let mut choice = SlotChoice::default();
         for record in self.directory.ready_servers(&ticket.service) {
             if self.is_excluded(ticket, record, denials) {
@@ -155,6 +156,13 @@
             if ticket.prefers(&record.incarnation) {
                 return Choice::Server(record.clone());
             }
+            if self.is_cold(now, record) {
+                // The choice by cost knows when cold servers go first.
+                if prefers_cold {
+                    return Choice::None;
+                }
+                continue;
+            }
             if self.is_avoided(now, record, rank) {
                 continue;
             }
--- a/crates/chicory_gateway/src/decide/policy.rs
+++ b/crates/chicory_gateway/src/decide/policy.rs
@@ -33,6 +33,10 @@
         Self::Shares,
     ];
 
+    /// Policies that are off unless the settings of a deployment name them: on the deployments that
+    /// were measured, callers were served worse with each of them.
+    pub const OPTIONAL: [Self; 2] = [Self::OwnerAdmission, Self::Shares];
+
     /// Returns the name of the policy in settings.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -84,6 +84,12 @@
         &self.service
     }
 
+    /// Whether a server may have run the request.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Returns the time at which the request arrived.
     #[must_use]
     pub fn arrived_at(&self) -> MonoTime {
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::pin::pin;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use hyper::{Request, Response, Version};
 
 use super::answer::{Answer, BUFFERED_BYTES};
+use super::bulk_transfers::BulkTurn;
 use super::follow_up::{self, FollowUpSearch};
 use super::interfaces::AnswerClass;
 use super::server_send::send_to_server;
@@ -38,6 +40,20 @@
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
     pub(super) metadata: RequestMetadata,
+    /// Turn of the body on the link, for the next attempt.
+    pub(super) turn: Mutex<Option<BulkTurn>>,
+}
+
+impl CallerRequest {
+    /// Sets or ends the turn of the body.
+    pub(super) fn set_turn(&self, turn: Option<BulkTurn>) {
+        *self.turn.lock().unwrap_or_else(PoisonError::into_inner) = turn;
+    }
+
+    fn take_turn(&self) -> Option<BulkTurn> {
+        let mut turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
+        turn.take()
+    }
 }
 
 /// Result of an attempt: an answer to pass on, or none.
@@ -173,14 +189,13 @@
     time_left: Duration,
 ) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
     let started_at = shared.now();
-    let turn = shared.bulk.send_turn(&request.body, started_at + time_left);
-    let turn = turn.await.map_err(|_| AttemptOutcome::Withheld)?;
     let outgoing = || {
         recheck(shared, target)?;
         let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
         let mut outgoing = outgoing(shared, request, target, left);
-        if let Some(paced) = turn.paced_body(&request.body) {
-            *outgoing.body_mut() = paced;
+        // If nothing of the request was sent and it is sent once more, its turn is used up.
+        if let Some(turn) = request.take_turn() {
+            *outgoing.body_mut() = turn.paced_body(&request.body);
         }
         Ok(outgoing)
     };
--- a/crates/chicory_gateway/src/process/bulk_transfers.rs
+++ b/crates/chicory_gateway/src/process/bulk_transfers.rs
@@ -1,24 +1,26 @@
 //! Transfers of large request bodies over the link of an entry VM.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use chicory_net::http::{BodyError, BodySource, HttpBody};
 use chicory_net::peer::BodyPart;
 use chicory_policy::{BulkStep, BulkTurns};
-use chicory_types::{Clock, MonoTime};
-use hyper::body::{Body, Incoming};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::Instant;
 
 /// Least size of a body that waits for a turn. Smaller ones delay other messages by little.
-const MIN_BULK_BYTES: u64 = 16 * 1024;
+pub(super) const MIN_BULK_BYTES: u64 = 16 * 1024;
 /// Size that is assumed for a body whose sender does not state it.
-const ASSUMED_BYTES: u64 = 64 * 1024;
+pub(super) const ASSUMED_BYTES: u64 = 64 * 1024;
 /// Bytes that are sent at once.
 const CHUNK_BYTES: usize = 8 * 1024;
 /// Chunks that may wait to be written.
 const CHUNKS_IN_FLIGHT: usize = 1;
+/// Factor by which a turn may last longer than its transfer should. A slow peer would otherwise
+/// hold up all others.
+const MAX_TURN_FACTOR: u32 = 2;
 
 /// Transfers of large request bodies over the link of an entry VM.
 ///
@@ -26,132 +28,164 @@
 /// they don't delay everything else that the link carries. Other links transfer each body as it
 /// comes.
 pub(super) struct BulkTransfers {
-    clock: Arc<dyn Clock + Send + Sync>,
-    link: Option<LinkTurns>,
+    receiving: Option<Arc<Direction>>,
+    sending: Option<Arc<Direction>>,
 }
 
-struct LinkTurns {
-    receiving: Mutex<BulkTurns>,
-    sending: Mutex<BulkTurns>,
+struct Direction {
+    turns: Mutex<BulkTurns>,
+    /// Held by the body whose turn it is. Waiting bodies get it in the order in which they came.
+    turn: Arc<Semaphore>,
 }
 
-/// The turn of one body that is sent.
-#[derive(Clone, Copy)]
-pub(super) enum SendTurn {
-    /// The body is sent as fast as the link takes it.
-    Unlimited,
-    /// The body is sent in chunks, one in each period.
-    Paced { chunk_period: Duration },
+/// The turn of one body. It ends when this is dropped.
+pub(super) struct BulkTurn {
+    _queued: QueuedBytes,
+    _permit: OwnedSemaphorePermit,
+    ends_at: Instant,
+    chunk_period: Duration,
+}
+
+/// Bytes of a body in the queue of a direction, until this is dropped.
+struct QueuedBytes {
+    direction: Arc<Direction>,
+    bytes: u64,
 }
 
 impl BulkTransfers {
     /// Creates the transfers over a link with this rate in bytes per second; `None` if bodies don't
     /// have to take turns.
-    pub(super) fn new(
-        clock: Arc<dyn Clock + Send + Sync>,
-        thin_link_bytes_per_s: Option<f64>,
-    ) -> Self {
-        let link = thin_link_bytes_per_s.map(|bytes_per_s| LinkTurns {
-            receiving: Mutex::new(BulkTurns::new(bytes_per_s)),
-            sending: Mutex::new(BulkTurns::new(bytes_per_s)),
-        });
-        Self { clock, link }
+    pub(super) fn new(thin_link_bytes_per_s: Option<f64>) -> Self {
+        let direction = || thin_link_bytes_per_s.map(Direction::new);
+        Self {
+            receiving: direction(),
+            sending: direction(),
+        }
     }
 
-    /// Waits until a body may be received.
+    /// Waits for the turn of a body that is received; `None` if it needs none.
     ///
     /// # Errors
     ///
-    /// Returns the time after which such a body could be received, if it would be too late now.
+    /// Returns the time after which the bodies before it are expected to be transferred, if its own
+    /// turn would be too late.
     pub(super) async fn receive_turn(
         &self,
-        body: &Incoming,
-        deadline: MonoTime,
-    ) -> Result<(), Duration> {
-        let Some(link) = &self.link else {
-            return Ok(());
-        };
-        let bytes = body.size_hint().exact().unwrap_or(ASSUMED_BYTES);
-        if bytes < MIN_BULK_BYTES {
-            return Ok(());
-        }
-        let step = lock(&link.receiving).reserve(self.clock.now(), bytes, deadline);
-        self.wait(step).await
+        bytes: u64,
+        time_left: Duration,
+    ) -> Result<Option<BulkTurn>, Duration> {
+        take_turn(self.receiving.as_ref(), bytes, time_left).await
     }
 
-    /// Waits until a body of a request may be sent.
+    /// Waits for the turn of a body that is sent; `None` if it needs none.
     ///
     /// # Errors
     ///
-    /// Returns the time after which such a body could be sent, if it would be too late now.
+    /// As for [`Self::receive_turn`].
     pub(super) async fn send_turn(
         &self,
-        body: &Bytes,
-        deadline: MonoTime,
-    ) -> Result<SendTurn, Duration> {
-        let bytes = body.len() as u64;
-        let link = self.link.as_ref().filter(|_| bytes >= MIN_BULK_BYTES);
-        let Some(link) = link else {
-            return Ok(SendTurn::Unlimited);
-        };
-        let (step, chunk_period) = {
-            let mut turns = lock(&link.sending);
-            let step = turns.reserve(self.clock.now(), bytes, deadline);
-            (step, turns.transfer_time(CHUNK_BYTES as u64))
-        };
-        self.wait(step).await?;
-        Ok(SendTurn::Paced { chunk_period })
+        bytes: u64,
+        time_left: Duration,
+    ) -> Result<Option<BulkTurn>, Duration> {
+        take_turn(self.sending.as_ref(), bytes, time_left).await
     }
+}
 
-    async fn wait(&self, step: BulkStep) -> Result<(), Duration> {
-        match step {
-            BulkStep::BeginAt(at) => {
-                let wait = at.saturating_sub(self.clock.now());
-                if !wait.is_zero() {
-                    tokio::time::sleep(wait).await;
-                }
-                Ok(())
-            }
-            BulkStep::TooLate(retry_after) => Err(retry_after),
-        }
+impl Direction {
+    fn new(link_bytes_per_s: f64) -> Arc<Self> {
+        Arc::new(Self {
+            turns: Mutex::new(BulkTurns::new(link_bytes_per_s)),
+            turn: Arc::new(Semaphore::new(1)),
+        })
+    }
+
+    fn with_turns<T>(&self, change: impl FnOnce(&mut BulkTurns) -> T) -> T {
+        change(&mut self.turns.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
-impl SendTurn {
-    /// Returns a body that is sent in chunks; `None` if it is sent as a whole.
-    pub(super) fn paced_body(self, body: &Bytes) -> Option<HttpBody> {
-        let Self::Paced { chunk_period } = self else {
-            return None;
-        };
+impl Drop for QueuedBytes {
+    fn drop(&mut self) {
+        self.direction.with_turns(|turns| turns.finish(self.bytes));
+    }
+}
+
+impl BulkTurn {
+    /// Whether the turn has lasted so long that others should not wait for it any more.
+    pub(super) fn is_overdue(&self) -> bool {
+        Instant::now() >= self.ends_at
+    }
+
+    /// Returns a body that is sent in chunks and ends the turn when it is complete or dropped.
+    pub(super) fn paced_body(self, body: &Bytes) -> HttpBody {
         let remaining_bytes = Some(body.len() as u64);
         let (sender, parts) = mpsc::channel(CHUNKS_IN_FLIGHT);
-        tokio::spawn(send_chunks(body.clone(), chunk_period, sender));
-        Some(HttpBody::new(BodySource::Parts {
+        tokio::spawn(send_chunks(body.clone(), self, sender));
+        HttpBody::new(BodySource::Parts {
             parts,
             remaining_bytes,
-        }))
+        })
+    }
+}
+
+async fn take_turn(
+    direction: Option<&Arc<Direction>>,
+    bytes: u64,
+    time_left: Duration,
+) -> Result<Option<BulkTurn>, Duration> {
+    let Some(direction) = direction.filter(|_| bytes >= MIN_BULK_BYTES) else {
+        return Ok(None);
+    };
+    let step = direction.with_turns(|turns| turns.queue(bytes, time_left));
+    if let BulkStep::TooLate { free_in } = step {
+        return Err(free_in);
     }
+    let queued = QueuedBytes {
+        direction: direction.clone(),
+        bytes,
+    };
+    let (transfer_time, chunk_period) = direction.with_turns(|turns| {
+        let chunk = turns.transfer_time(CHUNK_BYTES as u64);
+        (turns.transfer_time(bytes), chunk)
+    });
+    let acquired = tokio::time::timeout(time_left, direction.turn.clone().acquire_owned()).await;
+    // The semaphore is never closed, so an error is the end of the caller's time.
+    let Ok(Ok(permit)) = acquired else {
+        return Err(transfer_time);
+    };
+    Ok(Some(BulkTurn {
+        _queued: queued,
+        _permit: permit,
+        ends_at: Instant::now() + transfer_time.saturating_mul(MAX_TURN_FACTOR).min(time_left),
+        chunk_period,
+    }))
 }
 
 /// Sends a body in chunks until it is complete or its receiver is dropped.
 async fn send_chunks(
     mut body: Bytes,
-    chunk_period: Duration,
+    turn: BulkTurn,
     parts: mpsc::Sender<Result<BodyPart, BodyError>>,
 ) {
+    let (chunk_period, ends_at) = (turn.chunk_period, turn.ends_at);
+    let mut turn = Some(turn);
     while !body.is_empty() {
         let chunk = body.split_to(CHUNK_BYTES.min(body.len()));
-        if parts.send(Ok(BodyPart::Chunk(chunk))).await.is_err() {
+        let sending = parts.send(Ok(BodyPart::Chunk(chunk)));
+        tokio::pin!(sending);
+        let mut sent = tokio::time::timeout_at(ends_at, &mut sending).await;
+        if sent.is_err() {
+            turn = None;
+            sent = Ok(sending.await);
+        }
+        if matches!(sent, Ok(Err(_))) {
             return;
         }
         if !body.is_empty() {
             tokio::time::sleep(chunk_period).await;
         }
     }
-    // Fails only if the receiver has all bytes and was dropped.
+    drop(turn);
+    // Nobody waits for the end if the receiver was dropped.
     drop(parts.send(Ok(BodyPart::End)).await);
 }
-
-fn lock(turns: &Mutex<BulkTurns>) -> MutexGuard<'_, BulkTurns> {
-    turns.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -1,11 +1,13 @@
 //! Serves the requests of callers.
 
-use std::sync::Arc;
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use chicory_net::http::{AnswerFuture, BodySource, HttpBody, HttpHandler};
+use chicory_policy::RetryAfter;
 use chicory_types::MonoTime;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -17,6 +19,7 @@
 use super::answer::Answer;
 use super::answer_observer::AnswerObserver;
 use super::attempt::{self, AttemptResult, CallerRequest, remove_hop_by_hop};
+use super::bulk_transfers::{ASSUMED_BYTES, BulkTurn, MIN_BULK_BYTES};
 use super::request_guard::RequestGuard;
 use super::request_log::RequestSummary;
 use super::shared_state::SharedState;
@@ -30,8 +33,8 @@
 /// Largest body that is buffered for sending.
 pub(super) const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
-/// Fraction of a request's time in which its body has to be received. The rest is for sending it on
-/// and for the server.
+/// Fraction of a request's time that its body may wait for a turn and take to be received. The rest
+/// is for sending it on and for the server.
 const RECEIVE_FRACTION: f64 = 0.5;
 
 /// Time after which a caller that was refused because of a planned stop may come back: other entry
@@ -84,8 +87,8 @@
     shared: Arc<SharedState>,
     started_at: MonoTime,
     metadata: RequestMetadata,
-    /// Whether an attempt to send the request has begun.
-    has_begun_attempt: AtomicBool,
+    /// Whether a server may run the request, as far as ended attempts and the current one tell.
+    may_run: AtomicBool,
 }
 
 impl Exchange {
@@ -98,8 +101,11 @@
             shared,
             started_at,
             metadata,
-            has_begun_attempt: AtomicBool::new(false),
+            may_run: AtomicBool::new(false),
         };
+        if *exchange.shared.answers_are_due.borrow() {
+            return exchange.refuse(None, &exchange.refusal_at_stop());
+        }
         let response = tokio::select! {
             biased;
             response = exchange.run(head, body) => response,
@@ -140,13 +146,14 @@
             head,
             body,
             metadata: self.metadata.clone(),
+            turn: Mutex::new(None),
         };
         self.serve(ticket, &request).await
     }
 
     /// Returns the refusal of a request that still waits when the planned stop ends.
     fn refusal_at_stop(&self) -> Refusal {
-        if self.has_begun_attempt.load(Ordering::Relaxed) {
+        if self.may_run.load(Ordering::Relaxed) {
             return Refusal {
                 reason: RefusalReason::TimedOut,
                 may_have_run: true,
@@ -165,25 +172,75 @@
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        let now = self.shared.now();
-        let left = deadline.saturating_sub(now);
-        let receive_deadline = now + left.mul_f64(RECEIVE_FRACTION);
-        if let Err(retry_after) = self.shared.bulk.receive_turn(&body, receive_deadline).await {
-            let metrics = &self.shared.metrics;
-            metrics.increment(GatewayMetric::BodiesRefusedByLink);
-            let busy = Refusal::not_run(RefusalReason::Overloaded);
-            return Err(busy.with_retry_after(retry_after));
+        if body.size_hint().lower() > max_bytes {
+            return Err(Refusal::not_run(RefusalReason::BodyTooLarge));
         }
-        let left = deadline.saturating_sub(self.shared.now());
         let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-        let collected = tokio::time::timeout(left, Limited::new(body, max_bytes).collect()).await;
-        match collected {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(Refusal::not_run(RefusalReason::BodyTooLarge))
+        let left = deadline.saturating_sub(self.shared.now());
+        let receiving = self.receive(Limited::new(body, max_bytes), left);
+        let received = tokio::time::timeout(left, receiving).await;
+        received.unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::TooLate)))
+    }
+
+    /// Receives a whole body. A large one waits for its turn once its first bytes have come.
+    async fn receive(
+        &self,
+        mut body: Limited<Incoming>,
+        time_left: Duration,
+    ) -> Result<Bytes, Refusal> {
+        let mut turn = None;
+        let mut has_had_turn = false;
+        let mut parts = VecDeque::new();
+        let mut received_bytes = 0;
+        loop {
+            let is_large = received_bytes + body.size_hint().lower() >= MIN_BULK_BYTES;
+            if is_large && !has_had_turn {
+                has_had_turn = true;
+                let bytes = body.size_hint().exact().unwrap_or(ASSUMED_BYTES);
+                let wait = time_left.mul_f64(RECEIVE_FRACTION);
+                let taken = self.shared.bulk.receive_turn(bytes, wait).await;
+                turn = taken.map_err(|free_in| self.link_refusal(free_in, time_left))?;
+            }
+            let Some(frame) = body.frame().await else {
+                return Ok(concatenated(parts));
+            };
+            let frame = frame.map_err(|error| unreadable_body_refusal(error.as_ref()))?;
+            if let Ok(data) = frame.into_data() {
+                received_bytes += data.len() as u64;
+                parts.push_back(data);
+            }
+            turn = turn.filter(|turn: &BulkTurn| !turn.is_overdue());
+        }
+    }
+
+    /// Returns the refusal of a request whose body would have to wait too long for the link.
+    fn link_refusal(&self, free_in: Duration, time_left: Duration) -> Refusal {
+        let metrics = &self.shared.metrics;
+        metrics.increment(GatewayMetric::BodiesRefusedByLink);
+        let retry_after = RetryAfter::new(free_in).within(time_left);
+        Refusal::not_run(RefusalReason::Overloaded).with_retry_after(retry_after)
+    }
+
+    /// Waits until the body of a request may be sent to a server.
+    async fn wait_for_send_turn(
+        &self,
+        ticket: &RequestTicket,
+        request: &CallerRequest,
+    ) -> Result<(), Refusal> {
+        let left = ticket.deadline().saturating_sub(self.shared.now());
+        let bytes = request.body.len() as u64;
+        let taken = self.shared.bulk.send_turn(bytes, left).await;
+        match taken {
+            Ok(turn) => {
+                request.set_turn(turn);
+                Ok(())
             }
-            Ok(Err(_)) => Err(Refusal::not_run(RefusalReason::BodyUnreadable)),
-            Err(_) => Err(Refusal::not_run(RefusalReason::TooLate)),
+            Err(free_in) if !ticket.may_have_run() => Err(self.link_refusal(free_in, left)),
+            Err(_) => Err(Refusal {
+                reason: RefusalReason::TimedOut,
+                may_have_run: true,
+                retry_after: None,
+            }),
         }
     }
 
@@ -198,8 +255,15 @@
         let mut failure: Option<Box<Answer>> = None;
         loop {
             changes.mark_unchanged();
+            if let Err(refusal) = self.wait_for_send_turn(&guard.ticket, request).await {
+                if let Some(answer) = failure {
+                    return self.pass_on(guard, *answer);
+                }
+                return self.refuse(Some(&guard.ticket), &refusal);
+            }
             match guard.next_step() {
                 NextStep::Wait(until) => {
+                    request.set_turn(None);
                     if guard.ticket.waits_for_permit() {
                         self.shared.limit_reports.notify_one();
                     }
@@ -224,7 +288,7 @@
                     return self.refuse(Some(&guard.ticket), &refusal);
                 }
                 NextStep::Send(target) => {
-                    self.has_begun_attempt.store(true, Ordering::Relaxed);
+                    self.may_run.store(true, Ordering::Relaxed);
                     let left = self.caller_time_left();
                     let result =
                         attempt::run(&self.shared, request, &guard.ticket, &target, left).await;
@@ -258,6 +322,8 @@
                             }
                         }
                     }
+                    let may_have_run = guard.ticket.may_have_run();
+                    self.may_run.store(may_have_run, Ordering::Relaxed);
                     self.shared.metrics.increment(GatewayMetric::Retries);
                 }
             }
@@ -349,7 +415,17 @@
     response
 }
 
-fn concatenated(mut parts: std::collections::VecDeque<Bytes>) -> Bytes {
+/// Returns the refusal of a request whose body can't be read.
+fn unreadable_body_refusal(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Refusal {
+    let reason = if error.is::<LengthLimitError>() {
+        RefusalReason::BodyTooLarge
+    } else {
+        RefusalReason::BodyUnreadable
+    };
+    Refusal::not_run(reason)
+}
+
+fn concatenated(mut parts: VecDeque<Bytes>) -> Bytes {
     if parts.len() <= 1 {
         return parts.pop_front().unwrap_or_default();
     }
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -29,7 +29,7 @@
     pub(super) pool: ConnectionPool<ServerIncarnation>,
     /// Sends requests by way of other entry VMs.
     pub(super) relays: RelayClient,
-    /// Lets large bodies take turns.
+    /// Turns of large bodies on the entry VM's link.
     pub(super) bulk: BulkTransfers,
     pub(super) clock: Arc<dyn Clock + Send + Sync>,
     pub(super) callers: Arc<dyn CallerInterface>,
@@ -64,7 +64,7 @@
     ) -> Self {
         let thin_link_bytes_per_s = gateway.config().thin_link_bytes_per_s;
         Self {
-            bulk: BulkTransfers::new(clock.clone(), thin_link_bytes_per_s),
+            bulk: BulkTransfers::new(thin_link_bytes_per_s),
             gateway: Mutex::new(gateway),
             pool: ConnectionPool::new(MAX_IDLE_CONNECTIONS),
             relays: RelayClient::new(vm, clock.clone(), metrics.clone()),
--- a/crates/chicory_policy/src/bulk_turns.rs
+++ b/crates/chicory_policy/src/bulk_turns.rs
@@ -2,19 +2,22 @@
 
 use std::time::Duration;
 
-use chicory_types::MonoTime;
-
 /// Fraction of a link's rate that large bodies may use. The rest carries small messages, which
 /// would otherwise wait behind the packets of large ones.
 const BULK_FRACTION: f64 = 0.8;
+/// Least rate of a link in bytes per second; it keeps times that follow from it finite.
+const MIN_BYTES_PER_S: f64 = 1000.0;
 
 /// What to do with a large body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BulkStep {
-    /// Its turn begins then, and its bytes may follow at [`BulkTurns::transfer_time`].
-    BeginAt(MonoTime),
-    /// It can't be transferred in time. A body of this size could begin after this time.
-    TooLate(Duration),
+    /// It waits for its turn, behind the bodies that were queued before.
+    Queue,
+    /// It can't be transferred in time. The bodies that are queued now take this long.
+    TooLate {
+        /// Time until the queue is empty.
+        free_in: Duration,
+    },
 }
 
 /// Turns of large bodies on one direction of a thin link.
@@ -32,40 +35,46 @@
 ///
 /// // A link of 100 KB/s.
 /// let mut turns = BulkTurns::new(100_000.0);
-/// let now = Duration::from_secs(5);
-/// let deadline = Duration::from_secs(7);
-/// assert_eq!(turns.reserve(now, 80_000, deadline), BulkStep::BeginAt(now));
-/// let next = now + Duration::from_secs(1);
-/// assert_eq!(turns.reserve(now, 80_000, deadline), BulkStep::BeginAt(next));
-/// assert!(matches!(turns.reserve(now, 80_000, deadline), BulkStep::TooLate(_)));
+/// let time_left = Duration::from_secs(2);
+/// assert_eq!(turns.queue(80_000, time_left), BulkStep::Queue);
+/// assert_eq!(turns.queue(80_000, time_left), BulkStep::Queue);
+/// let free_in = Duration::from_secs(2);
+/// assert_eq!(turns.queue(80_000, time_left), BulkStep::TooLate { free_in });
+/// turns.finish(80_000);
+/// assert_eq!(turns.queue(80_000, time_left), BulkStep::Queue);
 /// ```
 #[derive(Clone, Debug)]
 pub struct BulkTurns {
     /// Rate of large bodies in bytes per second.
     bytes_per_s: f64,
-    /// End of the last turn that is reserved.
-    free_at: MonoTime,
+    queued_bytes: u64,
 }
 
 impl BulkTurns {
-    /// Creates turns on a link with this rate in bytes per second, which has to be positive.
+    /// Creates turns on a link with this rate in bytes per second.
     #[must_use]
     pub fn new(link_bytes_per_s: f64) -> Self {
         Self {
-            bytes_per_s: link_bytes_per_s * BULK_FRACTION,
-            free_at: MonoTime::ZERO,
+            bytes_per_s: link_bytes_per_s.max(MIN_BYTES_PER_S) * BULK_FRACTION,
+            queued_bytes: 0,
         }
     }
 
-    /// Reserves the next turn for a body, unless it would end after `deadline`.
-    pub fn reserve(&mut self, now: MonoTime, bytes: u64, deadline: MonoTime) -> BulkStep {
-        let begin_at = self.free_at.max(now);
-        let end_at = begin_at + self.transfer_time(bytes);
-        if end_at > deadline {
-            return BulkStep::TooLate(begin_at.saturating_sub(now));
+    /// Queues a body, unless its transfer would last longer than `time_left`. A body on an idle link
+    /// is always queued: no other caller has to wait for it.
+    pub fn queue(&mut self, bytes: u64, time_left: Duration) -> BulkStep {
+        let total = self.queued_bytes.saturating_add(bytes);
+        if self.queued_bytes > 0 && self.transfer_time(total) > time_left {
+            let free_in = self.transfer_time(self.queued_bytes);
+            return BulkStep::TooLate { free_in };
         }
-        self.free_at = end_at;
-        BulkStep::BeginAt(begin_at)
+        self.queued_bytes = total;
+        BulkStep::Queue
+    }
+
+    /// Records that a queued body was transferred or given up.
+    pub fn finish(&mut self, bytes: u64) {
+        self.queued_bytes = self.queued_bytes.saturating_sub(bytes);
     }
 
     /// Returns the time that the transfer of this many bytes takes.
--- a/crates/chicory_site/src/process/entry_server.rs
+++ b/crates/chicory_site/src/process/entry_server.rs
@@ -14,9 +14,9 @@
 use crate::SiteEvent;
 
 /// Messages that may be queued for one entry VM: a status, an update, the moving ranges, the rate
-/// limits of servers, the relay peers and the shares of slots. The reducer creates the next ones after these have been
-/// written.
-const OUTBOX_MESSAGES: usize = 6;
+/// limits of servers, the relay peers, the shares of slots and the admission to owners. The reducer
+/// creates the next ones after these have been written.
+const OUTBOX_MESSAGES: usize = 7;
 /// Time without any received byte after which the link is closed: several report intervals.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
