--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -28,6 +28,10 @@
     .saturating_add(PLANNED_WORK_PHASE)
     .saturating_add(CUT_PHASE);
 
+/// Time of an evacuation without other faults than those that follow its acknowledgement. It begins
+/// once the cuts no longer excuse anything.
+const EVACUATION_PHASE: Duration = Duration::from_secs(22);
+
 /// Number of notices of servers that begin beside the faults of a round.
 const NOTICES: usize = 4;
 /// Number of cuts of control VMs beside the faults of a round.
@@ -61,32 +65,38 @@
             has_wiped: false,
             steps: Vec::new(),
         };
+        let has_evacuations = Self::has_evacuations(seed);
+        let round_length = if has_evacuations {
+            ROUND + EVACUATION_PHASE
+        } else {
+            ROUND
+        };
         let mut at = Duration::ZERO;
         for _ in 0..rounds {
             planner.add_faults(at);
             at += FAULT_PHASE + RECOVERY_PHASE;
             planner.add_planned_work(at);
-            at += PLANNED_WORK_PHASE + CUT_PHASE;
+            at += round_length.saturating_sub(FAULT_PHASE + RECOVERY_PHASE);
         }
         // Newer kinds are drawn after all else, so that a seed has the same faults as before there
         // were any.
         for round in 0..rounds {
-            planner.add_notices(ROUND * round);
+            planner.add_notices(round_length * round);
         }
         for round in 0..rounds {
-            planner.add_restarts(ROUND * round);
+            planner.add_restarts(round_length * round);
         }
         for round in 0..rounds {
-            planner.add_entry_cuts(ROUND * round);
+            planner.add_entry_cuts(round_length * round);
         }
         for round in 0..rounds {
-            planner.add_control_cuts(ROUND * round);
+            planner.add_control_cuts(round_length * round);
         }
-        if Self::has_evacuations(seed) {
+        if has_evacuations {
             for round in 0..rounds {
-                planner.add_evacuation(ROUND * round);
-                planner.add_false_load(ROUND * round);
-                planner.add_cold_starts(ROUND * round);
+                planner.add_evacuations(round_length * round);
+                planner.add_false_load(round_length * round);
+                planner.add_cold_starts(round_length * round);
             }
         }
         let mut steps = planner.steps;
@@ -229,21 +239,41 @@
         }
     }
 
-    /// Adds an evacuation that begins beside faults and outlasts them, or one without faults. Both
-    /// are over before entry VMs are cut off from servers.
-    fn add_evacuation(&mut self, begin: Duration) {
-        let (at, length) = if self.rng.random_bool(0.5) {
-            (self.millis(0..3000), self.millis(14_000..17_000))
-        } else {
-            let after_faults = FAULT_PHASE + RECOVERY_PHASE / 2;
-            (after_faults, self.millis(7000..8500))
+    /// Adds an evacuation beside faults, and one whose acknowledgement is followed by a fault of control
+    /// VMs, which lose nothing that they acknowledged.
+    fn add_evacuations(&mut self, begin: Duration) {
+        let at = begin + self.millis(0..3000);
+        let length = self.millis(10_000..17_000);
+        let evacuation = self.evacuation(length);
+        self.steps.push((at, evacuation));
+        let at = begin + ROUND + self.millis(3000..4000);
+        let length = self.millis(14_000..16_000);
+        let evacuation = self.evacuation(length);
+        self.steps.push((at, evacuation));
+        let control = self.rng.random_range(0..CONTROL_VMS);
+        let down = self.millis(300..1000);
+        let fault = match self.rng.random_range(0..4) {
+            0 if !self.has_wiped => {
+                self.has_wiped = true;
+                Fault::Wipe { control, down }
+            }
+            0 | 1 => Fault::KillAllControl { down },
+            2 => Fault::Pause {
+                vm: Vm::Control(control),
+                length: down,
+            },
+            _ => return,
         };
-        let evacuation = Fault::Evacuate {
+        let later = at + self.millis(200..1500);
+        self.steps.push((later, fault));
+    }
+
+    fn evacuation(&mut self, length: Duration) -> Fault {
+        Fault::Evacuate {
             zone: self.rng.random_range(0..usize::from(CONTROL_VMS)),
             length,
             ends_cold: self.rng.random_bool(0.6),
-        };
-        self.steps.push((begin + at, evacuation));
+        }
     }
 
     /// Adds servers that state their load falsely beside faults.
--- a/tools/soak/tests/plans.rs
+++ b/tools/soak/tests/plans.rs
@@ -24,7 +24,7 @@
     for seed in [10_000, 10_001] {
         let plan = Plan::from_seed(seed, 3, 4, 12).to_string();
         let count = |text: &str| plan.lines().filter(|line| line.contains(text)).count();
-        expect_that!(count("Evacuate"), eq(3));
+        expect_that!(count("Evacuate"), eq(6));
         expect_that!(count("StatesLoad"), eq(9));
         expect_that!(count("Replace"), ge(9));
     }
