End an unused turn before the next one is taken

Cause: found on reading: an attempt that ended before anything was sent left its turn with the request, which then waited for itself until the caller's time was over. Change: the turn ends first.

--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -227,6 +227,9 @@
         ticket: &RequestTicket,
         request: &CallerRequest,
     ) -> Result<(), Refusal> {
+        // An attempt that ended before anything was sent leaves its turn unused, and a request that
+        // held one would wait for itself.
+        request.set_turn(None);
         let left = ticket.deadline().saturating_sub(self.shared.now());
         let bytes = request.body.len() as u64;
         let taken = self.shared.bulk.send_turn(bytes, left).await;
