--- a/crates/chicory_directory/src/stated_load.rs
+++ b/crates/chicory_directory/src/stated_load.rs
@@ -9,7 +9,7 @@
     pub waiting: u32,
     /// Number of requests that the server processes at a time.
     pub slots: u32,
-    /// Time that work takes on the server's machine now, in percent of the usual time; `None` if the
+    /// Time that work takes on the server's VM now, in percent of the usual time; `None` if the
     /// server does not state it.
     pub work_time_percent: Option<u32>,
 }
--- a/crates/chicory_gateway/tests/relay/departures.rs
+++ b/crates/chicory_gateway/tests/relay/departures.rs
@@ -120,7 +120,7 @@
         site.updates.send_replace(update);
         wait_until_relayed(peer, &head, is_relayed).await;
         let outcome = upload.finish().await;
-        // An entry VM on a busy machine counts as overloaded now and then.
+        // An entry VM that gets little processor time counts as overloaded now and then.
         if outcome != "busy" {
             let has_order = *has_order.borrow();
             return (outcome, has_order);
