Show how long answers occupy the link of an entry VM

Logs and metrics couldn't tell a relay peer with a full link from one whose own paths are cut: both were 'unreachable' after 0.3 s, or 'broken' after the time of the attempt. The line of a relayed request now states how long the link needed for other answers when the request arrived (link_delay_ms), and gateway_link_backlog_bytes what it still has to carry. Nothing is decided by it.

--- a/crates/chicory_gateway/src/process/answer_observer.rs
+++ b/crates/chicory_gateway/src/process/answer_observer.rs
@@ -6,6 +6,7 @@
 use chicory_net::http::{BodyError, BodyObserver, BodySource};
 use chicory_types::MonoTime;
 
+use super::link_load::ExpectedAnswer;
 use super::request_guard::RequestGuard;
 use super::used_link::{LinkPeer, UsedLink};
 use crate::AttemptOutcome;
@@ -17,22 +18,25 @@
 pub(super) struct AnswerObserver {
     guard: RequestGuard,
     link: UsedLink,
+    expected: ExpectedAnswer,
     progress_due_at: MonoTime,
 }
 
 impl AnswerObserver {
-    pub(super) fn new(guard: RequestGuard, link: UsedLink) -> Self {
+    pub(super) fn new(guard: RequestGuard, link: UsedLink, expected: ExpectedAnswer) -> Self {
         let progress_due_at = guard.shared.now() + PROGRESS_INTERVAL;
         Self {
             guard,
             link,
+            expected,
             progress_due_at,
         }
     }
 }
 
 impl BodyObserver for AnswerObserver {
-    fn progressed(&mut self, _part: &Bytes) {
+    fn progressed(&mut self, part: &Bytes) {
+        self.expected.record_passed_on(part.len());
         let shared = &self.guard.shared;
         let now = shared.now();
         if let LinkPeer::Server(server, _) = &self.link.peer
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -364,7 +364,8 @@
             }
             None => (BodySource::Full(concatenated(answer.parts)), None),
         };
-        let observer = AnswerObserver::new(guard, answer.link);
+        let expected = self.shared.link.expect(source.size_hint().lower());
+        let observer = AnswerObserver::new(guard, answer.link, expected);
         let mut body = HttpBody::observed(source, Box::new(observer));
         if let Some(expiry) = expiry {
             body = body.with_abort_signal(expiry);
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -73,6 +73,8 @@
     RelayedForOthers,
     /// Bytes of bodies relayed for other entry VMs.
     RelayedBytes,
+    /// Bytes of answers that the entry VM's link still has to carry.
+    LinkBacklogBytes,
     /// Requests of other entry VMs to which no backend server's answer was received.
     RelayFailures,
     /// Requests of other entry VMs refused because of overload.
@@ -152,6 +154,7 @@
             Self::RelaysBroken => "gateway_relays_broken",
             Self::RelayedForOthers => "gateway_relayed_for_others",
             Self::RelayedBytes => "gateway_relayed_bytes",
+            Self::LinkBacklogBytes => "gateway_link_backlog_bytes",
             Self::RelayFailures => "gateway_relay_failures",
             Self::RelayRefusedBusy => "gateway_relay_refused_busy",
             Self::RelayRefusedCutOff => "gateway_relay_refused_cut_off",
@@ -229,6 +232,7 @@
             }
             Self::RelayedForOthers => "Answers of backend servers passed on to other entry VMs.",
             Self::RelayedBytes => "Bytes of bodies relayed for other entry VMs.",
+            Self::LinkBacklogBytes => "Bytes of answers that the link still has to carry.",
             Self::RelayFailures => {
                 "Requests of other entry VMs to which no backend server's answer was received."
             }
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -18,7 +18,9 @@
 use super::relay_listener::RelayListener;
 use super::server_probes::{start_due_probes, wait_for_due_probe};
 use super::shared_state::SharedState;
-use super::{CallerInterface, GatewayProcessConfig, GatewayProcessError, ServerInterface};
+use super::{
+    CallerInterface, GatewayMetric, GatewayProcessConfig, GatewayProcessError, ServerInterface,
+};
 use crate::Gateway;
 
 /// Time from switching readiness off until new connections are no longer accepted. The balancer
@@ -151,6 +153,10 @@
             _ = ticks.tick() => {
                 shared.update_readiness();
                 shared.relays.prune();
+                if let Some(backlog) = shared.link.backlog() {
+                    let bytes = backlog.pending_bytes();
+                    shared.metrics.set(GatewayMetric::LinkBacklogBytes, bytes);
+                }
             }
             () = wait_for_due_probe(&shared) => {}
         }
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod gateway_process_error;
 mod interfaces;
 mod line_budget;
+mod link_load;
 mod loss_cause;
 mod owner_admission;
 mod reachability_log;
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -128,11 +128,12 @@
 
 /// Passes a server's answer on, unchanged except for the headers that apply to one connection only.
 fn pass_on(
-    relayed: RelayedRequest,
+    mut relayed: RelayedRequest,
     link: ServerLink,
     answer: Response<Incoming>,
 ) -> Response<HttpBody> {
     let (head, body) = answer.into_parts();
+    relayed.begin_answer(body.size_hint().exact().unwrap_or(0));
     let keep_alive = relayed.shared.servers.keep_alive(&head);
     let mut headers = head.headers;
     remove_hop_by_hop(&mut headers);
--- a/crates/chicory_gateway/src/process/relay_log.rs
+++ b/crates/chicory_gateway/src/process/relay_log.rs
@@ -10,6 +10,16 @@
 use super::line_budget::LineBudget;
 use super::{GatewayMetric, RelayHead, RelayHeadError};
 
+/// How a request that was relayed for another entry VM ended.
+pub(super) struct RelayedEnd {
+    pub(super) outcome: &'static str,
+    pub(super) took: Duration,
+    /// Bytes of the bodies that were relayed.
+    pub(super) bytes: u64,
+    /// Time that the entry VM's link needed for other answers when the request arrived.
+    pub(super) link_delay: Duration,
+}
+
 /// Writes a line for each request that is relayed for another entry VM.
 pub(super) struct RelayLog {
     logger: Logger,
@@ -27,20 +37,14 @@
     }
 
     /// Logs the end of a request that came from another entry VM.
-    pub(super) fn ended(
-        &self,
-        now: MonoTime,
-        head: &RelayHead,
-        outcome: &str,
-        (took, relayed_bytes): (Duration, u64),
-    ) {
+    pub(super) fn ended(&self, now: MonoTime, head: &RelayHead, end: &RelayedEnd) {
         let Some(suppressed) = self.take_line(now) else {
             return;
         };
         info!(self.logger, "relayed request"; "request" => head.request.as_deref(),
-            "from" => &head.from, "server" => %head.server, "outcome" => outcome,
-            "took_ms" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
-            "bytes" => relayed_bytes, "lines_suppressed" => suppressed);
+            "from" => &head.from, "server" => %head.server, "outcome" => end.outcome,
+            "took_ms" => millis(end.took), "bytes" => end.bytes,
+            "link_delay_ms" => millis(end.link_delay), "lines_suppressed" => suppressed);
     }
 
     /// Logs a request whose headers can't be read.
@@ -61,3 +65,7 @@
         line
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/chicory_gateway/src/process/relay_observer.rs
+++ b/crates/chicory_gateway/src/process/relay_observer.rs
@@ -15,7 +15,7 @@
 
 impl BodyObserver for RelayObserver {
     fn progressed(&mut self, part: &Bytes) {
-        self.request.add_bytes(part.len());
+        self.request.record_answer_part(part.len());
     }
 
     fn finished(self: Box<Self>) {
--- a/crates/chicory_gateway/src/process/relayed_request.rs
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -6,6 +6,8 @@
 use chicory_types::MonoTime;
 use tokio::time::Instant;
 
+use super::link_load::ExpectedAnswer;
+use super::relay_log::RelayedEnd;
 use super::shared_state::SharedState;
 use super::{GatewayMetric, RelayAdmission, RelayHead, RelayLoad, RelayOutcome};
 use crate::RelayRecheck;
@@ -30,14 +32,21 @@
     started_at: MonoTime,
     /// Length of the body that the request was admitted with.
     admitted_bytes: Option<u64>,
+    /// What the entry VM's link has to carry of the answer.
+    expected: ExpectedAnswer,
+    /// Time that the link needed for other answers when this request arrived.
+    link_delay: Duration,
     relayed_bytes: u64,
     outcome: &'static str,
 }
 
 impl RelayedRequest {
     pub(super) fn new(shared: Arc<SharedState>, head: RelayHead, load: SharedLoad) -> Self {
+        let backlog = shared.link.backlog();
         Self {
             started_at: shared.now(),
+            expected: shared.link.expect(0),
+            link_delay: backlog.map_or(Duration::ZERO, |backlog| backlog.delay()),
             shared,
             head,
             load,
@@ -104,6 +113,17 @@
         self.relayed_bytes = self.relayed_bytes.saturating_add(bytes as u64);
     }
 
+    /// Records that the answer arrives, and its length.
+    pub(super) fn begin_answer(&mut self, bytes: u64) {
+        self.expected.set_remaining(bytes);
+    }
+
+    /// Records that a part of the answer was passed on.
+    pub(super) fn record_answer_part(&mut self, bytes: usize) {
+        self.expected.record_passed_on(bytes);
+        self.add_bytes(bytes);
+    }
+
     /// Records that the request ended with this outcome.
     pub(super) fn end(&mut self, outcome: RelayOutcome) {
         self.outcome = outcome.as_str();
@@ -142,7 +162,15 @@
             .add(GatewayMetric::RelayedBytes, self.relayed_bytes);
         let now = shared.now();
         let took = now.saturating_sub(self.started_at);
-        let relayed = (took, self.relayed_bytes);
-        shared.relayed.ended(now, &self.head, self.outcome, relayed);
+        shared.relayed.ended(
+            now,
+            &self.head,
+            &RelayedEnd {
+                outcome: self.outcome,
+                took,
+                bytes: self.relayed_bytes,
+                link_delay: self.link_delay,
+            },
+        );
     }
 }
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -12,6 +12,7 @@
 
 use super::bulk_transfers::BulkTransfers;
 use super::connection_pool::ConnectionPool;
+use super::link_load::LinkLoad;
 use super::reachability_log::ReachabilityLog;
 use super::relay_log::RelayLog;
 use super::request_log::RequestLog;
@@ -31,6 +32,8 @@
     pub(super) relays: RelayClient,
     /// Turns of large bodies on the entry VM's link.
     pub(super) bulk: BulkTransfers,
+    /// Answers that cross the entry VM's link.
+    pub(super) link: LinkLoad,
     pub(super) clock: Arc<dyn Clock + Send + Sync>,
     pub(super) callers: Arc<dyn CallerInterface>,
     pub(super) servers: Arc<dyn ServerInterface>,
@@ -65,6 +68,7 @@
         let thin_link_bytes_per_s = gateway.config().thin_link_bytes_per_s;
         Self {
             bulk: BulkTransfers::new(thin_link_bytes_per_s),
+            link: LinkLoad::new(thin_link_bytes_per_s),
             gateway: Mutex::new(gateway),
             pool: ConnectionPool::new(MAX_IDLE_CONNECTIONS),
             relays: RelayClient::new(vm, clock.clone(), metrics.clone()),
--- a/crates/chicory_net/src/http/body_source.rs
+++ b/crates/chicory_net/src/http/body_source.rs
@@ -51,7 +51,8 @@
     }
 
     /// Returns the number of bytes that are still to be read, if it is known.
-    pub(crate) fn size_hint(&self) -> SizeHint {
+    #[must_use]
+    pub fn size_hint(&self) -> SizeHint {
         match self {
             Self::Empty => SizeHint::with_exact(0),
             Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|
 //! | [`AdmittedFractions`] | more requests for the keys of one server than it can answer, at one sender | which of them are sent |
 //! | [`BulkTurns`] | large bodies of many callers on a thin link | when each one is transferred, or refuse it at once |
+//! | [`LinkBacklog`] | answers passed on for other entry VMs beside own ones, on a thin link | how long a further answer would wait |
 //! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
 //! | [`Occupancy`] | what a server states about its load, which is soon outdated | how probably the server is full |
 //! | [`Outages`] | keys without an owner, or unreachable servers, for seconds | wait, probe now and then, or refuse at once |
@@ -28,6 +29,7 @@
 mod decaying_rate;
 mod line_sender;
 mod line_server;
+mod link_backlog;
 mod named_limits;
 mod observed_answers;
 mod occupancy;
@@ -52,6 +54,7 @@
 pub use cold_allowance::ColdAllowance;
 pub use line_sender::LineSender;
 pub use line_server::LineServer;
+pub use link_backlog::LinkBacklog;
 pub use named_limits::{LimitChange, LimitObservation, NamedLimits};
 pub use observed_answers::ObservedAnswers;
 pub use occupancy::Occupancy;
