--- a/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use chicory_directory::{DirectoryUpdate, LinkStatus, RelayPeer};
-use chicory_gateway::{Gateway, GatewayConfig, Target};
+use chicory_gateway::{Gateway, GatewayConfig, RelayAdmission, RelayLoad, Target};
 use chicory_ranges::ServerIncarnation;
 use chicory_types::ZoneName;
 
-use crate::plan::CutKind;
+use crate::plan::{CutKind, ThinLinks};
+use crate::thin_link::ThinLink;
 use crate::world::HOP;
 
 /// Requests that an entry VM relays at a time.
@@ -18,8 +19,12 @@
     pub gateway: Gateway,
     /// How the path to the servers is cut, if it is.
     pub cut: Option<CutKind>,
+    /// The link, if it is thin.
+    pub link: Option<ThinLink>,
     /// Requests of other entry VMs that are being relayed.
-    pub relaying: usize,
+    relaying: usize,
+    /// What is being relayed, if the link is thin.
+    relay_load: RelayLoad,
     /// Whether the previous report says that this entry VM can relay.
     pub can_relay: bool,
     /// Entry VMs that may relay, as the control VM named them last.
@@ -29,7 +34,13 @@
 }
 
 impl EntryVm {
-    pub fn new(now: Duration, index: usize, zone: ZoneName, directory: DirectoryUpdate) -> Self {
+    pub fn new(
+        now: Duration,
+        index: usize,
+        zone: ZoneName,
+        directory: DirectoryUpdate,
+        links: Option<ThinLinks>,
+    ) -> Self {
         let mut gateway = Gateway::new(GatewayConfig {
             random_seed: index as u64,
             zone,
@@ -39,7 +50,9 @@
         Self {
             gateway,
             cut: None,
+            link: links.map(|links| ThinLink::new(links.bytes_per_s)),
             relaying: 0,
+            relay_load: RelayLoad::default(),
             can_relay: true,
             relays: Vec::new(),
             idle_connections: BTreeMap::new(),
@@ -74,14 +87,25 @@
     }
 
     /// Returns the time until a new connection to a server opens or fails.
-    pub fn connect_time(&self, time_limit: Duration) -> Duration {
+    pub fn connect_time(&self, now: Duration, time_limit: Duration) -> Duration {
         if self.cut == Some(CutKind::Silent) {
             time_limit
         } else {
-            2 * HOP
+            (2 * HOP + self.link_delay(now)).min(time_limit)
         }
     }
 
+    /// Returns for how long what this entry VM sends or receives now waits behind other bytes.
+    pub fn link_delay(&self, now: Duration) -> Duration {
+        self.link.map_or(Duration::ZERO, |link| link.delay(now))
+    }
+
+    /// Receives an answer and passes it on. Returns when its last byte has crossed the link.
+    pub fn pass_on(&mut self, now: Duration, bytes: u64) -> Duration {
+        let link = self.link.as_mut();
+        link.map_or(now, |link| link.transfer(now, bytes))
+    }
+
     /// Takes a connection to a server that may be reused. Returns whether there was one.
     pub fn take_connection(&mut self, now: Duration, target: &Target) -> bool {
         let idle = self.idle_connections.get_mut(&target.incarnation);
@@ -98,8 +122,21 @@
         self.idle_connections.remove(server);
     }
 
-    /// Whether one more request of another entry VM is relayed.
-    pub fn has_room(&self) -> bool {
-        self.relaying < RELAY_ROOM
+    /// Begins to relay a request of another entry VM, if there is room.
+    pub fn try_begin_relay(&mut self) -> bool {
+        let has_room = match self.link {
+            None => self.relaying < RELAY_ROOM,
+            Some(_) => self.relay_load.try_begin(0) == RelayAdmission::Accepted,
+        };
+        self.relaying += usize::from(has_room);
+        has_room
+    }
+
+    /// Ends a request of another entry VM.
+    pub fn end_relay(&mut self) {
+        self.relaying -= 1;
+        if self.link.is_some() {
+            self.relay_load.end(0);
+        }
     }
 }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/main.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/main.rs
@@ -7,4 +7,6 @@
 mod requests;
 mod serving;
 mod site;
+mod thin_link;
+mod thin_links;
 mod world;
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/plan.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/plan.rs
@@ -24,9 +24,22 @@
     One,
     Third,
     Zone,
+    TwoThirds,
     AllButOne,
 }
 
+/// The links of entry VMs, and what crosses them.
+#[derive(Clone, Copy, Debug)]
+pub struct ThinLinks {
+    pub bytes_per_s: f64,
+    pub small_answer_bytes: u64,
+    pub large_answer_bytes: u64,
+    /// Share of the requests that have large answers.
+    pub large_share: f64,
+    /// Time that a server takes for a request.
+    pub work_time: Duration,
+}
+
 /// What is played.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -35,6 +48,8 @@
     pub requests_per_s: f64,
     pub kind: CutKind,
     pub size: CutSize,
+    /// The link of each entry VM and what crosses it; links are not limited if `None`.
+    pub thin_links: Option<ThinLinks>,
 }
 
 impl Plan {
@@ -46,6 +61,23 @@
             requests_per_s: 20.0,
             kind,
             size,
+            thin_links: None,
+        }
+    }
+
+    /// Creates the plan of a site whose entry VMs have thin links that large answers half fill.
+    pub fn thin(kind: CutKind, size: CutSize) -> Self {
+        Self {
+            vm_count: 66,
+            requests_per_s: 36.0,
+            thin_links: Some(ThinLinks {
+                bytes_per_s: 660_000.0,
+                small_answer_bytes: 2_000,
+                large_answer_bytes: 90_000,
+                large_share: 0.087,
+                work_time: Duration::from_millis(220),
+            }),
+            ..Self::small(kind, size)
         }
     }
 
@@ -70,6 +102,7 @@
             CutSize::One => vm == 0,
             CutSize::Third => vm < self.vm_count / 3,
             CutSize::Zone => self.zone_of(vm) == 0,
+            CutSize::TwoThirds => vm < self.vm_count * 2 / 3,
             CutSize::AllButOne => vm + 1 < self.vm_count,
         }
     }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/requests.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/requests.rs
@@ -8,6 +8,8 @@
 pub const READS: &str = "/reads/x";
 /// Path of orders.
 pub const ORDERS: &str = "/orders/x";
+/// Path of requests with large answers.
+pub const DOWNLOADS: &str = "/downloads/x";
 
 /// What became of the first try of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,7 @@
     pub entry_vm: usize,
     pub arrived_at: Duration,
     pub ticket: RequestTicket,
+    pub answer_bytes: u64,
 }
 
 /// An attempt in progress.
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/site.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/site.rs
@@ -10,6 +10,7 @@
 
 const KEYED: &str = "archive";
 const ORDERED: &str = "ledger";
+const LARGE: &str = "library";
 
 /// Returns the name of an availability zone.
 pub fn zone_name(zone: usize) -> ZoneName {
@@ -17,7 +18,7 @@
 }
 
 /// Returns the directory of a site. Each service has this many servers for each zone.
-pub fn directory(zone_count: usize, servers_per_zone: usize) -> DirectoryUpdate {
+pub fn directory(zone_count: usize, servers_per_zone: usize, has_large: bool) -> DirectoryUpdate {
     let names = |service: &str| -> Vec<ServerRecord> {
         (0..zone_count * servers_per_zone)
             .map(|index| server(service, index, zone_count))
@@ -30,7 +31,11 @@
         last_fence: ranges.len() as u64,
         is_full: true,
         routes: Some(RouteTableDelta::whole(&table())),
-        servers: keyed.into_iter().chain(names(ORDERED)).collect(),
+        servers: keyed
+            .into_iter()
+            .chain(names(ORDERED))
+            .chain(names(LARGE).into_iter().filter(|_| has_large))
+            .collect(),
         removed: Vec::new(),
         ranges: vec![ServiceRanges {
             service: KEYED.into(),
@@ -76,8 +81,13 @@
         routes: vec![
             route("reads", KEYED, RequestKind::Idempotent),
             route("orders", ORDERED, RequestKind::Order),
+            route("downloads", LARGE, RequestKind::Download),
+        ],
+        services: vec![
+            service(KEYED, true),
+            service(ORDERED, false),
+            service(LARGE, false),
         ],
-        services: vec![service(KEYED, true), service(ORDERED, false)],
         limits: None,
     }
 }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -12,7 +12,7 @@
 
 use crate::entry_vm::EntryVm;
 use crate::plan::{CUT_AT, CutKind, HEALED_AT, Plan};
-use crate::requests::{Attempt, Ending, Exchange, ORDERS, READS, Record};
+use crate::requests::{Attempt, DOWNLOADS, Ending, Exchange, ORDERS, READS, Record};
 use crate::site::{directory, zone_name};
 
 /// Time that a message takes between two VMs.
@@ -51,6 +51,8 @@
     Relay(Attempt, usize),
     /// The answer of a server arrives at the entry VM that relays it.
     RelayedAnswer(Attempt, usize),
+    /// An entry VM has passed on the whole answer to a request of another one.
+    RelayEnd(usize),
     /// An attempt ends.
     End(Attempt, AttemptOutcome),
 }
@@ -75,10 +77,17 @@
 impl World {
     /// Starts a site whose callers send requests at once.
     pub fn start(plan: Plan) -> Self {
-        let directory = directory(plan.zone_count, 4 * plan.zone_count);
+        let has_large = plan.thin_links.is_some();
+        let directory = directory(plan.zone_count, 4 * plan.zone_count, has_large);
         let entry_vms = (0..plan.vm_count).map(|index| {
             let zone = zone_name(plan.zone_of(index));
-            EntryVm::new(Duration::ZERO, index, zone, directory.clone())
+            EntryVm::new(
+                Duration::ZERO,
+                index,
+                zone,
+                directory.clone(),
+                plan.thin_links,
+            )
         });
         let mut world = Self {
             now: Duration::ZERO,
@@ -150,7 +159,9 @@
             }
             Event::ProbeEnd(vm, server) => {
                 let entry_vm = &mut self.entry_vms[vm];
+                let is_slow = entry_vm.link_delay(self.now) > CONNECT_TIMEOUT;
                 let result = match entry_vm.cut {
+                    None if is_slow => ProbeResult::Unanswered,
                     None => ProbeResult::Answered,
                     Some(CutKind::Silent) => ProbeResult::Unanswered,
                     Some(CutKind::Reset | CutKind::NewRefused) => ProbeResult::Refused,
@@ -166,12 +177,12 @@
             Event::Answer(attempt) => self.receive_answer(attempt),
             Event::Relay(attempt, peer) => self.relay(attempt, peer),
             Event::RelayedAnswer(attempt, peer) => {
-                self.entry_vms[peer].relaying -= 1;
-                self.add_event(
-                    self.now + HOP,
-                    Event::End(attempt, AttemptOutcome::Answered),
-                );
+                let bytes = attempt.exchange.answer_bytes;
+                let passed_on_at = self.entry_vms[peer].pass_on(self.now, bytes);
+                self.add_event(passed_on_at, Event::RelayEnd(peer));
+                self.add_event(passed_on_at + HOP, Event::Answer(attempt));
             }
+            Event::RelayEnd(peer) => self.entry_vms[peer].end_relay(),
             Event::End(attempt, outcome) => self.end_attempt(attempt, outcome),
         }
     }
@@ -179,7 +190,7 @@
     fn start_probes(&mut self, vm: usize) {
         let entry_vm = &mut self.entry_vms[vm];
         let time_limit = entry_vm.gateway.probe_timeout(self.now);
-        let connect_time = entry_vm.connect_time(time_limit);
+        let connect_time = entry_vm.connect_time(self.now, time_limit);
         for record in entry_vm.gateway.take_probes(self.now) {
             self.connects.push((self.now, vm));
             self.probe_count += 1;
@@ -194,7 +205,7 @@
         for vm in 0..self.plan.vm_count {
             let zone = self.plan.zone_of(vm);
             // Each entry VM is told of others, so that no few get all requests.
-            let start = able.iter().position(|able| *able > vm).unwrap_or(0);
+            let start = vm * RELAYS_PER_VM;
             let others = able.iter().cycle().skip(start).take(able.len());
             let others = others.filter(|other| **other != vm);
             let (own, other): (Vec<usize>, Vec<usize>) =
@@ -208,11 +219,23 @@
     }
 
     fn admit(&mut self, vm: usize) {
-        let path = if self.rng.random_bool(0.5) {
+        let links = self.plan.thin_links;
+        let is_large = links.is_some_and(|links| self.rng.random_bool(links.large_share));
+        let path = if is_large {
+            DOWNLOADS
+        } else if self.rng.random_bool(0.5) {
             READS
         } else {
             ORDERS
         };
+        let answer_bytes = links.map_or(0, |links| {
+            let mean = if is_large {
+                links.large_answer_bytes
+            } else {
+                links.small_answer_bytes
+            };
+            self.rng.random_range(mean / 2..mean * 3 / 2)
+        });
         let metadata = RequestMetadata {
             attempt_id: None,
             time_left: Some(Duration::from_millis(self.rng.random_range(1000..1500))),
@@ -224,6 +247,7 @@
                 entry_vm: vm,
                 arrived_at: self.now,
                 ticket,
+                answer_bytes,
             }),
             Admission::Refused(refusal) => panic!("refused at arrival: {refusal:?}"),
         }
@@ -269,19 +293,32 @@
         }
         if entry_vm.take_connection(self.now, &attempt.target) {
             attempt.is_connected = true;
-            self.add_event(self.now + 2 * HOP + WORK_TIME, Event::Answer(attempt));
+            let work_time = self.work_time();
+            self.add_event(self.now + 2 * HOP + work_time, Event::Answer(attempt));
             return;
         }
-        let connect_time = entry_vm.connect_time(attempt.target.connect_timeout);
+        let time_limit = attempt.target.connect_timeout;
+        let connect_time = entry_vm.connect_time(self.now, time_limit);
         self.connects.push((self.now, attempt.exchange.entry_vm));
-        self.add_event(self.now + connect_time, Event::Connected(attempt));
+        let opened_at = self.now + connect_time;
+        if connect_time == time_limit {
+            return self.add_event(opened_at, Event::End(attempt, AttemptOutcome::Unreachable));
+        }
+        self.add_event(opened_at, Event::Connected(attempt));
+    }
+
+    /// Returns the time that a server takes for a request.
+    fn work_time(&self) -> Duration {
+        let links = self.plan.thin_links;
+        links.map_or(WORK_TIME, |links| links.work_time)
     }
 
     fn finish_connect(&mut self, mut attempt: Attempt) {
         let outcome = match self.entry_vms[attempt.exchange.entry_vm].cut {
             None => {
                 attempt.is_connected = true;
-                let answered_at = self.now + attempt.target.settle_time + 2 * HOP + WORK_TIME;
+                let answered_at =
+                    self.now + attempt.target.settle_time + 2 * HOP + self.work_time();
                 return self.add_event(answered_at, Event::Answer(attempt));
             }
             Some(CutKind::Silent) => AttemptOutcome::Unreachable,
@@ -291,8 +328,19 @@
     }
 
     fn receive_answer(&mut self, attempt: Attempt) {
-        match self.entry_vms[attempt.exchange.entry_vm].cut {
-            None | Some(CutKind::NewRefused) => self.end_attempt(attempt, AttemptOutcome::Answered),
+        let entry_vm = &mut self.entry_vms[attempt.exchange.entry_vm];
+        let is_relayed = attempt.target.relay.is_some();
+        match entry_vm.cut.filter(|_| !is_relayed) {
+            None | Some(CutKind::NewRefused) => {
+                let deadline = attempt.target.attempt_deadline;
+                let received_at = entry_vm.pass_on(self.now, attempt.exchange.answer_bytes);
+                let (at, outcome) = if received_at > deadline {
+                    (deadline.max(self.now), AttemptOutcome::Silent)
+                } else {
+                    (received_at, AttemptOutcome::Answered)
+                };
+                self.add_event(at, Event::End(attempt, outcome));
+            }
             Some(CutKind::Silent) => {
                 let until = attempt.target.attempt_deadline.max(self.now);
                 self.add_event(until, Event::End(attempt, AttemptOutcome::Silent));
@@ -302,16 +350,21 @@
     }
 
     fn relay(&mut self, attempt: Attempt, peer: usize) {
+        let work_time = self.work_time();
         let relay = &mut self.entry_vms[peer];
-        let (after, outcome) = match relay.cut {
-            _ if !relay.gateway.can_relay(self.now) || !relay.has_room() => {
-                (HOP, AttemptOutcome::RelayUnavailable)
-            }
+        let link_delay = relay.link_delay(self.now);
+        let cut = relay.cut;
+        let (after, outcome) = match cut {
+            _ if !relay.gateway.can_relay(self.now) => (HOP, AttemptOutcome::RelayUnavailable),
             Some(CutKind::Silent) => (CONNECT_TIMEOUT + HOP, AttemptOutcome::UnreachableFromRelay),
             Some(_) => (3 * HOP, AttemptOutcome::UnreachableFromRelay),
+            None if link_delay > attempt.target.connect_timeout => (
+                attempt.target.connect_timeout,
+                AttemptOutcome::UnreachableFromRelay,
+            ),
+            None if !relay.try_begin_relay() => (HOP, AttemptOutcome::RelayUnavailable),
             None => {
-                relay.relaying += 1;
-                let answered_at = self.now + 2 * HOP + WORK_TIME;
+                let answered_at = self.now + link_delay + 2 * HOP + work_time;
                 return self.add_event(answered_at, Event::RelayedAnswer(attempt, peer));
             }
         };
