Admit relayed requests by what the link of the entry VM still has to carry

Cause: a relayed answer crosses the link of the relay peer beside those of its own callers, and nothing that accepts or assigns relayed requests knew a link. Up to 256 were accepted at a time, so that large answers filled thin links and everything behind them was late: small answers, new connections, probes. A peer that refused was then paused for all requests, also for those that it could have taken.

Now an entry VM with a thin link refuses a large answer if its link would be occupied for over 0.2 s, and a small one from 0.4 s on; it refuses at once if its own path to the server is cut. The sender then pauses the peer only for requests to the same service and of the same size.

Tests of refusals by a relay expect the outcome RefusedByRelay, which was one with RelayUnavailable.

--- a/crates/chicory_gateway/src/decide/crash_detector.rs
+++ b/crates/chicory_gateway/src/decide/crash_detector.rs
@@ -66,6 +66,7 @@
             | AttemptOutcome::ConnectionRejected
             | AttemptOutcome::Withheld
             | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::RefusedByRelay
             | AttemptOutcome::UnreachableFromRelay
             | AttemptOutcome::RelayBroken
             | AttemptOutcome::Garbled
--- a/crates/chicory_gateway/src/decide/gateway_attempts.rs
+++ b/crates/chicory_gateway/src/decide/gateway_attempts.rs
@@ -34,7 +34,10 @@
         self.record_end_for_shares(now, &ticket.service, &incarnation, (outcome, took));
         match &relay {
             None => self.record_reachability(now, &incarnation, outcome),
-            Some(peer) => self.record_relayed_end(now, peer, &incarnation, outcome),
+            Some(peer) => {
+                let need = ticket.relay_need();
+                self.record_relayed_end(now, peer, (&incarnation, &need), outcome);
+            }
         }
         self.record_warm_room(now, ticket, &incarnation, outcome);
         ticket.may_have_run |= outcome.may_have_run();
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -130,6 +130,13 @@
         !reached.is_empty() && cut.len() <= reached.len()
     }
 
+    /// Whether this entry VM can relay requests of others to a server: the path to it isn't cut.
+    #[must_use]
+    pub fn can_relay_to(&self, now: MonoTime, incarnation: &ServerIncarnation) -> bool {
+        let record = self.directory.server(incarnation);
+        self.can_relay(now) && !record.is_some_and(|record| self.reachability.is_cut(record))
+    }
+
     /// Records that this entry VM is about to stop.
     pub fn set_stopping(&mut self) {
         self.is_stopping = true;
@@ -219,6 +226,7 @@
             }
             AttemptOutcome::Withheld
             | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::RefusedByRelay
             | AttemptOutcome::UnreachableFromRelay
             | AttemptOutcome::RelayBroken
             | AttemptOutcome::Cancelled => {}
--- a/crates/chicory_gateway/src/decide/gateway_relays.rs
+++ b/crates/chicory_gateway/src/decide/gateway_relays.rs
@@ -4,6 +4,7 @@
 use chicory_ranges::ServerIncarnation;
 use chicory_types::MonoTime;
 
+use super::relay_need::RelayNeed;
 use super::{AttemptOutcome, Gateway, Policy, RefusalReason, RequestTicket};
 
 /// Maximum number of relay peers that one request is sent to.
@@ -73,7 +74,8 @@
         let tried = ticket.tried_relays();
         if tried.len() < MAX_RELAY_TRIES && self.relay_reachability.may_send(now, record) {
             let zone = &self.config.zone;
-            if let Some(peer) = self.relays.choose(now, zone, &tried, &mut self.rng) {
+            let need = ticket.relay_need();
+            if let Some(peer) = self.relays.choose(now, zone, &need, &tried, &mut self.rng) {
                 return Way::Relay(peer);
             }
         }
@@ -88,7 +90,8 @@
         let tried = ticket.tried_relays();
         self.has_relays()
             && self.reachability.is_all_silent(now)
-            && (tried.len() >= MAX_RELAY_TRIES || !self.relays.is_available(now, &tried))
+            && (tried.len() >= MAX_RELAY_TRIES
+                || !self.relays.is_available(now, &ticket.relay_need(), &tried))
     }
 
     /// Decides how a request is sent to the owner of its key.
@@ -163,7 +166,7 @@
                 let has_no_other = ticket.key.is_some() || ticket.attempts_left() == 0;
                 (has_no_other && !is_slow) || self.reachability.is_suspected(now, &record)
             }
-            AttemptOutcome::RelayUnavailable => true,
+            AttemptOutcome::RelayUnavailable | AttemptOutcome::RefusedByRelay => true,
             AttemptOutcome::UnreachableFromRelay => {
                 let attempts = ticket.attempts.iter();
                 let unreached = attempts.filter(|attempt| {
@@ -196,10 +199,13 @@
         let tried = ticket.tried_relays();
         let has_relay = self.has_relays()
             && tried.len() < MAX_RELAY_TRIES
-            && self.relays.is_available(now, &tried)
+            && self.relays.is_available(now, &ticket.relay_need(), &tried)
             && self.relay_reachability.is_usable(now, record);
-        let has_connections = outcome == AttemptOutcome::RelayUnavailable
-            && self.may_try_open_connections(now, ticket, record);
+        let is_unsent = matches!(
+            outcome,
+            AttemptOutcome::RelayUnavailable | AttemptOutcome::RefusedByRelay
+        );
+        let has_connections = is_unsent && self.may_try_open_connections(now, ticket, record);
         has_relay || has_connections
     }
 
@@ -209,11 +215,12 @@
         &mut self,
         now: MonoTime,
         peer: &RelayPeer,
-        incarnation: &ServerIncarnation,
+        (incarnation, need): (&ServerIncarnation, &RelayNeed),
         outcome: AttemptOutcome,
     ) {
         self.relays.record_end(peer);
         match outcome {
+            AttemptOutcome::RefusedByRelay => self.relays.record_refusal(now, peer, need),
             AttemptOutcome::RelayUnavailable | AttemptOutcome::RelayBroken => {
                 self.relays.record_failure(now, peer);
             }
@@ -221,7 +228,7 @@
                 // A relay peer sends nothing to a server that has left, which shows nothing about
                 // its paths.
                 if !self.has_left(now, incarnation) {
-                    self.relays.record_unreached(now, peer);
+                    self.relays.record_unreached(now, peer, need);
                 }
             }
             AttemptOutcome::Answered
@@ -229,7 +236,7 @@
             | AttemptOutcome::Shed
             | AttemptOutcome::WrongServer
             | AttemptOutcome::OtherServer => {
-                self.relays.record_answer(peer);
+                self.relays.record_answer(peer, need);
                 if let Some(record) = self.directory.server(incarnation) {
                     self.relay_reachability.record_contact(record);
                 }
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod refusals;
 mod relay_choice;
+mod relay_need;
 mod relay_reachability;
 mod relay_recheck;
 mod request_metadata;
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -78,9 +78,11 @@
     ConnectionRejected,
     /// The server named a rate limit or asked for a pause before anything was sent.
     Withheld,
-    /// The entry VM that was to relay the request could not be reached, or refused; nothing was sent
-    /// to the server.
+    /// The entry VM that was to relay the request could not be reached; nothing was sent to the
+    /// server.
     RelayUnavailable,
+    /// The entry VM that was to relay the request refused; nothing was sent to the server.
+    RefusedByRelay,
     /// The entry VM that relays the request could not open a connection to the server either, or knows
     /// that the server gets no more requests.
     UnreachableFromRelay,
@@ -110,6 +112,7 @@
                 | Self::ConnectionRejected
                 | Self::Withheld
                 | Self::RelayUnavailable
+                | Self::RefusedByRelay
                 | Self::UnreachableFromRelay
         )
     }
@@ -128,6 +131,7 @@
             Self::ConnectionRejected => "turned-away",
             Self::Withheld => "withheld",
             Self::RelayUnavailable => "relay-unavailable",
+            Self::RefusedByRelay => "refused-by-relay",
             Self::UnreachableFromRelay => "unreachable-from-relay",
             Self::RelayBroken => "relay-broken",
             Self::Broken => "broken",
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -55,6 +55,7 @@
             AttemptOutcome::Refused
             | AttemptOutcome::Unreachable
             | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::RefusedByRelay
             | AttemptOutcome::UnreachableFromRelay => RefusalReason::Unreachable,
             AttemptOutcome::Withheld => RefusalReason::ServerLimited,
             AttemptOutcome::Silent => RefusalReason::TimedOut,
--- a/crates/chicory_gateway/src/decide/relay_choice.rs
+++ b/crates/chicory_gateway/src/decide/relay_choice.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use chicory_directory::RelayPeer;
-use chicory_types::{MonoTime, VmId, ZoneName};
+use chicory_types::{MonoTime, ServiceName, VmId, ZoneName};
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::relay_need::RelayNeed;
+
 /// Pause after a relay peer has failed or refused. Each further failure doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
@@ -16,19 +18,35 @@
 /// be the server's fault.
 const UNREACHED_BEFORE_PAUSE: u32 = 2;
 
-/// What is known of one relay peer.
+/// A time in which a relay peer gets no requests.
 #[derive(Clone, Copy, Debug, Default)]
+struct Pause {
+    length: Duration,
+    until: MonoTime,
+}
+
+impl Pause {
+    fn start(&mut self, now: MonoTime) {
+        self.length = (self.length * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+        self.until = now + self.length;
+    }
+}
+
+/// What is known of one relay peer.
+#[derive(Clone, Debug, Default)]
 struct PeerState {
     in_flight: u32,
-    unreached: u32,
-    pause: Duration,
-    paused_until: MonoTime,
+    /// Consecutive requests whose server it could not reach.
+    unreached: BTreeMap<ServiceName, u32>,
+    pause: Pause,
+    /// Pauses of the requests that it has refused, and of others with the same needs.
+    refusals: BTreeMap<RelayNeed, Pause>,
 }
 
 impl PeerState {
-    fn start_pause(&mut self, now: MonoTime) {
-        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
-        self.paused_until = now + self.pause;
+    fn is_paused(&self, now: MonoTime, need: &RelayNeed) -> bool {
+        let refusal = self.refusals.get(need);
+        now < self.pause.until || refusal.is_some_and(|pause| now < pause.until)
     }
 }
 
@@ -60,21 +78,29 @@
     }
 
     /// Whether there is a relay peer that was not tried and is not paused.
-    pub(super) fn is_available(&self, now: MonoTime, tried: &[RelayPeer]) -> bool {
-        self.available(now, tried).next().is_some()
+    pub(super) fn is_available(
+        &self,
+        now: MonoTime,
+        need: &RelayNeed,
+        tried: &[RelayPeer],
+    ) -> bool {
+        self.available(now, need, tried).next().is_some()
     }
 
+    /// Returns the relay peers that were not tried and are not paused, and the requests in flight at
+    /// each.
     fn available(
         &self,
         now: MonoTime,
+        need: &RelayNeed,
         tried: &[RelayPeer],
-    ) -> impl Iterator<Item = (&RelayPeer, PeerState)> {
-        let peers = self.peers.iter().map(|peer| {
-            let state = self.states.get(&peer.vm).copied();
-            (peer, state.unwrap_or_default())
-        });
-        peers.filter(move |(peer, state)| {
-            now >= state.paused_until && tried.iter().all(|tried| tried.vm != peer.vm)
+    ) -> impl Iterator<Item = (&RelayPeer, u32)> {
+        self.peers.iter().filter_map(move |peer| {
+            let state = self.states.get(&peer.vm);
+            let is_paused = state.is_some_and(|state| state.is_paused(now, need));
+            let was_tried = tried.iter().any(|tried| tried.vm == peer.vm);
+            let in_flight = state.map_or(0, |state| state.in_flight);
+            (!is_paused && !was_tried).then_some((peer, in_flight))
         })
     }
 
@@ -84,14 +110,16 @@
         &self,
         now: MonoTime,
         own_zone: &ZoneName,
+        need: &RelayNeed,
         tried: &[RelayPeer],
         rng: &mut StdRng,
     ) -> Option<RelayPeer> {
-        let best = self.available(now, tried).min_by_key(|(peer, state)| {
+        let available = self.available(now, need, tried);
+        let best = available.min_by_key(|(peer, in_flight)| {
             let is_zone_tried = tried.iter().any(|tried| tried.zone == peer.zone);
             let is_in_other_zone = peer.zone != *own_zone;
             let order: u32 = rng.random();
-            (is_zone_tried, is_in_other_zone, state.in_flight, order)
+            (is_zone_tried, is_in_other_zone, *in_flight, order)
         });
         best.map(|(peer, _)| peer.clone())
     }
@@ -106,24 +134,36 @@
     }
 
     /// Records that a relay peer passed an answer of a server on.
-    pub(super) fn record_answer(&mut self, peer: &RelayPeer) {
+    pub(super) fn record_answer(&mut self, peer: &RelayPeer, need: &RelayNeed) {
         let state = self.states.entry(peer.vm.clone()).or_default();
-        state.unreached = 0;
-        state.pause = Duration::ZERO;
+        state.unreached.remove(&need.service);
+        state.refusals.remove(need);
+        state.pause = Pause::default();
     }
 
-    /// Records that a relay peer failed or refused.
+    /// Records that a relay peer could not be reached, or that the connection to it broke.
     pub(super) fn record_failure(&mut self, now: MonoTime, peer: &RelayPeer) {
         let state = self.states.entry(peer.vm.clone()).or_default();
-        state.start_pause(now);
+        state.pause.start(now);
+    }
+
+    /// Records that a relay peer refused a request.
+    pub(super) fn record_refusal(&mut self, now: MonoTime, peer: &RelayPeer, need: &RelayNeed) {
+        let state = self.states.entry(peer.vm.clone()).or_default();
+        state.refusals.entry(need.clone()).or_default().start(now);
     }
 
     /// Records that a relay peer could not reach a server.
-    pub(super) fn record_unreached(&mut self, now: MonoTime, peer: &RelayPeer) {
+    pub(super) fn record_unreached(&mut self, now: MonoTime, peer: &RelayPeer, need: &RelayNeed) {
         let state = self.states.entry(peer.vm.clone()).or_default();
-        state.unreached += 1;
-        if state.unreached >= UNREACHED_BEFORE_PAUSE {
-            state.start_pause(now);
+        let unreached = state.unreached.entry(need.service.clone()).or_default();
+        *unreached += 1;
+        if *unreached >= UNREACHED_BEFORE_PAUSE {
+            for is_large in [false, true] {
+                let service = need.service.clone();
+                let need = RelayNeed { service, is_large };
+                state.refusals.entry(need).or_default().start(now);
+            }
         }
     }
 }
--- a/crates/chicory_gateway/src/decide/request_ticket.rs
+++ b/crates/chicory_gateway/src/decide/request_ticket.rs
@@ -9,6 +9,7 @@
 use chicory_types::{MonoTime, ServiceName};
 
 use super::permit_state::PermitState;
+use super::relay_need::RelayNeed;
 use super::{AttemptOutcome, RefusalReason};
 
 /// One attempt to have a request served.
@@ -162,6 +163,7 @@
                     | AttemptOutcome::Unreachable
                     | AttemptOutcome::ConnectionRejected
                     | AttemptOutcome::RelayUnavailable
+                    | AttemptOutcome::RefusedByRelay
                     | AttemptOutcome::UnreachableFromRelay
             )
         });
@@ -177,6 +179,14 @@
         limit.saturating_sub(distinct.len())
     }
 
+    /// Returns what the request needs of an entry VM that relays it.
+    pub(super) fn relay_need(&self) -> RelayNeed {
+        RelayNeed {
+            service: self.service.clone(),
+            is_large: self.route.route.kind.is_large(),
+        }
+    }
+
     /// Returns the entry VMs that the request was sent to.
     pub(crate) fn tried_relays(&self) -> Vec<RelayPeer> {
         let attempts = self.attempts.iter();
--- a/crates/chicory_gateway/src/decide/server_health.rs
+++ b/crates/chicory_gateway/src/decide/server_health.rs
@@ -150,6 +150,7 @@
             AttemptOutcome::WrongServer
             | AttemptOutcome::Withheld
             | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::RefusedByRelay
             | AttemptOutcome::UnreachableFromRelay
             | AttemptOutcome::RelayBroken
             | AttemptOutcome::Cancelled => {}
@@ -180,6 +181,7 @@
             | AttemptOutcome::Unreachable
             | AttemptOutcome::Withheld
             | AttemptOutcome::RelayUnavailable
+            | AttemptOutcome::RefusedByRelay
             | AttemptOutcome::UnreachableFromRelay
             | AttemptOutcome::RelayBroken
             | AttemptOutcome::Cancelled => {}
--- a/crates/chicory_gateway/src/lib.rs
+++ b/crates/chicory_gateway/src/lib.rs
@@ -19,6 +19,6 @@
 pub use process::{
     AnswerClass, CallerInterface, GatewayMetric, GatewayProcess, GatewayProcessConfig,
     GatewayProcessError, RelayAdmission, RelayClient, RelayHead, RelayHeadError, RelayLoad,
-    RelayOutcome, RelayedCall, ServerInterface,
+    RelayOutcome, RelaySize, RelayedCall, ServerInterface,
 };
 pub use view::{Directory, Evacuations, UpdateOutcome};
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -437,7 +437,7 @@
 }
 
 /// Returns the host that a request names, without a port.
-fn host_of(head: &request::Parts) -> &str {
+pub(super) fn host_of(head: &request::Parts) -> &str {
     let from_uri = head.uri.host();
     let header = head.headers.get(header::HOST);
     let from_header = header.and_then(|value| value.to_str().ok());
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -79,7 +79,9 @@
     RelayFailures,
     /// Requests of other entry VMs refused because of overload.
     RelayRefusedBusy,
-    /// Requests of other entry VMs refused because no server is reached.
+    /// Those refused because the entry VM's link is occupied.
+    RelayRefusedLinkFull,
+    /// Requests of other entry VMs refused because their server is not reached.
     RelayRefusedCutOff,
     /// Requests of other entry VMs refused during a stop.
     RelayRefusedStopping,
@@ -157,6 +159,7 @@
             Self::LinkBacklogBytes => "gateway_link_backlog_bytes",
             Self::RelayFailures => "gateway_relay_failures",
             Self::RelayRefusedBusy => "gateway_relay_refused_busy",
+            Self::RelayRefusedLinkFull => "gateway_relay_refused_link_full",
             Self::RelayRefusedCutOff => "gateway_relay_refused_cut_off",
             Self::RelayRefusedStopping => "gateway_relay_refused_stopping",
             Self::RelayRefusedUnknownServer => "gateway_relay_refused_unknown_server",
@@ -237,8 +240,9 @@
                 "Requests of other entry VMs to which no backend server's answer was received."
             }
             Self::RelayRefusedBusy => "Requests of other entry VMs refused because of overload.",
+            Self::RelayRefusedLinkFull => "Those refused because the link is occupied.",
             Self::RelayRefusedCutOff => {
-                "Requests of other entry VMs refused because no server is reached."
+                "Requests of other entry VMs refused because their server is not reached."
             }
             Self::RelayRefusedStopping => "Requests of other entry VMs refused during a stop.",
             Self::RelayRefusedUnknownServer => {
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -49,5 +49,5 @@
 pub use relay_client::{RelayClient, RelayedCall};
 pub use relay_head::RelayHead;
 pub use relay_head_error::RelayHeadError;
-pub use relay_load::{RelayAdmission, RelayLoad};
+pub use relay_load::{RelayAdmission, RelayLoad, RelaySize};
 pub use relay_outcome::RelayOutcome;
--- a/crates/chicory_gateway/src/process/relay_client.rs
+++ b/crates/chicory_gateway/src/process/relay_client.rs
@@ -60,7 +60,7 @@
         self.metrics.increment(GatewayMetric::RelayedRequests);
         let sent = self.send_on_any(peer, target, call, request).await;
         match &sent {
-            Err(AttemptOutcome::RelayUnavailable) => {
+            Err(AttemptOutcome::RelayUnavailable | AttemptOutcome::RefusedByRelay) => {
                 self.metrics.increment(GatewayMetric::RelaysUnavailable);
             }
             Err(AttemptOutcome::RelayBroken) => {
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chicory_net::http::{AnswerFuture, BodySource, HttpBody, HttpHandler, ServerLink};
+use chicory_routes::RequestKind;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, HeaderName, HeaderValue, header, request};
@@ -11,13 +12,14 @@
 use tokio::time::Instant;
 
 use super::attempt::{remove_hop_by_hop, server_request};
-use super::caller_handler::{MAX_BODY_OVERTIME, MAX_BUFFERED_BODY_BYTES, response};
+use super::bulk_transfers::ASSUMED_BYTES;
+use super::caller_handler::{MAX_BODY_OVERTIME, MAX_BUFFERED_BODY_BYTES, host_of, response};
 use super::relay_observer::RelayObserver;
 use super::relayed_request::{RelayedRequest, SharedLoad};
 use super::server_send::send_to_server;
 use super::shared_state::SharedState;
 use super::used_link::{LinkPeer, UsedLink};
-use super::{GatewayMetric, RelayHead, RelayHeadError, RelayOutcome};
+use super::{GatewayMetric, RelayHead, RelayHeadError, RelayOutcome, RelaySize};
 use crate::{AttemptOutcome, RelayRecheck};
 
 /// Header of an answer that states the [`RelayOutcome`].
@@ -90,8 +92,11 @@
     body: Incoming,
 ) -> Result<(ServerLink, Response<Incoming>), RelayOutcome> {
     let stated_bytes = body.size_hint().exact();
-    let body_bytes = stated_bytes.unwrap_or(MAX_BUFFERED_BODY_BYTES);
-    if let Err(outcome) = relayed.try_admit(body_bytes) {
+    let size = RelaySize {
+        body_bytes: stated_bytes.unwrap_or(MAX_BUFFERED_BODY_BYTES),
+        answer_bytes: assumed_answer_bytes(&relayed.shared, head),
+    };
+    if let Err(outcome) = relayed.try_admit(size) {
         drain(body).await;
         return Err(outcome);
     }
@@ -111,6 +116,15 @@
     sent.map_err(RelayOutcome::of_attempt)
 }
 
+/// Returns the length that the answer to a request probably has; 0 if it is small.
+fn assumed_answer_bytes(shared: &SharedState, head: &request::Parts) -> u64 {
+    let gateway = shared.gateway();
+    let matcher = gateway.directory().matcher();
+    let route = matcher.find(host_of(head), head.uri.path());
+    let is_large = route.is_some_and(|route| route.route.kind == RequestKind::Download);
+    if is_large { ASSUMED_BYTES } else { 0 }
+}
+
 /// Reads the rest of the body of a request that is refused. The connection would be closed otherwise
 /// while the other entry VM still sends, which would look as if it broke.
 async fn drain(mut body: Incoming) {
--- a/crates/chicory_gateway/src/process/relay_load.rs
+++ b/crates/chicory_gateway/src/process/relay_load.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use chicory_policy::LinkBacklog;
+
 /// Most relayed requests in progress.
 const MAX_IN_PROGRESS: usize = 256;
 /// Most bytes of their bodies that are in memory.
@@ -10,6 +12,24 @@
 /// each step of their requests.
 const MAX_TICK_LAG: Duration = Duration::from_millis(50);
 
+/// Least size of a body that counts as large: it occupies a thin link for long.
+const MIN_LARGE_BYTES: u64 = 16 * 1024;
+/// Time for which the link may be occupied, by a large body as well, when it is accepted. The entry
+/// VM's own callers wait as long, and connections to servers may take 0.3 s to open.
+const MAX_LARGE_DELAY: Duration = Duration::from_millis(200);
+/// The same for other requests. They hardly add to it, and the other entry VM has no better way if
+/// all its relay peers are as busy.
+const MAX_SMALL_DELAY: Duration = Duration::from_millis(400);
+
+/// The bodies of a request that is to be relayed, and of its answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RelaySize {
+    /// Length of the request's body in bytes.
+    pub body_bytes: u64,
+    /// Assumed length of the answer's body in bytes; 0 if it is small.
+    pub answer_bytes: u64,
+}
+
 /// Whether a request may be relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RelayAdmission {
@@ -19,6 +39,8 @@
     Full,
     /// The entry VM is overloaded by its own callers.
     Overloaded,
+    /// The entry VM's link is occupied for too long.
+    LinkFull,
 }
 
 /// What an entry VM relays for others at the moment.
@@ -30,13 +52,17 @@
 }
 
 impl RelayLoad {
-    /// Admits a request with a body of this length, or refuses it.
+    /// Admits a request, or refuses it. `link` is what the entry VM's link still has to carry, if the
+    /// link is thin.
     #[must_use]
-    pub fn try_begin(&mut self, body_bytes: u64) -> RelayAdmission {
+    pub fn try_begin(&mut self, size: RelaySize, link: Option<&LinkBacklog>) -> RelayAdmission {
         if self.tick_lag > MAX_TICK_LAG {
             return RelayAdmission::Overloaded;
         }
-        let all_body_bytes = self.body_bytes.saturating_add(body_bytes);
+        if link.is_some_and(|link| is_link_full(size, link)) {
+            return RelayAdmission::LinkFull;
+        }
+        let all_body_bytes = self.body_bytes.saturating_add(size.body_bytes);
         if self.in_progress >= MAX_IN_PROGRESS || all_body_bytes > MAX_BODY_BYTES {
             return RelayAdmission::Full;
         }
@@ -56,3 +82,17 @@
         self.tick_lag = lag;
     }
 }
+
+/// Whether a thin link is occupied for too long to carry the bodies of one more request as well. An
+/// idle link takes each one.
+fn is_link_full(size: RelaySize, link: &LinkBacklog) -> bool {
+    if link.pending_bytes() == 0 {
+        return false;
+    }
+    let bytes = size.body_bytes.saturating_add(size.answer_bytes);
+    if bytes >= MIN_LARGE_BYTES {
+        link.delay_with(bytes) > MAX_LARGE_DELAY
+    } else {
+        link.delay() > MAX_SMALL_DELAY
+    }
+}
--- a/crates/chicory_gateway/src/process/relay_outcome.rs
+++ b/crates/chicory_gateway/src/process/relay_outcome.rs
@@ -20,9 +20,9 @@
     Broken,
     /// The server's answer is malformed.
     Malformed,
-    /// The entry VM is overloaded. Nothing was sent, as with the outcomes below.
+    /// The entry VM or its link is overloaded. Nothing was sent, as with the outcomes below.
     Busy,
-    /// The entry VM reaches no backend server either.
+    /// The entry VM doesn't reach the server, or any server, either.
     CutOff,
     /// The entry VM is about to stop.
     Stopping,
@@ -95,7 +95,7 @@
             Self::Broken => Some(AttemptOutcome::Broken),
             Self::Malformed => Some(AttemptOutcome::Garbled),
             Self::Busy | Self::CutOff | Self::Stopping | Self::UnknownServer | Self::BadRequest => {
-                Some(AttemptOutcome::RelayUnavailable)
+                Some(AttemptOutcome::RefusedByRelay)
             }
         }
     }
--- a/crates/chicory_gateway/src/process/relayed_request.rs
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -9,7 +9,7 @@
 use super::link_load::ExpectedAnswer;
 use super::relay_log::RelayedEnd;
 use super::shared_state::SharedState;
-use super::{GatewayMetric, RelayAdmission, RelayHead, RelayLoad, RelayOutcome};
+use super::{GatewayMetric, RelayAdmission, RelayHead, RelayLoad, RelayOutcome, RelaySize};
 use crate::RelayRecheck;
 
 /// Longest wait for a server that the directory does not contain yet. Control VMs send each change to
@@ -56,24 +56,32 @@
         }
     }
 
-    /// Admits the request with a body of this length, or returns why it is refused.
-    pub(super) fn try_admit(&mut self, body_bytes: u64) -> Result<(), RelayOutcome> {
+    /// Admits the request with bodies of this size, or returns why it is refused.
+    pub(super) fn try_admit(&mut self, size: RelaySize) -> Result<(), RelayOutcome> {
         if self.shared.readiness.is_stopping() {
             return Err(RelayOutcome::Stopping);
         }
         let now = self.shared.now();
-        if !self.shared.gateway().can_relay(now) {
+        let server = &self.head.server;
+        let reaches = self.shared.gateway().can_relay_to(now, server);
+        if !reaches {
             return Err(RelayOutcome::CutOff);
         }
         if self.recheck() == RelayRecheck::Withhold {
             return Err(RelayOutcome::Unreachable);
         }
         let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
-        match load.try_begin(body_bytes) {
+        match load.try_begin(size, self.shared.link.backlog().as_ref()) {
             RelayAdmission::Accepted => {
-                self.admitted_bytes = Some(body_bytes);
+                self.admitted_bytes = Some(size.body_bytes);
+                self.expected.set_remaining(size.answer_bytes);
                 Ok(())
             }
+            RelayAdmission::LinkFull => {
+                let refused = GatewayMetric::RelayRefusedLinkFull;
+                self.shared.metrics.increment(refused);
+                Err(RelayOutcome::Busy)
+            }
             RelayAdmission::Full | RelayAdmission::Overloaded => Err(RelayOutcome::Busy),
         }
     }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use chicory_directory::{DirectoryUpdate, LinkStatus, RelayPeer};
-use chicory_gateway::{Gateway, GatewayConfig, RelayAdmission, RelayLoad, Target};
+use chicory_gateway::{Gateway, GatewayConfig, RelayAdmission, RelayLoad, RelaySize, Target};
+use chicory_policy::LinkBacklog;
 use chicory_ranges::ServerIncarnation;
 use chicory_types::ZoneName;
 
@@ -14,6 +15,8 @@
 
 /// Requests that an entry VM relays at a time.
 const RELAY_ROOM: usize = 8;
+/// Length that is assumed for a large answer.
+const ASSUMED_BYTES: u64 = 64 * 1024;
 
 pub struct EntryVm {
     pub gateway: Gateway,
@@ -25,6 +28,8 @@
     relaying: usize,
     /// What is being relayed, if the link is thin.
     relay_load: RelayLoad,
+    /// Assumed length of the large answers that servers have not sent yet.
+    expected_bytes: u64,
     /// Whether the previous report says that this entry VM can relay.
     pub can_relay: bool,
     /// Entry VMs that may relay, as the control VM named them last.
@@ -53,6 +58,7 @@
             link: links.map(|links| ThinLink::new(links.bytes_per_s)),
             relaying: 0,
             relay_load: RelayLoad::default(),
+            expected_bytes: 0,
             can_relay: true,
             relays: Vec::new(),
             idle_connections: BTreeMap::new(),
@@ -123,15 +129,33 @@
     }
 
     /// Begins to relay a request of another entry VM, if there is room.
-    pub fn try_begin_relay(&mut self) -> bool {
+    pub fn try_begin_relay(&mut self, now: Duration, is_large: bool) -> bool {
+        let answer_bytes = if is_large { ASSUMED_BYTES } else { 0 };
         let has_room = match self.link {
             None => self.relaying < RELAY_ROOM,
-            Some(_) => self.relay_load.try_begin(0) == RelayAdmission::Accepted,
+            Some(link) => {
+                let size = RelaySize {
+                    body_bytes: 0,
+                    answer_bytes,
+                };
+                let mut backlog = LinkBacklog::new(link.bytes_per_s());
+                backlog.add(link.pending_bytes(now) + self.expected_bytes);
+                self.relay_load.try_begin(size, Some(&backlog)) == RelayAdmission::Accepted
+            }
         };
-        self.relaying += usize::from(has_room);
+        if has_room {
+            self.relaying += 1;
+            self.expected_bytes += answer_bytes;
+        }
         has_room
     }
 
+    /// Records that a server has sent the answer to a relayed request.
+    pub fn record_relayed_answer(&mut self, is_large: bool) {
+        let answer_bytes = if is_large { ASSUMED_BYTES } else { 0 };
+        self.expected_bytes -= answer_bytes;
+    }
+
     /// Ends a request of another entry VM.
     pub fn end_relay(&mut self) {
         self.relaying -= 1;
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/requests.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/requests.rs
@@ -37,6 +37,7 @@
     pub entry_vm: usize,
     pub arrived_at: Duration,
     pub ticket: RequestTicket,
+    pub is_large: bool,
     pub answer_bytes: u64,
 }
 
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/thin_link.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/thin_link.rs
@@ -23,6 +23,20 @@
         self.busy_until.saturating_sub(now)
     }
 
+    pub fn bytes_per_s(&self) -> f64 {
+        self.bytes_per_s
+    }
+
+    /// Returns the bytes that wait to cross the link.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "bytes are few"
+    )]
+    pub fn pending_bytes(&self, now: Duration) -> u64 {
+        (self.delay(now).as_secs_f64() * self.bytes_per_s) as u64
+    }
+
     /// Queues bytes and returns when the last one has crossed the link.
     pub fn transfer(&mut self, now: Duration, bytes: u64) -> Duration {
         let bytes = f64::from(u32::try_from(bytes).expect("a small number"));
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -177,7 +177,12 @@
             Event::Answer(attempt) => self.receive_answer(attempt),
             Event::Relay(attempt, peer) => self.relay(attempt, peer),
             Event::RelayedAnswer(attempt, peer) => {
-                let bytes = attempt.exchange.answer_bytes;
+                let Exchange {
+                    answer_bytes: bytes,
+                    is_large,
+                    ..
+                } = attempt.exchange;
+                self.entry_vms[peer].record_relayed_answer(is_large);
                 let passed_on_at = self.entry_vms[peer].pass_on(self.now, bytes);
                 self.add_event(passed_on_at, Event::RelayEnd(peer));
                 self.add_event(passed_on_at + HOP, Event::Answer(attempt));
@@ -247,6 +252,7 @@
                 entry_vm: vm,
                 arrived_at: self.now,
                 ticket,
+                is_large,
                 answer_bytes,
             }),
             Admission::Refused(refusal) => panic!("refused at arrival: {refusal:?}"),
@@ -355,14 +361,16 @@
         let link_delay = relay.link_delay(self.now);
         let cut = relay.cut;
         let (after, outcome) = match cut {
-            _ if !relay.gateway.can_relay(self.now) => (HOP, AttemptOutcome::RelayUnavailable),
+            _ if !relay.gateway.can_relay(self.now) => (HOP, AttemptOutcome::RefusedByRelay),
             Some(CutKind::Silent) => (CONNECT_TIMEOUT + HOP, AttemptOutcome::UnreachableFromRelay),
             Some(_) => (3 * HOP, AttemptOutcome::UnreachableFromRelay),
             None if link_delay > attempt.target.connect_timeout => (
                 attempt.target.connect_timeout,
                 AttemptOutcome::UnreachableFromRelay,
             ),
-            None if !relay.try_begin_relay() => (HOP, AttemptOutcome::RelayUnavailable),
+            None if !relay.try_begin_relay(self.now, attempt.exchange.is_large) => {
+                (HOP, AttemptOutcome::RefusedByRelay)
+            }
             None => {
                 let answered_at = self.now + link_delay + 2 * HOP + work_time;
                 return self.add_event(answered_at, Event::RelayedAnswer(attempt, peer));
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod notices;
 mod owner_admission;
 mod reachability;
+mod relay_refusals;
 mod relays;
 mod retries;
 mod shares;
--- a/crates/chicory_gateway/tests/decisions/relays.rs
+++ b/crates/chicory_gateway/tests/decisions/relays.rs
@@ -39,7 +39,7 @@
 
 /// Creates a gateway that is cut off from the servers for which `is_open` returns `false`, and
 /// returns the time at which it knows that.
-fn cut_off(is_open: impl Fn(&str) -> bool) -> (Gateway, Duration) {
+pub fn cut_off(is_open: impl Fn(&str) -> bool) -> (Gateway, Duration) {
     let mut gateway = gateway_with_relays();
     for key in [600, 1600] {
         let mut ticket = admit(&mut gateway, START, "/reads/x", Some(key));
@@ -51,7 +51,7 @@
     (gateway, now)
 }
 
-fn admit(gateway: &mut Gateway, now: Duration, path: &str, key: Option<u16>) -> RequestTicket {
+pub fn admit(gateway: &mut Gateway, now: Duration, path: &str, key: Option<u16>) -> RequestTicket {
     match gateway.admit(now, "host", path, &metadata(key)) {
         Admission::Accepted(ticket) => ticket,
         Admission::Refused(refusal) => panic!("refused: {refusal:?}"),
--- a/crates/chicory_gateway/tests/relay/headers.rs
+++ b/crates/chicory_gateway/tests/relay/headers.rs
@@ -92,19 +92,16 @@
         ),
         (RelayOutcome::Broken, Some(AttemptOutcome::Broken)),
         (RelayOutcome::Malformed, Some(AttemptOutcome::Garbled)),
-        (RelayOutcome::Busy, Some(AttemptOutcome::RelayUnavailable)),
-        (RelayOutcome::CutOff, Some(AttemptOutcome::RelayUnavailable)),
-        (
-            RelayOutcome::Stopping,
-            Some(AttemptOutcome::RelayUnavailable),
-        ),
+        (RelayOutcome::Busy, Some(AttemptOutcome::RefusedByRelay)),
+        (RelayOutcome::CutOff, Some(AttemptOutcome::RefusedByRelay)),
+        (RelayOutcome::Stopping, Some(AttemptOutcome::RefusedByRelay)),
         (
             RelayOutcome::UnknownServer,
-            Some(AttemptOutcome::RelayUnavailable),
+            Some(AttemptOutcome::RefusedByRelay),
         ),
         (
             RelayOutcome::BadRequest,
-            Some(AttemptOutcome::RelayUnavailable),
+            Some(AttemptOutcome::RefusedByRelay),
         ),
     ];
     for (outcome, attempt_outcome) in outcomes {
--- a/crates/chicory_gateway/tests/relay/load.rs
+++ b/crates/chicory_gateway/tests/relay/load.rs
@@ -2,20 +2,28 @@
 
 use std::time::Duration;
 
-use chicory_gateway::{RelayAdmission, RelayLoad};
+use chicory_gateway::{RelayAdmission, RelayLoad, RelaySize};
+use chicory_policy::LinkBacklog;
 use googletest::prelude::*;
 
+fn body(body_bytes: u64) -> RelaySize {
+    RelaySize {
+        body_bytes,
+        answer_bytes: 0,
+    }
+}
+
 #[gtest]
 fn requests_beyond_the_limit_are_refused_until_others_end() {
     let mut load = RelayLoad::default();
     let mut accepted = 0;
-    while load.try_begin(0) == RelayAdmission::Accepted {
+    while load.try_begin(body(0), None) == RelayAdmission::Accepted {
         accepted += 1;
     }
     expect_that!(accepted, eq(256));
-    expect_that!(load.try_begin(0), eq(RelayAdmission::Full));
+    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Full));
     load.end(0);
-    expect_that!(load.try_begin(0), eq(RelayAdmission::Accepted));
+    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Accepted));
 }
 
 #[gtest]
@@ -23,20 +31,73 @@
     const BODY_BYTES: u64 = 8 * 1024 * 1024;
     let mut load = RelayLoad::default();
     for _ in 0..4 {
-        expect_that!(load.try_begin(BODY_BYTES), eq(RelayAdmission::Accepted));
+        expect_that!(
+            load.try_begin(body(BODY_BYTES), None),
+            eq(RelayAdmission::Accepted)
+        );
     }
-    expect_that!(load.try_begin(1), eq(RelayAdmission::Full));
-    expect_that!(load.try_begin(0), eq(RelayAdmission::Accepted));
-    expect_that!(load.try_begin(u64::MAX), eq(RelayAdmission::Full));
+    expect_that!(load.try_begin(body(1), None), eq(RelayAdmission::Full));
+    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Accepted));
+    expect_that!(
+        load.try_begin(body(u64::MAX), None),
+        eq(RelayAdmission::Full)
+    );
     load.end(BODY_BYTES);
-    expect_that!(load.try_begin(BODY_BYTES), eq(RelayAdmission::Accepted));
+    expect_that!(
+        load.try_begin(body(BODY_BYTES), None),
+        eq(RelayAdmission::Accepted)
+    );
 }
 
 #[gtest]
 fn nothing_is_relayed_while_the_entry_vm_is_overloaded() {
     let mut load = RelayLoad::default();
     load.record_tick_lag(Duration::from_millis(51));
-    expect_that!(load.try_begin(0), eq(RelayAdmission::Overloaded));
+    expect_that!(
+        load.try_begin(body(0), None),
+        eq(RelayAdmission::Overloaded)
+    );
     load.record_tick_lag(Duration::from_millis(50));
-    expect_that!(load.try_begin(0), eq(RelayAdmission::Accepted));
+    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Accepted));
+}
+
+#[gtest]
+fn large_answers_are_refused_sooner_than_small_ones_when_the_link_is_occupied() {
+    let small = RelaySize::default();
+    let large = RelaySize {
+        body_bytes: 0,
+        answer_bytes: 50_000,
+    };
+    let mut load = RelayLoad::default();
+    // A link of 1 MB/s.
+    let mut link = LinkBacklog::new(1e6);
+    for (more_bytes, small_one, large_one) in [
+        (150_000, RelayAdmission::Accepted, RelayAdmission::Accepted),
+        (1, RelayAdmission::Accepted, RelayAdmission::LinkFull),
+        (249_999, RelayAdmission::Accepted, RelayAdmission::LinkFull),
+        (1, RelayAdmission::LinkFull, RelayAdmission::LinkFull),
+    ] {
+        link.add(more_bytes);
+        expect_that!(load.try_begin(small, Some(&link)), eq(small_one));
+        expect_that!(load.try_begin(large, Some(&link)), eq(large_one));
+    }
+}
+
+#[gtest]
+fn idle_link_takes_an_answer_of_any_length() {
+    let huge = RelaySize {
+        body_bytes: 0,
+        answer_bytes: 10_000_000,
+    };
+    let mut load = RelayLoad::default();
+    let mut link = LinkBacklog::new(1e6);
+    expect_that!(
+        load.try_begin(huge, Some(&link)),
+        eq(RelayAdmission::Accepted)
+    );
+    link.add(1);
+    expect_that!(
+        load.try_begin(huge, Some(&link)),
+        eq(RelayAdmission::LinkFull)
+    );
 }
--- a/crates/chicory_gateway/tests/relay/refusals.rs
+++ b/crates/chicory_gateway/tests/relay/refusals.rs
@@ -97,7 +97,7 @@
     target.incarnation = ServerIncarnation::new("i-2", 7);
     for _ in 0..8 {
         let sent = send_once(&client, &site.peer, &target, || post(&LONG_BODY)).await;
-        expect_that!(sent.err(), some(eq(AttemptOutcome::RelayUnavailable)));
+        expect_that!(sent.err(), some(eq(AttemptOutcome::RefusedByRelay)));
     }
     expect_that!(site.server.has_connection().await, eq(false));
 }
--- a/crates/chicory_gateway/tests/relay/site.rs
+++ b/crates/chicory_gateway/tests/relay/site.rs
@@ -247,7 +247,7 @@
 ) -> Sent {
     loop {
         match send_once(client, peer, target, &request).await {
-            Err(AttemptOutcome::RelayUnavailable) => {
+            Err(AttemptOutcome::RefusedByRelay) => {
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
             sent => return sent,
