Spread relayed requests over eight relay peers by requests in flight

Callers of entry VMs without a path to servers waited behind the requests of others at the same few relay peers: on the grown site some relayed over 100 requests a second and others none, whose own callers send 36.

Cause: control VMs named four peers, two of them in the own zone, and these got everything until they refused. Where few entry VMs of a zone can relay, all others of the zone used the same ones.

Control VMs now name eight peers, four of them in other zones if possible, and the one with the fewest requests in flight gets the next one; a peer of the own zone may have two more than the others.

--- a/crates/chicory_gateway/src/decide/relay_choice.rs
+++ b/crates/chicory_gateway/src/decide/relay_choice.rs
@@ -32,6 +32,10 @@
     }
 }
 
+/// Requests in flight that a relay peer of the own zone may have more than one of another zone and is
+/// still preferred.
+const OWN_ZONE_ADVANTAGE: u32 = 2;
+
 /// What is known of one relay peer.
 #[derive(Clone, Debug, Default)]
 struct PeerState {
@@ -104,8 +108,9 @@
         })
     }
 
-    /// Returns the relay peer for a request, if one is available. Peers of the entry VM's own zone
-    /// are preferred, unless one was tried: a zone may be cut off as a whole.
+    /// Returns the relay peer for a request, if one is available: the one with the fewest requests in
+    /// flight, as a slow one has more of them. Peers of the entry VM's own zone are somewhat preferred,
+    /// unless one was tried: a zone may be cut off as a whole.
     pub(super) fn choose(
         &self,
         now: MonoTime,
@@ -118,8 +123,9 @@
         let best = available.min_by_key(|(peer, in_flight)| {
             let is_zone_tried = tried.iter().any(|tried| tried.zone == peer.zone);
             let is_in_other_zone = peer.zone != *own_zone;
+            let handicap = u32::from(is_in_other_zone) * OWN_ZONE_ADVANTAGE;
             let order: u32 = rng.random();
-            (is_zone_tried, is_in_other_zone, *in_flight, order)
+            (is_zone_tried, in_flight + handicap, is_in_other_zone, order)
         });
         best.map(|(peer, _)| peer.clone())
     }
--- a/crates/chicory_site/src/core/relay_assignment.rs
+++ b/crates/chicory_site/src/core/relay_assignment.rs
@@ -6,11 +6,12 @@
 use chicory_directory::RelayPeer;
 use chicory_types::{VmId, ZoneName, fingerprint_of};
 
-/// Greatest number of relay peers of one entry VM.
-const MAX_RELAYS: usize = 4;
+/// Greatest number of relay peers of one entry VM. Each sends to the one with the fewest requests in
+/// flight, which evens out what the entry VMs that relay get if there are several to choose from.
+const MAX_RELAYS: usize = 8;
 /// Number of them that are in other availability zones if possible: a whole zone may be cut off,
 /// and one of the others may fail at the same time.
-const RELAYS_OF_OTHER_ZONES: usize = 2;
+const RELAYS_OF_OTHER_ZONES: usize = 4;
 /// Greatest multiple of the even share of entry VMs that have the same first relay peer.
 const MAX_SHARES: usize = 2;
 
