--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -154,8 +154,9 @@
                 shared.update_readiness();
                 shared.relays.prune();
                 if let Some(backlog) = shared.link.backlog() {
-                    let bytes = backlog.pending_bytes();
-                    shared.metrics.set(GatewayMetric::LinkBacklogBytes, bytes);
+                    let bytes = backlog.pending_bytes(shared.now());
+                    let metric = GatewayMetric::LinkBacklogBytes;
+                    shared.metrics.set(metric, whole_bytes(bytes));
                 }
             }
             () = wait_for_due_probe(&shared) => {}
@@ -164,3 +165,12 @@
         shared.log_reachability_changes();
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "bytes are few"
+)]
+fn whole_bytes(bytes: f64) -> u64 {
+    bytes as u64
+}
--- a/crates/chicory_gateway/src/process/relay_load.rs
+++ b/crates/chicory_gateway/src/process/relay_load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicory_policy::LinkBacklog;
+use chicory_types::MonoTime;
 
 /// Most relayed requests in progress.
 const MAX_IN_PROGRESS: usize = 256;
@@ -55,11 +56,16 @@
     /// Admits a request, or refuses it. `link` is what the entry VM's link still has to carry, if the
     /// link is thin.
     #[must_use]
-    pub fn try_begin(&mut self, size: RelaySize, link: Option<&LinkBacklog>) -> RelayAdmission {
+    pub fn try_begin(
+        &mut self,
+        now: MonoTime,
+        size: RelaySize,
+        link: Option<&LinkBacklog>,
+    ) -> RelayAdmission {
         if self.tick_lag > MAX_TICK_LAG {
             return RelayAdmission::Overloaded;
         }
-        if link.is_some_and(|link| is_link_full(size, link)) {
+        if link.is_some_and(|link| is_link_full(now, size, link)) {
             return RelayAdmission::LinkFull;
         }
         let all_body_bytes = self.body_bytes.saturating_add(size.body_bytes);
@@ -85,14 +91,14 @@
 
 /// Whether a thin link is occupied for too long to carry the bodies of one more request as well. An
 /// idle link takes each one.
-fn is_link_full(size: RelaySize, link: &LinkBacklog) -> bool {
-    if link.pending_bytes() == 0 {
+fn is_link_full(now: MonoTime, size: RelaySize, link: &LinkBacklog) -> bool {
+    if link.delay(now).is_zero() {
         return false;
     }
     let bytes = size.body_bytes.saturating_add(size.answer_bytes);
     if bytes >= MIN_LARGE_BYTES {
-        link.delay_with(bytes) > MAX_LARGE_DELAY
+        link.delay_with(now, bytes) > MAX_LARGE_DELAY
     } else {
-        link.delay() > MAX_SMALL_DELAY
+        link.delay(now) > MAX_SMALL_DELAY
     }
 }
--- a/crates/chicory_gateway/src/process/relayed_request.rs
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -42,11 +42,12 @@
 
 impl RelayedRequest {
     pub(super) fn new(shared: Arc<SharedState>, head: RelayHead, load: SharedLoad) -> Self {
+        let now = shared.now();
         let backlog = shared.link.backlog();
         Self {
-            started_at: shared.now(),
+            started_at: now,
             expected: shared.link.expect(0),
-            link_delay: backlog.map_or(Duration::ZERO, |backlog| backlog.delay()),
+            link_delay: backlog.map_or(Duration::ZERO, |backlog| backlog.delay(now)),
             shared,
             head,
             load,
@@ -71,7 +72,7 @@
             return Err(RelayOutcome::Unreachable);
         }
         let mut load = self.load.lock().unwrap_or_else(PoisonError::into_inner);
-        match load.try_begin(size, self.shared.link.backlog().as_ref()) {
+        match load.try_begin(now, size, self.shared.link.backlog().as_ref()) {
             RelayAdmission::Accepted => {
                 self.admitted_bytes = Some(size.body_bytes);
                 self.expected.set_remaining(size.answer_bytes);
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -68,7 +68,7 @@
         let thin_link_bytes_per_s = gateway.config().thin_link_bytes_per_s;
         Self {
             bulk: BulkTransfers::new(thin_link_bytes_per_s),
-            link: LinkLoad::new(thin_link_bytes_per_s),
+            link: LinkLoad::new(thin_link_bytes_per_s, clock.clone()),
             gateway: Mutex::new(gateway),
             pool: ConnectionPool::new(MAX_IDLE_CONNECTIONS),
             relays: RelayClient::new(vm, clock.clone(), metrics.clone()),
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/entry_vm.rs
@@ -139,8 +139,8 @@
                     answer_bytes,
                 };
                 let mut backlog = LinkBacklog::new(link.bytes_per_s());
-                backlog.add(link.pending_bytes(now) + self.expected_bytes);
-                self.relay_load.try_begin(size, Some(&backlog)) == RelayAdmission::Accepted
+                backlog.expect(link.pending_bytes(now) + self.expected_bytes);
+                self.relay_load.try_begin(now, size, Some(&backlog)) == RelayAdmission::Accepted
             }
         };
         if has_room {
--- a/crates/chicory_gateway/tests/relay/load.rs
+++ b/crates/chicory_gateway/tests/relay/load.rs
@@ -6,6 +6,8 @@
 use chicory_policy::LinkBacklog;
 use googletest::prelude::*;
 
+const NOW: Duration = Duration::from_secs(1);
+
 fn body(body_bytes: u64) -> RelaySize {
     RelaySize {
         body_bytes,
@@ -17,13 +19,16 @@
 fn requests_beyond_the_limit_are_refused_until_others_end() {
     let mut load = RelayLoad::default();
     let mut accepted = 0;
-    while load.try_begin(body(0), None) == RelayAdmission::Accepted {
+    while load.try_begin(NOW, body(0), None) == RelayAdmission::Accepted {
         accepted += 1;
     }
     expect_that!(accepted, eq(256));
-    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Full));
+    expect_that!(load.try_begin(NOW, body(0), None), eq(RelayAdmission::Full));
     load.end(0);
-    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Accepted));
+    expect_that!(
+        load.try_begin(NOW, body(0), None),
+        eq(RelayAdmission::Accepted)
+    );
 }
 
 #[gtest]
@@ -32,19 +37,22 @@
     let mut load = RelayLoad::default();
     for _ in 0..4 {
         expect_that!(
-            load.try_begin(body(BODY_BYTES), None),
+            load.try_begin(NOW, body(BODY_BYTES), None),
             eq(RelayAdmission::Accepted)
         );
     }
-    expect_that!(load.try_begin(body(1), None), eq(RelayAdmission::Full));
-    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Accepted));
+    expect_that!(load.try_begin(NOW, body(1), None), eq(RelayAdmission::Full));
     expect_that!(
-        load.try_begin(body(u64::MAX), None),
+        load.try_begin(NOW, body(0), None),
+        eq(RelayAdmission::Accepted)
+    );
+    expect_that!(
+        load.try_begin(NOW, body(u64::MAX), None),
         eq(RelayAdmission::Full)
     );
     load.end(BODY_BYTES);
     expect_that!(
-        load.try_begin(body(BODY_BYTES), None),
+        load.try_begin(NOW, body(BODY_BYTES), None),
         eq(RelayAdmission::Accepted)
     );
 }
@@ -54,11 +62,14 @@
     let mut load = RelayLoad::default();
     load.record_tick_lag(Duration::from_millis(51));
     expect_that!(
-        load.try_begin(body(0), None),
+        load.try_begin(NOW, body(0), None),
         eq(RelayAdmission::Overloaded)
     );
     load.record_tick_lag(Duration::from_millis(50));
-    expect_that!(load.try_begin(body(0), None), eq(RelayAdmission::Accepted));
+    expect_that!(
+        load.try_begin(NOW, body(0), None),
+        eq(RelayAdmission::Accepted)
+    );
 }
 
 #[gtest]
@@ -77,9 +88,9 @@
         (249_999, RelayAdmission::Accepted, RelayAdmission::LinkFull),
         (1, RelayAdmission::LinkFull, RelayAdmission::LinkFull),
     ] {
-        link.add(more_bytes);
-        expect_that!(load.try_begin(small, Some(&link)), eq(small_one));
-        expect_that!(load.try_begin(large, Some(&link)), eq(large_one));
+        link.expect(more_bytes);
+        expect_that!(load.try_begin(NOW, small, Some(&link)), eq(small_one));
+        expect_that!(load.try_begin(NOW, large, Some(&link)), eq(large_one));
     }
 }
 
@@ -92,12 +103,28 @@
     let mut load = RelayLoad::default();
     let mut link = LinkBacklog::new(1e6);
     expect_that!(
-        load.try_begin(huge, Some(&link)),
+        load.try_begin(NOW, huge, Some(&link)),
         eq(RelayAdmission::Accepted)
     );
-    link.add(1);
+    link.expect(1);
     expect_that!(
-        load.try_begin(huge, Some(&link)),
+        load.try_begin(NOW, huge, Some(&link)),
         eq(RelayAdmission::LinkFull)
     );
 }
+
+#[gtest]
+fn small_answers_that_were_handed_to_the_link_occupy_it_until_it_has_carried_them() {
+    let mut load = RelayLoad::default();
+    let mut link = LinkBacklog::new(1e6);
+    for _ in 0..250 {
+        link.record_sent(NOW, 2_000);
+    }
+    let mut admission_after = |wait_ms: u64| {
+        let now = NOW + Duration::from_millis(wait_ms);
+        load.try_begin(now, RelaySize::default(), Some(&link))
+    };
+    expect_that!(admission_after(0), eq(RelayAdmission::LinkFull));
+    expect_that!(admission_after(99), eq(RelayAdmission::LinkFull));
+    expect_that!(admission_after(101), eq(RelayAdmission::Accepted));
+}
