Take no orders in a planned stop that may be cut off at its end

Cause: requests were taken and passed on for 2.6 s, whatever the grace period is, and orders whose time reaches beyond its end were passed on as well.

New connections are now accepted for 2.6 s or half of the grace period, whichever is shorter, and an order that its caller may still wait for when the last answers are due is refused at once as not run, with the time after which another entry VM takes it.

The test orders_late_in_a_short_grace_period_are_refused_or_answered_by_their_server failed before with 504 for most orders, and passes.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -112,8 +112,8 @@
     pub(super) relays: RelayChoice,
     /// Their paths to servers.
     pub(super) relay_reachability: RelayReachability,
-    /// Whether this entry VM is about to stop.
-    pub(super) is_stopping: bool,
+    /// When requests that still wait are answered by this entry VM, if it is about to stop.
+    pub(super) stops_at: Option<MonoTime>,
     /// Servers that have named a rate limit.
     pub(super) limited: LimitedServers,
     /// Whether requests without keys need cold servers.
@@ -159,7 +159,7 @@
             connect_delay: ConnectDelay::default(),
             relays: RelayChoice::default(),
             relay_reachability: RelayReachability::default(),
-            is_stopping: false,
+            stops_at: None,
             limited: LimitedServers::default(),
             warm_room: WarmRoom::default(),
             leaving_since: BTreeMap::new(),
@@ -216,7 +216,8 @@
         change.apply(&mut self.moving);
     }
 
-    /// Admits a request or refuses it.
+    /// Admits a request or refuses it. While this entry VM is about to stop, an order is refused if
+    /// its caller may still wait for it then: it could not be sent again once it is cut off.
     pub fn admit(
         &mut self,
         now: MonoTime,
@@ -255,6 +256,10 @@
         let time_left = metadata.time_left.unwrap_or(DEFAULT_TIME_LEFT);
         let timeout = route.route.timeout.unwrap_or(time_left);
         let deadline = now + time_left.min(timeout).saturating_sub(ANSWER_MARGIN);
+        let is_repeatable = route.route.kind.is_repeatable();
+        if !is_repeatable && self.stops_at.is_some_and(|at| at < deadline) {
+            return self.refuse(metadata, RefusalReason::Stopping);
+        }
         Admission::Accepted(RequestTicket {
             route,
             routes_version: self.directory.routes().version,
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -114,7 +114,7 @@
     /// to stop.
     #[must_use]
     pub fn can_relay(&self, now: MonoTime) -> bool {
-        if self.is_stopping
+        if self.stops_at.is_some()
             || self.reachability.is_all_suspected(now)
             || !self.config.is_enabled(Policy::Relay)
         {
@@ -137,9 +137,9 @@
         self.can_relay(now) && !record.is_some_and(|record| self.reachability.is_cut(record))
     }
 
-    /// Records that this entry VM is about to stop.
-    pub fn set_stopping(&mut self) {
-        self.is_stopping = true;
+    /// Records that this entry VM is about to stop, and when it answers requests that still wait.
+    pub fn set_stopping(&mut self, stops_at: MonoTime) {
+        self.stops_at = Some(stops_at);
     }
 
     pub(super) fn is_zone_cut_off(&self, now: MonoTime, record: &ServerRecord) -> bool {
--- a/crates/chicory_gateway/src/decide/mod.rs
+++ b/crates/chicory_gateway/src/decide/mod.rs
@@ -59,6 +59,7 @@
 pub use policy::Policy;
 pub use probe_result::ProbeResult;
 pub use refusal::{Refusal, RefusalReason};
+pub(crate) use refusals::RETRY_AFTER_STOP;
 pub use relay_recheck::RelayRecheck;
 pub use request_metadata::RequestMetadata;
 pub use request_ticket::RequestTicket;
--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -20,6 +20,10 @@
 /// less likely to fall into the outage.
 const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(1500);
 
+/// Time after which a caller that was refused because of a planned stop may come back: other entry
+/// VMs serve it.
+pub(crate) const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
+
 /// Returns the time after which the cause of a refusal is expected to be over.
 fn expected_recovery_time(reason: RefusalReason) -> Duration {
     match reason {
@@ -29,6 +33,7 @@
         RefusalReason::NoOwner | RefusalReason::Unreachable | RefusalReason::NoServer => {
             RETRY_AFTER_OUTAGE
         }
+        RefusalReason::Stopping => RETRY_AFTER_STOP,
         _ => DEFAULT_RETRY_AFTER,
     }
 }
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -23,6 +23,7 @@
 use super::request_guard::RequestGuard;
 use super::request_log::RequestSummary;
 use super::shared_state::SharedState;
+use crate::decide::RETRY_AFTER_STOP;
 use crate::{
     Admission, AttemptOutcome, NextStep, Refusal, RefusalReason, RequestMetadata, RequestTicket,
 };
@@ -37,10 +38,6 @@
 /// is for sending it on and for the server.
 const RECEIVE_FRACTION: f64 = 0.5;
 
-/// Time after which a caller that was refused because of a planned stop may come back: other entry
-/// VMs serve it.
-const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
-
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 /// Idle time for which callers are asked to keep connections. Most callers send another request
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -10,7 +10,7 @@
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 
 use super::caller_handler::CallerHandler;
 use super::directory_link::DirectoryLink;
@@ -18,19 +18,12 @@
 use super::relay_listener::RelayListener;
 use super::server_probes::{start_due_probes, wait_for_due_probe};
 use super::shared_state::SharedState;
+use super::stop_schedule::StopSchedule;
 use super::{
     CallerInterface, GatewayMetric, GatewayProcessConfig, GatewayProcessError, ServerInterface,
 };
 use crate::Gateway;
 
-/// Time from switching readiness off until new connections are no longer accepted. The balancer
-/// checks once a second and removes a VM after two failed checks.
-const BALANCER_REACTION_TIME: Duration = Duration::from_millis(2600);
-/// Time before a planned stop ends in which requests that still wait are answered by this entry VM, so
-/// that no connection closes without an answer.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
-/// Part of the grace period that is reserved for the end of the process itself.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which readiness is updated; the balancer checks once a second.
 const READINESS_INTERVAL: Duration = Duration::from_millis(250);
 /// Limits of callers' connections. Idle connections stay open for twice the time that callers are
@@ -119,21 +112,21 @@
         if stop.wait_for(|stop| *stop).await.is_err() {
             std::future::pending::<()>().await;
         }
+        let schedule = StopSchedule::new(self.config.stop_grace);
         shared.readiness.begin_stop();
-        shared.gateway().set_stopping();
+        let answers_at = shared.now() + schedule.last_answers;
+        shared.gateway().set_stopping(answers_at);
         info!(shared.logger, "stop begins"; "grace" => ?self.config.stop_grace);
-        tokio::time::sleep(BALANCER_REACTION_TIME).await;
+        let begun_at = Instant::now();
+        tokio::time::sleep_until(begun_at + schedule.closing).await;
         close.send_replace(true);
-        let remaining = self
-            .config
-            .stop_grace
-            .saturating_sub(BALANCER_REACTION_TIME + STOP_MARGIN);
         let mut served = served;
-        let before_last_answers = remaining.saturating_sub(LAST_ANSWERS_TIME);
-        let mut ended = tokio::time::timeout(before_last_answers, &mut served).await;
+        let answers_at = begun_at + schedule.last_answers;
+        let mut ended = tokio::time::timeout_at(answers_at, &mut served).await;
         if ended.is_err() {
             shared.answers_are_due.send_replace(true);
-            ended = tokio::time::timeout(LAST_ANSWERS_TIME, &mut served).await;
+            let ends_at = begun_at + schedule.end;
+            ended = tokio::time::timeout_at(ends_at, &mut served).await;
         }
         match ended {
             Ok(_) => info!(shared.logger, "stop ends, all requests were answered"),
--- a/crates/chicory_gateway/src/process/mod.rs
+++ b/crates/chicory_gateway/src/process/mod.rs
@@ -39,6 +39,7 @@
 mod server_send;
 mod share_log;
 mod shared_state;
+mod stop_schedule;
 mod used_link;
 
 pub use gateway_metric::GatewayMetric;
--- a/crates/chicory_gateway/tests/decisions/reachability.rs
+++ b/crates/chicory_gateway/tests/decisions/reachability.rs
@@ -247,7 +247,7 @@
 #[gtest]
 fn entry_vm_that_stops_relays_nothing() {
     let mut gateway = gateway_over_two_zones();
-    gateway.set_stopping();
+    gateway.set_stopping(Duration::MAX);
     expect_that!(gateway.can_relay(START), eq(false));
 }
 
