Play cuts in which open connections live on and end one by one

Servers close one of ten connections after an answer, and new ones are refused, or accepted and closed.

--- a/crates/chicory_gateway/tests/cut_off_entry_vms/plan.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/plan.rs
@@ -16,6 +16,8 @@
     Reset,
     /// Open connections live on, and new ones are refused.
     NewRefused,
+    /// Open connections live on, and new ones are accepted and closed.
+    NewClosed,
 }
 
 /// Which entry VMs are cut off.
@@ -48,6 +50,8 @@
     pub requests_per_s: f64,
     pub kind: CutKind,
     pub size: CutSize,
+    /// Whether servers close one of ten connections after an answer.
+    pub has_closing_servers: bool,
     /// The link of each entry VM and what crosses it; links are not limited if `None`.
     pub thin_links: Option<ThinLinks>,
 }
@@ -61,6 +65,7 @@
             requests_per_s: 20.0,
             kind,
             size,
+            has_closing_servers: false,
             thin_links: None,
         }
     }
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/serving.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/serving.rs
@@ -18,18 +18,22 @@
 fn expect_callers_are_served(kind: CutKind) {
     for size in [CutSize::One, CutSize::Third, CutSize::Zone] {
         for plan in [Plan::small(kind, size), Plan::large(kind, size)] {
-            let mut world = World::start(plan);
-            world.run_until(HEALED_AT + Duration::from_secs(2));
-            let from = CUT_AT + TIME_TO_MEND;
-            let records = &world.records;
-            let cut = served_share(records, from, HEALED_AT, |vm| plan.is_cut(vm));
-            let others = served_share(records, from, HEALED_AT, |vm| !plan.is_cut(vm));
-            expect_that!(others, gt(0.9), "{plan:?}");
-            expect_that!(cut, ge(LEAST_FRACTION * others), "{plan:?}");
+            expect_served(plan);
         }
     }
 }
 
+fn expect_served(plan: Plan) {
+    let mut world = World::start(plan);
+    world.run_until(HEALED_AT + Duration::from_secs(2));
+    let from = CUT_AT + TIME_TO_MEND;
+    let records = &world.records;
+    let cut = served_share(records, from, HEALED_AT, |vm| plan.is_cut(vm));
+    let others = served_share(records, from, HEALED_AT, |vm| !plan.is_cut(vm));
+    expect_that!(others, gt(0.9), "{plan:?}");
+    expect_that!(cut, ge(LEAST_FRACTION * others), "{plan:?}");
+}
+
 #[gtest]
 fn callers_of_entry_vms_whose_connections_to_servers_hang_are_served() {
     expect_callers_are_served(CutKind::Silent);
@@ -45,6 +49,23 @@
     expect_callers_are_served(CutKind::NewRefused);
 }
 
+/// Connections that were open before a cut answer while they last, which must not hide it.
+#[gtest]
+fn callers_are_served_while_open_connections_live_on_and_end_one_by_one() {
+    for kind in [CutKind::NewRefused, CutKind::NewClosed] {
+        for size in [CutSize::One, CutSize::Third, CutSize::Zone] {
+            for requests_per_s in [8.0, 22.0, 40.0] {
+                let plan = Plan {
+                    has_closing_servers: true,
+                    requests_per_s,
+                    ..Plan::small(kind, size)
+                };
+                expect_served(plan);
+            }
+        }
+    }
+}
+
 /// A single entry VM can't relay the requests of all others.
 #[gtest]
 fn requests_that_the_only_entry_vm_with_a_path_can_not_relay_are_refused_at_once() {
--- a/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/world.rs
@@ -163,7 +163,7 @@
                 let result = match entry_vm.cut {
                     None if is_slow => ProbeResult::Unanswered,
                     None => ProbeResult::Answered,
-                    Some(CutKind::Silent) => ProbeResult::Unanswered,
+                    Some(CutKind::Silent | CutKind::NewClosed) => ProbeResult::Unanswered,
                     Some(CutKind::Reset | CutKind::NewRefused) => ProbeResult::Refused,
                 };
                 entry_vm.gateway.record_probe(self.now, &server, result);
@@ -328,6 +328,7 @@
                 return self.add_event(answered_at, Event::Answer(attempt));
             }
             Some(CutKind::Silent) => AttemptOutcome::Unreachable,
+            Some(CutKind::NewClosed) => AttemptOutcome::ConnectionRejected,
             Some(CutKind::Reset | CutKind::NewRefused) => AttemptOutcome::Refused,
         };
         self.end_attempt(attempt, outcome);
@@ -337,7 +338,7 @@
         let entry_vm = &mut self.entry_vms[attempt.exchange.entry_vm];
         let is_relayed = attempt.target.relay.is_some();
         match entry_vm.cut.filter(|_| !is_relayed) {
-            None | Some(CutKind::NewRefused) => {
+            None | Some(CutKind::NewRefused | CutKind::NewClosed) => {
                 let deadline = attempt.target.attempt_deadline;
                 let received_at = entry_vm.pass_on(self.now, attempt.exchange.answer_bytes);
                 let (at, outcome) = if received_at > deadline {
@@ -386,7 +387,8 @@
         if outcome == AttemptOutcome::Silent {
             entry_vm.close_connections(incarnation);
         }
-        if outcome == AttemptOutcome::Answered && attempt.is_connected {
+        let is_closed = self.plan.has_closing_servers && self.rng.random_bool(0.1);
+        if outcome == AttemptOutcome::Answered && attempt.is_connected && !is_closed {
             entry_vm.keep_connection(now, incarnation);
         }
         let gateway = &mut entry_vm.gateway;
