--- a/crates/chicory_ctl/src/explain/explanation.rs
+++ b/crates/chicory_ctl/src/explain/explanation.rs
@@ -270,6 +270,10 @@
             "relay-unavailable",
             "the entry VM that was to relay the request could not be reached, or refused",
         ),
+        (
+            "refused-by-relay",
+            "the entry VM that was to relay the request refused",
+        ),
         ("shed", "the server was overloaded"),
         ("turned-away", "the server had too many connections"),
         ("refused", "no process listened at the server's address"),
--- a/crates/chicory_ctl/tests/explain.rs
+++ b/crates/chicory_ctl/tests/explain.rs
@@ -189,6 +189,7 @@
 fn request_that_could_not_be_relayed() {
     for (outcome, cause) in [
         ("relay-unavailable", "could not be reached, or refused"),
+        ("refused-by-relay", "was to relay the request refused"),
         (
             "unreachable-from-relay",
             "could not reach the server either",
