Test answers through a relay whose heads are incomplete or ambiguous

Operators report a 200 with an empty body for an answer that ended in its head. It doesn't happen here through a relay: heads cut at ten places, two lengths, a folded header and informational answers without a final one are no success. The tests passed at once.

--- a/crates/chicory_gateway/tests/relay/main.rs
+++ b/crates/chicory_gateway/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests requests that one entry VM sends to a backend server by way of another one, on loopback.
 
 mod backend_server;
+mod broken_heads;
 mod cancellation;
 mod departures;
 mod exchanges;
