--- a/crates/chicory_gateway/src/process/relayed_request.rs
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -32,8 +32,8 @@
     started_at: MonoTime,
     /// Length of the body that the request was admitted with.
     admitted_bytes: Option<u64>,
-    /// What the entry VM's link has to carry of the answer.
-    expected: ExpectedAnswer,
+    /// What the entry VM's link has to carry of the answer, once the request was admitted.
+    expected: Option<ExpectedAnswer>,
     /// Time that the link needed for other answers when this request arrived.
     link_delay: Duration,
     relayed_bytes: u64,
@@ -46,7 +46,7 @@
         let backlog = shared.link.backlog();
         Self {
             started_at: now,
-            expected: shared.link.expect(0),
+            expected: None,
             link_delay: backlog.map_or(Duration::ZERO, |backlog| backlog.delay(now)),
             shared,
             head,
@@ -75,7 +75,7 @@
         match load.try_begin(now, size, self.shared.link.backlog().as_ref()) {
             RelayAdmission::Accepted => {
                 self.admitted_bytes = Some(size.body_bytes);
-                self.expected.set_remaining(size.answer_bytes);
+                self.expected = Some(self.shared.link.expect(size.answer_bytes));
                 Ok(())
             }
             RelayAdmission::LinkFull => {
@@ -124,12 +124,16 @@
 
     /// Records that the answer arrives, and its length.
     pub(super) fn begin_answer(&mut self, bytes: u64) {
-        self.expected.set_remaining(bytes);
+        if let Some(expected) = &mut self.expected {
+            expected.set_remaining(bytes);
+        }
     }
 
     /// Records that a part of the answer was passed on.
     pub(super) fn record_answer_part(&mut self, bytes: usize) {
-        self.expected.record_passed_on(bytes);
+        if let Some(expected) = &mut self.expected {
+            expected.record_passed_on(bytes);
+        }
         self.add_bytes(bytes);
     }
 
--- a/crates/chicory_gateway/tests/relay/main.rs
+++ b/crates/chicory_gateway/tests/relay/main.rs
@@ -11,3 +11,4 @@
 mod peers;
 mod refusals;
 mod site;
+mod thin_links;
--- a/crates/chicory_gateway/tests/relay/site.rs
+++ b/crates/chicory_gateway/tests/relay/site.rs
@@ -61,11 +61,32 @@
         Self::start_with_relay_address(server, address, free_address()).await
     }
 
+    /// Starts an entry process whose link has this rate in bytes per second.
+    pub async fn start_with_thin_link(bytes_per_s: f64) -> Self {
+        let server = BackendServer::start().await;
+        let address = server.address;
+        let config = GatewayConfig {
+            thin_link_bytes_per_s: Some(bytes_per_s),
+            ..GatewayConfig::default()
+        };
+        Self::start_with_config(server, address, free_address(), config).await
+    }
+
     /// Starts an entry process that relays at this address if it can listen there.
     pub async fn start_with_relay_address(
         server: BackendServer,
         address: SocketAddr,
         relay_address: SocketAddr,
+    ) -> Self {
+        let config = GatewayConfig::default();
+        Self::start_with_config(server, address, relay_address, config).await
+    }
+
+    async fn start_with_config(
+        server: BackendServer,
+        address: SocketAddr,
+        relay_address: SocketAddr,
+        gateway_config: GatewayConfig,
     ) -> Self {
         let control = TcpListener::bind(SocketAddr::from((LOOPBACK, 0))).await;
         let control = control.expect("a free port");
@@ -81,7 +102,7 @@
             relay_listen_address: None,
             seeds: vec![control_address.to_string()],
             stop_grace: Duration::from_secs(20),
-            gateway_config: GatewayConfig::default(),
+            gateway_config,
         };
         let metrics = Arc::new(Metrics::new().expect("metrics"));
         let readiness = Readiness::default();
