Judge by the latency target whether an order may outlast a planned stop

Callers with 10 s of time, as those of large uploads, were refused from the begin of the stop, though their requests usually take a fifth of that (reckoned from the settings of a site, not played). An order is now refused if twice the latency target of its route, or its caller's time if that is less, reaches beyond the stop. Without a target the caller's time decides as before. orders_that_may_not_end_before_a_stop_are_refused checks the limit.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -216,8 +216,9 @@
         change.apply(&mut self.moving);
     }
 
-    /// Admits a request or refuses it. While this entry VM is about to stop, an order is refused if
-    /// its caller may still wait for it then: it could not be sent again once it is cut off.
+    /// Admits a request or refuses it. While this entry VM is about to stop, an order is refused if it
+    /// may not have ended by then, within twice the latency target of its route or its caller's time:
+    /// it could not be sent again once it is cut off.
     pub fn admit(
         &mut self,
         now: MonoTime,
@@ -257,7 +258,9 @@
         let timeout = route.route.timeout.unwrap_or(time_left);
         let deadline = now + time_left.min(timeout).saturating_sub(ANSWER_MARGIN);
         let is_repeatable = route.route.kind.is_repeatable();
-        if !is_repeatable && self.stops_at.is_some_and(|at| at < deadline) {
+        let usual_time = route.route.latency_target.map(|target| target * 2);
+        let ends_at = usual_time.map_or(deadline, |time| deadline.min(now + time));
+        if !is_repeatable && self.stops_at.is_some_and(|at| at < ends_at) {
             return self.refuse(metadata, RefusalReason::Stopping);
         }
         Admission::Accepted(RequestTicket {
--- a/crates/chicory_gateway/tests/decisions/main.rs
+++ b/crates/chicory_gateway/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod follow_ups;
 mod notices;
 mod owner_admission;
+mod planned_stops;
 mod reachability;
 mod relay_refusals;
 mod relays;
