--- a/crates/chicory_gateway/tests/cut_off_entry_vms/thin_links.rs
+++ b/crates/chicory_gateway/tests/cut_off_entry_vms/thin_links.rs
@@ -11,9 +11,9 @@
 /// Time after the begin of a cut from which callers are served again, and the least share of served
 /// requests at entry VMs that are cut off, compared with the others.
 const TIME_TO_MEND: Duration = Duration::from_secs(3);
+const LEAST_FRACTION: f64 = 2.0 / 3.0;
 /// Time of the cut that is played.
 const PLAYED_TIME: Duration = Duration::from_secs(8);
-const LEAST_FRACTION: f64 = 2.0 / 3.0;
 
 #[gtest]
 fn relayed_answers_do_not_fill_the_links_of_entry_vms() {
