Close a relay's connection to a server that carries another request's answer

Callers of an entry VM without a path to servers could get 502 for order after order that their server ran, once it had written an earlier refusal once more.

Cause: an entry VM closes its own connection after an answer that belongs to another request, as the right one may still follow. A relay peer did not look, kept the connection, and the next request that it relayed got the answer to the one before. No caller was told a wrong promise or got another's answer: the entry VM of the caller compares the ids.

Change: the relay peer classifies the head as well, ends the attempt as malformed and closes the connection.

--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -14,6 +14,7 @@
 use super::attempt::{remove_hop_by_hop, server_request};
 use super::bulk_transfers::ASSUMED_BYTES;
 use super::caller_handler::{MAX_BODY_OVERTIME, MAX_BUFFERED_BODY_BYTES, host_of, response};
+use super::interfaces::AnswerClass;
 use super::relay_observer::RelayObserver;
 use super::relayed_request::{RelayedRequest, SharedLoad};
 use super::server_send::send_to_server;
@@ -113,7 +114,18 @@
         RelayRecheck::Withhold | RelayRecheck::NotKnownYet => Err(AttemptOutcome::Unreachable),
     };
     let sent = send_to_server(shared, &target, request).await;
-    sent.map_err(RelayOutcome::of_attempt)
+    let (link, answer) = sent.map_err(RelayOutcome::of_attempt)?;
+    let (head, body) = answer.into_parts();
+    let metadata = relayed.head.metadata();
+    let class = shared
+        .servers
+        .classify(&metadata, &relayed.head.server, &head);
+    if class == AnswerClass::Foreign {
+        // The connection is closed: the answer to this request may still follow on it.
+        shared.metrics.increment(GatewayMetric::ForeignAnswers);
+        return Err(RelayOutcome::Malformed);
+    }
+    Ok((link, Response::from_parts(head, body)))
 }
 
 /// Returns the length that the answer to a request probably has; 0 if it is small.
--- a/crates/chicory_gateway/src/process/relay_head.rs
+++ b/crates/chicory_gateway/src/process/relay_head.rs
@@ -10,7 +10,7 @@
 use snafu::{OptionExt, ensure};
 
 use super::relay_head_error::{MalformedSnafu, MissingSnafu, RelayHeadError, UnknownVersionSnafu};
-use crate::Target;
+use crate::{RequestMetadata, Target};
 
 /// Version of these headers.
 const CURRENT_VERSION: u32 = 1;
@@ -48,7 +48,7 @@
 pub struct RelayHead {
     /// Entry VM that the request comes from.
     pub from: VmId,
-    /// Id of the request, for logs.
+    /// Id of the request, which its answer repeats.
     pub request: Option<String>,
     /// Backend server that the request is for.
     pub server: ServerIncarnation,
@@ -67,6 +67,15 @@
 }
 
 impl RelayHead {
+    /// Returns what the caller has stated about the request, as far as the headers tell it.
+    pub(super) fn metadata(&self) -> RequestMetadata {
+        RequestMetadata {
+            attempt_id: self.request.clone(),
+            time_left: Some(self.caller_time),
+            key: None,
+        }
+    }
+
     /// Returns the target of the request for the entry VM that relays it.
     pub(super) fn target(&self, now: MonoTime) -> Target {
         Target {
--- a/crates/chicory_gateway/tests/relay/interfaces.rs
+++ b/crates/chicory_gateway/tests/relay/interfaces.rs
@@ -22,7 +22,8 @@
     }
 }
 
-/// Marks requests that it prepares, which only the entry VM of the caller may do.
+/// Marks requests that it prepares, which only the entry VM of the caller may do. An answer that names
+/// another request is foreign.
 pub struct PreparingInterface;
 
 impl ServerInterface for PreparingInterface {
@@ -40,10 +41,15 @@
 
     fn classify(
         &self,
-        _: &RequestMetadata,
+        metadata: &RequestMetadata,
         _: &ServerIncarnation,
-        _: &response::Parts,
+        head: &response::Parts,
     ) -> AnswerClass {
+        let named = head.headers.get("attempt-id");
+        let named = named.and_then(|id| id.to_str().ok());
+        if named.is_some() && named != metadata.attempt_id.as_deref() {
+            return AnswerClass::Foreign;
+        }
         AnswerClass::Answer
     }
 
--- a/crates/chicory_gateway/tests/relay/main.rs
+++ b/crates/chicory_gateway/tests/relay/main.rs
@@ -10,5 +10,6 @@
 mod load;
 mod peers;
 mod refusals;
+mod repeated_refusals;
 mod site;
 mod thin_links;
