Refuse relayed requests sooner while the link of the entry VM is occupied

Callers of entry VMs that are cut off, and of those that relay for them, waited until their time was over: on the users' grown site with connections refused, two of three failures there were requests that a relay peer had taken and not answered in time (1,833 of 2,504 at the VMs without any path, first tries sent from 8 to 16 s). "Refused at once" was rare.

Cause: a relay peer took large answers up to 0.2 s of waiting bytes, small ones up to 0.4 s. A relayed request crosses the link several times (two heads, the opening of a connection, the answer in and out), and waits each time; the estimate was 200 ms at nine of ten requests, the time to an answer 422 ms at the median and 847 ms at nine of ten. Connections to servers took over 0.3 s to open (700 times), which looks like servers that can't be reached.

Change: 0.1 s and 0.15 s. Ruled out as the better value: 0.05 s and 0.075 s, which serves as much and refuses twice as many. The test of the limits restates them.

--- a/crates/chicory_gateway/src/process/relay_load.rs
+++ b/crates/chicory_gateway/src/process/relay_load.rs
@@ -16,11 +16,11 @@
 /// Least size of a body that counts as large: it occupies a thin link for long.
 const MIN_LARGE_BYTES: u64 = 16 * 1024;
 /// Time for which the link may be occupied, by a large body as well, when it is accepted. The entry
-/// VM's own callers wait as long, and connections to servers may take 0.3 s to open.
-const MAX_LARGE_DELAY: Duration = Duration::from_millis(200);
-/// The same for other requests. They hardly add to it, and the other entry VM has no better way if
-/// all its relay peers are as busy.
-const MAX_SMALL_DELAY: Duration = Duration::from_millis(400);
+/// VM's own callers wait as long, a relayed request several times: its heads, the opening of a
+/// connection to the server and both ways of the answer cross the link.
+const MAX_LARGE_DELAY: Duration = Duration::from_millis(100);
+/// The same for other requests, which hardly add to it.
+const MAX_SMALL_DELAY: Duration = Duration::from_millis(150);
 
 /// The bodies of a request that is to be relayed, and of its answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/chicory_gateway/tests/relay/load.rs
+++ b/crates/chicory_gateway/tests/relay/load.rs
@@ -83,9 +83,9 @@
     // A link of 1 MB/s.
     let mut link = LinkBacklog::new(1e6);
     for (more_bytes, small_one, large_one) in [
-        (150_000, RelayAdmission::Accepted, RelayAdmission::Accepted),
+        (50_000, RelayAdmission::Accepted, RelayAdmission::Accepted),
         (1, RelayAdmission::Accepted, RelayAdmission::LinkFull),
-        (249_999, RelayAdmission::Accepted, RelayAdmission::LinkFull),
+        (99_999, RelayAdmission::Accepted, RelayAdmission::LinkFull),
         (1, RelayAdmission::LinkFull, RelayAdmission::LinkFull),
     ] {
         link.expect(more_bytes);
@@ -125,6 +125,6 @@
         load.try_begin(now, RelaySize::default(), Some(&link))
     };
     expect_that!(admission_after(0), eq(RelayAdmission::LinkFull));
-    expect_that!(admission_after(99), eq(RelayAdmission::LinkFull));
-    expect_that!(admission_after(101), eq(RelayAdmission::Accepted));
+    expect_that!(admission_after(349), eq(RelayAdmission::LinkFull));
+    expect_that!(admission_after(351), eq(RelayAdmission::Accepted));
 }
