Review case 4: a planned stop breaks off uploads that it took late

Uploads whose last bytes come 4.8 to 5.2 s after a SIGTERM are still passed on to endpoints and broken off with 504 at 5.5 s, while the endpoints are at work on them.

--- a/review/stand_ins/src/main.rs
+++ b/review/stand_ins/src/main.rs
@@ -8,6 +8,7 @@
 mod case_late_check_in;
 mod case_late_copy;
 mod case_release;
+mod case_stop;
 mod endpoint;
 mod http;
 mod record;
@@ -43,6 +44,7 @@
         "former-life" => case_former_life::run(&site, has_trouble),
         "late-copy" => case_late_copy::run(&site, has_trouble),
         "release" => case_release::run(&site, has_trouble),
+        "stop" => case_stop::run(&site, has_trouble),
         _ => Verdict::NotRun("no such case".into()),
     };
     site.stop_all();
