--- a/review/stand_ins/src/case_release.rs
+++ b/review/stand_ins/src/case_release.rs
@@ -15,6 +15,8 @@
 const FAULTY: usize = 3;
 /// Endpoints that are replaced: 0.45 of 5.
 const REPLACED: usize = 2;
+/// Endpoints that are added at most.
+const ROUNDS: usize = 4;
 const FAULT: Duration = Duration::from_secs(5);
 
 pub fn run(site: &Site, has_trouble: bool) -> Verdict {
@@ -89,21 +91,35 @@
     }
     thread::sleep(Duration::from_secs(2));
     // Planned work: endpoints of the service are replaced one after the other. The new one starts
-    // first, the old one drains.
+    // first, the old one drains. Where no faulty endpoint had to release keys for the new one, the
+    // replacement waits for the next round.
     let mut old: Vec<Arc<Endpoint>> = endpoints[ENDPOINTS as usize - FAULTY..].to_vec();
-    for _ in 0..REPLACED {
+    let mut replaced = 0;
+    for _ in 0..ROUNDS {
+        if replaced == REPLACED {
+            break;
+        }
         if has_trouble {
             record.say("3 of 5 endpoints write up to 3 in 100 answers once more, late, for 5 s");
             for endpoint in &endpoints[ENDPOINTS as usize - FAULTY..ENDPOINTS as usize] {
                 endpoint.begin_late_copies(Copied::Releases, FAULT);
             }
         }
+        let fault_begun_at = Instant::now();
         thread::sleep(Duration::from_millis(1600));
         let index = u8::try_from(endpoints.len()).unwrap_or(u8::MAX);
         endpoints.push(start(index));
-        thread::sleep(Duration::from_millis(1200));
-        let latest = (0..old.len()).max_by_key(|at| old[*at].released_count());
-        let leaving = old.remove(latest.unwrap_or(0));
+        thread::sleep(Duration::from_millis(1000));
+        let mut next = None;
+        while next.is_none() && fault_begun_at.elapsed() < FAULT {
+            next = old.iter().position(|endpoint| endpoint.has_copy_due());
+            thread::sleep(Duration::from_millis(50));
+        }
+        let Some(next) = next.or((!has_trouble).then_some(0)) else {
+            continue;
+        };
+        replaced += 1;
+        let leaving = old.remove(next);
         leaving.is_draining.store(true, Ordering::SeqCst);
         let mut controls = site.control_addresses().into_iter().cycle();
         let is_acknowledged = (0..10).any(|_| {
--- a/review/stand_ins/src/endpoint.rs
+++ b/review/stand_ins/src/endpoint.rs
@@ -124,7 +124,7 @@
     freed: Condvar,
     copies: Mutex<Copies>,
     pub copies_written: AtomicU64,
-    releases: AtomicU64,
+    copies_due: AtomicU64,
     sequence: AtomicU64,
     pub checks_in: AtomicBool,
     pub is_draining: AtomicBool,
@@ -157,7 +157,7 @@
             freed: Condvar::new(),
             copies: Mutex::default(),
             copies_written: AtomicU64::new(0),
-            releases: AtomicU64::new(0),
+            copies_due: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             checks_in: AtomicBool::new(true),
             is_draining: AtomicBool::new(false),
@@ -231,9 +231,10 @@
         }
     }
 
-    /// How often the endpoint has released keys.
-    pub fn released_count(&self) -> u64 {
-        self.releases.load(Ordering::SeqCst)
+    /// Whether an answer is to be written once more, as soon as its connection is used again.
+    pub fn has_copy_due(&self) -> bool {
+        let written = self.copies_written.load(Ordering::SeqCst);
+        self.copies_due.load(Ordering::SeqCst) > written
     }
 
     /// A key that the endpoint holds, if it holds any.
@@ -336,6 +337,8 @@
         };
         let is_copied = may_copy && is_kind;
         copies.copied += u64::from(is_copied);
+        self.copies_due
+            .fetch_add(u64::from(is_copied), Ordering::SeqCst);
         is_copied
     }
 
@@ -412,7 +415,6 @@
         }
         self.record
             .line(&format!("{id} has released keys {first} to {last}"));
-        self.releases.fetch_add(1, Ordering::SeqCst);
         let handover = format!("{}-{}", self.config.id, number("fence"));
         plain("200 OK", &[("Handover", &handover)])
     }
