Send a refused request again on another connection only

Cause: a server refused an order, the connection went back to the pool, and the order was sent again on it under the same id. A second copy of the refusal that arrived then repeats the id of the order, so nothing in it tells the two sendings apart: it was taken for the answer to the second, which the server was running.

Change: a connection remembers which requests its server refused on it and carries none of them again. The same holds for connections on which an entry VM relays for others, and for connections that are opened for a follow-up.

--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -85,10 +85,11 @@
         return result;
     }
     if target.can_be_followed {
+        let id = request.metadata.attempt_id.as_deref();
         let search = tokio::select! {
             biased;
             result = &mut exchange => return result,
-            search = follow_up::search(shared, ticket, target) => search,
+            search = follow_up::search(shared, ticket, target, id) => search,
         };
         match search {
             FollowUpSearch::Found(server) => {
@@ -135,7 +136,7 @@
         shared.gateway().record_progress(now, &target.incarnation);
     }
     let (head, body) = response.into_parts();
-    let link = UsedLink {
+    let mut link = UsedLink {
         link,
         peer: link_peer(shared, target, &head),
     };
@@ -148,6 +149,9 @@
             shared.record_notices(&target.incarnation, started_at, &notices);
         }
     }
+    if class.is_refusal() {
+        link.record_refusal(request.metadata.attempt_id.as_deref());
+    }
     let is_failure = match class {
         AnswerClass::Answer => false,
         AnswerClass::Failure => true,
@@ -199,11 +203,12 @@
         }
         Ok(outgoing)
     };
+    let id = request.metadata.attempt_id.as_deref();
     let Some(peer) = &target.relay else {
-        return send_to_server(shared, target, outgoing).await;
+        return send_to_server(shared, target, id, outgoing).await;
     };
     let call = RelayedCall {
-        request: request.metadata.attempt_id.as_deref(),
+        request: id,
         time_left,
     };
     shared.relays.send(peer, target, call, outgoing).await
--- a/crates/chicory_gateway/src/process/connection_pool.rs
+++ b/crates/chicory_gateway/src/process/connection_pool.rs
@@ -22,7 +22,7 @@
     fn is_usable(&self, now: MonoTime, max_idle: Duration) -> bool {
         let idle = now.saturating_sub(self.idle_since);
         let keep = self.keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
-        idle <= max_idle && idle < keep && self.link.is_ready()
+        idle <= max_idle && idle < keep && self.link.is_ready() && !self.link.is_worn_out()
     }
 }
 
@@ -41,23 +41,33 @@
         }
     }
 
-    /// Takes the connection that was used last, if it may be used again.
-    pub(super) fn take(&self, now: MonoTime, peer: &Id, max_idle: Duration) -> Option<ServerLink> {
+    /// Takes the connection that was used last of those that may carry the request with this id.
+    pub(super) fn take(
+        &self,
+        now: MonoTime,
+        peer: &Id,
+        max_idle: Duration,
+        request: Option<&str>,
+    ) -> Option<ServerLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(peer)?;
         let position = connections
             .iter()
-            .rposition(|c| c.is_usable(now, max_idle))?;
+            .rposition(|c| c.is_usable(now, max_idle) && c.link.may_carry(request))?;
         Some(connections.remove(position).link)
     }
 
-    /// Whether there is a connection that may be used again.
-    pub(super) fn has_usable(&self, now: MonoTime, peer: &Id, max_idle: Duration) -> bool {
+    /// Whether there is a connection that may carry the request with this id.
+    pub(super) fn has_usable(
+        &self,
+        now: MonoTime,
+        peer: &Id,
+        max_idle: Duration,
+        request: Option<&str>,
+    ) -> bool {
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get(peer).into_iter().flatten();
-        connections
-            .into_iter()
-            .any(|connection| connection.is_usable(now, max_idle))
+        let mut connections = idle.get(peer).into_iter().flatten();
+        connections.any(|c| c.is_usable(now, max_idle) && c.link.may_carry(request))
     }
 
     /// Keeps a connection for a later request.
--- a/crates/chicory_gateway/src/process/follow_up.rs
+++ b/crates/chicory_gateway/src/process/follow_up.rs
@@ -22,11 +22,13 @@
     NotNeeded,
 }
 
-/// Looks for a server that can follow, and leaves an open connection to it in the pool.
+/// Looks for a server that can follow, and leaves an open connection to it in the pool, which may
+/// carry the request with this id.
 pub(super) async fn search(
     shared: &SharedState,
     ticket: &RequestTicket,
     target: &Target,
+    id: Option<&str>,
 ) -> FollowUpSearch {
     let mut failed = Vec::new();
     while failed.len() < MAX_TRIES {
@@ -39,7 +41,7 @@
             FollowUpStep::Continue => return FollowUpSearch::NotFound,
             FollowUpStep::Abandon => return FollowUpSearch::NotNeeded,
         };
-        match ensure_connection(shared, target, &next).await {
+        match ensure_connection(shared, target, &next, id).await {
             Ok(()) => {
                 let now = shared.now();
                 if shared.gateway().take_follow_up_retry(now, ticket) {
@@ -63,11 +65,12 @@
     shared: &SharedState,
     target: &Target,
     next: &FollowUp,
+    id: Option<&str>,
 ) -> Result<(), AttemptOutcome> {
     let server = &next.incarnation;
     if shared
         .pool
-        .has_usable(shared.now(), server, target.max_idle)
+        .has_usable(shared.now(), server, target.max_idle, id)
     {
         return Ok(());
     }
--- a/crates/chicory_gateway/src/process/interfaces.rs
+++ b/crates/chicory_gateway/src/process/interfaces.rs
@@ -35,6 +35,14 @@
     Foreign,
 }
 
+impl AnswerClass {
+    /// Whether the server states that it has not run the request, which may be sent again then.
+    #[must_use]
+    pub fn is_refusal(self) -> bool {
+        matches!(self, Self::Shed | Self::WrongServer | Self::OtherServer)
+    }
+}
+
 /// Reads and writes what backend servers use besides plain HTTP.
 pub trait ServerInterface: Send + Sync {
     /// Adds the headers that a backend server needs to a request.
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -113,10 +113,11 @@
         RelayRecheck::Send => Ok(server_request(head, headers.clone(), &body)),
         RelayRecheck::Withhold | RelayRecheck::NotKnownYet => Err(AttemptOutcome::Unreachable),
     };
-    let sent = send_to_server(shared, &target, request).await;
-    let (link, answer) = sent.map_err(RelayOutcome::of_attempt)?;
-    let (head, body) = answer.into_parts();
     let metadata = relayed.head.metadata();
+    let id = metadata.attempt_id.as_deref();
+    let sent = send_to_server(shared, &target, id, request).await;
+    let (mut link, answer) = sent.map_err(RelayOutcome::of_attempt)?;
+    let (head, body) = answer.into_parts();
     let class = shared
         .servers
         .classify(&metadata, &relayed.head.server, &head);
@@ -125,6 +126,9 @@
         shared.metrics.increment(GatewayMetric::ForeignAnswers);
         return Err(RelayOutcome::Malformed);
     }
+    if class.is_refusal() {
+        link.record_refusal(id);
+    }
     Ok((link, Response::from_parts(head, body)))
 }
 
--- a/crates/chicory_gateway/src/process/relay_pool.rs
+++ b/crates/chicory_gateway/src/process/relay_pool.rs
@@ -29,7 +29,7 @@
 impl RelayPool {
     /// Takes the connection that was used last, if it may be used again.
     pub(super) fn take(&self, now: MonoTime, vm: &VmId, max_idle: Duration) -> Option<ServerLink> {
-        self.connections.take(now, vm, max_idle)
+        self.connections.take(now, vm, max_idle, None)
     }
 
     /// Keeps a connection for a later request.
--- a/crates/chicory_gateway/src/process/server_send.rs
+++ b/crates/chicory_gateway/src/process/server_send.rs
@@ -10,17 +10,19 @@
 use crate::{AttemptOutcome, Target};
 
 /// Sends on a pooled connection, or on a new one if there is none or the pooled one is closed.
-/// `request` is asked for the request each time that one is about to be sent, and may refuse it
-/// then.
+/// `request` is asked for the request with the given id each time that one is about to be sent, and
+/// may refuse it then.
 pub(super) async fn send_to_server(
     shared: &SharedState,
     target: &Target,
+    id: Option<&str>,
     request: impl Fn() -> Result<Request<HttpBody>, AttemptOutcome> + Send + Sync,
 ) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
-    while let Some(mut link) = shared
-        .pool
-        .take(shared.now(), &target.incarnation, target.max_idle)
-    {
+    let take = || {
+        let server = &target.incarnation;
+        shared.pool.take(shared.now(), server, target.max_idle, id)
+    };
+    while let Some(mut link) = take() {
         match link.send(request()?).await {
             Ok(response) => return Ok((link, response)),
             Err(SendError::NothingSent) => {}
--- a/crates/chicory_gateway/src/process/used_link.rs
+++ b/crates/chicory_gateway/src/process/used_link.rs
@@ -39,6 +39,14 @@
 }
 
 impl UsedLink {
+    /// Records that the server refused the request with this id on the connection. A refusal that
+    /// was relayed is recorded by the entry VM that has the connection to the server.
+    pub(super) fn record_refusal(&mut self, request: Option<&str>) {
+        if matches!(self.peer, LinkPeer::Server(..)) {
+            self.link.record_refusal(request);
+        }
+    }
+
     /// Keeps the connection for a later request.
     pub(super) fn keep(self, shared: &SharedState) {
         let now = shared.now();
--- a/crates/chicory_gateway/tests/relay/interfaces.rs
+++ b/crates/chicory_gateway/tests/relay/interfaces.rs
@@ -7,8 +7,8 @@
     AnswerClass, CallerInterface, Refusal, RequestMetadata, ServerInterface, ServerNotices,
 };
 use chicory_ranges::ServerIncarnation;
-use hyper::Response;
 use hyper::http::{HeaderMap, request, response};
+use hyper::{Response, StatusCode};
 
 pub struct NoCallers;
 
@@ -23,7 +23,7 @@
 }
 
 /// Marks requests that it prepares, which only the entry VM of the caller may do. An answer that names
-/// another request is foreign.
+/// another request is foreign, and 503 means that the server is overloaded.
 pub struct PreparingInterface;
 
 impl ServerInterface for PreparingInterface {
@@ -50,6 +50,9 @@
         if named.is_some() && named != metadata.attempt_id.as_deref() {
             return AnswerClass::Foreign;
         }
+        if head.status == StatusCode::SERVICE_UNAVAILABLE {
+            return AnswerClass::Shed;
+        }
         AnswerClass::Answer
     }
 
--- a/crates/chicory_net/src/http/mod.rs
+++ b/crates/chicory_net/src/http/mod.rs
@@ -14,6 +14,7 @@
 mod link_error;
 mod metered_stream;
 mod peer_liveness;
+mod refused_requests;
 mod server_link;
 
 pub use body_error::BodyError;
--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -17,6 +17,7 @@
 use crate::http::HttpBody;
 use crate::http::link_error::{HandshakeSnafu, LinkError, SendError};
 use crate::http::metered_stream::{ByteAllowance, MeteredStream, SentBytes};
+use crate::http::refused_requests::RefusedRequests;
 
 /// Most bytes of an answer before its body begins, including interim answers.
 const MAX_HEAD_BYTES: u64 = 128 * 1024;
@@ -47,6 +48,7 @@
     allowance: ByteAllowance,
     sent: SentBytes,
     max_body_bytes: u64,
+    refused: RefusedRequests,
     expiries: mpsc::UnboundedSender<Option<Expiry>>,
 }
 
@@ -101,6 +103,7 @@
             allowance,
             sent,
             max_body_bytes: MAX_BODY_BYTES,
+            refused: RefusedRequests::default(),
             expiries,
         })
     }
@@ -167,6 +170,25 @@
         self.sender.is_ready()
     }
 
+    /// Records that the server refused the request with this id on this connection.
+    pub fn record_refusal(&mut self, request: Option<&str>) {
+        self.refused.insert(request);
+    }
+
+    /// Returns whether the request with this id may be sent on this connection. It may not if the
+    /// server refused it here before: a late copy of that refusal would pass for its answer.
+    #[must_use]
+    pub fn may_carry(&self, request: Option<&str>) -> bool {
+        !self.is_worn_out() && !self.refused.contains(request)
+    }
+
+    /// Returns whether too many requests were refused on this connection to remember any more. It
+    /// carries no more requests then.
+    #[must_use]
+    pub fn is_worn_out(&self) -> bool {
+        self.refused.is_full()
+    }
+
     /// Waits until the connection can accept a request; returns `false` if it is closed.
     pub async fn ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
