Record each departure of a backend server before it is acknowledged

Cause: a departure changed the replicated state only if the directory knew that very server. For an unknown one the leader answered 200 and recorded nothing, so an announcement that had been delayed brought the server in use later.

Change: a departure goes through the log whether or not the server is known, and covers the start that has left and all earlier ones. Related paths with the same cause: the directory knows an earlier start; the server was removed as unresponsive before it left; a draining server was removed as unresponsive and an older announcement made it ready again.

--- a/crates/chicory_directory/src/command_outcome.rs
+++ b/crates/chicory_directory/src/command_outcome.rs
@@ -18,7 +18,8 @@
     },
     /// Only the time for which a server stays cold changed.
     ColdTimeChanged,
-    /// This incarnation of a server was removed.
+    /// This incarnation of a server left or was removed. If it left, an earlier one or none may have
+    /// been known.
     ServerRemoved(ServerIncarnation),
     /// Keys moved to another owner under this fence.
     RangeMoved(Fence),
--- a/crates/chicory_directory/src/site_state.rs
+++ b/crates/chicory_directory/src/site_state.rs
@@ -223,12 +223,7 @@
                 && (known.address != record.address || known.service != record.service)
         });
         let removal = self.removal(&record.incarnation.server);
-        let was_removed = removal.is_some_and(|removal| match removal.cause {
-            RemovalCause::Silent => removal.incarnation.started_at_ms > started_at_ms,
-            RemovalCause::Left | RemovalCause::Replaced => {
-                removal.incarnation.started_at_ms >= started_at_ms
-            }
-        });
+        let was_removed = removal.is_some_and(|removal| removal.ends(started_at_ms));
         is_superseded
             || has_other_address_or_service
             || was_removed
@@ -320,16 +315,47 @@
     }
 
     fn remove_server(&mut self, index: LogIndex, removal: ServerRemoval) -> CommandOutcome {
-        let incarnation = removal.incarnation;
+        let ServerRemoval { incarnation, cause } = removal;
+        if cause == RemovalCause::Left {
+            return self.record_departure(index, incarnation);
+        }
         let known = self.server(&incarnation.server);
-        if known.is_none_or(|known| known.incarnation != incarnation) {
+        let Some(known) = known.filter(|known| known.incarnation == incarnation) else {
             return CommandOutcome::Unchanged;
-        }
+        };
+        // An incarnation that drains never accepts new work again, so it does not come back.
+        let cause = match known.state {
+            ServerState::Draining => RemovalCause::Left,
+            ServerState::Ready => cause,
+        };
         self.servers.remove(&incarnation.server);
-        self.record_removal(index, incarnation.clone(), removal.cause);
+        self.record_removal(index, incarnation.clone(), cause);
         CommandOutcome::ServerRemoved(incarnation)
     }
 
+    /// Records that an incarnation left, also if it is not known: its announcements may still be on
+    /// their way. Earlier incarnations have ended as well.
+    fn record_departure(&mut self, index: LogIndex, left: ServerIncarnation) -> CommandOutcome {
+        if self.knows_departure(&left) {
+            return CommandOutcome::Unchanged;
+        }
+        self.servers.remove(&left.server);
+        self.record_removal(index, left.clone(), RemovalCause::Left);
+        CommandOutcome::ServerRemoved(left)
+    }
+
+    /// Returns whether an incarnation is known to have ended for good, so that no announcement of it
+    /// is accepted any more.
+    #[must_use]
+    pub fn knows_departure(&self, incarnation: &ServerIncarnation) -> bool {
+        let started_at_ms = incarnation.started_at_ms;
+        if let Some(known) = self.server(&incarnation.server) {
+            return known.incarnation.started_at_ms > started_at_ms;
+        }
+        let removal = self.removal(&incarnation.server);
+        removal.is_some_and(|removal| removal.ends(started_at_ms))
+    }
+
     fn record_removal(
         &mut self,
         index: LogIndex,
--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -126,10 +126,11 @@
                 server,
                 started_at_ms,
             } => {
-                let Some(incarnation) = self.leaving_incarnation(&server, started_at_ms) else {
+                let incarnation = self.leaving_incarnation(server, started_at_ms);
+                if self.state.knows_departure(&incarnation) {
                     self.reply(reply_to, SiteAnswer::Done);
                     return;
-                };
+                }
                 let cause = RemovalCause::Left;
                 SiteCommand::RemoveServer(ServerRemoval { incarnation, cause })
             }
@@ -170,16 +171,20 @@
         SiteAnswer::Routes((**routes).clone())
     }
 
-    /// Returns the incarnation that leaves, or `None` if the server is not known or a later
-    /// incarnation of it is.
+    /// Returns the incarnation that leaves. A server that doesn't state its start means the last one
+    /// that is known. If there is none, it states no start in its announcements either.
     fn leaving_incarnation(
         &self,
-        server: &ServerId,
+        server: ServerId,
         started_at_ms: Option<u64>,
-    ) -> Option<ServerIncarnation> {
-        let known = &self.state.server(server)?.incarnation;
-        let is_current = started_at_ms.is_none_or(|at| at >= known.started_at_ms);
-        is_current.then(|| known.clone())
+    ) -> ServerIncarnation {
+        let last_start = || {
+            let known = self.state.server(&server).map(|known| &known.incarnation);
+            let removed = || self.state.removal(&server).map(|last| &last.incarnation);
+            known.or_else(removed).map(|last| last.started_at_ms)
+        };
+        let started_at_ms = started_at_ms.or_else(last_start);
+        ServerIncarnation::new(server, started_at_ms.unwrap_or_default())
     }
 
     fn forward_call(&mut self, now: MonoTime, reply_to: ReplyTo, call: SiteCall) {
