--- a/crates/chicory_site/tests/support/mod.rs
+++ b/crates/chicory_site/tests/support/mod.rs
@@ -42,6 +42,8 @@
     core: Option<SiteCore>,
     disk: Disk,
     is_disk_full: bool,
+    /// Whether the disk is opened again once it has room.
+    awaits_disk: bool,
     persists: VecDeque<(Duration, SiteEffect)>,
 }
 
@@ -158,6 +160,7 @@
             core: None,
             disk,
             is_disk_full: false,
+            awaits_disk: false,
             persists: VecDeque::new(),
         };
         self.vms.insert(vm.to_owned(), fresh);
@@ -193,11 +196,16 @@
     pub fn kill(&mut self, vm: &str) {
         let state = self.vms.get_mut(vm).expect("known VM");
         state.core = None;
+        state.awaits_disk = false;
         state.persists.clear();
     }
 
     pub fn set_disk_full(&mut self, vm: &str, is_full: bool) {
-        self.vms.get_mut(vm).expect("known VM").is_disk_full = is_full;
+        let state = self.vms.get_mut(vm).expect("known VM");
+        state.is_disk_full = is_full;
+        if !is_full && std::mem::take(&mut state.awaits_disk) {
+            self.run_effect(vm, SiteEffect::ReopenStorage);
+        }
     }
 
     /// Isolates one VM from all others, or connects it again.
@@ -404,6 +412,7 @@
                 state.persists.push_back((self.now + SYNC_TIME, effect));
             }
             SiteEffect::ReopenStorage => {
+                state.awaits_disk = state.is_disk_full;
                 if !state.is_disk_full {
                     let opened = SiteEvent::StorageOpened {
                         incarnation: state.disk.incarnation,
--- a/crates/chicory_storage/tests/group_storage.rs
+++ b/crates/chicory_storage/tests/group_storage.rs
@@ -341,6 +341,38 @@
     }
 }
 
+/// Guards against a member that writes nothing more, or loses its vote, after its disk was full in the
+/// middle of a record.
+#[gtest]
+fn storage_that_was_full_takes_entries_once_there_is_room() {
+    for free_bytes in 0..300 {
+        let disk = small_log();
+        let (mut storage, _) = open(&disk, FIRST_INCARNATION + 1);
+        let used: usize = disk.files().iter().map(|(_, len)| len).sum();
+        disk.set_capacity_bytes(Some((used + free_bytes) as u64));
+        let mut next = 5;
+        while storage
+            .persist(None, None, vec![entry(next, 3)], None)
+            .is_ok()
+        {
+            next += 1;
+        }
+        disk.set_capacity_bytes(None);
+        let (mut storage, restored) = open(&disk, FIRST_INCARNATION + 2);
+        expect_true!(restored.may_vote, "{free_bytes} free");
+        // The entry whose write failed may have reached the disk.
+        let last = indices(&restored).last().copied().unwrap_or(0);
+        expect_that!(last, any!(eq(next - 1), eq(next)), "{free_bytes} free");
+        let entries = (last + 1..last + 8).map(|index| entry(index, 3)).collect();
+        expect_true!(storage.persist(None, None, entries, None).is_ok());
+        disk.crash(0);
+        let (_, restored) = open(&disk, FIRST_INCARNATION + 3);
+        let expected: Vec<_> = (1..last + 8).collect();
+        expect_that!(indices(&restored), eq(&expected), "{free_bytes} free");
+        expect_true!(restored.may_vote, "{free_bytes} free");
+    }
+}
+
 #[gtest]
 fn group_name_must_be_a_plain_file_name() {
     for name in ["", "../x", "a/b", ".."] {
