Ask again before each send whether a request ends before a planned stop

Cause: whether a request can end before the stop was decided when its head arrived, for orders only; the time that its body took was not counted.

Change: the question is asked in each step and again when the request is about to be sent, for requests of every kind, and by an entry VM that relays one once its body is in.

--- a/crates/chicory_gateway/src/decide/gateway.rs
+++ b/crates/chicory_gateway/src/decide/gateway.rs
@@ -257,10 +257,7 @@
         let time_left = metadata.time_left.unwrap_or(DEFAULT_TIME_LEFT);
         let timeout = route.route.timeout.unwrap_or(time_left);
         let deadline = now + time_left.min(timeout).saturating_sub(ANSWER_MARGIN);
-        let is_repeatable = route.route.kind.is_repeatable();
-        let usual_time = route.route.latency_target.map(|target| target * 2);
-        let ends_at = usual_time.map_or(deadline, |time| deadline.min(now + time));
-        if !is_repeatable && self.stops_at.is_some_and(|at| at < ends_at) {
+        if self.route_outlasts_stop(now, &route.route, deadline) {
             return self.refuse(metadata, RefusalReason::Stopping);
         }
         Admission::Accepted(RequestTicket {
@@ -293,6 +290,9 @@
         if now >= ticket.deadline {
             return NextStep::Refuse(self.late_refusal(now, ticket));
         }
+        if self.outlasts_stop(now, ticket) {
+            return NextStep::Refuse(self.refusal(now, ticket, RefusalReason::Stopping));
+        }
         if ticket
             .fingerprint
             .is_some_and(|fingerprint| self.poison.contains(&fingerprint))
--- a/crates/chicory_gateway/src/decide/gateway_reachability.rs
+++ b/crates/chicory_gateway/src/decide/gateway_reachability.rs
@@ -4,11 +4,12 @@
 
 use chicory_directory::{ServerRecord, ServerState};
 use chicory_ranges::ServerIncarnation;
+use chicory_routes::Route;
 use chicory_types::MonoTime;
 
 use super::path_failure::PathFailure;
 use super::server_group::ServerGroup;
-use super::{AttemptOutcome, Gateway, Policy, ProbeResult, ReachabilityChange};
+use super::{AttemptOutcome, Gateway, Policy, ProbeResult, ReachabilityChange, RequestTicket};
 
 impl Gateway {
     /// Returns the servers that have to be probed now, to find out if they answer on a new
@@ -142,6 +143,26 @@
         self.stops_at = Some(stops_at);
     }
 
+    /// Whether a request that is sent now may still run when this entry VM stops.
+    #[must_use]
+    pub fn outlasts_stop(&self, now: MonoTime, ticket: &RequestTicket) -> bool {
+        self.route_outlasts_stop(now, &ticket.route.route, ticket.deadline)
+    }
+
+    /// Whether a request on this route that is sent now may still run when this entry VM stops. It
+    /// takes up to twice the latency target of the route. Without a target, an order may take all of
+    /// its time, and nothing is known of a request that may be repeated.
+    #[must_use]
+    pub fn route_outlasts_stop(&self, now: MonoTime, route: &Route, deadline: MonoTime) -> bool {
+        let Some(stops_at) = self.stops_at else {
+            return false;
+        };
+        match route.latency_target {
+            Some(target) => stops_at < deadline.min(now + target * 2),
+            None => !route.kind.is_repeatable() && stops_at < deadline,
+        }
+    }
+
     pub(super) fn is_zone_cut_off(&self, now: MonoTime, record: &ServerRecord) -> bool {
         let reachability = self.zones.get(&record.zone);
         reachability.is_some_and(|reachability| reachability.is_cut_off(now))
--- a/crates/chicory_gateway/src/decide/next_step.rs
+++ b/crates/chicory_gateway/src/decide/next_step.rs
@@ -76,7 +76,8 @@
     Unreachable,
     /// The server has too many connections and closed a new one before anything was sent on it.
     ConnectionRejected,
-    /// The server named a rate limit or asked for a pause before anything was sent.
+    /// Nothing was sent: the server named a rate limit or asked for a pause first, or the request could
+    /// no longer end before this entry VM stops.
     Withheld,
     /// The entry VM that was to relay the request could not be reached; nothing was sent to the
     /// server.
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -79,7 +79,7 @@
     target: &Target,
     time_left: Duration,
 ) -> AttemptResult {
-    let mut exchange = pin!(exchange(shared, request, target, time_left));
+    let mut exchange = pin!(exchange(shared, (request, ticket), target, time_left));
     let limit = target.attempt_deadline.saturating_sub(shared.now());
     if let Ok(result) = tokio::time::timeout(limit, &mut exchange).await {
         return result;
@@ -120,12 +120,12 @@
 
 async fn exchange(
     shared: &SharedState,
-    request: &CallerRequest,
+    (request, ticket): (&CallerRequest, &RequestTicket),
     target: &Target,
     time_left: Duration,
 ) -> AttemptResult {
     let started_at = shared.now();
-    let (link, response) = match send(shared, request, target, time_left).await {
+    let (link, response) = match send(shared, (request, ticket), target, time_left).await {
         Ok(sent) => sent,
         Err(outcome) => return AttemptResult::Ended(outcome),
     };
@@ -188,13 +188,13 @@
 /// Sends to the server, or to the entry VM that relays the request to it.
 async fn send(
     shared: &SharedState,
-    request: &CallerRequest,
+    (request, ticket): (&CallerRequest, &RequestTicket),
     target: &Target,
     time_left: Duration,
 ) -> Result<(ServerLink, Response<Incoming>), AttemptOutcome> {
     let started_at = shared.now();
     let outgoing = || {
-        recheck(shared, target)?;
+        recheck(shared, ticket, target)?;
         let left = time_left.saturating_sub(shared.now().saturating_sub(started_at));
         let mut outgoing = outgoing(shared, request, target, left);
         // If nothing of the request was sent and it is sent once more, its turn is used up.
@@ -223,9 +223,17 @@
 }
 
 /// Checks that the request may still be sent to its target.
-fn recheck(shared: &SharedState, target: &Target) -> Result<(), AttemptOutcome> {
-    let recheck = shared.gateway().recheck(shared.now(), target);
-    match recheck {
+fn recheck(
+    shared: &SharedState,
+    ticket: &RequestTicket,
+    target: &Target,
+) -> Result<(), AttemptOutcome> {
+    let now = shared.now();
+    let gateway = shared.gateway();
+    if gateway.outlasts_stop(now, ticket) {
+        return Err(AttemptOutcome::Withheld);
+    }
+    match gateway.recheck(now, target) {
         Recheck::Send => Ok(()),
         Recheck::ServerLeft => Err(AttemptOutcome::Unreachable),
         Recheck::Withhold => Err(AttemptOutcome::Withheld),
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -104,6 +104,9 @@
     let body = read_body(body).await.ok_or(RelayOutcome::BadRequest)?;
     relayed.add_bytes(body.len());
     relayed.wait_for_server().await?;
+    if outlasts_stop(relayed, head) {
+        return Err(RelayOutcome::Stopping);
+    }
     let mut headers = head.headers.clone();
     remove_hop_by_hop(&mut headers);
     headers.remove(header::EXPECT);
@@ -141,6 +144,17 @@
     if is_large { ASSUMED_BYTES } else { 0 }
 }
 
+/// Whether the request may still run when this entry VM stops.
+fn outlasts_stop(relayed: &RelayedRequest, head: &request::Parts) -> bool {
+    let now = relayed.shared.now();
+    let gateway = relayed.shared.gateway();
+    let matcher = gateway.directory().matcher();
+    let Some(route) = matcher.find(host_of(head), head.uri.path()) else {
+        return false;
+    };
+    gateway.route_outlasts_stop(now, &route.route, now + relayed.head.caller_time)
+}
+
 /// Reads the rest of the body of a request that is refused. The connection would be closed otherwise
 /// while the other entry VM still sends, which would look as if it broke.
 async fn drain(mut body: Incoming) {
