Satisfy Clippy in the new tests

The tests of full disks included the simulation a second time and silenced what they don't use of it; they are a module of site_core now, which has it.

--- a/crates/chicory_site/tests/full_disks/main.rs
+++ b/crates/chicory_site/tests/full_disks/mod.rs
@@ -1,9 +1,5 @@
 //! Disks of control VMs that are full for a few seconds, one after another.
 
-#[path = "../support/mod.rs"]
-#[allow(dead_code)]
-mod support;
-
 use std::time::Duration;
 
 use chicory_directory::{SiteAnswer, SiteCall};
@@ -12,7 +8,8 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
-use support::{Simulation, table};
+
+use crate::support::{Simulation, table};
 
 /// Time after the last disk has room again within which every control VM takes changes.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -5,6 +5,7 @@
 mod control_groups;
 mod entry_reports;
 mod evacuations;
+mod full_disks;
 mod grants;
 mod owner_admission;
 mod server_shares;
