Wait for a second announcement before a server takes another's address

Cause: a server counted as ended 1.8 s after its last announcement, as soon as any other one arrived for its address. A single announcement may have been delayed and is no evidence that its sender runs.

Change: unless it states a later start, a server takes the address of another one only once it has announced itself again, half a second or more after the first time. What a network delayed arrives once, or together. Price: a restart under a new id registers one announcement later if its predecessor was silent for more than 1.8 s.

--- a/crates/chicory_site/src/core/calls.rs
+++ b/crates/chicory_site/src/core/calls.rs
@@ -138,16 +138,25 @@
         self.propose(now, Proposal::Call(reply_to), command);
     }
 
-    /// Whether another server announced itself at the same address so recently that this
-    /// announcement must come from a process that ended before, and was delayed in transit. An
-    /// announcement with a later start time is accepted as valid.
-    fn is_address_in_use(&self, now: MonoTime, record: &ServerRecord) -> bool {
-        let mut others = self.state.other_servers_at_address(record);
-        others.any(|other| {
-            let announced_at = self.announced_at.get(&other.incarnation);
-            let is_recent = announced_at.is_some_and(|at| now < *at + ADDRESS_HOLD_TIME);
-            is_recent && record.incarnation.started_at_ms <= other.incarnation.started_at_ms
-        })
+    /// Whether another server may still run at the same address, so that this announcement may come
+    /// from a process that ended before, and was delayed in transit.
+    ///
+    /// That is so while the other server announced itself recently, and until this one has announced
+    /// itself again: what a network delayed arrives once. An announcement with a later start time is
+    /// accepted as valid.
+    fn is_address_in_use(&mut self, now: MonoTime, record: &ServerRecord) -> bool {
+        let started_at_ms = record.incarnation.started_at_ms;
+        let others = self.state.other_servers_at_address(record);
+        let others = others.filter(|other| started_at_ms <= other.incarnation.started_at_ms);
+        let announced_at: Vec<Option<MonoTime>> = others
+            .map(|other| self.announced_at.get(&other.incarnation).copied())
+            .collect();
+        if announced_at.is_empty() {
+            return false;
+        }
+        let is_repeated = self.address_claims.record(now, &record.incarnation);
+        let is_recent = |at: &Option<MonoTime>| at.is_some_and(|at| now < at + ADDRESS_HOLD_TIME);
+        !is_repeated || announced_at.iter().any(is_recent)
     }
 
     /// Records an announcement that may be the first one of a server or of its service.
--- a/crates/chicory_site/src/core/leader.rs
+++ b/crates/chicory_site/src/core/leader.rs
@@ -63,6 +63,7 @@
 
     pub(super) fn clear_leader_state(&mut self) {
         self.mover = None;
+        self.address_claims.clear();
         self.running_grant_calls.clear();
         self.new_server_times.clear();
         self.loads.clear();
--- a/crates/chicory_site/src/core/mod.rs
+++ b/crates/chicory_site/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer of a control process.
 
+mod address_claims;
 mod calls;
 mod cold_capacities;
 mod cold_periods;
--- a/crates/chicory_site/src/core/site_core.rs
+++ b/crates/chicory_site/src/core/site_core.rs
@@ -9,6 +9,7 @@
 use chicory_ranges::{CallId, GrantCall, GrantCoordinator, GrantEvent, KeyLoad, ServerIncarnation};
 use chicory_types::{MonoTime, ServiceName, VmId, ZoneName};
 
+use super::address_claims::AddressClaims;
 use super::cold_servers::ColdServers;
 use super::entry_link::EntryLink;
 use super::evacuations::EvacuationProgress;
@@ -96,6 +97,7 @@
     /// When each server last announced itself, as far as a leader knows; a new leader counts from
     /// when it first acts as leader.
     pub(super) announced_at: BTreeMap<ServerIncarnation, MonoTime>,
+    pub(super) address_claims: AddressClaims,
     /// Servers that announced themselves to this member since it last forwarded announcements.
     pub(super) unforwarded_announcements: BTreeSet<ServerIncarnation>,
     /// When this leader received the first announcement for each service, and when it received the
@@ -156,6 +158,7 @@
             running_grant_calls: BTreeMap::new(),
             addresses: BTreeMap::new(),
             announced_at: BTreeMap::new(),
+            address_claims: AddressClaims::default(),
             unforwarded_announcements: BTreeSet::new(),
             new_server_times: BTreeMap::new(),
             loads: BTreeMap::new(),
--- a/crates/chicory_site/tests/site_core.rs
+++ b/crates/chicory_site/tests/site_core.rs
@@ -238,6 +238,30 @@
     expect_that!(simulation.core(&leader).state().server("server-2"), none());
 }
 
+/// Guards against a running server that loses its keys and is refused from then on, because a delayed
+/// announcement of a process that ended before arrives while its own are late.
+#[gtest]
+fn single_delayed_announcement_does_not_end_a_silent_server() {
+    let mut simulation = Simulation::with_leader(3);
+    let leader = simulation.await_leader();
+    simulation.call_and_wait(&leader, SiteCall::PutRoutes(table(1)));
+    let current = announce("server-2", 8001, ServerState::Ready);
+    simulation.call_and_wait(&leader, current.clone());
+    simulation.run(Duration::from_secs(3));
+    let delayed = announce("server-1", 8001, ServerState::Ready);
+    // Announcements that were delayed together arrive together.
+    for _ in 0..2 {
+        let answer = simulation.call_and_wait(&leader, delayed.clone());
+        expect_that!(answer, some(eq(&SiteAnswer::Unavailable)));
+    }
+    simulation.run(Duration::from_secs(1));
+    let answer = simulation.call_and_wait(&leader, current);
+    expect_that!(answer, some(eq(&SiteAnswer::Done)));
+    let state = simulation.core(&leader).state();
+    expect_that!(state.server("server-2"), some(anything()));
+    expect_that!(state.server("server-1"), none());
+}
+
 #[gtest]
 fn announcement_for_an_unknown_service_is_refused_and_changes_nothing() {
     let mut simulation = Simulation::with_leader(3);
