Test answers and frames without end over relays and links

A report of other operators: bytes without end filled the memory of the machine that had called. Not found here on the paths that had no test: an entry VM that relays for another breaks off a head of an answer without end (fields, one field, interim answers, no HTTP), and holds back a body that the other one does not read; a link refuses a frame that is announced as longer than any.

--- a/crates/chicory_gateway/tests/relay/main.rs
+++ b/crates/chicory_gateway/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod broken_heads;
 mod cancellation;
 mod departures;
+mod endless_answers;
 mod exchanges;
 mod headers;
 mod interfaces;
--- a/crates/chicory_link/tests/frame_reader.rs
+++ b/crates/chicory_link/tests/frame_reader.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicory_link::{Frame, FrameReader, LinkError, ReadEvent};
+use chicory_link::{Frame, FrameReader, LinkError, MAX_FRAME_BYTES, ReadEvent};
 use googletest::prelude::*;
 use tokio::io::{AsyncWriteExt, DuplexStream, duplex};
 
@@ -73,3 +73,20 @@
         err(matches_pattern!(LinkError::Io { .. }))
     );
 }
+
+/// Guards against a process that reserves memory for a frame that another one announces but that no
+/// process sends.
+#[gtest]
+#[tokio::test]
+async fn frame_that_is_announced_as_longer_than_any_is_refused_at_once() {
+    let (mut write, mut reader) = link();
+    let length = u32::try_from(MAX_FRAME_BYTES + 1).expect("a length");
+    write
+        .write_all(&length.to_be_bytes())
+        .await
+        .expect("an open link");
+    expect_that!(
+        reader.next().await,
+        err(matches_pattern!(LinkError::Io { .. }))
+    );
+}
