--- a/review/stand_ins_2/src/endpoint.rs
+++ b/review/stand_ins_2/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint, which checks in, takes and releases keys, and runs requests.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -50,6 +51,16 @@
     freed: Condvar,
     waiting: AtomicUsize,
     pub run_count: AtomicU64,
+    /// When each request arrived and when work on it began and ended, by its id.
+    pub seen: Mutex<BTreeMap<String, Seen>>,
+}
+
+/// What happened to a request at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    pub arrived: Instant,
+    pub began: Option<Instant>,
+    pub ended: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -79,6 +90,7 @@
             freed: Condvar::new(),
             waiting: AtomicUsize::new(0),
             run_count: AtomicU64::new(0),
+            seen: Mutex::default(),
         });
         let accepting = endpoint.clone();
         std::thread::spawn(move || {
@@ -229,6 +241,12 @@
         )
     }
 
+    fn update(&self, id: &str, change: impl FnOnce(&mut Seen)) {
+        if let Some(seen) = self.seen.lock().expect("seen").get_mut(id) {
+            change(seen);
+        }
+    }
+
     fn answer(&self, request: &Message) -> Answer {
         let Some(id) = request.header("attempt-id").map(String::from) else {
             return (
@@ -254,6 +272,12 @@
             self.waiting.fetch_sub(1, Ordering::SeqCst);
             return ("503 Service Unavailable", refused, Vec::new());
         }
+        let seen = Seen {
+            arrived: Instant::now(),
+            began: None,
+            ended: None,
+        };
+        self.seen.lock().expect("seen").insert(id.clone(), seen);
         let mut running = self.running.lock().expect("slots");
         while *running >= self.config.slots {
             running = self.freed.wait(running).expect("slots");
@@ -266,7 +290,9 @@
             self.config.id,
             request.body.len()
         ));
+        self.update(&id, |seen| seen.began = Some(Instant::now()));
         std::thread::sleep(self.config.work);
+        self.update(&id, |seen| seen.ended = Some(Instant::now()));
         *self.running.lock().expect("slots") -= 1;
         self.freed.notify_one();
         self.waiting.fetch_sub(1, Ordering::SeqCst);
--- a/review/stand_ins_2/src/machines.rs
+++ b/review/stand_ins_2/src/machines.rs
@@ -237,6 +237,16 @@
         false
     }
 
+    /// Returns whether the process of a machine has ended by itself.
+    pub fn has_ended(&mut self, at: usize) -> bool {
+        let child = self.all[at].child.as_mut();
+        let has_ended = child.is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+        if has_ended {
+            self.all[at].child = None;
+        }
+        has_ended
+    }
+
     /// Returns whether a machine that serves requesters says that it is ready.
     pub fn is_ready(&self, at: usize) -> bool {
         let ready = SocketAddr::new(self.all[at].ip, 8542);
