--- a/review/stand_ins_2/src/bin/lower_hold.rs
+++ b/review/stand_ins_2/src/bin/lower_hold.rs
@@ -94,13 +94,13 @@
         record.line(&format!("a-{key} to {front}: {}", answer.status()));
     }
     if has_trouble {
-        record.line("the settings files change: maxHoldS=2 instead of 10");
+        record.line("the settings files of the core change: maxHoldS=2 instead of 10");
         for (name, value) in &mut machines.bounds {
             if name == "maxHoldS" {
                 *value = "2".to_owned();
             }
         }
-        for at in 0..machines.all.len() {
+        for at in 0..3 {
             machines.write_settings(at, false)?;
         }
     } else {
--- a/review/stand_ins_2/src/bin/shorter_grace.rs
+++ b/review/stand_ins_2/src/bin/shorter_grace.rs
@@ -164,10 +164,8 @@
                 *value = "2".to_owned();
             }
         }
-        for at in 0..machines.all.len() {
-            machines.write_settings(at, false)?;
-        }
         for at in &fronts {
+            machines.write_settings(*at, false)?;
             machines.signal(*at, "HUP");
         }
     }
