--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -134,6 +134,7 @@
             is_first_start,
             data_dir: matches!(vm, Vm::Control(_)).then(|| data_dir.clone()),
             listen: listen.into_iter().collect(),
+            limits: BTreeMap::new(),
         };
         if matches!(vm, Vm::Control(_)) {
             fs::create_dir_all(&data_dir).context(FileSnafu { path: &data_dir })?;
