Hold what clients send and don't read within the memory of an entry VM

What callers saw: an entry process that ran out of memory ended, and with it all requests on the VM. Many large bodies of legal size did that, whole, in parts or just short of their end; so did heads and trailers without end, and answers that nobody reads.

Cause: each body, head and answer had a bound of its own, but nothing bounded their sum, and memoryMb of the settings was not read. A body was kept in the parts in which it came, each of which holds more than its bytes, and once more in one piece when it was complete; a connection buffered up to 400 KB each way.

Change: all connections of callers and of other entry VMs share a budget of 62% of memoryMb (chicory_policy::ConnectionBudget decides, chicory_net::http::ClientBudget carries out). If it is used up, the largest request that is incomplete is refused as not run, or the connection closed whose answer is not read; of equal ones that without progress for longest. Complete requests are never evicted, and an eighth is left to small ones. Reading pauses until evicted connections have freed their memory. Bodies are kept in segments of 64 KiB and sent from there; buffers of a connection are 64 KiB at most.

--- a/crates/chicory_gateway/src/decide/gateway_config.rs
+++ b/crates/chicory_gateway/src/decide/gateway_config.rs
@@ -22,6 +22,9 @@
 /// 2 s, and nothing may reach its servers 5 s after the order.
 const EVACUATION_GRACE: Duration = Duration::from_secs(3);
 
+/// Memory of the entry VM if it is not known.
+const DEFAULT_MEMORY_BYTES: u64 = 256 * 1024 * 1024;
+
 /// Settings of a [`Gateway`](crate::Gateway).
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewayConfig {
@@ -45,6 +48,8 @@
     /// Processor cores that the entry VM may use, which may be a fraction; `None` if it is not
     /// known.
     pub cpu_share: Option<f64>,
+    /// Memory that the entry process may use, in bytes. Requests and answers may occupy a part of it.
+    pub memory_bytes: u64,
     /// Seed of random choices.
     pub random_seed: u64,
     /// Policies that are switched off to measure their benefit.
@@ -70,6 +75,7 @@
             zone: ZoneName::new(),
             thin_link_bytes_per_s: None,
             cpu_share: None,
+            memory_bytes: DEFAULT_MEMORY_BYTES,
             random_seed: 0,
             disabled_policies: BTreeSet::new(),
         }
--- a/crates/chicory_gateway/src/decide/refusal.rs
+++ b/crates/chicory_gateway/src/decide/refusal.rs
@@ -19,6 +19,8 @@
     BodyTooLarge,
     /// The request body is incomplete or can't be read.
     BodyUnreadable,
+    /// There is no memory for the request's body, or it had to make room for others.
+    NoMemory,
     /// No server of the service accepts requests.
     NoServer,
     /// No server owns the key at the moment.
@@ -58,6 +60,7 @@
             Self::HeaderTooLarge => "header-too-large",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyUnreadable => "body-unreadable",
+            Self::NoMemory => "no-memory",
             Self::NoServer => "no-server",
             Self::NoOwner => "no-owner",
             Self::Overloaded => "overloaded",
--- a/crates/chicory_gateway/src/process/attempt.rs
+++ b/crates/chicory_gateway/src/process/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicory_net::http::{HttpBody, ServerLink};
+use chicory_net::http::{BufferedBody, HttpBody, ServerLink};
 use chicory_ranges::ServerIncarnation;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -38,7 +38,7 @@
 /// A request as the caller sent it.
 pub(super) struct CallerRequest {
     pub(super) head: request::Parts,
-    pub(super) body: Bytes,
+    pub(super) body: BufferedBody,
     pub(super) metadata: RequestMetadata,
     /// Turn of the body on the link, for the next attempt.
     pub(super) turn: Mutex<Option<BulkTurn>>,
@@ -263,11 +263,11 @@
 pub(super) fn server_request(
     head: &request::Parts,
     headers: HeaderMap,
-    body: &Bytes,
+    body: &BufferedBody,
 ) -> Request<HttpBody> {
     let has_body = !body.is_empty() || headers.contains_key(header::CONTENT_LENGTH);
     let body = if has_body {
-        HttpBody::full(body.clone())
+        HttpBody::buffered(body)
     } else {
         HttpBody::empty()
     };
--- a/crates/chicory_gateway/src/process/bulk_transfers.rs
+++ b/crates/chicory_gateway/src/process/bulk_transfers.rs
@@ -1,10 +1,11 @@
 //! Transfers of large request bodies over the link of an entry VM.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicory_net::http::{BodyError, BodySource, HttpBody};
+use chicory_net::http::{BodyError, BodySource, BufferedBody, HttpBody};
 use chicory_net::peer::BodyPart;
 use chicory_policy::{BulkStep, BulkTurns};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
@@ -117,8 +118,8 @@
     }
 
     /// Returns a body that is sent in chunks and ends the turn when it is complete or dropped.
-    pub(super) fn paced_body(self, body: &Bytes) -> HttpBody {
-        let remaining_bytes = Some(body.len() as u64);
+    pub(super) fn paced_body(self, body: &BufferedBody) -> HttpBody {
+        let remaining_bytes = Some(body.len());
         let (sender, parts) = mpsc::channel(CHUNKS_IN_FLIGHT);
         tokio::spawn(send_chunks(body.clone(), self, sender));
         HttpBody::new(BodySource::Parts {
@@ -163,14 +164,15 @@
 
 /// Sends a body in chunks until it is complete or its receiver is dropped.
 async fn send_chunks(
-    mut body: Bytes,
+    body: BufferedBody,
     turn: BulkTurn,
     parts: mpsc::Sender<Result<BodyPart, BodyError>>,
 ) {
     let (chunk_period, ends_at) = (turn.chunk_period, turn.ends_at);
     let mut turn = Some(turn);
-    while !body.is_empty() {
-        let chunk = body.split_to(CHUNK_BYTES.min(body.len()));
+    let mut chunks: VecDeque<Bytes> = body.segments().iter().flat_map(chunks_of).collect();
+    drop(body);
+    while let Some(chunk) = chunks.pop_front() {
         let sending = parts.send(Ok(BodyPart::Chunk(chunk)));
         tokio::pin!(sending);
         let mut sent = tokio::time::timeout_at(ends_at, &mut sending).await;
@@ -181,7 +183,7 @@
         if matches!(sent, Ok(Err(_))) {
             return;
         }
-        if !body.is_empty() {
+        if !chunks.is_empty() {
             tokio::time::sleep(chunk_period).await;
         }
     }
@@ -189,3 +191,8 @@
     // Nobody waits for the end if the receiver was dropped.
     drop(parts.send(Ok(BodyPart::End)).await);
 }
+
+fn chunks_of(segment: &Bytes) -> impl Iterator<Item = Bytes> {
+    let starts = (0..segment.len()).step_by(CHUNK_BYTES);
+    starts.map(|start| segment.slice(start..segment.len().min(start + CHUNK_BYTES)))
+}
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicory_net::http::{AnswerFuture, BodySource, HttpBody, HttpHandler};
+use chicory_net::http::{
+    AnswerFuture, BodyReceiver, BodySource, BufferedBody, ConnectionShare, HttpBody, HttpHandler,
+    ReceiveError, ReceiveStep,
+};
 use chicory_policy::RetryAfter;
 use chicory_types::MonoTime;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, HeaderValue, header, request};
 use hyper::{Request, Response};
@@ -38,6 +40,10 @@
 /// is for sending it on and for the server.
 const RECEIVE_FRACTION: f64 = 0.5;
 
+/// Time after which a caller whose body had no room in memory may come back: as long as most bodies
+/// take to be sent on.
+const RETRY_AFTER_MEMORY: Duration = Duration::from_millis(600);
+
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 /// Idle time for which callers are asked to keep connections. Most callers send another request
@@ -92,7 +98,7 @@
     async fn start(shared: Arc<SharedState>, request: Request<Incoming>) -> Response<HttpBody> {
         let started_at = shared.now();
         shared.metrics.increment(GatewayMetric::Requests);
-        let (head, body) = request.into_parts();
+        let (head, mut body) = request.into_parts();
         let metadata = shared.callers.read(&head);
         let exchange = Self {
             shared,
@@ -105,7 +111,7 @@
         }
         let response = tokio::select! {
             biased;
-            response = exchange.run(head, body) => response,
+            response = exchange.run(head, &mut body) => response,
             () = exchange.shared.wait_for_due_answers() => {
                 exchange.refuse(None, &exchange.refusal_at_stop())
             }
@@ -117,7 +123,7 @@
         response
     }
 
-    async fn run(&self, head: request::Parts, body: Incoming) -> Response<HttpBody> {
+    async fn run(&self, head: request::Parts, body: &mut Incoming) -> Response<HttpBody> {
         let limits = self.shared.gateway().directory().routes().limits_in_force();
         if header_bytes(&head) > limits.max_header_bytes {
             return self.refuse(None, &Refusal::not_run(RefusalReason::HeaderTooLarge));
@@ -132,8 +138,9 @@
             Admission::Refused(refusal) => return self.refuse(None, &refusal),
         };
         let max_body_bytes = limits.max_body_bytes.min(MAX_BUFFERED_BODY_BYTES);
+        let share = head.extensions.get::<ConnectionShare>().cloned();
         let body = match self
-            .read_body(body, max_body_bytes, ticket.deadline())
+            .read_body(body, share, max_body_bytes, ticket.deadline())
             .await
         {
             Ok(body) => body,
@@ -162,54 +169,66 @@
 
     async fn read_body(
         &self,
-        body: Incoming,
+        body: &mut Incoming,
+        share: Option<ConnectionShare>,
         max_bytes: u64,
         deadline: MonoTime,
-    ) -> Result<Bytes, Refusal> {
+    ) -> Result<BufferedBody, Refusal> {
         if body.is_end_stream() {
-            return Ok(Bytes::new());
-        }
-        if body.size_hint().lower() > max_bytes {
-            return Err(Refusal::not_run(RefusalReason::BodyTooLarge));
+            return Ok(BufferedBody::default());
         }
-        let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
         let left = deadline.saturating_sub(self.shared.now());
-        let receiving = self.receive(Limited::new(body, max_bytes), left);
-        let received = tokio::time::timeout(left, receiving).await;
-        received.unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::TooLate)))
+        let receiver = BodyReceiver::new(body, share, max_bytes);
+        let receiver = receiver.map_err(|error| self.receive_refusal(&error, left))?;
+        let receiving = self.receive(receiver, left);
+        let ended = tokio::time::timeout(left, receiving).await;
+        ended.unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::TooLate)))
     }
 
     /// Receives a whole body. A large one waits for its turn once its first bytes have come.
     async fn receive(
         &self,
-        mut body: Limited<Incoming>,
+        mut body: BodyReceiver<'_>,
         time_left: Duration,
-    ) -> Result<Bytes, Refusal> {
+    ) -> Result<BufferedBody, Refusal> {
         let mut turn = None;
         let mut has_had_turn = false;
-        let mut parts = VecDeque::new();
-        let mut received_bytes = 0;
         loop {
-            let is_large = received_bytes + body.size_hint().lower() >= MIN_BULK_BYTES;
-            if is_large && !has_had_turn {
+            if body.known_bytes() >= MIN_BULK_BYTES && !has_had_turn {
                 has_had_turn = true;
-                let bytes = body.size_hint().exact().unwrap_or(ASSUMED_BYTES);
+                let bytes = body.stated_bytes().unwrap_or(ASSUMED_BYTES);
                 let wait = time_left.mul_f64(RECEIVE_FRACTION);
-                let taken = self.shared.bulk.receive_turn(bytes, wait).await;
+                let taken = tokio::select! {
+                    taken = self.shared.bulk.receive_turn(bytes, wait) => taken,
+                    () = body.evicted() => {
+                        return Err(self.receive_refusal(&ReceiveError::OutOfMemory, time_left));
+                    }
+                };
                 turn = taken.map_err(|free_in| self.link_refusal(free_in, time_left))?;
             }
-            let Some(frame) = body.frame().await else {
-                return Ok(concatenated(parts));
-            };
-            let frame = frame.map_err(|error| unreadable_body_refusal(error.as_ref()))?;
-            if let Ok(data) = frame.into_data() {
-                received_bytes += data.len() as u64;
-                parts.push_back(data);
+            let received = body.receive_part().await;
+            match received.map_err(|error| self.receive_refusal(&error, time_left))? {
+                ReceiveStep::Complete => return Ok(body.finish()),
+                ReceiveStep::More => {}
             }
             turn = turn.filter(|turn: &BulkTurn| !turn.is_overdue());
         }
     }
 
+    /// Returns the refusal of a request whose body was not received to its end.
+    fn receive_refusal(&self, error: &ReceiveError, time_left: Duration) -> Refusal {
+        match error {
+            ReceiveError::TooLong { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
+            ReceiveError::Unreadable { .. } => Refusal::not_run(RefusalReason::BodyUnreadable),
+            ReceiveError::OutOfMemory => {
+                let metrics = &self.shared.metrics;
+                metrics.increment(GatewayMetric::BodiesRefusedByMemory);
+                let retry_after = RetryAfter::new(RETRY_AFTER_MEMORY).within(time_left);
+                Refusal::not_run(RefusalReason::NoMemory).with_retry_after(retry_after)
+            }
+        }
+    }
+
     /// Returns the refusal of a request whose body would have to wait too long for the link.
     fn link_refusal(&self, free_in: Duration, time_left: Duration) -> Refusal {
         let metrics = &self.shared.metrics;
@@ -228,7 +247,7 @@
         // held one would wait for itself.
         request.set_turn(None);
         let left = ticket.deadline().saturating_sub(self.shared.now());
-        let bytes = request.body.len() as u64;
+        let bytes = request.body.len();
         let taken = self.shared.bulk.send_turn(bytes, left).await;
         match taken {
             Ok(turn) => {
@@ -416,16 +435,6 @@
     response
 }
 
-/// Returns the refusal of a request whose body can't be read.
-fn unreadable_body_refusal(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Refusal {
-    let reason = if error.is::<LengthLimitError>() {
-        RefusalReason::BodyTooLarge
-    } else {
-        RefusalReason::BodyUnreadable
-    };
-    Refusal::not_run(reason)
-}
-
 fn concatenated(mut parts: VecDeque<Bytes>) -> Bytes {
     if parts.len() <= 1 {
         return parts.pop_front().unwrap_or_default();
@@ -462,7 +471,7 @@
         head.method.as_str().as_bytes(),
         host.as_bytes(),
         path.as_bytes(),
-        &request.body,
     ];
-    chicory_types::fingerprint_of(&parts)
+    let body = request.body.segments().iter().map(|segment| &segment[..]);
+    chicory_types::fingerprint_of_segments(&parts, request.body.len(), body)
 }
--- a/crates/chicory_gateway/src/process/gateway_metric.rs
+++ b/crates/chicory_gateway/src/process/gateway_metric.rs
@@ -45,6 +45,10 @@
     DeniedByRest,
     /// Requests refused because the link was too busy to receive their bodies in time.
     BodiesRefusedByLink,
+    /// Requests refused because there was no room in memory for their bodies.
+    BodiesRefusedByMemory,
+    /// Memory that callers and other entry VMs occupy with requests and answers, in bytes.
+    ClientMemoryBytes,
     /// Requests refused because the owners of their keys are asked for more than they can answer.
     RefusedByAdmission,
     /// Owners that get only a part of their requests.
@@ -142,6 +146,8 @@
             Self::DeniedByLimit => "gateway_denied_by_limit",
             Self::DeniedByRest => "gateway_denied_by_rest",
             Self::BodiesRefusedByLink => "gateway_bodies_refused_by_link",
+            Self::BodiesRefusedByMemory => "gateway_bodies_refused_by_memory",
+            Self::ClientMemoryBytes => "gateway_client_memory_bytes",
             Self::RefusedByAdmission => "gateway_refused_by_admission",
             Self::OverloadedOwners => "gateway_overloaded_owners",
             Self::ControlLinksLost => "gateway_control_links_lost",
@@ -215,6 +221,8 @@
             Self::BodiesRefusedByLink => {
                 "Requests refused because the link was too busy to receive their bodies in time."
             }
+            Self::BodiesRefusedByMemory => "Requests refused for want of memory for their bodies.",
+            Self::ClientMemoryBytes => "Bytes that clients occupy with requests and answers.",
             Self::RefusedByAdmission => {
                 "Requests refused because the owners of their keys are asked for more than they can answer."
             }
--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -96,9 +96,12 @@
         let (close, closing) = watch::channel(false);
         let handler = Arc::new(CallerHandler::new(shared.clone()));
         let metrics = shared.metrics.clone();
-        let served = self
-            .listener
-            .serve(handler, CALLER_LIMITS, closing.clone(), metrics);
+        let served = self.listener.with_budget(shared.clients.clone()).serve(
+            handler,
+            CALLER_LIMITS,
+            closing.clone(),
+            metrics,
+        );
         let relayed = self.relay_listener;
         let relayed = relayed.map(|listener| listener.serve(shared.clone(), closing));
         let served = tokio::spawn(async move {
@@ -146,6 +149,8 @@
             _ = ticks.tick() => {
                 shared.update_readiness();
                 shared.relays.prune();
+                let client_bytes = shared.clients.used_bytes();
+                shared.metrics.set(GatewayMetric::ClientMemoryBytes, client_bytes);
                 if let Some(backlog) = shared.link.backlog() {
                     let bytes = backlog.pending_bytes(shared.now());
                     let metric = GatewayMetric::LinkBacklogBytes;
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use chicory_net::http::{AnswerFuture, BodySource, HttpBody, HttpHandler, ServerLink};
+use chicory_net::http::{
+    AnswerFuture, BodyReceiver, BodySource, BufferedBody, ConnectionShare, HttpBody, HttpHandler,
+    ReceiveError, ServerLink,
+};
 use chicory_routes::RequestKind;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, HeaderName, HeaderValue, header, request};
 use hyper::{Request, Response};
@@ -90,7 +92,7 @@
 async fn exchange(
     relayed: &mut RelayedRequest,
     head: &request::Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<(ServerLink, Response<Incoming>), RelayOutcome> {
     let stated_bytes = body.size_hint().exact();
     let size = RelaySize {
@@ -101,7 +103,14 @@
         drain(body).await;
         return Err(outcome);
     }
-    let body = read_body(body).await.ok_or(RelayOutcome::BadRequest)?;
+    let share = head.extensions.get::<ConnectionShare>().cloned();
+    let body = match read_body(&mut body, share).await {
+        Ok(body) => body,
+        Err(error) => {
+            drain(body).await;
+            return Err(outcome_of(&error));
+        }
+    };
     relayed.add_bytes(body.len());
     relayed.wait_for_server().await?;
     if outlasts_stop(relayed, head) {
@@ -161,13 +170,23 @@
     while let Some(Ok(_)) = body.frame().await {}
 }
 
-async fn read_body(body: Incoming) -> Option<Bytes> {
+async fn read_body(
+    body: &mut Incoming,
+    share: Option<ConnectionShare>,
+) -> Result<BufferedBody, ReceiveError> {
     if body.is_end_stream() {
-        return Some(Bytes::new());
+        return Ok(BufferedBody::default());
+    }
+    let receiver = BodyReceiver::new(body, share, MAX_BUFFERED_BODY_BYTES)?;
+    receiver.receive_all().await
+}
+
+/// Returns the outcome of a request whose body was not received to its end.
+fn outcome_of(error: &ReceiveError) -> RelayOutcome {
+    match error {
+        ReceiveError::OutOfMemory => RelayOutcome::Busy,
+        ReceiveError::TooLong { .. } | ReceiveError::Unreadable { .. } => RelayOutcome::BadRequest,
     }
-    let max_bytes = usize::try_from(MAX_BUFFERED_BODY_BYTES).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, max_bytes).collect().await.ok()?;
-    Some(collected.to_bytes())
 }
 
 /// Passes a server's answer on, unchanged except for the headers that apply to one connection only.
--- a/crates/chicory_gateway/src/process/relay_listener.rs
+++ b/crates/chicory_gateway/src/process/relay_listener.rs
@@ -60,10 +60,11 @@
         let load = SharedLoad::default();
         let metrics = shared.metrics.clone();
         let handler = Arc::new(RelayHandler {
-            shared,
+            shared: shared.clone(),
             load: load.clone(),
         });
-        let served = self.listener.serve(handler, LIMITS, closing, metrics);
+        let listener = self.listener.with_budget(shared.clients.clone());
+        let served = listener.serve(handler, LIMITS, closing, metrics);
         tokio::select! {
             () = served => {}
             () = measure_tick_lag(&load) => {}
--- a/crates/chicory_gateway/src/process/relayed_request.rs
+++ b/crates/chicory_gateway/src/process/relayed_request.rs
@@ -118,8 +118,8 @@
         }
     }
 
-    pub(super) fn add_bytes(&mut self, bytes: usize) {
-        self.relayed_bytes = self.relayed_bytes.saturating_add(bytes as u64);
+    pub(super) fn add_bytes(&mut self, bytes: u64) {
+        self.relayed_bytes = self.relayed_bytes.saturating_add(bytes);
     }
 
     /// Records that the answer arrives, and its length.
@@ -134,7 +134,7 @@
         if let Some(expected) = &mut self.expected {
             expected.record_passed_on(bytes);
         }
-        self.add_bytes(bytes);
+        self.add_bytes(bytes as u64);
     }
 
     /// Records that the request ended with this outcome.
--- a/crates/chicory_gateway/src/process/shared_state.rs
+++ b/crates/chicory_gateway/src/process/shared_state.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use chicory_net::admin::Readiness;
+use chicory_net::http::ClientBudget;
 use chicory_policy::LimitChange;
 use chicory_ranges::ServerIncarnation;
 use chicory_telemetry::Metrics;
@@ -23,6 +24,10 @@
 /// all entry VMs.
 const MAX_IDLE_CONNECTIONS: usize = 3;
 
+/// Part of the process's memory that requests and answers may occupy, in percent. The rest is for the
+/// directory, for connections to servers, and for what allocators leave unused.
+const CLIENT_MEMORY_PERCENT: u64 = 62;
+
 /// State that all tasks of an entry process share. The tasks run on one thread, so the locks are
 /// never contended.
 pub(super) struct SharedState {
@@ -34,6 +39,8 @@
     pub(super) bulk: BulkTransfers,
     /// Answers that cross the entry VM's link.
     pub(super) link: LinkLoad,
+    /// What callers and other entry VMs may occupy.
+    pub(super) clients: ClientBudget,
     pub(super) clock: Arc<dyn Clock + Send + Sync>,
     pub(super) callers: Arc<dyn CallerInterface>,
     pub(super) servers: Arc<dyn ServerInterface>,
@@ -66,7 +73,9 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         let thin_link_bytes_per_s = gateway.config().thin_link_bytes_per_s;
+        let client_bytes = gateway.config().memory_bytes / 100 * CLIENT_MEMORY_PERCENT;
         Self {
+            clients: ClientBudget::new(client_bytes, clock.clone(), metrics.clone()),
             bulk: BulkTransfers::new(thin_link_bytes_per_s),
             link: LinkLoad::new(thin_link_bytes_per_s, clock.clone()),
             gateway: Mutex::new(gateway),
--- a/crates/chicory_net/src/http/body_source.rs
+++ b/crates/chicory_net/src/http/body_source.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::http::BodyError;
+use crate::http::{BodyError, BufferedBody};
 use crate::peer::BodyPart;
 
 /// The source of the data of a body.
@@ -18,6 +18,15 @@
     Empty,
     /// A body in memory.
     Full(Bytes),
+    /// A body in memory, in segments.
+    Segments {
+        /// The body.
+        body: BufferedBody,
+        /// Index of the next segment.
+        next: usize,
+        /// Bytes that are still to be read.
+        remaining_bytes: u64,
+    },
     /// A body that an HTTP connection delivers.
     Incoming(Incoming),
     /// A body that an HTTP connection delivers and of which some parts are in memory already.
@@ -42,6 +51,9 @@
         match self {
             Self::Empty => true,
             Self::Full(bytes) => bytes.is_empty(),
+            Self::Segments {
+                remaining_bytes, ..
+            } => *remaining_bytes == 0,
             Self::Incoming(body) => body.is_end_stream(),
             Self::Resumed { parts, rest } => parts.is_empty() && rest.is_end_stream(),
             Self::Parts {
@@ -56,6 +68,9 @@
         match self {
             Self::Empty => SizeHint::with_exact(0),
             Self::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Segments {
+                remaining_bytes, ..
+            } => SizeHint::with_exact(*remaining_bytes),
             Self::Incoming(body) => body.size_hint(),
             Self::Resumed { parts, rest } => {
                 let known: usize = parts.iter().map(Bytes::len).sum();
@@ -82,6 +97,18 @@
                 *self = Self::Empty;
                 Poll::Ready(Some(Ok(bytes)))
             }
+            Self::Segments {
+                body,
+                next,
+                remaining_bytes,
+            } => {
+                let segment = body.segments().get(*next).cloned();
+                *next += 1;
+                if let Some(segment) = &segment {
+                    *remaining_bytes -= segment.len() as u64;
+                }
+                Poll::Ready(segment.map(Ok))
+            }
             Self::Incoming(body) => poll_incoming(body, cx),
             Self::Resumed { parts, rest } => match parts.pop_front() {
                 Some(part) => Poll::Ready(Some(Ok(part))),
--- a/crates/chicory_net/src/http/http_body.rs
+++ b/crates/chicory_net/src/http/http_body.rs
@@ -8,7 +8,12 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::oneshot;
 
-use crate::http::{BodyError, BodyObserver, BodySource};
+use crate::http::connection_share::ConnectionShare;
+use crate::http::{BodyError, BodyObserver, BodySource, BufferedBody};
+
+/// Most memory that an answer occupies which is passed on as it comes, in bytes: in the buffers of
+/// the connection that it comes from and of the one that it goes to.
+const STREAMED_BYTES: u64 = 192 * 1024;
 
 /// The body of a request or answer.
 ///
@@ -18,6 +23,16 @@
     source: BodySource,
     observer: Option<Box<dyn BodyObserver>>,
     abort_signal: Option<oneshot::Receiver<()>>,
+    connection: Option<AnsweringConnection>,
+}
+
+/// The connection that a body is sent on. It waits for another request when this is dropped.
+struct AnsweringConnection(ConnectionShare);
+
+impl Drop for AnsweringConnection {
+    fn drop(&mut self) {
+        self.0.finish_request();
+    }
 }
 
 impl HttpBody {
@@ -28,6 +43,7 @@
             source,
             observer: None,
             abort_signal: None,
+            connection: None,
         }
     }
 
@@ -43,6 +59,16 @@
         Self::new(BodySource::Full(bytes.into()))
     }
 
+    /// Creates a body from segments in memory, which are not copied.
+    #[must_use]
+    pub fn buffered(body: &BufferedBody) -> Self {
+        Self::new(BodySource::Segments {
+            body: body.clone(),
+            next: 0,
+            remaining_bytes: body.len(),
+        })
+    }
+
     /// Creates a body with an observer, which is notified at once if the body is empty.
     #[must_use]
     pub fn observed(source: BodySource, observer: Box<dyn BodyObserver>) -> Self {
@@ -50,6 +76,7 @@
             source,
             observer: Some(observer),
             abort_signal: None,
+            connection: None,
         };
         body.finish_if_ended();
         body
@@ -64,6 +91,24 @@
         self
     }
 
+    /// Records on the connection that sends the body that parts were sent, and that all of it was.
+    #[must_use]
+    pub(crate) fn with_connection(mut self, connection: ConnectionShare) -> Self {
+        self.connection = Some(AnsweringConnection(connection));
+        self
+    }
+
+    /// Returns the most memory that the body occupies until it is sent, in bytes.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        match &self.source {
+            BodySource::Full(bytes) => bytes.len() as u64,
+            source => {
+                let known_bytes = source.size_hint().exact();
+                known_bytes.unwrap_or(STREAMED_BYTES).min(STREAMED_BYTES)
+            }
+        }
+    }
+
     /// Returns whether the abort signal was sent.
     fn poll_aborted(&mut self, cx: &mut Context<'_>) -> bool {
         let Some(abort_signal) = &mut self.abort_signal else {
@@ -124,6 +169,9 @@
                 if let Some(observer) = &mut self.observer {
                     observer.progressed(&part);
                 }
+                if let Some(connection) = &self.connection {
+                    connection.0.record_progress();
+                }
                 // If the length is known, the reader doesn't poll again after the last part.
                 self.finish_if_ended();
                 Poll::Ready(Some(Ok(Frame::data(part))))
--- a/crates/chicory_net/src/net_metric.rs
+++ b/crates/chicory_net/src/net_metric.rs
@@ -31,6 +31,10 @@
     OversizedHeads,
     /// Connections of callers rejected because the connection limit was reached.
     RefusedCallers,
+    /// Requests whose incomplete bodies made room for others in memory.
+    EvictedBodies,
+    /// Connections of clients closed to make room for others.
+    EvictedConnections,
 }
 
 impl MetricName for NetMetric {
@@ -49,6 +53,8 @@
             Self::MalformedHeads => "malformed_heads",
             Self::OversizedHeads => "oversized_heads",
             Self::RefusedCallers => "refused_callers",
+            Self::EvictedBodies => "evicted_bodies",
+            Self::EvictedConnections => "evicted_connections",
         }
     }
 
@@ -67,6 +73,8 @@
             Self::MalformedHeads => "Malformed request heads.",
             Self::OversizedHeads => "Request heads longer than allowed.",
             Self::RefusedCallers => "Connections of callers rejected at the limit.",
+            Self::EvictedBodies => "Incomplete bodies refused to make room in memory.",
+            Self::EvictedConnections => "Connections closed to make room for others.",
         }
     }
 }
--- a/crates/chicory_policy/src/lib.rs
+++ b/crates/chicory_policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|
 //! | [`AdmittedFractions`] | more requests for the keys of one server than it can answer, at one sender | which of them are sent |
 //! | [`BulkTurns`] | large bodies of many callers on a thin link | when each one is transferred, or refuse it at once |
+//! | [`ConnectionBudget`] | clients that keep large requests or many connections open | which of them make room for others, or refuse one at once |
 //! | [`LinkBacklog`] | answers passed on for other entry VMs beside own ones, on a thin link | how long a further answer would wait |
 //! | [`NamedLimits`] | rate limits that servers state in answers, which overtake each other | which limit is in force |
 //! | [`Occupancy`] | what a server states about its load, which is soon outdated | how probably the server is full |
@@ -26,6 +27,7 @@
 mod admitted_share;
 mod bulk_turns;
 mod cold_allowance;
+mod connection_budget;
 mod decaying_rate;
 mod line_sender;
 mod line_server;
@@ -52,6 +54,10 @@
 pub use admitted_fractions::AdmittedFractions;
 pub use bulk_turns::{BulkStep, BulkTurns};
 pub use cold_allowance::ColdAllowance;
+pub use connection_budget::{
+    BudgetStep, CONNECTION_BYTES, ConnectionBudget, ConnectionId, ConnectionState, Eviction,
+    ListenerId,
+};
 pub use line_sender::LineSender;
 pub use line_server::LineServer;
 pub use link_backlog::LinkBacklog;
--- a/crates/chicory_types/src/key_hash.rs
+++ b/crates/chicory_types/src/key_hash.rs
@@ -1,6 +1,6 @@
 //! The fixed hash function that maps keys to slots.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::Slot;
 
@@ -35,10 +35,30 @@
 /// next changes the fingerprint.
 #[must_use]
 pub fn fingerprint_of(parts: &[&[u8]]) -> u64 {
-    let mut state = xxhash_rust::xxh3::Xxh3::new();
+    fingerprint(parts).digest()
+}
+
+/// Returns the fingerprint of byte strings the last of which consists of segments. It is that of
+/// [`fingerprint_of`] for the same strings, however the last one is divided.
+#[must_use]
+pub fn fingerprint_of_segments<'a>(
+    parts: &[&[u8]],
+    last_bytes: u64,
+    last: impl IntoIterator<Item = &'a [u8]>,
+) -> u64 {
+    let mut state = fingerprint(parts);
+    state.update(&last_bytes.to_le_bytes());
+    for segment in last {
+        state.update(segment);
+    }
+    state.digest()
+}
+
+fn fingerprint(parts: &[&[u8]]) -> Xxh3 {
+    let mut state = Xxh3::new();
     for part in parts {
         state.update(&(part.len() as u64).to_le_bytes());
         state.update(part);
     }
-    state.digest()
+    state
 }
--- a/crates/chicory_types/src/lib.rs
+++ b/crates/chicory_types/src/lib.rs
@@ -21,5 +21,5 @@
     ClusterName, EditId, Incarnation, LogIndex, OperatorName, OrderKey, RegionName, RequestId,
     Revision, ServerId, ServiceName, Slot, Term, ViewVersion, VmId, ZoneName,
 };
-pub use key_hash::{SLOTS_PER_SERVICE, fingerprint_of, slot_of_key};
+pub use key_hash::{SLOTS_PER_SERVICE, fingerprint_of, fingerprint_of_segments, slot_of_key};
 pub use slot_run::SlotRun;
