Serve bodies up to the length that the route table allows

What callers saw: a body between 8 MiB and maxBodyBytes (64 MiB in every table of the platform) was refused with 413, though it was within the limits and nothing else was going on; by way of another entry VM it was refused as busy.

Cause: MAX_BUFFERED_BODY_BYTES went before the limit of the route table, as bodies were held twice for a while and their sum had no bound.

Change: the route table alone limits a body. An entry VM relays a single body of the greatest length that it can hold.

--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -33,8 +33,6 @@
 /// Time after the caller's own time for which an answer is passed on. A caller that still reads then
 /// can use it, but an answer without an end would be passed on forever.
 pub(super) const MAX_BODY_OVERTIME: Duration = Duration::from_secs(10);
-/// Largest body that is buffered for sending.
-pub(super) const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
 /// Fraction of a request's time that its body may wait for a turn and take to be received. The rest
 /// is for sending it on and for the server.
@@ -137,10 +135,9 @@
             Admission::Accepted(ticket) => ticket,
             Admission::Refused(refusal) => return self.refuse(None, &refusal),
         };
-        let max_body_bytes = limits.max_body_bytes.min(MAX_BUFFERED_BODY_BYTES);
         let share = head.extensions.get::<ConnectionShare>().cloned();
         let body = match self
-            .read_body(body, share, max_body_bytes, ticket.deadline())
+            .read_body(body, share, limits.max_body_bytes, ticket.deadline())
             .await
         {
             Ok(body) => body,
--- a/crates/chicory_gateway/src/process/relay_handler.rs
+++ b/crates/chicory_gateway/src/process/relay_handler.rs
@@ -15,7 +15,7 @@
 
 use super::attempt::{remove_hop_by_hop, server_request};
 use super::bulk_transfers::ASSUMED_BYTES;
-use super::caller_handler::{MAX_BODY_OVERTIME, MAX_BUFFERED_BODY_BYTES, host_of, response};
+use super::caller_handler::{MAX_BODY_OVERTIME, host_of, response};
 use super::interfaces::AnswerClass;
 use super::relay_observer::RelayObserver;
 use super::relayed_request::{RelayedRequest, SharedLoad};
@@ -25,6 +25,9 @@
 use super::{GatewayMetric, RelayHead, RelayHeadError, RelayOutcome, RelaySize};
 use crate::{AttemptOutcome, RelayRecheck};
 
+/// Length that is assumed for a body without a stated one. Entry VMs state it.
+const ASSUMED_BODY_BYTES: u64 = 8 * 1024 * 1024;
+
 /// Header of an answer that states the [`RelayOutcome`].
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("chicory-relay-outcome");
 /// Header that states what is wrong with a request that can't be read.
@@ -96,7 +99,7 @@
 ) -> Result<(ServerLink, Response<Incoming>), RelayOutcome> {
     let stated_bytes = body.size_hint().exact();
     let size = RelaySize {
-        body_bytes: stated_bytes.unwrap_or(MAX_BUFFERED_BODY_BYTES),
+        body_bytes: stated_bytes.unwrap_or(ASSUMED_BODY_BYTES),
         answer_bytes: assumed_answer_bytes(&relayed.shared, head),
     };
     if let Err(outcome) = relayed.try_admit(size) {
@@ -104,7 +107,11 @@
         return Err(outcome);
     }
     let share = head.extensions.get::<ConnectionShare>().cloned();
-    let body = match read_body(&mut body, share).await {
+    let limits = {
+        let gateway = relayed.shared.gateway();
+        gateway.directory().routes().limits_in_force()
+    };
+    let body = match read_body(&mut body, share, limits.max_body_bytes).await {
         Ok(body) => body,
         Err(error) => {
             drain(body).await;
@@ -173,11 +180,12 @@
 async fn read_body(
     body: &mut Incoming,
     share: Option<ConnectionShare>,
+    max_bytes: u64,
 ) -> Result<BufferedBody, ReceiveError> {
     if body.is_end_stream() {
         return Ok(BufferedBody::default());
     }
-    let receiver = BodyReceiver::new(body, share, MAX_BUFFERED_BODY_BYTES)?;
+    let receiver = BodyReceiver::new(body, share, max_bytes)?;
     receiver.receive_all().await
 }
 
--- a/crates/chicory_gateway/src/process/relay_listener.rs
+++ b/crates/chicory_gateway/src/process/relay_listener.rs
@@ -1,7 +1,7 @@
 //! Listens for requests of other entry VMs.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use chicory_net::http::{HttpLimits, HttpListener};
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::RelayLoad;
 use super::relay_handler::RelayHandler;
 use super::relayed_request::SharedLoad;
 use super::shared_state::SharedState;
@@ -57,7 +58,8 @@
 
     /// Serves until `closing` becomes `true` and all requests in progress are complete.
     pub(super) async fn serve(self, shared: Arc<SharedState>, closing: watch::Receiver<bool>) {
-        let load = SharedLoad::default();
+        let load = RelayLoad::default().with_longest_body(shared.clients.max_content_bytes());
+        let load = Arc::new(Mutex::new(load));
         let metrics = shared.metrics.clone();
         let handler = Arc::new(RelayHandler {
             shared: shared.clone(),
--- a/crates/chicory_gateway/src/process/relay_load.rs
+++ b/crates/chicory_gateway/src/process/relay_load.rs
@@ -7,7 +7,7 @@
 
 /// Most relayed requests in progress.
 const MAX_IN_PROGRESS: usize = 256;
-/// Most bytes of their bodies that are in memory.
+/// Most bytes of their bodies that are in memory, unless a longer body is allowed.
 const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 /// Delay of a timer from which the entry VM counts as overloaded: its own callers wait as long for
 /// each step of their requests.
@@ -45,14 +45,33 @@
 }
 
 /// What an entry VM relays for others at the moment.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RelayLoad {
+    max_body_bytes: u64,
     in_progress: usize,
     body_bytes: u64,
     tick_lag: Duration,
 }
 
+impl Default for RelayLoad {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: MAX_BODY_BYTES,
+            in_progress: 0,
+            body_bytes: 0,
+            tick_lag: Duration::ZERO,
+        }
+    }
+}
+
 impl RelayLoad {
+    /// Raises the bytes of all bodies to the length of the longest one that may come.
+    #[must_use]
+    pub fn with_longest_body(mut self, bytes: u64) -> Self {
+        self.max_body_bytes = self.max_body_bytes.max(bytes);
+        self
+    }
+
     /// Admits a request, or refuses it. `link` is what the entry VM's link still has to carry, if the
     /// link is thin.
     #[must_use]
@@ -69,7 +88,7 @@
             return RelayAdmission::LinkFull;
         }
         let all_body_bytes = self.body_bytes.saturating_add(size.body_bytes);
-        if self.in_progress >= MAX_IN_PROGRESS || all_body_bytes > MAX_BODY_BYTES {
+        if self.in_progress >= MAX_IN_PROGRESS || all_body_bytes > self.max_body_bytes {
             return RelayAdmission::Full;
         }
         self.in_progress += 1;
--- a/crates/chicory_gateway/tests/relay/load.rs
+++ b/crates/chicory_gateway/tests/relay/load.rs
@@ -57,6 +57,22 @@
     );
 }
 
+#[gtest]
+fn longest_body_is_accepted_beside_none() {
+    const LONGEST_BYTES: u64 = 64 * 1024 * 1024;
+    let mut load = RelayLoad::default().with_longest_body(LONGEST_BYTES);
+    expect_that!(
+        load.try_begin(NOW, body(LONGEST_BYTES), None),
+        eq(RelayAdmission::Accepted)
+    );
+    expect_that!(load.try_begin(NOW, body(1), None), eq(RelayAdmission::Full));
+    load.end(LONGEST_BYTES);
+    expect_that!(
+        load.try_begin(NOW, body(LONGEST_BYTES + 1), None),
+        eq(RelayAdmission::Full)
+    );
+}
+
 #[gtest]
 fn nothing_is_relayed_while_the_entry_vm_is_overloaded() {
     let mut load = RelayLoad::default();
