Receive the rest of a body that is refused before closing its connection

What callers saw: a caller that still sent its body when it was refused met a closed connection, failed at its next write, and never read the refusal, which promises that the request has not run.

Cause: the body was dropped with the refusal. The HTTP library then receives what is there already and closes; what the caller sends later is answered with a reset.

Change: the rest of the body is received for 5 s at most and discarded. On a thin link, where large bodies take turns, it still isn't, as it would delay others.

Evidence: a caller that sends 1 MB in ten parts, 30 ms apart, where 500 KB are allowed, failed from the second part on; now it sends all, reads 413, and the connection ends without a reset.

--- a/crates/chicory_gateway/src/process/bulk_transfers.rs
+++ b/crates/chicory_gateway/src/process/bulk_transfers.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Whether bodies take turns, as the link is thin.
+    pub(super) fn takes_turns(&self) -> bool {
+        self.receiving.is_some()
+    }
+
     /// Waits for the turn of a body that is received; `None` if it needs none.
     ///
     /// # Errors
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -12,6 +12,7 @@
 };
 use chicory_policy::RetryAfter;
 use chicory_types::MonoTime;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::{HeaderMap, HeaderValue, header, request};
 use hyper::{Request, Response};
@@ -42,6 +43,9 @@
 /// take to be sent on.
 const RETRY_AFTER_MEMORY: Duration = Duration::from_millis(600);
 
+/// Longest time for which the rest of a refused body is received.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(5);
+
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 /// Idle time for which callers are asked to keep connections. Most callers send another request
@@ -94,9 +98,22 @@
 
 impl Exchange {
     async fn start(shared: Arc<SharedState>, request: Request<Incoming>) -> Response<HttpBody> {
+        let (head, mut body) = request.into_parts();
+        let has_thin_link = shared.bulk.takes_turns();
+        let response = Self::answer(shared, head, &mut body).await;
+        if !body.is_end_stream() && !has_thin_link {
+            tokio::spawn(drain(body));
+        }
+        response
+    }
+
+    async fn answer(
+        shared: Arc<SharedState>,
+        head: request::Parts,
+        body: &mut Incoming,
+    ) -> Response<HttpBody> {
         let started_at = shared.now();
         shared.metrics.increment(GatewayMetric::Requests);
-        let (head, mut body) = request.into_parts();
         let metadata = shared.callers.read(&head);
         let exchange = Self {
             shared,
@@ -109,7 +126,7 @@
         }
         let response = tokio::select! {
             biased;
-            response = exchange.run(head, &mut body) => response,
+            response = exchange.run(head, body) => response,
             () = exchange.shared.wait_for_due_answers() => {
                 exchange.refuse(None, &exchange.refusal_at_stop())
             }
@@ -421,6 +438,14 @@
     }
 }
 
+/// Receives the rest of a body that is not used. If the connection were closed before the caller has
+/// sent it, the caller would not read the refusal.
+async fn drain(mut body: Incoming) {
+    let draining = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A body that takes longer is cut off.
+    let _ = tokio::time::timeout(MAX_DRAIN_TIME, draining).await;
+}
+
 pub(super) fn response(
     status: hyper::StatusCode,
     headers: HeaderMap,
