Take an answer whose status is none for a malformed one

What callers saw: statuses 600 to 999 and 101 of a backend server came through as its answer, with its signature, directly and over relays, and a GrantClient took 600 for a refusal that says that nothing was granted. 000, 099, 0200, abc and -1 were 502 before and still are; nothing ran twice.

Cause: the HTTP library accepts each number from 100 to 999, and nothing asked for those that end an exchange (RFC 9110, section 15). A request asks for no other protocol, so 101 does not end one.

Change: ServerLink returns SendError::Malformed for a status outside 200 to 599, and its callers close the connection.

--- a/crates/chicory_gateway/tests/relay/broken_heads.rs
+++ b/crates/chicory_gateway/tests/relay/broken_heads.rs
@@ -52,6 +52,16 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn answer_without_a_valid_status_is_not_relayed() {
+    for status in ["000", "099", "0200", "abc", "-1", "101", "600", "999"] {
+        let answer = format!("HTTP/1.1 {status} Status\r\nContent-Length: 5\r\n\r\nwhole");
+        let outcome = relay_answer(answer.as_bytes()).await.err();
+        expect_that!(outcome, some(eq(AttemptOutcome::Garbled)), "{status}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn answer_after_informational_ones_is_passed_on_whole() {
--- a/crates/chicory_net/src/http/server_link.rs
+++ b/crates/chicory_net/src/http/server_link.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend server.
 
 use std::io::ErrorKind;
+use std::ops::Range;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
 /// Most bytes of an answer's body, including what encodes it.
 const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
 
+/// Statuses that end an exchange, see RFC 9110, section 15. Requests ask for no other protocol, so 101
+/// is none of them.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// A time at which a connection is closed, and the signal that is sent then.
 struct Expiry {
     at: Instant,
@@ -152,7 +157,7 @@
         async move {
             let response = sent.await;
             allowance.set(max_body_bytes);
-            response.map_err(|mut error| {
+            let response = response.map_err(|mut error| {
                 if error.take_message().is_some() {
                     SendError::NothingSent
                 } else if error.error().is_parse() {
@@ -160,7 +165,12 @@
                 } else {
                     SendError::Broken
                 }
-            })
+            })?;
+            if FINAL_STATUSES.contains(&response.status().as_u16()) {
+                Ok(response)
+            } else {
+                Err(SendError::Malformed)
+            }
         }
     }
 
