Spread the times at which callers without memory for their bodies come back

Callers of one crowd were told the same 0.6 s and would have come back at once. The reason is now one of those of Gateway::refusal_at_arrival, which spreads times by a quarter either way and keeps them within a third of the caller's time.

--- a/crates/chicory_gateway/src/decide/refusals.rs
+++ b/crates/chicory_gateway/src/decide/refusals.rs
@@ -27,9 +27,10 @@
 /// Returns the time after which the cause of a refusal is expected to be over.
 fn expected_recovery_time(reason: RefusalReason) -> Duration {
     match reason {
-        RefusalReason::NoDirectory | RefusalReason::RoutesBehind | RefusalReason::Overloaded => {
-            RETRY_AFTER_CHANGE
-        }
+        RefusalReason::NoDirectory
+        | RefusalReason::RoutesBehind
+        | RefusalReason::Overloaded
+        | RefusalReason::NoMemory => RETRY_AFTER_CHANGE,
         RefusalReason::NoOwner | RefusalReason::Unreachable | RefusalReason::NoServer => {
             RETRY_AFTER_OUTAGE
         }
@@ -117,8 +118,8 @@
         refusal
     }
 
-    /// Returns the refusal of a request that has no ticket yet.
-    pub(super) fn refusal_at_arrival(
+    /// Returns the refusal of a request that no server was chosen for yet.
+    pub(crate) fn refusal_at_arrival(
         &mut self,
         metadata: &RequestMetadata,
         reason: RefusalReason,
--- a/crates/chicory_gateway/src/process/caller_handler.rs
+++ b/crates/chicory_gateway/src/process/caller_handler.rs
@@ -39,10 +39,6 @@
 /// is for sending it on and for the server.
 const RECEIVE_FRACTION: f64 = 0.5;
 
-/// Time after which a caller whose body had no room in memory may come back: as long as most bodies
-/// take to be sent on.
-const RETRY_AFTER_MEMORY: Duration = Duration::from_millis(600);
-
 /// Longest time for which the rest of a refused body is received.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(5);
 
@@ -193,7 +189,7 @@
         }
         let left = deadline.saturating_sub(self.shared.now());
         let receiver = BodyReceiver::new(body, share, max_bytes);
-        let receiver = receiver.map_err(|error| self.receive_refusal(&error, left))?;
+        let receiver = receiver.map_err(|error| self.receive_refusal(&error))?;
         let receiving = self.receive(receiver, left);
         let ended = tokio::time::timeout(left, receiving).await;
         ended.unwrap_or_else(|_| Err(Refusal::not_run(RefusalReason::TooLate)))
@@ -215,13 +211,13 @@
                 let taken = tokio::select! {
                     taken = self.shared.bulk.receive_turn(bytes, wait) => taken,
                     () = body.evicted() => {
-                        return Err(self.receive_refusal(&ReceiveError::OutOfMemory, time_left));
+                        return Err(self.receive_refusal(&ReceiveError::OutOfMemory));
                     }
                 };
                 turn = taken.map_err(|free_in| self.link_refusal(free_in, time_left))?;
             }
             let received = body.receive_part().await;
-            match received.map_err(|error| self.receive_refusal(&error, time_left))? {
+            match received.map_err(|error| self.receive_refusal(&error))? {
                 ReceiveStep::Complete => return Ok(body.finish()),
                 ReceiveStep::More => {}
             }
@@ -230,15 +226,15 @@
     }
 
     /// Returns the refusal of a request whose body was not received to its end.
-    fn receive_refusal(&self, error: &ReceiveError, time_left: Duration) -> Refusal {
+    fn receive_refusal(&self, error: &ReceiveError) -> Refusal {
         match error {
             ReceiveError::TooLong { .. } => Refusal::not_run(RefusalReason::BodyTooLarge),
             ReceiveError::Unreadable { .. } => Refusal::not_run(RefusalReason::BodyUnreadable),
             ReceiveError::OutOfMemory => {
                 let metrics = &self.shared.metrics;
                 metrics.increment(GatewayMetric::BodiesRefusedByMemory);
-                let retry_after = RetryAfter::new(RETRY_AFTER_MEMORY).within(time_left);
-                Refusal::not_run(RefusalReason::NoMemory).with_retry_after(retry_after)
+                let mut gateway = self.shared.gateway();
+                gateway.refusal_at_arrival(&self.metadata, RefusalReason::NoMemory)
             }
         }
     }
