Open a log whose superseded segments are back in part after a power loss

A segment that is missing otherwise is damage as before.

Evidence: removed_segments_that_are_back_after_a_crash_are_not_damage tries each choice of up to ten removals; it failed for the first one with a gap. lost_segment_that_is_not_superseded_is_damage holds before and after.

--- a/crates/chicory_storage/src/group_storage.rs
+++ b/crates/chicory_storage/src/group_storage.rs
@@ -223,10 +223,8 @@
         let count = closed
             .take_while(|closed_segment| closed_segment.greatest_index <= snapshot_index)
             .count();
-        for segment in self.segments.drain(..count).collect::<Vec<_>>() {
-            let path = segment.path(&self.group);
-            self.remove_or_count_failure(&path);
-        }
+        let superseded = self.segments.drain(..count).collect();
+        self.remove_segments(superseded);
         let names = self.files.list(&self.group).unwrap_or_default();
         let last_index = self
             .snapshot
@@ -238,6 +236,13 @@
         }
     }
 
+    fn remove_segments(&mut self, segments: Vec<Segment>) {
+        for segment in segments {
+            let path = segment.path(&self.group);
+            self.remove_or_count_failure(&path);
+        }
+    }
+
     fn remove_or_count_failure(&mut self, path: &str) {
         let removed = self.files.remove(path);
         self.cleanup_failures += u64::from(removed.is_err());
@@ -273,7 +278,8 @@
 
     fn replay(&mut self, names: &[String]) -> Result<RestoredState, StorageError> {
         let mut replay = Replay::default();
-        self.segments = read_segments(&mut self.files, &self.group, names, &mut replay)?;
+        let segments = read_segments(&mut self.files, &self.group, names, &mut replay)?;
+        self.segments = segments.current;
         if let Err(damage) = replay.finish() {
             let path = self.group.clone();
             return DamagedSnafu {
@@ -289,6 +295,7 @@
         let snapshot =
             header.map(|logged_header| read_snapshot(&self.files, &self.group, logged_header));
         let snapshot = snapshot.transpose()?;
+        self.remove_segments(segments.superseded);
         Ok(RestoredState {
             may_vote: !self.member.is_rejoining || snapshot.is_some(),
             hard_state: replay.hard_state,
--- a/crates/chicory_storage/src/memory_disk.rs
+++ b/crates/chicory_storage/src/memory_disk.rs
@@ -41,9 +41,20 @@
     /// Simulates a crash: drops everything that was not synced, except for the first `kept_bytes`
     /// of the unsynced end of each file, and cancels a pending sync failure.
     pub fn crash(&self, kept_bytes: usize) {
+        self.crash_keeping(kept_bytes, |_| false);
+    }
+
+    /// Simulates a crash like [`crash`](Self::crash), except that each name that was created, renamed
+    /// or removed without a sync of its directory stays as it is if `keeps` returns `true` for it.
+    pub fn crash_keeping(&self, kept_bytes: usize, keeps: impl Fn(&str) -> bool) {
         let mut state = self.state();
         state.syncs_until_failure = None;
-        state.names = state.durable_names.clone();
+        let mut names = state.durable_names.clone();
+        names.retain(|path, _| state.names.contains_key(path) || !keeps(path));
+        let kept = state.names.iter().filter(|(path, _)| keeps(path));
+        names.extend(kept.map(|(path, inode)| (path.clone(), *inode)));
+        state.durable_names.clone_from(&names);
+        state.names = names;
         for inode in state.inodes.values_mut() {
             let durable = inode.synced.len();
             let end = durable.saturating_add(kept_bytes).min(inode.data.len());
--- a/crates/chicory_storage/src/replay.rs
+++ b/crates/chicory_storage/src/replay.rs
@@ -13,6 +13,8 @@
     pub(crate) hard_state: HardState,
     pub(crate) snapshot: Option<SnapshotHeader>,
     pub(crate) entries: Vec<Entry>,
+    /// Last index of the newest snapshot that a batch recorded, rather than the header of a segment.
+    pub(crate) recorded_snapshot_index: Option<LogIndex>,
 }
 
 impl Replay {
@@ -32,7 +34,11 @@
         if let Some(from) = batch.truncate_from {
             self.entries.retain(|entry| entry.index < from);
         }
+        let has_snapshot = batch.snapshot.is_some();
         self.apply_snapshot(batch.snapshot)?;
+        if has_snapshot {
+            self.recorded_snapshot_index = self.snapshot.as_ref().map(|header| header.last_index);
+        }
         let mut greatest = 0;
         for entry in batch.entries {
             let entry = Entry::try_from(entry).map_err(content_damage)?;
--- a/crates/chicory_storage/src/segment_reader.rs
+++ b/crates/chicory_storage/src/segment_reader.rs
@@ -39,23 +39,62 @@
     numbers.filter_map(|number| number.parse().ok()).collect()
 }
 
+/// The segments of a group.
+#[derive(Debug, Default)]
+pub(crate) struct Segments {
+    /// The segments that make up the log.
+    pub(crate) current: Vec<Segment>,
+    /// Segments that a snapshot has superseded, and whose removal a crash has undone.
+    pub(crate) superseded: Vec<Segment>,
+}
+
 /// Reads all segments and truncates a torn end of the last one.
+///
+/// After a crash, removals that were not synced may be undone, each independently of the others. A gap
+/// in the segments is therefore no damage if a snapshot that was recorded behind it covers what is
+/// before it.
 pub(crate) fn read_segments(
     files: &mut Files,
     group: &str,
     names: &[String],
     replay: &mut Replay,
-) -> Result<Vec<Segment>, StorageError> {
+) -> Result<Segments, StorageError> {
     let sequences = sequences(names);
-    let mut segments: Vec<Segment> = Vec::new();
-    for (position, sequence) in sequences.iter().enumerate() {
-        let is_consecutive = segments
-            .last()
-            .is_none_or(|last| last.sequence + 1 == *sequence);
-        if !is_consecutive {
-            return damaged(&segment_path(group, *sequence), 0, Damage::Gap);
-        }
-        let is_last = position + 1 == sequences.len();
+    let mut runs: Vec<&[u64]> = sequences.chunk_by(|a, b| a + 1 == *b).collect();
+    let Some(last_run) = runs.pop() else {
+        return Ok(Segments::default());
+    };
+    let mut superseded = Vec::new();
+    for run in runs {
+        let read = read_run(files, group, run, false, &mut Replay::default())?;
+        superseded.extend(read);
+    }
+    let current = read_run(files, group, last_run, true, replay)?;
+    let greatest_index = superseded.iter().map(|segment| segment.greatest_index);
+    let is_covered = greatest_index.max().is_none_or(|greatest_index| {
+        let recorded_index = replay.recorded_snapshot_index;
+        recorded_index.is_some_and(|recorded_index| recorded_index >= greatest_index)
+    });
+    match last_run.first() {
+        Some(first) if !is_covered => damaged(&segment_path(group, *first), 0, Damage::Gap),
+        _ => Ok(Segments {
+            current,
+            superseded,
+        }),
+    }
+}
+
+/// Reads segments that follow each other; `is_end` states whether they are the last ones of the log.
+fn read_run(
+    files: &mut Files,
+    group: &str,
+    run: &[u64],
+    is_end: bool,
+    replay: &mut Replay,
+) -> Result<Vec<Segment>, StorageError> {
+    let mut segments = Vec::new();
+    for (position, sequence) in run.iter().enumerate() {
+        let is_last = is_end && position + 1 == run.len();
         let is_first = position == 0;
         let segment = read_segment(files, group, *sequence, is_last, is_first, replay)?;
         segments.extend(segment);
--- a/crates/chicory_storage/tests/group_storage.rs
+++ b/crates/chicory_storage/tests/group_storage.rs
@@ -138,6 +138,69 @@
     expect_that!(indices(&restored), eq(&[26, 27, 28, 29, 30]));
 }
 
+/// Returns a disk with a log of many segments, most of which a snapshot has superseded, and the names of
+/// their files.
+fn log_with_superseded_segments() -> (MemoryDisk, Vec<String>) {
+    let disk = MemoryDisk::default();
+    let (mut storage, _) = open(&disk, FIRST_INCARNATION);
+    storage.set_segment_bytes(200);
+    storage
+        .persist(Some(hard_state(2)), None, vec![], None)
+        .expect("written");
+    for index in 1..=30 {
+        storage
+            .persist(None, None, vec![entry(index, 2)], None)
+            .expect("written");
+    }
+    let before: Vec<String> = disk.files().into_iter().map(|(path, _)| path).collect();
+    storage
+        .persist(None, None, vec![], Some(snapshot(25)))
+        .expect("written");
+    let after: Vec<String> = disk.files().into_iter().map(|(path, _)| path).collect();
+    let removed = before.into_iter().filter(|path| !after.contains(path));
+    (disk, removed.collect())
+}
+
+/// Each removal that is not synced may be kept or lost, whatever happens to the others.
+#[gtest]
+fn removed_segments_that_are_back_after_a_crash_are_not_damage() {
+    let (disk, removed) = log_with_superseded_segments();
+    expect_that!(removed.len(), ge(3));
+    for choice in 0..1_usize << removed.len().min(10) {
+        let disk = disk.duplicate();
+        let is_kept = |path: &str| {
+            let position = removed.iter().position(|name| name == path);
+            position.is_some_and(|position| choice >> position & 1 == 1)
+        };
+        disk.crash_keeping(0, is_kept);
+        let (storage, restored) = open(&disk, FIRST_INCARNATION + 1);
+        expect_that!(storage.damage().is_none(), eq(true), "{choice:b}");
+        expect_that!(restored.may_vote, eq(true), "{choice:b}");
+        expect_that!(restored.hard_state, eq(&hard_state(2)), "{choice:b}");
+        expect_that!(indices(&restored), eq(&[26, 27, 28, 29, 30]), "{choice:b}");
+        drop(storage);
+        let (storage, restored) = open(&disk, FIRST_INCARNATION + 2);
+        expect_that!(storage.damage().is_none(), eq(true), "{choice:b}");
+        expect_that!(restored.entries.len(), eq(5), "{choice:b}");
+    }
+}
+
+/// A segment that no snapshot supersedes is missed, also if one supersedes those before it.
+#[gtest]
+fn lost_segment_that_is_not_superseded_is_damage() {
+    let (disk, _) = log_with_superseded_segments();
+    disk.crash_keeping(0, |_| true);
+    let segments = disk.files().into_iter().map(|(path, _)| path);
+    let segments: Vec<String> = segments.filter(|path| path.contains("/log-")).collect();
+    // The loss of the last segment looks like a crash before that segment was started.
+    for path in &segments[..segments.len() - 1] {
+        let mut lost = disk.duplicate();
+        lost.remove(path).expect("removed");
+        let (_, restored) = open(&lost, FIRST_INCARNATION + 1);
+        expect_false!(restored.may_vote, "{path}");
+    }
+}
+
 #[gtest]
 fn one_batch_needs_one_sync() {
     let disk = small_log();
