Wait for the longest hold of former leaders after an election

What callers saw: after maxHoldS was lowered from 10 to 2 and the control processes were restarted in turn, two backend servers held the same keys for 6.3 s.

Cause: a new leader took the grants of former leaders for expired after its own hold. The log has the moves of keys, but not for how long grants hold.

Change: the leader waits for the longest hold that any leader gives, 10 s. Grants of its own expire after its own hold as before. The price: where operators allow less than 10 s, keys of a server that is lost around an election wait that long for their next owner; the sites of the platform all allow 10 s. A hold that is kept in the log would avoid it and needs a new record; not begun.

--- a/crates/chicory_ranges/src/grant_coordinator.rs
+++ b/crates/chicory_ranges/src/grant_coordinator.rs
@@ -64,7 +64,9 @@
         elected_at: MonoTime,
         registry: &RangeRegistry,
     ) -> Self {
-        let former_leader_grants_until = elected_at + CALL_TIMEOUT + config.grant_expiry();
+        // The former leader may have had other settings, and no leader gives a longer hold than this.
+        let former_hold = GrantCoordinatorConfig::default();
+        let former_leader_grants_until = elected_at + CALL_TIMEOUT + former_hold.grant_expiry();
         let former_calls_until = if registry.last_fence() == 0 {
             elected_at
         } else {
--- a/crates/chicory_ranges/tests/grant_coordinator.rs
+++ b/crates/chicory_ranges/tests/grant_coordinator.rs
@@ -261,6 +261,27 @@
     expect_that!(cluster.move_count, gt(move_count));
 }
 
+/// Guards against two owners of a key after operators have allowed less: the grants of the former leader
+/// hold as long as they were given for.
+#[gtest]
+fn leader_with_a_shorter_hold_waits_for_the_grants_of_the_former_one() {
+    for max_hold in [2, 5, 9].map(Duration::from_secs) {
+        let mut cluster = settled_cluster(9);
+        server(&mut cluster, 0).is_partitioned = true;
+        let config = GrantCoordinatorConfig::default().with_max_hold(max_hold);
+        cluster.change_leader_with(config.clone());
+        // Each step checks that no key has two owners.
+        cluster.run(Duration::from_secs(9));
+        // The server is lost for good, and the keys go to the others.
+        cluster.run(Duration::from_secs(6));
+        expect_that!(cluster.held_key_count(), eq(ALL_KEYS), "{max_hold:?}");
+        // Under its own grants, the leader has to wait for its own hold only.
+        server(&mut cluster, 1).is_partitioned = true;
+        cluster.run(config.grant_expiry() + Duration::from_secs(3));
+        expect_that!(cluster.held_key_count(), eq(ALL_KEYS), "{max_hold:?}");
+    }
+}
+
 /// Guards against counting a late answer for the wrong owner: a server that has ended answers a
 /// release after its keys were assigned to the next owner.
 #[gtest]
--- a/crates/chicory_ranges/tests/support/mod.rs
+++ b/crates/chicory_ranges/tests/support/mod.rs
@@ -203,8 +203,12 @@
 
     /// Replaces the leader by another one, which knows only the registry.
     pub fn change_leader(&mut self) {
-        self.coordinator =
-            GrantCoordinator::new(GrantCoordinatorConfig::default(), self.now, &self.registry);
+        self.change_leader_with(GrantCoordinatorConfig::default());
+    }
+
+    /// Replaces the leader by one with other settings, which knows only the registry.
+    pub fn change_leader_with(&mut self, config: GrantCoordinatorConfig) {
+        self.coordinator = GrantCoordinator::new(config, self.now, &self.registry);
     }
 
     pub fn handle_event(&mut self, event: GrantEvent) {
