Keep to the grace period that the settings state when a planned stop begins

What callers saw: after graceS was lowered from 6 to 2 with a SIGHUP, a planned stop cut 4 to 8 orders without an answer. The process took requests until the platform killed it.

Cause: the grace period was that of the settings at the start. SIGHUP read the file and only logged it.

--- a/crates/chicory_gateway/src/process/gateway_process.rs
+++ b/crates/chicory_gateway/src/process/gateway_process.rs
@@ -39,6 +39,7 @@
     config: GatewayProcessConfig,
     listener: HttpListener,
     relay_listener: Option<RelayListener>,
+    stop_grace: watch::Receiver<Duration>,
 }
 
 impl GatewayProcess {
@@ -68,6 +69,7 @@
             (Some(listener), Some(address)) => Some(listener.reachable_address(address)),
             _ => None,
         };
+        let (_, stop_grace) = watch::channel(config.stop_grace);
         let gateway = Gateway::new(config.gateway_config.clone());
         let vm = config.vm.clone();
         let shared = SharedState::new(vm, gateway, clock, interfaces, readiness, logger, metrics);
@@ -76,9 +78,18 @@
             config,
             listener,
             relay_listener,
+            stop_grace,
         })
     }
 
+    /// Sets the time from the announcement of a planned stop to the end of the process. The value at
+    /// the announcement is the one that counts.
+    #[must_use]
+    pub fn with_stop_grace(mut self, stop_grace: watch::Receiver<Duration>) -> Self {
+        self.stop_grace = stop_grace;
+        self
+    }
+
     /// Serves until `stop` becomes `true`, then stops after the requests in progress have been
     /// answered, as far as the grace period allows.
     pub async fn run(self, mut stop: watch::Receiver<bool>) {
@@ -119,11 +130,12 @@
         if stop.wait_for(|stop| *stop).await.is_err() {
             std::future::pending::<()>().await;
         }
-        let schedule = StopSchedule::new(self.config.stop_grace);
+        let grace = *self.stop_grace.borrow();
+        let schedule = StopSchedule::new(grace);
         shared.readiness.begin_stop();
         let answers_at = shared.now() + schedule.last_answers;
         shared.gateway().set_stopping(answers_at);
-        info!(shared.logger, "stop begins"; "grace" => ?self.config.stop_grace);
+        info!(shared.logger, "stop begins"; "grace" => ?grace);
         let begun_at = Instant::now();
         tokio::time::sleep_until(begun_at + schedule.closing).await;
         close.send_replace(true);
