--- a/crates/chicory_policy/src/connection_budget.rs
+++ b/crates/chicory_policy/src/connection_budget.rs
@@ -301,10 +301,13 @@
             return BudgetStep::Granted(evictions);
         }
         let (wanted_bytes, progress_at) = (connection.bytes() + bytes, connection.progress_at);
-        let usable_bytes = if wanted_bytes > SMALL_BYTES {
-            self.max_bytes - self.reserve_bytes()
-        } else {
+        // A request that is refused may come again, while an answer that is not sent is lost.
+        let may_use_reserve =
+            wanted_bytes <= SMALL_BYTES || connection.state == ConnectionState::Answering;
+        let usable_bytes = if may_use_reserve {
             self.max_bytes
+        } else {
+            self.max_bytes - self.reserve_bytes()
         };
         let missing_bytes = (self.used_bytes + bytes).saturating_sub(usable_bytes);
         if missing_bytes == 0 {
--- a/crates/chicory_policy/tests/connection_budget.rs
+++ b/crates/chicory_policy/tests/connection_budget.rs
@@ -127,6 +127,21 @@
     expect_that!(budget.set_content(at(12), 2, 40_000), eq(&granted([])));
 }
 
+#[gtest]
+fn answers_may_use_the_reserve() {
+    let mut budget = receiving(3);
+    for id in [0, 1] {
+        expect_that!(budget.set_content(at(10), id, 3_400_000), eq(&granted([])));
+        budget.set_state(at(10), id, ConnectionState::Serving);
+    }
+    expect_that!(
+        budget.set_content(at(11), 2, 200_000),
+        eq(&BudgetStep::Refused)
+    );
+    budget.set_state(at(11), 2, ConnectionState::Answering);
+    expect_that!(budget.set_content(at(11), 2, 200_000), eq(&granted([])));
+}
+
 #[gtest]
 fn answers_that_nobody_reads_give_way_to_others() {
     const ANSWER_BYTES: u64 = 192 * 1024;
