Let a connection whose request made room carry further requests

What callers saw: nothing yet. A connection between entry VMs on which a request was refused to make room stayed marked, and each later request on it was refused as busy.

Cause: the signal that a request is evicted was that of its connection and was never taken back.

Evidence: connection_of_a_relayed_request_that_made_room_carries_the_next_one ended with 503 before.

--- a/crates/chicory_net/src/http/connection_share.rs
+++ b/crates/chicory_net/src/http/connection_share.rs
@@ -115,6 +115,14 @@
         self.inner.read_bytes.store(0, Ordering::Relaxed);
         self.release_content();
         self.set_state(ConnectionState::Idle);
+        // The eviction of a request does not concern the next one.
+        self.inner.evicted.send_if_modified(|eviction| {
+            let is_settled = *eviction == Some(Eviction::Refuse);
+            if is_settled {
+                *eviction = None;
+            }
+            is_settled
+        });
     }
 
     /// Closes the connection, as there is no room for its answer.
