Count progress of a body by the kibibyte

A client that sends a byte now and then made progress with each, so a crowd of such clients would have kept their connections while new ones were closed. Read, not run as a crowd: a test would depend on times.

--- a/crates/chicory_net/src/http/body_receiver.rs
+++ b/crates/chicory_net/src/http/body_receiver.rs
@@ -106,10 +106,10 @@
             BodyBuffer::bytes_for(new_len),
         );
         if let Some(share) = &self.share {
-            if bytes == new_bytes {
-                share.record_progress();
-            } else {
+            if bytes != new_bytes {
                 ensure!(share.set_content(new_bytes), OutOfMemorySnafu);
+            } else if BodyBuffer::has_progressed(self.buffer.len(), new_len) {
+                share.record_progress();
             }
         }
         self.buffer.push(part);
--- a/crates/chicory_net/src/http/buffered_body.rs
+++ b/crates/chicory_net/src/http/buffered_body.rs
@@ -6,6 +6,8 @@
 
 /// Size of the segments of a long body. Each one but the last has at least this size.
 const SEGMENT_BYTES: usize = 64 * 1024;
+/// Step in which the memory of shorter bodies is counted.
+const STEP_BYTES: u64 = 1024;
 
 /// A complete body in memory, in segments. Clones share the memory.
 ///
@@ -95,12 +97,18 @@
     pub(crate) fn bytes_for(len: u64) -> u64 {
         let segment_bytes = SEGMENT_BYTES as u64;
         if len <= segment_bytes {
-            len
+            len.next_multiple_of(STEP_BYTES)
         } else {
             len.next_multiple_of(segment_bytes)
         }
     }
 
+    /// Whether a body has made progress when it has grown to a length. A sender that sends a few bytes
+    /// now and then makes none.
+    pub(crate) fn has_progressed(len: u64, new_len: u64) -> bool {
+        len / STEP_BYTES != new_len / STEP_BYTES
+    }
+
     pub(crate) fn push(&mut self, part: Bytes) {
         if self.len == 0 {
             self.len = part.len() as u64;
