Replace the test of callers over the limit of connections

callers_over_the_limit_are_refused opened a connection that sent half a head and waited until another one was refused. Two tests take its place: each of ten new connections is refused and counted while the only one allowed has a request in progress, which goes on; and a connection without a request is closed and counted for a new one, which is answered.

--- a/crates/chicory_entry/tests/entry_process/listeners.rs
+++ b/crates/chicory_entry/tests/entry_process/listeners.rs
@@ -55,19 +55,58 @@
 
 #[gtest]
 #[tokio::test]
-async fn callers_over_the_limit_are_refused() {
+async fn callers_over_the_limit_are_refused_while_others_are_served() {
     let cluster = TestCluster::new();
+    let (started, mut starts) = tokio::sync::mpsc::unbounded_channel();
+    let server = FakeServer::start(move |_| {
+        let _ = started.send(());
+        std::future::pending()
+    })
+    .await;
+    let record = server.record("archive-1", "archive");
+    cluster.zone.serve(record, "vm-1", policy(true, true));
     let mut settings = cluster.settings("vm-1");
     settings.caller_limits.max_connections = 1;
     let entry = cluster.entry_with(settings).await;
     let callers = entry.addresses().callers;
-    let mut first = TcpStream::connect(callers).await.expect("connected");
-    first.write_all(b"GET").await.expect("sent");
+    let first = tokio::spawn(async move {
+        loop {
+            get(callers, "/archive/k").await;
+        }
+    });
+    starts.recv().await.expect("started");
     let admin = entry.addresses().admin;
-    while metric(admin, "chicory_refused_callers_total").await == 0 {
-        send_raw(callers, b"").await;
+    for refused in 0..10 {
+        let refusals = metric(admin, "chicory_refused_callers_total").await;
+        expect_that!(refusals, eq(refused));
+        let mut stream = TcpStream::connect(callers).await.expect("connected");
+        let read = stream.read(&mut [0; 16]).await;
+        expect_that!(matches!(read, Ok(0) | Err(_)), eq(true));
     }
-    drop(first);
+    expect_that!(first.is_finished(), eq(false));
+    first.abort();
+}
+
+/// Guards against callers that are turned away because of connections that nobody uses.
+#[gtest]
+#[tokio::test]
+async fn connection_without_a_request_is_closed_for_a_new_one_over_the_limit() {
+    let cluster = TestCluster::new();
+    let mut settings = cluster.settings("vm-1");
+    settings.caller_limits.max_connections = 1;
+    let entry = cluster.entry_with(settings).await;
+    let callers = entry.addresses().callers;
+    let admin = entry.addresses().admin;
+    let mut first = TcpStream::connect(callers).await.expect("connected");
+    first.write_all(b"GET").await.expect("sent");
+    let answer = get(callers, "/nothing/k").await;
+    expect_that!(answer.status.is_client_error(), eq(true));
+    let read = first.read(&mut [0; 16]).await;
+    expect_that!(matches!(read, Ok(0) | Err(_)), eq(true));
+    let evicted = metric(admin, "chicory_evicted_connections_total").await;
+    expect_that!(evicted, eq(1));
+    let refused = metric(admin, "chicory_refused_callers_total").await;
+    expect_that!(refused, eq(0));
 }
 
 #[gtest]
